--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; each prints its command, seed and tables."""
--- /dev/null
+++ b/src/cornelgrade/__main__.py
@@ -0,0 +1,6 @@
+"""Lets ``python -m cornelgrade`` run the command line."""
+
+from cornelgrade import cli
+
+if __name__ == "__main__":
+    cli.main()
--- /dev/null
+++ b/src/cornelgrade/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""What the system speaks to: the platform, upstreams and peers."""
--- /dev/null
+++ b/src/cornelgrade/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions: frozen values and a time in, typed actions out."""
--- /dev/null
+++ b/src/cornelgrade/schema/__init__.py
@@ -0,0 +1,1 @@
+"""The schema of peer messages and its loader."""
--- /dev/null
+++ b/src/cornelgrade/services/__init__.py
@@ -0,0 +1,1 @@
+"""Tasks that own sockets and state and carry the decisions out."""
--- /dev/null
+++ b/src/cornelgrade/services/ports.py
@@ -0,0 +1,240 @@
+"""Protocols and values through which services know each other."""
+
+import dataclasses
+import enum
+from typing import Protocol
+
+import trio
+
+from cornelgrade import errors, manifest
+
+
+class MemberState(enum.StrEnum):
+    """State of a VM in the membership view."""
+
+    ALIVE = "alive"
+    SUSPECT = "suspect"
+    LEAVING = "leaving"
+    DEAD = "dead"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Member:
+    """One VM as the membership knows it; addresses are ``IP:port``."""
+
+    vm: str
+    failure_domain: str
+    region: str
+    incarnation: int
+    state: MemberState
+    peer_address: str
+    worker_address: str
+    gateway_address: str
+    manifest_version: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class View:
+    """A snapshot of the membership; a hint, never a proof.
+
+    :param self_vm: the VM whose view it is.
+    """
+
+    self_vm: str
+    members: tuple[Member, ...]
+
+    def usable(self, failure_domain: str = "") -> tuple[Member, ...]:
+        """Give members that may get new work, of one failure domain if it is named.
+
+        A suspect still counts until it is found dead.
+        """
+        good = (MemberState.ALIVE, MemberState.SUSPECT)
+        return tuple(
+            m
+            for m in self.members
+            if m.state in good and (not failure_domain or m.failure_domain == failure_domain)
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Load:
+    """A gateway tells an engine's batch owner its outstanding online requests."""
+
+    upstream: str
+    outstanding: int
+    queued: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Yield:
+    """A gateway asks an engine's batch owner to free slots at once."""
+
+    upstream: str
+    slots: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Quarantined:
+    """A request fingerprint that crashes engines.
+
+    :param crashes: engines that it crashed alone.
+    :param expires_s: seconds from now until it is forgotten.
+    """
+
+    fingerprint: str
+    crashes: int
+    expires_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Leaving:
+    """An upstream that should get no new work."""
+
+    upstream: str
+
+
+PeerMessage = Load | Yield | Quarantined | Leaving
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Accepted:
+    """The manifest in force.
+
+    :param version: the platform's version; 0 before the first manifest.
+    :param confirmed: read from the platform, not only heard from a peer.
+    """
+
+    manifest: manifest.Manifest
+    version: int
+    confirmed: bool = True
+
+
+class Membership(Protocol):
+    """The service ``membership``."""
+
+    def view(self) -> View:
+        """Give the latest view."""
+
+    def send(self, vm: str, message: PeerMessage) -> None:
+        """Queue a datagram to a VM's worker (load, yield) or gateway (the rest)."""
+
+    def spread(self, message: PeerMessage) -> None:
+        """Queue a message to every gateway of the region, carried by the probing rounds."""
+
+    def subscribe(self, kind: type[PeerMessage]) -> trio.MemoryReceiveChannel[PeerMessage]:
+        """Receive the messages of one type that peers sent; a slow reader loses the oldest."""
+
+
+class Configuration(Protocol):
+    """The service ``configuration``."""
+
+    def current(self) -> Accepted | None:
+        """Give the manifest in force, ``None`` before the first one."""
+
+    async def wait_newer(self, version: int) -> Accepted:
+        """Wait for a manifest later than ``version``."""
+
+    async def put(self, raw: bytes, if_match: int | None) -> Accepted:
+        """Check and accept a manifest; raises a Refusal (``STALE``, ``BAD_REQUEST``, ...)."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Step:
+    """One step in the story of a request, item, job, manifest version or order.
+
+    :param at_s: Unix time in seconds.
+    :param sentence: what happened, in plain English.
+    """
+
+    at_s: float
+    step: str
+    sentence: str
+    peer: str = ""
+
+
+class Stories(Protocol):
+    """The service ``stories``: bounded recent history, the source of ``explain``."""
+
+    def note(self, subject: str, step: str, sentence: str, peer: str = "") -> None:
+        """Add a step to the story of ``subject``."""
+
+    def tell(self, subject: str) -> tuple[Step, ...]:
+        """Give a story, oldest step first."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Claim:
+    """A keyed request that wants to run.
+
+    :param digest: hash of method, path and body; another body under the same key is refused.
+    :param wait_s: longest wait for the same request that is already running.
+    """
+
+    team: str
+    key: str
+    request_id: str
+    digest: str
+    idempotent: bool
+    wait_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoredAnswer:
+    """The whole answer to a keyed request."""
+
+    status: int
+    content_type: str
+    body: bytes
+    recorded: bool = True
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Run:
+    """The right to run a claimed request; only its holder may dispatch it."""
+
+    claim: Claim
+    nonce: str
+
+
+class Records(Protocol):
+    """The service ``records``: durable outcomes of keyed requests."""
+
+    async def begin(self, claim: Claim) -> Run | StoredAnswer:
+        """Claim a request, or give the answer that it already has.
+
+        For a non-idempotent request the run record is durable before this returns. Waits for a
+        running twin up to ``claim.wait_s``.
+
+        :raises Refusal: ``CONFLICT`` (other body), ``OUTCOME_UNKNOWN`` (ran at a VM that died),
+            ``UNAVAILABLE`` (not run: the record could not be made).
+        """
+
+    async def finish(self, run: Run, answer: StoredAnswer) -> bool:
+        """Store the answer; false if it waits in the backlog for the platform to return."""
+
+    async def abandon(self, run: Run, ran: errors.Ran) -> None:
+        """Give the claim up: released if nothing ran or it is idempotent, else kept unknown."""
+
+    async def lookup(self, team: str, key: str) -> StoredAnswer | None:
+        """Read a stored answer."""
+
+
+class Verdict(enum.Enum):
+    """How a request fingerprint may run."""
+
+    CLEAR = "clear"
+    ALONE = "alone"
+    CONDEMNED = "condemned"
+
+
+class Quarantine(Protocol):
+    """The service ``quarantine``: which requests crash engines."""
+
+    def verdict(self, fingerprint: str) -> Verdict:
+        """Say how a request may run: with others, alone on an engine, or not at all."""
+
+    def crashed(self, upstream: str, in_flight: tuple[str, ...]) -> None:
+        """Report an engine's crash with the fingerprints that were in flight there."""
+
+    def completed(self, fingerprint: str) -> None:
+        """Report that a request ended well."""
--- /dev/null
+++ b/src/cornelgrade/services/web/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP surface towards callers and operators, one blueprint for each concern."""
--- /dev/null
+++ b/src/cornelgrade/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for outside systems, for development and tests."""
--- /dev/null
+++ b/tests/test_kernel.py
@@ -0,0 +1,41 @@
+import pytest
+import trio
+
+from cornelgrade import errors, kernel
+
+
+class Flaky:
+    name = "flaky"
+
+    def __init__(self, failures: int) -> None:
+        self.failures = failures
+        self.starts = 0
+
+    async def run(self, started):
+        self.starts += 1
+        started()
+        if self.starts <= self.failures:
+            raise RuntimeError("broken")
+        await trio.sleep_forever()
+
+
+async def test_service_with_restart_rule_is_started_again(autojump_clock):
+    service = Flaky(failures=3)
+    made = kernel.Kernel()
+    made.add(service, kernel.Supervision(on_exit=kernel.OnExit.RESTART))
+    with trio.move_on_after(10):
+        await made.run()
+    assert service.starts == 4
+
+
+async def test_service_without_rule_ends_the_process(autojump_clock):
+    made = kernel.Kernel()
+    made.add(Flaky(failures=1))
+    with pytest.raises(ExceptionGroup) as caught, trio.fail_after(10):
+        await made.run()
+    assert caught.group_contains(RuntimeError, match="broken")
+
+
+def test_unknown_service_is_a_typed_error():
+    with pytest.raises(errors.CornelgradeError, match="no service router"):
+        kernel.Kernel().find("router", object)
