--- a/src/cornelgrade/adapters/platform.py
+++ b/src/cornelgrade/adapters/platform.py
@@ -65,11 +65,18 @@
 
 
 class ConflictError(errors.CornelgradeError):
-    """A conditional write found another version; ``current`` is what is there, if anything."""
+    """A conditional write found another version; ``current`` is what is there, if anything.
 
-    def __init__(self, message: str, *, step: str, current: Stored | None) -> None:
+    :param outcome_unknown: an answer was lost on the way, so the write may have taken effect
+        and been overwritten since; ``False`` promises that it did not take effect.
+    """
+
+    def __init__(
+        self, message: str, *, step: str, current: Stored | None, outcome_unknown: bool = False
+    ) -> None:
         super().__init__(message, step=step, peer="platform")
         self.current = current
+        self.outcome_unknown = outcome_unknown
 
 
 class UnavailableError(errors.CornelgradeError):
