--- /dev/null
+++ b/src/cornelgrade/standins/engine.py
@@ -0,0 +1,278 @@
+"""The engine stand-in: drives the model on trio's clock, with faults and counters."""
+
+import collections
+import dataclasses
+from collections.abc import Callable
+
+import msgspec
+import trio
+
+from cornelgrade.adapters import engine
+from cornelgrade.standins import engine_model, engine_wire
+
+KEY_LIMIT = 50_000
+KEY_LENGTH = 200
+
+
+class Switches(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """How the engine misbehaves.
+
+    :param crash: the engine dies now; acts once.
+    :param restart_s: seconds until a dead engine is up again.
+    :param freeze: nothing is generated and no call but the switches is answered.
+    :param silence: connections that are open now say nothing more, new ones work; acts once.
+    :param truncate_after: each answer ends without its end marker after so many tokens.
+    :param leaving: the engine says that it is leaving but still takes calls.
+    :param refuse: calls are refused with 503.
+    """
+
+    crash: bool = False
+    restart_s: float = 2.0
+    freeze: bool = False
+    silence: bool = False
+    truncate_after: int = 0
+    leaving: bool = False
+    refuse: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class Runs:
+    """How often one request came and how often it was generated to its end."""
+
+    calls: int = 0
+    completions: int = 0
+    tokens: int = 0
+
+
+class Counters(msgspec.Struct, frozen=True):
+    """What an engine has done since its process began, across crashes.
+
+    :param by_key: runs by the body's ``user`` field, or by the start of the prompt without one.
+    :param wasted_tokens: tokens of calls that broke or whose caller went away.
+    :param cancelled_tokens: tokens of cancelled calls, kept for resuming.
+    """
+
+    calls: int
+    completions: int
+    generated_tokens: int
+    wasted_tokens: int
+    cancelled_tokens: int
+    prompt_tokens: int
+    cached_tokens: int
+    crashes: int
+    calls_while_leaving: int
+    by_stream: dict[str, Runs]
+    by_key: dict[str, Runs]
+
+
+class DownError(Exception):
+    """The engine is dead at the moment."""
+
+
+class RefusedError(Exception):
+    """The engine refuses the call.
+
+    :param status: the HTTP status.
+    :param code: machine-readable reason.
+    """
+
+    def __init__(self, status: int, code: str, message: str) -> None:
+        super().__init__(message)
+        self.status = status
+        self.code = code
+
+
+class Engine:
+    """One engine; :meth:`run` must be running for anything to be generated.
+
+    :param on_crash: called when the engine dies.
+    :param on_silence: called when open connections go silent.
+    """
+
+    def __init__(self, name: str, cfg: engine_model.Config | None = None) -> None:
+        self.name = name
+        self.cfg = cfg or engine_model.Config()
+        self.switches = Switches()
+        self.up = True
+        self.on_crash: Callable[[], None] = lambda: None
+        self.on_silence: Callable[[], None] = lambda: None
+        self._model = engine_model.EngineModel(self.cfg)
+        self._wake = trio.Event()
+        self._order_lock = trio.Lock()
+        self._totals: collections.Counter[str] = collections.Counter()
+        self._by_stream: dict[str, Runs] = {}
+        self._by_key: dict[str, Runs] = {}
+
+    async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """Step the model until cancelled."""
+        task_status.started()
+        while True:
+            if self.switches.crash:
+                await self._crash()
+            elif self.switches.freeze or not self._model.busy:
+                await self._wake.wait()
+            else:
+                await self._step()
+
+    def switch(self, switches: Switches) -> None:
+        """Put new switches in force."""
+        self.switches = msgspec.structs.replace(switches, silence=False)
+        if switches.silence:
+            self.on_silence()
+        self._notify()
+
+    async def thawed(self) -> None:
+        """Wait while the engine is frozen."""
+        while self.switches.freeze:
+            await self._wake.wait()
+
+    def submit(
+        self, stream_id: str, completion: engine_wire.Completion, resume_from: int = 0
+    ) -> engine_model.Sequence:
+        """Queue a call.
+
+        :raises DownError: if the engine is dead.
+        :raises RefusedError: if it takes no calls or has not loaded the model.
+        """
+        self._check_up()
+        self._refuse(completion)
+        self._totals["calls"] += 1
+        self._totals["calls_while_leaving"] += self.switches.leaving
+        sequence = engine_model.Sequence(stream_id, completion, resume_from)
+        sequence.truncate_after = self.switches.truncate_after
+        for runs in self._runs(sequence):
+            runs.calls += 1
+        self._model.submit(sequence, trio.current_time())
+        self._notify()
+        return sequence
+
+    def abandon(self, sequence: engine_model.Sequence) -> None:
+        """Stop a call whose caller went away; does nothing if it has ended."""
+        if not sequence.ended:
+            self._totals["wasted_tokens"] += len(sequence.words)
+            self._model.stop(sequence, trio.current_time(), engine_model.State.BROKEN)
+
+    def cancel(self, stream_id: str) -> engine.Cancelled:
+        """Stop a call by its stream id and say how far it was."""
+        self._check_up()
+        sequence = self._model.by_stream.get(stream_id)
+        if sequence is None:
+            return engine.Cancelled(found=False)
+        self._totals["cancelled_tokens"] += len(sequence.words)
+        self._model.stop(sequence, trio.current_time())
+        tokens = sequence.resume_from + len(sequence.words)
+        return engine.Cancelled(True, tokens, "".join(sequence.words))
+
+    def load(self) -> engine.Load:
+        """Give the lagging load report."""
+        self._check_up()
+        return self._model.load(trio.current_time())
+
+    def state(self) -> engine.EngineState:
+        """Say what the engine runs."""
+        self._check_up()
+        return self._model.state(self.switches.leaving)
+
+    def cache_events(self, after: int) -> tuple[engine.CacheEvent, ...]:
+        """Give late cache events with gaps."""
+        self._check_up()
+        return self._model.cache_events(after, trio.current_time())
+
+    async def order(self, order: engine.Order) -> engine.EngineState:
+        """Carry an order out; one to load takes a while, and orders go one after the other.
+
+        :raises RefusedError: if its fencing number is old and the engine checks that.
+        """
+        self._check_up()
+        model = self._model
+        if not model.accepts(order):
+            raise RefusedError(409, "stale_fencing", f"fencing number below {model.fencing}")
+        async with self._order_lock:
+            if order.kind is engine.OrderKind.LOAD:
+                await trio.sleep(self.cfg.order_s)
+            model.carry_out(order)
+        if model is not self._model:
+            raise DownError
+        return self.state()
+
+    def counters(self) -> Counters:
+        """Give what the engine has done."""
+        total = self._totals
+        return Counters(
+            calls=total["calls"],
+            completions=total["completions"],
+            generated_tokens=total["generated_tokens"] + self._model.generated,
+            wasted_tokens=total["wasted_tokens"],
+            cancelled_tokens=total["cancelled_tokens"],
+            prompt_tokens=total["prompt_tokens"],
+            cached_tokens=total["cached_tokens"],
+            crashes=total["crashes"],
+            calls_while_leaving=total["calls_while_leaving"],
+            by_stream=self._by_stream,
+            by_key=self._by_key,
+        )
+
+    async def _step(self) -> None:
+        await trio.sleep(self._model.begin_step(trio.current_time()))
+        if self.switches.freeze or self.switches.crash:
+            return
+        stepped = self._model.running
+        if not self._model.end_step(trio.current_time()):
+            await self._crash()
+            return
+        for sequence in stepped:
+            if sequence.ended:
+                self._count_end(sequence)
+
+    def _count_end(self, sequence: engine_model.Sequence) -> None:
+        self._totals["prompt_tokens"] += sequence.prompt_tokens
+        self._totals["cached_tokens"] += sequence.cached_tokens
+        done = sequence.state is engine_model.State.DONE
+        self._totals["completions"] += done
+        for runs in self._runs(sequence):
+            runs.completions += done
+            runs.tokens += len(sequence.words)
+
+    async def _crash(self) -> None:
+        """Die, stay down for a while and come back with an empty memory."""
+        self.up = False
+        broken = self._model
+        self._totals["crashes"] += 1
+        self._totals["generated_tokens"] += broken.generated
+        self._totals["wasted_tokens"] += sum(len(seq.words) for seq in broken.running)
+        self._model = engine_model.EngineModel(self.cfg)
+        self.switches = msgspec.structs.replace(self.switches, crash=False, freeze=False)
+        broken.break_all()
+        self.on_crash()
+        self._notify()
+        await trio.sleep(self.switches.restart_s)
+        self.up = True
+
+    def _runs(self, sequence: engine_model.Sequence) -> tuple[Runs, ...]:
+        key = sequence.completion.user or sequence.prompt[:KEY_LENGTH]
+        named = [(self._by_key, key)]
+        if sequence.stream_id:
+            named.append((self._by_stream, sequence.stream_id))
+        return tuple(_entry(table, name) for table, name in named)
+
+    def _refuse(self, completion: engine_wire.Completion) -> None:
+        if self.switches.refuse:
+            raise RefusedError(503, "refused", "takes no calls")
+        if not self._model.serves(completion.model):
+            raise RefusedError(404, "model_not_found", f"no model {completion.model}")
+
+    def _check_up(self) -> None:
+        if not self.up:
+            raise DownError
+
+    def _notify(self) -> None:
+        self._wake.set()
+        self._wake = trio.Event()
+
+
+def _entry(table: dict[str, Runs], name: str) -> Runs:
+    if name not in table:
+        if len(table) >= KEY_LIMIT:
+            del table[next(iter(table))]
+        table[name] = Runs()
+    return table[name]
