--- /dev/null
+++ b/src/cornelgrade/standins/fault_proxy.py
@@ -0,0 +1,188 @@
+"""A TCP proxy that cuts, delays, freezes and loses what it relays."""
+
+import collections
+import socket
+import struct
+from typing import Literal
+
+import msgspec
+import trio
+
+from cornelgrade.standins import _address, _http_server
+
+READ_BYTES = 65_536
+QUEUE_CHUNKS = 64
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+Direction = Literal["up", "down"]
+
+
+class Switches(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """How the proxy misbehaves; ``up`` is from the caller to the target.
+
+    :param cut: connections that are open now are reset; acts once.
+    :param refuse: new connections are reset at once.
+    :param delay_s: time that each chunk takes longer, in each direction.
+    :param freeze: connections that are open now carry nothing more; acts once.
+    :param lose: a direction in which bytes vanish, for good on each connection it hits.
+    """
+
+    cut: bool = False
+    refuse: bool = False
+    delay_s: float = 0.0
+    freeze: bool = False
+    lose: Literal["", "up", "down"] = ""
+
+
+class FaultProxy:
+    """Relays TCP connections to one target address.
+
+    :param target: ``IP:port``.
+    """
+
+    def __init__(self, target: str) -> None:
+        self.target = target
+        self.switches = Switches()
+        self.counters: collections.Counter[str] = collections.Counter()
+        self._links: set[_Link] = set()
+        self._control = _http_server.Server(self._handle)
+
+    def switch(self, switches: Switches) -> None:
+        """Put new switches in force."""
+        self.switches = msgspec.structs.replace(switches, cut=False, freeze=False)
+        for link in tuple(self._links):
+            if switches.freeze:
+                link.frozen = True
+            if switches.cut:
+                link.cut()
+
+    async def serve(
+        self, address: str, task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Relay until cancelled; reports the bound ``IP:port``."""
+        host, port = _address.split(address)
+        listeners = await trio.open_tcp_listeners(port, host=host)
+        bound = _address.join(host, listeners[0].socket.getsockname()[1])
+        task_status.started(bound)
+        await trio.serve_listeners(self._accepted, listeners)
+
+    async def serve_control(
+        self, address: str, task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Serve ``PUT /v1/switches`` and ``GET /v1/counters`` until cancelled."""
+        await self._control.serve(address, task_status)
+
+    async def _accepted(self, near: trio.SocketStream) -> None:
+        self.counters["connections"] += 1
+        if self.switches.refuse:
+            _reset_on_close(near)
+            return
+        try:
+            far = await trio.open_tcp_stream(*_address.split(self.target))
+        except OSError:
+            _reset_on_close(near)
+            return
+        async with far:
+            link = _Link(self, near, far)
+            self._links.add(link)
+            try:
+                await link.run()
+            finally:
+                self._links.discard(link)
+
+    async def _handle(self, req: _http_server.Exchange) -> None:
+        if (req.method, req.path) == ("GET", "/v1/counters"):
+            await req.answer(200, msgspec.json.encode(dict(self.counters)))
+        elif (req.method, req.path) == ("PUT", "/v1/switches"):
+            await self._handle_switch(req)
+        else:
+            await req.answer(404, b"{}")
+
+    async def _handle_switch(self, req: _http_server.Exchange) -> None:
+        try:
+            switches = msgspec.json.decode(req.body, type=Switches)
+        except msgspec.MsgspecError as exc:
+            await req.answer(400, str(exc).encode())
+            return
+        self.switch(switches)
+        await req.answer(200, req.body)
+
+
+class _Link:
+    """One relayed connection."""
+
+    def __init__(self, proxy: FaultProxy, near: trio.SocketStream, far: trio.SocketStream) -> None:
+        self.frozen = False
+        self._proxy = proxy
+        self._near = near
+        self._far = far
+        self._lost: set[str] = set()
+        self._scope = trio.CancelScope()
+
+    def cut(self) -> None:
+        """Reset both ends."""
+        _reset_on_close(self._near)
+        _reset_on_close(self._far)
+        self._scope.cancel()
+
+    async def run(self) -> None:
+        """Relay until both directions have ended or one broke."""
+        with self._scope:
+            async with trio.open_nursery() as nursery:
+                self._start(nursery, "up", self._near, self._far)
+                self._start(nursery, "down", self._far, self._near)
+
+    def _start(
+        self,
+        nursery: trio.Nursery,
+        direction: Direction,
+        source: trio.SocketStream,
+        sink: trio.SocketStream,
+    ) -> None:
+        sender, receiver = trio.open_memory_channel[tuple[float, bytes]](QUEUE_CHUNKS)
+        nursery.start_soon(self._read, direction, source, sender)
+        nursery.start_soon(self._write, direction, sink, receiver)
+
+    async def _read(
+        self,
+        direction: Direction,
+        source: trio.SocketStream,
+        sender: trio.MemorySendChannel[tuple[float, bytes]],
+    ) -> None:
+        data = b"-"
+        while data:
+            try:
+                data = await source.receive_some(READ_BYTES)
+            except trio.BrokenResourceError:
+                self.cut()
+                return
+            due_s = trio.current_time() + self._proxy.switches.delay_s
+            await sender.send((due_s, data))
+
+    async def _write(
+        self,
+        direction: Direction,
+        sink: trio.SocketStream,
+        receiver: trio.MemoryReceiveChannel[tuple[float, bytes]],
+    ) -> None:
+        async for due_s, data in receiver:
+            await trio.sleep_until(due_s)
+            if self._swallows(direction):
+                continue
+            try:
+                if not data:
+                    await sink.send_eof()
+                    return
+                await sink.send_all(data)
+            except trio.BrokenResourceError:
+                self.cut()
+                return
+            self._proxy.counters[f"bytes_{direction}"] += len(data)
+
+    def _swallows(self, direction: Direction) -> bool:
+        if self._proxy.switches.lose == direction:
+            self._lost.add(direction)
+        return self.frozen or direction in self._lost
+
+
+def _reset_on_close(stream: trio.SocketStream) -> None:
+    stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
--- a/src/cornelgrade/standins/memory_engine.py
+++ b/src/cornelgrade/standins/memory_engine.py
@@ -155,7 +155,7 @@
         if state is engine_model.State.BROKEN:
             raise self._broke(engine.Progress.SENT)
         body = _reading.whole_answer(self._sequence, chat=self._chat)
-        return MemoryAnswer(200, _JSON, _once(body))
+        return MemoryAnswer(200, _JSON, once(body))
 
     async def _events(self) -> AsyncIterator[bytes]:
         sent = 0
@@ -185,9 +185,10 @@
         return self._upstream._error("connection broke", "answer", progress)
 
 
-async def _once(body: bytes) -> AsyncIterator[bytes]:
+async def once(body: bytes) -> AsyncIterator[bytes]:
+    """Give a body as its only chunk."""
     yield body
 
 
 def _refusal(status: int, code: str, message: str) -> MemoryAnswer:
-    return MemoryAnswer(status, _JSON, _once(engine_wire.error(code, message)))
+    return MemoryAnswer(status, _JSON, once(engine_wire.error(code, message)))
