--- a/src/cornelgrade/adapters/engine.py
+++ b/src/cornelgrade/adapters/engine.py
@@ -51,8 +51,9 @@
 
     :param stream_id: names the running call at the engine, for cancelling.
     :param resume_from: number of tokens that the caller already has.
-    :param first_byte_timeout_s: longest silence before the answer starts.
+    :param first_byte_timeout_s: longest silence before the answer's body starts.
     :param gap_timeout_s: longest silence within the answer.
+    :param fresh: use a connection of its own, so that no stale one leaves the outcome unknown.
     """
 
     stream_id: str
@@ -63,6 +64,7 @@
     resume_from: int = 0
     first_byte_timeout_s: float = 5.0
     gap_timeout_s: float = 3.0
+    fresh: bool = False
 
 
 class Answer(Protocol):
--- /dev/null
+++ b/src/cornelgrade/policy/health.py
@@ -0,0 +1,34 @@
+"""When a failing upstream is tried again: back-off that doubles with each failure in a row."""
+
+import dataclasses
+
+BACKOFF_S = 0.25
+MAX_BACKOFF_S = 5.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Health:
+    """Failures in a row, and the time before which no new work is sent.
+
+    :param retry_at_s: on the process's clock; 0 while healthy.
+    """
+
+    failures: int = 0
+    retry_at_s: float = 0.0
+
+
+HEALTHY = Health()
+
+
+def failed(health: Health, now_s: float) -> Health:
+    """Count a failure to reach the upstream; failures during the back-off count once."""
+    if now_s < health.retry_at_s:
+        return health
+    doublings = min(health.failures, 16)
+    pause_s = min(BACKOFF_S * 2**doublings, MAX_BACKOFF_S)
+    return Health(health.failures + 1, now_s + pause_s)
+
+
+def usable(health: Health, now_s: float) -> bool:
+    """Say whether new work may be sent."""
+    return now_s >= health.retry_at_s
--- /dev/null
+++ b/src/cornelgrade/services/online.py
@@ -0,0 +1,295 @@
+"""The service ``online``: carries one request from admission to its whole answer.
+
+Each request runs in its caller's own task. It asks the router for a seat, calls the upstream,
+and after a failure does what the retry table says.
+"""
+
+import contextlib
+import dataclasses
+from collections.abc import AsyncIterator, Callable
+
+import result
+import trio
+
+from cornelgrade import errors, kernel, logs, manifest, metrics
+from cornelgrade.adapters import engine
+from cornelgrade.policy import admission, retry, routing
+from cornelgrade.services import _relay, exchange, keyed, ports, router, upstreams
+
+MAX_ATTEMPTS = 4
+WHOLE_TOKEN_TIMEOUT_S = 0.2
+RETRY_AFTER_S = 1.0
+CANCEL_TIMEOUT_S = 1.0
+
+_REQUESTS = metrics.counter("cornelgrade_requests_total", "Online requests by outcome.")
+_RETRIES = metrics.counter("cornelgrade_retries_total", "Attempts after the first.")
+_FIRST = metrics.histogram("cornelgrade_first_token_seconds", "Time to the first byte.")
+
+
+@dataclasses.dataclass(slots=True)
+class _Progress:
+    """What the attempts of one request have come to."""
+
+    attempts: int = 0
+    excluded: frozenset[str] = frozenset()
+    ran: errors.Ran = errors.Ran.NO
+    tokens: int = 0
+    head_given: bool = False
+
+    def count(self, tokens: int) -> None:
+        """Add tokens that the caller now has."""
+        self.tokens += tokens
+
+
+class Online:
+    """The service ``online``; :meth:`serve` is called by the HTTP surface."""
+
+    name = "online"
+
+    def __init__(self, kern: kernel.Kernel) -> None:
+        self._kern = kern
+        self._log = logs.Logger("online")
+        self._buckets: dict[str, admission.Bucket] = {}
+        self._budget = retry.Budget(share=0.1)
+
+    async def run(self, started: Callable[[], None]) -> None:
+        """Hold the tasks of keyed requests, which go on when their callers are gone."""
+        async with trio.open_nursery() as self._nursery:
+            started()
+            await trio.sleep_forever()
+
+    def admit(self, team: manifest.Team) -> None:
+        """Take a token from the team's bucket.
+
+        :raises Refusal: ``RATE_LIMITED`` with the time after which a token will be there.
+        """
+        now_s = trio.current_time()
+        limit = admission.Limit(team.rate_per_s, team.burst)
+        bucket = self._buckets.get(team.name, admission.Bucket(team.burst, now_s))
+        taken = admission.take(bucket, limit, now_s)
+        self._buckets[team.name] = taken.bucket
+        if taken.wait_s > 0:
+            raise errors.Refusal(
+                errors.Code.RATE_LIMITED,
+                f"team {team.name} is over {team.rate_per_s:g} requests/s",
+                step="admit",
+                retry_after_s=round(taken.wait_s, 3),
+            )
+
+    async def serve(self, req: exchange.Request) -> exchange.Parts:
+        """Give the answer: one :class:`exchange.Head`, then bytes.
+
+        A streamed answer is whole only if it ends with the end marker.
+
+        :raises Refusal: before the head; or after it, when a stream cannot be continued.
+        """
+        if req.key:
+            parts = keyed.serve(self._kern, self._nursery, req, self._attempts)
+        else:
+            parts = self._attempts(req)
+        async with contextlib.aclosing(parts):
+            async for part in parts:
+                yield part
+
+    async def _attempts(self, req: exchange.Request) -> exchange.Parts:
+        progress = _Progress()
+        while True:
+            try:
+                async with contextlib.aclosing(self._attempt(req, progress)) as parts:
+                    async for part in parts:
+                        yield part
+            except engine.CallError as exc:
+                await self._after_failure(req, progress, exc)
+                continue
+            self._budget = retry.earn(self._budget)
+            _REQUESTS.inc({"outcome": "answered", "service": req.service})
+            return
+
+    async def _attempt(self, req: exchange.Request, progress: _Progress) -> exchange.Parts:
+        async with self._seat(req, progress) as upstream:
+            started_s = trio.current_time()
+            self._note(req, "route", f"Sent to {upstream.name}.", upstream.name)
+            call = self._call(req, progress)
+            try:
+                async with upstream.call(call) as answer:
+                    parts = self._checked(req, progress, upstream.name, answer)
+                    async with contextlib.aclosing(parts):
+                        async for part in parts:
+                            if isinstance(part, exchange.Head):
+                                _FIRST.observe({}, trio.current_time() - started_s)
+                                if progress.head_given:
+                                    continue
+                                progress.head_given = True
+                            yield part
+            except (GeneratorExit, trio.Cancelled):
+                with trio.CancelScope(shield=True), trio.move_on_after(CANCEL_TIMEOUT_S):
+                    await upstream.cancel(call.stream_id)
+                raise
+
+    def _checked(
+        self, req: exchange.Request, progress: _Progress, peer: str, answer: engine.Answer
+    ) -> exchange.Parts:
+        if answer.status >= _relay.SERVER_ERROR and req.idempotent:
+            raise _relay.refused(answer, peer)
+        if req.stream and answer.status < 400:
+            return _relay.stream(answer, peer, progress.count)
+        return _relay.whole(answer)
+
+    @contextlib.asynccontextmanager
+    async def _seat(
+        self, req: exchange.Request, progress: _Progress
+    ) -> AsyncIterator[engine.Upstream]:
+        """Hold a seat at an upstream; a failed call counts against the upstream's health."""
+        desk = self._kern.find("router", router.Router)
+        place = admission.Place(req.rank, req.deadline_s, desk.next_number())
+        name = await self._ask(desk, req, place, progress)
+        began_s = trio.current_time()
+        outcome = router.Outcome.OTHER
+        try:
+            yield self._kern.find("upstreams", upstreams.Pool).get(name)
+            outcome = router.Outcome.WELL
+        except engine.CallError as exc:
+            outcome = await self._judge(name, exc)
+            progress.excluded |= {name}
+            raise
+        finally:
+            duration_s = trio.current_time() - began_s
+            desk.post(router.Release(name, place, outcome, duration_s))
+
+    async def _ask(
+        self,
+        desk: router.Router,
+        req: exchange.Request,
+        place: admission.Place,
+        progress: _Progress,
+    ) -> str:
+        verdict = self._verdict(req)
+        if verdict is ports.Verdict.CONDEMNED:
+            raise errors.Refusal(
+                errors.Code.QUARANTINED,
+                "this request crashes every upstream that runs it",
+                step="route",
+                ran=retry.ran_after(progress.ran, errors.Ran.NO),
+            )
+        wish = routing.Wish(
+            prefix=req.prefix,
+            exclude=progress.excluded,
+            alone=verdict is ports.Verdict.ALONE,
+        )
+        send, receive = trio.open_memory_channel[router.Reply](1)
+        desk.post(router.Ask(place, req.service, wish, req.fingerprint, send))
+        try:
+            reply = await receive.receive()
+        except trio.Cancelled:
+            desk.post(router.Withdraw(place, req.service))
+            raise
+        if isinstance(reply, result.Err):
+            raise _with_ran(reply.err_value, progress.ran)
+        return reply.ok_value
+
+    async def _judge(self, name: str, exc: engine.CallError) -> router.Outcome:
+        """Tell a crashed upstream from a broken connection: a crashed one refuses new ones."""
+        if exc.progress is engine.Progress.NOT_SENT:
+            return router.Outcome.UNREACHABLE
+        if exc.silent or exc.progress is engine.Progress.ANSWERED:
+            return router.Outcome.OTHER
+        try:
+            await self._kern.find("upstreams", upstreams.Pool).get(name).load()
+        except engine.CallError as probe:
+            if probe.progress is engine.Progress.NOT_SENT:
+                self._kern.find("router", router.Router).post(router.Crashed(name))
+                return router.Outcome.UNREACHABLE
+        return router.Outcome.OTHER
+
+    async def _after_failure(
+        self, req: exchange.Request, progress: _Progress, exc: engine.CallError
+    ) -> None:
+        """Go on to the next attempt, or raise the final error."""
+        rule = retry.after_failure(exc.progress, req.idempotent)
+        progress.attempts += 1
+        progress.ran = retry.ran_after(progress.ran, rule.ran)
+        self._note(req, exc.step, f"Failed: {exc.message}.", exc.peer)
+        self._log.warning(
+            "attempt_failed",
+            request=req.request_id,
+            step=exc.step,
+            peer=exc.peer,
+            error=exc.message,
+            progress=exc.progress.value,
+        )
+        if rule.then is retry.Next.FAIL or progress.attempts >= MAX_ATTEMPTS:
+            raise self._final(req, progress, exc)
+        if exc.progress is not engine.Progress.NOT_SENT and not self._pay():
+            raise self._final(req, progress, exc)
+        _RETRIES.inc({"service": req.service})
+
+    def _pay(self) -> bool:
+        left = retry.spend(self._budget)
+        if left is None:
+            return False
+        self._budget = left
+        return True
+
+    def _final(
+        self, req: exchange.Request, progress: _Progress, exc: engine.CallError
+    ) -> errors.Refusal:
+        code = errors.Code.UPSTREAM_FAILED
+        if not req.idempotent and progress.ran is errors.Ran.UNKNOWN:
+            code = errors.Code.OUTCOME_UNKNOWN
+        _REQUESTS.inc({"outcome": code.value, "service": req.service})
+        return errors.Refusal(
+            code,
+            exc.message,
+            step=exc.step,
+            ran=progress.ran,
+            retry_after_s=RETRY_AFTER_S if req.idempotent else None,
+            peer=exc.peer,
+        )
+
+    def _call(self, req: exchange.Request, progress: _Progress) -> engine.Call:
+        accepted = self._kern.find("configuration", ports.Configuration).current()
+        assert accepted is not None
+        online = accepted.manifest.online
+        first_s = online.first_token_timeout_s
+        if not req.stream:
+            first_s += req.max_tokens * WHOLE_TOKEN_TIMEOUT_S
+        left_s = max(0.001, req.deadline_s - trio.current_time())
+        return engine.Call(
+            stream_id=f"{req.request_id}.{progress.attempts}",
+            method=req.method,
+            path=req.path,
+            body=req.body,
+            headers=req.headers,
+            resume_from=progress.tokens,
+            first_byte_timeout_s=min(first_s, left_s),
+            gap_timeout_s=online.token_gap_timeout_s,
+            fresh=not req.idempotent,
+        )
+
+    def _verdict(self, req: exchange.Request) -> ports.Verdict:
+        if not self._kern.has("quarantine"):
+            return ports.Verdict.CLEAR
+        return self._kern.find("quarantine", ports.Quarantine).verdict(req.fingerprint)
+
+    def _note(self, req: exchange.Request, step: str, sentence: str, peer: str = "") -> None:
+        if self._kern.has("stories"):
+            stories = self._kern.find("stories", ports.Stories)
+            stories.note(req.request_id, step, sentence, peer)
+
+
+def _with_ran(refusal: errors.Refusal, ran: errors.Ran) -> errors.Refusal:
+    if ran is errors.Ran.NO:
+        return refusal
+    return errors.Refusal(
+        refusal.code,
+        refusal.message,
+        step=refusal.step,
+        ran=retry.ran_after(ran, refusal.ran),
+        retry_after_s=refusal.retry_after_s,
+        peer=refusal.peer,
+    )
+
+
+async def _cancel(upstream: engine.Upstream, stream_id: str) -> None:
+    with trio.CancelScope(shield=True), trio.move_on_after(1.0):
+        await upstream.cancel(stream_id)
--- /dev/null
+++ b/src/cornelgrade/services/router.py
@@ -0,0 +1,408 @@
+"""The router: one queue for each service, a cap for each upstream, and who goes where next.
+
+The router task owns this state. Requests talk to it by messages: they ask for a seat at an
+upstream, wait for the reply, and give the seat back.
+"""
+
+import bisect
+import dataclasses
+import enum
+import math
+import random
+from collections.abc import Callable
+
+import result
+import trio
+
+from cornelgrade import errors, kernel, logs, metrics
+from cornelgrade.policy import admission, health, routing, shares
+from cornelgrade.services import ports
+
+INBOX_MESSAGES = 65_536
+TICK_S = 0.25
+DURATION_WEIGHT = 0.1
+LONGEST_OUTAGE_S = 1.0
+
+_QUEUED = metrics.gauge("cornelgrade_queued_requests", "Requests waiting for an upstream.")
+_OUTSTANDING = metrics.gauge("cornelgrade_outstanding_requests", "Requests sent to an upstream.")
+
+Reply = result.Result[str, errors.Refusal]
+
+
+class Outcome(enum.Enum):
+    """How the use of a seat ended, as far as the upstream's health goes."""
+
+    WELL = "well"
+    UNREACHABLE = "unreachable"
+    OTHER = "other"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ask:
+    """A request wants a seat; the reply names the upstream or refuses."""
+
+    place: admission.Place
+    service: str
+    wish: routing.Wish
+    fingerprint: str
+    reply: trio.MemorySendChannel[Reply]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Withdraw:
+    """A request no longer waits."""
+
+    place: admission.Place
+    service: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Release:
+    """A seat comes back."""
+
+    upstream: str
+    place: admission.Place
+    outcome: Outcome
+    duration_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Crashed:
+    """An upstream was found to have crashed with requests in flight."""
+
+    upstream: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Leaving:
+    """An upstream said, or is said, to be leaving."""
+
+    upstream: str
+
+
+Message = Ask | Withdraw | Release | Crashed | Leaving
+
+
+@dataclasses.dataclass(slots=True)
+class _Seats:
+    """One upstream's state in this gateway."""
+
+    name: str
+    service: str
+    failure_domain: str
+    slots: int
+    cap: int
+    running: dict[admission.Place, str] = dataclasses.field(default_factory=dict)
+    reserved_for: admission.Place | None = None
+    health: health.Health = health.HEALTHY
+    leaving: bool = False
+    crash_reported: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class _Queue:
+    """One service's waiting requests, in order."""
+
+    places: list[admission.Place] = dataclasses.field(default_factory=list)
+    asks: dict[admission.Place, Ask] = dataclasses.field(default_factory=dict)
+    mean_duration_s: float = 0.0
+
+    def add(self, ask: Ask) -> None:
+        bisect.insort(self.places, ask.place)
+        self.asks[ask.place] = ask
+
+    def remove(self, place: admission.Place) -> Ask | None:
+        ask = self.asks.pop(place, None)
+        if ask is not None:
+            del self.places[bisect.bisect_left(self.places, place)]
+        return ask
+
+
+class Router:
+    """The service ``router``.
+
+    :param kern: where ``configuration`` and ``membership`` are found.
+    :param failure_domain: the VM's own.
+    :param choice: how an upstream is chosen.
+    """
+
+    name = "router"
+
+    def __init__(
+        self,
+        kern: kernel.Kernel,
+        failure_domain: str,
+        rng: random.Random,
+        choice: routing.Choice | None = None,
+    ) -> None:
+        self._kern = kern
+        self._failure_domain = failure_domain
+        self._rng = rng
+        self._choice = choice or routing.AffinityChoice()
+        self._log = logs.Logger("router")
+        self._send, self._inbox = trio.open_memory_channel[Message](INBOX_MESSAGES)
+        self._seats: dict[str, _Seats] = {}
+        self._queues: dict[str, _Queue] = {}
+        self._version = -1
+        self._queue_limit = 0
+        self._number = 0
+
+    def next_number(self) -> int:
+        """Give the next number in order of arrival."""
+        self._number += 1
+        return self._number
+
+    def post(self, message: Message) -> None:
+        """Send the router a message.
+
+        :raises Refusal: ``OVERLOADED`` when its inbox is full.
+        """
+        try:
+            self._send.send_nowait(message)
+        except trio.WouldBlock as exc:
+            raise errors.Refusal(
+                errors.Code.OVERLOADED, "the router is behind", step="queue", retry_after_s=1.0
+            ) from exc
+
+    async def run(self, started: Callable[[], None]) -> None:
+        """Handle messages until cancelled."""
+        handlers: dict[type, Callable] = {
+            Ask: self._on_ask,
+            Withdraw: self._on_withdraw,
+            Release: self._on_release,
+            Crashed: self._on_crashed,
+            Leaving: self._on_leaving,
+        }
+        started()
+        while True:
+            message: Message | None = None
+            with trio.move_on_after(TICK_S):
+                message = await self._inbox.receive()
+            self._reconfigure()
+            if message is None:
+                self._refresh_caps()
+                self._dispatch_all()
+                continue
+            handlers[type(message)](message)
+
+    def outstanding(self, upstream: str) -> int:
+        """Count this gateway's requests at an upstream."""
+        seats = self._seats.get(upstream)
+        return len(seats.running) if seats else 0
+
+    def queued(self, service: str) -> int:
+        """Count a service's waiting requests."""
+        queue = self._queues.get(service)
+        return len(queue.places) if queue else 0
+
+    # Messages
+
+    def _on_ask(self, ask: Ask) -> None:
+        queue = self._queues.setdefault(ask.service, _Queue())
+        decision = admission.decide(ask.place, self._queue_state(ask), trio.current_time())
+        if isinstance(decision, result.Err):
+            ask.reply.send_nowait(decision)
+            return
+        evicted = decision.ok_value.evict
+        if evicted is not None:
+            self._evict(queue, evicted)
+        queue.add(ask)
+        self._dispatch(ask.service)
+
+    def _on_withdraw(self, message: Withdraw) -> None:
+        queue = self._queues.get(message.service)
+        if queue is not None:
+            queue.remove(message.place)
+        self._drop_reservation(message.place)
+
+    def _on_release(self, message: Release) -> None:
+        seats = self._seats.get(message.upstream)
+        if seats is None:
+            return
+        if seats.running.pop(message.place, None) is None:
+            return
+        self._drop_reservation(message.place)
+        self._note_outcome(seats, message)
+        self._dispatch(seats.service)
+
+    def _on_crashed(self, message: Crashed) -> None:
+        seats = self._seats.get(message.upstream)
+        if seats is None or seats.crash_reported:
+            return
+        seats.crash_reported = True
+        seats.health = health.failed(seats.health, trio.current_time())
+        if self._kern.has("quarantine"):
+            quarantine = self._kern.find("quarantine", ports.Quarantine)
+            quarantine.crashed(message.upstream, tuple(seats.running.values()))
+
+    def _on_leaving(self, message: Leaving) -> None:
+        seats = self._seats.get(message.upstream)
+        if seats is not None and not seats.leaving:
+            seats.leaving = True
+            self._log.info("upstream_leaving", peer=message.upstream)
+
+    # Decisions carried out
+
+    def _evict(self, queue: _Queue, place: admission.Place) -> None:
+        ask = queue.remove(place)
+        if ask is None:
+            return
+        refusal = admission.refuse(self._queue_state(ask), "gave way to a higher priority")
+        ask.reply.send_nowait(result.Err(refusal))
+
+    def _queue_state(self, ask: Ask) -> admission.QueueState:
+        queue = self._queues[ask.service]
+        capacity = sum(s.cap for s in self._seats.values() if s.service == ask.service)
+        rate = capacity / queue.mean_duration_s if queue.mean_duration_s > 0 else 0.0
+        return admission.QueueState(
+            length=len(queue.places),
+            limit=self._queue_limit,
+            ahead=bisect.bisect_left(queue.places, ask.place),
+            served_per_s=rate,
+            worst=queue.places[-1] if queue.places else None,
+        )
+
+    def _note_outcome(self, seats: _Seats, message: Release) -> None:
+        queue = self._queues[seats.service]
+        if message.outcome is Outcome.UNREACHABLE:
+            seats.health = health.failed(seats.health, trio.current_time())
+        if message.outcome is Outcome.WELL:
+            seats.health = health.HEALTHY
+            seats.crash_reported = False
+            older = queue.mean_duration_s or message.duration_s
+            queue.mean_duration_s = older + DURATION_WEIGHT * (message.duration_s - older)
+
+    def _dispatch_all(self) -> None:
+        for service in self._queues:
+            self._dispatch(service)
+
+    def _dispatch(self, service: str) -> None:
+        queue = self._queues[service]
+        self._drop_late(queue)
+        self._refuse_in_outage(service, queue)
+        for place in tuple(queue.places):
+            candidates = self._candidates(service)
+            ask = queue.asks[place]
+            if ask.wish.alone:
+                self._dispatch_alone(queue, ask, candidates)
+                continue
+            if not any(c.room for c in candidates):
+                break
+            chosen = self._choice.choose(candidates, ask.wish, self._rng)
+            if chosen is not None:
+                queue.remove(place)
+                self._seat(ask, chosen.name)
+        _QUEUED.set({"service": service}, len(queue.places))
+
+    def _dispatch_alone(
+        self, queue: _Queue, ask: Ask, candidates: tuple[routing.Candidate, ...]
+    ) -> None:
+        """Reserve an upstream for a request that must run alone, and seat it once that is empty.
+
+        One reservation at a time, so that at most one upstream is kept from other work.
+        """
+        reserved = [s for s in self._seats.values() if s.reserved_for is not None]
+        if not reserved:
+            chosen = routing.for_alone(candidates, ask.fingerprint, ask.wish)
+            if chosen is None:
+                return
+            self._seats[chosen.name].reserved_for = ask.place
+            reserved = [self._seats[chosen.name]]
+        seats = reserved[0]
+        if seats.reserved_for == ask.place and not seats.running:
+            queue.remove(ask.place)
+            self._seat(ask, seats.name)
+
+    def _drop_reservation(self, place: admission.Place) -> None:
+        for seats in self._seats.values():
+            if seats.reserved_for == place:
+                seats.reserved_for = None
+
+    def _refuse_in_outage(self, service: str, queue: _Queue) -> None:
+        """Refuse what waits when no upstream will be tried again soon."""
+        now_s = trio.current_time()
+        pauses_s = [
+            seats.health.retry_at_s - now_s
+            for seats in self._seats.values()
+            if seats.service == service and not seats.leaving
+        ]
+        outage_s = min(pauses_s, default=math.inf)
+        if outage_s <= LONGEST_OUTAGE_S:
+            return
+        retry_after_s = 1.0 if outage_s == math.inf else round(outage_s, 3)
+        for place in tuple(queue.places):
+            ask = queue.remove(place)
+            refusal = errors.Refusal(
+                errors.Code.UNAVAILABLE,
+                f"no upstream of {service} is up",
+                step="route",
+                retry_after_s=retry_after_s,
+            )
+            if ask is not None:
+                ask.reply.send_nowait(result.Err(refusal))
+
+    def _drop_late(self, queue: _Queue) -> None:
+        now_s = trio.current_time()
+        for place in [p for p in queue.places if p.deadline_s <= now_s]:
+            ask = queue.remove(place)
+            self._drop_reservation(place)
+            if ask is not None:
+                refusal = errors.Refusal(
+                    errors.Code.DEADLINE, "no upstream was free in time", step="queue"
+                )
+                ask.reply.send_nowait(result.Err(refusal))
+
+    def _seat(self, ask: Ask, upstream: str) -> None:
+        seats = self._seats[upstream]
+        seats.running[ask.place] = ask.fingerprint
+        ask.reply.send_nowait(result.Ok(upstream))
+
+    def _candidates(self, service: str) -> tuple[routing.Candidate, ...]:
+        now_s = trio.current_time()
+        return tuple(
+            routing.Candidate(
+                name=seats.name,
+                local=seats.failure_domain == self._failure_domain,
+                slots=seats.slots,
+                cap=seats.cap,
+                outstanding=len(seats.running),
+                usable=not seats.leaving
+                and seats.reserved_for is None
+                and health.usable(seats.health, now_s),
+            )
+            for seats in self._seats.values()
+            if seats.service == service
+        )
+
+    # Configuration and membership
+
+    def _reconfigure(self) -> None:
+        accepted = self._kern.find("configuration", ports.Configuration).current()
+        if accepted is None or accepted.version == self._version:
+            return
+        self._version = accepted.version
+        self._queue_limit = accepted.manifest.online.queue_limit
+        known = self._seats
+        self._seats = {}
+        for up in accepted.manifest.upstreams:
+            seats = known.get(up.name)
+            if seats is None:
+                seats = _Seats(up.name, up.service, up.failure_domain, up.slots, up.slots)
+            seats.service = up.service
+            seats.failure_domain = up.failure_domain
+            seats.slots = up.slots
+            self._seats[up.name] = seats
+            self._queues.setdefault(up.service, _Queue())
+        self._refresh_caps()
+        self._log.info("upstreams_in_force", version=self._version, upstreams=len(self._seats))
+
+    def _refresh_caps(self) -> None:
+        view = None
+        if self._kern.has("membership"):
+            view = self._kern.find("membership", ports.Membership).view()
+        for seats in self._seats.values():
+            local = seats.failure_domain == self._failure_domain
+            vms = 1
+            if view is not None:
+                vms = len(view.usable(seats.failure_domain if local else ""))
+            seats.cap = shares.fallback_share(seats.slots, vms, local)
--- /dev/null
+++ b/tests/policy/test_admission.py
@@ -0,0 +1,63 @@
+import pytest
+import result
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cornelgrade import errors
+from cornelgrade.policy import admission
+
+FAST = admission.Place(rank=0, deadline_s=10.0, number=5)
+SLOW = admission.Place(rank=9, deadline_s=10.0, number=1)
+
+
+def state(length=0, limit=4, ahead=0, served_per_s=1.0, worst=None):
+    return admission.QueueState(length, limit, ahead, served_per_s, worst)
+
+
+@pytest.mark.parametrize(
+    ("place", "queue", "evicted"),
+    [
+        (FAST, state(), None),
+        (SLOW, state(length=3, ahead=3), None),
+        (FAST, state(length=4, worst=SLOW), SLOW),
+    ],
+)
+def test_request_that_can_be_served_in_time_queues(place, queue, evicted):
+    assert admission.decide(place, queue, 0.0) == result.Ok(admission.Enqueue(evicted))
+
+
+@pytest.mark.parametrize(
+    ("place", "queue"),
+    [
+        (SLOW, state(length=4, ahead=4, worst=FAST)),
+        (SLOW, state(length=2, ahead=2, served_per_s=0.1)),
+    ],
+)
+def test_request_that_cannot_is_refused_as_not_run_with_a_time_to_come_back(place, queue):
+    refusal = admission.decide(place, queue, 0.0).unwrap_err()
+    assert refusal.code is errors.Code.OVERLOADED
+    assert refusal.ran is errors.Ran.NO
+    assert refusal.retry_after_s > 0
+
+
+@given(st.lists(st.floats(0, 0.2), max_size=200))
+def test_bucket_never_lets_more_through_than_rate_and_burst(gaps_s):
+    limit = admission.Limit(rate_per_s=10.0, burst=3)
+    bucket = admission.Bucket(3, 0.0)
+    now_s, passed = 0.0, 0
+    for gap_s in gaps_s:
+        now_s += gap_s
+        taken = admission.take(bucket, limit, now_s)
+        bucket = taken.bucket
+        passed += taken.wait_s == 0
+    assert passed <= 3 + 10.0 * now_s + 1e-6
+
+
+def test_order_is_priority_then_deadline_then_arrival():
+    places = [
+        admission.Place(1, 5.0, 1),
+        admission.Place(0, 9.0, 2),
+        admission.Place(0, 4.0, 3),
+        admission.Place(0, 4.0, 0),
+    ]
+    assert [p.number for p in sorted(places)] == [0, 3, 2, 1]
--- /dev/null
+++ b/tests/policy/test_routing.py
@@ -0,0 +1,63 @@
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cornelgrade.policy import routing
+
+CHOICES = [routing.RandomChoice(), routing.LeastOutstanding(), routing.AffinityChoice()]
+
+
+def up(name, local=True, outstanding=0, cap=4, usable=True):
+    return routing.Candidate(name, local, 4, cap, outstanding, usable=usable)
+
+
+@st.composite
+def candidates(draw):
+    count = draw(st.integers(0, 8))
+    return tuple(
+        up(f"e{i}", draw(st.booleans()), draw(st.integers(0, 5)), usable=draw(st.booleans()))
+        for i in range(count)
+    )
+
+
+@pytest.mark.parametrize("choice", CHOICES)
+@given(found=candidates(), prefix=st.integers(0, 2**64 - 1), seed=st.integers(0, 99))
+def test_choice_has_room_and_is_local_if_any_local_has_room(choice, found, prefix, seed):
+    chosen = choice.choose(found, routing.Wish(prefix), random.Random(seed))
+    with_room = [c for c in found if c.room]
+    assert (chosen is None) == (not with_room)
+    if chosen is not None:
+        assert chosen.room
+        assert chosen.local or not any(c.local for c in with_room)
+
+
+def test_same_prefix_goes_to_the_same_upstream_until_it_is_loaded():
+    rng = random.Random(1)
+    idle = tuple(up(f"e{i}") for i in range(6))
+    wish = routing.Wish(prefix=77)
+    home = routing.AffinityChoice().choose(idle, wish, rng)
+    assert all(routing.AffinityChoice().choose(idle, wish, rng) == home for _ in range(20))
+    loaded = tuple(up(c.name, outstanding=3 if c.name == home.name else 0) for c in idle)
+    assert routing.AffinityChoice().choose(loaded, wish, rng).name != home.name
+
+
+@pytest.mark.parametrize(
+    ("found", "expected"),
+    [
+        ((up("a"), up("b")), "b"),
+        ((up("a"), up("b", usable=False)), "a"),
+        ((up("a"), up("b", outstanding=4)), None),
+    ],
+)
+def test_upstream_that_failed_the_request_is_used_only_when_all_others_are_out(found, expected):
+    wish = routing.Wish(exclude=frozenset("a"))
+    chosen = routing.AffinityChoice().choose(found, wish, random.Random(0))
+    assert (chosen.name if chosen else None) == expected
+
+
+def test_request_that_must_run_alone_gets_one_upstream_whatever_its_load():
+    found = tuple(up(f"e{i}", outstanding=4) for i in range(3))
+    first = routing.for_alone(found, "f", routing.Wish(alone=True))
+    assert first == routing.for_alone(found, "f", routing.Wish(alone=True))
