--- a/src/cornelgrade/cli.py
+++ b/src/cornelgrade/cli.py
@@ -1,19 +1,85 @@
-"""The command line."""
+"""The command line: reads the arguments, runs one command and turns errors into exit codes."""
 
 import sys
 
 import docopt
 
 import cornelgrade
+from cornelgrade import commands, errors
 
-USAGE = """cornelgrade
+USAGE = """cornelgrade: online and batch inference on one fleet, by priority.
 
 Usage:
+  cornelgrade gateway SETTINGS
+  cornelgrade worker SETTINGS
+  cornelgrade dev
+  cornelgrade check FILE [options]
+  cornelgrade manifest get [options]
+  cornelgrade manifest put FILE [--if-match=VERSION] [options]
+  cornelgrade manifest diff FILE [options]
+  cornelgrade job submit FILE [--job-key=KEY] [--priority=NAME] [--due=SECONDS] [--wait] [options]
+  cornelgrade job status ID [options]
+  cornelgrade job results ID [options]
+  cornelgrade job cancel ID [options]
+  cornelgrade job list [options]
+  cornelgrade request get KEY [options]
+  cornelgrade status [options]
+  cornelgrade explain ID [options]
   cornelgrade --version
+  cornelgrade --help
+
+Programs:
+  gateway, worker     Run one of the two daemons of an entry VM.
+  dev                 Run everything with stand-ins on loopback in one process.
+
+Commands:
+  check               Check a settings file or a manifest; nothing is sent.
+  manifest            Read, replace or compare the manifest in force.
+  job                 Submit a file of JSON lines as a batch job, and follow it.
+  request get         Read the stored answer to a keyed request.
+  status              Show what runs, what is degraded and since when.
+  explain             Tell what happened to a request, job, item, manifest or order.
+
+Options:
+  --url=URL           A gateway's address [env: CORNELGRADE_URL].
+  --key=KEY           The team's or operator's key [env: CORNELGRADE_KEY].
+  --json              Write JSON instead of text.
+  --if-match=VERSION  Replace the manifest only if this version is in force.
+  --job-key=KEY       Name the job; by default a digest of its file, so that a resend is safe.
+  --priority=NAME     One of the team's priorities.
+  --due=SECONDS       Seconds from now at which the job should be finished.
+  --wait              Follow the job until it ends.
+  -h --help           Show this text.
+  --version           Show the version.
+
+Exit codes:
+  0 done   1 failed (or: files differ, job ended with failed items)   2 wrong usage
+  3 bad input file   4 refused by the system   5 not reachable
 """
 
 
 def main(argv: list[str] | None = None) -> None:
-    """Run one command and exit."""
-    docopt.docopt(USAGE, argv=argv, version=f"cornelgrade {cornelgrade.__version__}")
-    sys.exit(0)
+    """Run one command and exit.
+
+    :param argv: arguments without the program's name; the process's own if not given.
+    """
+    sys.exit(run(argv))
+
+
+def run(argv: list[str] | None = None) -> int:
+    """Run one command and give its exit code."""
+    try:
+        args = docopt.docopt(USAGE, argv=argv, version=f"cornelgrade {cornelgrade.__version__}")
+    except docopt.DocoptExit as exc:
+        print(exc.usage.strip(), file=sys.stderr)
+        return errors.ExitCode.USAGE
+    try:
+        return commands.run(args)
+    except errors.CornelgradeError as exc:
+        print(exc.show(), file=sys.stderr)
+        return exc.exit_code
+    except KeyboardInterrupt:
+        return errors.ExitCode.FAILED
+    except BrokenPipeError:
+        sys.stderr.close()
+        return errors.ExitCode.OK
--- a/tests/test_checked.py
+++ b/tests/test_checked.py
@@ -1,32 +1,10 @@
 import json
 
 import pytest
+from tests import samples
 
 from cornelgrade import checked, errors
 
-TEAM = {"name": "clinic", "key_hashes": ["a" * 64], "priorities": ["nurse"]}
-UPSTREAM = {
-    "name": "engine-1",
-    "service": "lishe-llm",
-    "failure_domain": "dar-ubungo",
-    "address": "127.0.0.1:9001",
-}
-MANIFEST = {
-    "services": [{"name": "lishe-llm", "models": ["lishe"]}],
-    "priorities": [{"name": "nurse", "rank": 0}],
-    "teams": [TEAM],
-    "upstreams": [UPSTREAM],
-}
-SETTINGS = {
-    "vm": "entry-1",
-    "failure_domain": "dar-ubungo",
-    "gateway_address": "127.0.0.1:8080",
-    "peer_address": "127.0.0.1:8081",
-    "worker_address": "127.0.0.1:8082",
-    "platform_url": "http://127.0.0.1:8090",
-    "peer_key_file": "peer.key",
-}
-
 
 def problems_of(document) -> tuple[str, ...]:
     with pytest.raises(errors.BadInputError) as caught:
@@ -35,7 +13,7 @@
 
 
 def test_good_manifest_is_decoded_with_defaults():
-    made = checked.load_manifest(json.dumps(MANIFEST).encode())
+    made = checked.load_manifest(json.dumps(samples.MANIFEST).encode())
     assert made.upstreams[0].slots == 8
     assert made.batch.chunk_items == 250
 
@@ -49,31 +27,34 @@
         ({"batch": {"lean": 2}}, "$.batch.lean: Expected `float` <= 1.0"),
         ({"batch": {"lean": "x"}}, "$.batch.lean: Expected `float`, got `str`"),
         (
-            {"upstreams": [UPSTREAM, {**UPSTREAM, "slots": 0}]},
+            {"upstreams": [samples.UPSTREAM, {**samples.UPSTREAM, "slots": 0}]},
             "$.upstreams[1].slots: Expected `int` >= 1",
         ),
         (
-            {"upstreams": [{**UPSTREAM, "role": "cook"}]},
+            {"upstreams": [{**samples.UPSTREAM, "role": "cook"}]},
             "$.upstreams[0].role: Invalid enum value 'cook'",
         ),
         (
-            {"teams": [{**TEAM, "priorities": []}]},
+            {"teams": [{**samples.TEAM, "priorities": []}]},
             "$.teams[0].priorities: Expected `array` of length >= 1",
         ),
-        ({"teams": [{**TEAM, "priorities": ["A b"]}]}, "$.teams[0].priorities[0]: Expected `str`"),
+        (
+            {"teams": [{**samples.TEAM, "priorities": ["A b"]}]},
+            "$.teams[0].priorities[0]: Expected `str`",
+        ),
         ({"teams": [None]}, "$.teams[0]: Expected `object`, got `null`"),
     ],
 )
 def test_problem_is_reported_at_its_path(change, expected):
-    (only,) = problems_of({**MANIFEST, **change})
+    (only,) = problems_of({**samples.MANIFEST, **change})
     assert only.startswith(expected)
 
 
 def test_every_problem_is_reported_at_once():
     broken = {
         "services": [{"name": "UPPER", "kind": "odd"}],
-        "teams": [TEAM, {"name": "x", "extra": True}],
-        "upstreams": [{**UPSTREAM, "slots": "many"}],
+        "teams": [samples.TEAM, {"name": "x", "extra": True}],
+        "upstreams": [{**samples.UPSTREAM, "slots": "many"}],
         "online": {"queue_limit": 0},
     }
     paths = [line.split(":")[0] for line in problems_of(broken)]
@@ -99,7 +80,9 @@
 
 def test_settings_are_read_from_a_file(tmp_path):
     path = tmp_path / "entry-1.json"
-    path.write_text(json.dumps({**SETTINGS, "tls": {"certificate_file": "a", "key_file": "b"}}))
+    path.write_text(
+        json.dumps({**samples.SETTINGS, "tls": {"certificate_file": "a", "key_file": "b"}})
+    )
     assert checked.load_settings(str(path)).tls.key_file == "b"
 
 
@@ -115,7 +98,7 @@
 )
 def test_bad_setting_is_reported_at_its_path(tmp_path, change, expected):
     path = tmp_path / "bad.json"
-    path.write_text(json.dumps({**SETTINGS, **change}))
+    path.write_text(json.dumps({**samples.SETTINGS, **change}))
     with pytest.raises(errors.BadInputError) as caught:
         checked.load_settings(str(path))
     (only,) = caught.value.problems
