--- a/src/cornelgrade/settings.py
+++ b/src/cornelgrade/settings.py
@@ -17,6 +17,18 @@
     key_file: str
 
 
+class Tracing(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Where spans are written.
+
+    :param share: the share of traces begun here that are recorded.
+    :param max_file_bytes: size at which the file is renamed to ``FILE.1`` and begun anew.
+    """
+
+    file: str
+    share: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.01
+    max_file_bytes: Annotated[int, msgspec.Meta(ge=1)] = 10_000_000
+
+
 class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
     """What one VM's processes need to know before they can read the manifest.
 
@@ -39,4 +51,5 @@
     tls: Tls | None = None
     data_folder: str | None = None
     log_level: Literal["debug", "info", "notice", "warning", "error"] = "info"
+    tracing: Tracing | None = None
     drain_grace_s: Annotated[float, msgspec.Meta(ge=0, le=600)] = 1.0
