Peer datagrams and membership between VMs

The shared ports grow by Membership.set_version, Membership.leave and the local message VersionHeard; subscribe is generic over the message type.

Ways weighed for a healed cut: letting a gossiped death override life at the same incarnation buries every member of the other side once at healing; so a death found elsewhere makes only a suspect, and a member that is dead here and alive elsewhere is probed again at once.

--- /dev/null
+++ b/src/cornelgrade/adapters/peer_key.py
@@ -0,0 +1,52 @@
+"""The key that the fleet's processes share, and keyed BLAKE2b tags made with it."""
+
+import dataclasses
+import hashlib
+import hmac
+import pathlib
+
+from cornelgrade import errors
+
+TAG_BYTES = 16
+_LENGTH_BYTES = 4
+
+
+@dataclasses.dataclass(frozen=True, slots=True, repr=False)
+class PeerKey:
+    """A key derived from the bytes of the peer key file."""
+
+    secret: bytes
+
+    def tag(self, *parts: bytes) -> bytes:
+        """Make the tag over ``parts``, each taken with its length."""
+        made = hashlib.blake2b(key=self.secret, digest_size=TAG_BYTES)
+        for part in parts:
+            made.update(len(part).to_bytes(_LENGTH_BYTES, "big"))
+            made.update(part)
+        return made.digest()
+
+    def matches(self, tag: bytes, *parts: bytes) -> bool:
+        """Compare a tag in constant time."""
+        return hmac.compare_digest(tag, self.tag(*parts))
+
+
+def derive(raw: bytes) -> PeerKey:
+    """Make a key from the file's content, without white space around it.
+
+    :raises CornelgradeError: if it is empty.
+    """
+    stripped = raw.strip()
+    if not stripped:
+        raise errors.CornelgradeError("the peer key file is empty", step="read peer key")
+    return PeerKey(hashlib.blake2b(stripped).digest())
+
+
+def read(path: str) -> PeerKey:
+    """Read the key file that the settings name.
+
+    :raises CornelgradeError: if it can't be read or is empty.
+    """
+    try:
+        return derive(pathlib.Path(path).read_bytes())
+    except OSError as exc:
+        raise errors.CornelgradeError(str(exc), step="read peer key") from exc
--- /dev/null
+++ b/src/cornelgrade/schema/peer.capnp
@@ -0,0 +1,83 @@
+@0xd1f0a4c87b3e5296;
+# Datagrams between the system's own processes.
+
+enum State {
+  alive @0;
+  suspect @1;
+  leaving @2;
+  dead @3;
+}
+
+struct Member {
+  vm @0 :Text;
+  failureDomain @1 :Text;
+  region @2 :Text;
+  incarnation @3 :UInt64;
+  state @4 :State;
+  peerAddress @5 :Text;
+  workerAddress @6 :Text;
+  gatewayAddress @7 :Text;
+  manifestVersion @8 :UInt64;
+}
+
+struct Load {
+  upstream @0 :Text;
+  outstanding @1 :UInt32;
+  queued @2 :UInt32;
+}
+
+struct Yield {
+  upstream @0 :Text;
+  slots @1 :UInt32;
+}
+
+struct Quarantined {
+  fingerprint @0 :Text;
+  crashes @1 :UInt32;
+  expiresS @2 :Float64;
+}
+
+struct Leaving {
+  upstream @0 :Text;
+}
+
+struct Probe {
+  number @0 :UInt64;
+}
+
+struct ProbeRequest {
+  number @0 :UInt64;
+  vm @1 :Text;
+}
+
+struct Rumor {
+  origin @0 :Text;
+  number @1 :UInt64;
+  union {
+    load @2 :Load;
+    yield @3 :Yield;
+    quarantined @4 :Quarantined;
+    leaving @5 :Leaving;
+  }
+}
+
+struct Datagram {
+  sender @0 :Text;
+  session @1 :UInt64;
+  sequence @2 :UInt64;
+  sentMs @3 :UInt64;
+  members @4 :List(Member);
+  rumors @5 :List(Rumor);
+  union {
+    ping @6 :Probe;
+    ack @7 :Probe;
+    probeRequest @8 :ProbeRequest;
+    join @9 :Void;
+    roster @10 :Void;
+    version @11 :UInt64;
+    load @12 :Load;
+    yield @13 :Yield;
+    quarantined @14 :Quarantined;
+    leaving @15 :Leaving;
+  }
+}
--- a/src/cornelgrade/services/ports.py
+++ b/src/cornelgrade/services/ports.py
@@ -2,12 +2,14 @@
 
 import dataclasses
 import enum
-from typing import Protocol
+from typing import Protocol, TypeVar
 
 import trio
 
 from cornelgrade import errors, manifest
 
+T = TypeVar("T")
+
 
 class MemberState(enum.StrEnum):
     """State of a VM in the membership view."""
@@ -93,6 +95,14 @@
     upstream: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class VersionHeard:
+    """A member has a later manifest in force than any that was heard of before."""
+
+    vm: str
+    version: int
+
+
 PeerMessage = Load | Yield | Quarantined | Leaving
 
 
@@ -121,8 +131,17 @@
     def spread(self, message: PeerMessage) -> None:
         """Queue a message to every gateway of the region, carried by the probing rounds."""
 
-    def subscribe(self, kind: type[PeerMessage]) -> trio.MemoryReceiveChannel[PeerMessage]:
-        """Receive the messages of one type that peers sent; a slow reader loses the oldest."""
+    def subscribe(self, kind: type[T]) -> trio.MemoryReceiveChannel[T]:
+        """Receive one type of peer message or :class:`VersionHeard`.
+
+        A slow reader loses the oldest.
+        """
+
+    def set_version(self, version: int) -> None:
+        """Tell the others which manifest version is in force at this VM."""
+
+    def leave(self) -> None:
+        """Announce that this VM takes no new work; the members keep it out from then on."""
 
 
 class Configuration(Protocol):
--- /dev/null
+++ b/tests/fleet/fleet_helpers.py
@@ -0,0 +1,89 @@
+import contextlib
+import random
+import socket
+
+import trio
+
+from cornelgrade import settings
+from cornelgrade.adapters import peer_key
+from cornelgrade.services import membership
+
+KEY = peer_key.derive(b"test key")
+
+
+def free_ports(count, kind=socket.SOCK_DGRAM):
+    with contextlib.ExitStack() as stack:
+        socks = [stack.enter_context(socket.socket(socket.AF_INET, kind)) for _ in range(count)]
+        for sock in socks:
+            sock.bind(("127.0.0.1", 0))
+        return [sock.getsockname()[1] for sock in socks]
+
+
+def make_settings(count, domains=("d1", "d2", "d3")):
+    ports = free_ports(3 * count)
+    peers = [f"127.0.0.1:{port}" for port in ports[:count]]
+    return [
+        settings.Settings(
+            vm=f"vm{i}",
+            failure_domain=domains[i % len(domains)],
+            gateway_address=f"127.0.0.1:{ports[2 * count + i]}",
+            peer_address=peers[i],
+            worker_address=f"127.0.0.1:{ports[count + i]}",
+            seeds=tuple(peers[:2]),
+            platform_url="http://127.0.0.1:1",
+            peer_key_file="/nonexistent",
+        )
+        for i in range(count)
+    ]
+
+
+class Cut:
+    """Loses datagrams between failure domains while ``on``."""
+
+    def __init__(self, cfgs):
+        self.on = False
+        self.domain = {cfg.peer_address: cfg.failure_domain for cfg in cfgs}
+
+    def for_domain(self, domain):
+        return lambda address: self.on and self.domain.get(address, domain) != domain
+
+
+class Fleet:
+    """Runs the membership services of several VMs in one nursery."""
+
+    def __init__(self, nursery, cfgs, cut=None):
+        self.nursery = nursery
+        self.cfgs = cfgs
+        self.cut = cut or Cut(cfgs)
+        self.members = {}
+        self.scopes = {}
+
+    async def start(self, i):
+        cfg = self.cfgs[i]
+        made = membership.Membership(
+            cfg, KEY, rng=random.Random(i), cut=self.cut.for_domain(cfg.failure_domain)
+        )
+        self.members[cfg.vm] = made
+        await self.nursery.start(self._run, made, cfg.vm)
+        return made
+
+    async def _run(self, made, vm, task_status=trio.TASK_STATUS_IGNORED):
+        with trio.CancelScope() as scope:
+            self.scopes[vm] = scope
+            await made.run(task_status.started)
+
+    async def start_all(self):
+        for i in range(len(self.cfgs)):
+            await self.start(i)
+
+    def states(self, vm):
+        return {m.vm: m.state.value for m in self.members[vm].view().members}
+
+
+async def until(condition, timeout_s=30.0):
+    """Wait until a condition holds and give the seconds it took."""
+    began = trio.current_time()
+    with trio.fail_after(timeout_s):
+        while not condition():
+            await trio.sleep(0.02)
+    return trio.current_time() - began
--- /dev/null
+++ b/tests/fleet/test_datagrams.py
@@ -0,0 +1,107 @@
+import contextlib
+import dataclasses
+
+import fleet_helpers
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cornelgrade.adapters import datagrams, peer_key
+from cornelgrade.schema import codec, messages
+from cornelgrade.services import ports
+
+Dropped = datagrams.Dropped
+NOW_S = 1_000_000.0
+MEMBER = ports.Member(
+    "vm1", "d1", "r", 2**60, ports.MemberState.LEAVING, "10.0.0.1:1", "10.0.0.1:2", "[::1]:3", 7
+)
+BODIES = [
+    messages.Ping(2**63),
+    messages.Ack(1),
+    messages.ProbeRequest(3, "vm2"),
+    messages.Join(),
+    messages.Roster(),
+    messages.Version(9),
+    ports.Load("e1", 4, 2),
+    ports.Yield("e1", 3),
+    ports.Quarantined("f" * 64, 2, 1.5),
+    ports.Leaving("e1"),
+]
+
+
+def datagram(body=BODIES[0], session=1, sequence=1, sent_s=NOW_S, **rest):
+    return messages.Datagram("vm1", session, sequence, sent_s, body, **rest)
+
+
+@pytest.mark.parametrize("body", BODIES, ids=lambda body: type(body).__name__)
+def test_message_is_whole_after_encoding(body):
+    rumors = (messages.Rumor("vm1:5", 6, ports.Quarantined("a", 1, 2.0)),)
+    whole = datagram(body, members=(MEMBER,), rumors=rumors)
+    assert codec.decode(codec.encode(whole)) == whole
+
+
+@settings(max_examples=300, derandomize=True)
+@given(raw=st.binary(max_size=200))
+def test_arbitrary_bytes_are_malformed_or_a_datagram(raw):
+    with contextlib.suppress(codec.MalformedError):
+        assert isinstance(codec.decode(raw), messages.Datagram)
+
+
+def test_size_estimate_covers_the_record():
+    one = len(codec.encode(datagram(members=(MEMBER,))))
+    two = len(codec.encode(datagram(members=(MEMBER, dataclasses.replace(MEMBER, vm="x" * 63)))))
+    estimate = codec.member_bytes(dataclasses.replace(MEMBER, vm="x" * 63))
+    assert two - one <= estimate <= (two - one) * 1.5
+
+
+@pytest.mark.parametrize(
+    ("first", "second", "reason"),
+    [
+        ({}, {}, Dropped.REPLAY),
+        ({}, {"sequence": 2}, None),
+        ({"sequence": 5}, {"sequence": 4}, None),
+        ({"sequence": 5000}, {"sequence": 5000 - datagrams.WINDOW}, Dropped.REPLAY),
+        ({"session": 2}, {"session": 1, "sequence": 9}, Dropped.REPLAY),
+        ({"session": 1, "sequence": 9}, {"session": 2}, None),
+        ({}, {"sequence": 2, "sent_s": NOW_S - 61}, Dropped.TOO_OLD),
+        ({}, {"sequence": 2, "sent_s": NOW_S + 61}, Dropped.TOO_OLD),
+    ],
+)
+def test_replay_guard(first, second, reason):
+    guard = datagrams.ReplayGuard()
+    assert guard.check(datagram(**first), NOW_S) is None
+    assert guard.check(datagram(**second), NOW_S) is reason
+
+
+@settings(max_examples=100, derandomize=True)
+@given(sequences=st.lists(st.integers(1, 3000), max_size=60))
+def test_no_datagram_is_taken_twice(sequences):
+    guard = datagrams.ReplayGuard()
+    taken = [n for n in sequences if guard.check(datagram(sequence=n), NOW_S) is None]
+    assert len(taken) == len(set(taken))
+
+
+async def test_datagram_recorded_for_one_receiver_is_refused_by_another():
+    with (
+        datagrams.Socket("127.0.0.1:0", fleet_helpers.KEY, "a") as a,
+        datagrams.Socket("127.0.0.1:0", fleet_helpers.KEY, "b") as b,
+        datagrams.Socket("127.0.0.1:0", peer_key.derive(b"other"), "c") as c,
+    ):
+        a.send(b.address, messages.Ping(1))
+        c.send(b.address, messages.Ping(2))
+        a._sock.sendto(b"y" * 32, datagrams.split_address(b.address))
+        got = await b.receive()
+        assert [(d.sender, d.body) for d in got] == [("a", messages.Ping(1))]
+        assert b.dropped == {Dropped.WRONG_KEY: 2}
+
+
+async def test_riders_that_do_not_fit_are_left_out():
+    with (
+        datagrams.Socket("127.0.0.1:0", fleet_helpers.KEY, "a") as a,
+        datagrams.Socket("127.0.0.1:0", fleet_helpers.KEY, "b") as b,
+    ):
+        a.send(b.address, messages.Ping(1), (MEMBER,) * 50)
+        got = (await b.receive())[0]
+        assert 1 <= len(got.members) < 50
+        a.send(b.address, ports.Leaving("x" * 1300))
+        assert a.dropped == {Dropped.OVERSIZE: 1}
--- /dev/null
+++ b/tests/fleet/test_membership_service.py
@@ -0,0 +1,135 @@
+import socket
+
+import fleet_helpers
+import trio
+
+from cornelgrade.adapters import datagrams
+from cornelgrade.services import ports, worker_view
+
+
+async def test_five_members_find_each_other_by_seeds(autojump_clock):
+    async with trio.open_nursery() as nursery:
+        fleet = fleet_helpers.Fleet(nursery, fleet_helpers.make_settings(5))
+        await fleet.start_all()
+        everyone = {f"vm{i}": "alive" for i in range(5)}
+        await fleet_helpers.until(
+            lambda: all(fleet.states(vm) == everyone for vm in fleet.members), 5.0
+        )
+        nursery.cancel_scope.cancel()
+
+
+async def test_cut_between_failure_domains_splits_and_heals_without_restarts(autojump_clock):
+    async with trio.open_nursery() as nursery:
+        fleet = fleet_helpers.Fleet(nursery, fleet_helpers.make_settings(5))
+        await fleet.start_all()
+        await fleet_helpers.until(lambda: all(len(fleet.states(vm)) == 5 for vm in fleet.members))
+        fleet.cut.on = True
+        alone = {"vm0": "alive", "vm1": "dead", "vm2": "dead", "vm3": "alive", "vm4": "dead"}
+        await fleet_helpers.until(lambda: fleet.states("vm0") == alone)
+        await trio.sleep(60)
+        assert fleet.states("vm0") == alone
+        fleet.cut.on = False
+        everyone = dict.fromkeys(alone, "alive")
+        await fleet_helpers.until(lambda: all(fleet.states(vm) == everyone for vm in fleet.members))
+        nursery.cancel_scope.cancel()
+
+
+async def test_stopped_member_is_leaving_at_once_and_dead_later(autojump_clock):
+    async with trio.open_nursery() as nursery:
+        fleet = fleet_helpers.Fleet(nursery, fleet_helpers.make_settings(5))
+        await fleet.start_all()
+        await fleet_helpers.until(lambda: all(len(fleet.states(vm)) == 5 for vm in fleet.members))
+        fleet.scopes["vm4"].cancel()
+        others = ["vm0", "vm1", "vm2", "vm3"]
+        await fleet_helpers.until(
+            lambda: all(fleet.states(vm)["vm4"] == "leaving" for vm in others), 1.0
+        )
+        await fleet_helpers.until(
+            lambda: all(fleet.states(vm)["vm4"] == "dead" for vm in others), 10.0
+        )
+        nursery.cancel_scope.cancel()
+
+
+async def test_restarted_member_joins_again_by_a_later_incarnation(autojump_clock):
+    async with trio.open_nursery() as nursery:
+        fleet = fleet_helpers.Fleet(nursery, fleet_helpers.make_settings(3))
+        await fleet.start_all()
+        await fleet_helpers.until(lambda: all(len(fleet.states(vm)) == 3 for vm in fleet.members))
+        fleet.scopes["vm2"].cancel()
+        await fleet_helpers.until(lambda: fleet.states("vm0")["vm2"] == "dead")
+        await fleet.start(2)
+        await fleet_helpers.until(lambda: fleet.states("vm0")["vm2"] == "alive")
+        nursery.cancel_scope.cancel()
+
+
+async def test_messages_reach_one_gateway_or_all_of_them(autojump_clock):
+    async with trio.open_nursery() as nursery:
+        fleet = fleet_helpers.Fleet(nursery, fleet_helpers.make_settings(5))
+        await fleet.start_all()
+        await fleet_helpers.until(lambda: all(len(fleet.states(vm)) == 5 for vm in fleet.members))
+        heard = {vm: made.subscribe(ports.Leaving) for vm, made in fleet.members.items()}
+        fleet.members["vm0"].send("vm1", ports.Leaving("engine-1"))
+        fleet.members["vm0"].spread(ports.Leaving("engine-2"))
+        with trio.fail_after(5.0):
+            assert await heard["vm1"].receive() == ports.Leaving("engine-1")
+            for vm in ("vm1", "vm2", "vm3", "vm4"):
+                assert await heard[vm].receive() == ports.Leaving("engine-2")
+        await trio.sleep(5.0)
+        for vm in heard:
+            assert heard[vm].statistics().current_buffer_used == 0
+        nursery.cancel_scope.cancel()
+
+
+async def test_version_in_force_is_heard_by_the_others(autojump_clock):
+    async with trio.open_nursery() as nursery:
+        fleet = fleet_helpers.Fleet(nursery, fleet_helpers.make_settings(5))
+        await fleet.start_all()
+        await fleet_helpers.until(lambda: all(len(fleet.states(vm)) == 5 for vm in fleet.members))
+        heard = fleet.members["vm4"].subscribe(ports.VersionHeard)
+        fleet.members["vm0"].set_version(17)
+        with trio.fail_after(1.0):
+            assert await heard.receive() == ports.VersionHeard("vm0", 17)
+        nursery.cancel_scope.cancel()
+
+
+async def test_worker_follows_its_gateway_and_gets_load_from_others(autojump_clock):
+    async with trio.open_nursery() as nursery:
+        cfgs = fleet_helpers.make_settings(4)
+        fleet = fleet_helpers.Fleet(nursery, cfgs)
+        await fleet.start_all()
+        worker = worker_view.WorkerView(cfgs[0], fleet_helpers.KEY)
+        await nursery.start(lambda task_status: worker.run(task_status.started))
+        await fleet_helpers.until(lambda: len(worker.view().usable()) == 4, 5.0)
+        loads = worker.subscribe(ports.Load)
+        leaving = worker.subscribe(ports.Leaving)
+        fleet.members["vm3"].send("vm0", ports.Load("engine-1", 3, 1))
+        fleet.members["vm3"].spread(ports.Leaving("engine-1"))
+        at_vm2 = fleet.members["vm2"].subscribe(ports.Quarantined)
+        worker.spread(ports.Quarantined("f" * 64, 2, 60.0))
+        with trio.fail_after(5.0):
+            assert await loads.receive() == ports.Load("engine-1", 3, 1)
+            assert await leaving.receive() == ports.Leaving("engine-1")
+            assert await at_vm2.receive() == ports.Quarantined("f" * 64, 2, 60.0)
+        nursery.cancel_scope.cancel()
+
+
+async def test_wrong_key_replay_and_garbage_are_dropped_and_counted(autojump_clock):
+    async with trio.open_nursery() as nursery:
+        fleet = fleet_helpers.Fleet(nursery, fleet_helpers.make_settings(2))
+        await fleet.start_all()
+        await fleet_helpers.until(lambda: len(fleet.states("vm0")) == 2)
+        target = datagrams.split_address(fleet.cfgs[0].peer_address)
+        payload = b"not capnp"
+        tag = fleet_helpers.KEY.tag(fleet.cfgs[0].peer_address.encode(), payload)
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+            sock.sendto(b"x" * 100, target)
+            sock.sendto(b"x" * 1300, target)
+            sock.sendto(tag + payload, target)
+        dropped = fleet.members["vm0"].dropped
+        await fleet_helpers.until(lambda: len(dropped()) == 3, 2.0)
+        assert dropped() == {
+            datagrams.Dropped.WRONG_KEY: 1,
+            datagrams.Dropped.OVERSIZE: 1,
+            datagrams.Dropped.MALFORMED: 1,
+        }
+        nursery.cancel_scope.cancel()
