--- a/src/cornelgrade/adapters/upstream_http.py
+++ b/src/cornelgrade/adapters/upstream_http.py
@@ -41,7 +41,9 @@
         limits = httpx.Limits(
             max_connections=None, max_keepalive_connections=64, keepalive_expiry=IDLE_EXPIRY_S
         )
-        self.client = httpx.AsyncClient(base_url=base_url, timeout=_NO_TIMEOUT, limits=limits)
+        self.client = httpx.AsyncClient(
+            base_url=base_url, timeout=_NO_TIMEOUT, limits=limits, trust_env=False
+        )
         self._in_use = 0
         self._retired = False
 
--- a/src/cornelgrade/kernel.py
+++ b/src/cornelgrade/kernel.py
@@ -53,6 +53,7 @@
         self._services: dict[str, Service] = {}
         self._supervision: dict[str, Supervision] = {}
         self._cancel = trio.CancelScope()
+        self._stopped = trio.Event()
 
     def add(self, service: Service, supervision: Supervision | None = None) -> None:
         """Register a service under its name before :meth:`run`."""
@@ -79,13 +80,20 @@
         """Cancel every service and let :meth:`run` return."""
         self._cancel.cancel()
 
+    async def wait_stopped(self) -> None:
+        """Wait until every service has ended."""
+        await self._stopped.wait()
+
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
-        """Run all services until :meth:`stop` or until one that may not restart ends."""
-        with self._cancel:
-            async with trio.open_nursery() as nursery:
-                for service in self._services.values():
-                    await nursery.start(self._supervise, service)
-                task_status.started()
+        """Run all services until :meth:`stop` or until one that may not restart fails."""
+        try:
+            with self._cancel:
+                async with trio.open_nursery() as nursery:
+                    for service in self._services.values():
+                        await nursery.start(self._supervise, service)
+                    task_status.started()
+        finally:
+            self._stopped.set()
 
     async def _supervise(
         self, service: Service, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
--- a/src/cornelgrade/services/drain.py
+++ b/src/cornelgrade/services/drain.py
@@ -41,6 +41,11 @@
         """Whether the balancer should send requests."""
         return self.phase is Phase.SERVING
 
+    @property
+    def begun(self) -> bool:
+        """Whether a shutdown was asked for."""
+        return self._requested.is_set()
+
     def active(self) -> tuple[str, ...]:
         """Name the requests in progress."""
         return tuple(self._active)
--- a/src/cornelgrade/services/exchange.py
+++ b/src/cornelgrade/services/exchange.py
@@ -3,6 +3,8 @@
 import dataclasses
 from collections.abc import AsyncGenerator
 
+from cornelgrade import tracing
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Request:
@@ -10,6 +12,7 @@
 
     :param fingerprint: hash of its path and body, the same however often it is sent.
     :param deadline_s: on the process's clock.
+    :param span: the span of the whole request, parent of its hops.
     :param max_tokens: how long its answer may become.
     """
 
@@ -28,6 +31,7 @@
     prefix: int = 0
     max_tokens: int = 16
     key: str = ""
+    span: tracing.Span | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/cornelgrade/services/keyed.py
+++ b/src/cornelgrade/services/keyed.py
@@ -10,7 +10,7 @@
 
 import trio
 
-from cornelgrade import errors, kernel, logs
+from cornelgrade import errors, kernel, logs, tracing
 from cornelgrade.adapters import engine
 from cornelgrade.services import drain, exchange, ports
 
@@ -101,7 +101,8 @@
             if req.stream and not part.endswith(engine.END_MARKER):
                 _give(send, part)
     answer = ports.StoredAnswer(head.status, head.content_type, b"".join(body))
-    recorded = await records.finish(run, answer)
+    with tracing.start(tracing.Hop.COMMIT, req.span):
+        recorded = await records.finish(run, answer)
     _give_end(req, head, body, recorded, send)
 
 
--- a/src/cornelgrade/services/online.py
+++ b/src/cornelgrade/services/online.py
@@ -11,7 +11,7 @@
 import result
 import trio
 
-from cornelgrade import errors, kernel, logs, manifest, metrics
+from cornelgrade import errors, kernel, logs, manifest, metrics, tracing
 from cornelgrade.adapters import engine
 from cornelgrade.policy import admission, retry, routing
 from cornelgrade.services import _relay, exchange, keyed, ports, router, upstreams
@@ -111,15 +111,21 @@
             self._note(req, "route", f"Sent to {upstream.name}.", upstream.name)
             call = self._call(req, progress)
             try:
-                async with upstream.call(call) as answer:
-                    parts = self._checked(req, progress, upstream.name, answer)
-                    async with contextlib.aclosing(parts):
+                async with contextlib.AsyncExitStack() as stack:
+                    with tracing.start(tracing.Hop.CONNECT, req.span, peer=upstream.name):
+                        answer = await stack.enter_async_context(upstream.call(call))
+                    checked = self._checked(req, progress, upstream.name, answer)
+                    parts = await stack.enter_async_context(contextlib.aclosing(checked))
+                    with tracing.start(tracing.Hop.FIRST_TOKEN, req.span, peer=upstream.name):
+                        head = await anext(parts)
+                        first = await anext(parts, b"")
+                    _FIRST.observe({}, trio.current_time() - started_s)
+                    if not progress.head_given:
+                        progress.head_given = True
+                        yield head
+                    yield first
+                    with tracing.start(tracing.Hop.RELAY, req.span, peer=upstream.name):
                         async for part in parts:
-                            if isinstance(part, exchange.Head):
-                                _FIRST.observe({}, trio.current_time() - started_s)
-                                if progress.head_given:
-                                    continue
-                                progress.head_given = True
                             yield part
             except (GeneratorExit, trio.Cancelled):
                 with trio.CancelScope(shield=True), trio.move_on_after(CANCEL_TIMEOUT_S):
@@ -179,7 +185,8 @@
         send, receive = trio.open_memory_channel[router.Reply](1)
         desk.post(router.Ask(place, req.service, wish, req.fingerprint, send))
         try:
-            reply = await receive.receive()
+            with tracing.start(tracing.Hop.QUEUE, req.span, service=req.service):
+                reply = await receive.receive()
         except trio.Cancelled:
             desk.post(router.Withdraw(place, req.service))
             raise
--- a/src/cornelgrade/services/router.py
+++ b/src/cornelgrade/services/router.py
@@ -15,7 +15,8 @@
 import trio
 
 from cornelgrade import errors, kernel, logs, metrics
-from cornelgrade.policy import admission, health, routing, shares
+from cornelgrade.policy import admission, routing, shares
+from cornelgrade.policy import health as health_rules
 from cornelgrade.services import ports
 
 INBOX_MESSAGES = 65_536
@@ -94,7 +95,7 @@
     cap: int
     running: dict[admission.Place, str] = dataclasses.field(default_factory=dict)
     reserved_for: admission.Place | None = None
-    health: health.Health = health.HEALTHY
+    health: health_rules.Health = health_rules.HEALTHY
     leaving: bool = False
     crash_reported: bool = False
 
@@ -230,7 +231,7 @@
         if seats is None or seats.crash_reported:
             return
         seats.crash_reported = True
-        seats.health = health.failed(seats.health, trio.current_time())
+        seats.health = health_rules.failed(seats.health, trio.current_time())
         if self._kern.has("quarantine"):
             quarantine = self._kern.find("quarantine", ports.Quarantine)
             quarantine.crashed(message.upstream, tuple(seats.running.values()))
@@ -265,9 +266,9 @@
     def _note_outcome(self, seats: _Seats, message: Release) -> None:
         queue = self._queues[seats.service]
         if message.outcome is Outcome.UNREACHABLE:
-            seats.health = health.failed(seats.health, trio.current_time())
+            seats.health = health_rules.failed(seats.health, trio.current_time())
         if message.outcome is Outcome.WELL:
-            seats.health = health.HEALTHY
+            seats.health = health_rules.HEALTHY
             seats.crash_reported = False
             older = queue.mean_duration_s or message.duration_s
             queue.mean_duration_s = older + DURATION_WEIGHT * (message.duration_s - older)
@@ -368,7 +369,7 @@
                 outstanding=len(seats.running),
                 usable=not seats.leaving
                 and seats.reserved_for is None
-                and health.usable(seats.health, now_s),
+                and health_rules.usable(seats.health, now_s),
             )
             for seats in self._seats.values()
             if seats.service == service
--- a/src/cornelgrade/services/web/online.py
+++ b/src/cornelgrade/services/web/online.py
@@ -1,6 +1,7 @@
 """``/v1/chat/completions``, ``/v1/completions`` and ``/v1/services``: requests answered now."""
 
 import contextlib
+import dataclasses
 import hashlib
 import uuid
 
@@ -8,14 +9,15 @@
 import quart
 import trio
 
-from cornelgrade import errors, kernel, manifest
+from cornelgrade import errors, kernel, manifest, tracing
 from cornelgrade.adapters import engine
 from cornelgrade.policy import routing
 from cornelgrade.services import drain, exchange, online
 from cornelgrade.services.web import access
 
 SERVICE_METHODS = ["GET", "POST", "PUT", "PATCH", "DELETE"]
-_PASSED_ON = ("content-type", "accept", "idempotency-key", "traceparent")
+_TRACE_CONTEXT = ("traceparent", "tracestate")
+_PASSED_ON = ("content-type", "accept", "idempotency-key")
 
 
 class Prompt(msgspec.Struct, frozen=True):
@@ -60,9 +62,16 @@
 ) -> quart.Response:
     stack = contextlib.AsyncExitStack()
     try:
+        parent = tracing.from_headers(_picked(quart.request.headers, _TRACE_CONTEXT))
+        span = stack.enter_context(
+            tracing.start(tracing.Hop.REQUEST, parent, request=req.request_id, team=req.team)
+        )
         stack.enter_context(kern.find("drain", drain.Drain).request(req.request_id))
         service = kern.find("online", online.Online)
-        service.admit(caller.team)
+        with tracing.start(tracing.Hop.ADMIT, span):
+            service.admit(caller.team)
+        traced = tuple(tracing.inject(span).items())
+        req = dataclasses.replace(req, span=span, headers=(*req.headers, *traced))
         parts = await stack.enter_async_context(contextlib.aclosing(service.serve(req)))
         head = await anext(parts)
         assert isinstance(head, exchange.Head)
@@ -170,7 +179,7 @@
         method=quart.request.method,
         path=path,
         body=body,
-        headers=_headers(headers),
+        headers=tuple(_picked(headers, _PASSED_ON).items()),
         rank=_rank(caller, headers.get("Cornelgrade-Priority", "")),
         deadline_s=trio.current_time() + _deadline_s(headers, policy.default_deadline_s),
         stream=prompt.stream if prompt else False,
@@ -182,8 +191,8 @@
     )
 
 
-def _headers(headers) -> tuple[tuple[str, str], ...]:
-    return tuple((name, headers[name]) for name in _PASSED_ON if name in headers)
+def _picked(headers, names: tuple[str, ...]) -> dict[str, str]:
+    return {name: headers[name] for name in names if name in headers}
 
 
 def _fingerprint(path: str, body: bytes) -> str:
--- /dev/null
+++ b/tests/fakes.py
@@ -0,0 +1,159 @@
+"""Small fakes at the interfaces, for tests of single services."""
+
+import contextlib
+import dataclasses
+import hashlib
+
+import trio
+
+from cornelgrade import manifest
+from cornelgrade.adapters import engine
+from cornelgrade.services import ports
+
+KEY = "key-of-clinic"
+
+
+def a_manifest(upstreams: int = 3, slots: int = 2, **changes) -> manifest.Manifest:
+    """Make a manifest with one model service, one plain service and one team."""
+    domains = ("dar-kariakoo", "dar-msasani", "dar-ubungo")
+    made = manifest.Manifest(
+        services=(
+            manifest.Service(name="lishe-llm", models=("lishe",)),
+            manifest.Service(name="refills", kind="plain", non_idempotent_routes=("/confirm",)),
+        ),
+        models=(manifest.Model(name="lishe"),),
+        priorities=(
+            manifest.Priority(name="urgent", rank=0, price=4.0),
+            manifest.Priority(name="batch", rank=9),
+        ),
+        teams=(
+            manifest.Team(
+                name="clinics",
+                key_hashes=(hashlib.sha256(KEY.encode()).hexdigest(),),
+                priorities=("urgent", "batch"),
+            ),
+        ),
+        upstreams=(
+            *(
+                manifest.Upstream(
+                    name=f"engine-{i}",
+                    service="lishe-llm",
+                    failure_domain=domains[i % 3],
+                    address=f"127.0.0.1:{9000 + i}",
+                    slots=slots,
+                )
+                for i in range(upstreams)
+            ),
+            manifest.Upstream(
+                name="refills-0",
+                service="refills",
+                failure_domain=domains[0],
+                address="127.0.0.1:9100",
+            ),
+        ),
+    )
+    return manifest.Manifest(**{f: getattr(made, f) for f in made.__struct_fields__} | changes)
+
+
+class FixedConfiguration:
+    """A configuration that never changes unless a test sets it."""
+
+    name = "configuration"
+
+    def __init__(self, wanted: manifest.Manifest) -> None:
+        self.accepted = ports.Accepted(wanted, version=1)
+
+    async def run(self, started) -> None:
+        started()
+        await trio.sleep_forever()
+
+    def current(self) -> ports.Accepted:
+        return self.accepted
+
+    async def wait_newer(self, version: int) -> ports.Accepted:
+        if version >= self.accepted.version:
+            await trio.sleep_forever()
+        return self.accepted
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Script:
+    """How a scripted upstream answers one call.
+
+    :param fail: raised instead of an answer's head.
+    :param tokens: tokens of the whole stream.
+    :param break_after: tokens after which the stream breaks off without its end marker.
+    """
+
+    tokens: int = 4
+    status: int = 200
+    fail: engine.Progress | None = None
+    break_after: int | None = None
+    token_s: float = 0.01
+
+
+class ScriptedAnswer:
+    """An answer of a scripted upstream."""
+
+    headers = (("content-type", "text/event-stream"),)
+
+    def __init__(self, script: Script, resume_from: int) -> None:
+        self.status = script.status
+        self._script = script
+        self._resume_from = resume_from
+
+    async def chunks(self):
+        for index in range(self._resume_from, self._script.tokens):
+            await trio.sleep(self._script.token_s)
+            if index == self._script.break_after:
+                return
+            yield f"data: {index}\n\n".encode()
+        yield engine.END_MARKER
+
+
+class ScriptedUpstream:
+    """Answers calls as its scripts say, the last one over and over."""
+
+    def __init__(self, name: str, *scripts: Script, reachable: bool = True) -> None:
+        self.name = name
+        self.scripts = list(scripts) or [Script()]
+        self.reachable = reachable
+        self.calls: list[engine.Call] = []
+        self.cancelled: list[str] = []
+
+    @contextlib.asynccontextmanager
+    async def call(self, call: engine.Call):
+        script = self.scripts.pop(0) if len(self.scripts) > 1 else self.scripts[0]
+        if script.fail is not engine.Progress.NOT_SENT:
+            self.calls.append(call)
+        await trio.sleep(script.token_s)
+        if script.fail is not None:
+            raise engine.CallError("scripted", step="send", peer=self.name, progress=script.fail)
+        yield ScriptedAnswer(script, call.resume_from)
+
+    async def cancel(self, stream_id: str) -> engine.Cancelled:
+        self.cancelled.append(stream_id)
+        return engine.Cancelled(found=True)
+
+    async def load(self) -> engine.Load:
+        if not self.reachable:
+            raise engine.CallError(
+                "down", step="connect", peer=self.name, progress=engine.Progress.NOT_SENT
+            )
+        return engine.Load(0, 0, 8)
+
+
+class Pool:
+    """The service ``upstreams`` over fakes."""
+
+    name = "upstreams"
+
+    def __init__(self, *upstreams) -> None:
+        self.upstreams = {up.name: up for up in upstreams}
+
+    async def run(self, started) -> None:
+        started()
+        await trio.sleep_forever()
+
+    def get(self, name: str):
+        return self.upstreams[name]
--- /dev/null
+++ b/tests/services/test_online.py
@@ -0,0 +1,141 @@
+import contextlib
+import random
+
+import pytest
+import trio
+from tests import fakes
+
+from cornelgrade import errors, kernel
+from cornelgrade.adapters import engine
+from cornelgrade.services import exchange, online, router
+
+BREAKS = fakes.Script(break_after=2)
+WHOLE = [b"data: %d\n\n" % i for i in range(4)] + [engine.END_MARKER]
+
+
+@contextlib.asynccontextmanager
+async def serving(*upstreams, **changes):
+    kern = kernel.Kernel()
+    wanted = fakes.a_manifest(upstreams=len(upstreams), **changes)
+    kern.add(fakes.FixedConfiguration(wanted))
+    kern.add(fakes.Pool(*upstreams))
+    kern.add(router.Router(kern, "dar-kariakoo", random.Random(7)))
+    service = online.Online(kern)
+    kern.add(service)
+    async with trio.open_nursery() as nursery:
+        await nursery.start(kern.run)
+        yield service
+        nursery.cancel_scope.cancel()
+
+
+def request(number=0, **changes):
+    fields = {
+        "request_id": f"r{number}",
+        "team": "clinics",
+        "service": "lishe-llm",
+        "method": "POST",
+        "path": "/v1/completions",
+        "body": b"{}",
+        "headers": (),
+        "rank": 0,
+        "deadline_s": trio.current_time() + 10.0,
+        "stream": True,
+        "idempotent": True,
+        "fingerprint": f"f{number}",
+    }
+    return exchange.Request(**fields | changes)
+
+
+async def answer(service, req):
+    async with contextlib.aclosing(service.serve(req)) as parts:
+        head = await anext(parts)
+        return head.status, [part async for part in parts]
+
+
+async def test_stream_is_relayed_whole(autojump_clock):
+    async with serving(fakes.ScriptedUpstream("engine-0")) as service:
+        assert await answer(service, request()) == (200, WHOLE)
+
+
+async def test_broken_stream_resumes_elsewhere_without_a_missing_or_doubled_token(autojump_clock):
+    ups = [fakes.ScriptedUpstream(f"engine-{i}") for i in range(3)]
+    first_breaks = [BREAKS, fakes.Script()]
+    for up in ups:
+        up.scripts = first_breaks
+    async with serving(*ups) as service:
+        status, parts = await answer(service, request())
+    assert (status, b"".join(parts)) == (200, b"".join(WHOLE))
+    assert sorted(call.resume_from for up in ups for call in up.calls) == [0, 2]
+
+
+async def test_broken_stream_that_may_not_run_again_ends_as_unknown(autojump_clock):
+    ups = [fakes.ScriptedUpstream(f"engine-{i}", BREAKS) for i in range(3)]
+    async with serving(*ups) as service:
+        with pytest.raises(errors.Refusal) as caught:
+            await answer(service, request(idempotent=False))
+    assert caught.value.code is errors.Code.OUTCOME_UNKNOWN
+    assert caught.value.ran is errors.Ran.UNKNOWN
+    assert sum(len(up.calls) for up in ups) == 1
+
+
+async def test_call_that_was_not_sent_goes_elsewhere_even_if_it_may_run_once(autojump_clock):
+    down = fakes.Script(fail=engine.Progress.NOT_SENT)
+    ups = [fakes.ScriptedUpstream(f"engine-{i}", down) for i in range(2)]
+    ups.append(fakes.ScriptedUpstream("engine-2"))
+    async with serving(*ups) as service:
+        status, parts = await answer(service, request(idempotent=False))
+    assert (status, parts) == (200, WHOLE)
+
+
+async def test_refusal_of_what_never_was_sent_says_not_run(autojump_clock):
+    down = fakes.Script(fail=engine.Progress.NOT_SENT)
+    async with serving(fakes.ScriptedUpstream("engine-0", down)) as service:
+        with pytest.raises(errors.Refusal) as caught:
+            await answer(service, request())
+    assert caught.value.ran is errors.Ran.NO
+    assert caught.value.retry_after_s > 0
+
+
+async def test_priority_goes_first_and_waiting_happens_at_the_gateway(autojump_clock):
+    up = fakes.ScriptedUpstream("engine-0")
+    finished = []
+
+    async def one(service, number, rank):
+        await answer(service, request(number, rank=rank))
+        finished.append(number)
+
+    async with serving(up, slots=1) as service, trio.open_nursery() as nursery:
+        for number, rank in enumerate((5, 5, 5, 0)):
+            nursery.start_soon(one, service, number, rank)
+            await trio.sleep(0.001)
+    assert finished == [0, 3, 1, 2]
+
+
+async def test_caller_that_goes_away_frees_its_place_and_its_upstream(autojump_clock):
+    up = fakes.ScriptedUpstream("engine-0", fakes.Script(tokens=1000))
+    async with serving(up, slots=1) as service:
+        with trio.move_on_after(0.5):
+            await answer(service, request(1))
+        up.scripts = [fakes.Script()]
+        assert (await answer(service, request(2)))[0] == 200
+    assert up.cancelled == ["r1.0"]
+
+
+async def test_full_queue_refuses_at_once(autojump_clock):
+    slow = fakes.Script(tokens=100)
+    policy = fakes.a_manifest().online
+    limited = type(policy)(queue_limit=1)
+    async with (
+        serving(fakes.ScriptedUpstream("engine-0", slow), slots=1, online=limited) as service,
+        trio.open_nursery() as nursery,
+    ):
+        for number in range(2):
+            nursery.start_soon(answer, service, request(number))
+            await trio.sleep(0.01)
+        began_s = trio.current_time()
+        with pytest.raises(errors.Refusal) as caught:
+            await answer(service, request(3))
+        assert trio.current_time() - began_s < 0.05
+        assert caught.value.code is errors.Code.OVERLOADED
+        assert caught.value.retry_after_s > 0
+        nursery.cancel_scope.cancel()
