Operators' routes: status, explain, health, readiness, metrics

Shared interfaces extended: Kernel.services(); ports.Reports (any service may report), ports.Conditions, Stories.find. What belongs to a team is noted under TEAM/ID, so that a team reads its own stories and no other's although callers choose their request ids; online._note follows that. The router reports its upstreams. explain asks only this VM so far.

--- a/src/cornelgrade/kernel.py
+++ b/src/cornelgrade/kernel.py
@@ -75,6 +75,10 @@
         """Tell whether a service is there."""
         return name in self._services
 
+    def services(self) -> tuple[Service, ...]:
+        """Give all services in the order they were added."""
+        return tuple(self._services.values())
+
     def stop(self) -> None:
         """Cancel every service and let :meth:`run` return."""
         self._cancel.cancel()
--- a/src/cornelgrade/reports.py
+++ b/src/cornelgrade/reports.py
@@ -2,21 +2,26 @@
 
 import msgspec
 
+UP = "up"
+
 
 class Degraded(msgspec.Struct, frozen=True):
     """Something that works less well than it should.
 
-    :param since_s: Unix time in seconds at which it began.
+    :param since_s: Unix time in seconds at which it began; a service that leaves it at 0 gets
+        the time at which it was first reported.
     """
 
     what: str
-    since_s: float
+    since_s: float = 0.0
 
 
 class UpstreamReport(msgspec.Struct, frozen=True):
     """An upstream as one service sees it.
 
-    :param state: such as ``up``, ``down``, ``leaving`` or ``suspect``.
+    :param state: :data:`UP`, or in a word why it gets no or less work, such as ``down``.
+    :param since_s: Unix time in seconds at which the state began, filled in like that of
+        :class:`Degraded`.
     :param outstanding: requests of this VM that run there.
     """
 
--- a/src/cornelgrade/services/online.py
+++ b/src/cornelgrade/services/online.py
@@ -274,7 +274,7 @@
     def _note(self, req: exchange.Request, step: str, sentence: str, peer: str = "") -> None:
         if self._kern.has("stories"):
             stories = self._kern.find("stories", ports.Stories)
-            stories.note(req.request_id, step, sentence, peer)
+            stories.note(f"{req.team}/{req.request_id}", step, sentence, peer)
 
 
 def _with_ran(refusal: errors.Refusal, ran: errors.Ran) -> errors.Refusal:
--- a/src/cornelgrade/services/ports.py
+++ b/src/cornelgrade/services/ports.py
@@ -2,11 +2,11 @@
 
 import dataclasses
 import enum
-from typing import Protocol
+from typing import Protocol, runtime_checkable
 
 import trio
 
-from cornelgrade import errors, manifest
+from cornelgrade import errors, manifest, reports
 
 
 class MemberState(enum.StrEnum):
@@ -153,7 +153,12 @@
 
 
 class Stories(Protocol):
-    """The service ``stories``: bounded recent history, the source of ``explain``."""
+    """The service ``stories``: bounded recent history, the source of ``explain``.
+
+    What belongs to a team is noted under ``TEAM/ID``, where the id is a request's id or key, a
+    job's id or ``JOB/CUSTOM_ID``, so that a team can read its own stories and no others. The
+    rest is noted under ``manifest/VERSION`` and ``UPSTREAM/order``.
+    """
 
     def note(self, subject: str, step: str, sentence: str, peer: str = "") -> None:
         """Add a step to the story of ``subject``."""
@@ -161,6 +166,27 @@
     def tell(self, subject: str) -> tuple[Step, ...]:
         """Give a story, oldest step first."""
 
+    def find(self, identifier: str) -> tuple[str, ...]:
+        """Give the subjects that are ``identifier`` or end with ``/`` and it."""
+
+
+@runtime_checkable
+class Reports(Protocol):
+    """A service that has something to say in ``GET /v1/status``; any service may offer it."""
+
+    def report(self) -> reports.Report:
+        """Give a snapshot; it is asked about once a second and must be cheap."""
+
+
+class Conditions(Protocol):
+    """The service ``conditions``: what is degraded in this process and since when."""
+
+    def status(self) -> reports.Status:
+        """Give the fleet's state as this VM sees it."""
+
+    def ready(self) -> bool:
+        """Tell whether a balancer should send requests here."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Claim:
--- a/src/cornelgrade/services/router.py
+++ b/src/cornelgrade/services/router.py
@@ -14,7 +14,7 @@
 import result
 import trio
 
-from cornelgrade import errors, kernel, logs, metrics
+from cornelgrade import errors, kernel, logs, metrics, reports
 from cornelgrade.policy import admission, health, routing, shares
 from cornelgrade.services import ports
 
@@ -195,6 +195,10 @@
         queue = self._queues.get(service)
         return len(queue.places) if queue else 0
 
+    def report(self) -> reports.Report:
+        """Say how each upstream does, as seen by this gateway's own calls."""
+        return reports.Report(upstreams=tuple(map(_report, self._seats.values())))
+
     # Messages
 
     def _on_ask(self, ask: Ask) -> None:
@@ -406,3 +410,13 @@
             if view is not None:
                 vms = len(view.usable(seats.failure_domain if local else ""))
             seats.cap = shares.fallback_share(seats.slots, vms, local)
+
+
+def _report(seats: _Seats) -> reports.UpstreamReport:
+    states = {seats.health.failures > 0: "down", seats.leaving: "leaving"}
+    return reports.UpstreamReport(
+        name=seats.name,
+        failure_domain=seats.failure_domain,
+        state=states.get(True, reports.UP),
+        outstanding=len(seats.running),
+    )
--- a/src/cornelgrade/services/stories.py
+++ b/src/cornelgrade/services/stories.py
@@ -18,8 +18,7 @@
 class Stories:
     """Keeps the newest steps of the subjects that were last written to.
 
-    Subjects are a request id, ``TEAM/KEY``, a job id, ``JOB/CUSTOM_ID``, a manifest version
-    (``manifest/VERSION``) and an order (``UPSTREAM/order``).
+    Subjects are named as :class:`ports.Stories` says.
 
     :param max_steps: steps kept for one subject; older ones go first.
     :param max_bytes: estimated memory of all stories; the subject longest unwritten goes first.
@@ -71,6 +70,11 @@
         """Give a story, oldest step first; empty if nothing is known."""
         return tuple(self._told.get(subject, ()))
 
+    def find(self, identifier: str) -> tuple[str, ...]:
+        """Give the subjects that are ``identifier`` or end with ``/`` and it."""
+        ending = f"/{identifier}"
+        return tuple(s for s in self._told if s == identifier or s.endswith(ending))
+
     def _forget_oldest(self) -> None:
         subject, story = self._told.popitem(last=False)
         self._bytes -= _subject_bytes(subject) + sum(map(_step_bytes, story))
--- a/tests/samples.py
+++ b/tests/samples.py
@@ -1,6 +1,19 @@
 """Small correct documents that tests change."""
 
-TEAM = {"name": "clinic", "key_hashes": ["a" * 64], "priorities": ["nurse"]}
+import hashlib
+import json
+
+from cornelgrade import checked
+from cornelgrade import manifest as manifests
+from cornelgrade import settings as settings_module
+
+TEAM_KEY = "clinic-key"
+
+TEAM = {
+    "name": "clinic",
+    "key_hashes": [hashlib.sha256(TEAM_KEY.encode()).hexdigest()],
+    "priorities": ["nurse"],
+}
 UPSTREAM = {
     "name": "engine-1",
     "service": "lishe-llm",
@@ -22,3 +35,12 @@
     "platform_url": "http://127.0.0.1:8090",
     "peer_key_file": "peer.key",
 }
+
+
+def manifest(**change) -> manifests.Manifest:
+    return checked.load_manifest(json.dumps({**MANIFEST, **change}).encode())
+
+
+def settings(**change) -> settings_module.Settings:
+    raw = json.dumps({**SETTINGS, **change}).encode()
+    return checked.decode(raw, settings_module.Settings)
--- /dev/null
+++ b/tests/web/test_operations.py
@@ -0,0 +1,142 @@
+import itertools
+
+import msgspec
+import pytest
+from tests import samples
+
+from cornelgrade import errors, kernel, reports
+from cornelgrade.services import conditions, drain, ports, stories
+from cornelgrade.services.web import access, app, operations
+
+
+class Configuration:
+    name = "configuration"
+
+    def __init__(self, accepted: ports.Accepted | None) -> None:
+        self.accepted = accepted
+
+    def current(self) -> ports.Accepted | None:
+        return self.accepted
+
+
+class Reporter:
+    name = "reporter"
+
+    def __init__(self) -> None:
+        self.given = reports.Report()
+
+    def report(self) -> reports.Report:
+        return self.given
+
+
+class System:
+    """The operators' routes over small fakes."""
+
+    def __init__(self) -> None:
+        ticks = itertools.count(100)
+        cfg = samples.settings(operator_key_hashes=[access.key_hash("operator")])
+        self.kern = kernel.Kernel()
+        self.configuration = Configuration(ports.Accepted(samples.manifest(), 7))
+        self.reporter = Reporter()
+        self.stories = stories.Stories(now_s=lambda: float(next(ticks)))
+        self.drain = drain.Drain(1.0)
+        watch = conditions.Conditions(self.kern, cfg, now_s=lambda: float(next(ticks)))
+        for service in (self.configuration, self.reporter, self.stories, self.drain, watch):
+            self.kern.add(service)
+        self.client = app.make([operations.blueprint(self.kern, cfg)]).test_client()
+
+    async def get(self, path: str, key: str = "operator"):
+        return await self.client.get(path, headers={"Authorization": f"Bearer {key}"})
+
+    async def status(self) -> reports.Status:
+        answer = await self.get("/v1/status")
+        assert answer.status_code == 200
+        return msgspec.json.decode(await answer.get_data(), type=reports.Status)
+
+
+@pytest.fixture
+def system() -> System:
+    return System()
+
+
+async def test_status_says_what_is_in_force_and_that_nothing_is_degraded(system):
+    status = await system.status()
+    assert (status.vm, status.manifest_version, status.ready) == ("entry-1", 7, True)
+    assert status.degraded == ()
+
+
+async def test_condition_keeps_the_time_at_which_it_began(system):
+    system.reporter.given = reports.Report(
+        degraded=(reports.Degraded("platform unreachable"),),
+        upstreams=(reports.UpstreamReport("engine-1", "maipu", "down"),),
+    )
+    first = await system.status()
+    second = await system.status()
+    assert [item.what for item in first.degraded] == [
+        "platform unreachable",
+        "upstream engine-1 is down",
+    ]
+    assert second.degraded == first.degraded
+    assert second.upstreams[0].since_s == first.upstreams[0].since_s > 0
+    system.reporter.given = reports.Report()
+    assert (await system.status()).degraded == ()
+
+
+async def test_time_that_a_service_gives_is_kept(system):
+    system.reporter.given = reports.Report(degraded=(reports.Degraded("slow", since_s=5.0),))
+    assert (await system.status()).degraded[0].since_s == 5.0
+
+
+@pytest.mark.parametrize(("key", "status"), [("clinic-key", 403), ("wrong", 403)])
+async def test_status_is_for_operators(system, key, status):
+    assert (await system.get("/v1/status", key)).status_code == status
+
+
+@pytest.mark.parametrize(
+    ("key", "identifier", "sentences"),
+    [
+        ("clinic-key", "r1", ["Taken.", "Sent."]),
+        ("operator", "clinic/r1", ["Taken.", "Sent."]),
+        ("operator", "r1", ["Taken.", "Other team.", "Sent."]),
+        ("clinic-key", "other/r1", None),
+        ("clinic-key", "manifest/7", None),
+        ("operator", "manifest/7", ["Accepted."]),
+        ("operator", "r9", None),
+    ],
+)
+async def test_team_reads_its_own_stories_and_an_operator_all(system, key, identifier, sentences):
+    system.stories.note("clinic/r1", "admit", "Taken.")
+    system.stories.note("other/r1", "admit", "Other team.")
+    system.stories.note("manifest/7", "accept", "Accepted.")
+    system.stories.note("clinic/r1", "route", "Sent.", peer="engine-1")
+    answer = await system.get(f"/v1/explain/{identifier}", key)
+    if sentences is None:
+        assert answer.status_code == errors.STATUS[errors.Code.NOT_FOUND]
+        return
+    story = msgspec.json.decode(await answer.get_data(), type=reports.Story)
+    assert [step.sentence for step in story.steps] == sentences
+    assert {step.vm for step in story.steps} == {"entry-1"}
+
+
+@pytest.mark.parametrize("path", ["/v1/status", "/v1/explain/r1"])
+async def test_without_a_key_nothing_is_told(system, path):
+    answer = await system.client.get(path)
+    body = msgspec.json.decode(await answer.get_data(), type=errors.ErrorBody)
+    assert (answer.status_code, body.error.ran) == (401, "no")
+
+
+async def test_ready_until_draining_and_only_with_a_manifest(system):
+    assert (await system.get("/readyz")).status_code == 200
+    system.drain.phase = drain.Phase.NOT_READY
+    assert (await system.get("/readyz")).status_code == 503
+    system.drain.phase = drain.Phase.SERVING
+    system.configuration.accepted = None
+    assert (await system.get("/readyz")).status_code == 503
+    assert (await system.get("/healthz")).status_code == 200
+
+
+async def test_metrics_are_rendered_as_text(system):
+    await system.status()
+    answer = await system.get("/metrics")
+    assert answer.content_type.startswith("text/plain")
+    assert b"cornelgrade_degraded_conditions 0" in await answer.get_data()
