Batch jobs: stored, claimed, run on engines, results readable

The path is whole but thin: submission in input pieces, an index of open jobs in due order, chunks claimed in a ledger and committed conditionally, a batch window for each engine. ports.Load and ports.Yield gain the sender's VM (a default keeps old callers), ports.UpstreamPool is new.

--- /dev/null
+++ b/src/cornelgrade/policy/window.py
@@ -0,0 +1,101 @@
+"""The batch window of one engine: how many batch items may run there now.
+
+The window grows on idle slots and closes at once when an online request finds no spare slot.
+``lean`` runs from 0 (tail latency) to 1 (throughput): it sets how many slots stay spare, how long
+the window stays closed after it gave way, and how many running items a yield cancels.
+"""
+
+import dataclasses
+import math
+
+TICK_S = 0.05
+FULL_IN_TICKS = 3
+LONGEST_HOLD_S = 0.1
+SILENT_AFTER_S = 3.0
+SPARE_SHARE = 0.25
+UNHEARD_SHARE = 0.25
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Window:
+    """The window as it stands.
+
+    :param limit: batch items that may run.
+    :param closed_until_s: monotonic time before which it does not grow.
+    """
+
+    limit: int = 0
+    closed_until_s: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Seen:
+    """What is known of the engine.
+
+    :param slots: requests that it runs at once.
+    :param online: outstanding and queued online requests as the gateways say.
+    :param batch: batch items running there.
+    :param heard_age_s: seconds since any gateway was heard.
+    :param reported: requests running and waiting by the engine's own late report, batch
+        included, ``None`` if there is no report.
+    :param reported_waiting: those of them that wait.
+    """
+
+    slots: int
+    online: int
+    batch: int
+    heard_age_s: float = 0.0
+    reported: int | None = None
+    reported_waiting: int = 0
+
+    @property
+    def heard(self) -> bool:
+        """Whether gateways were heard lately."""
+        return self.heard_age_s <= SILENT_AFTER_S
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Decision:
+    """The new window and how many running items to cancel now."""
+
+    window: Window
+    cancel: int = 0
+
+
+def room(seen: Seen, lean: float) -> int:
+    """Give the number of batch items that the engine has room for."""
+    if seen.heard:
+        return max(0, seen.slots - seen.online - spare(seen.slots, lean))
+    if seen.reported is None or seen.reported_waiting:
+        return 0
+    others = max(0, seen.reported - seen.batch)
+    small = max(1, math.floor(seen.slots * UNHEARD_SHARE))
+    return max(0, min(small, seen.slots - others - 1))
+
+
+def spare(slots: int, lean: float) -> int:
+    """Give the number of slots that batch leaves free."""
+    return math.floor(slots * SPARE_SHARE * (1.0 - lean) ** 2)
+
+
+def on_tick(window: Window, seen: Seen, now_s: float, lean: float) -> Decision:
+    """Grow towards the room there is; shrink at once where there is less."""
+    target = room(seen, lean)
+    if seen.batch + seen.online > seen.slots and seen.heard:
+        return give_way(seen, seen.batch + seen.online - seen.slots, now_s, lean)
+    if now_s < window.closed_until_s or target <= window.limit:
+        return Decision(dataclasses.replace(window, limit=min(window.limit, target)))
+    step = math.ceil(seen.slots / FULL_IN_TICKS)
+    return Decision(dataclasses.replace(window, limit=min(target, window.limit + step)))
+
+
+def give_way(seen: Seen, slots: int, now_s: float, lean: float) -> Decision:
+    """Close the window and cancel what stands in the way of ``slots`` online requests.
+
+    Towards tail latency the rest is cancelled too, since a burst seldom comes alone.
+    """
+    needed = min(seen.batch, max(0, slots))
+    rest = seen.batch - needed
+    extra = math.floor(rest * (1.0 - lean) ** 2)
+    closed = Window(limit=0, closed_until_s=now_s + LONGEST_HOLD_S * (1.0 - lean))
+    return Decision(closed, cancel=needed + extra)
--- /dev/null
+++ b/src/cornelgrade/services/_settled.py
@@ -0,0 +1,93 @@
+"""Platform calls that are tried again: reads for a short while, writes until they are settled.
+
+A write whose answer was lost is found by its nonce when the repeated write meets a conflict.
+"""
+
+import dataclasses
+import math
+import secrets
+
+import trio
+
+from cornelgrade.adapters import platform
+
+READ_PATIENCE_S = 3.0
+WRITE_PATIENCE_S = 5.0
+FOREVER_S = math.inf
+_FIRST_PAUSE_S = 0.05
+_LONGEST_PAUSE_S = 1.0
+
+
+class _Pauses:
+    """Doubling pauses until patience is over."""
+
+    def __init__(self, patience_s: float) -> None:
+        self._end_s = trio.current_time() + patience_s
+        self._pause_s = _FIRST_PAUSE_S
+
+    async def wait(self, exc: platform.UnavailableError) -> None:
+        """Pause, or raise ``exc`` if there is no time left."""
+        pause_s = max(self._pause_s, exc.retry_after_s or 0.0)
+        if trio.current_time() + pause_s > self._end_s:
+            raise exc
+        await trio.sleep(pause_s)
+        self._pause_s = min(self._pause_s * 2, _LONGEST_PAUSE_S)
+
+
+async def read(
+    plat: platform.Platform, kind: str, name: str, patience_s: float = READ_PATIENCE_S
+) -> platform.Stored | None:
+    """Read one object, again while the platform is out."""
+    pauses = _Pauses(patience_s)
+    while True:
+        try:
+            return await plat.get(kind, name)
+        except platform.UnavailableError as exc:
+            await pauses.wait(exc)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Settled:
+    """Conditional writes whose outcome is known when they return.
+
+    :param patience_s: how long an outage is waited for.
+    """
+
+    plat: platform.Platform
+    patience_s: float
+
+    async def create(self, kind: str, name: str, value: bytes) -> platform.Stored:
+        """Write an object that must not be there yet."""
+        return await self.write(kind, name, value, 0)
+
+    async def update(self, kind: str, name: str, value: bytes, version: int) -> platform.Stored:
+        """Write an object that must still be at ``version``."""
+        return await self.write(kind, name, value, version)
+
+    async def write(self, kind: str, name: str, value: bytes, version: int) -> platform.Stored:
+        """Create (version 0) or update an object.
+
+        :raises ConflictError: somebody else's write stands; this one took no effect, or its
+            effect has been replaced since by somebody who read it.
+        :raises UnavailableError: with ``outcome_unknown`` if any try may have taken effect.
+        """
+        nonce = secrets.token_hex(8)
+        unknown = False
+        pauses = _Pauses(self.patience_s)
+        while True:
+            try:
+                if version == 0:
+                    return await self.plat.create(kind, name, value, nonce)
+                return await self.plat.update(kind, name, value, version, nonce)
+            except platform.ConflictError as exc:
+                if exc.current is not None and exc.current.nonce == nonce:
+                    return exc.current
+                raise
+            except platform.UnavailableError as exc:
+                unknown = unknown or exc.outcome_unknown
+                try:
+                    await pauses.wait(exc)
+                except platform.UnavailableError as last:
+                    raise platform.UnavailableError(
+                        last.message, step=last.step, outcome_unknown=unknown
+                    ) from exc
--- /dev/null
+++ b/src/cornelgrade/services/batch.py
@@ -0,0 +1,320 @@
+"""The service ``batch``: runs the items of open jobs on the engines that this VM owns."""
+
+import dataclasses
+import secrets
+import time
+from collections.abc import Callable
+
+import trio
+
+from cornelgrade import kernel, logs, manifest
+from cornelgrade.adapters import platform
+from cornelgrade.policy import batch, claims, ownership
+from cornelgrade.services import (
+    _engine_run,
+    _feed,
+    _job_runs,
+    job_cleanup,
+    job_ending,
+    job_records,
+    job_store,
+    ports,
+)
+
+OWNERSHIP_INTERVAL_S = 0.5
+SHORTEST_POLL_S = 0.1
+LONGEST_POLL_S = 2.0
+DRAIN_TIMEOUT_S = 10.0
+_OPEN_PAGE = 100
+_LOW_WATER_FACTOR = 2
+_UNKNOWN_PACE_FACTOR = 2.0
+_RATE_WEIGHT = 0.3
+
+
+@dataclasses.dataclass(slots=True)
+class _Owned:
+    """An engine that this worker owns."""
+
+    service: str
+    slots: int
+    run: _engine_run.EngineRun
+
+
+class Batch:
+    """Claims chunks of open jobs and runs their items.
+
+    :param kern: finds ``configuration``, ``membership``, ``upstreams`` and, where the process has
+        it, ``quarantine``.
+    :param vm: this VM's name.
+    :param plat: the platform.
+    :param unix_s: gives the Unix time in seconds.
+    """
+
+    name = "batch"
+
+    def __init__(
+        self,
+        kern: kernel.Kernel,
+        vm: str,
+        failure_domain: str,
+        plat: platform.Platform,
+        unix_s: Callable[[], float] = time.time,
+    ) -> None:
+        self.store = job_store.JobStore(plat, unix_s)
+        self.me = claims.Holder(vm, secrets.token_hex(4))
+        self._kern = kern
+        self._failure_domain = failure_domain
+        self._log = logs.Logger("batch")
+        self._owned: dict[str, _Owned] = {}
+        self._feeds: dict[str, _feed.Feed] = {}
+        self._jobs: dict[str, _job_runs.JobRun] = {}
+        self._headers: dict[str, job_records.Header] = {}
+        self._sightings = claims.Sightings()
+        self._wake = trio.Event()
+        self._rate = 0.0
+        self._draining = False
+        self._drained = trio.Event()
+        self._accepted: ports.Accepted | None = None
+
+    async def run(self, started: Callable[[], None]) -> None:
+        """Run until cancelled."""
+        started()
+        config = self._kern.find("configuration", ports.Configuration)
+        self._accepted = await config.wait_newer(0)
+        members = self._kern.find("membership", ports.Membership)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._follow_loads, members.subscribe(ports.Load))
+            nursery.start_soon(self._follow_yields, members.subscribe(ports.Yield))
+            nursery.start_soon(self._follow_ownership, nursery)
+            nursery.start_soon(self._measure)
+            cleanup = job_cleanup.Cleanup(self.store, self._retention_s)
+            nursery.start_soon(cleanup.run, self._cleans)
+            await self._claim_forever(nursery)
+
+    async def drain(self, timeout_s: float = DRAIN_TIMEOUT_S) -> None:
+        """Start nothing more, let running items end, and give the rest back."""
+        self._draining = True
+        for job in self._jobs.values():
+            job.drain()
+        with trio.move_on_after(timeout_s):
+            while any(owned.run.running for owned in self._owned.values()):
+                await trio.sleep(SHORTEST_POLL_S)
+        for owned in self._owned.values():
+            owned.run.retire()
+        self._wake.set()
+        with trio.move_on_after(timeout_s):
+            await self._drained.wait()
+
+    def _policy(self) -> manifest.BatchPolicy:
+        assert self._accepted is not None
+        return self._accepted.manifest.batch
+
+    def _lean(self) -> float:
+        return self._policy().lean
+
+    def _retention_s(self) -> float:
+        return self._policy().retention_s
+
+    def _usable_vms(self, failure_domain: str = "") -> frozenset[str]:
+        view = self._kern.find("membership", ports.Membership).view()
+        return frozenset(m.vm for m in view.usable(failure_domain)) | {self.me.vm}
+
+    def _cleans(self) -> bool:
+        """Whether this VM is the one that cleans up; two for a moment do no harm."""
+        return ownership.owner("clean-up", self._usable_vms()) == self.me.vm
+
+    async def _follow_loads(self, loads: trio.MemoryReceiveChannel[ports.Load]) -> None:
+        async for load in loads:
+            if load.upstream in self._owned:
+                self._owned[load.upstream].run.hear(load)
+
+    async def _follow_yields(self, yields: trio.MemoryReceiveChannel[ports.Yield]) -> None:
+        async for asked in yields:
+            if asked.upstream in self._owned:
+                self._owned[asked.upstream].run.give_way(asked.slots)
+
+    async def _follow_ownership(self, nursery: trio.Nursery) -> None:
+        """Keep a runner for each engine that this VM owns by the view and the manifest."""
+        config = self._kern.find("configuration", ports.Configuration)
+        while True:
+            self._accepted = config.current() or self._accepted
+            assert self._accepted is not None
+            local = {
+                upstream.name: upstream
+                for upstream in self._accepted.manifest.upstreams
+                if upstream.failure_domain == self._failure_domain
+            }
+            live = self._usable_vms(self._failure_domain)
+            mine = frozenset() if self._draining else ownership.owned(self.me.vm, local, live)
+            for name in set(self._owned) - mine:
+                self._owned[name].run.retire()
+            for name in mine - set(self._owned):
+                nursery.start_soon(self._run_engine, local[name])
+                await trio.lowlevel.checkpoint()
+            await trio.sleep(OWNERSHIP_INTERVAL_S)
+
+    async def _run_engine(self, upstream: manifest.Upstream) -> None:
+        pool = self._kern.find("upstreams", ports.UpstreamPool)
+        quarantine = (
+            self._kern.find("quarantine", ports.Quarantine)
+            if self._kern.has("quarantine")
+            else None
+        )
+        try:
+            client = pool.get(upstream.name)
+        except KeyError:
+            return
+        run = _engine_run.EngineRun(
+            client, upstream.slots, self._feed(upstream.service), self._lean, quarantine
+        )
+        self._owned[upstream.name] = _Owned(upstream.service, upstream.slots, run)
+        self._log.info("engine_owned", upstream=upstream.name)
+        try:
+            await run.run()
+        finally:
+            del self._owned[upstream.name]
+            self._log.info("engine_released", upstream=upstream.name)
+
+    def _feed(self, service: str) -> _feed.Feed:
+        return self._feeds.setdefault(service, _feed.Feed())
+
+    async def _measure(self) -> None:
+        """Measure how many items end here in a second."""
+        interval_s, before = 1.0, 0
+        while True:
+            await trio.sleep(interval_s)
+            ended = sum(owned.run.ended for owned in self._owned.values())
+            rate = max(0, ended - before) / interval_s
+            self._rate += _RATE_WEIGHT * (rate - self._rate)
+            before = ended
+
+    async def _claim_forever(self, nursery: trio.Nursery) -> None:
+        poll_s = SHORTEST_POLL_S
+        while True:
+            with trio.move_on_after(poll_s):
+                await self._wake.wait()
+            self._wake = trio.Event()
+            try:
+                claimed = await self._round(nursery)
+            except platform.UnavailableError as exc:
+                self._log.warning("platform_out", step=exc.step, error=exc.message)
+                claimed = 0
+            poll_s = SHORTEST_POLL_S if claimed else min(poll_s * 2, LONGEST_POLL_S)
+
+    async def _round(self, nursery: trio.Nursery) -> int:
+        """Claim for services that run short of items, then write what has ended."""
+        claimed = 0
+        if not self._draining:
+            claimed = await self._claim(nursery)
+        for name, job in list(self._jobs.items()):
+            await job.settle(now=self._draining)
+            if job.gone or job.idle:
+                job.close()
+                self._sightings.forget(name)
+                del self._jobs[name]
+        if self._draining and not self._jobs:
+            self._drained.set()
+        return claimed
+
+    def _wanted(self) -> dict[str, int]:
+        """Give for each service how many more items its engines here can use."""
+        slots: dict[str, int] = {}
+        for owned in self._owned.values():
+            slots[owned.service] = slots.get(owned.service, 0) + owned.slots
+        wanted = {
+            service: _LOW_WATER_FACTOR * count - self._feed(service).ready
+            for service, count in slots.items()
+        }
+        return {service: count for service, count in wanted.items() if count > 0}
+
+    async def _claim(self, nursery: trio.Nursery) -> int:
+        wanted = self._wanted()
+        if not wanted:
+            return 0
+        fleet = _job_runs.Fleet(self._usable_vms(), self._policy())
+        claimed = 0
+        for entry in await self._candidates():
+            header = self._headers[entry.upload]
+            if wanted.get(header.service, 0) <= 0 or not self._worth(entry, fleet):
+                continue
+            job = await self._job_run(nursery, entry)
+            if job is None:
+                continue
+            chunks = await job.claim(fleet, self._sightings, self._pace_s(header))
+            wanted[header.service] -= chunks * header.chunk_items
+            claimed += chunks
+        return claimed
+
+    def _worth(self, entry: job_store.OpenJob, fleet: _job_runs.Fleet) -> bool:
+        """Whether a job has anything to claim or to end as far as its ledger tells."""
+        ledger = entry.ledger
+        free = not ledger.chunks or ledger.next_chunk < ledger.chunks or ledger.unclaimed
+        held = frozenset(self._jobs[entry.name].held) if entry.name in self._jobs else frozenset()
+        return free or bool(_job_runs.lapsed(entry, self.me, held, fleet, self._sightings))
+
+    def _pace_s(self, header: job_records.Header) -> float:
+        """Expect how long a chunk takes here from its claim on."""
+        if self._rate < 0.1:
+            return self._policy().lease_s * _UNKNOWN_PACE_FACTOR
+        waiting = sum(feed.ready for feed in self._feeds.values())
+        return (waiting + _job_runs.MAX_CLAIM_CHUNKS * header.chunk_items) / self._rate
+
+    async def _candidates(self) -> list[job_store.OpenJob]:
+        """Give open jobs that have been accepted and may have chunks to claim, in order."""
+        entries = {entry.name: entry for entry in await self.store.open_jobs(limit=_OPEN_PAGE)}
+        candidates = []
+        for entry in entries.values():
+            header = await self._accepted_header(entry)
+            if header is not None:
+                candidates.append(batch.Candidate(entry.name, entry.due_at_s, header.price))
+        self._headers = {
+            entry.upload: self._headers[entry.upload]
+            for entry in entries.values()
+            if entry.upload in self._headers
+        }
+        ordered = batch.in_order(candidates, self.store.unix_s())
+        return [entries[candidate.name] for candidate in ordered]
+
+    async def _accepted_header(self, entry: job_store.OpenJob) -> job_records.Header | None:
+        """Give an open job's header, whose state may be out of date; ``None`` while uploading."""
+        if entry.upload not in self._headers:
+            found = await self.store.header(entry.team, entry.job)
+            if found is None or found.header.upload != entry.upload:
+                return None
+            self._headers[entry.upload] = found.header
+        return self._headers[entry.upload]
+
+    async def _job_run(
+        self, nursery: trio.Nursery, entry: job_store.OpenJob
+    ) -> _job_runs.JobRun | None:
+        """Give the runner of an open job; one with nothing left to run is ended here."""
+        if entry.name in self._jobs:
+            job = self._jobs[entry.name]
+            job.refresh(entry)
+            return None if job.gone else job
+        found = await self.store.header(entry.team, entry.job)
+        if found is None:
+            return None
+        cancelled = found.header.state is not job_records.JobState.OPEN
+        if entry.ledger.complete or (cancelled and entry.ledger.unclaimed):
+            await job_ending.end(self.store, entry)
+            return None
+        job = _job_runs.JobRun(
+            self.store,
+            entry,
+            found,
+            self.me,
+            self._feed(found.header.service),
+            nursery,
+            self._cancel_job,
+            self._nudge,
+        )
+        self._jobs[entry.name] = job
+        return job
+
+    def _nudge(self) -> None:
+        self._wake.set()
+
+    def _cancel_job(self, job: str) -> None:
+        for owned in self._owned.values():
+            owned.run.cancel_job(job)
--- /dev/null
+++ b/src/cornelgrade/services/job_store.py
@@ -0,0 +1,361 @@
+"""Batch jobs kept in the platform: headers, input pieces, chunks, and the index of open jobs.
+
+A library without a task; the gateway and the worker each use their own. Order of the writes of a
+submission: the entry in the index of open jobs, the input pieces, the header. The header's
+creation is the acceptance. An entry without a header is an upload that goes on or was given up.
+"""
+
+import collections
+import dataclasses
+import hashlib
+import secrets
+import time
+from collections.abc import AsyncIterator, Callable
+from typing import TypeVar
+
+import msgspec
+
+from cornelgrade.adapters import platform
+from cornelgrade.policy import claims
+from cornelgrade.services import _settled, job_records
+
+T = TypeVar("T")
+Settled = _settled.Settled
+
+_CACHED_PIECES = 4
+_CACHED_SPILLS = 2
+_EDIT_ATTEMPTS = 20
+
+
+def job_id(team: str, key: str) -> str:
+    """Give the identity of a job: one for each job key of a team."""
+    return hashlib.sha256(f"{team}\0{key}".encode()).hexdigest()[:32]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OpenJob:
+    """An entry of the index of open jobs, which may still lack its header."""
+
+    name: str
+    version: int
+    ledger: claims.Ledger
+
+    @property
+    def due_at_s(self) -> float:
+        """The Unix time at which the job is due."""
+        return int(self.name.split(":")[0]) / 1000
+
+    @property
+    def team(self) -> str:
+        """The team that owns the job."""
+        return self.name.split(":")[1]
+
+    @property
+    def job(self) -> str:
+        """The job's identity."""
+        return self.name.split(":")[2]
+
+    @property
+    def upload(self) -> str:
+        """The upload that the entry belongs to."""
+        return self.name.split(":")[3]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Versioned:
+    """A header with the platform's version of it."""
+
+    header: job_records.Header
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HeldChunk:
+    """A chunk object with the version that its next write must find."""
+
+    chunk: job_records.Chunk
+    version: int
+
+
+class LostChunkError(Exception):
+    """Another worker holds the chunk now; nothing was written."""
+
+
+class JobStore:
+    """Reads and writes jobs.
+
+    :param plat: the platform.
+    :param unix_s: gives the Unix time in seconds.
+    """
+
+    def __init__(self, plat: platform.Platform, unix_s: Callable[[], float] = time.time) -> None:
+        self.plat = plat
+        self.unix_s = unix_s
+        self._pieces: collections.OrderedDict[str, tuple[job_records.Item, ...]] = (
+            collections.OrderedDict()
+        )
+
+    async def header(self, team: str, job: str) -> Versioned | None:
+        """Read a header, ``None`` if there is no such job."""
+        name = job_records.header_name(team, job)
+        stored = await _settled.read(self.plat, job_records.JOB, name)
+        return _versioned(stored) if stored else None
+
+    async def headers(self, team: str, after: str, limit: int) -> tuple[job_records.Header, ...]:
+        """Read a page of a team's jobs in the order of their identities."""
+        prefix = job_records.header_name(team, "")
+        found = await self.plat.list(
+            job_records.JOB, prefix=prefix, after=prefix + after if after else "", limit=limit
+        )
+        return tuple(_versioned(stored).header for stored in found)
+
+    async def edit_header(
+        self,
+        team: str,
+        job: str,
+        change: Callable[[job_records.Header], job_records.Header],
+    ) -> Versioned | None:
+        """Change a header by conditional write, again on a conflict; ``None`` if there is none.
+
+        A change that gives back its argument writes nothing.
+        """
+        found = await self.header(team, job)
+        for _ in range(_EDIT_ATTEMPTS):
+            if found is None:
+                return None
+            changed = change(found.header)
+            if changed == found.header:
+                return found
+            raw = job_records.encode(changed)
+            try:
+                stored = await self.settled().update(
+                    job_records.JOB, changed.name, raw, found.version
+                )
+            except platform.ConflictError as exc:
+                found = _versioned(exc.current) if exc.current else None
+                continue
+            return _versioned(stored)
+        raise platform.UnavailableError("header keeps changing", step="edit job")
+
+    async def open_jobs(self, after: str = "", limit: int = 100) -> tuple[OpenJob, ...]:
+        """Read open jobs, earliest due first."""
+        found = await self.plat.list(job_records.OPEN, after=after, limit=limit)
+        return tuple(open_job(stored) for stored in found)
+
+    async def open_entry(self, name: str) -> OpenJob | None:
+        """Read one entry of the index of open jobs."""
+        stored = await _settled.read(self.plat, job_records.OPEN, name)
+        return open_job(stored) if stored else None
+
+    async def edit_ledger(
+        self,
+        entry: OpenJob,
+        change: Callable[[claims.Ledger], claims.Ledger],
+        patience_s: float = _settled.WRITE_PATIENCE_S,
+    ) -> OpenJob | None:
+        """Change the ledger of an open job by conditional write; ``None`` if the job has ended.
+
+        ``change`` is asked again with the current ledger on a conflict; what gives back its
+        argument writes nothing.
+        """
+        for _ in range(_EDIT_ATTEMPTS):
+            changed = change(entry.ledger)
+            if changed == entry.ledger:
+                return entry
+            raw = job_records.encode(changed)
+            try:
+                stored = await self.settled(patience_s).update(
+                    job_records.OPEN, entry.name, raw, entry.version
+                )
+            except platform.ConflictError as exc:
+                if exc.current is None:
+                    return None
+                entry = open_job(exc.current)
+                continue
+            return open_job(stored)
+        raise platform.UnavailableError("ledger keeps changing", step="edit ledger")
+
+    async def items(self, header: job_records.Header, chunk: int) -> list[job_records.Item]:
+        """Read the items of one chunk."""
+        first = chunk * header.chunk_items
+        end = first + header.chunk_size(chunk)
+        found: list[job_records.Item] = []
+        start = 0
+        for number, count in enumerate(header.piece_items):
+            if start < end and start + count > first:
+                piece = await self._piece(header, number)
+                found.extend(piece[max(0, first - start) : end - start])
+            start += count
+        return found
+
+    async def _piece(self, header: job_records.Header, number: int) -> tuple[job_records.Item, ...]:
+        name = job_records.piece_name(header.job, header.upload, number)
+        if name not in self._pieces:
+            raw = await self.stored_value(job_records.PIECE, name)
+            self._pieces[name] = job_records.decode(raw, tuple[job_records.Item, ...])
+            if len(self._pieces) > _CACHED_PIECES:
+                self._pieces.popitem(last=False)
+        self._pieces.move_to_end(name)
+        return self._pieces[name]
+
+    async def stored_value(self, kind: str, name: str) -> bytes:
+        """Read an object that must be there.
+
+        :raises UnavailableError: also if the object is missing.
+        """
+        stored = await _settled.read(self.plat, kind, name)
+        if stored is None:
+            raise platform.UnavailableError(f"{kind}/{name} is missing", step="read job")
+        return stored.value
+
+    async def chunk(self, header: job_records.Header, chunk: int) -> HeldChunk | None:
+        """Read a chunk object, ``None`` before its first write."""
+        name = job_records.chunk_name(header.job, header.upload, chunk)
+        stored = await _settled.read(self.plat, job_records.CHUNK, name)
+        return _held(stored) if stored else None
+
+    async def fence(self, header: job_records.Header, claim: claims.Claim) -> HeldChunk:
+        """Take a chunk over, so that every later write of an earlier holder fails.
+
+        :raises LostChunkError: if a later holder has fenced it already.
+        """
+        for _ in range(_EDIT_ATTEMPTS):
+            found = await self.chunk(header, claim.chunk)
+            if found and found.chunk.epoch > claim.epoch:
+                raise LostChunkError
+            if found and (found.chunk.epoch, found.chunk.holder) == (claim.epoch, claim.holder):
+                return found
+            before = found.chunk if found else job_records.Chunk(claim.epoch, claim.holder)
+            fenced = msgspec.structs.replace(before, epoch=claim.epoch, holder=claim.holder)
+            try:
+                return await self._write_chunk(
+                    header, claim.chunk, fenced, found.version if found else 0
+                )
+            except LostChunkError:
+                continue
+        raise platform.UnavailableError("chunk keeps changing", step="fence")
+
+    async def commit(
+        self,
+        header: job_records.Header,
+        number: int,
+        chunk: job_records.Chunk,
+        version: int,
+        patience_s: float = _settled.WRITE_PATIENCE_S,
+    ) -> HeldChunk:
+        """Write a chunk's progress, with outcomes that do not fit in objects of their own.
+
+        :param version: the version that this holder wrote last, 0 for none.
+        :raises LostChunkError: if anybody else has written the chunk since.
+        """
+        if len(job_records.encode(chunk)) > job_records.MAX_PART_BYTES:
+            chunk = await self._spill(header, number, chunk, patience_s)
+        return await self._write_chunk(header, number, chunk, version, patience_s)
+
+    async def _write_chunk(
+        self,
+        header: job_records.Header,
+        number: int,
+        chunk: job_records.Chunk,
+        version: int,
+        patience_s: float = _settled.WRITE_PATIENCE_S,
+    ) -> HeldChunk:
+        name = job_records.chunk_name(header.job, header.upload, number)
+        raw = job_records.encode(chunk)
+        writer = self.settled(patience_s)
+        try:
+            stored = await writer.write(job_records.CHUNK, name, raw, version)
+        except platform.ConflictError as exc:
+            raise LostChunkError from exc
+        return HeldChunk(chunk, stored.version)
+
+    async def _spill(
+        self,
+        header: job_records.Header,
+        number: int,
+        chunk: job_records.Chunk,
+        patience_s: float,
+    ) -> job_records.Chunk:
+        """Move all outcomes into result objects whose names no other holder uses."""
+        spills = list(chunk.spills)
+        for group in _groups(chunk.outcomes):
+            nonce = secrets.token_hex(4)
+            base = f"{job_records.chunk_name(header.job, header.upload, number)}.{nonce}"
+            raw = job_records.encode(group)
+            parts = range(0, len(raw), job_records.MAX_PART_BYTES)
+            for part, start in enumerate(parts):
+                value = raw[start : start + job_records.MAX_PART_BYTES]
+                name = f"{base}.{part:04d}"
+                await self.settled(patience_s).create(job_records.RESULT, name, value)
+            indices = tuple(outcome.index for outcome in group)
+            tally = job_records.count(group)
+            spills.append(job_records.Spill(base, len(parts), indices, tally))
+        return msgspec.structs.replace(chunk, outcomes=(), spills=tuple(spills))
+
+    async def outcomes(
+        self, header: job_records.Header, number: int
+    ) -> AsyncIterator[job_records.Outcome]:
+        """Give a chunk's outcomes in item order, pending ones too; keeps little in memory."""
+        found = await self.chunk(header, number)
+        chunk = found.chunk if found else job_records.Chunk(0, "")
+        inline = {outcome.index: outcome for outcome in chunk.outcomes}
+        spilled = {index: spill for spill in chunk.spills for index in spill.indices}
+        cache: collections.OrderedDict[str, dict[int, job_records.Outcome]] = (
+            collections.OrderedDict()
+        )
+        missing = (
+            job_records.OutcomeKind.CANCELLED
+            if header.state is job_records.JobState.CANCELLED
+            else job_records.OutcomeKind.PENDING
+        )
+        for index in range(header.chunk_size(number)):
+            if index in spilled:
+                spill = spilled[index]
+                if spill.name not in cache:
+                    cache[spill.name] = await self._load_spill(spill)
+                    if len(cache) > _CACHED_SPILLS:
+                        cache.popitem(last=False)
+                yield cache[spill.name][index]
+            else:
+                yield inline.get(index) or job_records.Outcome(index, missing)
+
+    async def _load_spill(self, spill: job_records.Spill) -> dict[int, job_records.Outcome]:
+        parts = [
+            await self.stored_value(job_records.RESULT, f"{spill.name}.{part:04d}")
+            for part in range(spill.parts)
+        ]
+        group = job_records.decode(b"".join(parts), tuple[job_records.Outcome, ...])
+        return {outcome.index: outcome for outcome in group}
+
+    def settled(self, patience_s: float = _settled.WRITE_PATIENCE_S) -> Settled:
+        """Give a writer that settles lost answers and retries for a while."""
+        return Settled(self.plat, patience_s)
+
+
+def open_job(stored: platform.Stored) -> OpenJob:
+    """Decode an entry of the index of open jobs."""
+    return OpenJob(stored.name, stored.version, job_records.decode(stored.value, claims.Ledger))
+
+
+def _versioned(stored: platform.Stored) -> Versioned:
+    return Versioned(job_records.decode(stored.value, job_records.Header), stored.version)
+
+
+def _held(stored: platform.Stored) -> HeldChunk:
+    return HeldChunk(job_records.decode(stored.value, job_records.Chunk), stored.version)
+
+
+def _groups(
+    outcomes: tuple[job_records.Outcome, ...],
+) -> list[tuple[job_records.Outcome, ...]]:
+    """Split outcomes into runs of about one object's size; a large one stands alone."""
+    groups: list[list[job_records.Outcome]] = [[]]
+    room = job_records.MAX_PART_BYTES
+    for outcome in sorted(outcomes, key=lambda one: one.index):
+        size = len(outcome.body) + 100
+        if groups[-1] and size > room:
+            groups.append([])
+            room = job_records.MAX_PART_BYTES
+        groups[-1].append(outcome)
+        room -= size
+    return [tuple(group) for group in groups]
--- /dev/null
+++ b/src/cornelgrade/services/job_submission.py
@@ -0,0 +1,289 @@
+"""Accepting a job: lines are read as they come, written as input pieces, then made a job.
+
+At most one piece is held in memory.
+"""
+
+import dataclasses
+import hashlib
+import secrets
+from collections.abc import AsyncIterable, AsyncIterator
+
+import msgspec
+import trio
+import xxhash
+
+from cornelgrade import errors, manifest
+from cornelgrade.adapters import platform
+from cornelgrade.policy import claims
+from cornelgrade.services import job_records, job_store
+
+UPLOAD_TIMEOUT_S = 1800.0
+_DEFAULT_PATH = "/v1/completions"
+_STEP = "submit job"
+
+
+class ItemLine(msgspec.Struct, frozen=True):
+    """One line of a submission; fields that are not listed are ignored."""
+
+    custom_id: str
+    body: msgspec.Raw
+    path: str = _DEFAULT_PATH
+    idempotent: bool = True
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Order:
+    """What a caller asks for besides the items.
+
+    :param due_s: seconds from now until the job is due.
+    """
+
+    team: str
+    key: str
+    service: manifest.Service
+    priority: manifest.Priority
+    due_s: float
+    chunk_items: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Accepted:
+    """An accepted job; ``again`` says that it had been accepted before."""
+
+    header: job_records.Header
+    again: bool
+
+
+def _refuse(code: errors.Code, message: str, **more: object) -> errors.Refusal:
+    return errors.Refusal(code, message, step=_STEP, **more)  # type: ignore[arg-type]
+
+
+async def lines(body: AsyncIterable[bytes]) -> AsyncIterator[bytes]:
+    """Split a body into its lines without the empty ones.
+
+    :raises Refusal: ``TOO_LARGE`` for a line over the limit of one item.
+    """
+    rest = bytearray()
+    async for data in body:
+        rest += data
+        if b"\n" in data:
+            *whole, last = rest.split(b"\n")
+            rest = bytearray(last)
+            for line in whole:
+                if line.strip():
+                    yield bytes(line)
+        if len(rest) > job_records.MAX_ITEM_BYTES:
+            raise _refuse(errors.Code.TOO_LARGE, "an item's line is too large")
+    if rest.strip():
+        yield bytes(rest)
+
+
+class _Reader:
+    """Turns lines into items and keeps the digest of all of them."""
+
+    def __init__(self, order: Order) -> None:
+        self._order = order
+        self._seen: set[int] = set()
+        self._digest = hashlib.sha256()
+        self._decoder = msgspec.json.Decoder(ItemLine)
+        for part in (order.service.name, order.priority.name):
+            self._digest.update(part.encode() + b"\0")
+
+    @property
+    def digest(self) -> str:
+        """The digest of what was read so far."""
+        return self._digest.hexdigest()
+
+    def item(self, line: bytes) -> job_records.Item:
+        """Decode one line.
+
+        :raises Refusal: ``BAD_REQUEST`` with the line's number, or ``TOO_LARGE``.
+        """
+        number = len(self._seen) + 1
+        self._digest.update(line + b"\n")
+        try:
+            decoded = self._decoder.decode(line)
+        except msgspec.MsgspecError as exc:
+            raise _refuse(errors.Code.BAD_REQUEST, f"line {number}: {exc}") from exc
+        hashed = xxhash.xxh3_64_intdigest(decoded.custom_id.encode())
+        if hashed in self._seen:
+            message = f"line {number}: custom_id {decoded.custom_id!r} comes twice"
+            raise _refuse(errors.Code.BAD_REQUEST, message)
+        self._seen.add(hashed)
+        if len(line) > job_records.MAX_ITEM_BYTES:
+            raise _refuse(errors.Code.TOO_LARGE, f"line {number} is too large")
+        if number > job_records.MAX_JOB_ITEMS:
+            raise _refuse(errors.Code.TOO_LARGE, f"over {job_records.MAX_JOB_ITEMS} items")
+        once = decoded.path.startswith(self._order.service.non_idempotent_routes)
+        return job_records.Item(
+            custom_id=decoded.custom_id,
+            path=decoded.path,
+            body=bytes(decoded.body),
+            idempotent=decoded.idempotent and not once,
+        )
+
+
+class _Upload:
+    """Writes items as input pieces of one upload."""
+
+    def __init__(self, store: job_store.JobStore, job: str, upload: str) -> None:
+        self._store = store
+        self._job = job
+        self._upload = upload
+        self._items: list[job_records.Item] = []
+        self._bytes = 0
+        self.piece_items: list[int] = []
+
+    async def add(self, item: job_records.Item) -> None:
+        """Take one item; a full piece is written before this returns."""
+        size = len(item.body) + len(item.custom_id) + len(item.path) + 32
+        if self._items and self._bytes + size > job_records.MAX_PART_BYTES:
+            await self.flush()
+        self._items.append(item)
+        self._bytes += size
+
+    async def flush(self) -> None:
+        """Write the piece at hand."""
+        if not self._items:
+            return
+        name = job_records.piece_name(self._job, self._upload, len(self.piece_items))
+        value = job_records.encode(tuple(self._items))
+        await self._store.settled().create(job_records.PIECE, name, value)
+        self.piece_items.append(len(self._items))
+        self._items, self._bytes = [], 0
+
+
+async def submit(store: job_store.JobStore, order: Order, body: AsyncIterable[bytes]) -> Accepted:
+    """Accept a job, or find it if its key and body were accepted before.
+
+    :raises Refusal: ``CONFLICT`` for another body under the same key, ``BAD_REQUEST``,
+        ``TOO_LARGE``, or ``UNAVAILABLE`` with ``ran=no``; ``ran=unknown`` only if the
+        acceptance itself was written and its answer lost.
+    """
+    job = job_store.job_id(order.team, order.key)
+    with trio.move_on_after(UPLOAD_TIMEOUT_S):
+        try:
+            found = await store.header(order.team, job)
+            if found and found.header.state is not job_records.JobState.ABANDONED:
+                return await _again(found.header, order, body)
+            return await _accept(store, order, job, body, found.version if found else 0)
+        except platform.UnavailableError as exc:
+            raise _unavailable(exc, errors.Ran.NO) from exc
+    raise _refuse(errors.Code.DEADLINE, "the upload took too long")
+
+
+def _unavailable(exc: platform.UnavailableError, ran: errors.Ran) -> errors.Refusal:
+    return _refuse(
+        errors.Code.UNAVAILABLE,
+        f"the platform is out: {exc.message}; send the job again with the same key",
+        ran=ran,
+        retry_after_s=exc.retry_after_s or 5.0,
+        peer="platform",
+    )
+
+
+async def _again(header: job_records.Header, order: Order, body: AsyncIterable[bytes]) -> Accepted:
+    """Compare a body with the one accepted under its key."""
+    reader = _Reader(order)
+    async for line in lines(body):
+        reader.item(line)
+    return _same(header, reader.digest)
+
+
+def _same(header: job_records.Header, digest: str) -> Accepted:
+    if header.digest != digest:
+        raise _refuse(errors.Code.CONFLICT, "another job has this key")
+    return Accepted(header, again=True)
+
+
+async def _accept(
+    store: job_store.JobStore,
+    order: Order,
+    job: str,
+    body: AsyncIterable[bytes],
+    tombstone: int,
+) -> Accepted:
+    """Upload and create the header; ``tombstone`` is the version of an abandoned one."""
+    now_s = store.unix_s()
+    due_at_s = int((now_s + order.due_s) * 1000) / 1000
+    upload = f"{int(now_s * 1000):012x}{secrets.token_hex(4)}"
+    entry = job_records.open_name(due_at_s, order.team, job, upload)
+    ledger = job_records.encode(claims.Ledger(created_at_s=now_s))
+    await store.settled().create(job_records.OPEN, entry, ledger)
+    pieces = _Upload(store, job, upload)
+    try:
+        reader = _Reader(order)
+        async for line in lines(body):
+            await pieces.add(reader.item(line))
+        await pieces.flush()
+        if not pieces.piece_items:
+            raise _refuse(errors.Code.BAD_REQUEST, "a job needs at least one item")
+        header = job_records.Header(
+            team=order.team,
+            job=job,
+            key=order.key,
+            digest=reader.digest,
+            service=order.service.name,
+            priority=order.priority.name,
+            price=order.priority.price,
+            due_at_s=due_at_s,
+            created_at_s=now_s,
+            upload=upload,
+            piece_items=tuple(pieces.piece_items),
+            chunk_items=order.chunk_items,
+        )
+        accepted = await _create_header(store, header, tombstone)
+    except (errors.Refusal, platform.UnavailableError) as exc:
+        if getattr(exc, "ran", errors.Ran.NO) is errors.Ran.NO:
+            await remove_upload(store, entry, job, upload)
+        raise
+    if accepted.again and accepted.header.upload != upload:
+        await remove_upload(store, entry, job, upload)
+    return accepted
+
+
+async def _create_header(
+    store: job_store.JobStore, header: job_records.Header, tombstone: int
+) -> Accepted:
+    raw = job_records.encode(header)
+    try:
+        await store.settled().write(job_records.JOB, header.name, raw, tombstone)
+    except platform.ConflictError as exc:
+        if exc.current is None:
+            raise _refuse(
+                errors.Code.UNAVAILABLE, "the upload was given up; send it again"
+            ) from exc
+        other = job_records.decode(exc.current.value, job_records.Header)
+        if other.state is job_records.JobState.ABANDONED:
+            raise _refuse(
+                errors.Code.UNAVAILABLE, "the upload was given up; send it again"
+            ) from exc
+        if other.upload == header.upload:
+            return Accepted(other, again=False)
+        return _same(other, header.digest)
+    except platform.UnavailableError as exc:
+        ran = errors.Ran.UNKNOWN if exc.outcome_unknown else errors.Ran.NO
+        raise _unavailable(exc, ran) from exc
+    return Accepted(header, again=False)
+
+
+async def remove_upload(store: job_store.JobStore, entry: str, job: str, upload: str) -> None:
+    """Remove the pieces and the index entry of an upload that is no job; tried once.
+
+    What stays because the platform is out is removed by the clean-up.
+    """
+    with trio.move_on_after(5.0, shield=True):
+        try:
+            await remove_all(store.plat, job_records.PIECE, f"{job}.{upload}.")
+            found = await store.plat.get(job_records.OPEN, entry)
+            if found:
+                await store.plat.delete(job_records.OPEN, entry, found.version)
+        except (platform.UnavailableError, platform.ConflictError):
+            return
+
+
+async def remove_all(plat: platform.Platform, kind: str, prefix: str) -> None:
+    """Remove every object of one kind under a prefix, a few at a time."""
+    while found := await plat.list(kind, prefix=prefix, limit=4):
+        for stored in found:
+            await plat.delete(kind, stored.name, stored.version)
--- a/src/cornelgrade/services/ports.py
+++ b/src/cornelgrade/services/ports.py
@@ -2,11 +2,14 @@
 
 import dataclasses
 import enum
-from typing import Protocol
+from typing import Protocol, TypeVar
 
 import trio
 
 from cornelgrade import errors, manifest
+from cornelgrade.adapters import engine
+
+T = TypeVar("T")
 
 
 class MemberState(enum.StrEnum):
@@ -58,19 +61,29 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Load:
-    """A gateway tells an engine's batch owner its outstanding online requests."""
+    """A gateway tells an engine's batch owner its outstanding online requests.
+
+    Sent when it changes, and again each second while anything is outstanding or queued.
+
+    :param vm: the gateway's VM, set by the membership that receives it.
+    """
 
     upstream: str
     outstanding: int
     queued: int
+    vm: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Yield:
-    """A gateway asks an engine's batch owner to free slots at once."""
+    """A gateway asks an engine's batch owner to free slots at once.
+
+    :param vm: the gateway's VM, set by the membership that receives it.
+    """
 
     upstream: str
     slots: int
+    vm: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -121,7 +134,7 @@
     def spread(self, message: PeerMessage) -> None:
         """Queue a message to every gateway of the region, carried by the probing rounds."""
 
-    def subscribe(self, kind: type[PeerMessage]) -> trio.MemoryReceiveChannel[PeerMessage]:
+    def subscribe(self, kind: type[T]) -> trio.MemoryReceiveChannel[T]:
         """Receive the messages of one type that peers sent; a slow reader loses the oldest."""
 
 
@@ -219,6 +232,16 @@
         """Read a stored answer."""
 
 
+class UpstreamPool(Protocol):
+    """The service ``upstreams``: a client for each upstream of the manifest in force."""
+
+    def get(self, name: str) -> engine.Upstream:
+        """Give the client of one upstream.
+
+        :raises KeyError: if the manifest has no such upstream.
+        """
+
+
 class Verdict(enum.Enum):
     """How a request fingerprint may run."""
 
--- /dev/null
+++ b/tests/batch_kit.py
@@ -0,0 +1,191 @@
+"""Small fakes for tests of batch work: a fixed view, a fixed manifest, engines in memory."""
+
+import contextlib
+import dataclasses
+import json
+
+import trio
+
+from cornelgrade import kernel, manifest
+from cornelgrade.services import batch, job_submission, ports
+from cornelgrade.standins import engine as engine_standin
+from cornelgrade.standins import engine_model, memory_engine, platform_store
+
+UNIX_EPOCH_S = 1_800_000_000.0
+
+
+def unix_s() -> float:
+    return UNIX_EPOCH_S + trio.current_time()
+
+
+def member(vm: str, state: ports.MemberState = ports.MemberState.ALIVE) -> ports.Member:
+    return ports.Member(vm, "fd1", "local", 1, state, "", "", "")
+
+
+class FakeMembership:
+    name = "membership"
+
+    def __init__(self, vm: str, vms: tuple[str, ...]) -> None:
+        self.vm = vm
+        self.members = tuple(member(name) for name in vms)
+        self._channels: dict[type, trio.MemorySendChannel] = {}
+
+    def view(self) -> ports.View:
+        return ports.View(self.vm, self.members)
+
+    def subscribe(self, kind):
+        send, receive = trio.open_memory_channel(100)
+        self._channels[kind] = send
+        return receive
+
+    def deliver(self, message) -> None:
+        self._channels[type(message)].send_nowait(message)
+
+    async def run(self, started) -> None:
+        started()
+        await trio.sleep_forever()
+
+
+class FakeConfiguration:
+    name = "configuration"
+
+    def __init__(self, wanted: manifest.Manifest) -> None:
+        self.accepted = ports.Accepted(wanted, 1)
+
+    def current(self) -> ports.Accepted:
+        return self.accepted
+
+    async def wait_newer(self, version: int) -> ports.Accepted:
+        if version >= self.accepted.version:
+            await trio.sleep_forever()
+        return self.accepted
+
+    async def run(self, started) -> None:
+        started()
+        await trio.sleep_forever()
+
+
+class Pool:
+    name = "upstreams"
+
+    def __init__(self, engines: dict[str, memory_engine.MemoryEngine]) -> None:
+        self.engines = engines
+
+    def get(self, name: str) -> memory_engine.MemoryEngine:
+        return self.engines[name]
+
+    async def run(self, started) -> None:
+        started()
+        await trio.sleep_forever()
+
+
+def wanted(
+    engines: int = 2, slots: int = 8, policy: manifest.BatchPolicy | None = None
+) -> manifest.Manifest:
+    return manifest.Manifest(
+        services=(manifest.Service("llm", non_idempotent_routes=("/v1/once",)),),
+        priorities=(manifest.Priority("bulk", 10, price=1.0),),
+        teams=(manifest.Team("afya", ("0" * 64,), ("bulk",)),),
+        upstreams=tuple(
+            manifest.Upstream(f"e{number}", "llm", "fd1", "127.0.0.1:1", slots=slots)
+            for number in range(engines)
+        ),
+        batch=policy or manifest.BatchPolicy(chunk_items=50, lease_s=5.0, lean=1.0),
+    )
+
+
+class Rig:
+    """A platform, engines, and workers that can be started, cut off and killed."""
+
+    def __init__(self, nursery: trio.Nursery, wanted: manifest.Manifest, cfg=None) -> None:
+        self.nursery = nursery
+        self.manifest = wanted
+        self.platform = platform_store.MemoryPlatform(
+            platform_store.Switches(writes_per_s=0, reads_per_s=0)
+        )
+        self.engines = {}
+        for upstream in wanted.upstreams:
+            model = cfg or engine_model.Config(slots=upstream.slots)
+            held = engine_standin.Engine(upstream.name, model)
+            self.engines[upstream.name] = memory_engine.MemoryEngine(held)
+            nursery.start_soon(held.run)
+        self.workers: dict[str, batch.Batch] = {}
+        self.members: dict[str, FakeMembership] = {}
+        self.scopes: dict[str, trio.CancelScope] = {}
+
+    async def worker(self, vm: str, vms: tuple[str, ...] = (), plat=None) -> batch.Batch:
+        kern = kernel.Kernel()
+        members = FakeMembership(vm, vms or (vm,))
+        made = batch.Batch(kern, vm, "fd1", plat or self.platform, unix_s)
+        for service in (members, FakeConfiguration(self.manifest), Pool(self.engines), made):
+            kern.add(service)
+        self.workers[vm], self.members[vm] = made, members
+        await self.nursery.start(self._run, vm, kern)
+        return made
+
+    async def _run(self, vm, kern, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        with trio.CancelScope() as self.scopes[vm]:
+            await kern.run(task_status)
+
+    def kill(self, vm: str) -> None:
+        self.scopes[vm].cancel()
+
+    @property
+    def store(self):
+        return next(iter(self.workers.values())).store
+
+    def completions(self) -> dict[str, int]:
+        """How often each item was generated to its end, by the body's ``user`` field."""
+        total: dict[str, int] = {}
+        for held in self.engines.values():
+            for key, runs in held.engine.counters().by_key.items():
+                total[key] = total.get(key, 0) + runs.completions
+        return total
+
+
+@contextlib.asynccontextmanager
+async def rig(wanted_manifest: manifest.Manifest | None = None, cfg=None):
+    async with trio.open_nursery() as nursery:
+        yield Rig(nursery, wanted_manifest or wanted(), cfg)
+        nursery.cancel_scope.cancel()
+
+
+def line(number: int, *, tokens: int = 8, prompt: str = "", once: bool = False) -> bytes:
+    body = {"prompt": prompt or f"note {number}", "max_tokens": tokens, "user": f"i{number}"}
+    item = {"custom_id": f"i{number}", "body": body, "idempotent": not once}
+    return json.dumps(item).encode() + b"\n"
+
+
+async def stream(lines):
+    for one in lines:
+        yield one
+
+
+def order(key: str = "job1", **changes) -> job_submission.Order:
+    made = job_submission.Order(
+        team="afya",
+        key=key,
+        service=manifest.Service("llm", non_idempotent_routes=("/v1/once",)),
+        priority=manifest.Priority("bulk", 10),
+        due_s=3600.0,
+        chunk_items=50,
+    )
+    return dataclasses.replace(made, **changes)
+
+
+async def results(store, job: str, team: str = "afya"):
+    found = await store.header(team, job)
+    header = found.header
+    return [
+        outcome for chunk in range(header.chunks) async for outcome in store.outcomes(header, chunk)
+    ]
+
+
+async def ended(store, job: str, team: str = "afya", within_s: float = 600.0):
+    """Wait until a job has ended and give its header."""
+    with trio.fail_after(within_s):
+        while True:
+            found = await store.header(team, job)
+            if found.header.ended_at_s:
+                return found.header
+            await trio.sleep(0.2)
