--- a/src/cornelgrade/services/ports.py
+++ b/src/cornelgrade/services/ports.py
@@ -106,6 +106,14 @@
     upstream: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class VersionHeard:
+    """A member has a later manifest in force than any that was heard of before."""
+
+    vm: str
+    version: int
+
+
 PeerMessage = Load | Yield | Quarantined | Leaving
 
 
@@ -135,7 +143,16 @@
         """Queue a message to every gateway of the region, carried by the probing rounds."""
 
     def subscribe(self, kind: type[T]) -> trio.MemoryReceiveChannel[T]:
-        """Receive the messages of one type that peers sent; a slow reader loses the oldest."""
+        """Receive one type of peer message or :class:`VersionHeard`.
+
+        A slow reader loses the oldest.
+        """
+
+    def set_version(self, version: int) -> None:
+        """Tell the others which manifest version is in force at this VM."""
+
+    def leave(self) -> None:
+        """Announce that this VM takes no new work; the members keep it out from then on."""
 
 
 class Configuration(Protocol):
