--- a/src/cornelgrade/schema/codec.py
+++ b/src/cornelgrade/schema/codec.py
@@ -89,7 +89,7 @@
     made.queued = body.queued
 
 
-def _put_yield(out: Any, field: str, body: ports.Yield) -> None:
+def _put_slots(out: Any, field: str, body: ports.Yield | ports.Share) -> None:
     made = out.init(field)
     made.upstream = body.upstream
     made.slots = body.slots
@@ -114,7 +114,8 @@
     messages.Roster: ("roster", _put_void),
     messages.Version: ("version", _put_version),
     ports.Load: ("load", _put_load),
-    ports.Yield: ("yield", _put_yield),
+    ports.Yield: ("yield", _put_slots),
+    ports.Share: ("share", _put_slots),
     ports.Quarantined: ("quarantined", _put_quarantined),
     ports.Leaving: ("leaving", _put_leaving),
 }
@@ -122,6 +123,7 @@
 _GET_MESSAGE: dict[str, Callable[[Any], ports.PeerMessage]] = {
     "load": lambda raw: ports.Load(raw.upstream, raw.outstanding, raw.queued),
     "yield": lambda raw: ports.Yield(raw.upstream, raw.slots),
+    "share": lambda raw: ports.Share(raw.upstream, raw.slots),
     "quarantined": lambda raw: ports.Quarantined(raw.fingerprint, raw.crashes, raw.expiresS),
     "leaving": lambda raw: ports.Leaving(raw.upstream),
 }
--- a/src/cornelgrade/schema/peer.capnp
+++ b/src/cornelgrade/schema/peer.capnp
@@ -31,6 +31,11 @@
   slots @1 :UInt32;
 }
 
+struct Share {
+  upstream @0 :Text;
+  slots @1 :UInt32;
+}
+
 struct Quarantined {
   fingerprint @0 :Text;
   crashes @1 :UInt32;
@@ -58,6 +63,7 @@
     yield @3 :Yield;
     quarantined @4 :Quarantined;
     leaving @5 :Leaving;
+    share @6 :Share;
   }
 }
 
@@ -79,5 +85,6 @@
     yield @13 :Yield;
     quarantined @14 :Quarantined;
     leaving @15 :Leaving;
+    share @16 :Share;
   }
 }
--- /dev/null
+++ b/src/cornelgrade/services/load_reports.py
@@ -0,0 +1,69 @@
+"""The service ``load_reports``: tells each engine's owner what this gateway has outstanding there.
+
+A rise is told at once, since batch work must give way to it; a fall at most every 50 ms. The VM
+that owns an engine also hears zero from its own gateway each second, so that silence means a cut.
+"""
+
+import dataclasses
+from collections.abc import Callable
+
+import trio
+
+from cornelgrade import kernel, settings
+from cornelgrade.policy import ownership
+from cornelgrade.services import ports, router
+
+FALL_INTERVAL_S = 0.05
+REFRESH_S = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Told:
+    """What an owner was last told, and when."""
+
+    owner: str
+    outstanding: int
+    queued: int
+    at_s: float
+
+
+class LoadReports:
+    """Sends :class:`ports.Load` datagrams from a gateway to the engines' owners."""
+
+    name = "load_reports"
+
+    def __init__(self, kern: kernel.Kernel, cfg: settings.Settings) -> None:
+        self._kern = kern
+        self._cfg = cfg
+        self._told: dict[str, _Told] = {}
+
+    async def run(self, started: Callable[[], None]) -> None:
+        """Report until cancelled."""
+        desk = self._kern.find("router", router.Router)
+        started()
+        while True:
+            with trio.move_on_after(FALL_INTERVAL_S):
+                await desk.wait_rise()
+            self._report(desk.usage())
+
+    def _report(self, usage: tuple[router.Usage, ...]) -> None:
+        members = self._kern.find("membership", ports.Membership)
+        view = members.view()
+        now_s = trio.current_time()
+        for use in usage:
+            vms = [m.vm for m in view.usable(use.failure_domain)]
+            owner = ownership.owner(use.upstream, vms)
+            if owner is None or not self._due(use, owner, now_s):
+                continue
+            self._told[use.upstream] = _Told(owner, use.outstanding, use.queued, now_s)
+            members.send(owner, ports.Load(use.upstream, use.outstanding, use.queued))
+
+    def _due(self, use: router.Usage, owner: str, now_s: float) -> bool:
+        told = self._told.get(use.upstream)
+        busy = use.outstanding > 0 or use.queued > 0
+        if told is None or told.owner != owner:
+            return busy or owner == self._cfg.vm
+        if (use.outstanding, use.queued) != (told.outstanding, told.queued):
+            return True
+        due = now_s - told.at_s >= REFRESH_S
+        return due and (busy or owner == self._cfg.vm)
--- a/src/cornelgrade/services/ports.py
+++ b/src/cornelgrade/services/ports.py
@@ -106,6 +106,14 @@
     upstream: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Share:
+    """An engine's owner tells a gateway how many requests it may have outstanding there."""
+
+    upstream: str
+    slots: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class VersionHeard:
     """A member has a later manifest in force than any that was heard of before."""
@@ -114,7 +122,7 @@
     version: int
 
 
-PeerMessage = Load | Yield | Quarantined | Leaving
+PeerMessage = Load | Yield | Share | Quarantined | Leaving
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/cornelgrade/services/router.py
+++ b/src/cornelgrade/services/router.py
@@ -23,6 +23,7 @@
 TICK_S = 0.25
 DURATION_WEIGHT = 0.1
 LONGEST_OUTAGE_S = 1.0
+SHARE_EXPIRY_S = 3.0
 
 _QUEUED = metrics.gauge("cornelgrade_queued_requests", "Requests waiting for an upstream.")
 _OUTSTANDING = metrics.gauge("cornelgrade_outstanding_requests", "Requests sent to an upstream.")
@@ -75,13 +76,16 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Leaving:
-    """An upstream said, or is said, to be leaving."""
+class Usage:
+    """What this gateway has at an upstream, and its part of what waits for the service."""
 
     upstream: str
+    failure_domain: str
+    outstanding: int
+    queued: int
 
 
-Message = Ask | Withdraw | Release | Crashed | Leaving
+Message = Ask | Withdraw | Release | Crashed | ports.Leaving | ports.Share
 
 
 @dataclasses.dataclass(slots=True)
@@ -93,6 +97,7 @@
     failure_domain: str
     slots: int
     cap: int
+    cap_told_until_s: float = -math.inf
     running: dict[admission.Place, str] = dataclasses.field(default_factory=dict)
     reserved_for: admission.Place | None = None
     health: health_rules.Health = health_rules.HEALTHY
@@ -147,6 +152,7 @@
         self._version = -1
         self._queue_limit = 0
         self._number = 0
+        self._rose = trio.Event()
 
     def next_number(self) -> int:
         """Give the next number in order of arrival."""
@@ -172,9 +178,23 @@
             Withdraw: self._on_withdraw,
             Release: self._on_release,
             Crashed: self._on_crashed,
-            Leaving: self._on_leaving,
+            ports.Leaving: self._on_leaving,
+            ports.Share: self._on_share,
         }
-        started()
+        async with trio.open_nursery() as nursery:
+            if self._kern.has("membership"):
+                members = self._kern.find("membership", ports.Membership)
+                nursery.start_soon(self._pass_on, members.subscribe(ports.Share))
+                nursery.start_soon(self._pass_on, members.subscribe(ports.Leaving))
+            started()
+            await self._handle_forever(handlers)
+
+    async def _pass_on(self, messages: trio.MemoryReceiveChannel) -> None:
+        """Put what peers say into the inbox."""
+        async for message in messages:
+            await self._send.send(message)
+
+    async def _handle_forever(self, handlers: dict[type, Callable]) -> None:
         while True:
             message: Message | None = None
             with trio.move_on_after(TICK_S):
@@ -196,6 +216,32 @@
         queue = self._queues.get(service)
         return len(queue.places) if queue else 0
 
+    async def wait_rise(self) -> None:
+        """Wait until a request was queued or sent since the last call."""
+        await self._rose.wait()
+        self._rose = trio.Event()
+
+    def usage(self) -> tuple[Usage, ...]:
+        """Give what this gateway has at each upstream."""
+        local = [s for s in self._seats.values() if s.failure_domain == self._failure_domain]
+        sharers = {service: sum(s.service == service for s in local) for service in self._queues}
+        return tuple(
+            Usage(
+                upstream=seats.name,
+                failure_domain=seats.failure_domain,
+                outstanding=len(seats.running),
+                queued=self._queued_part(seats, sharers.get(seats.service, 0)),
+            )
+            for seats in self._seats.values()
+        )
+
+    def _queued_part(self, seats: _Seats, sharers: int) -> int:
+        """Give an upstream's part of the queue; one elsewhere has none until its cap is reached."""
+        local = seats.failure_domain == self._failure_domain
+        if not local and len(seats.running) < seats.cap:
+            return 0
+        return math.ceil(self.queued(seats.service) / max(1, sharers))
+
     def report(self) -> reports.Report:
         """Say how each upstream does, as seen by this gateway's own calls."""
         return reports.Report(upstreams=tuple(map(_report, self._seats.values())))
@@ -212,6 +258,7 @@
         if evicted is not None:
             self._evict(queue, evicted)
         queue.add(ask)
+        self._rose.set()
         self._dispatch(ask.service)
 
     def _on_withdraw(self, message: Withdraw) -> None:
@@ -240,12 +287,20 @@
             quarantine = self._kern.find("quarantine", ports.Quarantine)
             quarantine.crashed(message.upstream, tuple(seats.running.values()))
 
-    def _on_leaving(self, message: Leaving) -> None:
+    def _on_leaving(self, message: ports.Leaving) -> None:
         seats = self._seats.get(message.upstream)
         if seats is not None and not seats.leaving:
             seats.leaving = True
             self._log.info("upstream_leaving", peer=message.upstream)
 
+    def _on_share(self, message: ports.Share) -> None:
+        seats = self._seats.get(message.upstream)
+        if seats is None:
+            return
+        seats.cap = message.slots
+        seats.cap_told_until_s = trio.current_time() + SHARE_EXPIRY_S
+        self._dispatch(seats.service)
+
     # Decisions carried out
 
     def _evict(self, queue: _Queue, place: admission.Place) -> None:
@@ -361,6 +416,7 @@
         seats = self._seats[upstream]
         seats.running[ask.place] = ask.fingerprint
         ask.reply.send_nowait(result.Ok(upstream))
+        self._rose.set()
 
     def _candidates(self, service: str) -> tuple[routing.Candidate, ...]:
         now_s = trio.current_time()
@@ -405,7 +461,10 @@
         view = None
         if self._kern.has("membership"):
             view = self._kern.find("membership", ports.Membership).view()
+        now_s = trio.current_time()
         for seats in self._seats.values():
+            if now_s < seats.cap_told_until_s:
+                continue
             local = seats.failure_domain == self._failure_domain
             vms = 1
             if view is not None:
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -8,7 +8,7 @@
 
 from cornelgrade import manifest
 from cornelgrade.adapters import engine
-from cornelgrade.services import ports
+from cornelgrade.services import _subscriptions, ports
 
 KEY = "key-of-clinic"
 
@@ -157,3 +157,67 @@
 
     def get(self, name: str):
         return self.upstreams[name]
+
+
+class Bus:
+    """Delivers peer messages between the fake memberships of several VMs."""
+
+    def __init__(self, failure_domain: str = "dar-kariakoo") -> None:
+        self._failure_domain = failure_domain
+        self.members: dict[str, BusMember] = {}
+        self.cut: set[str] = set()
+
+    def join(self, vm: str) -> "BusMember":
+        self.members[vm] = BusMember(self, vm)
+        return self.members[vm]
+
+    def view(self, vm: str) -> ports.View:
+        return ports.View(
+            vm,
+            tuple(
+                ports.Member(
+                    vm=name,
+                    failure_domain=self._failure_domain,
+                    region="local",
+                    incarnation=1,
+                    state=ports.MemberState.DEAD if name in self.cut else ports.MemberState.ALIVE,
+                    peer_address="",
+                    worker_address="",
+                    gateway_address="",
+                )
+                for name in self.members
+            ),
+        )
+
+
+class BusMember:
+    """The service ``membership`` of one VM on a bus."""
+
+    name = "membership"
+
+    def __init__(self, bus: Bus, vm: str) -> None:
+        self._bus = bus
+        self.vm = vm
+        self.subscriptions = _subscriptions.Subscriptions()
+
+    async def run(self, started) -> None:
+        started()
+        await trio.sleep_forever()
+
+    def view(self) -> ports.View:
+        return self._bus.view(self.vm)
+
+    def subscribe(self, kind):
+        return self.subscriptions.subscribe(kind)
+
+    def send(self, vm: str, message) -> None:
+        if vm in self._bus.cut or self.vm in self._bus.cut:
+            return
+        if isinstance(message, ports.Load | ports.Yield):
+            message = dataclasses.replace(message, vm=self.vm)
+        self._bus.members[vm].subscriptions.deliver(message)
+
+    def spread(self, message) -> None:
+        for vm in self._bus.members:
+            if vm != self.vm:
+                self.send(vm, message)
