--- a/src/cornelgrade/services/ports.py
+++ b/src/cornelgrade/services/ports.py
@@ -7,6 +7,7 @@
 import trio
 
 from cornelgrade import errors, manifest, reports
+from cornelgrade.adapters import engine
 
 T = TypeVar("T")
 
@@ -60,19 +61,29 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Load:
-    """A gateway tells an engine's batch owner its outstanding online requests."""
+    """A gateway tells an engine's batch owner its outstanding online requests.
+
+    Sent when it changes, and again each second while anything is outstanding or queued.
+
+    :param vm: the gateway's VM, set by the membership that receives it.
+    """
 
     upstream: str
     outstanding: int
     queued: int
+    vm: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Yield:
-    """A gateway asks an engine's batch owner to free slots at once."""
+    """A gateway asks an engine's batch owner to free slots at once.
+
+    :param vm: the gateway's VM, set by the membership that receives it.
+    """
 
     upstream: str
     slots: int
+    vm: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -264,6 +275,16 @@
         """Read a stored answer."""
 
 
+class UpstreamPool(Protocol):
+    """The service ``upstreams``: a client for each upstream of the manifest in force."""
+
+    def get(self, name: str) -> engine.Upstream:
+        """Give the client of one upstream.
+
+        :raises KeyError: if the manifest has no such upstream.
+        """
+
+
 class Verdict(enum.Enum):
     """How a request fingerprint may run."""
 
