--- /dev/null
+++ b/tests/docs/test_operations_page.py
@@ -0,0 +1,46 @@
+import pathlib
+import re
+
+import msgspec
+import pytest
+
+from cornelgrade import cli, errors, settings
+
+DOCS = pathlib.Path(__file__).parents[2] / "docs"
+PAGE = (DOCS / "OPERATIONS.md").read_text()
+
+
+def metric_names() -> set[str]:
+    """Read the names out of the source, since some metrics are made late."""
+    sources = (DOCS.parent / "src").rglob("*.py")
+    made = re.compile(r"metrics\.(?:counter|gauge|histogram)\(\s*\"(\w+)\"")
+    return {name for path in sources for name in made.findall(path.read_text())}
+
+
+def first_cells(section: str) -> list[str]:
+    """Give the first column of the table that follows a heading or a sentence."""
+    rows = re.findall(r"^\| `?([^|`]+)`? \|", PAGE.split(section)[1].split("\n#")[0], re.M)
+    return [row.strip() for row in rows if not set(row) <= set("- ")][1:]
+
+
+def test_every_setting_is_explained_and_no_other():
+    names = {field.name for field in msgspec.structs.fields(settings.Settings)}
+    assert set(first_cells("## Settings")) == names
+
+
+def test_every_metric_is_explained_and_no_other():
+    assert set(first_cells("### Metrics")) == metric_names()
+
+
+@pytest.mark.parametrize("code", list(errors.ExitCode))
+def test_every_exit_code_is_explained(code):
+    assert str(code.value) in first_cells("## Command line")
+    assert re.search(rf"\b{code.value} ", cli.USAGE.split("Exit codes:")[1])
+
+
+@pytest.mark.parametrize("path", sorted([*DOCS.glob("*.md"), DOCS.parent / "README.md"]))
+def test_links_lead_to_pages(path):
+    for link in re.findall(r"\]\(([^)#]+)\)", path.read_text()):
+        if link.startswith("http") or link.endswith("PROOF.md"):
+            continue
+        assert (path.parent / link).exists(), link
