--- a/src/cornelgrade/cli.py
+++ b/src/cornelgrade/cli.py
@@ -17,7 +17,8 @@
   cornelgrade manifest get [options]
   cornelgrade manifest put FILE [--if-match=VERSION] [options]
   cornelgrade manifest diff FILE [options]
-  cornelgrade job submit FILE [--job-key=KEY] [--priority=NAME] [--due=SECONDS] [--wait] [options]
+  cornelgrade job submit FILE [--job-key=KEY] [--service=NAME] [--priority=NAME] [--due=SECONDS]
+                         [--wait] [options]
   cornelgrade job status ID [options]
   cornelgrade job results ID [options]
   cornelgrade job cancel ID [options]
@@ -46,6 +47,7 @@
   --json              Write JSON instead of text.
   --if-match=VERSION  Replace the manifest only if this version is in force.
   --job-key=KEY       Name the job; by default a digest of its file, so that a resend is safe.
+  --service=NAME      The model service to run on; needed where there are several.
   --priority=NAME     One of the team's priorities.
   --due=SECONDS       Seconds from now at which the job should be finished.
   --wait              Follow the job until it ends.
--- a/src/cornelgrade/commands/jobs.py
+++ b/src/cornelgrade/commands/jobs.py
@@ -4,6 +4,7 @@
 import pathlib
 import sys
 import time
+from collections.abc import Iterator
 from typing import Any
 
 import msgspec
@@ -14,7 +15,8 @@
 POLL_S = 0.5
 GIVE_UP_S = 60.0
 _READ_BYTES = 1 << 16
-_ENDED = ("done", "cancelled")
+_DONE = "done"
+_ENDED = (_DONE, "cancelled")
 
 
 class Job(msgspec.Struct, frozen=True):
@@ -29,9 +31,10 @@
 
 
 class JobList(msgspec.Struct, frozen=True):
-    """The answer to ``GET /v1/jobs``."""
+    """One page of ``GET /v1/jobs``; ``next`` is passed as ``after`` for the following one."""
 
     jobs: tuple[Job, ...] = ()
+    next: str | None = None
 
 
 def submit(args: dict[str, Any]) -> errors.ExitCode:
@@ -47,7 +50,7 @@
             return _show(args, job)
         job = _follow(client, job)
     _show(args, job)
-    whole = job.state == "done" and not job.failed
+    whole = job.state == _DONE and not job.failed
     return errors.ExitCode.OK if whole else errors.ExitCode.FAILED
 
 
@@ -76,7 +79,7 @@
 def list_jobs(args: dict[str, Any]) -> errors.ExitCode:
     """Show the team's jobs."""
     with _client.Client(args) as client:
-        jobs = _client.decode(client.call("GET", "/v1/jobs"), JobList).jobs
+        jobs = list(_all_jobs(client))
     if args["--json"]:
         _output.write_json({"jobs": jobs})
     else:
@@ -84,6 +87,16 @@
     return errors.ExitCode.OK
 
 
+def _all_jobs(client: _client.Client) -> Iterator[Job]:
+    """Read page after page."""
+    after: str | None = ""
+    while after is not None:
+        answer = client.call("GET", "/v1/jobs", params={"after": after} if after else {})
+        page = _client.decode(answer, JobList)
+        yield from page.jobs
+        after = page.next
+
+
 def _follow(client: _client.Client, job: Job) -> Job:
     """Ask for a job until it has ended; a gateway that is away for a while is asked again.
 
@@ -129,8 +142,9 @@
 
 def _optional_headers(args: dict[str, Any]) -> dict[str, str]:
     headers = {}
-    if args["--priority"]:
-        headers["Cornelgrade-Priority"] = args["--priority"]
+    for option in ("Priority", "Service"):
+        if value := args[f"--{option.lower()}"]:
+            headers[f"Cornelgrade-{option}"] = value
     if args["--due"]:
         headers["Cornelgrade-Deadline-Ms"] = str(_milliseconds(args["--due"]))
     return headers
--- a/tests/cli/test_cli.py
+++ b/tests/cli/test_cli.py
@@ -198,10 +198,11 @@
 def test_same_file_is_submitted_under_the_same_key(gateway, tmp_path):
     gateway.on("POST", "/v1/jobs", job_answer("running", 0))
     assert submit(tmp_path) == 0
-    assert submit(tmp_path, "--priority=night", "--due=3600") == 0
+    assert submit(tmp_path, "--priority=night", "--due=3600", "--service=lishe-llm") == 0
     first, second = gateway.asked
     assert first.headers["Idempotency-Key"] == second.headers["Idempotency-Key"]
     assert second.headers["Cornelgrade-Priority"] == "night"
+    assert second.headers["Cornelgrade-Service"] == "lishe-llm"
     assert second.headers["Cornelgrade-Deadline-Ms"] == "3600000"
     assert first.content == b'{"custom_id": "1"}\n'
 
@@ -223,6 +224,16 @@
     assert submit(tmp_path, "--wait") == code
 
 
+def test_every_page_of_jobs_is_listed(gateway, capsys):
+    job = {"id": "j1", "state": "done"}
+    first = httpx.Response(200, json={"jobs": [job], "next": "j1"})
+    last = httpx.Response(200, json={"jobs": [{**job, "id": "j2"}]})
+    gateway.on("GET", "/v1/jobs", first, last)
+    assert cli.run(["job", "list", "--json"]) == 0
+    assert [entry["id"] for entry in json.loads(capsys.readouterr().out)["jobs"]] == ["j1", "j2"]
+    assert gateway.asked[1].url.params["after"] == "j1"
+
+
 def test_results_are_written_line_by_line(gateway, capsys):
     gateway.on("GET", "/v1/jobs/j1/results", httpx.Response(200, text='{"a": 1}\n{"a": 2}\n'))
     assert cli.run(["job", "results", "j1"]) == 0
