--- a/src/cornelgrade/adapters/engine.py
+++ b/src/cornelgrade/adapters/engine.py
@@ -16,6 +16,7 @@
 from cornelgrade import errors
 
 RESUME_HEADER = "engine-resume-from"
+LEAVING_HEADER = "engine-leaving"
 STREAM_ID_HEADER = "engine-stream-id"
 END_MARKER = b"data: [DONE]\n\n"
 EVENT_END = b"\n\n"
--- a/src/cornelgrade/services/online.py
+++ b/src/cornelgrade/services/online.py
@@ -20,6 +20,7 @@
 WHOLE_TOKEN_TIMEOUT_S = 0.2
 RETRY_AFTER_S = 1.0
 CANCEL_TIMEOUT_S = 1.0
+LEAVING_REPEAT_S = 5.0
 
 _REQUESTS = metrics.counter("cornelgrade_requests_total", "Online requests by outcome.")
 _RETRIES = metrics.counter("cornelgrade_retries_total", "Attempts after the first.")
@@ -51,6 +52,7 @@
         self._log = logs.Logger("online")
         self._buckets: dict[str, admission.Bucket] = {}
         self._budget = retry.Budget(share=0.1)
+        self._leaving_told_s: dict[str, float] = {}
 
     async def run(self, started: Callable[[], None]) -> None:
         """Hold the tasks of keyed requests, which go on when their callers are gone."""
@@ -114,6 +116,7 @@
                 async with contextlib.AsyncExitStack() as stack:
                     with tracing.start(tracing.Hop.CONNECT, req.span, peer=upstream.name):
                         answer = await stack.enter_async_context(upstream.call(call))
+                    self._heed_leaving(upstream.name, answer)
                     checked = self._checked(req, progress, upstream.name, answer)
                     parts = await stack.enter_async_context(contextlib.aclosing(checked))
                     with tracing.start(tracing.Hop.FIRST_TOKEN, req.span, peer=upstream.name):
@@ -132,6 +135,19 @@
                     await upstream.cancel(call.stream_id)
                 raise
 
+    def _heed_leaving(self, name: str, answer: engine.Answer) -> None:
+        """Take an upstream out as soon as one of its answers says that it is leaving."""
+        if not any(header == engine.LEAVING_HEADER for header, _ in answer.headers):
+            return
+        now_s = trio.current_time()
+        if now_s - self._leaving_told_s.get(name, -LEAVING_REPEAT_S) < LEAVING_REPEAT_S:
+            return
+        self._leaving_told_s[name] = now_s
+        leaving = ports.Leaving(name)
+        self._kern.find("router", router.Router).post(leaving)
+        if self._kern.has("membership"):
+            self._kern.find("membership", ports.Membership).spread(leaving)
+
     def _checked(
         self, req: exchange.Request, progress: _Progress, peer: str, answer: engine.Answer
     ) -> exchange.Parts:
--- a/src/cornelgrade/services/router.py
+++ b/src/cornelgrade/services/router.py
@@ -24,6 +24,7 @@
 DURATION_WEIGHT = 0.1
 LONGEST_OUTAGE_S = 1.0
 SHARE_EXPIRY_S = 3.0
+LEAVING_EXPIRY_S = 15.0
 
 _QUEUED = metrics.gauge("cornelgrade_queued_requests", "Requests waiting for an upstream.")
 _OUTSTANDING = metrics.gauge("cornelgrade_outstanding_requests", "Requests sent to an upstream.")
@@ -101,9 +102,13 @@
     running: dict[admission.Place, str] = dataclasses.field(default_factory=dict)
     reserved_for: admission.Place | None = None
     health: health_rules.Health = health_rules.HEALTHY
-    leaving: bool = False
+    leaving_until_s: float = -math.inf
     crash_reported: bool = False
 
+    def leaving(self, now_s: float) -> bool:
+        """Say whether a sign that it is leaving still holds."""
+        return now_s < self.leaving_until_s
+
 
 @dataclasses.dataclass(slots=True)
 class _Queue:
@@ -289,9 +294,12 @@
 
     def _on_leaving(self, message: ports.Leaving) -> None:
         seats = self._seats.get(message.upstream)
-        if seats is not None and not seats.leaving:
-            seats.leaving = True
+        if seats is None:
+            return
+        now_s = trio.current_time()
+        if not seats.leaving(now_s):
             self._log.info("upstream_leaving", peer=message.upstream)
+        seats.leaving_until_s = now_s + LEAVING_EXPIRY_S
 
     def _on_share(self, message: ports.Share) -> None:
         seats = self._seats.get(message.upstream)
@@ -384,7 +392,7 @@
         pauses_s = [
             seats.health.retry_at_s - now_s
             for seats in self._seats.values()
-            if seats.service == service and not seats.leaving
+            if seats.service == service and not seats.leaving(now_s)
         ]
         outage_s = min(pauses_s, default=math.inf)
         if outage_s <= LONGEST_OUTAGE_S:
@@ -427,7 +435,7 @@
                 slots=seats.slots,
                 cap=seats.cap,
                 outstanding=len(seats.running),
-                usable=not seats.leaving
+                usable=not seats.leaving(now_s)
                 and seats.reserved_for is None
                 and health_rules.usable(seats.health, now_s),
             )
@@ -473,7 +481,7 @@
 
 
 def _report(seats: _Seats) -> reports.UpstreamReport:
-    states = {seats.health.failures > 0: "down", seats.leaving: "leaving"}
+    states = {seats.health.failures > 0: "down", seats.leaving(trio.current_time()): "leaving"}
     return reports.UpstreamReport(
         name=seats.name,
         failure_domain=seats.failure_domain,
