Configuration service: manifests accepted by conditional write, passed on by peers

The stored object keeps the digests of the last 16 acceptances and what each was based on, so that a resend after a lost answer is found again also when another operator's version came in between.

--- /dev/null
+++ b/src/cornelgrade/policy/acceptance.py
@@ -0,0 +1,76 @@
+"""Decides what a submitted manifest is: a new version, one accepted before, or out of date."""
+
+import dataclasses
+import enum
+import hashlib
+
+import msgspec
+
+_REMEMBERED = 16
+
+
+class Acceptance(msgspec.Struct, frozen=True):
+    """One accepted manifest.
+
+    :param based_on: version that it replaced, 0 for the first.
+    :param at_s: Unix time in seconds.
+    :param vm: the VM that accepted it.
+    """
+
+    digest: str
+    based_on: int
+    at_s: float
+    vm: str
+
+
+class Kept(msgspec.Struct, frozen=True):
+    """The platform's object: the manifest and the latest acceptances, newest last."""
+
+    manifest: msgspec.Raw
+    accepted: tuple[Acceptance, ...]
+
+
+class Outcome(enum.Enum):
+    """What to do with a submitted manifest."""
+
+    WRITE = "write"
+    SAME = "same"
+    STALE = "stale"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Decision:
+    """An outcome; ``version`` is the one accepted before, or the one to replace."""
+
+    outcome: Outcome
+    version: int
+
+
+def digest(encoded: bytes) -> str:
+    """Identify a manifest by its content."""
+    return hashlib.sha256(encoded).hexdigest()
+
+
+def decide(kept: Kept | None, version: int, wanted: str, if_match: int | None) -> Decision:
+    """Compare a submission with what is there.
+
+    :param version: version of what is there, 0 if nothing is.
+    :param wanted: digest of the submitted manifest.
+    :param if_match: version that the operator means to replace.
+    """
+    if kept is None:
+        found = Outcome.STALE if if_match else Outcome.WRITE
+        return Decision(found, 0)
+    if kept.accepted[-1].digest == wanted:
+        return Decision(Outcome.SAME, version)
+    later = [*(entry.based_on for entry in kept.accepted[1:]), version]
+    for entry, became in zip(kept.accepted, later, strict=True):
+        if entry.digest == wanted and entry.based_on == (if_match or 0):
+            return Decision(Outcome.SAME, became)
+    return Decision(Outcome.WRITE if if_match == version else Outcome.STALE, version)
+
+
+def extended(kept: Kept | None, encoded: bytes, entry: Acceptance) -> Kept:
+    """Make the object to write for an accepted manifest."""
+    before = kept.accepted if kept is not None else ()
+    return Kept(msgspec.Raw(encoded), (*before, entry)[-_REMEMBERED:])
--- /dev/null
+++ b/src/cornelgrade/policy/manifest_rules.py
@@ -0,0 +1,161 @@
+"""Checks of a whole manifest before it is accepted, and the difference between two of them."""
+
+import collections
+import dataclasses
+from collections.abc import Iterable
+from typing import Any
+
+import msgspec
+
+from cornelgrade import errors, manifest
+
+_NAMED = ("services", "priorities", "teams", "upstreams", "models")
+_SINGLE = ("batch", "online")
+_DIFFERENCES_SHOWN = 12
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Uses:
+    """Names that open jobs use, which therefore may not be removed."""
+
+    services: frozenset[str] = frozenset()
+    models: frozenset[str] = frozenset()
+    teams: frozenset[str] = frozenset()
+    priorities: frozenset[str] = frozenset()
+
+
+def decode(raw: bytes) -> manifest.Manifest:
+    """Read a manifest's JSON.
+
+    :raises BadInputError: with the path of what is wrong.
+    """
+    try:
+        return msgspec.json.decode(raw, type=manifest.Manifest)
+    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        raise errors.BadInputError((str(exc),), step="decode manifest") from exc
+
+
+def encode(wanted: manifest.Manifest) -> bytes:
+    """Write a manifest in the one form whose digest is compared."""
+    return msgspec.json.encode(wanted)
+
+
+def problems(wanted: manifest.Manifest, uses: Uses | None = None) -> tuple[str, ...]:
+    """Give every error of a manifest with its path, none if it can be accepted."""
+    found = [
+        *_duplicates(wanted),
+        *_unknown(wanted),
+        *_capacity(wanted),
+        *_removed(wanted, uses or Uses()),
+    ]
+    return tuple(found)
+
+
+def _names(items: Iterable[Any]) -> frozenset[str]:
+    return frozenset(item.name for item in items)
+
+
+def _repeats(path: str, what: str, values: Iterable[str]) -> Iterable[str]:
+    first: dict[str, int] = {}
+    for i, value in enumerate(values):
+        if value in first:
+            yield f"{path.format(i=i)}: {what} {value} is already at {path.format(i=first[value])}"
+        first.setdefault(value, i)
+
+
+def _duplicates(wanted: manifest.Manifest) -> Iterable[str]:
+    for kind in _NAMED:
+        names = (item.name for item in getattr(wanted, kind))
+        yield from _repeats(f"{kind}[{{i}}].name", "name", names)
+    for i, model in enumerate(wanted.models):
+        names = (adapter.name for adapter in model.adapters)
+        yield from _repeats(f"models[{i}].adapters[{{i}}].name", "adapter", names)
+    addresses = (upstream.address for upstream in wanted.upstreams)
+    yield from _repeats("upstreams[{i}].address", "address", addresses)
+    owners: dict[str, str] = {}
+    for i, team in enumerate(wanted.teams):
+        for j, hashed in enumerate(team.key_hashes):
+            owner = owners.setdefault(hashed, team.name)
+            if owner != team.name:
+                yield f"teams[{i}].key_hashes[{j}]: key is already team {owner}'s"
+
+
+def _unknown(wanted: manifest.Manifest) -> Iterable[str]:
+    services, models = _names(wanted.services), _names(wanted.models)
+    priorities = _names(wanted.priorities)
+    for i, service in enumerate(wanted.services):
+        for j, name in enumerate(service.models):
+            if name not in models:
+                yield f"services[{i}].models[{j}]: unknown model {name}"
+        if service.kind == "plain" and service.models:
+            yield f"services[{i}].models: a plain service has no models"
+    for i, team in enumerate(wanted.teams):
+        for j, name in enumerate(team.priorities):
+            if name not in priorities:
+                yield f"teams[{i}].priorities[{j}]: unknown priority {name}"
+    for i, upstream in enumerate(wanted.upstreams):
+        if upstream.service not in services:
+            yield f"upstreams[{i}].service: unknown service {upstream.service}"
+
+
+def _capacity(wanted: manifest.Manifest) -> Iterable[str]:
+    slots: collections.Counter[str] = collections.Counter()
+    prefill: collections.Counter[str] = collections.Counter()
+    for upstream in wanted.upstreams:
+        slots[upstream.service] += upstream.slots
+        if upstream.role == "prefill":
+            prefill[upstream.service] += upstream.slots
+    for i, service in enumerate(wanted.services):
+        if not slots[service.name]:
+            yield f"services[{i}]: no upstream serves {service.name}"
+        elif slots[service.name] == prefill[service.name]:
+            yield f"services[{i}]: every upstream of {service.name} has the role prefill"
+    room = wanted.online.queue_limit + sum(slots.values())
+    for i, team in enumerate(wanted.teams):
+        if team.burst > room:
+            yield f"teams[{i}].burst: {team.burst} is over queue_limit plus all slots ({room})"
+
+
+def _removed(wanted: manifest.Manifest, uses: Uses) -> Iterable[str]:
+    for kind in ("services", "models", "teams", "priorities"):
+        for name in sorted(getattr(uses, kind) - _names(getattr(wanted, kind))):
+            yield f"{kind}: {name} is missing, but an open job uses it"
+
+
+def difference(theirs: manifest.Manifest, yours: manifest.Manifest) -> str:
+    """Say in one short line how two manifests differ, theirs first."""
+    found = [*_named_differences(theirs, yours), *_single_differences(theirs, yours)]
+    shown = found[:_DIFFERENCES_SHOWN]
+    if len(found) > len(shown):
+        shown.append(f"and {len(found) - len(shown)} more")
+    return "; ".join(shown) or "none"
+
+
+def _named_differences(theirs: manifest.Manifest, yours: manifest.Manifest) -> Iterable[str]:
+    for kind in _NAMED:
+        old = {item.name: msgspec.to_builtins(item) for item in getattr(theirs, kind)}
+        new = {item.name: msgspec.to_builtins(item) for item in getattr(yours, kind)}
+        for name in [*old, *(name for name in new if name not in old)]:
+            if name not in new:
+                yield f"{kind}.{name} only in theirs"
+            elif name not in old:
+                yield f"{kind}.{name} only in yours"
+            else:
+                yield from _fields(f"{kind}.{name}", old[name], new[name])
+
+
+def _single_differences(theirs: manifest.Manifest, yours: manifest.Manifest) -> Iterable[str]:
+    for kind in _SINGLE:
+        old = msgspec.to_builtins(getattr(theirs, kind))
+        new = msgspec.to_builtins(getattr(yours, kind))
+        yield from _fields(kind, old, new)
+
+
+def _fields(path: str, old: dict[str, Any], new: dict[str, Any]) -> Iterable[str]:
+    for field, value in old.items():
+        if new.get(field) == value:
+            continue
+        if isinstance(value, list | tuple):
+            yield f"{path}.{field} differs"
+        else:
+            yield f"{path}.{field} {value} in theirs, {new.get(field)} in yours"
--- /dev/null
+++ b/src/cornelgrade/policy/watchers.py
@@ -0,0 +1,44 @@
+"""Which VMs hold a watch on the platform, and from which member a manifest is fetched."""
+
+import random
+
+from cornelgrade.policy import rendezvous
+from cornelgrade.services import ports
+
+WATCHES_PER_FAILURE_DOMAIN = 2
+_KEY = "manifest-watch"
+
+
+def holds_watch(view: ports.View) -> bool:
+    """Tell whether the VM of this view watches: a few in each failure domain do.
+
+    A VM that does not find itself in its view watches.
+    """
+    own = [m for m in view.members if m.vm == view.self_vm]
+    if not own:
+        return True
+    beside = [m.vm for m in view.usable(own[0].failure_domain)]
+    chosen = rendezvous.pick(_KEY, beside, WATCHES_PER_FAILURE_DOMAIN)
+    return view.self_vm in chosen or not beside
+
+
+def sources(view: ports.View, version: int, rng: random.Random) -> tuple[ports.Member, ...]:
+    """Give members that have ``version`` or a later one: own VM, own failure domain, others.
+
+    Members that are about to stop may still answer and come last.
+    """
+    domains = {m.vm: m.failure_domain for m in view.members}
+    own_domain = domains.get(view.self_vm)
+    usable = {m.vm for m in view.usable()}
+    having = [
+        m
+        for m in view.members
+        if m.manifest_version >= version and m.state is not ports.MemberState.DEAD
+    ]
+    rng.shuffle(having)
+
+    def distance(member: ports.Member) -> tuple[bool, bool, bool]:
+        far = member.failure_domain != own_domain
+        return (member.vm not in usable, member.vm != view.self_vm, far)
+
+    return tuple(sorted(having, key=distance))
--- /dev/null
+++ b/tests/fleet/test_configuration.py
@@ -0,0 +1,246 @@
+import functools
+import random
+
+import fleet_helpers
+import httpx
+import msgspec
+import pytest
+import quart_trio
+import trio
+from test_manifest_rules import sample
+
+from cornelgrade import errors, kernel, manifest
+from cornelgrade.adapters import peer_manifest
+from cornelgrade.policy import manifest_rules
+from cornelgrade.services import configuration, ports
+from cornelgrade.services.web import access
+from cornelgrade.services.web import manifest as manifest_routes
+from cornelgrade.standins import platform_store
+
+FIRST = manifest_rules.encode(sample())
+SECOND = manifest_rules.encode(sample(batch=manifest.BatchPolicy(lean=0.1)))
+THIRD = manifest_rules.encode(sample(batch=manifest.BatchPolicy(lean=0.9)))
+DOWN = platform_store.Switches(down=True)
+
+
+class DirectPeers:
+    """Gets the manifest from the other VM's service without HTTP."""
+
+    def __init__(self, services):
+        self.services = services
+
+    async def fetch(self, member):
+        await trio.lowlevel.checkpoint()
+        found = self.services[member.vm].current()
+        if found is None:
+            raise errors.NotReachableError("no manifest", step="fetch", peer=member.vm)
+        return ports.Accepted(found.manifest, found.version, confirmed=False)
+
+
+class Vms(fleet_helpers.Fleet):
+    """Membership and configuration of several VMs; each has its own way to the platform."""
+
+    def __init__(self, nursery, count):
+        super().__init__(nursery, fleet_helpers.make_settings(count))
+        self.store = platform_store.MemoryPlatform()
+        self.configs = {}
+
+    async def start(self, i, store=None):
+        member = await super().start(i)
+        made = configuration.Configuration(
+            self.cfgs[i],
+            store or self.store,
+            member,
+            DirectPeers(self.configs),
+            rng=random.Random(i),
+        )
+        self.configs[self.cfgs[i].vm] = made
+        await self.nursery.start(lambda task_status: made.run(task_status.started))
+        return made
+
+    def versions(self):
+        return [c.current().version if c.current() else 0 for c in self.configs.values()]
+
+
+@pytest.fixture
+async def vms(autojump_clock, nursery):
+    made = Vms(nursery, 5)
+    await made.start_all()
+    await fleet_helpers.until(lambda: all(len(made.states(vm)) == 5 for vm in made.members))
+    return made
+
+
+async def test_accepted_manifest_is_in_force_everywhere_within_three_seconds(autojump_clock, vms):
+    accepted = await vms.configs["vm0"].put(FIRST, None)
+    await fleet_helpers.until(lambda: vms.versions() == [accepted.version] * 5, 3.0)
+    second = await vms.configs["vm3"].put(SECOND, accepted.version)
+    await fleet_helpers.until(lambda: vms.versions() == [second.version] * 5, 3.0)
+    assert all(c.current().manifest.batch.lean == 0.1 for c in vms.configs.values())
+
+
+async def test_of_two_operators_racing_one_wins_and_the_other_sees_the_difference(
+    autojump_clock, vms
+):
+    base = (await vms.configs["vm0"].put(FIRST, None)).version
+    results = []
+
+    async def put(vm, raw):
+        try:
+            results.append(await vms.configs[vm].put(raw, base))
+        except errors.Refusal as exc:
+            results.append(exc)
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(put, "vm1", SECOND)
+        nursery.start_soon(put, "vm2", THIRD)
+    refused = [r for r in results if isinstance(r, errors.Refusal)]
+    assert [r.code for r in refused] == [errors.Code.STALE]
+    assert "batch.lean" in refused[0].message
+
+
+@pytest.mark.parametrize("resend_from", ["vm0", "vm4"])
+async def test_resend_after_a_lost_answer_is_the_same_acceptance(autojump_clock, vms, resend_from):
+    vms.store.switch(platform_store.Switches(lose_answers=1))
+    first = await vms.configs["vm0"].put(FIRST, None)
+    again = await vms.configs[resend_from].put(FIRST, None)
+    assert again.version == first.version == vms.store.version
+    later = await vms.configs["vm1"].put(SECOND, first.version)
+    assert (await vms.configs["vm0"].put(FIRST, None)).version == first.version
+    assert vms.store.version == later.version
+
+
+async def test_refused_manifest_lists_its_problems_and_changes_nothing(autojump_clock, vms):
+    with pytest.raises(errors.Refusal, match="unknown model m") as caught:
+        await vms.configs["vm0"].put(manifest_rules.encode(sample(models=())), None)
+    assert caught.value.code is errors.Code.BAD_REQUEST
+    assert vms.store.version == 0
+
+
+async def test_put_in_an_outage_is_refused_as_not_accepted(autojump_clock, vms):
+    vms.store.switch(DOWN)
+    with pytest.raises(errors.Refusal, match="not accepted") as caught:
+        await vms.configs["vm0"].put(FIRST, None)
+    assert (caught.value.code, caught.value.ran) == (errors.Code.UNAVAILABLE, errors.Ran.NO)
+
+
+async def test_vm_started_in_an_outage_takes_the_highest_of_its_peers(autojump_clock, nursery):
+    vms = Vms(nursery, 5)
+    for i in range(4):
+        await vms.start(i)
+    first = await vms.configs["vm0"].put(FIRST, None)
+    second = await vms.configs["vm0"].put(SECOND, first.version)
+    await fleet_helpers.until(lambda: vms.versions() == [second.version] * 4, 3.0)
+    vms.store.switch(DOWN)
+    late = await vms.start(4)
+    await fleet_helpers.until(lambda: late.current() is not None, 3.0)
+    assert late.current().version == second.version
+    assert not late.current().confirmed
+    vms.store.switch(platform_store.Switches())
+    await fleet_helpers.until(lambda: late.current().confirmed, 90.0)
+
+
+async def test_vm_cut_from_the_platform_gets_a_new_version_from_a_peer(autojump_clock, nursery):
+    vms = Vms(nursery, 5)
+    cut_off = await vms.start(0, platform_store.MemoryPlatform(DOWN))
+    for i in range(1, 5):
+        await vms.start(i)
+    await fleet_helpers.until(lambda: len(vms.states("vm0")) == 5)
+    accepted = await vms.configs["vm2"].put(FIRST, None)
+    await fleet_helpers.until(lambda: cut_off.current() is not None, 3.0)
+    assert cut_off.current().version == accepted.version
+    assert not cut_off.current().confirmed
+
+
+async def test_lower_version_is_never_taken(autojump_clock, vms):
+    base = (await vms.configs["vm0"].put(FIRST, None)).version
+    newer = (await vms.configs["vm0"].put(SECOND, base)).version
+    await fleet_helpers.until(lambda: vms.versions() == [newer] * 5, 3.0)
+    for config in vms.configs.values():
+        config._adopt(ports.Accepted(sample(), base), "an old answer")
+    await trio.sleep(120)
+    assert vms.versions() == [newer] * 5
+
+
+async def test_only_some_vms_of_a_failure_domain_watch(autojump_clock, nursery):
+    vms = Vms(nursery, 5)
+    vms.cfgs = [msgspec.structs.replace(cfg, failure_domain="d1") for cfg in vms.cfgs]
+    await vms.start_all()
+    await trio.sleep(40)
+    before = vms.store.calls["watch"]
+    await trio.sleep(90)
+    assert vms.store.calls["watch"] - before <= 8
+
+
+class Followed(configuration.Configuration):
+    def __init__(self):
+        self.accepted = ports.Accepted(sample(), 41, confirmed=False)
+
+    def current(self):
+        return self.accepted
+
+    async def put(self, raw, if_match):
+        return ports.Accepted(manifest_rules.decode(raw), (if_match or 0) + 1)
+
+
+@pytest.fixture
+def app(tmp_path):
+    (tmp_path / "key").write_bytes(b"test key")
+    cfg = msgspec.structs.replace(
+        fleet_helpers.make_settings(1)[0],
+        peer_key_file=str(tmp_path / "key"),
+        operator_key_hashes=(access.key_hash("op"),),
+    )
+    kern = kernel.Kernel()
+    kern.add(Followed())
+    made = quart_trio.QuartTrio(__name__)
+    made.register_blueprint(manifest_routes.blueprint(kern, cfg))
+
+    @made.errorhandler(errors.Refusal)
+    async def refused(exc):
+        return exc.body(), exc.status
+
+    made.address = cfg.gateway_address
+    return made
+
+
+@pytest.mark.parametrize(
+    ("method", "headers", "status"),
+    [
+        ("GET", {}, 401),
+        ("GET", {"Authorization": "Bearer x"}, 403),
+        ("GET", {"Authorization": "Bearer op"}, 200),
+        ("PUT", {"Authorization": "Bearer op", "If-Match": '"41"'}, 200),
+        ("PUT", {"Authorization": "Bearer op", "If-Match": "zzz"}, 400),
+    ],
+)
+async def test_operators_read_and_write_the_manifest(app, method, headers, status):
+    client = app.test_client()
+    got = await client.open("/v1/manifest", method=method, headers=headers, data=FIRST)
+    assert got.status_code == status
+    if status == 200:
+        assert got.headers["ETag"] == ('"41"' if method == "GET" else '"42"')
+
+
+@pytest.mark.parametrize(("key", "fine"), [(b"test key", True), (b"wrong", False)])
+async def test_peer_fetches_the_manifest_by_the_shared_key(app, key, fine):
+    key = fleet_helpers.peer_key.derive(key)
+    member = ports.Member("vm9", "d", "r", 1, ports.MemberState.ALIVE, "", "", app.address)
+    async with peer_manifest.HttpPeers(key, "vm1") as peers:
+        await peers._client.aclose()
+        peers._client = httpx.AsyncClient(transport=AppTransport(app))
+        fetch = functools.partial(peers.fetch, member)
+        if fine:
+            assert await fetch() == ports.Accepted(sample(), 41, confirmed=False)
+        else:
+            with pytest.raises(errors.CornelgradeError, match="status 401"):
+                await fetch()
+
+
+class AppTransport(httpx.AsyncBaseTransport):
+    def __init__(self, app):
+        self.client = app.test_client()
+
+    async def handle_async_request(self, req):
+        got = await self.client.get(req.url.path, headers=dict(req.headers))
+        body = await got.get_data(as_text=False)
+        return httpx.Response(got.status_code, headers=dict(got.headers), content=body)
