--- /dev/null
+++ b/src/cornelgrade/daemons.py
@@ -0,0 +1,181 @@
+"""The daemons: which services each process runs, and what its signals do."""
+
+import contextlib
+import dataclasses
+import random
+import signal
+from collections.abc import AsyncIterator, Callable
+
+import quart
+import trio
+
+from cornelgrade import kernel, logs, settings
+from cornelgrade.adapters import peer_key, peer_manifest, platform, platform_http
+from cornelgrade.services import (
+    batch,
+    conditions,
+    configuration,
+    drain,
+    leaving,
+    load_reports,
+    membership,
+    online,
+    router,
+    share_grants,
+    stories,
+    trace_writer,
+    upstreams,
+    worker_view,
+)
+from cornelgrade.services.web import app, operations, server
+from cornelgrade.services.web import manifest as web_manifest
+from cornelgrade.services.web import online as web_online
+
+_log = logs.Logger("daemon")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Outside:
+    """What a daemon speaks to beside callers and upstreams."""
+
+    store: platform.Platform
+    peers: peer_manifest.Peers
+
+
+Assemble = Callable[[kernel.Kernel, settings.Settings, Outside], None]
+
+
+def run_gateway(cfg: settings.Settings) -> None:
+    """Run a gateway process until it is told to stop and has drained."""
+    _run(cfg, gateway)
+
+
+def run_worker(cfg: settings.Settings) -> None:
+    """Run a worker process until it is told to stop and has drained."""
+    _run(cfg, worker)
+
+
+async def gateway(
+    cfg: settings.Settings,
+    stopping: trio.Event,
+    task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Run a gateway until it has drained, which begins when ``stopping`` is set."""
+    await _serve(cfg, stopping, add_gateway, task_status)
+
+
+async def worker(
+    cfg: settings.Settings,
+    stopping: trio.Event,
+    task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Run a worker until it has drained, which begins when ``stopping`` is set."""
+    await _serve(cfg, stopping, add_worker, task_status)
+
+
+def add_gateway(kern: kernel.Kernel, cfg: settings.Settings, outside: Outside) -> None:
+    """Add a gateway's services, in the order in which they start."""
+    members = membership.Membership(cfg)
+    _add_common(kern, cfg, outside, members, cfg.drain_grace_s)
+    kern.add(router.Router(kern, cfg.failure_domain, random.Random()))
+    kern.add(online.Online(kern))
+    kern.add(load_reports.LoadReports(kern, cfg))
+    kern.add(conditions.Conditions(kern, cfg))
+    kern.add(server.Web(kern, cfg, app.make(_blueprints(kern, cfg))))
+
+
+def add_worker(kern: kernel.Kernel, cfg: settings.Settings, outside: Outside) -> None:
+    """Add a worker's services, in the order in which they start."""
+    members = worker_view.WorkerView(cfg)
+    _add_common(kern, cfg, outside, members, 0.0)
+    kern.add(share_grants.ShareGrants(kern, cfg))
+    kern.add(leaving.LeavingWatch(kern, cfg, outside.store))
+    kern.add(batch.Batch(kern, cfg.vm, cfg.failure_domain, outside.store))
+
+
+def _add_common(
+    kern: kernel.Kernel,
+    cfg: settings.Settings,
+    outside: Outside,
+    members: membership.Membership | worker_view.WorkerView,
+    grace_s: float,
+) -> None:
+    told = stories.Stories()
+    kern.add(drain.Drain(grace_s))
+    kern.add(told)
+    if cfg.tracing is not None:
+        kern.add(trace_writer.TraceWriter(cfg.tracing))
+    kern.add(members)
+    kern.add(configuration.Configuration(cfg, outside.store, members, outside.peers, stories=told))
+    kern.add(upstreams.Upstreams(kern))
+
+
+def _blueprints(kern: kernel.Kernel, cfg: settings.Settings) -> tuple[quart.Blueprint, ...]:
+    return (
+        web_online.blueprint(kern),
+        web_manifest.blueprint(kern, cfg),
+        operations.blueprint(kern, cfg),
+    )
+
+
+async def _serve(
+    cfg: settings.Settings,
+    stopping: trio.Event,
+    assemble: Assemble,
+    task_status: trio.TaskStatus[None],
+) -> None:
+    async with _outside(cfg) as outside, trio.open_nursery() as nursery:
+        kern = kernel.Kernel()
+        assemble(kern, cfg, outside)
+        await nursery.start(kern.run)
+        _log.info("started", failure_domain=cfg.failure_domain)
+        task_status.started()
+        nursery.start_soon(_drain_when, stopping, kern)
+        await kern.wait_stopped()
+        nursery.cancel_scope.cancel()
+    _log.info("stopped")
+
+
+@contextlib.asynccontextmanager
+async def _outside(cfg: settings.Settings) -> AsyncIterator[Outside]:
+    key = peer_key.read(cfg.peer_key_file)
+    store = platform_http.HttpPlatform(cfg.platform_url, deadline_s=cfg.platform_deadline_s)
+    peers = peer_manifest.HttpPeers(key, cfg.vm, secure=cfg.tls is not None)
+    async with store, peers:
+        yield Outside(store, peers)
+
+
+async def _drain_when(stopping: trio.Event, kern: kernel.Kernel) -> None:
+    """Drain once asked to: announce it, let running work end, then stop."""
+    await stopping.wait()
+    draining = kern.find("drain", drain.Drain)
+    kern.find("membership", membership.Membership).leave()
+    draining.begin()
+    await draining.wait_drained()
+    if kern.has("batch"):
+        await kern.find("batch", batch.Batch).drain()
+    if not kern.has("web"):
+        kern.stop()
+
+
+def _run(cfg: settings.Settings, program: Callable) -> None:
+    with logs.handler(cfg.log_level, cfg.vm).applicationbound():
+        trio.run(_run_until_signalled, cfg, program)
+
+
+async def _run_until_signalled(cfg: settings.Settings, program: Callable) -> None:
+    stopping = trio.Event()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_follow_signals, stopping, nursery.cancel_scope)
+        await program(cfg, stopping)
+        nursery.cancel_scope.cancel()
+
+
+async def _follow_signals(stopping: trio.Event, scope: trio.CancelScope) -> None:
+    """Drain at the first SIGTERM or SIGINT, and drop what is left at the second."""
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for signum in signals:
+            _log.info("signal", signal=signal.Signals(signum).name, second=stopping.is_set())
+            if stopping.is_set():
+                scope.cancel()
+            stopping.set()
--- a/src/cornelgrade/services/web/online.py
+++ b/src/cornelgrade/services/web/online.py
@@ -185,7 +185,7 @@
         stream=prompt.stream if prompt else False,
         idempotent=idempotent,
         fingerprint=_fingerprint(path, body),
-        prefix=routing.prefix_hash(prompt.messages or prompt.prompt) if prompt else 0,
+        prefix=routing.prefix_hash(bytes(prompt.messages or prompt.prompt)) if prompt else 0,
         max_tokens=prompt.max_tokens if prompt else 0,
         key=key,
     )
