Batch under faults: fewer ledger writes, first come first served, small window unheard

Causes found by the new tests: sightings of other holders' claims were forgotten with each idle round, so a dead worker's cancelled job never ended; a later chunk of the same job went before an earlier one, since its time left was shorter; a worker that heard no gateway kept its full window. The membership test expects the sender's VM in a load, which is stricter.

--- a/src/cornelgrade/policy/claims.py
+++ b/src/cornelgrade/policy/claims.py
@@ -113,9 +113,9 @@
             self._first.setdefault(key, now_s)
         return {claim: self._first[(job, claim)] for claim in ledger.claims}
 
-    def forget(self, job: str) -> None:
-        """Drop an ended job."""
-        for key in [key for key in self._first if key[0] == job]:
+    def keep(self, jobs: Set[str]) -> None:
+        """Drop every job that is not among ``jobs``."""
+        for key in [key for key in self._first if key[0] not in jobs]:
             del self._first[key]
 
 
--- a/src/cornelgrade/policy/window.py
+++ b/src/cornelgrade/policy/window.py
@@ -39,6 +39,7 @@
     :param reported: requests running and waiting by the engine's own late report, batch
         included, ``None`` if there is no report.
     :param reported_waiting: those of them that wait.
+    :param batch_then: batch items that ran when the report was made.
     """
 
     slots: int
@@ -47,6 +48,7 @@
     heard_age_s: float = 0.0
     reported: int | None = None
     reported_waiting: int = 0
+    batch_then: int = 0
 
     @property
     def heard(self) -> bool:
@@ -68,7 +70,7 @@
         return max(0, seen.slots - seen.online - spare(seen.slots, lean))
     if seen.reported is None or seen.reported_waiting:
         return 0
-    others = max(0, seen.reported - seen.batch)
+    others = max(0, seen.reported - seen.batch_then)
     small = max(1, math.floor(seen.slots * UNHEARD_SHARE))
     return max(0, min(small, seen.slots - others - 1))
 
@@ -83,6 +85,8 @@
     target = room(seen, lean)
     if seen.batch + seen.online > seen.slots and seen.heard:
         return give_way(seen, seen.batch + seen.online - seen.slots, now_s, lean)
+    if seen.batch > target and not seen.heard:
+        return Decision(dataclasses.replace(window, limit=target), cancel=seen.batch - target)
     if now_s < window.closed_until_s or target <= window.limit:
         return Decision(dataclasses.replace(window, limit=min(window.limit, target)))
     step = math.ceil(seen.slots / FULL_IN_TICKS)
--- a/src/cornelgrade/services/_engine_run.py
+++ b/src/cornelgrade/services/_engine_run.py
@@ -1,5 +1,7 @@
 """One engine that this worker owns: keeps its batch window and the calls inside it."""
 
+import collections
+import math
 from collections.abc import Callable
 
 import trio
@@ -10,6 +12,8 @@
 from cornelgrade.services import _chunk_run, _feed, _item_call, ports
 
 _REPORT_INTERVAL_S = 0.5
+_REPORT_WANTED_AFTER_S = window.SILENT_AFTER_S / 2
+_OWN_SAMPLES = 60
 _RETRY_PAUSE_S = 0.5
 _FORGET_GATEWAY_S = 5.0
 
@@ -44,8 +48,10 @@
         self._log = logs.Logger("batch")
         self._calls: list[_item_call.ItemCall] = []
         self._loads: dict[str, tuple[ports.Load, float]] = {}
-        self._heard_at_s = trio.current_time()
+        self._heard_at_s = -math.inf
         self._reported: engine.Load | None = None
+        self._reported_at_s = 0.0
+        self._own: collections.deque[tuple[float, int]] = collections.deque(maxlen=_OWN_SAMPLES)
         self._paused_until_s = 0.0
         self._nursery: trio.Nursery | None = None
         self._leaving = False
@@ -62,6 +68,7 @@
                 self._nursery = nursery
                 nursery.start_soon(self._follow_report)
                 while self._calls or not self._leaving:
+                    self._own.append((self._now(), len(self._calls)))
                     self._apply(
                         window.on_tick(self.window, self._seen(), self._now(), self._lean())
                     )
@@ -111,8 +118,13 @@
             heard_age_s=now_s - self._heard_at_s,
             reported=report.running + report.waiting if report else None,
             reported_waiting=report.waiting if report else 0,
+            batch_then=self._own_at(self._reported_at_s),
         )
 
+    def _own_at(self, at_s: float) -> int:
+        """Give how many batch items ran here at an earlier time."""
+        return next((count for sampled_s, count in reversed(self._own) if sampled_s <= at_s), 0)
+
     def _apply(self, decision: window.Decision) -> None:
         self.window = decision.window
         if decision.cancel:
@@ -203,9 +215,10 @@
     async def _follow_report(self) -> None:
         """Read the engine's own load report while no gateway is heard."""
         while True:
-            if not self._seen().heard:
+            if self._now() - self._heard_at_s > _REPORT_WANTED_AFTER_S:
                 try:
                     self._reported = await self.upstream.load()
+                    self._reported_at_s = self._now() - self._reported.age_s
                 except engine.CallError:
                     self._reported = None
             await trio.sleep(_REPORT_INTERVAL_S)
--- a/src/cornelgrade/services/_feed.py
+++ b/src/cornelgrade/services/_feed.py
@@ -13,7 +13,7 @@
         self.changed = trio.Event()
 
     def add(self, run: _chunk_run.ChunkRun, urgency: float) -> None:
-        """Add a chunk; the lowest urgency value goes first."""
+        """Add a chunk; the lowest urgency value goes first, then the one added first."""
         self._runs.append((urgency, run))
         self._runs.sort(key=lambda pair: pair[0])
         self.notify()
--- a/src/cornelgrade/services/_job_runs.py
+++ b/src/cornelgrade/services/_job_runs.py
@@ -14,7 +14,8 @@
 
 LONGEST_LEASE_FACTOR = 6.0
 MAX_CLAIM_CHUNKS = 4
-SETTLE_DELAY_S = 3.0
+LONGEST_SETTLE_DELAY_S = 8.0
+_SETTLE_LEASE_SHARE = 0.4
 _WATCH_WAIT_S = 5.0
 _WATCH_RETRY_S = 0.5
 
@@ -66,15 +67,27 @@
         self._done: dict[claims.Claim, claims.Tally] = {}
         self._returned: set[claims.Claim] = set()
         self._log = logs.Logger("batch")
-        self._settled_at_s = trio.current_time()
+        self._settle_by_s = math.inf
         self._edit_lock = trio.Lock()
+        candidate = batch.Candidate(entry.name, entry.due_at_s, found.header.price)
+        self._urgency = batch.urgency(candidate, store.unix_s())
         self._watch_scope = trio.CancelScope()
         nursery.start_soon(self._watch)
 
     @property
     def idle(self) -> bool:
         """Whether nothing of the job is held or waits to be written."""
-        return not (self.held or self._done or self._returned)
+        return not (self.held or self.unsettled)
+
+    @property
+    def unsettled(self) -> bool:
+        """Whether the ledger has yet to be told of something."""
+        return bool(self._done or self._returned)
+
+    @property
+    def settle_due(self) -> bool:
+        """Whether that can't wait for the next claim any longer."""
+        return self.unsettled and trio.current_time() >= self._settle_by_s
 
     def refresh(self, entry: job_store.OpenJob) -> None:
         """Take in a later reading of the job's ledger."""
@@ -126,8 +139,7 @@
 
         While other chunks of the job are held, that waits for the next claim or renewal.
         """
-        waits = trio.current_time() - self._settled_at_s < SETTLE_DELAY_S
-        if (self._done or self._returned) and (now or not self.held or not waits):
+        if self.unsettled and (now or not self.held or self.settle_due):
             await self._edit(self._settle)
         if self.gone or self.held:
             return
@@ -139,7 +151,6 @@
         """Change the ledger; false if the job has ended elsewhere."""
         async with self._edit_lock:
             done, returned = dict(self._done), set(self._returned)
-            self._settled_at_s = trio.current_time()
             entry = await self._store.edit_ledger(self.entry, change, _settled.FOREVER_S)
             for claim in done:
                 del self._done[claim]
@@ -187,7 +198,7 @@
         self._runs[claim.chunk] = run
         if self.cancelled or self.draining:
             run.stop()
-        self._feed.add(run, self._urgency())
+        self._feed.add(run, self._urgency)
         try:
             await run.run(self._renew)
         finally:
@@ -195,12 +206,10 @@
             del self._runs[claim.chunk]
         self._conclude(run)
 
-    def _urgency(self) -> float:
-        header = self.header
-        candidate = batch.Candidate(header.name, header.due_at_s, header.price)
-        return batch.urgency(candidate, self._store.unix_s())
-
     def _conclude(self, run: _chunk_run.ChunkRun) -> None:
+        delay_s = min(LONGEST_SETTLE_DELAY_S, run.claim.lease_s * _SETTLE_LEASE_SHARE)
+        settle_by_s = trio.current_time() + delay_s
+        self._settle_by_s = min(self._settle_by_s, settle_by_s) if self.unsettled else settle_by_s
         if run.lost:
             self._log.warning("chunk_lost", job=self.header.job, chunk=run.claim.chunk)
         elif run.left and not self.cancelled:
@@ -226,14 +235,19 @@
                     changes = await self._store.plat.watch(
                         job_records.JOB, self.header.name, self._version, _WATCH_WAIT_S
                     )
-                    found = await self._store.header(self.header.team, self.header.job)
+                    changed = bool(changes.items or changes.deleted or changes.reset)
+                    found = await self._current() if changed else self.header
                 except platform.UnavailableError:
                     await trio.sleep(_WATCH_RETRY_S)
                     continue
                 self._version = changes.version
-                if found is None or found.header.state is not job_records.JobState.OPEN:
+                if found is None or found.state is not job_records.JobState.OPEN:
                     self._cancel()
 
+    async def _current(self) -> job_records.Header | None:
+        found = await self._store.header(self.header.team, self.header.job)
+        return found.header if found else None
+
     def _cancel(self) -> None:
         self.cancelled = True
         for run in self._runs.values():
--- a/src/cornelgrade/services/batch.py
+++ b/src/cornelgrade/services/batch.py
@@ -210,7 +210,6 @@
             await job.settle(now=self._draining)
             if job.gone or job.idle:
                 job.close()
-                self._sightings.forget(name)
                 del self._jobs[name]
         if self._draining and not self._jobs:
             self._drained.set()
@@ -221,12 +220,17 @@
         slots: dict[str, int] = {}
         for owned in self._owned.values():
             slots[owned.service] = slots.get(owned.service, 0) + owned.slots
+        early = self._policy().chunk_items if self._must_settle() else 0
         wanted = {
-            service: _LOW_WATER_FACTOR * count - self._feed(service).ready
+            service: _LOW_WATER_FACTOR * count + early - self._feed(service).ready
             for service, count in slots.items()
         }
         return {service: count for service, count in wanted.items() if count > 0}
 
+    def _must_settle(self) -> bool:
+        """Whether a ledger has to be written anyway, so that claiming with it is free."""
+        return any(job.settle_due for job in self._jobs.values())
+
     async def _claim(self, nursery: trio.Nursery) -> int:
         wanted = self._wanted()
         if not wanted:
@@ -262,6 +266,7 @@
     async def _candidates(self) -> list[job_store.OpenJob]:
         """Give open jobs that have been accepted and may have chunks to claim, in order."""
         entries = {entry.name: entry for entry in await self.store.open_jobs(limit=_OPEN_PAGE)}
+        self._sightings.keep(entries.keys())
         candidates = []
         for entry in entries.values():
             header = await self._accepted_header(entry)
--- /dev/null
+++ b/src/cornelgrade/services/job_report.py
@@ -0,0 +1,109 @@
+"""Jobs as callers and operators see them: progress, expected end, and due times at risk."""
+
+import msgspec
+
+from cornelgrade import reports
+from cornelgrade.policy import batch, claims
+from cornelgrade.services import job_records, job_store
+
+ASSUMED_ITEM_S = 0.02
+_OPEN_PAGE = 100
+
+_State = job_records.JobState
+
+
+class JobView(msgspec.Struct, frozen=True, kw_only=True):
+    """A job in an answer; times are Unix seconds.
+
+    :param finished: items with a result or a final error.
+    :param failed: those of them without a result.
+    """
+
+    id: str
+    state: str
+    service: str
+    priority: str
+    created_at_s: float
+    due_at_s: float
+    items: int
+    finished: int = 0
+    failed: int = 0
+    unknown: int = 0
+    cancelled: int = 0
+    at_risk: bool = False
+    expected_end_at_s: float | None = None
+    ended_at_s: float | None = None
+
+
+async def view(store: job_store.JobStore, header: job_records.Header) -> JobView:
+    """Describe a job; the progress of one that has not ended is read from its ledger.
+
+    :raises UnavailableError: the platform is out.
+    """
+    if header.state in job_records.FINAL:
+        return plain_view(header)
+    entry = await store.open_entry(header.open_name)
+    if entry is None:
+        return plain_view(header)
+    pace = _pace(header.items, entry)
+    now_s = store.unix_s()
+    shown = _view(header, entry.ledger.tally)
+    if header.state is not _State.OPEN:
+        return shown
+    return msgspec.structs.replace(
+        shown,
+        at_risk=batch.at_risk(pace, now_s, ASSUMED_ITEM_S),
+        expected_end_at_s=batch.expected_end_s(pace, now_s),
+    )
+
+
+def plain_view(header: job_records.Header) -> JobView:
+    """Describe a job by its header alone."""
+    return _view(header, header.tally)
+
+
+def _view(header: job_records.Header, tally: claims.Tally) -> JobView:
+    return JobView(
+        id=header.job,
+        state=header.state.value,
+        service=header.service,
+        priority=header.priority,
+        created_at_s=header.created_at_s,
+        due_at_s=header.due_at_s,
+        items=header.items,
+        finished=tally.ok + tally.error + tally.unknown,
+        failed=tally.error + tally.unknown,
+        unknown=tally.unknown,
+        cancelled=tally.cancelled,
+        ended_at_s=header.ended_at_s or None,
+    )
+
+
+def _pace(items: int, entry: job_store.OpenJob) -> batch.Pace:
+    ledger = entry.ledger
+    return batch.Pace(items, ledger.tally.ended, ledger.started_at_s, entry.due_at_s)
+
+
+async def at_risk(store: job_store.JobStore) -> tuple[reports.JobAtRisk, ...]:
+    """Give the open jobs that may miss their due times, of those that are due first.
+
+    :raises UnavailableError: the platform is out.
+    """
+    now_s = store.unix_s()
+    found = []
+    for entry in await store.open_jobs(limit=_OPEN_PAGE):
+        header = await store.header(entry.team, entry.job)
+        if header is None or header.header.upload != entry.upload:
+            continue
+        pace = _pace(header.header.items, entry)
+        if header.header.state is _State.OPEN and batch.at_risk(pace, now_s, ASSUMED_ITEM_S):
+            found.append(reports.JobAtRisk(entry.job, entry.due_at_s, _reason(pace, now_s)))
+    return tuple(found)
+
+
+def _reason(pace: batch.Pace, now_s: float) -> str:
+    left = pace.items - pace.ended
+    end_s = batch.expected_end_s(pace, now_s)
+    if end_s is None:
+        return f"{left} items left and none ended yet"
+    return f"{left} items left, expected to end {end_s - pace.due_at_s:.0f} s late"
--- a/src/cornelgrade/services/ports.py
+++ b/src/cornelgrade/services/ports.py
@@ -63,7 +63,8 @@
 class Load:
     """A gateway tells an engine's batch owner its outstanding online requests.
 
-    Sent when it changes, and again each second while anything is outstanding or queued.
+    Sent when it changes and at least every second: an owner that hears nothing for a few seconds
+    falls back to a small window.
 
     :param vm: the gateway's VM, set by the membership that receives it.
     """
--- a/src/cornelgrade/services/worker_view.py
+++ b/src/cornelgrade/services/worker_view.py
@@ -3,6 +3,7 @@
 It owns the VM's worker socket, on which it also gets load and yield messages from gateways.
 """
 
+import dataclasses
 from collections.abc import Callable
 from typing import TypeVar
 
@@ -96,7 +97,7 @@
 
     def _take(self, got: messages.Datagram) -> None:
         if isinstance(got.body, ports.PeerMessage):
-            self._subscriptions.deliver(got.body)
+            self._subscriptions.deliver(_named(got))
         elif got.sender == self._cfg.vm:
             self._follow(got.members)
 
@@ -120,3 +121,11 @@
             self._highest = member.manifest_version
             heard = ports.VersionHeard(member.vm, member.manifest_version)
             self._subscriptions.deliver(heard)
+
+
+def _named(got: messages.Datagram) -> ports.PeerMessage:
+    """Give a datagram's message, with its sender's VM where the type has room for it."""
+    assert isinstance(got.body, ports.PeerMessage)
+    if isinstance(got.body, ports.Load | ports.Yield):
+        return dataclasses.replace(got.body, vm=got.sender)
+    return got.body
--- a/tests/batch_kit.py
+++ b/tests/batch_kit.py
@@ -28,6 +28,7 @@
     def __init__(self, vm: str, vms: tuple[str, ...]) -> None:
         self.vm = vm
         self.members = tuple(member(name) for name in vms)
+        self.idle_upstreams: tuple[str, ...] = ()
         self._channels: dict[type, trio.MemorySendChannel] = {}
 
     def view(self) -> ports.View:
@@ -39,11 +40,16 @@
         return receive
 
     def deliver(self, message) -> None:
-        self._channels[type(message)].send_nowait(message)
+        if type(message) in self._channels:
+            self._channels[type(message)].send_nowait(message)
 
     async def run(self, started) -> None:
+        """Be heard like an idle gateway, unless a test has silenced it."""
         started()
-        await trio.sleep_forever()
+        while True:
+            for upstream in self.idle_upstreams:
+                self.deliver(ports.Load(upstream, 0, 0, "idle-vm"))
+            await trio.sleep(0.5)
 
 
 class FakeConfiguration:
@@ -116,6 +122,7 @@
     async def worker(self, vm: str, vms: tuple[str, ...] = (), plat=None) -> batch.Batch:
         kern = kernel.Kernel()
         members = FakeMembership(vm, vms or (vm,))
+        members.idle_upstreams = tuple(self.engines)
         made = batch.Batch(kern, vm, "fd1", plat or self.platform, unix_s)
         for service in (members, FakeConfiguration(self.manifest), Pool(self.engines), made):
             kern.add(service)
