--- /dev/null
+++ b/bench/capacity.py
@@ -0,0 +1,100 @@
+"""What each role costs at the target size, from slopes: ``python -m bench.capacity``.
+
+Prints the slopes that this machine gave and the arithmetic of docs/CAPACITY.md. There is no seed:
+nothing here is random.
+"""
+
+import dataclasses
+import platform
+import time
+
+from bench import slopes
+
+US_PER_S = 1_000_000
+MB = 1_000_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Target:
+    """The size that the design is for; rates are a second, of the whole fleet."""
+
+    vms: int = 390
+    engines: int = 600
+    requests: float = 4_800.0
+    tokens: float = 1_000_000.0
+    items: float = 490_000_000 / 86_400
+    teams: int = 1_800
+    control_core: float = 0.046
+    control_mb: float = 64.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Line:
+    """One line of arithmetic; ``value`` is in ``unit``."""
+
+    what: str
+    arithmetic: str
+    value: float
+    unit: str
+
+
+def lines(target: Target, found: dict[str, float]) -> list[Line]:
+    """Work out the costs of one VM at the target size."""
+    requests = target.requests / target.vms
+    items = target.items / target.vms
+    members_mb = target.vms * found["member_b"] / MB
+    teams_mb = target.teams * found["team_b"] / MB
+    datagrams = target.control_core * US_PER_S / found["datagram_us"] * 2
+    calls = target.control_core * US_PER_S / found["read_us"]
+    return [
+        Line("online requests", f"{target.requests:g} / {target.vms}", requests, "a second"),
+        Line(
+            "relayed tokens",
+            f"{target.tokens:g} / {target.vms}",
+            target.tokens / target.vms,
+            "a second",
+        ),
+        Line("batch items", f"{target.items:.0f} / {target.vms}", items, "a second"),
+        Line("members", f"{target.vms} x {found['member_b']:.0f} B", members_mb, "MB"),
+        Line("teams", f"{target.teams} x {found['team_b']:.0f} B", teams_mb, "MB"),
+        Line(
+            "manifest as stored, teams only",
+            f"{target.teams} x {found['manifest_b']:.0f} B",
+            target.teams * found["manifest_b"] / MB,
+            "MB of 1 MB",
+        ),
+        Line("stories", "bound by estimate", 8.0, "MB"),
+        Line(
+            "stories reach back",
+            f"8 MB / {found['story_bound_b']:.0f} B / {requests:.1f} a second",
+            8 * MB / found["story_bound_b"] / requests,
+            "s",
+        ),
+        Line(
+            "datagrams that the control budget holds, sent or received",
+            f"{target.control_core} s / {found['datagram_us']:.0f} us x 2 ends",
+            datagrams,
+            "a second",
+        ),
+        Line(
+            "platform calls that the control budget holds",
+            f"{target.control_core} s / {found['read_us']:.0f} us",
+            calls,
+            "a second",
+        ),
+    ]
+
+
+def main() -> None:
+    """Measure and print."""
+    measured = [*slopes.memory(), *slopes.processor()]
+    print(f"python -m bench.capacity, {time.strftime('%Y-%m-%d')}, {platform.machine()}\n")
+    for slope in measured:
+        print(f"{slope.what:45} {slope.value:12.1f}")
+    print()
+    for line in lines(Target(), {slope.key: slope.value for slope in measured}):
+        print(f"{line.what:60} {line.arithmetic:35} = {line.value:10.2f} {line.unit}")
+
+
+if __name__ == "__main__":
+    main()
