--- a/src/cornelgrade/daemons.py
+++ b/src/cornelgrade/daemons.py
@@ -16,6 +16,7 @@
     conditions,
     configuration,
     drain,
+    job_store,
     leaving,
     load_reports,
     membership,
@@ -28,6 +29,7 @@
     worker_view,
 )
 from cornelgrade.services.web import app, operations, server
+from cornelgrade.services.web import jobs as web_jobs
 from cornelgrade.services.web import manifest as web_manifest
 from cornelgrade.services.web import online as web_online
 
@@ -81,7 +83,7 @@
     kern.add(online.Online(kern))
     kern.add(load_reports.LoadReports(kern, cfg))
     kern.add(conditions.Conditions(kern, cfg))
-    kern.add(server.Web(kern, cfg, app.make(_blueprints(kern, cfg))))
+    kern.add(server.Web(kern, cfg, app.make(_blueprints(kern, cfg, outside))))
 
 
 def add_worker(kern: kernel.Kernel, cfg: settings.Settings, outside: Outside) -> None:
@@ -110,10 +112,13 @@
     kern.add(upstreams.Upstreams(kern))
 
 
-def _blueprints(kern: kernel.Kernel, cfg: settings.Settings) -> tuple[quart.Blueprint, ...]:
+def _blueprints(
+    kern: kernel.Kernel, cfg: settings.Settings, outside: Outside
+) -> tuple[quart.Blueprint, ...]:
     return (
         web_online.blueprint(kern),
         web_manifest.blueprint(kern, cfg),
+        web_jobs.blueprint(kern, cfg, job_store.JobStore(outside.store)),
         operations.blueprint(kern, cfg),
     )
 
--- a/tests/process/test_whole_path.py
+++ b/tests/process/test_whole_path.py
@@ -1,5 +1,8 @@
 """The whole path with real processes: a question streamed back, a job run to readable results."""
 
+import json
+import time
+
 import pytest
 from tests.process import harness
 
@@ -27,3 +30,19 @@
         events = [line for line in answer.iter_lines() if line]
     assert len(events) == 6
     assert events[-1] == "data: [DONE]"
+
+
+def test_job_runs_to_readable_results(fleet):
+    items = [{"custom_id": f"note-{i}", "body": BODY} for i in range(20)]
+    lines = "\n".join(json.dumps(item) for item in items)
+    with fleet.call() as client:
+        accepted = client.post("/v1/jobs", content=lines, headers={"Idempotency-Key": "night-1"})
+        assert accepted.status_code in (200, 201, 202), accepted.text
+        job = accepted.json()["id"]
+        end_s = time.monotonic() + 20
+        while time.monotonic() < end_s:
+            if client.get(f"/v1/jobs/{job}").json()["state"] == "completed":
+                break
+            time.sleep(0.1)
+        results = client.get(f"/v1/jobs/{job}/results").text.splitlines()
+    assert [json.loads(line)["custom_id"] for line in results] == [i["custom_id"] for i in items]
