--- a/src/cornelgrade/services/configuration.py
+++ b/src/cornelgrade/services/configuration.py
@@ -9,7 +9,7 @@
 
 import trio
 
-from cornelgrade import errors, logs, metrics, settings
+from cornelgrade import errors, logs, metrics, reports, settings
 from cornelgrade.adapters import peer_manifest, platform
 from cornelgrade.policy import manifest_rules, watchers
 from cornelgrade.services import _manifest_writer, ports
@@ -89,6 +89,19 @@
         self._adopt(accepted, "submitted here")
         return accepted
 
+    def report(self) -> reports.Report:
+        """Give the version in force for the status page."""
+        degraded = []
+        if self._current is None:
+            degraded.append(reports.Degraded("no manifest yet"))
+        elif not self._current.confirmed:
+            what = f"manifest {self._current.version} is from a peer, not confirmed by the platform"
+            degraded.append(reports.Degraded(what))
+        if self._wanted > self._version():
+            degraded.append(reports.Degraded(f"manifest {self._wanted} is known but not here yet"))
+        fact = reports.Fact("manifest_version", str(self._version()))
+        return reports.Report(degraded=tuple(degraded), facts=(fact,))
+
     # The service ------------------------------------------------------------------------
 
     async def run(self, started: Callable[[], None]) -> None:
@@ -122,7 +135,7 @@
         )
         if self._stories is not None:
             sentence = f"in force at {self._cfg.vm}, {source}"
-            self._stories.note(f"manifest:{found.version}", "in force", sentence)
+            self._stories.note(f"manifest/{found.version}", "in force", sentence)
         self._membership.set_version(found.version)
 
     def _adopt_stored(self, stored: platform.Stored, source: str) -> None:
--- a/src/cornelgrade/services/membership.py
+++ b/src/cornelgrade/services/membership.py
@@ -1,13 +1,14 @@
 """The service ``membership`` of the gateway: owns the peer socket and probes the other VMs."""
 
 import contextlib
+import dataclasses
 import random
 from collections.abc import Callable, Iterable
 from typing import TypeVar
 
 import trio
 
-from cornelgrade import logs, metrics, settings
+from cornelgrade import logs, metrics, reports, settings
 from cornelgrade.adapters import datagrams, peer_key
 from cornelgrade.policy import membership, prober
 from cornelgrade.schema import codec, messages
@@ -18,6 +19,7 @@
 FEED_INTERVAL_S = 0.25
 WORKER_SILENT_S = 10.0
 _FEED_RECORDS = 8
+State = ports.MemberState
 _TO_WORKER = (ports.Load, ports.Yield)
 
 
@@ -26,6 +28,16 @@
     return member.worker_address if isinstance(message, _TO_WORKER) else member.peer_address
 
 
+def received(got: messages.Datagram) -> ports.PeerMessage | None:
+    """Give a datagram's message for services, with the VM that sent it where it says so."""
+    vm = got.sender.removesuffix(WORKER_SUFFIX)
+    if isinstance(got.body, ports.Load):
+        return dataclasses.replace(got.body, vm=vm)
+    if isinstance(got.body, ports.Yield):
+        return dataclasses.replace(got.body, vm=vm)
+    return got.body if isinstance(got.body, ports.PeerMessage) else None
+
+
 def parts(members: Iterable[ports.Member]) -> Iterable[tuple[ports.Member, ...]]:
     """Split records so that each part fits one datagram."""
     part: list[ports.Member] = []
@@ -44,8 +56,6 @@
 class Membership:
     """Keeps the view of the fleet and carries peer messages.
 
-    :param worker_here: the worker's services run in this process too, so it owns the VM's
-        worker socket.
     :param cut: tells by address which datagrams get lost on their way out (for tests).
     """
 
@@ -56,14 +66,12 @@
         cfg: settings.Settings,
         key: peer_key.PeerKey | None = None,
         *,
-        worker_here: bool = False,
         rng: random.Random | None = None,
         tuning: membership.Tuning | None = None,
         cut: datagrams.Filter | None = None,
     ) -> None:
         self._cfg = cfg
         self._key = key or peer_key.read(cfg.peer_key_file)
-        self._worker_here = worker_here
         self._rng = rng or random.Random()
         self._tuning = tuning
         self._cut = cut
@@ -136,35 +144,46 @@
         """Give the number of datagrams dropped, by reason."""
         return dict(self._socket.dropped) if self._socket is not None else {}
 
+    def report(self) -> reports.Report:
+        """Give the members' states and the traffic for the status page."""
+        members = self.view().members
+        states = [m.state for m in members]
+        traffic = self.traffic()
+        facts = [reports.Fact(f"members_{s.value}", str(states.count(s))) for s in State]
+        facts.append(reports.Fact("datagrams_sent", str(traffic.sent)))
+        facts.append(reports.Fact("datagrams_received", str(traffic.received)))
+        facts += [
+            reports.Fact(f"datagrams_dropped_{reason.value}", str(count))
+            for reason, count in self.dropped().items()
+        ]
+        usable = {m.failure_domain for m in self.view().usable()}
+        lost = sorted({m.failure_domain for m in members} - usable)
+        degraded = [reports.Degraded(f"no VM of {domain} answers") for domain in lost]
+        return reports.Report(degraded=tuple(degraded), facts=tuple(facts))
+
     # The service ------------------------------------------------------------------------
 
     async def run(self, started: Callable[[], None]) -> None:
         """Own the sockets and take part in the protocol until cancelled."""
         with contextlib.ExitStack() as stack:
-            self._socket = stack.enter_context(self._open(self._cfg.peer_address, self._cfg.vm))
+            owned = datagrams.Socket(self._cfg.peer_address, self._key, self._cfg.vm, cut=self._cut)
+            self._socket = stack.enter_context(owned)
             self._prober = self._make_prober(self._socket)
             stack.callback(self._stopped)
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._receive)
                 nursery.start_soon(self._tick)
                 nursery.start_soon(self._feed_worker)
-                if self._worker_here:
-                    sender = self._cfg.vm + WORKER_SUFFIX
-                    worker = stack.enter_context(self._open(self._cfg.worker_address, sender))
-                    nursery.start_soon(self._receive_for_worker, worker)
                 self._stale = True
                 started()
 
-    def _open(self, address: str, sender: str) -> datagrams.Socket:
-        return datagrams.Socket(address, self._key, sender, cut=self._cut)
-
     def _make_prober(self, owned: datagrams.Socket) -> prober.Prober:
         me = ports.Member(
             vm=self._cfg.vm,
             failure_domain=self._cfg.failure_domain,
             region=self._cfg.region,
             incarnation=owned.session,
-            state=ports.MemberState.LEAVING if self._leaving else ports.MemberState.ALIVE,
+            state=State.LEAVING if self._leaving else State.ALIVE,
             peer_address=owned.address,
             worker_address=self._cfg.worker_address,
             gateway_address=self._cfg.gateway_address,
@@ -189,8 +208,9 @@
         if got.sender == self._cfg.vm + WORKER_SUFFIX:
             self._take_from_worker(got, now)
         self._carry_out(state.receive(now, got))
-        if isinstance(got.body, ports.PeerMessage):
-            self._subscriptions.deliver(got.body)
+        message = received(got)
+        if message is not None:
+            self._subscriptions.deliver(message)
 
     def _take_from_worker(self, got: messages.Datagram, now: float) -> None:
         silent = self._worker_heard is None or now - self._worker_heard > WORKER_SILENT_S
@@ -198,12 +218,6 @@
         if silent:
             self._fed.clear()
 
-    async def _receive_for_worker(self, worker: datagrams.Socket) -> None:
-        while True:
-            for got in await worker.receive():
-                if isinstance(got.body, ports.PeerMessage):
-                    self._subscriptions.deliver(got.body)
-
     async def _tick(self) -> None:
         assert self._prober is not None
         while True:
@@ -243,7 +257,7 @@
     def _count(self) -> None:
         assert self._prober is not None
         states = [m.state for m in self._prober.members.values()]
-        for state in ports.MemberState:
+        for state in State:
             self._gauge.set({"state": state.value}, states.count(state))
 
     # The worker process -----------------------------------------------------------------
--- a/src/cornelgrade/services/worker_view.py
+++ b/src/cornelgrade/services/worker_view.py
@@ -95,8 +95,9 @@
             await trio.sleep(JOIN_INTERVAL_S)
 
     def _take(self, got: messages.Datagram) -> None:
-        if isinstance(got.body, ports.PeerMessage):
-            self._subscriptions.deliver(got.body)
+        message = membership.received(got)
+        if message is not None:
+            self._subscriptions.deliver(message)
         elif got.sender == self._cfg.vm:
             self._follow(got.members)
 
--- a/tests/fleet/test_membership_service.py
+++ b/tests/fleet/test_membership_service.py
@@ -107,7 +107,7 @@
         at_vm2 = fleet.members["vm2"].subscribe(ports.Quarantined)
         worker.spread(ports.Quarantined("f" * 64, 2, 60.0))
         with trio.fail_after(5.0):
-            assert await loads.receive() == ports.Load("engine-1", 3, 1)
+            assert await loads.receive() == ports.Load("engine-1", 3, 1, vm="vm3")
             assert await leaving.receive() == ports.Leaving("engine-1")
             assert await at_vm2.receive() == ports.Quarantined("f" * 64, 2, 60.0)
         nursery.cancel_scope.cancel()
