--- /dev/null
+++ b/src/cornelgrade/services/_answers.py
@@ -0,0 +1,80 @@
+"""Where answers are kept: small ones within their record, large ones in objects of their own."""
+
+import contextlib
+from collections.abc import Awaitable, Callable
+
+from cornelgrade.adapters import platform
+from cornelgrade.policy import idempotency
+from cornelgrade.services import ports
+
+KIND = "answer"
+INLINE_BYTES = 8_000
+PART_BYTES = 900_000
+MAX_CONTENT_TYPE_CHARS = 200
+NAME_UNIT_S = 3_600
+TIDY_PAGE = 4
+
+Prepare = Callable[[], Awaitable[None]]
+
+
+class Answers:
+    """Packs and reads answers.
+
+    Names of objects begin with the hour in which they expire, so that old ones come first in a
+    list and are found without a scan.
+
+    :param store: the platform's object API.
+    """
+
+    def __init__(self, store: platform.Platform) -> None:
+        self._store = store
+
+    def pack(
+        self, answer: ports.StoredAnswer, nonce: str, expires_at_s: float
+    ) -> tuple[idempotency.Answer, Prepare | None]:
+        """Give what goes into the record, and what has to be written before it, if anything."""
+        content_type = answer.content_type[:MAX_CONTENT_TYPE_CHARS]
+        if len(answer.body) <= INLINE_BYTES:
+            return idempotency.Answer(answer.status, content_type, answer.body), None
+        starts = range(0, len(answer.body), PART_BYTES)
+        hour = int(expires_at_s // NAME_UNIT_S) + 1
+        parts = {
+            f"{hour:08d}-{nonce}-{number:03d}": answer.body[start : start + PART_BYTES]
+            for number, start in enumerate(starts)
+        }
+        packed = idempotency.Answer(answer.status, content_type, b"", tuple(parts))
+        return packed, lambda: self._write(parts, nonce)
+
+    async def read(self, answer: idempotency.Answer) -> ports.StoredAnswer:
+        """Give the whole answer.
+
+        :raises UnavailableError: if a part of it cannot be read.
+        """
+        bodies = [answer.body]
+        for name in answer.parts:
+            stored = await self._store.get(KIND, name)
+            if stored is None:
+                raise platform.UnavailableError(f"no part {name}", step="read answer")
+            bodies.append(stored.value)
+        return ports.StoredAnswer(answer.status, answer.content_type, b"".join(bodies))
+
+    async def tidy(self, now_s: float) -> None:
+        """Delete the objects whose hour is over, oldest first.
+
+        :raises UnavailableError: if the platform does not answer.
+        """
+        hour = f"{int(now_s // NAME_UNIT_S):08d}"
+        while True:
+            page = await self._store.list(KIND, limit=TIDY_PAGE)
+            old = [stored for stored in page if stored.name < hour]
+            for stored in old:
+                with contextlib.suppress(platform.ConflictError):
+                    await self._store.delete(KIND, stored.name, stored.version)
+            if len(old) < TIDY_PAGE:
+                return
+
+    async def _write(self, parts: dict[str, bytes], nonce: str) -> None:
+        """Create the parts; one that is already there was created by an earlier try."""
+        for name, body in parts.items():
+            with contextlib.suppress(platform.ConflictError):
+                await self._store.create(KIND, name, body, nonce)
--- a/src/cornelgrade/services/ports.py
+++ b/src/cornelgrade/services/ports.py
@@ -196,6 +196,14 @@
     nonce: str
 
 
+class RequestState(enum.StrEnum):
+    """State of a keyed request that has no stored answer."""
+
+    RUNNING = "running"
+    UNKNOWN = "unknown"
+    NOT_FOUND = "not_found"
+
+
 class Records(Protocol):
     """The service ``records``: durable outcomes of keyed requests."""
 
@@ -206,17 +214,30 @@
         running twin up to ``claim.wait_s``.
 
         :raises Refusal: ``CONFLICT`` (other body), ``OUTCOME_UNKNOWN`` (ran at a VM that died),
-            ``UNAVAILABLE`` (not run: the record could not be made).
+            ``UNAVAILABLE`` (not run: the record could not be made), ``DEADLINE`` (the twin still
+            runs after ``wait_s``; ``ran`` is unknown).
         """
 
     async def finish(self, run: Run, answer: StoredAnswer) -> bool:
-        """Store the answer; false if it waits in the backlog for the platform to return."""
+        """Store the answer; false if it is not what a resend will get.
+
+        Then it waits in the backlog for the platform to return, or an earlier answer stands.
+        """
+
+    async def store(self, run: Run, answer: StoredAnswer) -> StoredAnswer:
+        """Store the answer and give the one that stands, for callers that have no byte yet.
+
+        ``recorded`` is false if it waits in the backlog for the platform to return.
+        """
 
     async def abandon(self, run: Run, ran: errors.Ran) -> None:
         """Give the claim up: released if nothing ran or it is idempotent, else kept unknown."""
 
     async def lookup(self, team: str, key: str) -> StoredAnswer | None:
-        """Read a stored answer."""
+        """Read a stored answer; raises ``UNAVAILABLE`` if the platform cannot be read."""
+
+    async def inspect(self, team: str, key: str) -> StoredAnswer | RequestState:
+        """Read a stored answer or the state of a request that has none; raises as ``lookup``."""
 
 
 class Verdict(enum.Enum):
