--- a/src/cornelgrade/services/ports.py
+++ b/src/cornelgrade/services/ports.py
@@ -2,11 +2,14 @@
 
 import dataclasses
 import enum
-from typing import Protocol
+from typing import Protocol, TypeVar, runtime_checkable
 
 import trio
 
-from cornelgrade import errors, manifest
+from cornelgrade import errors, manifest, reports
+from cornelgrade.adapters import engine
+
+T = TypeVar("T")
 
 
 class MemberState(enum.StrEnum):
@@ -58,19 +61,30 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Load:
-    """A gateway tells an engine's batch owner its outstanding online requests."""
+    """A gateway tells an engine's batch owner its outstanding online requests.
+
+    Sent when it changes and at least every second: an owner that hears nothing for a few seconds
+    falls back to a small window.
+
+    :param vm: the gateway's VM, set by the membership that receives it.
+    """
 
     upstream: str
     outstanding: int
     queued: int
+    vm: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Yield:
-    """A gateway asks an engine's batch owner to free slots at once."""
+    """A gateway asks an engine's batch owner to free slots at once.
+
+    :param vm: the gateway's VM, set by the membership that receives it.
+    """
 
     upstream: str
     slots: int
+    vm: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -93,7 +107,23 @@
     upstream: str
 
 
-PeerMessage = Load | Yield | Quarantined | Leaving
+@dataclasses.dataclass(frozen=True, slots=True)
+class Share:
+    """An engine's owner tells a gateway how many requests it may have outstanding there."""
+
+    upstream: str
+    slots: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class VersionHeard:
+    """A member has a later manifest in force than any that was heard of before."""
+
+    vm: str
+    version: int
+
+
+PeerMessage = Load | Yield | Share | Quarantined | Leaving
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -121,8 +151,17 @@
     def spread(self, message: PeerMessage) -> None:
         """Queue a message to every gateway of the region, carried by the probing rounds."""
 
-    def subscribe(self, kind: type[PeerMessage]) -> trio.MemoryReceiveChannel[PeerMessage]:
-        """Receive the messages of one type that peers sent; a slow reader loses the oldest."""
+    def subscribe(self, kind: type[T]) -> trio.MemoryReceiveChannel[T]:
+        """Receive one type of peer message or :class:`VersionHeard`.
+
+        A slow reader loses the oldest.
+        """
+
+    def set_version(self, version: int) -> None:
+        """Tell the others which manifest version is in force at this VM."""
+
+    def leave(self) -> None:
+        """Announce that this VM takes no new work; the members keep it out from then on."""
 
 
 class Configuration(Protocol):
@@ -153,7 +192,12 @@
 
 
 class Stories(Protocol):
-    """The service ``stories``: bounded recent history, the source of ``explain``."""
+    """The service ``stories``: bounded recent history, the source of ``explain``.
+
+    What belongs to a team is noted under ``TEAM/ID``, where the id is a request's id or key, a
+    job's id or ``JOB/CUSTOM_ID``, so that a team can read its own stories and no others. The
+    rest is noted under ``manifest/VERSION`` and ``UPSTREAM/order``.
+    """
 
     def note(self, subject: str, step: str, sentence: str, peer: str = "") -> None:
         """Add a step to the story of ``subject``."""
@@ -161,6 +205,27 @@
     def tell(self, subject: str) -> tuple[Step, ...]:
         """Give a story, oldest step first."""
 
+    def find(self, identifier: str) -> tuple[str, ...]:
+        """Give the subjects that are ``identifier`` or end with ``/`` and it."""
+
+
+@runtime_checkable
+class Reports(Protocol):
+    """A service that has something to say in ``GET /v1/status``; any service may offer it."""
+
+    def report(self) -> reports.Report:
+        """Give a snapshot; it is asked about once a second and must be cheap."""
+
+
+class Conditions(Protocol):
+    """The service ``conditions``: what is degraded in this process and since when."""
+
+    def status(self) -> reports.Status:
+        """Give the fleet's state as this VM sees it."""
+
+    def ready(self) -> bool:
+        """Tell whether a balancer should send requests here."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Claim:
@@ -240,6 +305,16 @@
         """Read a stored answer or the state of a request that has none; raises as ``lookup``."""
 
 
+class UpstreamPool(Protocol):
+    """The service ``upstreams``: a client for each upstream of the manifest in force."""
+
+    def get(self, name: str) -> engine.Upstream:
+        """Give the client of one upstream.
+
+        :raises KeyError: if the manifest has no such upstream.
+        """
+
+
 class Verdict(enum.Enum):
     """How a request fingerprint may run."""
 
--- /dev/null
+++ b/tests/samples.py
@@ -0,0 +1,46 @@
+"""Small correct documents that tests change."""
+
+import hashlib
+import json
+
+from cornelgrade import checked
+from cornelgrade import manifest as manifests
+from cornelgrade import settings as settings_module
+
+TEAM_KEY = "clinic-key"
+
+TEAM = {
+    "name": "clinic",
+    "key_hashes": [hashlib.sha256(TEAM_KEY.encode()).hexdigest()],
+    "priorities": ["nurse"],
+}
+UPSTREAM = {
+    "name": "engine-1",
+    "service": "lishe-llm",
+    "failure_domain": "dar-ubungo",
+    "address": "127.0.0.1:9001",
+}
+MANIFEST = {
+    "services": [{"name": "lishe-llm", "models": ["lishe"]}],
+    "priorities": [{"name": "nurse", "rank": 0}],
+    "teams": [TEAM],
+    "upstreams": [UPSTREAM],
+}
+SETTINGS = {
+    "vm": "entry-1",
+    "failure_domain": "dar-ubungo",
+    "gateway_address": "127.0.0.1:8080",
+    "peer_address": "127.0.0.1:8081",
+    "worker_address": "127.0.0.1:8082",
+    "platform_url": "http://127.0.0.1:8090",
+    "peer_key_file": "peer.key",
+}
+
+
+def manifest(**change) -> manifests.Manifest:
+    return checked.load_manifest(json.dumps({**MANIFEST, **change}).encode())
+
+
+def settings(**change) -> settings_module.Settings:
+    raw = json.dumps({**SETTINGS, **change}).encode()
+    return checked.decode(raw, settings_module.Settings)
