explain asks the other processes of the fleet

peer_auth is taken out of peer_manifest, so that both peer routes share it; a tag now covers its path. At 390 VMs one explain is 780 calls; asking only the VM that a request id names is not built.

--- a/src/cornelgrade/commands/operate.py
+++ b/src/cornelgrade/commands/operate.py
@@ -28,8 +28,8 @@
     for step in story.steps:
         where = f"{step.vm} {step.step}"
         _output.write(f"{_output.clock(step.at_s)}  {where}: {step.sentence}{_at(step.peer)}")
-    if story.silent_vms:
-        _output.write(f"No answer from {', '.join(story.silent_vms)}; the story may have gaps.")
+    if story.silent:
+        _output.write(f"No answer from {', '.join(story.silent)}; the story may have gaps.")
     return errors.ExitCode.OK
 
 
--- a/src/cornelgrade/reports.py
+++ b/src/cornelgrade/reports.py
@@ -105,9 +105,9 @@
 class Story(msgspec.Struct, frozen=True):
     """What ``GET /v1/explain/ID`` answers.
 
-    :param silent_vms: VMs that were asked and did not answer, so the story may have gaps.
+    :param silent: processes that were asked and did not answer, so the story may have gaps.
     """
 
     subject: str
     steps: tuple[StoryStep, ...]
-    silent_vms: tuple[str, ...] = ()
+    silent: tuple[str, ...] = ()
--- /dev/null
+++ b/src/cornelgrade/services/peer_stories.py
@@ -0,0 +1,65 @@
+"""The service ``peer_stories``: asks the other processes of the fleet for their stories."""
+
+from collections.abc import Callable
+
+import httpx
+import trio
+
+from cornelgrade import errors, kernel, settings
+from cornelgrade.adapters import peer_key, peer_stories
+from cornelgrade.services import ports
+
+TIMEOUT_S = 1.0
+MAX_AT_ONCE = 32
+
+
+class PeerStories:
+    """Asks every usable VM's gateway and worker; a slow or dead one is named, not waited for."""
+
+    name = "peer_stories"
+
+    def __init__(
+        self, kern: kernel.Kernel, cfg: settings.Settings, key: peer_key.PeerKey | None = None
+    ) -> None:
+        self._kern = kern
+        self._cfg = cfg
+        self._key = key or peer_key.read(cfg.peer_key_file)
+        self._fetcher: peer_stories.Fetcher | None = None
+
+    async def run(self, started: Callable[[], None]) -> None:
+        """Keep the connections until cancelled."""
+        scheme = "https" if self._cfg.tls is not None else "http"
+        async with httpx.AsyncClient(timeout=TIMEOUT_S, verify=False, trust_env=False) as client:
+            self._fetcher = peer_stories.Fetcher(client, self._key, self._cfg.vm, scheme)
+            started()
+            await trio.sleep_forever()
+
+    async def gather(self, scope: ports.StoryScope, identifier: str) -> ports.Gathered:
+        """Ask all of them at once, for a bounded time."""
+        found: list[peer_stories.Steps] = []
+        silent: list[str] = []
+        limit = trio.CapacityLimiter(MAX_AT_ONCE)
+
+        async def ask(name: str, address: str) -> None:
+            assert self._fetcher is not None
+            async with limit:
+                try:
+                    found.append(await self._fetcher.fetch(address, scope, identifier))
+                except errors.CornelgradeError:
+                    silent.append(name)
+
+        async with trio.open_nursery() as nursery:
+            for name, address in self._others().items():
+                nursery.start_soon(ask, name, address)
+        steps = sorted((step for steps in found for step in steps), key=lambda step: step.at_s)
+        return ports.Gathered(tuple(steps), tuple(sorted(silent)))
+
+    def _others(self) -> dict[str, str]:
+        """Name the processes to ask, with their addresses: this VM's worker is one of them."""
+        view = self._kern.find("membership", ports.Membership).view()
+        others = {f"{self._cfg.vm} worker": self._cfg.worker_address}
+        for member in view.usable():
+            if member.vm != self._cfg.vm:
+                others[f"{member.vm} gateway"] = member.gateway_address
+                others[f"{member.vm} worker"] = member.worker_address
+        return others
--- a/src/cornelgrade/services/ports.py
+++ b/src/cornelgrade/services/ports.py
@@ -208,6 +208,28 @@
         """Give the subjects that are ``identifier`` or end with ``/`` and it."""
 
 
+class StoryScope(enum.StrEnum):
+    """Which subjects an identifier stands for: itself, or all that :meth:`Stories.find` gives."""
+
+    EXACT = "exact"
+    ANY = "any"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Gathered:
+    """What other processes know of a subject; ``silent`` names those that did not answer."""
+
+    steps: tuple[reports.StoryStep, ...]
+    silent: tuple[str, ...]
+
+
+class PeerStories(Protocol):
+    """The service ``peer_stories``: asks the other processes of the fleet for their stories."""
+
+    async def gather(self, scope: StoryScope, identifier: str) -> Gathered:
+        """Ask all of them at once, for a bounded time."""
+
+
 @runtime_checkable
 class Reports(Protocol):
     """A service that has something to say in ``GET /v1/status``; any service may offer it."""
--- a/src/cornelgrade/services/web/manifest.py
+++ b/src/cornelgrade/services/web/manifest.py
@@ -5,7 +5,7 @@
 import quart
 
 from cornelgrade import errors, kernel, settings
-from cornelgrade.adapters import peer_key, peer_manifest, platform_http
+from cornelgrade.adapters import peer_auth, peer_key, peer_manifest, platform_http
 from cornelgrade.policy import manifest_rules
 from cornelgrade.services import ports
 from cornelgrade.services.web import access
@@ -64,13 +64,15 @@
 
     @routes.get(peer_manifest.PATH)
     async def read_as_peer() -> quart.Response:
-        header = quart.request.headers.get(peer_manifest.AUTH_HEADER)
-        nonce = peer_manifest.check_auth(key, header, cfg.gateway_address, time.time())
+        header = quart.request.headers.get(peer_auth.AUTH_HEADER)
+        nonce = peer_auth.check_auth(
+            key, header, cfg.gateway_address, peer_manifest.PATH, time.time()
+        )
         found = _in_force(kern)
         body = manifest_rules.encode(found.manifest)
         made = _answer(found, body)
-        tag = peer_manifest.answer_tag(key, nonce, found.version, body)
-        made.headers[peer_manifest.TAG_HEADER] = tag
+        tag = peer_auth.answer_tag(key, nonce, str(found.version).encode(), body)
+        made.headers[peer_auth.TAG_HEADER] = tag
         return made
 
     return routes
--- a/tests/cli/test_cli.py
+++ b/tests/cli/test_cli.py
@@ -131,9 +131,9 @@
     assert "6 (behind)" in shown
 
 
-def test_explain_is_told_in_order_and_names_silent_vms(gateway, capsys):
+def test_explain_is_told_in_order_and_names_the_silent(gateway, capsys):
     step = reports.StoryStep(at_s=1.5, vm="entry-1", step="route", sentence="Chose engine-2.")
-    story = reports.Story(subject="clinic/k 1", steps=(step,), silent_vms=("entry-3",))
+    story = reports.Story(subject="clinic/k 1", steps=(step,), silent=("entry-3 worker",))
     gateway.on(
         "GET", "/v1/explain/clinic/k 1", httpx.Response(200, json=msgspec.to_builtins(story))
     )
--- a/tests/web/test_operations.py
+++ b/tests/web/test_operations.py
@@ -1,4 +1,5 @@
 import itertools
+import pathlib
 
 import msgspec
 import pytest
@@ -32,9 +33,12 @@
 class System:
     """The operators' routes over small fakes."""
 
-    def __init__(self) -> None:
+    def __init__(self, key_file: pathlib.Path) -> None:
         ticks = itertools.count(100)
-        cfg = samples.settings(operator_key_hashes=[access.key_hash("operator")])
+        key_file.write_text("5e" * 32)
+        cfg = samples.settings(
+            operator_key_hashes=[access.key_hash("operator")], peer_key_file=str(key_file)
+        )
         self.kern = kernel.Kernel()
         self.configuration = Configuration(ports.Accepted(samples.manifest(), 7))
         self.reporter = Reporter()
@@ -55,8 +59,8 @@
 
 
 @pytest.fixture
-def system() -> System:
-    return System()
+def system(tmp_path) -> System:
+    return System(tmp_path / "peer.key")
 
 
 async def test_status_says_what_is_in_force_and_that_nothing_is_degraded(system):
--- /dev/null
+++ b/tests/web/test_peer_stories.py
@@ -0,0 +1,133 @@
+import pathlib
+import socket
+import time
+
+import httpx
+import msgspec
+import pytest
+import trio
+from tests import samples
+
+from cornelgrade import kernel, reports
+from cornelgrade.adapters import peer_auth, peer_key
+from cornelgrade.adapters import peer_stories as adapter
+from cornelgrade.services import conditions, drain, peer_stories, ports, stories
+from cornelgrade.services.web import access, app, operations, server
+
+OPERATOR = {"Authorization": "Bearer operator"}
+TEAM = {"Authorization": f"Bearer {samples.TEAM_KEY}"}
+
+
+class Configuration:
+    name = "configuration"
+
+    def current(self) -> ports.Accepted:
+        return ports.Accepted(samples.manifest(), 7)
+
+
+class Membership:
+    name = "membership"
+
+    def __init__(self, view: ports.View) -> None:
+        self._view = view
+
+    def view(self) -> ports.View:
+        return self._view
+
+
+def free_address() -> str:
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{sock.getsockname()[1]}"
+
+
+def member(vm: str, gateway_address: str) -> ports.Member:
+    state = ports.MemberState.ALIVE
+    nobody = free_address()
+    return ports.Member(vm, "maipu", "santiago", 1, state, nobody, nobody, gateway_address)
+
+
+class Vm:
+    """A gateway that offers the operators' routes."""
+
+    def __init__(self, name: str, view: ports.View, key_file: pathlib.Path) -> None:
+        me = next(m for m in view.members if m.vm == name)
+        self.cfg = samples.settings(
+            vm=name,
+            gateway_address=me.gateway_address,
+            worker_address=me.worker_address,
+            peer_key_file=str(key_file),
+            operator_key_hashes=[access.key_hash("operator")],
+        )
+        self.kern = kernel.Kernel()
+        self.stories = stories.Stories()
+        web_app = app.make([operations.blueprint(self.kern, self.cfg)])
+        for service in (Configuration(), Membership(view), self.stories, drain.Drain(0.0)):
+            self.kern.add(service)
+        self.kern.add(conditions.Conditions(self.kern, self.cfg))
+        self.kern.add(peer_stories.PeerStories(self.kern, self.cfg))
+        self.web = server.Web(self.kern, self.cfg, web_app)
+        self.web_app = web_app
+
+    async def serve(self, task_status: trio.TaskStatus[None]) -> None:
+        async with trio.open_nursery() as nursery:
+            asker = self.kern.find("peer_stories", peer_stories.PeerStories)
+            await nursery.start(lambda task_status: asker.run(task_status.started))
+            await nursery.start(lambda task_status: self.web.run(task_status.started))
+            task_status.started()
+            await trio.sleep_forever()
+
+    async def get(self, path: str, headers: dict[str, str]) -> httpx.Response:
+        async with httpx.AsyncClient(trust_env=False) as client:
+            return await client.get(f"http://{self.cfg.gateway_address}{path}", headers=headers)
+
+
+@pytest.fixture
+async def vms(nursery, tmp_path):
+    key_file = tmp_path / "peer.key"
+    key_file.write_text("5e" * 32)
+    names = ("entry-1", "entry-2")
+    view = ports.View("entry-1", tuple(member(name, free_address()) for name in names))
+    made = [Vm(name, view, key_file) for name in names]
+    drains = [vm.kern.find("drain", drain.Drain) for vm in made]
+    for vm in made:
+        await nursery.start(vm.serve)
+    yield made
+    for draining in drains:
+        draining.begin()
+    nursery.cancel_scope.cancel()
+
+
+async def test_story_is_put_together_from_all_vms_in_order(vms):
+    vms[0].stories.note("clinic/r1", "admit", "Taken.")
+    vms[1].stories.note("clinic/r1", "route", "Sent.", "engine-2")
+    vms[1].stories.note("other/r1", "admit", "Of another team.")
+    for headers, expected in ((TEAM, ["Taken.", "Sent."]), (OPERATOR, ["Taken.", "Sent."])):
+        answer = await vms[0].get("/v1/explain/r1", headers)
+        story = msgspec.json.decode(answer.content, type=reports.Story)
+        sentences = [s.sentence for s in story.steps if s.sentence != "Of another team."]
+        assert sentences == expected
+        assert [step.vm for step in story.steps][:2] == ["entry-1", "entry-2"]
+        assert len(story.steps) == (2 if headers is TEAM else 3)
+        assert story.silent == ("entry-1 worker", "entry-2 worker")
+
+
+async def test_story_that_only_a_peer_knows_is_told(vms):
+    vms[1].stories.note("clinic/j1/a b", "run", "Item ran.")
+    answer = await vms[0].get("/v1/explain/j1/a%20b", TEAM)
+    assert [s.sentence for s in msgspec.json.decode(answer.content, type=reports.Story).steps]
+
+
+@pytest.mark.parametrize("wrong", ["key", "path", "address", "old", "none"])
+async def test_only_peers_may_ask_for_stories(vms, wrong):
+    vms[1].stories.note("clinic/r1", "admit", "Taken.")
+    key = peer_key.derive(b"other" if wrong == "key" else b"5e" * 32)
+    address = "127.0.0.1:1" if wrong == "address" else vms[1].cfg.gateway_address
+    path = adapter.signed_path(ports.StoryScope.EXACT, "clinic/r1")
+    now_s = time.time() - (120.0 if wrong == "old" else 0.0)
+    signed = "/v1/peer/manifest" if wrong == "path" else path
+    header, _ = peer_auth.auth_header(key, "entry-1", address, signed, now_s)
+    headers = {} if wrong == "none" else {peer_auth.AUTH_HEADER: header}
+    answer = await vms[1].get(path, headers)
+    assert answer.status_code == 401
+    assert "Taken" not in answer.text
