Control answers of another kind are typed failures; records wired in; a clear line when a service dies

Cause: the worker asked the plain service for a load report and died of msgspec's ValidationError, so the job never ended (tests/process/test_whole_path.py, red before). Ruled out: the job store (the items were readable as pending) and membership.

--- a/src/cornelgrade/adapters/upstream_http.py
+++ b/src/cornelgrade/adapters/upstream_http.py
@@ -3,6 +3,7 @@
 import contextlib
 import types
 from collections.abc import AsyncIterator
+from typing import TypeVar
 
 import httpx
 import msgspec
@@ -10,6 +11,8 @@
 
 from cornelgrade.adapters import engine
 
+T = TypeVar("T")
+
 CONNECT_TIMEOUT_S = 1.0
 CONTROL_TIMEOUT_S = 2.0
 IDLE_EXPIRY_S = 15.0
@@ -162,32 +165,30 @@
     async def cancel(self, stream_id: str) -> engine.Cancelled:
         """Stop a running call; an engine that cannot be asked counts as knowing no such call."""
         try:
-            answer = await self._control("DELETE", f"/v1/streams/{stream_id}")
+            return await self._control(engine.Cancelled, "DELETE", f"/v1/streams/{stream_id}")
         except engine.CallError:
             return engine.Cancelled(found=False)
-        return msgspec.json.decode(answer, type=engine.Cancelled)
 
     async def load(self) -> engine.Load:
         """Read the load report."""
-        return msgspec.json.decode(await self._control("GET", "/v1/load"), type=engine.Load)
+        return await self._control(engine.Load, "GET", "/v1/load")
 
     async def state(self) -> engine.EngineState:
         """Read what the engine runs."""
-        answer = await self._control("GET", "/v1/models")
-        return msgspec.json.decode(answer, type=engine.EngineState)
+        return await self._control(engine.EngineState, "GET", "/v1/models")
 
     async def order(self, order: engine.Order) -> engine.EngineState:
         """Give an order.
 
         :raises CallError: ``ANSWERED`` when the engine refuses it.
         """
-        answer = await self._control("POST", "/v1/orders", msgspec.json.encode(order))
-        return msgspec.json.decode(answer, type=engine.EngineState)
+        body = msgspec.json.encode(order)
+        return await self._control(engine.EngineState, "POST", "/v1/orders", body)
 
     async def cache_events(self, after: int) -> tuple[engine.CacheEvent, ...]:
         """Read cache events later than sequence number ``after``."""
-        answer = await self._control("GET", f"/v1/cache/events?after={after}")
-        return msgspec.json.decode(answer, type=tuple[engine.CacheEvent, ...])
+        path = f"/v1/cache/events?after={after}"
+        return await self._control(tuple[engine.CacheEvent, ...], "GET", path)
 
     async def _replace(self, silent: _Connections) -> None:
         """Use new connections from now on; calls on the old ones go on."""
@@ -213,7 +214,8 @@
         except httpx.HTTPError as exc:
             raise self._failed("send", repr(exc), engine.Progress.SENT) from exc
 
-    async def _control(self, method: str, path: str, body: bytes = b"") -> bytes:
+    async def _control(self, kind: type[T], method: str, path: str, body: bytes = b"") -> T:
+        """Make a small call and decode its answer; one that is no ``kind`` is a failure too."""
         try:
             with trio.fail_after(CONTROL_TIMEOUT_S):
                 answer = await self._connections.client.request(method, path, content=body)
@@ -223,7 +225,10 @@
             raise self._failed("control", repr(exc), engine.Progress.SENT) from exc
         if answer.status_code >= 400:
             raise self._failed("control", answer.text[:200], engine.Progress.ANSWERED)
-        return answer.content
+        try:
+            return msgspec.json.decode(answer.content, type=kind)
+        except msgspec.DecodeError as exc:
+            raise self._failed("control", str(exc), engine.Progress.ANSWERED) from exc
 
     def _failed(
         self, step: str, message: str, progress: engine.Progress, silent: bool = False
--- a/src/cornelgrade/daemons.py
+++ b/src/cornelgrade/daemons.py
@@ -4,12 +4,13 @@
 import dataclasses
 import random
 import signal
+import sys
 from collections.abc import AsyncIterator, Callable
 
 import quart
 import trio
 
-from cornelgrade import kernel, logs, settings
+from cornelgrade import errors, kernel, logs, settings
 from cornelgrade.adapters import peer_key, peer_manifest, platform, platform_http
 from cornelgrade.services import (
     batch,
@@ -21,6 +22,8 @@
     load_reports,
     membership,
     online,
+    peer_stories,
+    records,
     router,
     share_grants,
     stories,
@@ -34,6 +37,7 @@
 from cornelgrade.services.web import online as web_online
 
 _log = logs.Logger("daemon")
+_RESTART = kernel.Supervision(on_exit=kernel.OnExit.RESTART)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -79,10 +83,12 @@
     """Add a gateway's services, in the order in which they start."""
     members = membership.Membership(cfg)
     _add_common(kern, cfg, outside, members, cfg.drain_grace_s)
+    kern.add(records.make(kern, cfg, outside.store))
     kern.add(router.Router(kern, cfg.failure_domain, random.Random()))
     kern.add(online.Online(kern))
-    kern.add(load_reports.LoadReports(kern, cfg))
-    kern.add(conditions.Conditions(kern, cfg))
+    kern.add(load_reports.LoadReports(kern, cfg), _RESTART)
+    kern.add(peer_stories.PeerStories(kern, cfg), _RESTART)
+    kern.add(conditions.Conditions(kern, cfg), _RESTART)
     kern.add(server.Web(kern, cfg, app.make(_blueprints(kern, cfg, outside))))
 
 
@@ -90,9 +96,12 @@
     """Add a worker's services, in the order in which they start."""
     members = worker_view.WorkerView(cfg)
     _add_common(kern, cfg, outside, members, 0.0)
-    kern.add(share_grants.ShareGrants(kern, cfg))
-    kern.add(leaving.LeavingWatch(kern, cfg, outside.store))
+    kern.add(share_grants.ShareGrants(kern, cfg), _RESTART)
+    kern.add(leaving.LeavingWatch(kern, cfg, outside.store), _RESTART)
     kern.add(batch.Batch(kern, cfg.vm, cfg.failure_domain, outside.store))
+    kern.add(conditions.Conditions(kern, cfg), _RESTART)
+    routes = operations.blueprint(kern, cfg, cfg.worker_address)
+    kern.add(server.Web(kern, cfg, app.make([routes]), cfg.worker_address))
 
 
 def _add_common(
@@ -153,19 +162,20 @@
 async def _drain_when(stopping: trio.Event, kern: kernel.Kernel) -> None:
     """Drain once asked to: announce it, let running work end, then stop."""
     await stopping.wait()
-    draining = kern.find("drain", drain.Drain)
     kern.find("membership", membership.Membership).leave()
-    draining.begin()
-    await draining.wait_drained()
     if kern.has("batch"):
         await kern.find("batch", batch.Batch).drain()
-    if not kern.has("web"):
-        kern.stop()
+    kern.find("drain", drain.Drain).begin()
 
 
 def _run(cfg: settings.Settings, program: Callable) -> None:
     with logs.handler(cfg.log_level, cfg.vm).applicationbound():
-        trio.run(_run_until_signalled, cfg, program)
+        try:
+            trio.run(_run_until_signalled, cfg, program)
+        except* Exception as group:
+            for exc in kernel.causes(group):
+                _log.error("failed", error=repr(exc), where=kernel.place(exc))
+            sys.exit(errors.ExitCode.FAILED)
 
 
 async def _run_until_signalled(cfg: settings.Settings, program: Callable) -> None:
--- a/src/cornelgrade/kernel.py
+++ b/src/cornelgrade/kernel.py
@@ -3,6 +3,8 @@
 import dataclasses
 import enum
 import math
+import pathlib
+import traceback
 from collections.abc import Callable
 from typing import Protocol, TypeVar
 
@@ -114,8 +116,25 @@
                 await service.run(started)
                 return
             except Exception as exc:
-                self._log.error("service_died", service=service.name, error=repr(exc))
+                self._log_death(service.name, exc)
                 if rule.on_exit is OnExit.STOP:
                     raise
             doublings = min(attempt, int(math.log2(rule.max_backoff_s / rule.backoff_s)) + 1)
             await trio.sleep(min(rule.backoff_s * 2**doublings, rule.max_backoff_s))
+
+    def _log_death(self, service: str, exc: Exception) -> None:
+        for cause in causes(exc):
+            self._log.error("service_died", died=service, error=repr(cause), where=place(cause))
+
+
+def causes(exc: BaseException) -> tuple[BaseException, ...]:
+    """Give the exceptions inside nested groups, or the exception itself."""
+    if isinstance(exc, BaseExceptionGroup):
+        return tuple(leaf for inner in exc.exceptions for leaf in causes(inner))
+    return (exc,)
+
+
+def place(exc: BaseException) -> str:
+    """Name the file and line where an exception was raised."""
+    frames = traceback.extract_tb(exc.__traceback__)
+    return f"{pathlib.PurePath(frames[-1].filename).name}:{frames[-1].lineno}" if frames else ""
--- a/src/cornelgrade/services/web/server.py
+++ b/src/cornelgrade/services/web/server.py
@@ -16,15 +16,20 @@
 
 
 class Web:
-    """Serves an application until the process has drained."""
+    """Serves an application until the process has drained.
+
+    :param address: where to listen, by default the gateway's address.
+    """
 
     name = "web"
 
-    def __init__(self, kern: kernel.Kernel, cfg: settings.Settings, app: QuartTrio) -> None:
+    def __init__(
+        self, kern: kernel.Kernel, cfg: settings.Settings, app: QuartTrio, address: str = ""
+    ) -> None:
         self._kern = kern
         self._app = app
         self._config = hypercorn.Config()
-        self._config.bind = [cfg.gateway_address]
+        self._config.bind = [address or cfg.gateway_address]
         self._config.keep_alive_timeout = KEEP_ALIVE_S
         self._config.graceful_timeout = SHUTDOWN_TIMEOUT_S
         self._config.errorlog = logging.getLogger("hypercorn.error")
--- a/tests/process/test_whole_path.py
+++ b/tests/process/test_whole_path.py
@@ -41,8 +41,10 @@
         job = accepted.json()["id"]
         end_s = time.monotonic() + 20
         while time.monotonic() < end_s:
-            if client.get(f"/v1/jobs/{job}").json()["state"] == "completed":
+            if client.get(f"/v1/jobs/{job}").json()["state"] == "done":
                 break
             time.sleep(0.1)
+        else:
+            pytest.fail("the job did not end")
         results = client.get(f"/v1/jobs/{job}/results").text.splitlines()
     assert [json.loads(line)["custom_id"] for line in results] == [i["custom_id"] for i in items]
