--- a/src/cornelgrade/daemons.py
+++ b/src/cornelgrade/daemons.py
@@ -21,6 +21,7 @@
     load_reports,
     membership,
     online,
+    records,
     router,
     share_grants,
     stories,
@@ -32,6 +33,7 @@
 from cornelgrade.services.web import jobs as web_jobs
 from cornelgrade.services.web import manifest as web_manifest
 from cornelgrade.services.web import online as web_online
+from cornelgrade.services.web import requests as web_requests
 
 _log = logs.Logger("daemon")
 
@@ -79,6 +81,7 @@
     """Add a gateway's services, in the order in which they start."""
     members = membership.Membership(cfg)
     _add_common(kern, cfg, outside, members, cfg.drain_grace_s)
+    kern.add(records.make(kern, cfg, outside.store))
     kern.add(router.Router(kern, cfg.failure_domain, random.Random()))
     kern.add(online.Online(kern))
     kern.add(load_reports.LoadReports(kern, cfg))
@@ -117,6 +120,7 @@
 ) -> tuple[quart.Blueprint, ...]:
     return (
         web_online.blueprint(kern),
+        web_requests.blueprint(kern, cfg),
         web_manifest.blueprint(kern, cfg),
         web_jobs.blueprint(kern, cfg, job_store.JobStore(outside.store)),
         operations.blueprint(kern, cfg),
--- a/src/cornelgrade/services/records.py
+++ b/src/cornelgrade/services/records.py
@@ -89,7 +89,7 @@
         self._backlog = 0
         self._backlog_bytes = 0
         self._backlog_gauge = metrics.gauge(
-            "records_backlog", "Answers that wait for the platform."
+            "cornelgrade_records_backlog", "Answers that wait for the platform."
         )
 
     async def run(self, started: Callable[[], None]) -> None:
