--- a/src/cornelgrade/daemons.py
+++ b/src/cornelgrade/daemons.py
@@ -35,6 +35,7 @@
 from cornelgrade.services.web import jobs as web_jobs
 from cornelgrade.services.web import manifest as web_manifest
 from cornelgrade.services.web import online as web_online
+from cornelgrade.services.web import requests as web_requests
 
 _log = logs.Logger("daemon")
 _RESTART = kernel.Supervision(on_exit=kernel.OnExit.RESTART)
@@ -126,6 +127,7 @@
 ) -> tuple[quart.Blueprint, ...]:
     return (
         web_online.blueprint(kern),
+        web_requests.blueprint(kern, cfg),
         web_manifest.blueprint(kern, cfg),
         web_jobs.blueprint(kern, cfg, job_store.JobStore(outside.store)),
         operations.blueprint(kern, cfg),
