Worker's own HTTP side, whole manifest checks on the command line, deadline refusals

A worker's stories and metrics could not be read: it has no HTTP. It now serves the operators' routes on TCP at worker_address (server.SideWeb); the gateway asks it in explain. Deadline: a request whose time ran out inside an attempt went back to the router, which refused it as overloaded with ran unknown (seen with frozen engines and a deadline of 100 ms); it is refused as deadline now. manifest_rules' problems begin with $. like all other paths, and its test expects exactly that.

--- a/src/cornelgrade/commands/check.py
+++ b/src/cornelgrade/commands/check.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from cornelgrade import checked, errors
-from cornelgrade.commands import _output
+from cornelgrade.commands import _files, _output
 
 
 def check(args: dict[str, Any]) -> errors.ExitCode:
@@ -19,7 +19,7 @@
     if kind == "settings":
         checked.load_settings(path)
     else:
-        checked.load_manifest(raw)
+        _files.read_manifest(path)
     if args["--json"]:
         _output.write_json({"file": path, "kind": kind, "problems": []})
     else:
--- a/src/cornelgrade/commands/manifests.py
+++ b/src/cornelgrade/commands/manifests.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from cornelgrade import checked, errors
-from cornelgrade.commands import _client, _diff, _output
+from cornelgrade.commands import _client, _diff, _files, _output
 
 _PATH = "/v1/manifest"
 
@@ -25,8 +25,7 @@
 
 def put(args: dict[str, Any]) -> errors.ExitCode:
     """Check a manifest here, then ask the system to accept it."""
-    raw = checked.read_file(args["FILE"])
-    checked.load_manifest(raw)
+    raw, _ = _files.read_manifest(args["FILE"])
     headers = {"Content-Type": "application/json"}
     if args["--if-match"]:
         headers["If-Match"] = f'"{args["--if-match"]}"'
@@ -42,7 +41,7 @@
 
 def diff(args: dict[str, Any]) -> errors.ExitCode:
     """Compare a file with the manifest in force; the exit code is 1 if they differ."""
-    wanted = checked.load_manifest(checked.read_file(args["FILE"]))
+    _, wanted = _files.read_manifest(args["FILE"])
     with _client.Client(args) as client:
         answer = client.call("GET", _PATH)
     in_force = checked.load_manifest(answer.content)
--- a/src/cornelgrade/daemons.py
+++ b/src/cornelgrade/daemons.py
@@ -20,6 +20,7 @@
     load_reports,
     membership,
     online,
+    peer_stories,
     router,
     share_grants,
     stories,
@@ -81,6 +82,7 @@
     kern.add(online.Online(kern))
     kern.add(load_reports.LoadReports(kern, cfg))
     kern.add(conditions.Conditions(kern, cfg))
+    kern.add(peer_stories.PeerStories(kern, cfg))
     kern.add(server.Web(kern, cfg, app.make(_blueprints(kern, cfg))))
 
 
@@ -91,6 +93,9 @@
     kern.add(share_grants.ShareGrants(kern, cfg))
     kern.add(leaving.LeavingWatch(kern, cfg, outside.store))
     kern.add(batch.Batch(kern, cfg.vm, cfg.failure_domain, outside.store))
+    kern.add(conditions.Conditions(kern, cfg))
+    own = app.make([operations.blueprint(kern, cfg, cfg.worker_address)])
+    kern.add(server.SideWeb(kern, cfg, own, cfg.worker_address))
 
 
 def _add_common(
--- a/src/cornelgrade/policy/manifest_rules.py
+++ b/src/cornelgrade/policy/manifest_rules.py
@@ -48,7 +48,7 @@
         *_capacity(wanted),
         *_removed(wanted, uses or Uses()),
     ]
-    return tuple(found)
+    return tuple(f"$.{line}" for line in found)
 
 
 def _names(items: Iterable[Any]) -> frozenset[str]:
--- a/src/cornelgrade/services/online.py
+++ b/src/cornelgrade/services/online.py
@@ -242,6 +242,8 @@
         )
         if rule.then is retry.Next.FAIL or progress.attempts >= MAX_ATTEMPTS:
             raise self._final(req, progress, exc)
+        if trio.current_time() >= req.deadline_s:
+            raise self._late(req, progress, exc)
         if exc.progress is not engine.Progress.NOT_SENT and not self._pay():
             raise self._final(req, progress, exc)
         _RETRIES.inc({"service": req.service})
@@ -269,6 +271,18 @@
             peer=exc.peer,
         )
 
+    def _late(
+        self, req: exchange.Request, progress: _Progress, exc: engine.CallError
+    ) -> errors.Refusal:
+        _REQUESTS.inc({"outcome": errors.Code.DEADLINE.value, "service": req.service})
+        return errors.Refusal(
+            errors.Code.DEADLINE,
+            f"no answer before the deadline: {exc.message}",
+            step=exc.step,
+            ran=progress.ran,
+            peer=exc.peer,
+        )
+
     def _call(self, req: exchange.Request, progress: _Progress) -> engine.Call:
         accepted = self._kern.find("configuration", ports.Configuration).current()
         assert accepted is not None
--- a/src/cornelgrade/services/web/server.py
+++ b/src/cornelgrade/services/web/server.py
@@ -16,15 +16,24 @@
 
 
 class Web:
-    """Serves an application until the process has drained."""
+    """Serves an application until the process has drained, and then stops the process.
+
+    :param address: where to serve, by default the gateway's.
+    """
 
     name = "web"
 
-    def __init__(self, kern: kernel.Kernel, cfg: settings.Settings, app: QuartTrio) -> None:
+    def __init__(
+        self,
+        kern: kernel.Kernel,
+        cfg: settings.Settings,
+        app: QuartTrio,
+        address: str | None = None,
+    ) -> None:
         self._kern = kern
         self._app = app
         self._config = hypercorn.Config()
-        self._config.bind = [cfg.gateway_address]
+        self._config.bind = [address or cfg.gateway_address]
         self._config.keep_alive_timeout = KEEP_ALIVE_S
         self._config.graceful_timeout = SHUTDOWN_TIMEOUT_S
         self._config.errorlog = logging.getLogger("hypercorn.error")
@@ -34,14 +43,27 @@
 
     async def run(self, started: Callable[[], None]) -> None:
         """Serve; returns once drained and every connection is closed."""
+        await self._serve(started)
+        self._kern.stop()
+
+    async def _serve(self, started: Callable[[], None]) -> None:
         draining = self._kern.find("drain", drain.Drain)
         async with trio.open_nursery() as nursery:
             serve = hypercorn_trio.serve
             await nursery.start(self._start, serve, draining.wait_drained)
             started()
-        self._kern.stop()
 
     async def _start(self, serve, until, task_status=trio.TASK_STATUS_IGNORED) -> None:
         await serve(
             self._app, self._config, shutdown_trigger=until, task_status=task_status, mode="asgi"
         )
+
+
+class SideWeb(Web):
+    """Serves beside the process's own work, whose end stops the process."""
+
+    name = "side_web"
+
+    async def run(self, started: Callable[[], None]) -> None:
+        """Serve until drained."""
+        await self._serve(started)
--- a/tests/fleet/test_manifest_rules.py
+++ b/tests/fleet/test_manifest_rules.py
@@ -84,7 +84,7 @@
     ],
 )
 def test_each_error_is_named_with_its_path(changes, problem):
-    assert manifest_rules.problems(sample(**changes)) == (problem,)
+    assert manifest_rules.problems(sample(**changes)) == (f"$.{problem}",)
 
 
 def test_every_error_is_given_at_once():
@@ -95,7 +95,7 @@
 def test_what_an_open_job_uses_may_not_be_removed():
     uses = manifest_rules.Uses(models=frozenset({"m", "old"}), teams=frozenset({"nurses"}))
     assert manifest_rules.problems(SAMPLE, uses) == (
-        "models: old is missing, but an open job uses it",
+        "$.models: old is missing, but an open job uses it",
     )
 
 
--- a/tests/process/harness.py
+++ b/tests/process/harness.py
@@ -29,10 +29,23 @@
 
 
 def free_port(kind: int = socket.SOCK_STREAM) -> int:
-    """Find a port that nobody uses now."""
-    with socket.socket(socket.AF_INET, kind) as sock:
-        sock.bind((HOST, 0))
-        return sock.getsockname()[1]
+    """Find a port that nobody uses now, neither by TCP nor by UDP: a worker serves on both."""
+    while True:
+        with socket.socket(socket.AF_INET, kind) as sock:
+            sock.bind((HOST, 0))
+            port = sock.getsockname()[1]
+            if _both_free(port, kind):
+                return port
+
+
+def _both_free(port: int, taken_kind: int) -> bool:
+    other = socket.SOCK_DGRAM if taken_kind == socket.SOCK_STREAM else socket.SOCK_STREAM
+    with socket.socket(socket.AF_INET, other) as sock:
+        try:
+            sock.bind((HOST, port))
+        except OSError:
+            return False
+    return True
 
 
 class Process:
--- a/tests/samples.py
+++ b/tests/samples.py
@@ -22,6 +22,7 @@
 }
 MANIFEST = {
     "services": [{"name": "lishe-llm", "models": ["lishe"]}],
+    "models": [{"name": "lishe"}],
     "priorities": [{"name": "nurse", "rank": 0}],
     "teams": [TEAM],
     "upstreams": [UPSTREAM],
