--- /dev/null
+++ b/src/cornelgrade/policy/reconcile.py
@@ -0,0 +1,327 @@
+"""Decides which orders engines get: wanted state against observed state, within bounds."""
+
+import collections
+import dataclasses
+import math
+from collections.abc import Iterable, Mapping
+
+from cornelgrade import manifest
+from cornelgrade.adapters import engine
+
+CHANGING_PART = 0.34
+UNLOAD_AFTER_S = 60.0
+TURN_LIMIT_S = 900.0
+MATCHES = "matches"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Wanted:
+    """What the manifest wants of one engine."""
+
+    upstream: str
+    service: str
+    failure_domain: str
+    models: tuple[engine.Loaded, ...]
+    role: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Observed:
+    """What is known of one engine.
+
+    :param state: its last answer, ``None`` while it can't be reached.
+    :param ordered: the order that it is carrying out, if any.
+    :param refused: why its last order failed, if it did.
+    :param retry_at: monotonic time before which a failed order is not given again.
+    """
+
+    state: engine.EngineState | None = None
+    ordered: str = ""
+    refused: str = ""
+    retry_at: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Step:
+    """One order that would bring an engine closer to what is wanted.
+
+    :param interrupts: online requests may be served more slowly while it is carried out.
+    :param loads: it takes weights from the weight store.
+    """
+
+    kind: engine.OrderKind
+    model: str = ""
+    version: int = 0
+    adapter: str = ""
+    role: str = ""
+    interrupts: bool = True
+    loads: bool = False
+
+    def order(self, fencing: int) -> engine.Order:
+        """Make the order with a fencing number."""
+        return engine.Order(
+            kind=self.kind,
+            fencing=fencing,
+            model=self.model,
+            version=self.version,
+            adapter=self.adapter,
+            role=self.role,
+        )
+
+    def __str__(self) -> str:
+        version = f" version {self.version}" if self.version else ""
+        adapter = f" adapter {self.adapter}" if self.adapter else ""
+        model = f" {self.model}" if self.model else ""
+        role = f" {self.role}" if self.role else ""
+        return f"{self.kind.value}{model}{version}{adapter}{role}"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Bounds:
+    """What a round may do.
+
+    :param now: monotonic time.
+    :param manifest_age_s: how long the manifest has been in force here.
+    :param loads: loads that the weight store's rate leaves.
+    """
+
+    now: float
+    manifest_age_s: float
+    loads: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Give:
+    """Give an engine an order."""
+
+    upstream: str
+    step: Step
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Standing:
+    """What is wanted of an engine, what is seen there and why they differ."""
+
+    upstream: str
+    wanted: str
+    seen: str
+    why: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Plan:
+    """The orders of a round, and where every engine stands."""
+
+    orders: tuple[Give, ...]
+    standings: tuple[Standing, ...]
+
+
+def wanted_engines(accepted: manifest.Manifest) -> tuple[Wanted, ...]:
+    """Read the wanted state of every engine out of a manifest."""
+    models = {model.name: model for model in accepted.models}
+    services = {service.name: service for service in accepted.services}
+    return tuple(
+        Wanted(
+            upstream=upstream.name,
+            service=upstream.service,
+            failure_domain=upstream.failure_domain,
+            models=tuple(_loaded(models[m]) for m in services[upstream.service].models),
+            role=upstream.role,
+        )
+        for upstream in accepted.upstreams
+        if services[upstream.service].kind == "model"
+    )
+
+
+def _loaded(model: manifest.Model) -> engine.Loaded:
+    return engine.Loaded(model.name, model.version, tuple(a.name for a in model.adapters))
+
+
+def steps(wanted: Wanted, state: engine.EngineState, unload: bool) -> tuple[Step, ...]:
+    """Give the orders that an engine still needs, in their order.
+
+    :param unload: also remove what is not wanted.
+    """
+    loaded = {model.model: model for model in state.models}
+    found: list[Step] = []
+    for model in wanted.models:
+        found += _model_steps(model, loaded.get(model.model))
+    if state.role != wanted.role:
+        found.append(Step(engine.OrderKind.ROLE, role=wanted.role))
+    if unload:
+        found += _unloads(wanted, state)
+    return tuple(found)
+
+
+def _model_steps(model: engine.Loaded, there: engine.Loaded | None) -> Iterable[Step]:
+    if there is None or there.version != model.version:
+        yield Step(
+            engine.OrderKind.LOAD,
+            model=model.model,
+            version=model.version,
+            interrupts=there is not None,
+            loads=True,
+        )
+    held = there.adapters if there is not None else ()
+    for adapter in model.adapters:
+        if adapter not in held:
+            yield Step(
+                engine.OrderKind.LOAD,
+                model=model.model,
+                version=model.version,
+                adapter=adapter,
+                interrupts=False,
+                loads=True,
+            )
+
+
+def _unloads(wanted: Wanted, state: engine.EngineState) -> Iterable[Step]:
+    kept = {model.model: model.adapters for model in wanted.models}
+    for there in state.models:
+        if there.model not in kept:
+            yield Step(engine.OrderKind.UNLOAD, model=there.model, interrupts=False)
+            continue
+        for adapter in there.adapters:
+            if adapter not in kept[there.model]:
+                yield Step(
+                    engine.OrderKind.UNLOAD,
+                    model=there.model,
+                    adapter=adapter,
+                    interrupts=False,
+                )
+
+
+def may_change(engines: int) -> int:
+    """Give how many of a service's engines in a failure domain may be changing or away at once."""
+    return max(1, math.floor(engines * CHANGING_PART))
+
+
+def blocking_domain(
+    wanted: Iterable[Wanted],
+    observed: Mapping[str, Observed],
+    service: str,
+    failure_domain: str,
+) -> str:
+    """Name an earlier failure domain whose engines of a service still differ, if there is one.
+
+    Failure domains change one after the other, in the order of their names. An engine that can't
+    be reached holds nobody up.
+    """
+    for other in sorted(wanted, key=lambda w: w.failure_domain):
+        if other.failure_domain >= failure_domain:
+            return ""
+        seen = observed.get(other.upstream, Observed())
+        if other.service == service and _still_changing(other, seen.state):
+            return other.failure_domain
+    return ""
+
+
+def _still_changing(wanted: Wanted, state: engine.EngineState | None) -> bool:
+    if state is None or state.leaving:
+        return False
+    return any(step.interrupts for step in steps(wanted, state, unload=False))
+
+
+@dataclasses.dataclass(slots=True)
+class _Round:
+    """What one round has used up so far."""
+
+    loads: int
+    away: collections.Counter[str]
+    engines: collections.Counter[str]
+
+    def room(self, service: str) -> bool:
+        return self.away[service] < may_change(self.engines[service])
+
+
+def plan(
+    wanted: tuple[Wanted, ...],
+    observed: Mapping[str, Observed],
+    failure_domain: str,
+    bounds: Bounds,
+) -> Plan:
+    """Choose the orders of a round for one failure domain's engines.
+
+    :param wanted: engines of all failure domains.
+    """
+    own = [w for w in wanted if w.failure_domain == failure_domain]
+    used = _Round(
+        loads=bounds.loads,
+        away=collections.Counter(w.service for w in own if _is_away(observed.get(w.upstream))),
+        engines=collections.Counter(w.service for w in own),
+    )
+    orders: list[Give] = []
+    standings: list[Standing] = []
+    blocked = {
+        service: blocking_domain(wanted, observed, service, failure_domain)
+        for service in used.engines
+    }
+    for item in own:
+        seen = observed.get(item.upstream, Observed())
+        step, why = _choose(item, seen, bounds, used, blocked[item.service])
+        if step is not None:
+            orders.append(Give(item.upstream, step))
+            used.loads -= step.loads
+            used.away[item.service] += step.interrupts
+        standings.append(_standing(item, seen.state, why))
+    return Plan(tuple(orders), tuple(standings))
+
+
+def _is_away(seen: Observed | None) -> bool:
+    return seen is None or seen.state is None or seen.state.leaving or bool(seen.ordered)
+
+
+def _choose(
+    item: Wanted, seen: Observed, bounds: Bounds, used: _Round, blocked_by: str
+) -> tuple[Step | None, str]:
+    """Choose an engine's next order, or say why it gets none."""
+    if seen.state is None:
+        return None, "it can't be reached"
+    if seen.state.leaving:
+        return None, "it is leaving"
+    if seen.ordered:
+        return None, f"it carries out: {seen.ordered}"
+    waits_to_unload = bounds.manifest_age_s < UNLOAD_AFTER_S
+    todo = steps(item, seen.state, unload=not waits_to_unload)
+    if not todo:
+        extra = waits_to_unload and steps(item, seen.state, unload=True)
+        return None, "what is not wanted any more stays for a while" if extra else MATCHES
+    step = todo[0]
+    hindrance = _hindrance(item, step, seen, bounds, used, blocked_by)
+    return (None, hindrance) if hindrance else (step, f"ordered: {step}")
+
+
+def _hindrance(
+    item: Wanted, step: Step, seen: Observed, bounds: Bounds, used: _Round, blocked_by: str
+) -> str:
+    limit = may_change(used.engines[item.service])
+    table = (
+        (
+            bounds.now < seen.retry_at,
+            f"the last order failed ({seen.refused}); it is tried again later",
+        ),
+        (
+            step.interrupts and bool(blocked_by) and bounds.manifest_age_s < TURN_LIMIT_S,
+            f"failure domain {blocked_by} changes first",
+        ),
+        (
+            step.interrupts and not used.room(item.service),
+            f"at most {limit} of {used.engines[item.service]} engines of {item.service} "
+            "may change or be away at once",
+        ),
+        (step.loads and used.loads < 1, "the weight store's rate is used up"),
+    )
+    return next((why for holds, why in table if holds), "")
+
+
+def _standing(item: Wanted, state: engine.EngineState | None, why: str) -> Standing:
+    seen = describe(state.models, state.role) if state is not None else "unknown"
+    return Standing(item.upstream, describe(item.models, item.role), seen, why)
+
+
+def describe(models: tuple[engine.Loaded, ...], role: str) -> str:
+    """Write what an engine runs, or should run, in a few words."""
+    parts = [
+        " + ".join((f"{model.model} version {model.version}", *model.adapters)) for model in models
+    ]
+    return f"{', '.join(parts) or 'no model'}; role {role}"
--- a/src/cornelgrade/services/configuration.py
+++ b/src/cornelgrade/services/configuration.py
@@ -92,11 +92,6 @@
     def report(self) -> reports.Report:
         """Give the version in force for the status page."""
         degraded = []
-        if self._current is None:
-            degraded.append(reports.Degraded("no manifest yet"))
-        elif not self._current.confirmed:
-            what = f"manifest {self._current.version} is from a peer, not confirmed by the platform"
-            degraded.append(reports.Degraded(what))
         if self._wanted > self._version():
             degraded.append(reports.Degraded(f"manifest {self._wanted} is known but not here yet"))
         fact = reports.Fact("manifest_version", str(self._version()))
