--- a/tests/services/test_web_jobs.py
+++ b/tests/services/test_web_jobs.py
@@ -43,24 +43,24 @@
 
 
 @pytest.fixture
-def front(autojump_clock):
+def front():
     return Front()
 
 
-async def test_same_key_and_body_is_the_same_job(front):
+async def test_same_key_and_body_is_the_same_job(autojump_clock, front):
     first, second = await front.submit(), await front.submit()
     assert (first.status_code, second.status_code) == (201, 200)
     assert (await first.get_json())["id"] == (await second.get_json())["id"]
 
 
-async def test_other_body_under_the_same_key_is_a_conflict(front):
+async def test_other_body_under_the_same_key_is_a_conflict(autojump_clock, front):
     await front.submit()
     answer = await front.submit(count=4)
     assert answer.status_code == 409
     assert (await answer.get_json())["error"]["code"] == "conflict"
 
 
-async def test_job_without_a_key_is_refused(front):
+async def test_job_without_a_key_is_refused(autojump_clock, front):
     answer = await front.submit(**{"Idempotency-Key": ""})
     assert answer.status_code == 400
 
@@ -74,7 +74,7 @@
         (batch_kit.line(1) + batch_kit.line(1), "comes twice"),
     ],
 )
-async def test_bad_body_is_refused_and_leaves_nothing(front, body, says):
+async def test_bad_body_is_refused_and_leaves_nothing(autojump_clock, front, body, says):
     answer = await front.client.post("/v1/jobs", headers=HEADERS, data=body)
     assert answer.status_code == 400
     assert says in (await answer.get_json())["error"]["message"]
@@ -82,29 +82,29 @@
     assert await front.platform.list("open") == ()
 
 
-async def test_line_over_the_limit_of_an_item_is_too_large(front):
+async def test_line_over_the_limit_of_an_item_is_too_large(autojump_clock, front):
     body = batch_kit.line(1, prompt="x" * 950_000)
     answer = await front.client.post("/v1/jobs", headers=HEADERS, data=body)
     assert answer.status_code == 413
 
 
-async def test_submission_with_the_platform_out_is_refused_as_not_run(front):
+async def test_submission_with_the_platform_out_is_refused_as_not_run(autojump_clock, front):
     front.platform.switch(platform_store.Switches(down=True))
     answer = await front.submit()
     assert answer.status_code == 503
     assert (await answer.get_json())["error"]["ran"] == "no"
 
 
-async def test_due_time_in_the_past_or_without_a_number_is_refused(front):
+async def test_due_time_in_the_past_or_without_a_number_is_refused(autojump_clock, front):
     for due in ("-1", "soon", "1e12"):
         assert (await front.submit(**{"Cornelgrade-Due-S": due})).status_code == 400
 
 
-async def test_priority_that_the_team_lacks_is_forbidden(front):
+async def test_priority_that_the_team_lacks_is_forbidden(autojump_clock, front):
     assert (await front.submit(**{"Cornelgrade-Priority": "royal"})).status_code == 403
 
 
-async def test_list_gives_pages_of_the_teams_own_jobs(front):
+async def test_list_gives_pages_of_the_teams_own_jobs(autojump_clock, front):
     for number in range(5):
         await front.submit(**{"Idempotency-Key": f"night-{number}"})
     seen, after = [], ""
@@ -117,7 +117,7 @@
     assert len(seen) == len(set(seen)) == 5
 
 
-async def test_results_of_a_job_that_waits_are_pending_in_item_order(front):
+async def test_results_of_a_job_that_waits_are_pending_in_item_order(autojump_clock, front):
     job = (await (await front.submit(count=120)).get_json())["id"]
     answer = await front.client.get(f"/v1/jobs/{job}/results", headers=HEADERS)
     lines = [json.loads(line) for line in (await answer.get_data()).splitlines()]
@@ -127,7 +127,7 @@
     assert len((await rest.get_data()).splitlines()) == 19
 
 
-async def test_cancel_before_any_claim_ends_the_job_at_once(front):
+async def test_cancel_before_any_claim_ends_the_job_at_once(autojump_clock, front):
     job = (await (await front.submit()).get_json())["id"]
     answer = await (await front.client.delete(f"/v1/jobs/{job}", headers=HEADERS)).get_json()
     assert (answer["state"], answer["cancelled"]) == ("cancelled", 3)
@@ -136,7 +136,7 @@
     assert await front.platform.list("open") == ()
 
 
-async def test_two_cancels_at_once_end_in_one_state(front):
+async def test_two_cancels_at_once_end_in_one_state(autojump_clock, front):
     job = (await (await front.submit()).get_json())["id"]
     async with trio.open_nursery() as nursery:
         for _ in range(2):
@@ -145,13 +145,13 @@
     assert found.header.state == "cancelled"
 
 
-async def test_job_of_another_team_is_not_found(front):
+async def test_job_of_another_team_is_not_found(autojump_clock, front):
     answer = await front.client.get("/v1/jobs/" + "0" * 32, headers=HEADERS)
     assert answer.status_code == 404
 
 
 @pytest.mark.parametrize("losing", [1, 2, 3, 4])
-async def test_lost_answers_during_a_submission_make_one_job(front, losing):
+async def test_lost_answers_during_a_submission_make_one_job(autojump_clock, front, losing):
     front.platform.switch(
         platform_store.Switches(lose_answers=losing, writes_per_s=0, reads_per_s=0)
     )
--- /dev/null
+++ b/tests/test_job_cleanup.py
@@ -0,0 +1,83 @@
+import pytest
+import trio
+from tests import batch_kit
+
+from cornelgrade.services import job_cleanup, job_ending, job_records, job_store, job_submission
+from cornelgrade.standins import platform_store
+
+RETENTION_S = 100.0
+
+
+@pytest.fixture
+def store():
+    plat = platform_store.MemoryPlatform(platform_store.Switches(writes_per_s=0, reads_per_s=0))
+    return job_store.JobStore(plat, batch_kit.unix_s)
+
+
+def cleanup(store) -> job_cleanup.Cleanup:
+    return job_cleanup.Cleanup(store, lambda: RETENTION_S)
+
+
+async def submit(store, key: str) -> job_records.Header:
+    lines = [batch_kit.line(number) for number in range(5)]
+    accepted = await job_submission.submit(store, batch_kit.order(key=key), batch_kit.stream(lines))
+    return accepted.header
+
+
+async def objects(store) -> list[tuple[str, str]]:
+    kinds = ("job", "open", "piece", "chunk", "result")
+    return [(kind, one.name) for kind in kinds for one in await store.plat.list(kind)]
+
+
+async def test_ended_job_is_removed_after_its_retention_and_not_before(store, autojump_clock):
+    header = await submit(store, "a")
+    await job_ending.cancel(store, "afya", header.job)
+    await trio.sleep(RETENTION_S - 1)
+    assert await cleanup(store).jobs_page() == 0
+    await trio.sleep(2)
+    assert await cleanup(store).jobs_page() == 1
+    assert await objects(store) == []
+
+
+async def test_unfinished_job_is_never_removed(store, autojump_clock):
+    header = await submit(store, "a")
+    before = await objects(store)
+    await trio.sleep(1_000_000)
+    assert await cleanup(store).jobs_page() == 0
+    assert await cleanup(store).uploads_page() == 0
+    assert await objects(store) == before
+    assert (await store.header("afya", header.job)).header.state == "open"
+
+
+async def broken_upload(store) -> None:
+    async def body():
+        yield batch_kit.line(1, prompt="x" * 800_000)
+        yield batch_kit.line(2, prompt="x" * 800_000)
+        await trio.sleep_forever()
+
+    with trio.move_on_after(10):
+        await job_submission.submit(store, batch_kit.order(key="b"), body())
+
+
+async def test_upload_of_a_lost_vm_is_removed_and_its_key_is_free_again(store, autojump_clock):
+    await broken_upload(store)
+    assert [kind for kind, _ in await objects(store)] == ["open", "piece"]
+    assert await cleanup(store).uploads_page() == 0
+    await trio.sleep(job_cleanup.UPLOAD_GIVEN_UP_S)
+    assert await cleanup(store).uploads_page() == 1
+    assert [kind for kind, _ in await objects(store)] == ["job"]
+    header = await submit(store, "b")
+    assert header.state == "open"
+
+
+async def test_upload_that_was_given_up_cannot_become_a_job(store, autojump_clock):
+    async def body():
+        yield batch_kit.line(1)
+        await trio.sleep(1)
+        entry = (await store.open_jobs())[0]
+        await cleanup(store)._give_up(entry)
+        yield batch_kit.line(2)
+
+    with pytest.raises(Exception, match="given up"):
+        await job_submission.submit(store, batch_kit.order(key="c"), body())
+    assert [kind for kind, _ in await objects(store)] == ["job"]
