--- /dev/null
+++ b/src/cornelgrade/adapters/peer_manifest.py
@@ -0,0 +1,67 @@
+"""Fetching the manifest in force from another VM's gateway, authenticated both ways."""
+
+import time
+from collections.abc import Mapping
+from typing import Protocol
+
+import httpx
+
+from cornelgrade import errors
+from cornelgrade.adapters import peer_auth, peer_key, platform_http
+from cornelgrade.policy import manifest_rules
+from cornelgrade.services import ports
+
+PATH = "/v1/peer/manifest"
+TIMEOUT_S = 1.0
+_STEP = "fetch manifest"
+
+
+class Peers(Protocol):
+    """Other VMs as sources of the manifest."""
+
+    async def fetch(self, member: ports.Member) -> ports.Accepted:
+        """Get a member's manifest, never confirmed; raises :class:`CornelgradeError`."""
+
+
+class HttpPeers:
+    """Fetches over HTTP; a context manager that closes its connections.
+
+    :param secure: the fleet's gateways speak TLS. Their certificates name them for callers and
+        not by IP number, so the tag over the answer is what proves it.
+    """
+
+    def __init__(self, key: peer_key.PeerKey, vm: str, *, secure: bool = False) -> None:
+        self._key = key
+        self._vm = vm
+        self._scheme = "https" if secure else "http"
+        self._client = httpx.AsyncClient(timeout=TIMEOUT_S, verify=False, trust_env=False)
+
+    async def __aenter__(self) -> "HttpPeers":
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        await self._client.aclose()
+
+    async def fetch(self, member: ports.Member) -> ports.Accepted:
+        """Get a member's manifest."""
+        header, nonce = peer_auth.auth_header(
+            self._key, self._vm, member.gateway_address, PATH, time.time()
+        )
+        url = f"{self._scheme}://{member.gateway_address}{PATH}"
+        try:
+            got = await self._client.get(url, headers={peer_auth.AUTH_HEADER: header})
+        except httpx.HTTPError as exc:
+            raise errors.NotReachableError(repr(exc), step=_STEP, peer=member.vm) from exc
+        if got.status_code != httpx.codes.OK:
+            raise errors.CornelgradeError(f"status {got.status_code}", step=_STEP, peer=member.vm)
+        return self._read(got.headers, got.content, nonce, member.vm)
+
+    def _read(self, headers: Mapping[str, str], body: bytes, nonce: str, vm: str) -> ports.Accepted:
+        try:
+            version = platform_http.version_of(headers.get("etag", ""))
+        except ValueError as exc:
+            raise errors.CornelgradeError("bad headers", step=_STEP, peer=vm) from exc
+        tag = headers.get(peer_auth.TAG_HEADER)
+        if not peer_auth.answer_matches(self._key, tag, nonce, str(version).encode(), body):
+            raise errors.CornelgradeError("wrong tag", step=_STEP, peer=vm)
+        return ports.Accepted(manifest_rules.decode(body), version, confirmed=False)
--- a/src/cornelgrade/services/ports.py
+++ b/src/cornelgrade/services/ports.py
@@ -2,11 +2,11 @@
 
 import dataclasses
 import enum
-from typing import Protocol, TypeVar
+from typing import Protocol, TypeVar, runtime_checkable
 
 import trio
 
-from cornelgrade import errors, manifest
+from cornelgrade import errors, manifest, reports
 from cornelgrade.adapters import engine
 
 T = TypeVar("T")
@@ -107,6 +107,14 @@
     upstream: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Share:
+    """An engine's owner tells a gateway how many requests it may have outstanding there."""
+
+    upstream: str
+    slots: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class VersionHeard:
     """A member has a later manifest in force than any that was heard of before."""
@@ -115,7 +123,7 @@
     version: int
 
 
-PeerMessage = Load | Yield | Quarantined | Leaving
+PeerMessage = Load | Yield | Share | Quarantined | Leaving
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -184,7 +192,12 @@
 
 
 class Stories(Protocol):
-    """The service ``stories``: bounded recent history, the source of ``explain``."""
+    """The service ``stories``: bounded recent history, the source of ``explain``.
+
+    What belongs to a team is noted under ``TEAM/ID``, where the id is a request's id or key, a
+    job's id or ``JOB/CUSTOM_ID``, so that a team can read its own stories and no others. The
+    rest is noted under ``manifest/VERSION`` and ``UPSTREAM/order``.
+    """
 
     def note(self, subject: str, step: str, sentence: str, peer: str = "") -> None:
         """Add a step to the story of ``subject``."""
@@ -192,6 +205,49 @@
     def tell(self, subject: str) -> tuple[Step, ...]:
         """Give a story, oldest step first."""
 
+    def find(self, identifier: str) -> tuple[str, ...]:
+        """Give the subjects that are ``identifier`` or end with ``/`` and it."""
+
+
+class StoryScope(enum.StrEnum):
+    """Which subjects an identifier stands for: itself, or all that :meth:`Stories.find` gives."""
+
+    EXACT = "exact"
+    ANY = "any"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Gathered:
+    """What other processes know of a subject; ``silent`` names those that did not answer."""
+
+    steps: tuple[reports.StoryStep, ...]
+    silent: tuple[str, ...]
+
+
+class PeerStories(Protocol):
+    """The service ``peer_stories``: asks the other processes of the fleet for their stories."""
+
+    async def gather(self, scope: StoryScope, identifier: str) -> Gathered:
+        """Ask all of them at once, for a bounded time."""
+
+
+@runtime_checkable
+class Reports(Protocol):
+    """A service that has something to say in ``GET /v1/status``; any service may offer it."""
+
+    def report(self) -> reports.Report:
+        """Give a snapshot; it is asked about once a second and must be cheap."""
+
+
+class Conditions(Protocol):
+    """The service ``conditions``: what is degraded in this process and since when."""
+
+    def status(self) -> reports.Status:
+        """Give the fleet's state as this VM sees it."""
+
+    def ready(self) -> bool:
+        """Tell whether a balancer should send requests here."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Claim:
@@ -227,6 +283,14 @@
     nonce: str
 
 
+class RequestState(enum.StrEnum):
+    """State of a keyed request that has no stored answer."""
+
+    RUNNING = "running"
+    UNKNOWN = "unknown"
+    NOT_FOUND = "not_found"
+
+
 class Records(Protocol):
     """The service ``records``: durable outcomes of keyed requests."""
 
@@ -237,17 +301,30 @@
         running twin up to ``claim.wait_s``.
 
         :raises Refusal: ``CONFLICT`` (other body), ``OUTCOME_UNKNOWN`` (ran at a VM that died),
-            ``UNAVAILABLE`` (not run: the record could not be made).
+            ``UNAVAILABLE`` (not run: the record could not be made), ``DEADLINE`` (the twin still
+            runs after ``wait_s``; ``ran`` is unknown).
         """
 
     async def finish(self, run: Run, answer: StoredAnswer) -> bool:
-        """Store the answer; false if it waits in the backlog for the platform to return."""
+        """Store the answer; false if it is not what a resend will get.
+
+        Then it waits in the backlog for the platform to return, or an earlier answer stands.
+        """
+
+    async def store(self, run: Run, answer: StoredAnswer) -> StoredAnswer:
+        """Store the answer and give the one that stands, for callers that have no byte yet.
+
+        ``recorded`` is false if it waits in the backlog for the platform to return.
+        """
 
     async def abandon(self, run: Run, ran: errors.Ran) -> None:
         """Give the claim up: released if nothing ran or it is idempotent, else kept unknown."""
 
     async def lookup(self, team: str, key: str) -> StoredAnswer | None:
-        """Read a stored answer."""
+        """Read a stored answer; raises ``UNAVAILABLE`` if the platform cannot be read."""
+
+    async def inspect(self, team: str, key: str) -> StoredAnswer | RequestState:
+        """Read a stored answer or the state of a request that has none; raises as ``lookup``."""
 
 
 class UpstreamPool(Protocol):
