--- a/src/cornelgrade/daemons.py
+++ b/src/cornelgrade/daemons.py
@@ -23,6 +23,7 @@
     membership,
     online,
     peer_stories,
+    reconciler,
     records,
     router,
     share_grants,
@@ -100,6 +101,7 @@
     kern.add(share_grants.ShareGrants(kern, cfg), _RESTART)
     kern.add(leaving.LeavingWatch(kern, cfg, outside.store), _RESTART)
     kern.add(batch.Batch(kern, cfg.vm, cfg.failure_domain, outside.store))
+    kern.add(reconciler.Reconciler(kern, cfg, outside.store), _RESTART)
     kern.add(conditions.Conditions(kern, cfg), _RESTART)
     routes = operations.blueprint(kern, cfg, cfg.worker_address)
     kern.add(server.Web(kern, cfg, app.make([routes]), cfg.worker_address))
--- a/tests/process/harness.py
+++ b/tests/process/harness.py
@@ -20,6 +20,7 @@
 KEY = "key-of-clinics"
 OPERATOR_KEY = "key-of-operators"
 START_TIMEOUT_S = 20.0
+STARTED = {"cornelgrade.standins": "event=listening", "cornelgrade": "event=started"}
 SOURCE = pathlib.Path(__file__).resolve().parents[2] / "src"
 
 
@@ -205,18 +206,20 @@
         return made
 
     def _standin(self, name: str, kind: str, *args: str) -> str:
-        made = self.process(name, "cornelgrade.standins", kind, *args)
-        address = self._address(made.wait_for("event=listening"))
+        """Start a stand-in, and a proxy before it if asked for; :meth:`_start` waits for them."""
+        address = self._listening(name, kind, *args)
         self.controls[name] = address
         if not self._proxied:
             return address
-        proxy = self.process(f"{name}-proxy", "cornelgrade.standins", "proxy", "--target", address)
-        self.controls[f"{name}-proxy"] = self._address(proxy.wait_for("event=control"))
-        return self._address(proxy.wait_for("event=listening"))
+        control = free_port()
+        self.controls[f"{name}-proxy"] = f"{HOST}:{control}"
+        proxy = (f"{name}-proxy", "proxy", "--target", address, "--control-port", str(control))
+        return self._listening(*proxy)
 
-    @staticmethod
-    def _address(line: str) -> str:
-        return line.split("address=")[1].split()[0]
+    def _listening(self, name: str, kind: str, *args: str) -> str:
+        port = free_port()
+        self.process(name, "cornelgrade.standins", kind, "--port", str(port), *args)
+        return f"{HOST}:{port}"
 
     def _start(self) -> None:
         vms, engines = self._counts
@@ -230,8 +233,8 @@
         ports = [free_port(socket.SOCK_DGRAM) for _ in range(vms)]
         for index in range(vms):
             self._start_vm(index, ports)
-        for vm in self.vms:
-            vm.gateway.wait_for("event=started")
+        for process in self.processes:
+            process.wait_for(STARTED[process.args[0]])
         self.manifest = self.wanted()
         accepted = self.put_manifest(self.manifest)
         assert accepted.is_success, accepted.text
