--- a/src/cornelgrade/services/_buckets.py
+++ b/src/cornelgrade/services/_buckets.py
@@ -113,8 +113,12 @@
         self._nursery: trio.Nursery | None = None
         self._limit = trio.CapacityLimiter(PARALLEL_COMMITS)
         self._log = logs.Logger("records")
-        self._writes = metrics.counter("cornelgrade_record_writes_total", "Writes of record buckets.")
-        self._changes = metrics.counter("cornelgrade_record_changes_total", "Changes that were committed.")
+        self._writes = metrics.counter(
+            "cornelgrade_record_writes_total", "Writes of record buckets."
+        )
+        self._changes = metrics.counter(
+            "cornelgrade_record_changes_total", "Changes that were committed."
+        )
 
     async def run(self, started: Callable[[], None]) -> None:
         """Commit until cancelled."""
