Quarantine of requests that crash engines

What was in flight on a crashed engine is suspect and runs alone. Counting only crashes that left no other request in flight anywhere was ruled out: another VM's traffic is on the same engine, so a culprit would never be alone. A crash therefore counts against the only suspect among what was in flight at any VM; innocent neighbours are cleared by their next answer.

The router reports a crash again once its earlier requests there have ended; online tells what completed.

--- a/src/cornelgrade/daemons.py
+++ b/src/cornelgrade/daemons.py
@@ -21,6 +21,7 @@
     load_reports,
     membership,
     online,
+    quarantine,
     records,
     router,
     share_grants,
@@ -113,6 +114,7 @@
     kern.add(members)
     kern.add(configuration.Configuration(cfg, outside.store, members, outside.peers, stories=told))
     kern.add(upstreams.Upstreams(kern))
+    kern.add(quarantine.Quarantine(kern))
 
 
 def _blueprints(
--- a/src/cornelgrade/schema/codec.py
+++ b/src/cornelgrade/schema/codec.py
@@ -33,9 +33,9 @@
 
 def rumor_bytes(rumor: messages.Rumor) -> int:
     """Estimate the room that a rumor takes in a datagram."""
-    message = rumor.message
-    text = message.fingerprint if isinstance(message, ports.Quarantined) else message.upstream
-    return _RUMOR_FIXED_BYTES + _packed_text(rumor.origin) + _packed_text(text)
+    names = ("source", "upstream", "fingerprint")
+    texts = [rumor.origin, *(getattr(rumor.message, name, "") for name in names)]
+    return _RUMOR_FIXED_BYTES + sum(map(_packed_text, texts))
 
 
 def _put_member(out: Any, member: ports.Member) -> None:
@@ -100,6 +100,16 @@
     made.fingerprint = body.fingerprint
     made.crashes = body.crashes
     made.expiresS = body.expires_s
+    made.source = body.source
+
+
+def _put_upstream_crashed(out: Any, field: str, body: ports.UpstreamCrashed) -> None:
+    made = out.init(field)
+    made.source = body.source
+    made.upstream = body.upstream
+    made.inFlight = body.in_flight
+    made.suspects = body.suspects
+    made.fingerprint = body.fingerprint
 
 
 def _put_leaving(out: Any, field: str, body: ports.Leaving) -> None:
@@ -117,6 +127,7 @@
     ports.Yield: ("yield", _put_slots),
     ports.Share: ("share", _put_slots),
     ports.Quarantined: ("quarantined", _put_quarantined),
+    ports.UpstreamCrashed: ("upstreamCrashed", _put_upstream_crashed),
     ports.Leaving: ("leaving", _put_leaving),
 }
 
@@ -124,7 +135,12 @@
     "load": lambda raw: ports.Load(raw.upstream, raw.outstanding, raw.queued),
     "yield": lambda raw: ports.Yield(raw.upstream, raw.slots),
     "share": lambda raw: ports.Share(raw.upstream, raw.slots),
-    "quarantined": lambda raw: ports.Quarantined(raw.fingerprint, raw.crashes, raw.expiresS),
+    "quarantined": lambda raw: ports.Quarantined(
+        raw.fingerprint, raw.crashes, raw.expiresS, raw.source
+    ),
+    "upstreamCrashed": lambda raw: ports.UpstreamCrashed(
+        raw.source, raw.upstream, raw.inFlight, raw.suspects, raw.fingerprint
+    ),
     "leaving": lambda raw: ports.Leaving(raw.upstream),
 }
 
--- a/src/cornelgrade/schema/peer.capnp
+++ b/src/cornelgrade/schema/peer.capnp
@@ -40,6 +40,15 @@
   fingerprint @0 :Text;
   crashes @1 :UInt32;
   expiresS @2 :Float64;
+  source @3 :Text;
+}
+
+struct UpstreamCrashed {
+  source @0 :Text;
+  upstream @1 :Text;
+  inFlight @2 :UInt32;
+  suspects @3 :UInt32;
+  fingerprint @4 :Text;
 }
 
 struct Leaving {
@@ -64,6 +73,7 @@
     quarantined @4 :Quarantined;
     leaving @5 :Leaving;
     share @6 :Share;
+    upstreamCrashed @7 :UpstreamCrashed;
   }
 }
 
@@ -86,5 +96,6 @@
     quarantined @14 :Quarantined;
     leaving @15 :Leaving;
     share @16 :Share;
+    upstreamCrashed @17 :UpstreamCrashed;
   }
 }
--- a/src/cornelgrade/services/online.py
+++ b/src/cornelgrade/services/online.py
@@ -104,6 +104,7 @@
                 await self._after_failure(req, progress, exc)
                 continue
             self._budget = retry.earn(self._budget)
+            self._clear(req)
             _REQUESTS.inc({"outcome": "answered", "service": req.service})
             return
 
@@ -185,7 +186,7 @@
         place: admission.Place,
         progress: _Progress,
     ) -> str:
-        verdict = self._verdict(req)
+        verdict = await self._verdict(req)
         if verdict is ports.Verdict.CONDEMNED:
             raise errors.Refusal(
                 errors.Code.QUARANTINED,
@@ -289,10 +290,15 @@
             fresh=not req.idempotent,
         )
 
-    def _verdict(self, req: exchange.Request) -> ports.Verdict:
+    async def _verdict(self, req: exchange.Request) -> ports.Verdict:
         if not self._kern.has("quarantine"):
             return ports.Verdict.CLEAR
-        return self._kern.find("quarantine", ports.Quarantine).verdict(req.fingerprint)
+        return await self._kern.find("quarantine", ports.Quarantine).settle(req.fingerprint)
+
+    def _clear(self, req: exchange.Request) -> None:
+        """Tell the quarantine that the request ended well."""
+        if self._kern.has("quarantine"):
+            self._kern.find("quarantine", ports.Quarantine).completed(req.fingerprint)
 
     def _note(self, req: exchange.Request, step: str, sentence: str, peer: str = "") -> None:
         if self._kern.has("stories"):
--- a/src/cornelgrade/services/ports.py
+++ b/src/cornelgrade/services/ports.py
@@ -89,15 +89,34 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Quarantined:
-    """A request fingerprint that crashes engines.
+    """A request fingerprint that may crash engines.
 
-    :param crashes: engines that it crashed alone.
+    :param crashes: crashes that it caused, from the sender's own evidence; 0 for a suspect.
     :param expires_s: seconds from now until it is forgotten.
+    :param source: the process that counts.
     """
 
     fingerprint: str
     crashes: int
     expires_s: float
+    source: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamCrashed:
+    """What one process had in flight on an upstream that crashed.
+
+    :param source: the process that reports.
+    :param in_flight: number of different requests.
+    :param suspects: those among them that were in flight at an earlier crash.
+    :param fingerprint: the only suspect or the only request; empty if there are several.
+    """
+
+    source: str
+    upstream: str
+    in_flight: int
+    suspects: int
+    fingerprint: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -123,7 +142,7 @@
     version: int
 
 
-PeerMessage = Load | Yield | Share | Quarantined | Leaving
+PeerMessage = Load | Yield | Share | Quarantined | UpstreamCrashed | Leaving
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -327,7 +346,13 @@
     """The service ``quarantine``: which requests crash engines."""
 
     def verdict(self, fingerprint: str) -> Verdict:
-        """Say how a request may run: with others, alone on an engine, or not at all."""
+        """Say how a request may run: with others, alone on an engine, or not at all.
+
+        Ask right before each run: a crash after it is a new one.
+        """
+
+    async def settle(self, fingerprint: str) -> Verdict:
+        """Say the same, after a short wait for peers' reports where these decide."""
 
     def crashed(self, upstream: str, in_flight: tuple[str, ...]) -> None:
         """Report an engine's crash with the fingerprints that were in flight there."""
--- a/src/cornelgrade/services/router.py
+++ b/src/cornelgrade/services/router.py
@@ -422,6 +422,8 @@
 
     def _seat(self, ask: Ask, upstream: str) -> None:
         seats = self._seats[upstream]
+        if not seats.running:
+            seats.crash_reported = False
         seats.running[ask.place] = ask.fingerprint
         ask.reply.send_nowait(result.Ok(upstream))
         self._rose.set()
--- a/tests/fleet/test_datagrams.py
+++ b/tests/fleet/test_datagrams.py
@@ -24,7 +24,8 @@
     messages.Version(9),
     ports.Load("e1", 4, 2),
     ports.Yield("e1", 3),
-    ports.Quarantined("f" * 64, 2, 1.5),
+    ports.Quarantined("f" * 64, 2, 1.5, "ab12"),
+    ports.UpstreamCrashed("ab12", "e1", 9, 1, "f" * 64),
     ports.Leaving("e1"),
 ]
 
--- /dev/null
+++ b/tests/policy/test_quarantine_rules.py
@@ -0,0 +1,105 @@
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cornelgrade.policy import quarantine
+
+X = "x"
+
+
+def crash(at_s=0.0, in_flight=1, suspects=0, *, upstream="u1", fingerprint="", own=True):
+    return quarantine.Crash(upstream, at_s, in_flight, suspects, fingerprint, own)
+
+
+@pytest.mark.parametrize(
+    ("was_suspect", "others", "other_suspects", "counts"),
+    [
+        (False, 0, 0, True),
+        (False, 1, 0, False),
+        (False, 1, 1, False),
+        (True, 0, 0, True),
+        (True, 5, 0, True),
+        (True, 5, 1, False),
+    ],
+)
+def test_what_counts_against_a_request(was_suspect, others, other_suspects, counts):
+    evidence = quarantine.Evidence("u1", 0.0, was_suspect, others, other_suspects)
+    assert evidence.counts is counts
+
+
+@pytest.mark.parametrize(
+    ("crashes", "unstable", "expected"),
+    [
+        (("u1",), (False,), 1),
+        (("u1", "u1"), (False, False), 2),
+        (("u1", "u1"), (True, True), 1),
+        (("u1", "u2"), (True, True), 2),
+        (("u1", "u1", "u1", "u1"), (True,) * 4, 2),
+    ],
+)
+def test_crashes_on_an_unstable_upstream_count_half(crashes, unstable, expected):
+    evidence = tuple(
+        quarantine.Evidence(name, 0.0, True, 0, 0, shaky)
+        for name, shaky in zip(crashes, unstable, strict=True)
+    )
+    assert quarantine.crashes(quarantine.Entry(evidence)) == expected
+
+
+def test_peer_report_belongs_to_the_nearest_crash():
+    first = quarantine.blame(None, X, crash(0.0), ())
+    second = quarantine.blame(quarantine.let_run(first), X, crash(1.0), (crash(0.0),))
+    heard = quarantine.hear_crash(second, X, crash(0.2, in_flight=3, own=False))
+    assert [e.others for e in heard.evidence] == [3, 0]
+
+
+def test_report_of_the_same_request_at_a_peer_is_no_neighbour():
+    entry = quarantine.blame(None, X, crash(0.0), (crash(0.0, fingerprint=X, own=False),))
+    assert quarantine.crashes(entry) == 1
+
+
+def test_verdict_waits_for_reports_only_where_they_decide():
+    entry = quarantine.blame(None, X, crash(0.0), ())
+    assert quarantine.judge(entry, 0.0) is quarantine.Standing.SUSPECT
+    entry = quarantine.blame(quarantine.let_run(entry), X, crash(9.0, 1, 1, upstream="u2"), ())
+    assert quarantine.judge(entry, 9.0) is quarantine.Standing.PENDING
+    assert quarantine.judge(entry, 9.0 + quarantine.SETTLE_S) is quarantine.Standing.CONDEMNED
+
+
+@settings(derandomize=True, max_examples=200, deadline=None)
+@given(
+    st.lists(
+        st.tuples(st.sampled_from(["u1", "u2", "u3"]), st.integers(1, 5), st.booleans()),
+        max_size=12,
+    )
+)
+def test_no_request_is_condemned_while_another_suspect_was_always_there(crashes):
+    """Whatever the crashes, a request that always ran beside another suspect is never blamed."""
+    entry = None
+    for number, (upstream, others, at_peer) in enumerate(crashes):
+        now_s = number * 10.0
+        here = 0 if at_peer else others
+        peers = crash(now_s, others, 1, upstream=upstream, own=False)
+        reports = (peers,) if at_peer else ()
+        own = crash(now_s, here + 1, bool(entry) + (not at_peer), upstream=upstream)
+        entry = quarantine.blame(entry and quarantine.let_run(entry), X, own, reports)
+    assert entry is None or quarantine.crashes(entry) == 0
+
+
+@settings(derandomize=True, max_examples=200, deadline=None)
+@given(st.lists(st.sampled_from(["u1", "u2", "u3"]), min_size=4, max_size=12))
+def test_request_that_crashes_alone_is_condemned_after_two(upstreams):
+    entry = None
+    for number, upstream in enumerate(upstreams[:2]):
+        own = crash(number * 10.0, 1, bool(entry), upstream=upstream)
+        entry = quarantine.blame(entry and quarantine.let_run(entry), X, own, ())
+    assert quarantine.judge(entry, 11.0) is quarantine.Standing.CONDEMNED
+
+
+@settings(derandomize=True, max_examples=100, deadline=None)
+@given(st.lists(st.tuples(st.sampled_from("abcdefghijkl"), st.integers(0, 3)), max_size=40))
+def test_counts_of_peers_add_up_once_each(messages):
+    entry = quarantine.Entry()
+    for source, count in messages:
+        entry = quarantine.hear_count(entry, quarantine.Heard(source, count), 10.0)
+    assert len(entry.heard) <= quarantine.MAX_SOURCES
+    assert len({h.source for h in entry.heard}) == len(entry.heard)
