--- a/src/cornelgrade/daemons.py
+++ b/src/cornelgrade/daemons.py
@@ -23,6 +23,7 @@
     membership,
     online,
     peer_stories,
+    quarantine,
     reconciler,
     records,
     router,
@@ -122,6 +123,7 @@
     kern.add(members)
     kern.add(configuration.Configuration(cfg, outside.store, members, outside.peers, stories=told))
     kern.add(upstreams.Upstreams(kern))
+    kern.add(quarantine.Quarantine(kern))
 
 
 def _blueprints(
