Batch work leaves plain services alone; cornelgrade dev is tested whole

Cause: the batch runner took every upstream of its failure domain for a model engine, so it sent GET /v1/load to plain services. Seen by running cornelgrade dev: the stand-in took the call as one of its own (an effect), and the undecodable answer ended the worker with a ValidationError. Ruled out: the stand-in's face; a plain service owes no /v1/load. Before: the worker died within seconds of the manifest. After: a stream and a job complete and the plain service counts 0 calls (test_dev_runs_the_whole_system). Left: HttpUpstream.load and state still raise a decode error, not a CallError, when an upstream answers 200 with something else.

--- a/src/cornelgrade/services/batch.py
+++ b/src/cornelgrade/services/batch.py
@@ -139,11 +139,7 @@
         while True:
             self._accepted = config.current() or self._accepted
             assert self._accepted is not None
-            local = {
-                upstream.name: upstream
-                for upstream in self._accepted.manifest.upstreams
-                if upstream.failure_domain == self._failure_domain
-            }
+            local = _engines(self._accepted.manifest, self._failure_domain)
             live = self._usable_vms(self._failure_domain)
             mine = frozenset() if self._draining else ownership.owned(self.me.vm, local, live)
             for name in set(self._owned) - mine:
@@ -323,3 +319,13 @@
     def _cancel_job(self, job: str) -> None:
         for owned in self._owned.values():
             owned.run.cancel_job(job)
+
+
+def _engines(wanted: manifest.Manifest, failure_domain: str) -> dict[str, manifest.Upstream]:
+    """Give the model engines of a failure domain by name; plain services run no batch work."""
+    models = {service.name for service in wanted.services if service.kind == "model"}
+    return {
+        upstream.name: upstream
+        for upstream in wanted.upstreams
+        if upstream.failure_domain == failure_domain and upstream.service in models
+    }
--- a/tests/test_devserver.py
+++ b/tests/test_devserver.py
@@ -1,8 +1,11 @@
+import json
+
 import httpx
 import msgspec
 import trio
 
-from cornelgrade import devserver, manifest
+from cornelgrade import daemons, devserver, manifest
+from cornelgrade.adapters import engine
 from cornelgrade.standins import _http_server
 
 
@@ -43,3 +46,41 @@
                 assert res.status_code == 200
             stopping.set()
     assert events == ["drained"]
+
+
+async def test_dev_runs_the_whole_system():
+    completion = {
+        "model": devserver.MODEL,
+        "prompt": "How much iron a day?",
+        "max_tokens": 5,
+        "stream": True,
+    }
+    item = {
+        "custom_id": "note-1",
+        "url": "/v1/completions",
+        "body": {**completion, "stream": False},
+    }
+    keys = {"Authorization": f"Bearer {devserver.TEAM_KEY}"}
+    stopping = trio.Event()
+    with trio.fail_after(30):
+        async with trio.open_nursery() as nursery:
+            programs = (daemons.gateway, daemons.worker)
+            cfg = await nursery.start(devserver.serve, programs, stopping, 0)
+            url = f"http://{cfg.gateway_address}"
+            async with httpx.AsyncClient(base_url=url, headers=keys, trust_env=False) as client:
+                res = await client.post("/v1/completions", json=completion)
+                assert res.content.endswith(engine.END_MARKER)
+                res = await client.post(
+                    "/v1/jobs", content=json.dumps(item), headers={"Idempotency-Key": "notes-1"}
+                )
+                job = res.json()["id"]
+                while (await client.get(f"/v1/jobs/{job}")).json()["state"] != "done":
+                    await trio.sleep(0.1)
+                (line,) = (await client.get(f"/v1/jobs/{job}/results")).text.splitlines()
+                assert json.loads(line)["custom_id"] == "note-1"
+                operator = {"Authorization": f"Bearer {devserver.OPERATOR_KEY}"}
+                in_force = (await client.get("/v1/manifest", headers=operator)).json()
+                plain = next(up for up in in_force["upstreams"] if up["service"] == "refills")
+                counted = (await client.get(f"http://{plain['address']}/v1/counters")).json()
+                assert counted["calls"] == 0
+            stopping.set()
