--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -8,25 +8,52 @@
 import trio
 from tests import fakes
 
-from cornelgrade import errors, kernel, manifest
+from cornelgrade import errors, kernel, manifest, settings
 from cornelgrade.policy import routing
-from cornelgrade.services import exchange, online, ports, router
+from cornelgrade.services import exchange, load_reports, online, ports, router, share_grants
 from cornelgrade.standins import engine as engine_standin
 from cornelgrade.standins import engine_model, memory_engine
 
 DOMAINS = ("dar-kariakoo", "dar-msasani", "dar-ubungo")
 SERVICE = "lishe-llm"
 PATH = "/v1/completions"
+INBOX_MESSAGES = 10_000
+
+
+def fix_schedule(seed: int) -> None:
+    """Make trio run its tasks in an order that follows from the seed."""
+    run = trio._core._run
+    run._ALLOW_DETERMINISTIC_SCHEDULING = True  # type: ignore[misc]
+    run._r.seed(seed)
+
+
+class Bus:
+    """Carries peer messages between the VMs of one run at once and without loss."""
+
+    def __init__(self) -> None:
+        self._readers: dict[tuple[str, type], list[trio.MemorySendChannel]] = {}
+
+    def join(self, vm: str, kind: type) -> trio.MemoryReceiveChannel:
+        """Receive one type of message that is sent to a VM."""
+        send, receive = trio.open_memory_channel(INBOX_MESSAGES)
+        self._readers.setdefault((vm, kind), []).append(send)
+        return receive
+
+    def deliver(self, vm: str, message: ports.PeerMessage) -> None:
+        """Hand a message to a VM."""
+        for reader in self._readers.get((vm, type(message)), ()):
+            with contextlib.suppress(trio.WouldBlock):
+                reader.send_nowait(message)
 
 
 class FixedMembership:
-    """The service ``membership`` with a view that never changes."""
+    """The service ``membership`` of one VM, with a view that never changes."""
 
     name = "membership"
 
-    def __init__(self, gateways: int) -> None:
-        members = tuple(_member(number) for number in range(gateways))
-        self._view = ports.View(members[0].vm, members)
+    def __init__(self, bus: Bus, members: tuple[ports.Member, ...], number: int) -> None:
+        self._bus = bus
+        self._view = ports.View(members[number].vm, members)
 
     async def run(self, started) -> None:
         """Do nothing until cancelled."""
@@ -38,14 +65,19 @@
         return self._view
 
     def send(self, vm: str, message: ports.PeerMessage) -> None:
-        """Drop a message; nobody listens here."""
+        """Send a message to one VM."""
+        if isinstance(message, ports.Load | ports.Yield):
+            message = dataclasses.replace(message, vm=self._view.self_vm)
+        self._bus.deliver(vm, message)
 
     def spread(self, message: ports.PeerMessage) -> None:
-        """Drop a message; nobody listens here."""
+        """Send a message to every VM."""
+        for member in self._view.members:
+            self._bus.deliver(member.vm, message)
 
-    def subscribe(self, kind):
-        """Give a channel on which nothing comes."""
-        return trio.open_memory_channel(1)[1]
+    def subscribe(self, kind: type) -> trio.MemoryReceiveChannel:
+        """Receive one type of message."""
+        return self._bus.join(self._view.self_vm, kind)
 
 
 def _member(number: int) -> ports.Member:
@@ -61,6 +93,18 @@
     )
 
 
+def _settings(member: ports.Member) -> settings.Settings:
+    return settings.Settings(
+        vm=member.vm,
+        failure_domain=member.failure_domain,
+        gateway_address="127.0.0.1:1",
+        peer_address="127.0.0.1:2",
+        worker_address="127.0.0.1:3",
+        platform_url="http://127.0.0.1:4",
+        peer_key_file="unused",
+    )
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Fleet:
     """Engines and the online services of the gateways before them."""
@@ -94,16 +138,21 @@
     async with trio.open_nursery() as nursery:
         for upstream in upstreams:
             await nursery.start(upstream.engine.run)
+        bus = Bus()
+        members = tuple(_member(number) for number in range(gateways))
         services = []
         for number in range(gateways):
+            cfg_of_vm = _settings(members[number])
             kern = kernel.Kernel()
             kern.add(fakes.FixedConfiguration(wanted))
-            kern.add(FixedMembership(gateways))
+            kern.add(FixedMembership(bus, members, number))
             kern.add(fakes.Pool(*upstreams))
             rng = random.Random(seed * 1000 + number)
-            kern.add(router.Router(kern, DOMAINS[number % len(DOMAINS)], rng, choice))
+            kern.add(router.Router(kern, cfg_of_vm.failure_domain, rng, choice))
             service = online.Online(kern)
             kern.add(service)
+            kern.add(load_reports.LoadReports(kern, cfg_of_vm))
+            kern.add(share_grants.ShareGrants(kern, cfg_of_vm))
             await nursery.start(kern.run)
             services.append(service)
         yield Fleet(upstreams, tuple(services))
--- a/bench/online.py
+++ b/bench/online.py
@@ -11,7 +11,6 @@
 """
 
 import dataclasses
-import gc
 import random
 import time
 from collections.abc import Awaitable, Callable
@@ -130,7 +129,7 @@
                     nursery.start_soon(one, arrival)
             return _run(running, samples, start_s + load.duration_s * WARM_UP_SHARE, load)
 
-    gc.collect()
+    fleet.fix_schedule(seed)
     return trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
 
 
--- a/bench/workload.py
+++ b/bench/workload.py
@@ -30,7 +30,8 @@
     families: int = 60
     prefix_words: int = 480
     own_words: int = 24
-    max_tokens: int = 32
+    least_tokens: int = 8
+    most_tokens: int = 56
     top_share: float = 0.1
     deadline_s: float = 10.0
 
@@ -44,6 +45,7 @@
     gateway: int
     rank: int
     prompt: str
+    max_tokens: int
 
 
 def arrivals(load: Load, gateways: int, seed: int) -> list[Arrival]:
@@ -57,7 +59,8 @@
         family = bisect.bisect(weights, rng.random() * weights[-1])
         prompt = f"{prefixes[min(family, load.families - 1)]} {_words(rng, load.own_words)}"
         rank = TOP_RANK if rng.random() < load.top_share else USUAL_RANK
-        made.append(Arrival(at_s, len(made), rng.randrange(gateways), rank, prompt))
+        tokens = rng.randint(load.least_tokens, load.most_tokens)
+        made.append(Arrival(at_s, len(made), rng.randrange(gateways), rank, prompt, tokens))
         at_s += rng.expovariate(load.rate_per_s)
     return made
 
@@ -71,7 +74,7 @@
         service=fleet.SERVICE,
         method="POST",
         path=fleet.PATH,
-        body=msgspec.json.encode({**body, "max_tokens": load.max_tokens}),
+        body=msgspec.json.encode({**body, "max_tokens": arrival.max_tokens}),
         headers=(),
         rank=arrival.rank,
         deadline_s=now_s + load.deadline_s,
@@ -79,7 +82,7 @@
         idempotent=True,
         fingerprint=f"f{arrival.number}",
         prefix=routing.prefix_hash(arrival.prompt.encode()),
-        max_tokens=load.max_tokens,
+        max_tokens=arrival.max_tokens,
     )
 
 
