--- a/src/cornelgrade/services/_buckets.py
+++ b/src/cornelgrade/services/_buckets.py
@@ -114,10 +114,10 @@
         self._limit = trio.CapacityLimiter(PARALLEL_COMMITS)
         self._log = logs.Logger("records")
         self._writes = metrics.counter(
-            "cornelgrade_records_writes_total", "Writes of record buckets."
+            "cornelgrade_record_writes_total", "Writes of record buckets."
         )
         self._changes = metrics.counter(
-            "cornelgrade_records_changes_total", "Changes that were committed."
+            "cornelgrade_record_changes_total", "Changes that were committed."
         )
 
     async def run(self, started: Callable[[], None]) -> None:
--- a/src/cornelgrade/services/web/server.py
+++ b/src/cornelgrade/services/web/server.py
@@ -16,19 +16,15 @@
 
 
 class Web:
-    """Serves an application until the process has drained, and then stops the process.
+    """Serves an application until the process has drained.
 
-    :param address: where to serve, by default the gateway's.
+    :param address: where to listen, by default the gateway's address.
     """
 
     name = "web"
 
     def __init__(
-        self,
-        kern: kernel.Kernel,
-        cfg: settings.Settings,
-        app: QuartTrio,
-        address: str | None = None,
+        self, kern: kernel.Kernel, cfg: settings.Settings, app: QuartTrio, address: str = ""
     ) -> None:
         self._kern = kern
         self._app = app
@@ -43,27 +39,14 @@
 
     async def run(self, started: Callable[[], None]) -> None:
         """Serve; returns once drained and every connection is closed."""
-        await self._serve(started)
-        self._kern.stop()
-
-    async def _serve(self, started: Callable[[], None]) -> None:
         draining = self._kern.find("drain", drain.Drain)
         async with trio.open_nursery() as nursery:
             serve = hypercorn_trio.serve
             await nursery.start(self._start, serve, draining.wait_drained)
             started()
+        self._kern.stop()
 
     async def _start(self, serve, until, task_status=trio.TASK_STATUS_IGNORED) -> None:
         await serve(
             self._app, self._config, shutdown_trigger=until, task_status=task_status, mode="asgi"
         )
-
-
-class SideWeb(Web):
-    """Serves beside the process's own work, whose end stops the process."""
-
-    name = "side_web"
-
-    async def run(self, started: Callable[[], None]) -> None:
-        """Serve until drained."""
-        await self._serve(started)
