--- a/tests/docs/test_operations_page.py
+++ b/tests/docs/test_operations_page.py
@@ -29,7 +29,9 @@
 
 
 def test_every_metric_is_explained_and_no_other():
-    assert set(first_cells("### Metrics")) == metric_names()
+    rows = first_cells("### Metrics")
+    assert set(rows) == metric_names()
+    assert len(rows) == len(set(rows))
 
 
 @pytest.mark.parametrize("code", list(errors.ExitCode))
--- /dev/null
+++ b/tests/process/test_daemons.py
@@ -0,0 +1,121 @@
+"""Gateway and worker as real processes: a killed gateway comes back, SIGTERM cuts nothing off."""
+
+import concurrent.futures
+import json
+import signal
+import time
+
+import httpx
+import pytest
+from tests.process import harness
+
+BODY = {"model": "lishe", "prompt": "iron for a child of two", "max_tokens": 5}
+LONG = {"model": "lishe", "prompt": "a long answer", "max_tokens": 60, "stream": True}
+ITEMS = 60
+STREAMS = 12
+WAIT_S = 30.0
+
+
+def wait_ready(fleet: harness.Fleet) -> None:
+    end_s = time.monotonic() + WAIT_S
+    while time.monotonic() < end_s:
+        try:
+            if httpx.get(f"{fleet.vms[0].url}/readyz", trust_env=False).status_code == 200:
+                return
+        except httpx.TransportError:
+            pass
+        time.sleep(0.05)
+    raise AssertionError(f"not ready:\n{fleet.vms[0].gateway.text()}")
+
+
+def submit(fleet: harness.Fleet, key: str) -> str:
+    lines = "\n".join(json.dumps({"custom_id": f"note-{i}", "body": BODY}) for i in range(ITEMS))
+    with fleet.call() as client:
+        answer = client.post("/v1/jobs", content=lines, headers={"Idempotency-Key": key})
+    assert answer.status_code in (200, 201), answer.text
+    return answer.json()["id"]
+
+
+def wait_done(fleet: harness.Fleet, job: str) -> dict:
+    end_s = time.monotonic() + WAIT_S
+    with fleet.call() as client:
+        while time.monotonic() < end_s:
+            shown = client.get(f"/v1/jobs/{job}").json()
+            if shown["state"] == "done":
+                return shown
+            time.sleep(0.1)
+    raise AssertionError(f"job did not end: {shown}")
+
+
+def stream(url: str) -> str:
+    """Ask for a long stream and say how it ended: whole, refused, unreachable or cut off."""
+    headers = {"Authorization": f"Bearer {harness.KEY}"}
+    text = ""
+    try:
+        with (
+            httpx.Client(base_url=url, headers=headers, timeout=WAIT_S, trust_env=False) as client,
+            client.stream("POST", "/v1/completions", json=LONG) as answer,
+        ):
+            for part in answer.iter_text():
+                text += part
+    except httpx.ConnectError:
+        return "unreachable"
+    except httpx.TransportError as exc:
+        return f"cut off: {exc!r} after {text[-80:]!r}"
+    if answer.status_code == 503 and json.loads(text)["error"]["code"] == "draining":
+        return "refused"
+    whole = answer.status_code == 200 and text.endswith("data: [DONE]\n\n")
+    return "whole" if whole else f"cut off: {answer.status_code} {text[-200:]!r}"
+
+
+@pytest.fixture
+def fleet():
+    with harness.Fleet(vms=1, engines=2) as made:
+        wait_ready(made)
+        yield made
+
+
+def test_killed_gateway_comes_back_and_the_job_in_between_completes_once(fleet):
+    job = submit(fleet, "night-1")
+    gateway = fleet.vms[0].gateway
+    gateway.kill()
+    gateway.restart()
+    wait_ready(fleet)
+    with fleet.call() as client:
+        answer = client.post("/v1/completions", json=BODY)
+        assert answer.json()["usage"]["completion_tokens"] == BODY["max_tokens"]
+    assert submit(fleet, "night-1") == job
+    shown = wait_done(fleet, job)
+    assert (shown["finished"], shown["failed"]) == (ITEMS, 0)
+    with fleet.call() as client:
+        results = client.get(f"/v1/jobs/{job}/results").text.splitlines()
+    ids = [json.loads(line)["custom_id"] for line in results]
+    assert ids == [f"note-{i}" for i in range(ITEMS)]
+
+
+def test_gateway_told_to_stop_under_load_cuts_nothing_off(fleet):
+    url, gateway = fleet.vms[0].url, fleet.vms[0].gateway
+    with concurrent.futures.ThreadPoolExecutor(2 * STREAMS) as pool:
+        early = [pool.submit(stream, url) for _ in range(STREAMS)]
+        time.sleep(0.3)
+        gateway.send(signal.SIGTERM)
+        late = []
+        for _ in range(STREAMS):
+            late.append(pool.submit(stream, url))
+            time.sleep(0.05)
+        ended = [call.result() for call in early]
+        ended_late = [call.result() for call in late]
+    assert ended == ["whole"] * STREAMS
+    assert set(ended_late) <= {"whole", "refused", "unreachable"}
+    assert gateway.wait(WAIT_S) == 0
+
+
+def test_worker_told_to_stop_ends_and_another_start_finishes_its_job(fleet):
+    worker = fleet.vms[0].worker
+    job = submit(fleet, "night-2")
+    time.sleep(0.3)
+    worker.send(signal.SIGTERM)
+    assert worker.wait(WAIT_S) == 0
+    worker.restart()
+    shown = wait_done(fleet, job)
+    assert (shown["finished"], shown["failed"]) == (ITEMS, 0)
