Open jobs keep their services, models, teams and priorities; daemons run the reconciler

Ways weighed for open jobs' uses: reading every open header at each PUT costs one read a job; so headers are read only when the manifest removes a name. An item's model stands in its body, which is not read: a service in use is taken to use all its models.

Ruled out: lost datagrams (none dropped). Now a record that is new and comes in a roster is not passed on, and a newcomer asks for the roster again four times.

--- a/bench/membership.py
+++ b/bench/membership.py
@@ -191,7 +191,7 @@
         return time.monotonic() - began
 
     async def _cost(self, pid: int, quiet_s: float) -> tuple[float, float, float, float]:
-        await trio.sleep(3.0)
+        await self._until(lambda: not any(m.pending_updates() for m in self.members))
         before = (self._bytes(), time.process_time(), cpu_s(pid), time.monotonic())
         await trio.sleep(quiet_s)
         took_s = time.monotonic() - before[3]
--- a/src/cornelgrade/daemons.py
+++ b/src/cornelgrade/daemons.py
@@ -22,7 +22,9 @@
     load_reports,
     membership,
     online,
+    open_uses,
     peer_stories,
+    reconciler,
     records,
     router,
     share_grants,
@@ -100,6 +102,7 @@
     kern.add(share_grants.ShareGrants(kern, cfg), _RESTART)
     kern.add(leaving.LeavingWatch(kern, cfg, outside.store), _RESTART)
     kern.add(batch.Batch(kern, cfg.vm, cfg.failure_domain, outside.store))
+    kern.add(reconciler.Reconciler(kern, cfg, outside.store), _RESTART)
     kern.add(conditions.Conditions(kern, cfg), _RESTART)
     routes = operations.blueprint(kern, cfg, cfg.worker_address)
     kern.add(server.Web(kern, cfg, app.make([routes]), cfg.worker_address))
@@ -118,7 +121,12 @@
     if cfg.tracing is not None:
         kern.add(trace_writer.TraceWriter(cfg.tracing))
     kern.add(members)
-    kern.add(configuration.Configuration(cfg, outside.store, members, outside.peers, stories=told))
+    uses = open_uses.OpenUses(job_store.JobStore(outside.store))
+    kern.add(
+        configuration.Configuration(
+            cfg, outside.store, members, outside.peers, open_uses=uses.read, stories=told
+        )
+    )
     kern.add(upstreams.Upstreams(kern))
 
 
--- a/src/cornelgrade/policy/manifest_rules.py
+++ b/src/cornelgrade/policy/manifest_rules.py
@@ -10,6 +10,7 @@
 from cornelgrade import errors, manifest
 
 _NAMED = ("services", "priorities", "teams", "upstreams", "models")
+_USED = ("services", "models", "teams", "priorities")
 _SINGLE = ("batch", "online")
 _DIFFERENCES_SHOWN = 12
 
@@ -116,8 +117,13 @@
             yield f"teams[{i}].burst: {team.burst} is over queue_limit plus all slots ({room})"
 
 
+def removes(wanted: manifest.Manifest, current: manifest.Manifest) -> bool:
+    """Tell whether a manifest lacks a name that a job of the one in force may use."""
+    return any(_names(getattr(current, kind)) - _names(getattr(wanted, kind)) for kind in _USED)
+
+
 def _removed(wanted: manifest.Manifest, uses: Uses) -> Iterable[str]:
-    for kind in ("services", "models", "teams", "priorities"):
+    for kind in _USED:
         for name in sorted(getattr(uses, kind) - _names(getattr(wanted, kind))):
             yield f"{kind}: {name} is missing, but an open job uses it"
 
--- a/src/cornelgrade/policy/prober.py
+++ b/src/cornelgrade/policy/prober.py
@@ -5,11 +5,10 @@
 
 import collections
 import dataclasses
-import enum
 import random
 from collections.abc import Sequence
 
-from cornelgrade.policy import gossip, membership
+from cornelgrade.policy import actions, gossip, membership
 from cornelgrade.schema import codec, messages
 from cornelgrade.services import ports
 
@@ -21,60 +20,7 @@
 _REFRESHED_RECORDS = 2
 _RUMORS_KEPT = 1024
 _LEAVE_FANOUT = 8
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Send:
-    """Send a message to an address; updates ride along."""
-
-    address: str
-    body: messages.Body
-    members: tuple[ports.Member, ...] = ()
-    rumors: tuple[messages.Rumor, ...] = ()
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Changed:
-    """A member's record changed; ``before`` is ``None`` for a new member."""
-
-    member: ports.Member
-    before: ports.Member | None
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Deliver:
-    """Hand a spread message to this VM's services, once."""
-
-    message: ports.PeerMessage
-
-
-Action = Send | Changed | Deliver
-
-
-class Stage(enum.Enum):
-    """How far the probe of this interval is."""
-
-    DIRECT = "direct"
-    INDIRECT = "indirect"
-    DONE = "done"
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Probe:
-    """The probe of this interval."""
-
-    vm: str
-    number: int
-    sent_at: float
-    stage: Stage
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Relayed:
-    """A ping sent on behalf of another member."""
-
-    address: str
-    number: int
+_SYNC_INTERVALS = frozenset({3, 8, 20, 60})
 
 
 class Prober:
@@ -103,9 +49,9 @@
         )
         self._ring: list[str] = []
         self._refresh: list[str] = []
-        self._probe: Probe | None = None
+        self._probe: actions.Probe | None = None
         self._number = rng.getrandbits(32)
-        self._relayed: collections.OrderedDict[int, Relayed] = collections.OrderedDict()
+        self._relayed: collections.OrderedDict[int, actions.Relayed] = collections.OrderedDict()
         self._recheck: collections.deque[str] = collections.deque(maxlen=_RECHECKS)
         self._deadlines: dict[str, float] = {}
         self._dead_since: dict[str, float] = {}
@@ -120,11 +66,11 @@
         """Give the time of the next :meth:`tick`."""
         return self._due if self._due is not None else 0.0
 
-    def tick(self, now: float) -> list[Action]:
+    def tick(self, now: float) -> list[actions.Action]:
         """Carry on with the probe of this interval, the suspicions and the slow probes."""
-        out: list[Action] = []
+        out: list[actions.Action] = []
         self._survive_stall(now)
-        if self._probe is not None and self._probe.stage is Stage.DIRECT:
+        if self._probe is not None and self._probe.stage is actions.Stage.DIRECT:
             out += self._ask_relays(now, self._probe)
         if self._interval_at is None or now >= self._interval_at:
             out += self._next_interval(now)
@@ -132,11 +78,12 @@
         self._due = self._next_due(now)
         return out
 
-    def receive(self, now: float, got: messages.Datagram) -> list[Action]:
+    def receive(self, now: float, got: messages.Datagram) -> list[actions.Action]:
         """Take a datagram of another member in; its own record comes first in it."""
-        out: list[Action] = []
+        out: list[actions.Action] = []
+        known = isinstance(got.body, messages.Roster)
         for heard in got.members:
-            out += self._hear(now, heard)
+            out += self._hear(now, heard, known)
         for rumor in got.rumors:
             out += self.hear_rumor(rumor)
         sender = self.members.get(got.sender)
@@ -144,22 +91,26 @@
             out += self._answer(sender, got.body)
         return out
 
-    def set_version(self, version: int) -> list[Action]:
+    def pending(self) -> int:
+        """Give the number of updates that still ride along."""
+        return len(self._updates)
+
+    def set_version(self, version: int) -> list[actions.Action]:
         """Say that a later manifest is in force here, also to a few members at once."""
         self._set_me(dataclasses.replace(self.me, manifest_version=version), urgent=False)
         return self.announce(messages.Version(version), self.tuning.relays + 1)
 
-    def announce(self, body: messages.Body, fanout: int) -> list[Action]:
+    def announce(self, body: messages.Body, fanout: int) -> list[actions.Action]:
         """Send a message to some random members."""
         chosen = self._some(fanout, exclude=self.me.vm)
         return [self._send(vm, body) for vm in chosen]
 
-    def leave(self) -> list[Action]:
+    def leave(self) -> list[actions.Action]:
         """Announce that this member stops."""
         self._set_me(dataclasses.replace(self.me, state=State.LEAVING))
         return self.announce(messages.Roster(), _LEAVE_FANOUT)
 
-    def hear_rumor(self, rumor: messages.Rumor) -> list[Action]:
+    def hear_rumor(self, rumor: messages.Rumor) -> list[actions.Action]:
         """Take a message that goes to every gateway: deliver it once and pass it on."""
         key = (rumor.origin, rumor.number)
         if key in self._heard_rumors:
@@ -168,7 +119,7 @@
         if len(self._heard_rumors) > _RUMORS_KEPT:
             self._heard_rumors.popitem(last=False)
         self._rumors.put(key, rumor)
-        return [Deliver(rumor.message)]
+        return [actions.Deliver(rumor.message)]
 
     # Records ----------------------------------------------------------------------------
 
@@ -177,7 +128,7 @@
         self.members[me.vm] = me
         self._updates.put(me.vm, me, urgent=urgent)
 
-    def _hear(self, now: float, heard: ports.Member) -> list[Action]:
+    def _hear(self, now: float, heard: ports.Member, known_elsewhere: bool) -> list[actions.Action]:
         if heard.vm == self.me.vm:
             return self._hear_of_me(heard)
         known = self.members.get(heard.vm)
@@ -188,17 +139,20 @@
             if heard.vm not in self._recheck:
                 self._recheck.append(heard.vm)
             return []
-        return self._record(now, membership.merged(known, heard, verdict))
+        pass_on = not (known_elsewhere and known is None)
+        return self._record(now, membership.merged(known, heard, verdict), pass_on)
 
-    def _hear_of_me(self, heard: ports.Member) -> list[Action]:
+    def _hear_of_me(self, heard: ports.Member) -> list[actions.Action]:
         me = membership.refuted(self.me, heard)
         if me is self.me:
             return []
         before = self.me
         self._set_me(me)
-        return [Changed(me, before)]
+        return [actions.Changed(me, before)]
 
-    def _record(self, now: float, member: ports.Member) -> list[Action]:
+    def _record(
+        self, now: float, member: ports.Member, pass_on: bool = True
+    ) -> list[actions.Action]:
         vm = member.vm
         before = self.members.get(vm)
         self.members[vm] = member
@@ -206,10 +160,11 @@
             self._ring.insert(self._rng.randrange(len(self._ring) + 1), vm)
         moved = before is None or before.state is not member.state
         newer = before is None or before.incarnation != member.incarnation
-        self._updates.put(vm, member, urgent=moved or newer)
+        if pass_on:
+            self._updates.put(vm, member, urgent=moved or newer)
         if moved:
             self._enter(now, member)
-        return [Changed(member, before)]
+        return [actions.Changed(member, before)]
 
     def _enter(self, now: float, member: ports.Member) -> None:
         self._deadlines.pop(member.vm, None)
@@ -223,8 +178,8 @@
     def _living(self) -> list[str]:
         return [vm for vm, m in self.members.items() if m.state in _PROBED]
 
-    def _bury(self, now: float) -> list[Action]:
-        out: list[Action] = []
+    def _bury(self, now: float) -> list[actions.Action]:
+        out: list[actions.Action] = []
         for vm in [vm for vm, at in self._deadlines.items() if now >= at]:
             out += self._record(now, dataclasses.replace(self.members[vm], state=State.DEAD))
         keep_s = self.tuning.forget_dead_s
@@ -244,29 +199,31 @@
 
     def _next_due(self, now: float) -> float:
         times = [self._interval_at or now, *self._deadlines.values()]
-        if self._probe is not None and self._probe.stage is Stage.DIRECT:
+        if self._probe is not None and self._probe.stage is actions.Stage.DIRECT:
             times.append(self._probe.sent_at + self.tuning.ack_timeout_s)
         return min(times)
 
-    def _next_interval(self, now: float) -> list[Action]:
+    def _next_interval(self, now: float) -> list[actions.Action]:
         self._interval_at = now + self.tuning.interval_s
         self._intervals += 1
         out = self._fail_probe(now)
         target = self._next_target()
         if target is not None:
             number = self._next_number()
-            self._probe = Probe(target, number, now, Stage.DIRECT)
+            self._probe = actions.Probe(target, number, now, actions.Stage.DIRECT)
             out.append(self._send(target, messages.Ping(number)))
         for _ in range(min(_RECHECKS_EACH_INTERVAL, len(self._recheck))):
             out += self._ping_dead(self._recheck.popleft())
         if self._intervals % self.tuning.slow_every == 1 or target is None:
             out += self._slow_probe()
+        if self._intervals in _SYNC_INTERVALS:
+            out += self.announce(messages.Join(), 1)
         return out
 
-    def _fail_probe(self, now: float) -> list[Action]:
+    def _fail_probe(self, now: float) -> list[actions.Action]:
         probe, self._probe = self._probe, None
         member = self.members.get(probe.vm) if probe is not None else None
-        if probe is None or probe.stage is Stage.DONE or member is None:
+        if probe is None or probe.stage is actions.Stage.DONE or member is None:
             return []
         found = {State.ALIVE: State.SUSPECT, State.LEAVING: State.DEAD}.get(member.state)
         return self._record(now, dataclasses.replace(member, state=found)) if found else []
@@ -286,10 +243,10 @@
         self._number += 1
         return self._number
 
-    def _ask_relays(self, now: float, probe: Probe) -> list[Action]:
+    def _ask_relays(self, now: float, probe: actions.Probe) -> list[actions.Action]:
         if now < probe.sent_at + self.tuning.ack_timeout_s or probe.vm not in self.members:
             return []
-        self._probe = dataclasses.replace(probe, stage=Stage.INDIRECT)
+        self._probe = dataclasses.replace(probe, stage=actions.Stage.INDIRECT)
         request = messages.ProbeRequest(probe.number, probe.vm)
         relays = self._some(self.tuning.relays, exclude=probe.vm)
         again = self._send(probe.vm, messages.Ping(probe.number))
@@ -303,25 +260,25 @@
         ]
         return self._rng.sample(usable, min(count, len(usable)))
 
-    def _ping_dead(self, vm: str) -> list[Action]:
+    def _ping_dead(self, vm: str) -> list[actions.Action]:
         known = self.members.get(vm)
         if known is None or known.state is not State.DEAD:
             return []
         return [self._send(vm, messages.Ping(self._next_number()))]
 
-    def _slow_probe(self) -> list[Action]:
-        out: list[Action] = []
+    def _slow_probe(self) -> list[actions.Action]:
+        out: list[actions.Action] = []
         if self._dead_since:
             out += self._ping_dead(self._rng.choice(list(self._dead_since)))
         living = {self.members[vm].peer_address for vm in self._living()}
         silent = [seed for seed in self._seeds if seed not in living]
         alone = len(living) <= 1
         asked = silent if alone else self._rng.sample(silent, min(1, len(silent)))
-        return out + [Send(seed, messages.Join(), (self.me,)) for seed in asked]
+        return out + [actions.Send(seed, messages.Join(), (self.me,)) for seed in asked]
 
     # Messages ---------------------------------------------------------------------------
 
-    def _answer(self, sender: ports.Member, body: messages.Body) -> list[Action]:
+    def _answer(self, sender: ports.Member, body: messages.Body) -> list[actions.Action]:
         match body:
             case messages.Ping(number):
                 return [self._send(sender.vm, messages.Ack(number))]
@@ -334,25 +291,25 @@
             case _:
                 return []
 
-    def _acked(self, number: int) -> list[Action]:
+    def _acked(self, number: int) -> list[actions.Action]:
         if self._probe is not None and self._probe.number == number:
-            self._probe = dataclasses.replace(self._probe, stage=Stage.DONE)
+            self._probe = dataclasses.replace(self._probe, stage=actions.Stage.DONE)
         asked = self._relayed.pop(number, None)
         if asked is None:
             return []
-        return [Send(asked.address, messages.Ack(asked.number), self._riders("", 0))]
+        return [actions.Send(asked.address, messages.Ack(asked.number), self._riders("", 0))]
 
-    def _relay(self, origin: ports.Member, number: int, vm: str) -> list[Action]:
+    def _relay(self, origin: ports.Member, number: int, vm: str) -> list[actions.Action]:
         if vm not in self.members:
             return []
         own = self._next_number()
-        self._relayed[own] = Relayed(origin.peer_address, number)
+        self._relayed[own] = actions.Relayed(origin.peer_address, number)
         if len(self._relayed) > _PAIRS_KEPT:
             self._relayed.popitem(last=False)
         return [self._send(vm, messages.Ping(own))]
 
-    def _roster(self, sender: ports.Member) -> list[Action]:
-        out: list[Action] = []
+    def _roster(self, sender: ports.Member) -> list[actions.Action]:
+        out: list[actions.Action] = []
         part: list[ports.Member] = [self.me]
         room = codec.MEMBERS_ROOM_BYTES - codec.member_bytes(self.me)
         left = room
@@ -361,18 +318,20 @@
                 continue
             size = codec.member_bytes(member)
             if size > left:
-                out.append(Send(sender.peer_address, messages.Roster(), tuple(part)))
+                out.append(actions.Send(sender.peer_address, messages.Roster(), tuple(part)))
                 part, left = [self.me], room
             part.append(member)
             left -= size
-        out.append(Send(sender.peer_address, messages.Roster(), tuple(part)))
+        out.append(actions.Send(sender.peer_address, messages.Roster(), tuple(part)))
         return out
 
-    def _send(self, vm: str, body: messages.Body) -> Send:
+    def _send(self, vm: str, body: messages.Body) -> actions.Send:
         sends = membership.retransmits(self.tuning, len(self.members))
         rumors = self._rumors.take(codec.RUMORS_ROOM_BYTES, codec.rumor_bytes, sends)
         taken_bytes = sum(map(codec.rumor_bytes, rumors))
-        return Send(self.members[vm].peer_address, body, self._riders(vm, taken_bytes), rumors)
+        return actions.Send(
+            self.members[vm].peer_address, body, self._riders(vm, taken_bytes), rumors
+        )
 
     def _riders(self, vm: str, taken_bytes: int) -> tuple[ports.Member, ...]:
         """Choose records: own, the receiver's if it is not alive, updates, two to refresh."""
--- a/src/cornelgrade/services/_manifest_writer.py
+++ b/src/cornelgrade/services/_manifest_writer.py
@@ -38,17 +38,20 @@
     return ports.Accepted(decoded, stored.version)
 
 
+OpenUses = Callable[[manifest.Manifest], Awaitable[manifest_rules.Uses]]
+
+
 class Writer:
     """Accepts manifests on behalf of one VM.
 
-    :param open_uses: reads what open jobs use.
+    :param open_uses: reads what open jobs use under the manifest in force.
     """
 
     def __init__(
         self,
         vm: str,
         store: platform.Platform,
-        open_uses: Callable[[], Awaitable[manifest_rules.Uses]] | None,
+        open_uses: OpenUses | None,
     ) -> None:
         self._vm = vm
         self._store = store
@@ -82,7 +85,7 @@
                 return ports.Accepted(wanted, decision.version)
             if decision.outcome is acceptance.Outcome.STALE:
                 raise _stale(there, wanted, version)
-            await self._check(wanted)
+            await self._check(wanted, there)
             entry = acceptance.Acceptance(digest, version, time.time(), self._vm)
             value = msgspec.json.encode(acceptance.extended(before, encoded, entry))
             try:
@@ -95,8 +98,11 @@
             errors.Code.CONFLICT, "the manifest keeps changing; try again", step=_STEP
         )
 
-    async def _check(self, wanted: manifest.Manifest) -> None:
-        uses = await self._open_uses() if self._open_uses is not None else None
+    async def _check(self, wanted: manifest.Manifest, there: platform.Stored | None) -> None:
+        current = accepted(there).manifest if there is not None else None
+        uses = None
+        if self._open_uses is not None and current and manifest_rules.removes(wanted, current):
+            uses = await self._open_uses(current)
         found = manifest_rules.problems(wanted, uses)
         if found:
             raise _bad(found)
--- a/src/cornelgrade/services/configuration.py
+++ b/src/cornelgrade/services/configuration.py
@@ -5,13 +5,13 @@
 """
 
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 
 import trio
 
 from cornelgrade import errors, logs, metrics, reports, settings
 from cornelgrade.adapters import peer_manifest, platform
-from cornelgrade.policy import manifest_rules, watchers
+from cornelgrade.policy import watchers
 from cornelgrade.services import _manifest_writer, ports
 
 KIND = _manifest_writer.KIND
@@ -28,8 +28,6 @@
 _FETCH_SOURCES = 3
 _SMALL_FLEET = 16
 
-OpenUses = Callable[[], Awaitable[manifest_rules.Uses]]
-
 
 class Configuration:
     """Follows the manifest and never goes back to a lower version.
@@ -46,7 +44,7 @@
         membership: ports.Membership,
         peers: peer_manifest.Peers,
         *,
-        open_uses: OpenUses | None = None,
+        open_uses: _manifest_writer.OpenUses | None = None,
         stories: ports.Stories | None = None,
         rng: random.Random | None = None,
     ) -> None:
--- a/src/cornelgrade/services/membership.py
+++ b/src/cornelgrade/services/membership.py
@@ -10,7 +10,7 @@
 
 from cornelgrade import logs, metrics, reports, settings
 from cornelgrade.adapters import datagrams, peer_key
-from cornelgrade.policy import membership, prober
+from cornelgrade.policy import actions, membership, prober
 from cornelgrade.schema import codec, messages
 from cornelgrade.services import _subscriptions, ports
 
@@ -140,6 +140,10 @@
         """Give the traffic of the peer socket."""
         return self._socket.traffic() if self._socket is not None else datagrams.Traffic()
 
+    def pending_updates(self) -> int:
+        """Give the number of updates that still ride along with probes."""
+        return self._prober.pending() if self._prober is not None else 0
+
     def dropped(self) -> dict[datagrams.Dropped, int]:
         """Give the number of datagrams dropped, by reason."""
         return dict(self._socket.dropped) if self._socket is not None else {}
@@ -226,15 +230,15 @@
 
     # Actions ----------------------------------------------------------------------------
 
-    def _carry_out(self, actions: list[prober.Action]) -> None:
-        for action in actions:
+    def _carry_out(self, chosen: list[actions.Action]) -> None:
+        for action in chosen:
             match action:
-                case prober.Send(address, body, members, rumors):
+                case actions.Send(address, body, members, rumors):
                     assert self._socket is not None
                     self._socket.send(address, body, members, rumors)
-                case prober.Changed(member, before):
+                case actions.Changed(member, before):
                     self._changed(member, before)
-                case prober.Deliver(message):
+                case actions.Deliver(message):
                     self._subscriptions.deliver(message)
                     self._to_worker(message)
 
--- a/tests/fleet/test_configuration.py
+++ b/tests/fleet/test_configuration.py
@@ -11,8 +11,15 @@
 
 from cornelgrade import errors, kernel, manifest
 from cornelgrade.adapters import peer_manifest
-from cornelgrade.policy import manifest_rules
-from cornelgrade.services import configuration, ports
+from cornelgrade.policy import claims, manifest_rules
+from cornelgrade.services import (
+    _manifest_writer,
+    configuration,
+    job_records,
+    job_store,
+    open_uses,
+    ports,
+)
 from cornelgrade.services.web import access
 from cornelgrade.services.web import manifest as manifest_routes
 from cornelgrade.standins import platform_store
@@ -116,6 +123,45 @@
     assert vms.store.version == 0
 
 
+async def test_what_an_open_job_uses_is_asked_only_when_something_is_removed(autojump_clock):
+    asked = []
+
+    async def open_uses(current):
+        await trio.lowlevel.checkpoint()
+        asked.append(current)
+        return manifest_rules.Uses(priorities=frozenset({"low"}))
+
+    writer = _manifest_writer.Writer("vm0", platform_store.MemoryPlatform(), open_uses)
+    first = await writer.put(FIRST, None)
+    second = await writer.put(SECOND, first.version)
+    assert asked == []
+    fewer = sample(priorities=sample().priorities[:1])
+    with pytest.raises(errors.Refusal, match="priorities: low is missing, but an open job"):
+        await writer.put(manifest_rules.encode(fewer), second.version)
+
+
+async def test_open_jobs_services_models_teams_and_priorities_are_in_use(autojump_clock):
+    store = job_store.JobStore(platform_store.MemoryPlatform())
+    header = functools.partial(
+        job_records.Header, key="k", digest="d", service="chat", priority="low", price=1.0,
+        due_at_s=9.0, created_at_s=1.0, upload="u", piece_items=(1,), chunk_items=1,
+    )  # fmt: skip
+    for i in range(3):
+        state = job_records.JobState.DONE if i == 2 else job_records.JobState.OPEN
+        made = header(team=f"team{i}", job=f"j{i}", state=state)
+        ledger = job_records.encode(claims.Ledger(0.0))
+        await store.plat.create(job_records.OPEN, f"000{i}:team{i}:j{i}:u", ledger)
+        if i != 1:
+            await store.plat.create(job_records.JOB, made.name, job_records.encode(made))
+    found = await open_uses.OpenUses(store).read(sample())
+    assert found == manifest_rules.Uses(
+        services=frozenset({"chat"}),
+        models=frozenset({"m"}),
+        teams=frozenset({"team0"}),
+        priorities=frozenset({"low"}),
+    )
+
+
 async def test_put_in_an_outage_is_refused_as_not_accepted(autojump_clock, vms):
     vms.store.switch(DOWN)
     with pytest.raises(errors.Refusal, match="not accepted") as caught:
--- a/tests/fleet/test_membership_policy.py
+++ b/tests/fleet/test_membership_policy.py
@@ -5,7 +5,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from cornelgrade.policy import gossip, membership, prober
+from cornelgrade.policy import actions, gossip, membership, prober
 from cornelgrade.schema import messages
 from cornelgrade.services import ports
 
@@ -115,7 +115,7 @@
         sent = []
         while now < end:
             for action in self.a.tick(now):
-                if isinstance(action, prober.Send):
+                if isinstance(action, actions.Send):
                     sent.append(action)
                     self.answer(now, action, answer)
             now = max(self.a.due(), now + 0.01)
