--- a/src/cornelgrade/daemons.py
+++ b/src/cornelgrade/daemons.py
@@ -22,6 +22,7 @@
     load_reports,
     membership,
     online,
+    open_uses,
     peer_stories,
     ports,
     quarantine,
@@ -123,7 +124,12 @@
     if cfg.tracing is not None:
         kern.add(trace_writer.TraceWriter(cfg.tracing))
     kern.add(members)
-    kern.add(configuration.Configuration(cfg, outside.store, members, outside.peers, stories=told))
+    uses = open_uses.OpenUses(job_store.JobStore(outside.store))
+    kern.add(
+        configuration.Configuration(
+            cfg, outside.store, members, outside.peers, open_uses=uses.read, stories=told
+        )
+    )
     kern.add(upstreams.Upstreams(kern))
     kern.add(quarantine.Quarantine(kern))
 
