--- a/tests/services/test_records.py
+++ b/tests/services/test_records.py
@@ -4,6 +4,7 @@
 import trio
 
 from cornelgrade import errors
+from cornelgrade.adapters import platform
 from cornelgrade.services import ports, records
 from cornelgrade.standins import platform_store
 
@@ -359,3 +360,29 @@
     with contextlib.suppress(errors.Refusal):
         runs = [await one.begin(claim(f"k{number}")) for number in range(40)]
     assert len(runs) == 40
+
+
+@pytest.mark.parametrize("dies", [False, True])
+async def test_claim_written_just_before_the_platform_went_away(autojump_clock, fleet, dies):
+    one, two = await fleet.vm("one"), await fleet.vm("two")
+    real = fleet.store.create
+
+    async def create(*args, **kw):
+        await real(*args, **kw)
+        fleet.switch(down=True)
+        raise platform.UnavailableError("away", step="create", outcome_unknown=True)
+
+    fleet.store.create = create
+    refusal = await outcome(one.begin, claim())
+    assert (refusal.code, refusal.ran) == (errors.Code.UNAVAILABLE, errors.Ran.NO)
+    fleet.store.create = real
+    if dies:
+        one.scope.cancel()
+        fleet.dead.add("one")
+    fleet.switch()
+    await trio.sleep(5)
+    got = await outcome(two.begin, claim())
+    if dies:
+        assert got.code is errors.Code.OUTCOME_UNKNOWN
+    else:
+        assert isinstance(got, ports.Run)
