Fewer writes where VMs share record buckets

A lost write is now tried again at once on what the platform gave back, a VM that met conflicts pauses before its next group so that groups grow, and there are 8 root buckets in place of 16.

--- a/src/cornelgrade/policy/idempotency.py
+++ b/src/cornelgrade/policy/idempotency.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-ROOT_BITS = 4
+ROOT_BITS = 3
 ID_BITS = 128
 
 
--- a/src/cornelgrade/services/_buckets.py
+++ b/src/cornelgrade/services/_buckets.py
@@ -8,6 +8,7 @@
 import collections
 import contextlib
 import dataclasses
+import random
 from collections.abc import Awaitable, Callable, Iterable, Sequence
 
 import msgspec
@@ -23,6 +24,9 @@
 MIN_RETRY_S = 0.01
 FIRST_RETRY_S = 0.05
 MAX_RETRY_S = 1.0
+FIRST_PAUSE_S = 0.005
+MAX_PAUSE_S = 0.16
+PAUSE_DECAY = 0.8
 DOWN_AFTER_FAILURES = 2
 DOWN_S = 1.0
 PARALLEL_COMMITS = 32
@@ -110,6 +114,8 @@
         self._sight = sight
         self._queues: dict[str, collections.deque[Op]] = {}
         self._split: set[str] = set()
+        self._pauses_s: dict[str, float] = {}
+        self._rng = random.Random()
         self._nursery: trio.Nursery | None = None
         self._limit = trio.CapacityLimiter(PARALLEL_COMMITS)
         self._log = logs.Logger("records")
@@ -188,8 +194,9 @@
             try:
                 async with self._limit:
                     await _prepare(group)
-                    await self._commit(name, group)
+                    conflicts = await self._commit(name, group)
                 retry_s = FIRST_RETRY_S
+                await self._pace(name, conflicts)
                 self.health.succeeded()
             except platform.UnavailableError as exc:
                 self._put_back(name, group, exc)
@@ -197,6 +204,19 @@
                 retry_s = min(retry_s * 2, MAX_RETRY_S)
         del self._queues[name]
 
+    async def _pace(self, name: str, conflicts: int) -> None:
+        """Pause between groups while VMs get in each other's way, so that groups grow instead."""
+        pause_s = self._pauses_s.get(name, 0.0)
+        if conflicts:
+            pause_s = min(max(pause_s, FIRST_PAUSE_S) * 2, MAX_PAUSE_S)
+        else:
+            pause_s *= PAUSE_DECAY
+        if pause_s < FIRST_PAUSE_S:
+            self._pauses_s.pop(name, None)
+            return
+        self._pauses_s[name] = pause_s
+        await trio.sleep(pause_s * (0.5 + self._rng.random()))
+
     def _put_back(self, name: str, group: Iterable[Op], exc: platform.UnavailableError) -> None:
         """Queue a failed group again, but for changes whose callers need not wait for that."""
         queue = self._queues[name]
@@ -210,24 +230,28 @@
             queue.clear()
             queue.extend(kept)
 
-    async def _commit(self, name: str, group: Sequence[Op]) -> None:
-        """Put a group into its bucket, whatever others write meanwhile."""
-        while True:
-            stored, bucket = await self._load(name)
+    async def _commit(self, name: str, group: Sequence[Op]) -> int:
+        """Put a group into its bucket; give the number of times that another VM was first."""
+        stored, bucket = await self._load(name)
+        for conflicts in range(2**31):
             if bucket.phase is not idempotency.Phase.OPEN:
                 await self._finish_split(name, stored, bucket)
                 self._hand_down(name, group)
-                return
+                return conflicts
             live = [op for op in group if not op.dropped]
             changes = [op.change for op in live]
             applied = idempotency.apply(bucket, changes, self._sight(bucket))
             answers = list(zip(live, applied.verdicts, strict=True))
             _resolve(pair for pair in answers if pair[0].eager)
-            if applied.changed and not await self._try_write(name, stored, applied.bucket, live):
-                continue
+            if applied.changed:
+                newer = await self._try_write(name, stored, applied.bucket, live)
+                if newer is not None:
+                    stored, bucket = newer
+                    continue
             self._changes.add({}, len(live))
             _resolve(answers)
-            return
+            return conflicts
+        raise AssertionError
 
     async def _try_write(
         self,
@@ -235,8 +259,8 @@
         stored: platform.Stored | None,
         bucket: idempotency.Bucket,
         group: Sequence[Op],
-    ) -> bool:
-        """Write a bucket, seal it for splitting if it has grown; false if another was first."""
+    ) -> tuple[platform.Stored | None, idempotency.Bucket] | None:
+        """Write a bucket, sealed if it has grown; give what is there if another VM was first."""
         for op in group:
             op.sent = True
         if len(idempotency.encode(bucket)) > SPLIT_BYTES:
@@ -245,11 +269,13 @@
             await self._write(name, stored, bucket)
         except platform.ConflictError as exc:
             _note_unwritten(group, exc.outcome_unknown)
-            return False
+            if exc.current is None:
+                return await self._load(name)
+            return exc.current, _decode(exc.current)
         except platform.UnavailableError as exc:
             _note_unwritten(group, exc.outcome_unknown)
             raise
-        return True
+        return None
 
     async def _load(self, name: str) -> tuple[platform.Stored | None, idempotency.Bucket]:
         stored = await self._store.get(KIND, name)
--- a/tests/policy/test_idempotency.py
+++ b/tests/policy/test_idempotency.py
@@ -121,7 +121,7 @@
     bucket = idempotency.Bucket(records=records)
     halves = idempotency.halves(parent, bucket)
     for rid, kept in records.items():
-        assert halves[idempotency.bucket_name(rid, 5)].records[rid] == kept
+        assert halves[idempotency.bucket_name(rid, len(parent) + 1)].records[rid] == kept
     assert sum(len(half.records) for half in halves.values()) == len(records)
     assert idempotency.decode(idempotency.encode(bucket)) == bucket
 
