--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -8,7 +8,7 @@
 import platform
 import time
 
-from bench import slopes
+from bench import process_slopes, slopes
 
 US_PER_S = 1_000_000
 MB = 1_000_000
@@ -85,14 +85,51 @@
     ]
 
 
+def process_lines(target: Target, found: dict[str, float]) -> list[Line]:
+    """Work out what the two processes of a VM cost."""
+    return [
+        *_core(target.requests / target.vms, found["request_us"], "whole requests"),
+        *_core(target.requests / target.vms, found["keyed_us"], "if all were keyed"),
+        *_core(target.tokens / target.vms, found["token_us"], "relayed tokens"),
+        *_core(target.items / target.vms, found["item_us"], "batch items"),
+        Line(
+            "idle gateway and worker",
+            f"{found['gateway_idle_core']:.2f} + {found['worker_idle_core']:.2f}",
+            found["gateway_idle_core"] + found["worker_idle_core"],
+            f"% of a core, budget {target.control_core * 100:g}",
+        ),
+        Line(
+            "memory of both",
+            f"{found['gateway_idle_mb']:.1f} + {found['worker_idle_mb']:.1f}",
+            found["gateway_idle_mb"] + found["worker_idle_mb"],
+            f"MB, budget {target.control_mb:g}",
+        ),
+        _platform("writes", target, found),
+        _platform("reads", target, found),
+    ]
+
+
+def _core(rate: float, cost_us: float, what: str) -> list[Line]:
+    share = rate * cost_us / US_PER_S * 100
+    return [Line(what, f"{rate:.1f} x {cost_us:.0f} us", share, "% of a core")]
+
+
+def _platform(kind: str, target: Target, found: dict[str, float]) -> Line:
+    """Work out the whole fleet's platform calls for batch work."""
+    slope = found[f"item_{kind}"]
+    arithmetic = f"{target.items:.0f} x {slope:.2f} / 1,000"
+    return Line(f"platform {kind} for batch", arithmetic, target.items * slope / 1_000, "a second")
+
+
 def main() -> None:
     """Measure and print."""
-    measured = [*slopes.memory(), *slopes.processor()]
+    measured = [*slopes.memory(), *slopes.processor(), *process_slopes.measure()]
     print(f"python -m bench.capacity, {time.strftime('%Y-%m-%d')}, {platform.machine()}\n")
     for slope in measured:
         print(f"{slope.what:45} {slope.value:12.1f}")
     print()
-    for line in lines(Target(), {slope.key: slope.value for slope in measured}):
+    found = {slope.key: slope.value for slope in measured}
+    for line in lines(Target(), found) + process_lines(Target(), found):
         print(f"{line.what:60} {line.arithmetic:35} = {line.value:10.2f} {line.unit}")
 
 
--- a/tests/process/harness.py
+++ b/tests/process/harness.py
@@ -83,6 +83,11 @@
         """Wait for its end and give the exit code."""
         return self._popen.wait(timeout_s)
 
+    @property
+    def pid(self) -> int:
+        """Its process id."""
+        return self._popen.pid
+
     @property
     def running(self) -> bool:
         """Whether it has not ended."""
