--- a/bench/membership.py
+++ b/bench/membership.py
@@ -1,18 +1,22 @@
 """Cost and verdicts of membership on loopback, with members as tasks over real datagrams.
 
-One more member runs in a process of its own, which is stopped for a while (SIGSTOP) and killed.
+The first group of members is observed; the others run in further processes. One member runs in a
+process of its own, which is stopped for a while (SIGSTOP) and killed.
 
 Usage:
-  membership [--sizes=LIST] [--quiet=SECONDS] [--lossy=SECONDS] [--seed=N]
-  membership --child=ADDRESSES --index=I --seed=N
+  membership [--sizes=LIST] [--quiet=SECONDS] [--lossy=SECONDS] [--group=N] [--seed=N]
+  membership --child=ADDRESSES --first=I --last=I --lossy-at=PATH --seed=N
 
 Options:
   --sizes=LIST       Members, with commas [default: 9,50,100,200].
   --quiet=SECONDS    How long to measure the cost [default: 10].
   --lossy=SECONDS    How long to lose 5% of the datagrams [default: 15].
   --seed=N           Seed of the members' generators [default: 1].
-  --child=ADDRESSES  Peer addresses with commas; run one member only.
-  --index=I          Which of them to run.
+  --group=N          Members in one process [default: 50].
+  --child=ADDRESSES  Peer addresses with commas; run some of the members only.
+  --first=I          The first of them.
+  --last=I           The last of them.
+  --lossy-at=PATH    Lose datagrams while this file is there.
 """
 
 import contextlib
@@ -26,6 +30,7 @@
 import statistics
 import subprocess
 import sys
+import tempfile
 import time
 from collections.abc import Iterator
 
@@ -108,16 +113,36 @@
         return [f"127.0.0.1:{sock.getsockname()[1]}" for sock in socks]
 
 
-async def run_child(addresses: list[str], i: int, seed: int) -> None:
-    """Run one member until killed."""
-    cfg = make_settings(addresses, i)
-    await membership.Membership(cfg, KEY, rng=random.Random(seed + i)).run(lambda: None)
+async def run_child(addresses: list[str], chosen: range, lossy: pathlib.Path, seed: int) -> None:
+    """Run some members until killed."""
+    rng = random.Random(seed + chosen.start)
+    loss = 0.0
+
+    def cut(_: str) -> bool:
+        return loss > 0 and rng.random() < loss
+
+    async with trio.open_nursery() as nursery:
+        for i in chosen:
+            cfg = make_settings(addresses, i)
+            made = membership.Membership(cfg, KEY, rng=random.Random(seed + i), cut=cut)
+            nursery.start_soon(made.run, lambda: None)
+        while True:
+            loss = LOSS if lossy.exists() else 0.0
+            await trio.sleep(0.1)
 
 
 @contextlib.contextmanager
-def child_process(addresses: list[str], seed: int) -> Iterator[subprocess.Popen]:
-    """Run member 0 in a process of its own."""
-    args = [f"--child={','.join(addresses)}", "--index=0", f"--seed={seed}"]
+def child_process(
+    addresses: list[str], chosen: range, lossy: pathlib.Path, seed: int
+) -> Iterator[subprocess.Popen]:
+    """Run some members in a process of their own."""
+    args = [
+        f"--child={','.join(addresses)}",
+        f"--first={chosen.start}",
+        f"--last={chosen.stop - 1}",
+        f"--lossy-at={lossy}",
+        f"--seed={seed}",
+    ]
     child = subprocess.Popen([sys.executable, "-m", "bench.membership", *args])
     try:
         yield child
@@ -141,14 +166,16 @@
 class Run:
     """One fleet size."""
 
-    def __init__(self, size: int, seed: int) -> None:
+    def __init__(self, size: int, group: int, lossy: pathlib.Path, seed: int) -> None:
         self.size = size
+        self.lossy = lossy
+        self.groups = [range(i, min(i + group, size)) for i in range(1, size, group)]
         self.seed = seed
         self.addresses = free_addresses(size)
         self.loss = 0.0
         self.seen: dict = {}
         self.rng = random.Random(seed)
-        self.members = [self._member(i) for i in range(1, size)]
+        self.members = [self._member(i) for i in self.groups[0]]
 
     def _member(self, i: int) -> Observed:
         return Observed(
@@ -171,7 +198,11 @@
 
     async def measure(self, quiet_s: float, lossy_s: float) -> Row:
         """Go through all phases."""
-        with child_process(self.addresses, self.seed) as child:
+        with contextlib.ExitStack() as stack:
+            child, *_ = [
+                stack.enter_context(child_process(self.addresses, chosen, self.lossy, self.seed))
+                for chosen in (range(1), *self.groups[1:])
+            ]
             async with trio.open_nursery() as nursery:
                 for member in self.members:
                     await nursery.start(lambda task_status, m=member: m.run(task_status.started))
@@ -206,7 +237,9 @@
     async def _lossy(self, lossy_s: float) -> tuple[int, int]:
         self.seen.clear()
         self.loss = LOSS
+        self.lossy.touch()
         await trio.sleep(lossy_s)
+        self.lossy.unlink()
         self.loss = 0.0
         await trio.sleep(3.0)
         found = (self._count(State.SUSPECT), self._count(State.DEAD))
@@ -278,13 +311,15 @@
     """Run the sizes that were asked for."""
     args = docopt.docopt(__doc__)
     seed = int(args["--seed"])
-    with logbook.NullHandler().applicationbound():
+    with logbook.NullHandler().applicationbound(), tempfile.TemporaryDirectory() as folder:
         if args["--child"]:
-            trio.run(run_child, args["--child"].split(","), int(args["--index"]), seed)
+            chosen = range(int(args["--first"]), int(args["--last"]) + 1)
+            lossy = pathlib.Path(args["--lossy-at"])
+            trio.run(run_child, args["--child"].split(","), chosen, lossy, seed)
             return
         rows = []
         for size in map(int, args["--sizes"].split(",")):
-            run = Run(size, seed)
+            run = Run(size, int(args["--group"]), pathlib.Path(folder, "lossy"), seed)
             rows.append(trio.run(run.measure, float(args["--quiet"]), float(args["--lossy"])))
             print(rows[-1], file=sys.stderr, flush=True)
     print(table(rows, seed))
--- a/src/cornelgrade/adapters/datagrams.py
+++ b/src/cornelgrade/adapters/datagrams.py
@@ -22,6 +22,7 @@
 MAX_AGE_S = 60.0
 WINDOW = 1024
 _BATCH = 64
+_NS_PER_US = 1000
 _RECEIVE_BUFFER_BYTES = 1 << 20
 
 Filter = Callable[[str], bool]
@@ -133,7 +134,7 @@
         self._sender = sender
         self._cut = cut
         self._clock = clock
-        self.session = time.time_ns() // 1_000_000
+        self.session = time.time_ns() // _NS_PER_US
         self._sequence = 0
         self._guard = ReplayGuard()
         self.dropped: collections.Counter[Dropped] = collections.Counter()
--- a/src/cornelgrade/adapters/peer_manifest.py
+++ b/src/cornelgrade/adapters/peer_manifest.py
@@ -12,15 +12,25 @@
 from cornelgrade.services import ports
 
 PATH = "/v1/peer/manifest"
+CONFIRMED_HEADER = "Manifest-Confirmed"
+CONFIRMED = "yes"
 TIMEOUT_S = 1.0
 _STEP = "fetch manifest"
 
 
+def signed(version: int, confirmed: str, body: bytes) -> tuple[bytes, ...]:
+    """Give the parts of an answer that its tag covers."""
+    return (str(version).encode(), confirmed.encode(), body)
+
+
 class Peers(Protocol):
     """Other VMs as sources of the manifest."""
 
     async def fetch(self, member: ports.Member) -> ports.Accepted:
-        """Get a member's manifest, never confirmed; raises :class:`CornelgradeError`."""
+        """Get a member's manifest; raises :class:`CornelgradeError`.
+
+        It counts as confirmed only if it comes from this VM's own gateway, which confirmed it.
+        """
 
 
 class HttpPeers:
@@ -61,7 +71,11 @@
             version = platform_http.version_of(headers.get("etag", ""))
         except ValueError as exc:
             raise errors.CornelgradeError("bad headers", step=_STEP, peer=vm) from exc
+        confirmed = headers.get(CONFIRMED_HEADER, "")
         tag = headers.get(peer_auth.TAG_HEADER)
-        if not peer_auth.answer_matches(self._key, tag, nonce, str(version).encode(), body):
+        parts = signed(version, confirmed, body)
+        if not peer_auth.answer_matches(self._key, tag, nonce, *parts):
             raise errors.CornelgradeError("wrong tag", step=_STEP, peer=vm)
-        return ports.Accepted(manifest_rules.decode(body), version, confirmed=False)
+        own_gateway = vm == self._vm
+        decoded = manifest_rules.decode(body)
+        return ports.Accepted(decoded, version, own_gateway and confirmed == CONFIRMED)
--- a/src/cornelgrade/daemons.py
+++ b/src/cornelgrade/daemons.py
@@ -127,7 +127,13 @@
     uses = open_uses.OpenUses(job_store.JobStore(outside.store))
     kern.add(
         configuration.Configuration(
-            cfg, outside.store, members, outside.peers, open_uses=uses.read, stories=told
+            cfg,
+            outside.store,
+            members,
+            outside.peers,
+            beside_gateway=isinstance(members, worker_view.WorkerView),
+            open_uses=uses.read,
+            stories=told,
         )
     )
     kern.add(upstreams.Upstreams(kern))
--- a/src/cornelgrade/policy/membership.py
+++ b/src/cornelgrade/policy/membership.py
@@ -23,7 +23,8 @@
     :param min_suspicion_s: shortest suspicion.
     :param retransmit_factor: sends of one update for each doubling of members.
     :param slow_every: intervals between probes of a dead member or a silent seed.
-    :param stall_s: a tick later than this postpones deadlines: this process stood still.
+    :param stall_s: a tick later than this judges nobody: this process stood still or is
+        overloaded, and answers may lie unread.
     :param forget_dead_s: a dead member is kept and slowly probed for so long.
     """
 
@@ -34,7 +35,7 @@
     min_suspicion_s: float = 4.0
     retransmit_factor: float = 2.0
     slow_every: int = 4
-    stall_s: float = 0.4
+    stall_s: float = 0.1
     forget_dead_s: float = 86_400.0
 
 
--- a/src/cornelgrade/schema/messages.py
+++ b/src/cornelgrade/schema/messages.py
@@ -61,7 +61,7 @@
     """One datagram.
 
     :param sender: the sending process: the VM's name, with ``/worker`` behind it for a worker.
-    :param session: start of the sending process in Unix milliseconds.
+    :param session: start of the sending process in Unix microseconds.
     :param sequence: grows by one with each datagram of a session.
     :param sent_s: Unix time in seconds.
     :param members: membership records that ride along, the sender's own first.
--- a/src/cornelgrade/services/configuration.py
+++ b/src/cornelgrade/services/configuration.py
@@ -19,9 +19,10 @@
 WATCH_S = 30.0
 _WATCH_RECHECK_S = 1.0
 _WATCH_PAUSE_S = 0.1
-_POLL_S = 60.0
+_POLL_S = 300.0
 _CONFIRM_S = 3.0
 _FIRST_RETRY_S = 0.5
+_MAX_RETRY_S = 30.0
 _FETCH_RETRY_S = 0.3
 _MAX_FETCH_RETRY_S = 5.0
 _FETCH_SPREAD_S = 0.3
@@ -32,6 +33,8 @@
 class Configuration:
     """Follows the manifest and never goes back to a lower version.
 
+    :param beside_gateway: this is the worker process, which asks its VM's gateway before the
+        platform and holds no watch.
     :param open_uses: reads what open jobs use, which a new manifest must keep.
     """
 
@@ -44,6 +47,7 @@
         membership: ports.Membership,
         peers: peer_manifest.Peers,
         *,
+        beside_gateway: bool = False,
         open_uses: _manifest_writer.OpenUses | None = None,
         stories: ports.Stories | None = None,
         rng: random.Random | None = None,
@@ -53,6 +57,7 @@
         self._membership = membership
         self._heard = membership.subscribe(ports.VersionHeard)
         self._peers = peers
+        self._beside_gateway = beside_gateway
         self._stories = stories
         self._rng = rng or random.Random()
         self._log = logs.Logger("configuration")
@@ -100,7 +105,8 @@
     async def run(self, started: Callable[[], None]) -> None:
         """Follow the manifest until cancelled; nothing waits for the first one."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._watch)
+            if not self._beside_gateway:
+                nursery.start_soon(self._watch)
             nursery.start_soon(self._poll)
             nursery.start_soon(self._fetch_wanted)
             started()
@@ -171,14 +177,27 @@
         retry_s = _FIRST_RETRY_S
         while True:
             try:
-                await self._read()
+                if not await self._ask_gateway():
+                    await self._read()
                 retry_s = _FIRST_RETRY_S
                 await self._rest()
             except platform.UnavailableError as exc:
                 self._want_highest()
-                retry_s = min(retry_s * 2, _POLL_S)
+                retry_s = min(retry_s * 2, _MAX_RETRY_S)
                 await trio.sleep(self._rng.uniform(0.5, 1.0) * max(retry_s, exc.retry_after_s or 0))
 
+    async def _ask_gateway(self) -> bool:
+        """Tell whether this VM's gateway gave a manifest that needs no confirmation."""
+        own = [m for m in self._membership.view().members if m.vm == self._cfg.vm]
+        if not self._beside_gateway or not own:
+            return False
+        try:
+            self._adopt(await self._peers.fetch(own[0]), "fetched from this VM's gateway")
+        except errors.CornelgradeError as exc:
+            self._log.info("manifest_not_fetched", peer=self._cfg.vm, error=exc.show())
+            return False
+        return self._current is not None and self._current.confirmed
+
     async def _rest(self) -> None:
         """Wait until the next poll, which comes soon if the version is unconfirmed by then."""
         with trio.move_on_after(self._rng.uniform(0.5, 1.0) * _POLL_S):
--- a/src/cornelgrade/services/web/manifest.py
+++ b/src/cornelgrade/services/web/manifest.py
@@ -38,7 +38,8 @@
 def _answer(found: ports.Accepted, body: bytes) -> quart.Response:
     made = quart.Response(body, content_type=_JSON)
     made.headers["ETag"] = platform_http.etag(found.version)
-    made.headers["Manifest-Confirmed"] = "yes" if found.confirmed else "no"
+    confirmed = peer_manifest.CONFIRMED if found.confirmed else "no"
+    made.headers[peer_manifest.CONFIRMED_HEADER] = confirmed
     return made
 
 
@@ -71,8 +72,9 @@
         found = _in_force(kern)
         body = manifest_rules.encode(found.manifest)
         made = _answer(found, body)
-        tag = peer_auth.answer_tag(key, nonce, str(found.version).encode(), body)
-        made.headers[peer_auth.TAG_HEADER] = tag
+        confirmed = made.headers[peer_manifest.CONFIRMED_HEADER]
+        parts = peer_manifest.signed(found.version, confirmed, body)
+        made.headers[peer_auth.TAG_HEADER] = peer_auth.answer_tag(key, nonce, *parts)
         return made
 
     return routes
--- a/tests/fleet/test_configuration.py
+++ b/tests/fleet/test_configuration.py
@@ -197,6 +197,32 @@
     assert not cut_off.current().confirmed
 
 
+class GatewayPeers:
+    """Answers as the own VM's gateway does."""
+
+    def __init__(self, accepted):
+        self.accepted = accepted
+
+    async def fetch(self, member):
+        await trio.lowlevel.checkpoint()
+        return self.accepted
+
+
+@pytest.mark.parametrize(("confirmed", "reads"), [(True, 0), (False, 1)])
+async def test_worker_asks_its_gateway_before_the_platform(
+    autojump_clock, nursery, confirmed, reads
+):
+    fleet = fleet_helpers.Fleet(nursery, fleet_helpers.make_settings(1))
+    member = await fleet.start(0)
+    store = platform_store.MemoryPlatform()
+    peers = GatewayPeers(ports.Accepted(sample(), 5, confirmed=confirmed))
+    made = configuration.Configuration(fleet.cfgs[0], store, member, peers, beside_gateway=True)
+    await nursery.start(lambda task_status: made.run(task_status.started))
+    await fleet_helpers.until(lambda: made.current() == peers.accepted, 1.0)
+    await trio.sleep(20)
+    assert (store.calls["watch"], min(store.calls["get"], 1)) == (0, reads)
+
+
 async def test_lower_version_is_never_taken(autojump_clock, vms):
     base = (await vms.configs["vm0"].put(FIRST, None)).version
     newer = (await vms.configs["vm0"].put(SECOND, base)).version
@@ -237,7 +263,8 @@
         operator_key_hashes=(access.key_hash("op"),),
     )
     kern = kernel.Kernel()
-    kern.add(Followed())
+    service = Followed()
+    kern.add(service)
     made = quart_trio.QuartTrio(__name__)
     made.register_blueprint(manifest_routes.blueprint(kern, cfg))
 
@@ -245,6 +272,7 @@
     async def refused(exc):
         return exc.body(), exc.status
 
+    made.service = service
     made.address = cfg.gateway_address
     return made
 
@@ -267,16 +295,18 @@
         assert got.headers["ETag"] == ('"41"' if method == "GET" else '"42"')
 
 
+@pytest.mark.parametrize("vm", ["vm9", "vm1"])
 @pytest.mark.parametrize(("key", "fine"), [(b"test key", True), (b"wrong", False)])
-async def test_peer_fetches_the_manifest_by_the_shared_key(app, key, fine):
+async def test_peer_fetches_the_manifest_by_the_shared_key(app, key, fine, vm):
+    app.service.accepted = ports.Accepted(sample(), 41, confirmed=True)
     key = fleet_helpers.peer_key.derive(key)
-    member = ports.Member("vm9", "d", "r", 1, ports.MemberState.ALIVE, "", "", app.address)
+    member = ports.Member(vm, "d", "r", 1, ports.MemberState.ALIVE, "", "", app.address)
     async with peer_manifest.HttpPeers(key, "vm1") as peers:
         await peers._client.aclose()
         peers._client = httpx.AsyncClient(transport=AppTransport(app))
         fetch = functools.partial(peers.fetch, member)
         if fine:
-            assert await fetch() == ports.Accepted(sample(), 41, confirmed=False)
+            assert await fetch() == ports.Accepted(sample(), 41, confirmed=vm == "vm1")
         else:
             with pytest.raises(errors.CornelgradeError, match="status 401"):
                 await fetch()
