--- a/src/cornelgrade/policy/window.py
+++ b/src/cornelgrade/policy/window.py
@@ -8,9 +8,9 @@
 import dataclasses
 import math
 
-TICK_S = 0.05
-FULL_IN_TICKS = 3
-LONGEST_HOLD_S = 0.1
+TICK_S = 0.025
+FULL_IN_TICKS = 8
+LONGEST_HOLD_S = 0.05
 SILENT_AFTER_S = 3.0
 SPARE_SHARE = 0.25
 UNHEARD_SHARE = 0.25
@@ -67,7 +67,8 @@
 def room(seen: Seen, lean: float) -> int:
     """Give the number of batch items that the engine has room for."""
     if seen.heard:
-        return max(0, seen.slots - seen.online - spare(seen.slots, lean))
+        weighed = math.ceil(seen.online * online_weight(seen.slots, lean))
+        return max(0, seen.slots - weighed - spare(seen.slots, lean))
     if seen.reported is None or seen.reported_waiting:
         return 0
     others = max(0, seen.reported - seen.batch_then)
@@ -75,6 +76,15 @@
     return max(0, min(small, seen.slots - others - 1))
 
 
+def online_weight(slots: int, lean: float) -> float:
+    """Give how many slots batch leaves to each online request.
+
+    At 0 an engine that has any online request runs no batch, whose prefill and larger steps would
+    delay it; at 1 an online request takes its own slot only.
+    """
+    return 1.0 + (slots - 1) * max(0.0, 1.0 - 2.0 * lean)
+
+
 def spare(slots: int, lean: float) -> int:
     """Give the number of slots that batch leaves free."""
     return math.floor(slots * SPARE_SHARE * (1.0 - lean) ** 2)
--- a/src/cornelgrade/services/_chunk_run.py
+++ b/src/cornelgrade/services/_chunk_run.py
@@ -243,18 +243,20 @@
             with trio.move_on_at(self._leased_at_s + self.claim.lease_s * _RENEW_AT) as scope:
                 await self._wake.wait()
             self._wake = trio.Event()
-            if scope.cancelled_caught:
+            if scope.cancelled_caught and self._renewal_due():
                 await self._renew(renew)
         await self._commit(final=not self.left)
 
+    def _renewal_due(self) -> bool:
+        return trio.current_time() >= self._leased_at_s + self.claim.lease_s * _RENEW_AT
+
+    def renewed(self, asked_at_s: float) -> None:
+        """Note that the claim was renewed by a write that began at ``asked_at_s``."""
+        self._leased_at_s = max(self._leased_at_s, asked_at_s)
+
     async def _renew(self, renew: Renew) -> None:
-        asked_at_s = trio.current_time()
         await self._commit()
-        if self.lost:
-            return
-        if await renew(self):
-            self._leased_at_s = asked_at_s
-        else:
+        if not self.lost and not await renew(self):
             self.lose()
 
     async def _mark(self) -> None:
--- a/src/cornelgrade/services/_engine_run.py
+++ b/src/cornelgrade/services/_engine_run.py
@@ -13,7 +13,8 @@
 
 _REPORT_INTERVAL_S = 0.5
 _REPORT_WANTED_AFTER_S = window.SILENT_AFTER_S / 2
-_OWN_SAMPLES = 60
+_OWN_KEPT_S = 5.0
+_OWN_SAMPLES = int(_OWN_KEPT_S / window.TICK_S)
 _RETRY_PAUSE_S = 0.5
 _FORGET_GATEWAY_S = 5.0
 
@@ -114,7 +115,7 @@
         return window.Seen(
             slots=self._slots,
             online=sum(load.outstanding + load.queued for load in fresh),
-            batch=len(self._calls),
+            batch=sum(not call.cancelling for call in self._calls),
             heard_age_s=now_s - self._heard_at_s,
             reported=report.running + report.waiting if report else None,
             reported_waiting=report.waiting if report else 0,
--- a/src/cornelgrade/services/_job_runs.py
+++ b/src/cornelgrade/services/_job_runs.py
@@ -12,7 +12,7 @@
 from cornelgrade.policy import batch, claims
 from cornelgrade.services import _chunk_run, _feed, _settled, job_ending, job_records, job_store
 
-LONGEST_LEASE_FACTOR = 6.0
+LONGEST_LEASE_FACTOR = 12.0
 MAX_CLAIM_CHUNKS = 4
 LONGEST_SETTLE_DELAY_S = 8.0
 _SETTLE_LEASE_SHARE = 0.4
@@ -32,6 +32,18 @@
     policy: manifest.BatchPolicy
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pace:
+    """How fast this worker is.
+
+    :param chunk_s: expected seconds from the claim of a chunk to its end.
+    :param max_chunks: chunks that it may claim at once.
+    """
+
+    chunk_s: float
+    max_chunks: int = 1
+
+
 class JobRun:
     """One open job of which this worker holds chunks.
 
@@ -94,21 +106,18 @@
         if entry.version > self.entry.version:
             self.entry = entry
 
-    async def claim(self, fleet: Fleet, sightings: claims.Sightings, pace_s: float) -> int:
-        """Claim some chunks, ending finished ones in the same write; give how many.
-
-        :param pace_s: expected seconds for a chunk.
-        """
+    async def claim(self, fleet: Fleet, sightings: claims.Sightings, pace: Pace) -> int:
+        """Claim some chunks, ending finished ones in the same write; give how many."""
         asked_at_s = trio.current_time()
         taken = claims.Taken(self.entry.ledger)
         lease_s = min(
-            max(fleet.policy.lease_s, 2 * pace_s), fleet.policy.lease_s * LONGEST_LEASE_FACTOR
+            max(fleet.policy.lease_s, 2 * pace.chunk_s), fleet.policy.lease_s * LONGEST_LEASE_FACTOR
         )
 
         def change(ledger: claims.Ledger) -> claims.Ledger:
             nonlocal taken
             ledger = self._begin(self._settle(ledger))
-            fresh = 0 if self.cancelled else share(ledger, len(fleet.usable_vms))
+            fresh = 0 if self.cancelled else share(ledger, len(fleet.usable_vms), pace.max_chunks)
             found = dataclasses.replace(self.entry, ledger=ledger)
             over = lapsed(found, self._me, self.held, fleet, sightings)
             taken = claims.take(ledger, self._me, fresh, lease_s, over)
@@ -151,16 +160,32 @@
         """Change the ledger; false if the job has ended elsewhere."""
         async with self._edit_lock:
             done, returned = dict(self._done), set(self._returned)
-            entry = await self._store.edit_ledger(self.entry, change, _settled.FOREVER_S)
+            asked_at_s = trio.current_time()
+            entry = await self._store.edit_ledger(
+                self.entry, lambda ledger: self._renewed(ledger, change(ledger)), _settled.FOREVER_S
+            )
             for claim in done:
                 del self._done[claim]
             self._returned -= returned
             if entry is None:
                 self._end()
                 return False
+            if entry.version != self.entry.version:
+                self._note_renewal(entry.ledger, asked_at_s)
             self.entry = entry
             return True
 
+    def _renewed(self, before: claims.Ledger, after: claims.Ledger) -> claims.Ledger:
+        """Renew every claim of this worker in a ledger that is written anyway."""
+        if after == before:
+            return before
+        return claims.renew(after, str(self._me), frozenset(self.held))
+
+    def _note_renewal(self, ledger: claims.Ledger, asked_at_s: float) -> None:
+        for run in self._runs.values():
+            if claims.held(ledger, run.claim):
+                run.renewed(asked_at_s)
+
     def _end(self) -> None:
         self.gone = True
         for run in self._runs.values():
@@ -289,7 +314,7 @@
     )
 
 
-def share(ledger: claims.Ledger, vms: int) -> int:
+def share(ledger: claims.Ledger, vms: int, max_chunks: int) -> int:
     """Give how many chunks to claim at once: fewer towards the end of a job."""
     left = ledger.chunks - ledger.next_chunk
-    return min(MAX_CLAIM_CHUNKS, max(1, math.floor(left / (2 * max(1, vms)))))
+    return min(max_chunks, max(1, math.floor(left / (2 * max(1, vms)))))
--- a/src/cornelgrade/services/batch.py
+++ b/src/cornelgrade/services/batch.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from cornelgrade import kernel, logs, manifest
+from cornelgrade import errors, kernel, logs, manifest
 from cornelgrade.adapters import platform
 from cornelgrade.policy import batch, claims, ownership
 from cornelgrade.services import (
@@ -22,12 +22,14 @@
 )
 
 OWNERSHIP_INTERVAL_S = 0.5
+LEAVING_EXPIRY_S = 15.0
 SHORTEST_POLL_S = 0.1
 LONGEST_POLL_S = 2.0
 DRAIN_TIMEOUT_S = 10.0
 _OPEN_PAGE = 100
 _LOW_WATER_FACTOR = 2
-_UNKNOWN_PACE_FACTOR = 2.0
+_UNKNOWN_PACE_FACTOR = 6.0
+_CLAIM_AHEAD_S = 10.0
 _RATE_WEIGHT = 0.3
 
 
@@ -35,8 +37,7 @@
 class _Owned:
     """An engine that this worker owns."""
 
-    service: str
-    slots: int
+    upstream: manifest.Upstream
     run: _engine_run.EngineRun
 
 
@@ -66,6 +67,7 @@
         self._failure_domain = failure_domain
         self._log = logs.Logger("batch")
         self._owned: dict[str, _Owned] = {}
+        self._leaving_until_s: dict[str, float] = {}
         self._feeds: dict[str, _feed.Feed] = {}
         self._jobs: dict[str, _job_runs.JobRun] = {}
         self._headers: dict[str, job_records.Header] = {}
@@ -85,6 +87,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._follow_loads, members.subscribe(ports.Load))
             nursery.start_soon(self._follow_yields, members.subscribe(ports.Yield))
+            nursery.start_soon(self._follow_leaving, members.subscribe(ports.Leaving))
             nursery.start_soon(self._follow_ownership, nursery)
             nursery.start_soon(self._measure)
             cleanup = job_cleanup.Cleanup(self.store, self._retention_s)
@@ -133,26 +136,43 @@
             if asked.upstream in self._owned:
                 self._owned[asked.upstream].run.give_way(asked.slots)
 
+    async def _follow_leaving(self, leaving: trio.MemoryReceiveChannel[ports.Leaving]) -> None:
+        """Take upstreams that leave out of the choice at once; signs are repeated while true."""
+        async for sign in leaving:
+            self._leaving_until_s[sign.upstream] = trio.current_time() + LEAVING_EXPIRY_S
+            if sign.upstream in self._owned:
+                self._owned[sign.upstream].run.retire()
+
     async def _follow_ownership(self, nursery: trio.Nursery) -> None:
         """Keep a runner for each engine that this VM owns by the view and the manifest."""
         config = self._kern.find("configuration", ports.Configuration)
         while True:
             self._accepted = config.current() or self._accepted
-            assert self._accepted is not None
-            local = {
-                upstream.name: upstream
-                for upstream in self._accepted.manifest.upstreams
-                if upstream.failure_domain == self._failure_domain
-            }
-            live = self._usable_vms(self._failure_domain)
-            mine = frozenset() if self._draining else ownership.owned(self.me.vm, local, live)
-            for name in set(self._owned) - mine:
-                self._owned[name].run.retire()
-            for name in mine - set(self._owned):
-                nursery.start_soon(self._run_engine, local[name])
-                await trio.lowlevel.checkpoint()
+            mine = self._mine()
+            for name, owned in self._owned.items():
+                if mine.get(name) != owned.upstream:
+                    owned.run.retire()
+            for name in set(mine) - set(self._owned):
+                nursery.start_soon(self._run_engine, mine[name])
             await trio.sleep(OWNERSHIP_INTERVAL_S)
 
+    def _mine(self) -> dict[str, manifest.Upstream]:
+        """Give the upstreams that this VM should run batch work on now."""
+        assert self._accepted is not None
+        now_s = trio.current_time()
+        local = {
+            upstream.name: upstream
+            for upstream in self._accepted.manifest.upstreams
+            if upstream.failure_domain == self._failure_domain
+        }
+        live = self._usable_vms(self._failure_domain)
+        owned = ownership.owned(self.me.vm, local, live)
+        return {
+            name: local[name]
+            for name in owned
+            if not self._draining and now_s >= self._leaving_until_s.get(name, 0.0)
+        }
+
     async def _run_engine(self, upstream: manifest.Upstream) -> None:
         pool = self._kern.find("upstreams", ports.UpstreamPool)
         quarantine = (
@@ -162,12 +182,12 @@
         )
         try:
             client = pool.get(upstream.name)
-        except KeyError:
+        except errors.Refusal:
             return
         run = _engine_run.EngineRun(
             client, upstream.slots, self._feed(upstream.service), self._lean, quarantine
         )
-        self._owned[upstream.name] = _Owned(upstream.service, upstream.slots, run)
+        self._owned[upstream.name] = _Owned(upstream, run)
         self._log.info("engine_owned", upstream=upstream.name)
         try:
             await run.run()
@@ -219,7 +239,8 @@
         """Give for each service how many more items its engines here can use."""
         slots: dict[str, int] = {}
         for owned in self._owned.values():
-            slots[owned.service] = slots.get(owned.service, 0) + owned.slots
+            service = owned.upstream.service
+            slots[service] = slots.get(service, 0) + owned.upstream.slots
         early = self._policy().chunk_items if self._must_settle() else 0
         wanted = {
             service: _LOW_WATER_FACTOR * count + early - self._feed(service).ready
@@ -244,7 +265,7 @@
             job = await self._job_run(nursery, entry)
             if job is None:
                 continue
-            chunks = await job.claim(fleet, self._sightings, self._pace_s(header))
+            chunks = await job.claim(fleet, self._sightings, self._pace(header))
             wanted[header.service] -= chunks * header.chunk_items
             claimed += chunks
         return claimed
@@ -256,12 +277,16 @@
         held = frozenset(self._jobs[entry.name].held) if entry.name in self._jobs else frozenset()
         return free or bool(_job_runs.lapsed(entry, self.me, held, fleet, self._sightings))
 
-    def _pace_s(self, header: job_records.Header) -> float:
-        """Expect how long a chunk takes here from its claim on."""
+    def _pace(self, header: job_records.Header) -> _job_runs.Pace:
+        """Expect how long a chunk takes here from its claim on, and how many to claim."""
         if self._rate < 0.1:
-            return self._policy().lease_s * _UNKNOWN_PACE_FACTOR
+            return _job_runs.Pace(self._policy().lease_s * _UNKNOWN_PACE_FACTOR)
         waiting = sum(feed.ready for feed in self._feeds.values())
-        return (waiting + _job_runs.MAX_CLAIM_CHUNKS * header.chunk_items) / self._rate
+        ahead = int(self._rate * _CLAIM_AHEAD_S / header.chunk_items)
+        return _job_runs.Pace(
+            chunk_s=(waiting + 2 * header.chunk_items) / self._rate,
+            max_chunks=min(_job_runs.MAX_CLAIM_CHUNKS, max(1, ahead)),
+        )
 
     async def _candidates(self) -> list[job_store.OpenJob]:
         """Give open jobs that have been accepted and may have chunks to claim, in order."""
--- a/src/cornelgrade/services/ports.py
+++ b/src/cornelgrade/services/ports.py
@@ -333,7 +333,7 @@
     def get(self, name: str) -> engine.Upstream:
         """Give the client of one upstream.
 
-        :raises KeyError: if the manifest has no such upstream.
+        :raises Refusal: ``UNAVAILABLE`` if the manifest has no such upstream.
         """
 
 
--- a/tests/batch_kit.py
+++ b/tests/batch_kit.py
@@ -117,6 +117,7 @@
             nursery.start_soon(held.run)
         self.workers: dict[str, batch.Batch] = {}
         self.members: dict[str, FakeMembership] = {}
+        self.configurations: dict[str, FakeConfiguration] = {}
         self.scopes: dict[str, trio.CancelScope] = {}
 
     async def worker(self, vm: str, vms: tuple[str, ...] = (), plat=None) -> batch.Batch:
@@ -124,7 +125,8 @@
         members = FakeMembership(vm, vms or (vm,))
         members.idle_upstreams = tuple(self.engines)
         made = batch.Batch(kern, vm, "fd1", plat or self.platform, unix_s)
-        for service in (members, FakeConfiguration(self.manifest), Pool(self.engines), made):
+        self.configurations[vm] = FakeConfiguration(self.manifest)
+        for service in (members, self.configurations[vm], Pool(self.engines), made):
             kern.add(service)
         self.workers[vm], self.members[vm] = made, members
         await self.nursery.start(self._run, vm, kern)
--- a/tests/test_batch_faults.py
+++ b/tests/test_batch_faults.py
@@ -335,3 +335,27 @@
         rig.members["vm1"].idle_upstreams = ()
         await trio.sleep(4)
         assert 1 <= len(rig.engines["e0"].engine._model.running) <= 4
+
+
+async def test_leaving_engine_gets_no_new_items_and_its_work_goes_on_elsewhere(autojump_clock):
+    async with batch_kit.rig(batch_kit.wanted(engines=2)) as rig:
+        await rig.worker("vm1")
+        header = await submitted(rig, [batch_kit.line(n, tokens=40) for n in range(120)])
+        await trio.sleep(3)
+        rig.members["vm1"].deliver(ports.Leaving("e0"))
+        await trio.sleep(0.1)
+        calls = rig.engines["e0"].engine.counters().calls
+        ended = await batch_kit.ended(rig.store, header.job, within_s=14)
+        assert ended.tally.ok == 120
+        assert rig.engines["e0"].engine.counters().calls == calls
+
+
+async def test_engine_with_more_slots_in_a_new_manifest_is_filled(autojump_clock):
+    async with batch_kit.rig(batch_kit.wanted(engines=1, slots=4), SLOW_ENGINE) as rig:
+        await rig.worker("vm1")
+        await submitted(rig, [batch_kit.line(n, tokens=100) for n in range(50)])
+        await trio.sleep(3)
+        assert len(rig.engines["e0"].engine._model.running) == 4
+        rig.configurations["vm1"].accepted = ports.Accepted(batch_kit.wanted(engines=1, slots=8), 2)
+        await trio.sleep(3)
+        assert len(rig.engines["e0"].engine._model.running) == 8
