A crash is noted before what was in flight there goes on

Cause: a failed request told the router of the crash by message and asked for its verdict at once, before the router had passed the crash on to the quarantine; every verdict was one crash late. Ruled out: late reports from peers (the fault showed with one VM's requests only). The request now waits until the router has noted the crash.

--- a/src/cornelgrade/services/online.py
+++ b/src/cornelgrade/services/online.py
@@ -20,6 +20,7 @@
 WHOLE_TOKEN_TIMEOUT_S = 0.2
 RETRY_AFTER_S = 1.0
 CANCEL_TIMEOUT_S = 1.0
+CRASH_NOTE_TIMEOUT_S = 1.0
 LEAVING_REPEAT_S = 5.0
 
 _REQUESTS = metrics.counter("cornelgrade_requests_total", "Online requests by outcome.")
@@ -222,10 +223,17 @@
             await self._kern.find("upstreams", upstreams.Pool).get(name).load()
         except engine.CallError as probe:
             if probe.progress is engine.Progress.NOT_SENT:
-                self._kern.find("router", router.Router).post(router.Crashed(name))
+                await self._report_crash(name)
                 return router.Outcome.UNREACHABLE
         return router.Outcome.OTHER
 
+    async def _report_crash(self, name: str) -> None:
+        """Let the router note a crash before anything that was in flight there goes on."""
+        crashed = router.Crashed(name, trio.Event())
+        self._kern.find("router", router.Router).post(crashed)
+        with trio.move_on_after(CRASH_NOTE_TIMEOUT_S):
+            await crashed.noted.wait()
+
     async def _after_failure(
         self, req: exchange.Request, progress: _Progress, exc: engine.CallError
     ) -> None:
--- a/src/cornelgrade/services/router.py
+++ b/src/cornelgrade/services/router.py
@@ -71,9 +71,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Crashed:
-    """An upstream was found to have crashed with requests in flight."""
+    """An upstream was found to have crashed with requests in flight.
+
+    :param noted: set once the quarantine knows of it.
+    """
 
     upstream: str
+    noted: trio.Event
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -283,6 +287,10 @@
         self._dispatch(seats.service)
 
     def _on_crashed(self, message: Crashed) -> None:
+        self._note_crash(message)
+        message.noted.set()
+
+    def _note_crash(self, message: Crashed) -> None:
         seats = self._seats.get(message.upstream)
         if seats is None or seats.crash_reported:
             return
