--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -160,34 +160,28 @@
 
 
 class Bus:
-    """Delivers peer messages between the fake memberships of several VMs."""
+    """Delivers peer messages between the fake memberships of several VMs.
+
+    VMs in ``cut`` are out of everybody's reach; ``parts`` names groups that do not hear each other.
+    """
 
     def __init__(self, failure_domain: str = "dar-kariakoo") -> None:
         self._failure_domain = failure_domain
         self.members: dict[str, BusMember] = {}
         self.cut: set[str] = set()
+        self.parts: tuple[frozenset[str], ...] = ()
 
-    def join(self, vm: str) -> "BusMember":
-        self.members[vm] = BusMember(self, vm)
+    def join(self, vm: str, failure_domain: str = "") -> "BusMember":
+        self.members[vm] = BusMember(self, vm, failure_domain or self._failure_domain)
         return self.members[vm]
 
+    def parted(self, one: str, other: str) -> bool:
+        if one in self.cut or other in self.cut:
+            return True
+        return any((one in part) != (other in part) for part in self.parts)
+
     def view(self, vm: str) -> ports.View:
-        return ports.View(
-            vm,
-            tuple(
-                ports.Member(
-                    vm=name,
-                    failure_domain=self._failure_domain,
-                    region="local",
-                    incarnation=1,
-                    state=ports.MemberState.DEAD if name in self.cut else ports.MemberState.ALIVE,
-                    peer_address="",
-                    worker_address="",
-                    gateway_address="",
-                )
-                for name in self.members
-            ),
-        )
+        return ports.View(vm, tuple(m.seen_by(vm) for m in self.members.values()))
 
 
 class BusMember:
@@ -195,14 +189,35 @@
 
     name = "membership"
 
-    def __init__(self, bus: Bus, vm: str) -> None:
+    def __init__(self, bus: Bus, vm: str, failure_domain: str) -> None:
         self._bus = bus
         self.vm = vm
+        self.failure_domain = failure_domain
+        self.version = 0
         self.subscriptions = _subscriptions.Subscriptions()
 
     async def run(self, started) -> None:
+        """Tell the others now and then which manifest version is in force here."""
         started()
-        await trio.sleep_forever()
+        while True:
+            await trio.sleep(0.5)
+            for vm in self._others():
+                heard = ports.VersionHeard(self.vm, self.version)
+                self._bus.members[vm].subscriptions.deliver(heard)
+
+    def seen_by(self, vm: str) -> ports.Member:
+        alive = self.vm == vm or not self._bus.parted(self.vm, vm)
+        return ports.Member(
+            vm=self.vm,
+            failure_domain=self.failure_domain,
+            region="local",
+            incarnation=1,
+            state=ports.MemberState.ALIVE if alive else ports.MemberState.DEAD,
+            peer_address="",
+            worker_address="",
+            gateway_address="",
+            manifest_version=self.version,
+        )
 
     def view(self) -> ports.View:
         return self._bus.view(self.vm)
@@ -211,13 +226,22 @@
         return self.subscriptions.subscribe(kind)
 
     def send(self, vm: str, message) -> None:
-        if vm in self._bus.cut or self.vm in self._bus.cut:
+        if vm != self.vm and self._bus.parted(self.vm, vm):
             return
         if isinstance(message, ports.Load | ports.Yield):
             message = dataclasses.replace(message, vm=self.vm)
         self._bus.members[vm].subscriptions.deliver(message)
 
     def spread(self, message) -> None:
-        for vm in self._bus.members:
-            if vm != self.vm:
-                self.send(vm, message)
+        for vm in self._others():
+            self.send(vm, message)
+
+    def set_version(self, version: int) -> None:
+        self.version = max(self.version, version)
+
+    def leave(self) -> None:
+        self._bus.cut.add(self.vm)
+
+    def _others(self) -> list[str]:
+        members = self._bus.members
+        return [vm for vm in members if vm != self.vm and not self._bus.parted(self.vm, vm)]
