--- a/tests/docs/test_api_examples.py
+++ b/tests/docs/test_api_examples.py
@@ -5,7 +5,7 @@
 
 EXAMPLES = list(api_page.examples())
 GIVEN = sorted({example.given for example in EXAMPLES} - {""})
-NO_EXAMPLE = {errors.Code.INTERNAL, errors.Code.QUARANTINED}
+NO_EXAMPLE = {errors.Code.INTERNAL}
 
 
 async def run(system: api_system.System, example: api_page.Example) -> list[str]:
