--- a/src/cornelgrade/services/ports.py
+++ b/src/cornelgrade/services/ports.py
@@ -256,6 +256,9 @@
     async def tell(self, team: str, identifier: str) -> tuple[Step, ...]:
         """Give the steps, empty if nothing is known."""
 
+    async def at_risk(self) -> tuple[reports.JobAtRisk, ...]:
+        """Give open jobs that may miss their due times; raises ``UnavailableError``."""
+
 
 @runtime_checkable
 class Reports(Protocol):
--- a/src/cornelgrade/services/record_stories.py
+++ b/src/cornelgrade/services/record_stories.py
@@ -4,7 +4,7 @@
 import time
 from collections.abc import Callable
 
-from cornelgrade import errors
+from cornelgrade import errors, reports
 from cornelgrade.adapters import platform
 from cornelgrade.policy import claims
 from cornelgrade.services import job_records, job_report, job_store, ports
@@ -51,6 +51,13 @@
         except (platform.UnavailableError, errors.Refusal) as exc:
             return (self._now(f"What is recorded cannot be read: {exc.message}."),)
 
+    async def at_risk(self) -> tuple[reports.JobAtRisk, ...]:
+        """Give open jobs that may miss their due times, of those that are due first.
+
+        :raises UnavailableError: the platform is out.
+        """
+        return await job_report.at_risk(self._jobs)
+
     async def _tell(self, team: str, identifier: str) -> tuple[ports.Step, ...]:
         job, _, custom_id = identifier.partition(_SEPARATOR)
         found = await self._jobs.header(team, job)
--- a/src/cornelgrade/services/web/operations.py
+++ b/src/cornelgrade/services/web/operations.py
@@ -8,7 +8,7 @@
 from aioprometheus.formats import text
 
 from cornelgrade import errors, kernel, metrics, reports, settings
-from cornelgrade.adapters import peer_auth, peer_key, peer_stories
+from cornelgrade.adapters import peer_auth, peer_key, peer_stories, platform
 from cornelgrade.services import ports
 from cornelgrade.services.web import access
 
@@ -34,7 +34,7 @@
     @made.get("/v1/status")
     async def status() -> quart.Response:
         access.require_operator(quart.request, cfg.operator_key_hashes)
-        found = kern.find("conditions", ports.Conditions).status()
+        found = await _with_jobs(kern.find("conditions", ports.Conditions).status(), recorded)
         return quart.Response(msgspec.json.encode(found), content_type=_JSON)
 
     @made.get("/v1/explain/<path:identifier>")
@@ -72,6 +72,21 @@
     return made
 
 
+async def _with_jobs(
+    status: reports.Status, recorded: ports.RecordedStories | None
+) -> reports.Status:
+    """Add the jobs at risk; a platform that is out is said instead."""
+    if recorded is None:
+        return status
+    try:
+        jobs = await recorded.at_risk()
+    except platform.UnavailableError as exc:
+        what = f"jobs at risk cannot be read: {exc.message}"
+        out = reports.Degraded(what, status.at_s)
+        return msgspec.structs.replace(status, degraded=(*status.degraded, out))
+    return msgspec.structs.replace(status, jobs_at_risk=(*status.jobs_at_risk, *jobs))
+
+
 async def _story(
     kern: kernel.Kernel,
     cfg: settings.Settings,
--- a/tests/web/test_operations.py
+++ b/tests/web/test_operations.py
@@ -6,6 +6,7 @@
 from tests import samples
 
 from cornelgrade import errors, kernel, reports
+from cornelgrade.adapters import platform
 from cornelgrade.services import conditions, drain, ports, stories
 from cornelgrade.services.web import access, app, operations
 
@@ -30,6 +31,23 @@
         return self.given
 
 
+class Recorded:
+    """Durable records with one job at risk."""
+
+    def __init__(self) -> None:
+        self.out = False
+
+    async def tell(self, team: str, identifier: str) -> tuple[ports.Step, ...]:
+        known = {("clinic", "j1"): "Accepted with 3 items."}
+        sentence = known.get((team, identifier))
+        return (ports.Step(1.0, "accept", sentence),) if sentence else ()
+
+    async def at_risk(self) -> tuple[reports.JobAtRisk, ...]:
+        if self.out:
+            raise platform.UnavailableError("no answer in 2 s", step="list")
+        return (reports.JobAtRisk("j1", 99.0, "3 items left"),)
+
+
 class System:
     """The operators' routes over small fakes."""
 
@@ -47,7 +65,9 @@
         watch = conditions.Conditions(self.kern, cfg, now_s=lambda: float(next(ticks)))
         for service in (self.configuration, self.reporter, self.stories, self.drain, watch):
             self.kern.add(service)
-        self.client = app.make([operations.blueprint(self.kern, cfg)]).test_client()
+        self.recorded = Recorded()
+        routes = operations.blueprint(self.kern, cfg, recorded=self.recorded)
+        self.client = app.make([routes]).test_client()
 
     async def get(self, path: str, key: str = "operator"):
         return await self.client.get(path, headers={"Authorization": f"Bearer {key}"})
@@ -122,6 +142,36 @@
     assert {step.vm for step in story.steps} == {"entry-1"}
 
 
+@pytest.mark.parametrize(
+    ("key", "identifier", "status"),
+    [
+        ("clinic-key", "j1", 200),
+        ("operator", "clinic/j1", 200),
+        ("operator", "j1", 404),
+        ("clinic-key", "clinic/j1", 404),
+    ],
+)
+async def test_recorded_story_is_told_to_its_team_and_to_operators(system, key, identifier, status):
+    answer = await system.get(f"/v1/explain/{identifier}", key)
+    assert answer.status_code == status
+    assert ("3 items" in await answer.get_data(as_text=True)) == (status == 200)
+
+
+async def test_operator_reads_the_record_of_a_bare_id_that_was_heard_of_here(system):
+    system.stories.note("clinic/j1", "submit", "Submitted.")
+    answer = await system.get("/v1/explain/j1")
+    story = msgspec.json.decode(await answer.get_data(), type=reports.Story)
+    assert [step.sentence for step in story.steps] == ["Accepted with 3 items.", "Submitted."]
+
+
+async def test_status_names_jobs_at_risk_or_that_they_cannot_be_read(system):
+    assert [job.id for job in (await system.status()).jobs_at_risk] == ["j1"]
+    system.recorded.out = True
+    status = await system.status()
+    assert status.jobs_at_risk == ()
+    assert "jobs at risk cannot be read: no answer in 2 s" in status.degraded[0].what
+
+
 @pytest.mark.parametrize("path", ["/v1/status", "/v1/explain/r1"])
 async def test_without_a_key_nothing_is_told(system, path):
     answer = await system.client.get(path)
