--- a/tests/standins/test_processes.py
+++ b/tests/standins/test_processes.py
@@ -1,3 +1,4 @@
+import contextlib
 import os
 import pathlib
 import signal
@@ -12,13 +13,25 @@
 SOURCE = str(pathlib.Path(cornelgrade.__file__).parents[1])
 
 
-def address_of(process) -> str:
+def address_of(process, event="event=listening") -> str:
     for line in process.stdout:
-        if line.startswith("event=listening"):
+        if line.startswith(event):
             return line.split("address=")[1].strip()
     raise AssertionError("ended without listening")
 
 
+@contextlib.contextmanager
+def running(*arguments):
+    command = [sys.executable, "-m", "cornelgrade.standins", *arguments]
+    env = {**os.environ, "PYTHONPATH": SOURCE}
+    with subprocess.Popen(command, stdout=subprocess.PIPE, text=True, env=env) as process:
+        try:
+            yield process
+        finally:
+            process.send_signal(signal.SIGINT)
+        assert process.wait(10) == 0
+
+
 @pytest.mark.parametrize(
     ("arguments", "path"),
     [
@@ -28,13 +41,17 @@
     ],
 )
 def test_stand_in_runs_as_a_process(arguments, path):
-    command = [sys.executable, "-m", "cornelgrade.standins", *arguments]
-    with subprocess.Popen(
-        command, stdout=subprocess.PIPE, text=True, env={**os.environ, "PYTHONPATH": SOURCE}
-    ) as process:
-        try:
-            res = httpx.get(f"http://{address_of(process)}{path}", trust_env=False)
-            assert res.status_code == 200
-        finally:
-            process.send_signal(signal.SIGINT)
-        assert process.wait(10) == 0
+    with running(*arguments) as process:
+        res = httpx.get(f"http://{address_of(process)}{path}", trust_env=False)
+        assert res.status_code == 200
+
+
+def test_proxy_process_takes_switches_at_its_control_port():
+    with running("plain") as plain, running("proxy", "--target", address_of(plain)) as proxy:
+        control = address_of(proxy, "event=control")
+        url = f"http://{address_of(proxy)}/confirm"
+        assert httpx.post(url, trust_env=False).json()["effect"] == 1
+        switches = f"http://{control}/v1/switches"
+        assert httpx.put(switches, json={"refuse": True}, trust_env=False).is_success
+        with pytest.raises(httpx.TransportError):
+            httpx.post(url, trust_env=False)
--- a/tests/test_devserver.py
+++ b/tests/test_devserver.py
@@ -83,4 +83,10 @@
                 plain = next(up for up in in_force["upstreams"] if up["service"] == "refills")
                 counted = (await client.get(f"http://{plain['address']}/v1/counters")).json()
                 assert counted["calls"] == 0
+                confirm = "/v1/services/refills/confirmations"
+                for _ in range(2):
+                    res = await client.post(confirm, headers={"Idempotency-Key": "refill-1"})
+                    assert res.json().get("effect") == 1, res.text
+                counted = (await client.get(f"http://{plain['address']}/v1/counters")).json()
+                assert counted == {"calls": 1, "effects": {"refill-1": 1}}
             stopping.set()
