--- a/src/cornelgrade/policy/ownership.py
+++ b/src/cornelgrade/policy/ownership.py
@@ -2,19 +2,15 @@
 
 from collections.abc import Iterable
 
-import xxhash
+from cornelgrade.policy import rendezvous
 
 
 def owner(upstream: str, vms: Iterable[str]) -> str | None:
     """Give the VM with the highest hash for an upstream, ``None`` if there is no VM."""
-    return max(vms, key=lambda vm: (_weight(upstream, vm), vm), default=None)
+    return max(vms, key=lambda vm: (rendezvous.score(upstream, vm), vm), default=None)
 
 
 def owned(vm: str, upstreams: Iterable[str], vms: Iterable[str]) -> frozenset[str]:
     """Give the upstreams that ``vm`` owns among ``vms``."""
     live = tuple(vms)
     return frozenset(name for name in upstreams if owner(name, live) == vm)
-
-
-def _weight(upstream: str, vm: str) -> int:
-    return xxhash.xxh3_64_intdigest(f"{upstream}\0{vm}".encode())
--- a/src/cornelgrade/services/lease.py
+++ b/src/cornelgrade/services/lease.py
@@ -28,8 +28,8 @@
     :param name: the platform object's name.
     :param holder: the VM's name; the session is added here.
     :param eligible: whether this VM should try to take it; a holder keeps it in any case.
-    :param longest_order_s: how long an order of a past holder may still be on its way. Use 0
-        only where every receiver checks the fencing number.
+    :param longest_order_s: gives how long an order of a past holder may still be on its way; 0
+        only while every receiver checks the fencing number.
     """
 
     def __init__(
@@ -40,7 +40,7 @@
         *,
         eligible: Callable[[], bool] = lambda: True,
         lease_s: float = LEASE_S,
-        longest_order_s: float = 0.0,
+        longest_order_s: Callable[[], float] = lambda: 0.0,
     ) -> None:
         self._store = store
         self._name = name
@@ -116,7 +116,7 @@
         stored = await self._store.get(KIND, self._name)
         now = trio.current_time()
         self._seen = lease.look(self._seen, stored, now)
-        decision = lease.decide(self._seen, now, self._longest_order_s)
+        decision = lease.decide(self._seen, now, self._longest_order_s())
         if decision.kind is lease.Kind.WAIT:
             return min(max(decision.at - now, 0.0), self._lease_s * _POLL_PART)
         return await self._take(decision.epoch)
--- a/src/cornelgrade/services/reconciler.py
+++ b/src/cornelgrade/services/reconciler.py
@@ -18,6 +18,7 @@
 
 KIND = "orders"
 ROUND_S = 1.0
+LOOK_TIMEOUT_S = 1.0
 ORDER_TIMEOUT_S = 10.0
 LOADS_PER_MINUTE = 30.0
 LOADS_BURST = 5
@@ -94,7 +95,7 @@
             f"orders.{cfg.failure_domain}",
             cfg.vm,
             eligible=self._eligible,
-            longest_order_s=2 * ORDER_TIMEOUT_S,
+            longest_order_s=self._longest_order_s,
         )
         self._observed: dict[str, reconcile.Observed] = {}
         self._looked_at: dict[str, float] = {}
@@ -159,6 +160,18 @@
         chosen = rendezvous.pick(f"orders.{self._cfg.failure_domain}", vms, _CANDIDATES)
         return not vms or self._cfg.vm in chosen
 
+    def _longest_order_s(self) -> float:
+        """Give how long a past holder's order may take to end; none, if all engines fence."""
+        accepted = self._kern.find("configuration", ports.Configuration).current()
+        if accepted is None:
+            return 2 * ORDER_TIMEOUT_S
+        fenced = all(
+            upstream.checks_fencing
+            for upstream in accepted.manifest.upstreams
+            if upstream.failure_domain == self._cfg.failure_domain
+        )
+        return 0.0 if fenced else 2 * ORDER_TIMEOUT_S
+
     def _wanted(self) -> tuple[reconcile.Wanted, ...]:
         accepted = self._kern.find("configuration", ports.Configuration).current()
         return reconcile.wanted_engines(accepted.manifest) if accepted is not None else ()
@@ -212,8 +225,9 @@
         async with limit:
             try:
                 pool = self._kern.find("upstreams", upstreams.Pool)
-                state = await pool.get(name).state()
-            except (engine.CallError, errors.Refusal):
+                with trio.fail_after(LOOK_TIMEOUT_S):
+                    state = await pool.get(name).state()
+            except (engine.CallError, errors.Refusal, trio.TooSlowError):
                 self._set(name, state=None)
             else:
                 self._set(name, state=state)
--- a/tests/fleet/test_datagrams.py
+++ b/tests/fleet/test_datagrams.py
@@ -1,5 +1,7 @@
 import contextlib
 import dataclasses
+import socket
+import time
 
 import fleet_helpers
 import pytest
@@ -96,6 +98,17 @@
         assert b.dropped == {Dropped.WRONG_KEY: 2}
 
 
+async def test_datagram_that_is_sent_again_is_dropped_and_counted():
+    with datagrams.Socket("127.0.0.1:0", fleet_helpers.KEY, "b") as b:
+        payload = codec.encode(dataclasses.replace(datagram(), sent_s=time.time()))
+        raw = fleet_helpers.KEY.tag(b.address.encode(), payload) + payload
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as anyone:
+            for _ in range(3):
+                anyone.sendto(raw, datagrams.split_address(b.address))
+        assert len(await b.receive()) == 1
+        assert b.dropped == {Dropped.REPLAY: 2}
+
+
 async def test_riders_that_do_not_fit_are_left_out():
     with (
         datagrams.Socket("127.0.0.1:0", fleet_helpers.KEY, "a") as a,
