--- a/src/cornelgrade/daemons.py
+++ b/src/cornelgrade/daemons.py
@@ -17,6 +17,7 @@
     conditions,
     configuration,
     drain,
+    fleet_stories,
     job_store,
     leaving,
     load_reports,
@@ -144,13 +145,15 @@
     kern: kernel.Kernel, cfg: settings.Settings, outside: Outside
 ) -> tuple[quart.Blueprint, ...]:
     jobs = job_store.JobStore(outside.store)
+    followed = kern.find("configuration", ports.Configuration)
+    fleet = fleet_stories.FleetStories(outside.store, followed)
     recorded = record_stories.RecordStories(jobs, kern.find("records", ports.Records))
     return (
         web_online.blueprint(kern),
         web_requests.blueprint(kern, cfg),
         web_manifest.blueprint(kern, cfg),
         web_jobs.blueprint(kern, cfg, jobs),
-        operations.blueprint(kern, cfg, recorded=recorded),
+        operations.blueprint(kern, cfg, recorded=recorded, fleet=fleet),
     )
 
 
--- a/src/cornelgrade/policy/acceptance.py
+++ b/src/cornelgrade/policy/acceptance.py
@@ -51,6 +51,15 @@
     return hashlib.sha256(encoded).hexdigest()
 
 
+def history(kept: Kept, version: int) -> tuple[tuple[Acceptance, int], ...]:
+    """Give the remembered acceptances with the versions that they became, oldest first.
+
+    :param version: version of the object.
+    """
+    later = [*(entry.based_on for entry in kept.accepted[1:]), version]
+    return tuple(zip(kept.accepted, later, strict=True))
+
+
 def decide(kept: Kept | None, version: int, wanted: str, if_match: int | None) -> Decision:
     """Compare a submission with what is there.
 
@@ -63,8 +72,7 @@
         return Decision(found, 0)
     if kept.accepted[-1].digest == wanted:
         return Decision(Outcome.SAME, version)
-    later = [*(entry.based_on for entry in kept.accepted[1:]), version]
-    for entry, became in zip(kept.accepted, later, strict=True):
+    for entry, became in history(kept, version):
         if entry.digest == wanted and entry.based_on == (if_match or 0):
             return Decision(Outcome.SAME, became)
     return Decision(Outcome.WRITE if if_match == version else Outcome.STALE, version)
--- a/src/cornelgrade/services/configuration.py
+++ b/src/cornelgrade/services/configuration.py
@@ -89,6 +89,9 @@
             sent again and are the same acceptance.
         """
         accepted = await self._writer.put(raw, if_match)
+        if self._stories is not None:
+            sentence = f"accepted by {self._cfg.vm}"
+            self._stories.note(f"manifest/{accepted.version}", "accept", sentence)
         self._adopt(accepted, "submitted here")
         return accepted
 
--- a/src/cornelgrade/services/ports.py
+++ b/src/cornelgrade/services/ports.py
@@ -257,6 +257,13 @@
         """Give the steps, empty if nothing is known."""
 
 
+class FleetStories(Protocol):
+    """Tells what the platform keeps of manifest versions and engines' orders."""
+
+    async def tell(self, subject: str) -> tuple[Step, ...]:
+        """Give the steps of ``manifest/VERSION`` or ``UPSTREAM/order``, empty if unknown."""
+
+
 @runtime_checkable
 class Reports(Protocol):
     """A service that has something to say in ``GET /v1/status``; any service may offer it."""
--- a/src/cornelgrade/services/web/operations.py
+++ b/src/cornelgrade/services/web/operations.py
@@ -21,11 +21,13 @@
     cfg: settings.Settings,
     address: str | None = None,
     recorded: ports.RecordedStories | None = None,
+    fleet: ports.FleetStories | None = None,
 ) -> quart.Blueprint:
     """Make the operators' routes, and the one for peers.
 
     :param address: this process's own, by default the gateway's.
     :param recorded: reads the durable records for ``explain``.
+    :param fleet: reads what is kept of manifests and orders, for operators.
     """
     made = quart.Blueprint("operations", __name__)
     key = peer_key.read(cfg.peer_key_file)
@@ -39,7 +41,7 @@
 
     @made.get("/v1/explain/<path:identifier>")
     async def explain(identifier: str) -> quart.Response:
-        story = await _story(kern, cfg, identifier, recorded)
+        story = await _story(kern, cfg, identifier, recorded, fleet)
         return quart.Response(msgspec.json.encode(story), content_type=_JSON)
 
     @made.get(f"{peer_stories.PREFIX}/<scope>/<path:identifier>")
@@ -77,6 +79,7 @@
     cfg: settings.Settings,
     identifier: str,
     recorded: ports.RecordedStories | None,
+    fleet: ports.FleetStories | None,
 ) -> reports.Story:
     """Put together what this process, its peers and the durable records know.
 
@@ -92,6 +95,8 @@
     if recorded is not None:
         for team, own in _owned(kern, scope, subject):
             steps += _shown(cfg.vm, await recorded.tell(team, own))
+    if fleet is not None and scope is ports.StoryScope.ANY:
+        steps += _shown(cfg.vm, await fleet.tell(subject))
     if not steps:
         raise errors.Refusal(
             errors.Code.NOT_FOUND, f"nothing is known of {identifier}", step="explain"
--- /dev/null
+++ b/tests/fleet/test_fleet_stories.py
@@ -0,0 +1,64 @@
+import msgspec
+import pytest
+from test_manifest_rules import sample
+
+from cornelgrade import manifest
+from cornelgrade.policy import manifest_rules
+from cornelgrade.services import _manifest_writer, fleet_stories, ports, reconciler
+from cornelgrade.standins import platform_store
+
+
+class Followed:
+    def current(self):
+        return ports.Accepted(sample(), 1)
+
+
+async def recorded():
+    store = platform_store.MemoryPlatform()
+    writer = _manifest_writer.Writer("vm1", store, None)
+    first = await writer.put(manifest_rules.encode(sample()), None)
+    changed = sample(batch=manifest.BatchPolicy(lean=0.9))
+    await writer.put(manifest_rules.encode(changed), first.version)
+    standing = reconciler.PublishedStanding("e1", "m version 2", "m version 1", "it is leaving")
+    told = reconciler.Published("vm2", 4, 2, 1, (standing,))
+    await store.create(reconciler.KIND, "d1", msgspec.json.encode(told))
+    return store
+
+
+@pytest.mark.parametrize(
+    ("subject", "sentences"),
+    [
+        ("manifest/1", ["Accepted at vm1.", "Replaced by version 2."]),
+        (
+            "manifest/2",
+            [
+                "Accepted at vm1 in place of version 1.",
+                "It is the version that the platform holds.",
+            ],
+        ),
+        ("manifest/9", []),
+        (
+            "e1/order",
+            [
+                "Orders are given by vm2 in epoch 4. Wanted: m version 2. Seen: m version 1. "
+                "it is leaving."
+            ],
+        ),
+        (
+            "p1/order",
+            ["Orders are given by vm2 in epoch 4. It runs what manifest version 2 wants."],
+        ),
+        ("e2/order", []),
+        ("clinics/job", []),
+    ],
+)
+async def test_platform_tells_of_manifests_and_orders(autojump_clock, subject, sentences):
+    stories = fleet_stories.FleetStories(await recorded(), Followed())
+    assert [step.sentence for step in await stories.tell(subject)] == sentences
+
+
+async def test_platform_that_is_out_is_said(autojump_clock):
+    store = await recorded()
+    store.switch(platform_store.Switches(down=True))
+    told = await fleet_stories.FleetStories(store, Followed()).tell("manifest/1")
+    assert [step.sentence for step in told] == ["What is recorded cannot be read: down."]
