--- a/src/cornelgrade/services/leaving.py
+++ b/src/cornelgrade/services/leaving.py
@@ -15,7 +15,7 @@
 from cornelgrade.services import ports, upstreams
 
 STATE_INTERVAL_S = 0.5
-LIST_INTERVAL_S = 2.0
+LIST_INTERVAL_S = 1.0
 REPEAT_S = 5.0
 _LIST = "platform-vm-list"
 
