--- a/src/cornelgrade/services/online.py
+++ b/src/cornelgrade/services/online.py
@@ -263,13 +263,16 @@
         code = errors.Code.UPSTREAM_FAILED
         if not req.idempotent and progress.ran is errors.Ran.UNKNOWN:
             code = errors.Code.OUTCOME_UNKNOWN
+        if progress.ran is errors.Ran.NO:
+            code = errors.Code.UNAVAILABLE
+        may_come_back = req.idempotent or progress.ran is errors.Ran.NO
         _REQUESTS.inc({"outcome": code.value, "service": req.service})
         return errors.Refusal(
             code,
             exc.message,
             step=exc.step,
             ran=progress.ran,
-            retry_after_s=RETRY_AFTER_S if req.idempotent else None,
+            retry_after_s=RETRY_AFTER_S if may_come_back else None,
             peer=exc.peer,
         )
 
--- a/tests/matrix/world.py
+++ b/tests/matrix/world.py
@@ -208,12 +208,16 @@
         await self.nursery.start(self._run_vm, vm)
 
     async def _run_vm(self, vm: Vm, task_status=trio.TASK_STATUS_IGNORED) -> None:
-        with vm.scope:
-            async with trio.open_nursery() as vm.nursery:
-                await vm.nursery.start(vm.kern.run)
-                vm.nursery.start_soon(_follow_versions, vm)
-                task_status.started()
-                await trio.sleep_forever()
+        try:
+            with vm.scope:
+                async with trio.open_nursery() as vm.nursery:
+                    await vm.nursery.start(vm.kern.run)
+                    vm.nursery.start_soon(_follow_versions, vm)
+                    task_status.started()
+                    await trio.sleep_forever()
+        except* Exception:
+            if not vm.scope.cancel_called:
+                raise
 
     def _dead(self, vm: str) -> bool:
         return vm in self.bus.cut
