--- a/bench/mixed.py
+++ b/bench/mixed.py
@@ -21,7 +21,7 @@
 
 HEADING = "## Mixed load"
 BACKLOG_S = 1.5
-JOB_ITEMS = 4_000
+JOB_ITEMS = 16_000
 UNIX_S = 1_800_000_000.0
 LEANS = (0.0, 0.25, 0.5, 0.75, 1.0)
 
--- a/src/cornelgrade/policy/window.py
+++ b/src/cornelgrade/policy/window.py
@@ -1,8 +1,9 @@
 """The batch window of one engine: how many batch items may run there now.
 
 The window grows on idle slots and closes at once when an online request finds no spare slot.
-``lean`` runs from 0 (tail latency) to 1 (throughput): it sets how many slots stay spare, how long
-the window stays closed after it gave way, and how many running items a yield cancels.
+``lean`` runs from 0 (tail latency) to 1 (throughput): it sets how many slots batch leaves to each
+online request, how long the window stays closed after it gave way, and how many running items a
+yield cancels.
 """
 
 import dataclasses
@@ -12,7 +13,6 @@
 FULL_IN_TICKS = 8
 LONGEST_HOLD_S = 0.05
 SILENT_AFTER_S = 3.0
-SPARE_SHARE = 0.25
 UNHEARD_SHARE = 0.25
 
 
@@ -68,7 +68,7 @@
     """Give the number of batch items that the engine has room for."""
     if seen.heard:
         weighed = math.ceil(seen.online * online_weight(seen.slots, lean))
-        return max(0, seen.slots - weighed - spare(seen.slots, lean))
+        return max(0, seen.slots - weighed)
     if seen.reported is None or seen.reported_waiting:
         return 0
     others = max(0, seen.reported - seen.batch_then)
@@ -85,11 +85,6 @@
     return 1.0 + (slots - 1) * max(0.0, 1.0 - 2.0 * lean)
 
 
-def spare(slots: int, lean: float) -> int:
-    """Give the number of slots that batch leaves free."""
-    return math.floor(slots * SPARE_SHARE * (1.0 - lean) ** 2)
-
-
 def on_tick(window: Window, seen: Seen, now_s: float, lean: float) -> Decision:
     """Grow towards the room there is; shrink at once where there is less."""
     target = room(seen, lean)
--- a/src/cornelgrade/services/_chunk_run.py
+++ b/src/cornelgrade/services/_chunk_run.py
@@ -10,7 +10,7 @@
 from cornelgrade.services import _settled, job_records, job_store
 
 MARK_GROUP_ITEMS = 64
-_RENEW_AT = 0.5
+_RENEW_AT = 0.6
 _STOP_AT = 0.9
 
 
--- a/src/cornelgrade/services/_job_runs.py
+++ b/src/cornelgrade/services/_job_runs.py
@@ -12,7 +12,7 @@
 from cornelgrade.policy import batch, claims
 from cornelgrade.services import _chunk_run, _feed, _settled, job_ending, job_records, job_store
 
-LONGEST_LEASE_FACTOR = 12.0
+LONGEST_LEASE_FACTOR = 24.0
 MAX_CLAIM_CHUNKS = 4
 LONGEST_SETTLE_DELAY_S = 8.0
 _SETTLE_LEASE_SHARE = 0.4
--- a/tests/test_batch_faults.py
+++ b/tests/test_batch_faults.py
@@ -214,13 +214,13 @@
         header = await submitted(rig, [batch_kit.line(n, tokens=200) for n in range(20)])
         await trio.sleep(3)
         held = rig.engines["e0"].engine
-        assert len(held._model.running) == 6
+        assert len(held._model.running) == 8
         rig.members["vm1"].deliver(ports.Yield("e0", 3, "vm1"))
         await trio.sleep(0.02)
         assert len(held._model.running) == 0
         assert worker._owned["e0"].run.window.limit == 0
         await trio.sleep(0.4)
-        assert len(held._model.running) == 6
+        assert len(held._model.running) == 8
         ended = await batch_kit.ended(rig.store, header.job)
         counters = held.counters()
         assert ended.tally.ok == 20
