--- a/src/cornelgrade/services/ports.py
+++ b/src/cornelgrade/services/ports.py
@@ -256,6 +256,16 @@
     async def tell(self, team: str, identifier: str) -> tuple[Step, ...]:
         """Give the steps, empty if nothing is known."""
 
+    async def at_risk(self) -> tuple[reports.JobAtRisk, ...]:
+        """Give open jobs that may miss their due times; raises ``UnavailableError``."""
+
+
+class FleetStories(Protocol):
+    """Tells what the platform keeps of manifest versions and engines' orders."""
+
+    async def tell(self, subject: str) -> tuple[Step, ...]:
+        """Give the steps of ``manifest/VERSION`` or ``UPSTREAM/order``, empty if unknown."""
+
 
 @runtime_checkable
 class Reports(Protocol):
--- a/src/cornelgrade/services/web/operations.py
+++ b/src/cornelgrade/services/web/operations.py
@@ -8,7 +8,7 @@
 from aioprometheus.formats import text
 
 from cornelgrade import errors, kernel, metrics, reports, settings
-from cornelgrade.adapters import peer_auth, peer_key, peer_stories
+from cornelgrade.adapters import peer_auth, peer_key, peer_stories, platform
 from cornelgrade.services import ports
 from cornelgrade.services.web import access
 
@@ -21,11 +21,13 @@
     cfg: settings.Settings,
     address: str | None = None,
     recorded: ports.RecordedStories | None = None,
+    fleet: ports.FleetStories | None = None,
 ) -> quart.Blueprint:
     """Make the operators' routes, and the one for peers.
 
     :param address: this process's own, by default the gateway's.
     :param recorded: reads the durable records for ``explain``.
+    :param fleet: reads what is kept of manifests and orders, for operators.
     """
     made = quart.Blueprint("operations", __name__)
     key = peer_key.read(cfg.peer_key_file)
@@ -34,12 +36,12 @@
     @made.get("/v1/status")
     async def status() -> quart.Response:
         access.require_operator(quart.request, cfg.operator_key_hashes)
-        found = kern.find("conditions", ports.Conditions).status()
+        found = await _with_jobs(kern.find("conditions", ports.Conditions).status(), recorded)
         return quart.Response(msgspec.json.encode(found), content_type=_JSON)
 
     @made.get("/v1/explain/<path:identifier>")
     async def explain(identifier: str) -> quart.Response:
-        story = await _story(kern, cfg, identifier, recorded)
+        story = await _story(kern, cfg, identifier, recorded, fleet)
         return quart.Response(msgspec.json.encode(story), content_type=_JSON)
 
     @made.get(f"{peer_stories.PREFIX}/<scope>/<path:identifier>")
@@ -72,11 +74,27 @@
     return made
 
 
+async def _with_jobs(
+    status: reports.Status, recorded: ports.RecordedStories | None
+) -> reports.Status:
+    """Add the jobs at risk; a platform that is out is said instead."""
+    if recorded is None:
+        return status
+    try:
+        jobs = await recorded.at_risk()
+    except platform.UnavailableError as exc:
+        what = f"jobs at risk cannot be read: {exc.message}"
+        out = reports.Degraded(what, status.at_s)
+        return msgspec.structs.replace(status, degraded=(*status.degraded, out))
+    return msgspec.structs.replace(status, jobs_at_risk=(*status.jobs_at_risk, *jobs))
+
+
 async def _story(
     kern: kernel.Kernel,
     cfg: settings.Settings,
     identifier: str,
     recorded: ports.RecordedStories | None,
+    fleet: ports.FleetStories | None,
 ) -> reports.Story:
     """Put together what this process, its peers and the durable records know.
 
@@ -92,6 +110,8 @@
     if recorded is not None:
         for team, own in _owned(kern, scope, subject):
             steps += _shown(cfg.vm, await recorded.tell(team, own))
+    if fleet is not None and scope is ports.StoryScope.ANY:
+        steps += _shown(cfg.vm, await fleet.tell(subject))
     if not steps:
         raise errors.Refusal(
             errors.Code.NOT_FOUND, f"nothing is known of {identifier}", step="explain"
