--- a/src/cornelgrade/services/keyed.py
+++ b/src/cornelgrade/services/keyed.py
@@ -5,7 +5,6 @@
 """
 
 import contextlib
-import dataclasses
 from collections.abc import Callable
 
 import trio
@@ -102,23 +101,27 @@
                 _give(send, part)
     answer = ports.StoredAnswer(head.status, head.content_type, b"".join(body))
     with tracing.start(tracing.Hop.COMMIT, req.span):
-        recorded = await records.finish(run, answer)
-    _give_end(req, head, body, recorded, send)
+        stands = await records.store(run, answer)
+    if not req.stream:
+        _give_whole(head, stands, send)
+    elif body:
+        _give_end(body[-1], stands.recorded and stands.body == answer.body, send)
 
 
-def _give_end(
-    req: exchange.Request, head: exchange.Head, body: list[bytes], recorded: bool, send: Sender
-) -> None:
-    if req.stream:
-        last = body[-1] if body else b""
-        if not last.endswith(engine.END_MARKER):
-            return
-        note = b"" if recorded else NOT_RECORDED
-        _give(send, last.removesuffix(engine.END_MARKER) + note + engine.END_MARKER)
+def _give_end(last: bytes, recorded: bool, send: Sender) -> None:
+    """Pass on the end of a stream, if it came to its end."""
+    if not last.endswith(engine.END_MARKER):
         return
-    mark = ("cornelgrade-recorded", "true" if recorded else "false")
-    _give(send, dataclasses.replace(head, headers=(*head.headers, mark)))
-    _give(send, b"".join(body))
+    note = b"" if recorded else NOT_RECORDED
+    _give(send, last.removesuffix(engine.END_MARKER) + note + engine.END_MARKER)
+
+
+def _give_whole(head: exchange.Head, stands: ports.StoredAnswer, send: Sender) -> None:
+    """Pass on the answer that stands, so that twins at two VMs get the same bytes."""
+    kept = tuple(pair for pair in head.headers if pair[0] != "content-type")
+    mark = ("cornelgrade-recorded", "true" if stands.recorded else "false")
+    _give(send, exchange.Head(stands.status, (("content-type", stands.content_type), *kept, mark)))
+    _give(send, stands.body)
 
 
 def _give(send: Sender, part: exchange.Part | errors.Refusal) -> None:
