Shares: no floor for VMs of other failure domains

Cause: each VM that asked kept one slot, so with three local VMs and six others the caps added up to 22 over an engine's 16 slots, and requests queued inside the engine, where there is no priority. The fallback for VMs that were told nothing had the same floor.

Local VMs keep the floor; others get what is left, possibly none, and still report what waits for the engine, so they are told a share once there is one. Without live VMs in the engine's own failure domain the others fall back to a part of it, as before.

Ruled out: no floor for local VMs either; an idle VM would first have to ask before it may send.

The shares test allowed slots + VMs and two of its cases held the old floor (8+1+1 of 8 slots); the sum must now be exact.

--- a/src/cornelgrade/policy/shares.py
+++ b/src/cornelgrade/policy/shares.py
@@ -7,14 +7,21 @@
 FOREIGN_FRACTION = 0.25
 
 
-def fallback_share(slots: int, vms: int, local: bool) -> int:
+def fallback_share(slots: int, local_vms: int, other_vms: int, local: bool) -> int:
     """Give a VM's share when nobody has told it one.
 
-    :param vms: live VMs of the upstream's failure domain, or of all others if not ``local``.
+    A VM of another failure domain gets none while the upstream's own has live VMs, since one of
+    them answers its demand with a share.
+
+    :param local_vms: live VMs of the upstream's failure domain.
+    :param other_vms: live VMs of all others.
     :param local: whether the VM is in the upstream's failure domain.
     """
-    usable = slots if local else slots * FOREIGN_FRACTION
-    return max(MIN_SHARE, math.ceil(usable / max(1, vms)))
+    if local:
+        return max(MIN_SHARE, math.ceil(slots / max(1, local_vms)))
+    if local_vms:
+        return 0
+    return max(MIN_SHARE, math.ceil(slots * FOREIGN_FRACTION / max(1, other_vms)))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -29,17 +36,20 @@
 def divide(slots: int, demands: tuple[Demand, ...]) -> dict[str, int]:
     """Divide the slots max-min fairly: small demands in full, the rest in equal parts.
 
-    Local demands go first; what is left goes to other failure domains. Slots that nobody asked
-    for are spread over the local VMs, so that a VM whose load rises has room at once. The shares
-    add up to ``slots`` unless there are more VMs than slots, each of which keeps one.
+    Local demands go first, and each local VM keeps at least one slot; what is left goes to other
+    failure domains, whose VMs may get none. Slots that nobody asked for are spread over the local
+    VMs, so that a VM whose load rises has room at once. The shares add up to ``slots``, or to the
+    number of local VMs if that is larger.
     """
-    local = tuple(d for d in demands if d.local)
+    local = tuple(
+        dataclasses.replace(d, wanted=max(MIN_SHARE, d.wanted)) for d in demands if d.local
+    )
     foreign = tuple(d for d in demands if not d.local)
-    shares = _max_min(slots, local)
+    shares = {vm: max(MIN_SHARE, share) for vm, share in _max_min(slots, local).items()}
     shares |= _max_min(slots - sum(shares.values()), foreign)
     spare = slots - sum(shares.values())
     _spread(shares, tuple(d.vm for d in local) or tuple(d.vm for d in foreign), spare)
-    return {vm: max(MIN_SHARE, share) for vm, share in shares.items()}
+    return shares
 
 
 def _max_min(slots: int, demands: tuple[Demand, ...]) -> dict[str, int]:
--- a/src/cornelgrade/services/router.py
+++ b/src/cornelgrade/services/router.py
@@ -476,10 +476,11 @@
             if now_s < seats.cap_told_until_s:
                 continue
             local = seats.failure_domain == self._failure_domain
-            vms = 1
+            local_vms = other_vms = 0
             if view is not None:
-                vms = len(view.usable(seats.failure_domain if local else ""))
-            seats.cap = shares.fallback_share(seats.slots, vms, local)
+                local_vms = len(view.usable(seats.failure_domain))
+                other_vms = len(view.usable("")) - local_vms
+            seats.cap = shares.fallback_share(seats.slots, local_vms, other_vms, local)
 
 
 def _report(seats: _Seats) -> reports.UpstreamReport:
--- a/tests/policy/test_shares.py
+++ b/tests/policy/test_shares.py
@@ -13,15 +13,17 @@
 def test_shares_add_up_to_the_slots(slots, demands):
     told = shares.divide(slots, demands)
     assert set(told) == {d.vm for d in demands}
-    assert slots <= sum(told.values()) <= slots + len(demands)
+    local = [d.vm for d in demands if d.local]
+    assert sum(told.values()) == max(slots, len(local))
+    assert all(told[vm] >= 1 for vm in local)
 
 
 @pytest.mark.parametrize(
     ("wanted", "told"),
     [
         ((0, 0, 0), (2, 3, 3)),
-        ((8, 0, 0), (8, 1, 1)),
-        ((20, 20, 0), (4, 4, 1)),
+        ((8, 0, 0), (6, 1, 1)),
+        ((20, 20, 0), (4, 3, 1)),
         ((1, 20, 20), (1, 4, 3)),
     ],
 )
@@ -35,9 +37,25 @@
     assert shares.divide(8, demands) == {"near": 6, "far": 2}
 
 
-@pytest.mark.parametrize(("vms", "share"), [(1, 8), (2, 4), (3, 3), (100, 1)])
+def test_vms_of_other_failure_domains_get_nothing_while_local_ones_want_all():
+    near = tuple(shares.Demand(f"near{i}", 40) for i in range(3))
+    far = tuple(shares.Demand(f"far{i}", 40, local=False) for i in range(6))
+    told = shares.divide(16, near + far)
+    assert sorted(told.values()) == [0] * 6 + [5, 5, 6]
+
+
+@pytest.mark.parametrize(("vms", "share"), [(0, 8), (1, 8), (2, 4), (3, 3), (100, 1)])
 def test_fallback_is_an_equal_part(vms, share):
-    assert shares.fallback_share(8, vms, local=True) == share
+    assert shares.fallback_share(8, vms, 6, local=True) == share
+
+
+@pytest.mark.parametrize(
+    ("local_vms", "other_vms", "share"), [(1, 2, 0), (0, 1, 2), (0, 2, 1), (0, 100, 1)]
+)
+def test_fallback_elsewhere_is_none_while_the_own_failure_domain_has_vms(
+    local_vms, other_vms, share
+):
+    assert shares.fallback_share(8, local_vms, other_vms, local=False) == share
 
 
 def test_backoff_doubles_and_failures_during_it_count_once():
