Affinity: bound of 1.25 times the mean load plus one request

Cause: the bound was the larger of 1.25 times the mean and one request, so under a light load one request above the others sent a prefix away from the engine whose cache holds it.

--- a/src/cornelgrade/policy/routing.py
+++ b/src/cornelgrade/policy/routing.py
@@ -143,7 +143,7 @@
         mean = sum(c.load for c in found) / len(found)
         ranked = sorted(found, key=lambda c: score(prefix, c.name), reverse=True)
         for candidate in ranked[:2]:
-            bound = max(LOAD_BOUND * mean, 1.0 / candidate.slots)
+            bound = LOAD_BOUND * mean + 1.0 / candidate.slots
             if candidate.load <= bound:
                 return candidate
         return None
--- a/tests/policy/test_routing.py
+++ b/tests/policy/test_routing.py
@@ -43,6 +43,16 @@
     assert routing.AffinityChoice().choose(loaded, wish, rng).name != home.name
 
 
+@pytest.mark.parametrize(("others", "stays"), [(0, False), (1, True), (2, True)])
+def test_one_request_above_the_bound_does_not_send_a_prefix_away(others, stays):
+    wish = routing.Wish(prefix=77)
+    idle = tuple(up(f"e{i}") for i in range(6))
+    home = routing.AffinityChoice().choose(idle, wish, random.Random(1)).name
+    found = tuple(up(c.name, outstanding=2 if c.name == home else others) for c in idle)
+    chosen = routing.AffinityChoice().choose(found, wish, random.Random(1))
+    assert (chosen.name == home) == stays
+
+
 @pytest.mark.parametrize(
     ("found", "expected"),
     [
