--- a/tests/docs/test_operations_page.py
+++ b/tests/docs/test_operations_page.py
@@ -46,3 +46,10 @@
         if link.startswith("http") or link.endswith("PROOF.md"):
             continue
         assert (path.parent / link).exists(), link
+
+
+def test_tests_that_the_page_names_are_there():
+    sources = "\n".join(path.read_text() for path in (DOCS.parent / "tests").rglob("test_*.py"))
+    named = set(re.findall(r"`(test_\w+)`", PAGE))
+    assert named
+    assert {name for name in named if f"def {name}(" not in sources} == set()
