--- a/src/cornelgrade/policy/quarantine.py
+++ b/src/cornelgrade/policy/quarantine.py
@@ -8,6 +8,7 @@
 
 import dataclasses
 import enum
+import hashlib
 import itertools
 
 MAX_CRASHES = 2
@@ -19,6 +20,11 @@
 UNSTABLE_S = 60.0
 
 
+def fingerprint(path: str, body: bytes) -> str:
+    """Give the identity of a call, the same online and in batch however often it is sent."""
+    return hashlib.blake2b(path.encode() + b"\0" + body, digest_size=16).hexdigest()
+
+
 class Standing(enum.Enum):
     """How a request stands; ``PENDING`` would be condemned if its last evidence holds."""
 
--- a/src/cornelgrade/services/_engine_run.py
+++ b/src/cornelgrade/services/_engine_run.py
@@ -146,7 +146,7 @@
         """Start items up to the window."""
         if self._nursery is None or self._leaving or self._now() < self._paused_until_s:
             return
-        while len(self._calls) < self.window.limit and not any(c.work.alone for c in self._calls):
+        while len(self._calls) < self.window.limit and not any(c.alone for c in self._calls):
             work = self._feed.take()
             if work is None:
                 return
@@ -159,10 +159,11 @@
         if verdict is ports.Verdict.CONDEMNED:
             work.run.report(work, _condemned(self.upstream.name))
             return True
-        if (work.alone or verdict is ports.Verdict.ALONE) and self._calls:
+        alone = work.alone or verdict is ports.Verdict.ALONE
+        if alone and self._calls:
             work.run.put_back(work)
             return False
-        call = _item_call.ItemCall(self.upstream, work)
+        call = _item_call.ItemCall(self.upstream, work, alone=alone)
         call.shared = bool(self._calls) or bool(self._seen().online)
         for other in self._calls:
             other.shared = True
@@ -192,7 +193,9 @@
     def _tell_quarantine(self, call: _item_call.ItemCall, report: _chunk_run.Report) -> None:
         if self._quarantine is None:
             return
-        if report.event is batch.Event.BROKEN:
+        if report.event is batch.Event.BROKEN and not call.crash_reported:
+            for other in self._calls:
+                other.crash_reported = True
             in_flight = tuple(_item_call.fingerprint(other.work.item) for other in self._calls)
             self._quarantine.crashed(self.upstream.name, in_flight)
         if report.event is batch.Event.ANSWERED:
--- a/src/cornelgrade/services/_item_call.py
+++ b/src/cornelgrade/services/_item_call.py
@@ -1,13 +1,12 @@
 """One call of a batch item to an upstream: how it is sent and how its end is read."""
 
-import hashlib
 import secrets
 
 import msgspec
 import trio
 
 from cornelgrade.adapters import engine
-from cornelgrade.policy import batch
+from cornelgrade.policy import batch, quarantine
 from cornelgrade.services import _chunk_run, job_records
 
 ANSWER_TIMEOUT_S = 120.0
@@ -26,7 +25,7 @@
 
 def fingerprint(item: job_records.Item) -> str:
     """Give the fingerprint under which the quarantine knows an item's call."""
-    return hashlib.sha256(item.path.encode() + b"\0" + item.body).hexdigest()[:32]
+    return quarantine.fingerprint(item.path, item.body)
 
 
 def joined(body: bytes, earlier: str) -> bytes:
@@ -43,12 +42,18 @@
 class ItemCall:
     """A running call of one item.
 
-    ``shared`` is set while anything else runs on the engine, ``wasted`` if a cancelled call's
-    tokens were lost.
+    ``shared`` is set once anything else has run beside it, ``wasted`` if a cancelled call's tokens
+    were lost, ``crash_reported`` once the crash that broke it is known to the quarantine.
+
+    :param alone: nothing may be started beside it.
     """
 
-    def __init__(self, upstream: engine.Upstream, work: _chunk_run.Work) -> None:
+    def __init__(
+        self, upstream: engine.Upstream, work: _chunk_run.Work, *, alone: bool = False
+    ) -> None:
         self.work = work
+        self.alone = alone
+        self.crash_reported = False
         self.shared = False
         self.resume = work.resume
         self.cancelling = False
--- a/src/cornelgrade/services/web/online.py
+++ b/src/cornelgrade/services/web/online.py
@@ -2,7 +2,6 @@
 
 import contextlib
 import dataclasses
-import hashlib
 import uuid
 
 import msgspec
@@ -11,7 +10,7 @@
 
 from cornelgrade import errors, kernel, manifest, tracing
 from cornelgrade.adapters import engine
-from cornelgrade.policy import routing
+from cornelgrade.policy import quarantine, routing
 from cornelgrade.services import drain, exchange, online
 from cornelgrade.services.web import access
 
@@ -184,7 +183,7 @@
         deadline_s=trio.current_time() + _deadline_s(headers, policy.default_deadline_s),
         stream=prompt.stream if prompt else False,
         idempotent=idempotent,
-        fingerprint=_fingerprint(path, body),
+        fingerprint=quarantine.fingerprint(path, body),
         prefix=routing.prefix_hash(bytes(prompt.messages or prompt.prompt)) if prompt else 0,
         max_tokens=prompt.max_tokens if prompt else 0,
         key=key,
@@ -195,10 +194,6 @@
     return {name: headers[name] for name in names if name in headers}
 
 
-def _fingerprint(path: str, body: bytes) -> str:
-    return hashlib.blake2b(path.encode() + b"\0" + body, digest_size=16).hexdigest()
-
-
 def _deadline_s(headers, default_s: float) -> float:
     text = headers.get("Cornelgrade-Deadline-Ms")
     if text is None:
--- a/tests/batch_kit.py
+++ b/tests/batch_kit.py
@@ -120,13 +120,15 @@
         self.configurations: dict[str, FakeConfiguration] = {}
         self.scopes: dict[str, trio.CancelScope] = {}
 
-    async def worker(self, vm: str, vms: tuple[str, ...] = (), plat=None) -> batch.Batch:
+    async def worker(
+        self, vm: str, vms: tuple[str, ...] = (), plat=None, more: tuple = ()
+    ) -> batch.Batch:
         kern = kernel.Kernel()
         members = FakeMembership(vm, vms or (vm,))
         members.idle_upstreams = tuple(self.engines)
         made = batch.Batch(kern, vm, "fd1", plat or self.platform, unix_s)
         self.configurations[vm] = FakeConfiguration(self.manifest)
-        for service in (members, self.configurations[vm], Pool(self.engines), made):
+        for service in (members, self.configurations[vm], Pool(self.engines), *more, made):
             kern.add(service)
         self.workers[vm], self.members[vm] = made, members
         await self.nursery.start(self._run, vm, kern)
--- a/tests/test_batch_faults.py
+++ b/tests/test_batch_faults.py
@@ -359,3 +359,32 @@
         rig.configurations["vm1"].accepted = ports.Accepted(batch_kit.wanted(engines=1, slots=8), 2)
         await trio.sleep(3)
         assert len(rig.engines["e0"].engine._model.running) == 8
+
+
+async def test_crash_is_told_to_the_quarantine_once_with_all_that_was_in_flight(autojump_clock):
+    class Told:
+        name = "quarantine"
+        crashes = []
+
+        def verdict(self, fingerprint):
+            return ports.Verdict.CLEAR
+
+        def crashed(self, upstream, in_flight):
+            self.crashes.append((upstream, len(in_flight)))
+
+        def completed(self, fingerprint):
+            pass
+
+        async def run(self, started):
+            started()
+            await trio.sleep_forever()
+
+    told = Told()
+    async with batch_kit.rig(batch_kit.wanted(engines=1), SLOW_ENGINE) as rig:
+        await rig.worker("vm1", more=(told,))
+        header = await submitted(rig, [batch_kit.line(number) for number in range(40)])
+        await trio.sleep(3)
+        rig.engines["e0"].engine.switch(engine_standin.Switches(crash=True))
+        ended = await batch_kit.ended(rig.store, header.job)
+        assert ended.tally.ok == 40
+        assert told.crashes == [("e0", 8)]
