Admission: count the request's own time, keep seats for the top rank

Cause: the expected wait left out the time that a request itself takes and what later, higher ranks take, so too much was let in; what could no longer finish waited until its deadline was over (refusals took 10 s at p99) or was sent and wasted. The top rank waited for a seat to come back.

--- a/src/cornelgrade/policy/admission.py
+++ b/src/cornelgrade/policy/admission.py
@@ -1,12 +1,19 @@
 """Who may queue: token buckets for teams and a bounded queue by priority, then deadline."""
 
 import dataclasses
+import math
+from collections.abc import Mapping, Sequence
 
 import result
 
 from cornelgrade import errors
 
 MIN_RETRY_AFTER_S = 0.1
+WAIT_MARGIN = 2.0
+KEPT_SHARE = 0.25
+MIN_SHARE_LEFT = 0.05
+RANK_WEIGHT = 0.02
+LEAST_TOP_SHARE = 0.0005
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -62,7 +69,9 @@
 
     :param ahead: queued requests that go before the new one.
     :param served_per_s: recent rate at which requests leave the queue for an upstream.
+    :param share_above: share of recent requests sent that had a higher priority.
     :param worst: the last place in the queue, ``None`` when it is empty.
+    :param mean_duration_s: recent mean time that a request takes once it is sent.
     """
 
     length: int
@@ -70,6 +79,8 @@
     ahead: int
     served_per_s: float
     worst: Place | None = None
+    mean_duration_s: float = 0.0
+    share_above: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -80,10 +91,14 @@
 
 
 def expected_wait_s(state: QueueState) -> float:
-    """Estimate the wait of a new request from the recent rate of service."""
+    """Estimate the wait of a new request from the recent rate of service.
+
+    What goes to higher priorities is not served to this one: their later arrivals overtake it.
+    """
     if state.ahead == 0 or state.served_per_s <= 0:
         return 0.0
-    return state.ahead / state.served_per_s
+    rate_per_s = state.served_per_s * max(MIN_SHARE_LEFT, 1.0 - state.share_above)
+    return state.ahead / rate_per_s
 
 
 def retry_after_s(state: QueueState) -> float:
@@ -104,16 +119,65 @@
     )
 
 
+def late(place: Place, state: QueueState, now_s: float) -> errors.Refusal:
+    """Make the refusal of a request that waited and cannot finish by its deadline."""
+    code = errors.Code.DEADLINE if place.deadline_s <= now_s else errors.Code.OVERLOADED
+    return errors.Refusal(
+        code,
+        "no upstream was free in time",
+        step="queue",
+        ran=errors.Ran.NO,
+        retry_after_s=round(retry_after_s(state), 3),
+    )
+
+
 def decide(place: Place, state: QueueState, now_s: float) -> result.Result[Enqueue, errors.Refusal]:
     """Let a request queue, or refuse it at once.
 
     A full queue gives up its last place to a request that goes before it. A request whose
-    expected wait ends after its deadline is refused now rather than when its time is over.
+    expected end is after its deadline is refused now rather than when its time is over; one that
+    need not wait is never refused for that, since the mean says little of a single request.
     """
-    if expected_wait_s(state) > place.deadline_s - now_s:
+    wait_s = expected_wait_s(state)
+    left_s = place.deadline_s - now_s
+    if wait_s > 0 and wait_s * WAIT_MARGIN + state.mean_duration_s > left_s:
         return result.Err(refuse(state, "the queue is longer than the request's deadline allows"))
     if state.length < state.limit:
         return result.Ok(Enqueue())
     if state.worst is not None and place < state.worst:
         return result.Ok(Enqueue(evict=state.worst))
     return result.Err(refuse(state, "the queue is full"))
+
+
+def hopeless(
+    places: Sequence[Place], free: int, mean_duration_s: float, now_s: float
+) -> tuple[Place, ...]:
+    """Give the waiting requests that can no longer finish by their deadlines.
+
+    While there are seats for all that wait, only what is over counts: the mean says little of a
+    single request, and a short one may well be in time.
+
+    :param free: seats that this gateway may use now.
+    """
+    allowance_s = mean_duration_s if len(places) > free else 0.0
+    return tuple(p for p in places if p.deadline_s <= now_s + allowance_s)
+
+
+def kept_seats(seats: int, top_share: float) -> int:
+    """Give the seats that a gateway keeps free for the top rank, of all that it has.
+
+    :param top_share: the top rank's share of recent requests; none are kept for a rank that
+        nobody uses.
+    """
+    return math.floor(seats * KEPT_SHARE) if top_share >= LEAST_TOP_SHARE else 0
+
+
+def share_above(shares: Mapping[int, float], rank: int) -> float:
+    """Give the share of recent requests sent that went before ``rank``."""
+    return sum(share for other, share in shares.items() if other < rank)
+
+
+def count_sent(shares: Mapping[int, float], rank: int) -> dict[int, float]:
+    """Add one request sent to the shares of the ranks, older ones weighing less and less."""
+    faded = {other: share * (1 - RANK_WEIGHT) for other, share in shares.items()}
+    return faded | {rank: faded.get(rank, 0.0) + RANK_WEIGHT}
--- a/src/cornelgrade/policy/routing.py
+++ b/src/cornelgrade/policy/routing.py
@@ -42,6 +42,11 @@
         return (self.outstanding + self.reported) / self.slots
 
 
+def free_seats(candidates: tuple[Candidate, ...]) -> int:
+    """Count the requests that this gateway may send now."""
+    return sum(c.cap - c.outstanding for c in candidates if c.room)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Wish:
     """What a request asks of the choice.
--- a/src/cornelgrade/services/router.py
+++ b/src/cornelgrade/services/router.py
@@ -117,6 +117,7 @@
     places: list[admission.Place] = dataclasses.field(default_factory=list)
     asks: dict[admission.Place, Ask] = dataclasses.field(default_factory=dict)
     mean_duration_s: float = 0.0
+    sent_shares: dict[int, float] = dataclasses.field(default_factory=dict)
 
     def add(self, ask: Ask) -> None:
         bisect.insort(self.places, ask.place)
@@ -156,6 +157,7 @@
         self._queues: dict[str, _Queue] = {}
         self._version = -1
         self._queue_limit = 0
+        self._top_rank = 0
         self._number = 0
         self._rose = trio.Event()
 
@@ -328,6 +330,8 @@
             ahead=bisect.bisect_left(queue.places, ask.place),
             served_per_s=rate,
             worst=queue.places[-1] if queue.places else None,
+            mean_duration_s=queue.mean_duration_s,
+            share_above=admission.share_above(queue.sent_shares, ask.place.rank),
         )
 
     def _note_outcome(self, seats: _Seats, message: Release) -> None:
@@ -346,7 +350,7 @@
 
     def _dispatch(self, service: str) -> None:
         queue = self._queues[service]
-        self._drop_late(queue)
+        self._drop_late(service, queue)
         self._refuse_in_outage(service, queue)
         for place in tuple(queue.places):
             candidates = self._candidates(service)
@@ -354,14 +358,24 @@
             if ask.wish.alone:
                 self._dispatch_alone(queue, ask, candidates)
                 continue
-            if not any(c.room for c in candidates):
+            if not self._may_take(queue, place.rank, candidates):
                 break
             chosen = self._choice.choose(candidates, ask.wish, self._rng)
             if chosen is not None:
                 queue.remove(place)
+                queue.sent_shares = admission.count_sent(queue.sent_shares, place.rank)
                 self._seat(ask, chosen.name)
         _QUEUED.set({"service": service}, len(queue.places))
 
+    def _may_take(
+        self, queue: _Queue, rank: int, candidates: tuple[routing.Candidate, ...]
+    ) -> bool:
+        seats = sum(c.cap for c in candidates if c.usable)
+        kept = 0
+        if rank > self._top_rank:
+            kept = admission.kept_seats(seats, queue.sent_shares.get(self._top_rank, 0.0))
+        return routing.free_seats(candidates) > kept
+
     def _dispatch_alone(
         self, queue: _Queue, ask: Ask, candidates: tuple[routing.Candidate, ...]
     ) -> None:
@@ -409,15 +423,15 @@
             if ask is not None:
                 ask.reply.send_nowait(result.Err(refusal))
 
-    def _drop_late(self, queue: _Queue) -> None:
+    def _drop_late(self, service: str, queue: _Queue) -> None:
+        """Refuse what can no longer finish in time, so that nobody waits for it."""
         now_s = trio.current_time()
-        for place in [p for p in queue.places if p.deadline_s <= now_s]:
+        free = routing.free_seats(self._candidates(service))
+        for place in admission.hopeless(queue.places, free, queue.mean_duration_s, now_s):
             ask = queue.remove(place)
             self._drop_reservation(place)
             if ask is not None:
-                refusal = errors.Refusal(
-                    errors.Code.DEADLINE, "no upstream was free in time", step="queue"
-                )
+                refusal = admission.late(place, self._queue_state(ask), now_s)
                 ask.reply.send_nowait(result.Err(refusal))
 
     def _seat(self, ask: Ask, upstream: str) -> None:
@@ -453,6 +467,7 @@
             return
         self._version = accepted.version
         self._queue_limit = accepted.manifest.online.queue_limit
+        self._top_rank = min((p.rank for p in accepted.manifest.priorities), default=0)
         known = self._seats
         self._seats = {}
         for up in accepted.manifest.upstreams:
--- a/tests/policy/test_admission.py
+++ b/tests/policy/test_admission.py
@@ -10,8 +10,8 @@
 SLOW = admission.Place(rank=9, deadline_s=10.0, number=1)
 
 
-def state(length=0, limit=4, ahead=0, served_per_s=1.0, worst=None):
-    return admission.QueueState(length, limit, ahead, served_per_s, worst)
+def state(length=0, limit=4, ahead=0, served_per_s=1.0, worst=None, **more):
+    return admission.QueueState(length, limit, ahead, served_per_s, worst, **more)
 
 
 @pytest.mark.parametrize(
@@ -19,6 +19,7 @@
     [
         (FAST, state(), None),
         (SLOW, state(length=3, ahead=3), None),
+        (SLOW, state(mean_duration_s=30.0), None),
         (FAST, state(length=4, worst=SLOW), SLOW),
     ],
 )
@@ -31,6 +32,8 @@
     [
         (SLOW, state(length=4, ahead=4, worst=FAST)),
         (SLOW, state(length=2, ahead=2, served_per_s=0.1)),
+        (SLOW, state(length=2, ahead=2, mean_duration_s=9.0)),
+        (SLOW, state(length=3, ahead=3, share_above=0.5)),
     ],
 )
 def test_request_that_cannot_is_refused_as_not_run_with_a_time_to_come_back(place, queue):
@@ -61,3 +64,44 @@
         admission.Place(0, 4.0, 0),
     ]
     assert [p.number for p in sorted(places)] == [0, 3, 2, 1]
+
+
+@pytest.mark.parametrize(
+    ("free", "mean_s", "now_s", "given_up"),
+    [
+        (0, 1.0, 5.0, []),
+        (0, 1.0, 9.5, [0, 1]),
+        (1, 1.0, 9.5, [0, 1]),
+        (2, 1.0, 9.5, []),
+        (2, 1.0, 10.0, [0, 1]),
+    ],
+)
+def test_what_can_no_longer_finish_is_given_up_unless_all_have_seats(free, mean_s, now_s, given_up):
+    places = [admission.Place(rank, 10.0, rank) for rank in (0, 1)]
+    found = admission.hopeless(places, free, mean_s, now_s)
+    assert [p.number for p in found] == given_up
+
+
+@pytest.mark.parametrize(
+    ("now_s", "code"), [(9.0, errors.Code.OVERLOADED), (10.0, errors.Code.DEADLINE)]
+)
+def test_given_up_request_hears_that_it_did_not_run_and_when_to_come_back(now_s, code):
+    refusal = admission.late(SLOW, state(length=3), now_s)
+    assert (refusal.code, refusal.ran) == (code, errors.Ran.NO)
+    assert refusal.retry_after_s > 0
+
+
+@pytest.mark.parametrize(
+    ("seats", "top_share", "kept"), [(16, 0.1, 4), (16, 0.0, 0), (3, 0.1, 0), (4, 0.1, 1)]
+)
+def test_seats_are_kept_for_the_top_rank_while_it_is_used(seats, top_share, kept):
+    assert admission.kept_seats(seats, top_share) == kept
+
+
+@given(st.lists(st.integers(0, 3), max_size=300))
+def test_shares_of_the_ranks_add_up_to_at_most_one(ranks):
+    shares = {}
+    for rank in ranks:
+        shares = admission.count_sent(shares, rank)
+    assert 0.0 <= admission.share_above(shares, 99) <= 1.0 + 1e-9
+    assert admission.share_above(shares, 0) == 0.0
--- a/tests/services/test_online.py
+++ b/tests/services/test_online.py
@@ -139,3 +139,36 @@
         assert caught.value.code is errors.Code.OVERLOADED
         assert caught.value.retry_after_s > 0
         nursery.cancel_scope.cancel()
+
+
+async def test_waiting_request_that_can_no_longer_finish_is_refused_before_its_deadline(
+    autojump_clock,
+):
+    slow = fakes.Script(tokens=100)
+    up = fakes.ScriptedUpstream("engine-0", slow)
+    async with serving(up, slots=1) as service, trio.open_nursery() as nursery:
+        await answer(service, request(1))
+        nursery.start_soon(answer, service, request(2))
+        await trio.sleep(0.01)
+        began_s = trio.current_time()
+        with pytest.raises(errors.Refusal) as caught:
+            await answer(service, request(3, deadline_s=began_s + 1.5))
+        assert trio.current_time() - began_s < 1.0
+    assert caught.value.ran is errors.Ran.NO
+    assert caught.value.retry_after_s > 0
+    assert len(up.calls) == 2
+
+
+async def test_lower_ranks_leave_a_seat_for_the_top_one(autojump_clock):
+    up = fakes.ScriptedUpstream("engine-0", fakes.Script(tokens=1000))
+    async with serving(up, slots=4) as service, trio.open_nursery() as nursery:
+        with trio.move_on_after(0.1):
+            await answer(service, request(0))
+        for number in range(1, 9):
+            nursery.start_soon(answer, service, request(number, rank=5, deadline_s=1e6))
+        await trio.sleep(0.1)
+        assert len(up.calls) == 1 + 3
+        nursery.start_soon(answer, service, request(9))
+        await trio.sleep(0.01)
+        assert up.calls[-1].stream_id == "r9.0"
+        nursery.cancel_scope.cancel()
