Retry budget: the manifest's share, and a test of a brown-out

Cause: the online service used a fixed share of 0.1 whatever the manifest's online.retry_budget said. The share is now read at each success, so a new manifest is in force at once.

--- a/src/cornelgrade/policy/retry.py
+++ b/src/cornelgrade/policy/retry.py
@@ -56,14 +56,16 @@
 class Budget:
     """A retry budget: retries are a share of recent successes, up to ``limit`` saved up."""
 
-    share: float
     limit: float = 10.0
     saved: float = 10.0
 
 
-def earn(budget: Budget) -> Budget:
-    """Add one success."""
-    return dataclasses.replace(budget, saved=min(budget.limit, budget.saved + budget.share))
+def earn(budget: Budget, share: float) -> Budget:
+    """Add one success.
+
+    :param share: retries that it pays for, from the manifest.
+    """
+    return dataclasses.replace(budget, saved=min(budget.limit, budget.saved + share))
 
 
 def spend(budget: Budget) -> Budget | None:
--- a/src/cornelgrade/services/online.py
+++ b/src/cornelgrade/services/online.py
@@ -51,7 +51,7 @@
         self._kern = kern
         self._log = logs.Logger("online")
         self._buckets: dict[str, admission.Bucket] = {}
-        self._budget = retry.Budget(share=0.1)
+        self._budget = retry.Budget()
         self._leaving_told_s: dict[str, float] = {}
 
     async def run(self, started: Callable[[], None]) -> None:
@@ -104,7 +104,7 @@
             except engine.CallError as exc:
                 await self._after_failure(req, progress, exc)
                 continue
-            self._budget = retry.earn(self._budget)
+            self._budget = retry.earn(self._budget, self._policy().retry_budget)
             self._clear(req)
             _REQUESTS.inc({"outcome": "answered", "service": req.service})
             return
@@ -286,9 +286,7 @@
         )
 
     def _call(self, req: exchange.Request, progress: _Progress) -> engine.Call:
-        accepted = self._kern.find("configuration", ports.Configuration).current()
-        assert accepted is not None
-        online = accepted.manifest.online
+        online = self._policy()
         first_s = online.first_token_timeout_s
         if not req.stream:
             first_s += req.max_tokens * WHOLE_TOKEN_TIMEOUT_S
@@ -305,6 +303,11 @@
             fresh=not req.idempotent,
         )
 
+    def _policy(self) -> manifest.OnlinePolicy:
+        accepted = self._kern.find("configuration", ports.Configuration).current()
+        assert accepted is not None
+        return accepted.manifest.online
+
     async def _verdict(self, req: exchange.Request) -> ports.Verdict:
         if not self._kern.has("quarantine"):
             return ports.Verdict.CLEAR
--- a/tests/policy/test_retry.py
+++ b/tests/policy/test_retry.py
@@ -40,11 +40,11 @@
 
 @given(st.lists(st.booleans(), max_size=300))
 def test_retries_stay_within_the_share_of_successes(outcomes):
-    budget = retry.Budget(share=0.1)
+    budget = retry.Budget()
     retries = 0
     for succeeded in outcomes:
         if succeeded:
-            budget = retry.earn(budget)
+            budget = retry.earn(budget, 0.1)
             continue
         left = retry.spend(budget)
         if left is not None:
--- a/tests/services/test_online.py
+++ b/tests/services/test_online.py
@@ -172,3 +172,38 @@
         await trio.sleep(0.01)
         assert up.calls[-1].stream_id == "r9.0"
         nursery.cancel_scope.cancel()
+
+
+class BrownOut(fakes.ScriptedUpstream):
+    """Fails a share of its calls, spread evenly, after taking them."""
+
+    def __init__(self, name, share):
+        super().__init__(name)
+        self._share, self._owed = share, 0.0
+
+    @contextlib.asynccontextmanager
+    async def call(self, call):
+        self._owed += self._share
+        failing = self._owed >= 1.0
+        self._owed -= failing
+        self.scripts = [fakes.Script(fail=engine.Progress.SENT if failing else None)]
+        async with super().call(call) as found:
+            yield found
+
+
+@pytest.mark.parametrize("share", [0.05, 0.2, 0.5, 1.0])
+@pytest.mark.parametrize("retry_budget", [0.0, 0.1])
+async def test_brown_out_of_the_fleet_costs_at_most_a_fifth_more_calls(
+    autojump_clock, share, retry_budget
+):
+    offered = 200
+    ups = [BrownOut(f"engine-{i}", share) for i in range(3)]
+    policy = fakes.a_manifest().online
+    cfg = type(policy)(retry_budget=retry_budget)
+    async with serving(*ups, slots=64, online=cfg) as service:
+        for number in range(offered):
+            with contextlib.suppress(errors.Refusal):
+                await answer(service, request(number))
+    calls = sum(len(up.calls) for up in ups)
+    saved_at_first = 10
+    assert offered <= calls <= saved_at_first + (1 + retry_budget) * offered <= 1.2 * offered
