--- a/src/cornelgrade/policy/routing.py
+++ b/src/cornelgrade/policy/routing.py
@@ -18,8 +18,6 @@
     :param slots: requests that it runs at the same time.
     :param cap: requests that this gateway may have outstanding there.
     :param outstanding: requests that this gateway has there now.
-    :param reported: the upstream's last report of running and waiting requests, less those of
-        this gateway that it counted.
     :param usable: not leaving, not down.
     """
 
@@ -28,7 +26,6 @@
     slots: int
     cap: int
     outstanding: int = 0
-    reported: int = 0
     usable: bool = True
 
     @property
@@ -38,8 +35,8 @@
 
     @property
     def load(self) -> float:
-        """Share of the slots in use, from the lagging report and this gateway's own count."""
-        return (self.outstanding + self.reported) / self.slots
+        """Share of the slots in use by this gateway's own count."""
+        return self.outstanding / self.slots
 
 
 def free_seats(candidates: tuple[Candidate, ...]) -> int:
