--- a/src/cornelgrade/commands/daemon.py
+++ b/src/cornelgrade/commands/daemon.py
@@ -3,7 +3,6 @@
 Their modules are imported when they are wanted, so that the short commands start at once.
 """
 
-import importlib
 from typing import Any
 
 from cornelgrade import checked, errors
@@ -11,21 +10,23 @@
 
 def gateway(args: dict[str, Any]) -> errors.ExitCode:
     """Run a VM's gateway until it is told to stop."""
-    return _run("run_gateway", args["SETTINGS"])
+    from cornelgrade import daemons
+
+    daemons.run_gateway(checked.load_settings(args["SETTINGS"]))
+    return errors.ExitCode.OK
 
 
 def worker(args: dict[str, Any]) -> errors.ExitCode:
     """Run a VM's worker until it is told to stop."""
-    return _run("run_worker", args["SETTINGS"])
+    from cornelgrade import daemons
+
+    daemons.run_worker(checked.load_settings(args["SETTINGS"]))
+    return errors.ExitCode.OK
 
 
 def dev(args: dict[str, Any]) -> errors.ExitCode:
     """Run everything with stand-ins on loopback."""
-    importlib.import_module("cornelgrade.devserver").run()
-    return errors.ExitCode.OK
-
+    from cornelgrade import devserver
 
-def _run(function: str, path: str) -> errors.ExitCode:
-    cfg = checked.load_settings(path)
-    getattr(importlib.import_module("cornelgrade.daemons"), function)(cfg)
+    devserver.run()
     return errors.ExitCode.OK
--- a/tests/cli/test_cli.py
+++ b/tests/cli/test_cli.py
@@ -72,6 +72,14 @@
     ]
 
 
+@pytest.mark.parametrize("program", ["gateway", "worker"])
+def test_daemon_with_bad_settings_does_not_start(tmp_path, capsys, program):
+    path = tmp_path / "settings.json"
+    path.write_text(json.dumps({**samples.SETTINGS, "region": 7}))
+    assert cli.run([program, str(path)]) == errors.ExitCode.BAD_INPUT
+    assert capsys.readouterr().err == "$.region: Expected `str`, got `int`\n"
+
+
 @pytest.mark.parametrize(
     ("document", "kind"),
     [(samples.MANIFEST, "manifest"), (samples.SETTINGS, "settings")],
