--- a/src/cornelgrade/services/router.py
+++ b/src/cornelgrade/services/router.py
@@ -71,9 +71,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Crashed:
-    """An upstream was found to have crashed with requests in flight."""
+    """An upstream was found to have crashed with requests in flight.
+
+    :param noted: set once the quarantine knows of it.
+    """
 
     upstream: str
+    noted: trio.Event
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -283,6 +287,10 @@
         self._dispatch(seats.service)
 
     def _on_crashed(self, message: Crashed) -> None:
+        self._note_crash(message)
+        message.noted.set()
+
+    def _note_crash(self, message: Crashed) -> None:
         seats = self._seats.get(message.upstream)
         if seats is None or seats.crash_reported:
             return
@@ -476,10 +484,11 @@
             if now_s < seats.cap_told_until_s:
                 continue
             local = seats.failure_domain == self._failure_domain
-            vms = 1
+            local_vms = other_vms = 0
             if view is not None:
-                vms = len(view.usable(seats.failure_domain if local else ""))
-            seats.cap = shares.fallback_share(seats.slots, vms, local)
+                local_vms = len(view.usable(seats.failure_domain))
+                other_vms = len(view.usable("")) - local_vms
+            seats.cap = shares.fallback_share(seats.slots, local_vms, other_vms, local)
 
 
 def _report(seats: _Seats) -> reports.UpstreamReport:
