--- a/src/cornelgrade/policy/membership.py
+++ b/src/cornelgrade/policy/membership.py
@@ -21,7 +21,9 @@
     :param relays: how many others are asked.
     :param suspicion_factor: intervals of suspicion for each decade of members.
     :param min_suspicion_s: shortest suspicion.
-    :param retransmit_factor: sends of one update for each doubling of members.
+    :param min_retransmits: sends of one update by each member that has it, in any fleet.
+    :param retransmit_factor: further sends for each doubling of members.
+    :param rosters: whole rosters given in an interval; further askers get a part of one.
     :param slow_every: intervals between probes of a dead member or a silent seed.
     :param stall_s: a tick later than this judges nobody: this process stood still or is
         overloaded, and answers may lie unread.
@@ -33,7 +35,9 @@
     relays: int = 3
     suspicion_factor: float = 6.0
     min_suspicion_s: float = 4.0
-    retransmit_factor: float = 2.0
+    min_retransmits: int = 4
+    retransmit_factor: float = 1.0
+    rosters: int = 8
     slow_every: int = 4
     stall_s: float = 0.1
     forget_dead_s: float = 86_400.0
@@ -47,7 +51,8 @@
 
 def retransmits(tuning: Tuning, members: int) -> int:
     """Give how often one update is sent by each member that has it."""
-    return math.ceil(tuning.retransmit_factor * math.log2(max(members, 1) + 1))
+    doublings = math.log2(max(members, 1) + 1)
+    return tuning.min_retransmits + math.ceil(tuning.retransmit_factor * doublings)
 
 
 class Verdict(enum.Enum):
--- a/src/cornelgrade/policy/prober.py
+++ b/src/cornelgrade/policy/prober.py
@@ -20,7 +20,8 @@
 _REFRESHED_RECORDS = 2
 _RUMORS_KEPT = 1024
 _LEAVE_FANOUT = 8
-_SYNC_INTERVALS = frozenset({3, 8, 20, 60})
+_PART_OF_ROSTER = 6
+_SYNC_INTERVALS = frozenset({2, 4, 7, 11, 16, 24, 40})
 
 
 class Prober:
@@ -55,6 +56,7 @@
         self._recheck: collections.deque[str] = collections.deque(maxlen=_RECHECKS)
         self._deadlines: dict[str, float] = {}
         self._dead_since: dict[str, float] = {}
+        self._rosters_left = self.tuning.rosters
         self._intervals = 0
         self._interval_at: float | None = None
         self._due: float | None = None
@@ -148,7 +150,7 @@
             return []
         before = self.me
         self._set_me(me)
-        return [actions.Changed(me, before)]
+        return [actions.Changed(me, before), *self.announce(messages.Roster(), self.tuning.relays)]
 
     def _record(
         self, now: float, member: ports.Member, pass_on: bool = True
@@ -205,6 +207,7 @@
 
     def _next_interval(self, now: float) -> list[actions.Action]:
         self._interval_at = now + self.tuning.interval_s
+        self._rosters_left = self.tuning.rosters
         self._intervals += 1
         out = self._fail_probe(now)
         target = self._next_target()
@@ -273,7 +276,7 @@
         living = {self.members[vm].peer_address for vm in self._living()}
         silent = [seed for seed in self._seeds if seed not in living]
         alone = len(living) <= 1
-        asked = silent if alone else self._rng.sample(silent, min(1, len(silent)))
+        asked = self._rng.sample(silent, min(2 if alone else 1, len(silent)))
         return out + [actions.Send(seed, messages.Join(), (self.me,)) for seed in asked]
 
     # Messages ---------------------------------------------------------------------------
@@ -313,7 +316,12 @@
         part: list[ports.Member] = [self.me]
         room = codec.MEMBERS_ROOM_BYTES - codec.member_bytes(self.me)
         left = room
-        for member in list(self.members.values()):
+        others = list(self.members.values())
+        if self._rosters_left > 0:
+            self._rosters_left -= 1
+        else:
+            others = self._rng.sample(others, min(len(others), _PART_OF_ROSTER))
+        for member in others:
             if member.state is State.DEAD or member.vm in (self.me.vm, sender.vm):
                 continue
             size = codec.member_bytes(member)
@@ -327,7 +335,7 @@
 
     def _send(self, vm: str, body: messages.Body) -> actions.Send:
         sends = membership.retransmits(self.tuning, len(self.members))
-        rumors = self._rumors.take(codec.RUMORS_ROOM_BYTES, codec.rumor_bytes, sends)
+        rumors = self._rumors.take(codec.RUMORS_ROOM_BYTES, codec.rumor_bytes, 2 * sends)
         taken_bytes = sum(map(codec.rumor_bytes, rumors))
         return actions.Send(
             self.members[vm].peer_address, body, self._riders(vm, taken_bytes), rumors
