A shutdown waits up to 30 s for answers that are not yet recorded

Cause: a gateway that drained while the platform was away ended with answers in its backlog, which were lost. The backlog now holds the drain until it is written, for 30 s at most.

--- a/src/cornelgrade/services/records.py
+++ b/src/cornelgrade/services/records.py
@@ -12,17 +12,15 @@
 import msgspec
 import trio
 
-from cornelgrade import errors, kernel, logs, metrics, settings
+from cornelgrade import errors, kernel, logs, settings
 from cornelgrade.adapters import platform
 from cornelgrade.policy import idempotency
-from cornelgrade.services import _answers, _buckets, _refusals, ports
+from cornelgrade.services import _answers, _backlog, _buckets, _refusals, ports
 
 NAME = "records"
 EAGER_CLAIM_WAIT_S = 0.5
 FIRST_JOIN_POLL_S = 0.05
 MAX_JOIN_POLL_S = 1.0
-MAX_BACKLOG = 5_000
-MAX_BACKLOG_BYTES = 32_000_000
 DEFAULT_RETENTION_S = 86_400.0
 TIDY_EVERY_S = 60.0
 
@@ -60,6 +58,7 @@
     :param max_run_s: age from which a running record without an answer counts as lost.
     :param dead: tells whether a VM is known to be gone; a hint on which no safety rests.
     :param clock: gives Unix time in seconds.
+    :param kern: where ``drain`` is found, which is held while answers wait for the platform.
     """
 
     name = NAME
@@ -74,6 +73,7 @@
         max_run_s: float = 120.0,
         dead: Dead = lambda vm: False,
         clock: Callable[[], float] = time.time,
+        kern: kernel.Kernel | None = None,
     ) -> None:
         self._vm = vm
         self._process = secrets.token_hex(4)
@@ -86,16 +86,13 @@
         self._answers = _answers.Answers(store)
         self._committer = _buckets.Committer(store, self._sight)
         self._locals: dict[str, _Local] = {}
-        self._backlog = 0
-        self._backlog_bytes = 0
-        self._backlog_gauge = metrics.gauge(
-            "cornelgrade_records_backlog", "Answers that wait for the platform."
-        )
+        self._backlog = _backlog.Backlog(kern)
 
     async def run(self, started: Callable[[], None]) -> None:
         """Commit records and remove old ones until cancelled."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._tidy)
+            nursery.start_soon(self._backlog.run)
             await self._committer.run(started)
 
     async def begin(self, claim: ports.Claim) -> ports.Run | ports.StoredAnswer:
@@ -130,7 +127,7 @@
         """Store the answer and give the one that stands; see :class:`ports.Records`."""
         rid = idempotency.record_id(run.claim.team, run.claim.key)
         waiting = dataclasses.replace(answer, recorded=False)
-        if not self._has_room(answer):
+        if not self._backlog.has_room(len(answer.body)):
             self._forget(rid, run)
             self._log.error("answer_not_kept", request=run.claim.request_id)
             return waiting
@@ -255,10 +252,10 @@
         record = msgspec.structs.replace(record, state=idempotency.State.DONE, answer=packed)
         change = idempotency.Change(idempotency.ChangeKind.ANSWER, rid, record)
         size = len(answer.body)
-        self._count_backlog(1, size)
+        self._backlog.add(size)
 
         def committed() -> None:
-            self._count_backlog(-1, -size)
+            self._backlog.remove(size)
             self._forget(rid, run)
 
         op = _buckets.Op(change, durable=True, prepare=prepare, on_done=committed)
@@ -303,15 +300,6 @@
             del self._locals[rid]
             local.notify()
 
-    def _count_backlog(self, answers: int, size: int) -> None:
-        self._backlog += answers
-        self._backlog_bytes += size
-        self._backlog_gauge.set({}, self._backlog)
-
-    def _has_room(self, answer: ports.StoredAnswer) -> bool:
-        size = self._backlog_bytes + len(answer.body)
-        return self._backlog < MAX_BACKLOG and size <= MAX_BACKLOG_BYTES
-
     def _sight(self, bucket: idempotency.Bucket) -> idempotency.Sight:
         holders = {record.holder for record in bucket.records.values()}
         dead = frozenset(holder for holder in holders if self._gone(holder))
@@ -363,6 +351,7 @@
         deadline_s=cfg.platform_deadline_s,
         retention_s=retention_s,
         dead=dead,
+        kern=kern,
     )
 
 
--- a/tests/services/test_records.py
+++ b/tests/services/test_records.py
@@ -3,9 +3,9 @@
 import pytest
 import trio
 
-from cornelgrade import errors
+from cornelgrade import errors, kernel
 from cornelgrade.adapters import platform
-from cornelgrade.services import ports, records
+from cornelgrade.services import _backlog, drain, ports, records
 from cornelgrade.standins import platform_store
 
 EPOCH_S = 1_700_000_000.0
@@ -219,7 +219,7 @@
 
 
 async def test_backlog_is_bounded(autojump_clock, fleet, monkeypatch):
-    monkeypatch.setattr(records, "MAX_BACKLOG", 3)
+    monkeypatch.setattr(_backlog, "MAX_ANSWERS", 3)
     one = await fleet.vm("one")
     fleet.switch(down=True)
     for number in range(5):
@@ -386,3 +386,27 @@
         assert got.code is errors.Code.OUTCOME_UNKNOWN
     else:
         assert isinstance(got, ports.Run)
+
+
+@pytest.mark.parametrize(
+    ("back_after_s", "drained_after_s"), [(5.0, 7.0), (1_000.0, _backlog.DRAIN_LIMIT_S)]
+)
+async def test_shutdown_waits_a_bounded_time_for_the_backlog(
+    autojump_clock, nursery, fleet, back_after_s, drained_after_s
+):
+    kern = kernel.Kernel()
+    draining = drain.Drain(grace_s=0.0)
+    kern.add(draining)
+    await nursery.start(kern.run)
+    one = await fleet.vm("one", kern=kern)
+    fleet.switch(down=True)
+    await one.finish(await one.begin(claim(idempotent=True)), answer())
+    draining.begin()
+    begun_s = trio.current_time()
+    with trio.move_on_after(back_after_s):
+        await draining.wait_drained()
+    fleet.switch()
+    await draining.wait_drained()
+    assert trio.current_time() - begun_s <= drained_after_s + 0.1
+    await trio.sleep(3)
+    assert await one.lookup("afya", "k") == answer()
