--- a/src/cornelgrade/services/load_reports.py
+++ b/src/cornelgrade/services/load_reports.py
@@ -11,7 +11,7 @@
 
 from cornelgrade import kernel, settings
 from cornelgrade.policy import ownership
-from cornelgrade.services import ports, router
+from cornelgrade.services import ports, router, router_messages
 
 FALL_INTERVAL_S = 0.05
 REFRESH_S = 1.0
@@ -46,7 +46,7 @@
                 await desk.wait_rise()
             self._report(desk.usage())
 
-    def _report(self, usage: tuple[router.Usage, ...]) -> None:
+    def _report(self, usage: tuple[router_messages.Usage, ...]) -> None:
         members = self._kern.find("membership", ports.Membership)
         view = members.view()
         now_s = trio.current_time()
@@ -58,7 +58,7 @@
             self._told[use.upstream] = _Told(owner, use.outstanding, use.queued, now_s)
             members.send(owner, ports.Load(use.upstream, use.outstanding, use.queued))
 
-    def _due(self, use: router.Usage, owner: str, now_s: float) -> bool:
+    def _due(self, use: router_messages.Usage, owner: str, now_s: float) -> bool:
         told = self._told.get(use.upstream)
         busy = use.outstanding > 0 or use.queued > 0
         if told is None or told.owner != owner:
--- a/src/cornelgrade/services/online.py
+++ b/src/cornelgrade/services/online.py
@@ -22,6 +22,7 @@
     ports,
     request_story,
     router,
+    router_messages,
     upstreams,
 )
 
@@ -187,17 +188,17 @@
         place = admission.Place(req.rank, req.deadline_s, desk.next_number())
         name = await self._ask(desk, req, place, progress)
         began_s = trio.current_time()
-        outcome = router.Outcome.OTHER
+        outcome = router_messages.Outcome.OTHER
         try:
             yield self._kern.find("upstreams", upstreams.Pool).get(name)
-            outcome = router.Outcome.WELL
+            outcome = router_messages.Outcome.WELL
         except engine.CallError as exc:
             outcome = await self._judge(name, exc)
             progress.excluded |= {name}
             raise
         finally:
             duration_s = trio.current_time() - began_s
-            desk.post(router.Release(name, place, outcome, duration_s))
+            desk.post(router_messages.Release(name, place, outcome, duration_s))
 
     async def _ask(
         self,
@@ -219,35 +220,35 @@
             exclude=progress.excluded,
             alone=verdict is ports.Verdict.ALONE,
         )
-        send, receive = trio.open_memory_channel[router.Reply](1)
-        desk.post(router.Ask(place, req.service, wish, req.fingerprint, send))
+        send, receive = trio.open_memory_channel[router_messages.Reply](1)
+        desk.post(router_messages.Ask(place, req.service, wish, req.fingerprint, send))
         try:
             with tracing.start(tracing.Hop.QUEUE, req.span, service=req.service):
                 reply = await receive.receive()
         except trio.Cancelled:
-            desk.post(router.Withdraw(place, req.service))
+            desk.post(router_messages.Withdraw(place, req.service))
             raise
         if isinstance(reply, result.Err):
             raise _with_ran(reply.err_value, progress.ran)
         return reply.ok_value
 
-    async def _judge(self, name: str, exc: engine.CallError) -> router.Outcome:
+    async def _judge(self, name: str, exc: engine.CallError) -> router_messages.Outcome:
         """Tell a crashed upstream from a broken connection: a crashed one refuses new ones."""
         if exc.progress is engine.Progress.NOT_SENT:
-            return router.Outcome.UNREACHABLE
+            return router_messages.Outcome.UNREACHABLE
         if exc.silent or exc.progress is engine.Progress.ANSWERED:
-            return router.Outcome.OTHER
+            return router_messages.Outcome.OTHER
         try:
             await self._kern.find("upstreams", upstreams.Pool).get(name).load()
         except engine.CallError as probe:
             if probe.progress is engine.Progress.NOT_SENT:
                 await self._report_crash(name)
-                return router.Outcome.UNREACHABLE
-        return router.Outcome.OTHER
+                return router_messages.Outcome.UNREACHABLE
+        return router_messages.Outcome.OTHER
 
     async def _report_crash(self, name: str) -> None:
         """Let the router note a crash before anything that was in flight there goes on."""
-        crashed = router.Crashed(name, trio.Event())
+        crashed = router_messages.Crashed(name, trio.Event())
         self._kern.find("router", router.Router).post(crashed)
         with trio.move_on_after(CRASH_NOTE_TIMEOUT_S):
             await crashed.noted.wait()
--- a/tests/services/test_share_grants.py
+++ b/tests/services/test_share_grants.py
@@ -86,7 +86,7 @@
         for vm in ("vm-b", "vm-c"):
             bus.mute.add(vm)
         bus.members["vm-a"].failure_domain = "dar-msasani"
-        kernels["vm-a"].find("router", router.Router)._failure_domain = "dar-msasani"
+        kernels["vm-a"].find("router", router.Router)._table._failure_domain = "dar-msasani"
         await trio.sleep(5)
         load(nursery, kernels["vm-a"], 40)
         await trio.sleep(2)
