--- /dev/null
+++ b/tests/web/test_tls.py
@@ -0,0 +1,46 @@
+import ssl
+
+import httpx
+import quart
+import trio
+import trustme
+from tests.process import harness
+
+from cornelgrade import kernel, settings
+from cornelgrade.services import drain
+from cornelgrade.services.web import app, server
+
+
+async def test_callers_are_served_over_tls_by_settings(tmp_path):
+    authority = trustme.CA()
+    issued = authority.issue_cert(harness.HOST)
+    issued.private_key_pem.write_to_path(tmp_path / "key.pem")
+    issued.cert_chain_pems[0].write_to_path(tmp_path / "cert.pem")
+    address = f"{harness.HOST}:{harness.free_port()}"
+    cfg = settings.Settings(
+        vm="vm-0",
+        failure_domain="dar-kariakoo",
+        gateway_address=address,
+        peer_address="127.0.0.1:1",
+        worker_address="127.0.0.1:2",
+        platform_url="http://127.0.0.1:3",
+        peer_key_file="",
+        tls=settings.Tls(str(tmp_path / "cert.pem"), str(tmp_path / "key.pem")),
+    )
+    routes = quart.Blueprint("routes", __name__)
+    routes.get("/healthz")(_ok)
+    kern = kernel.Kernel()
+    kern.add(drain.Drain(0.0))
+    kern.add(server.Web(kern, cfg, app.make([routes])))
+    context = ssl.create_default_context()
+    authority.configure_trust(context)
+    async with trio.open_nursery() as nursery:
+        await nursery.start(kern.run)
+        async with httpx.AsyncClient(verify=context, trust_env=False) as client:
+            assert (await client.get(f"https://{address}/healthz")).text == "ok"
+        kern.find("drain", drain.Drain).begin()
+        await kern.wait_stopped()
+
+
+async def _ok() -> str:
+    return "ok"
