--- a/tests/matrix/broken.py
+++ b/tests/matrix/broken.py
@@ -27,8 +27,8 @@
     async def begin(self, claim: ports.Claim) -> ports.Run:
         return ports.Run(claim, nonce=claim.request_id)
 
-    async def finish(self, run: ports.Run, answer: ports.StoredAnswer) -> bool:
-        return True
+    async def store(self, run: ports.Run, answer: ports.StoredAnswer) -> ports.StoredAnswer:
+        return answer
 
     async def abandon(self, run: ports.Run, ran) -> None:
         return None
@@ -37,8 +37,8 @@
 class ForgettingAnswers(_Wrapped):
     """Says that an answer is recorded and keeps none."""
 
-    async def finish(self, run: ports.Run, answer: ports.StoredAnswer) -> bool:
-        return True
+    async def store(self, run: ports.Run, answer: ports.StoredAnswer) -> ports.StoredAnswer:
+        return answer
 
 
 class _BrokenLinks(_Wrapped):
