--- a/src/cornelgrade/services/ports.py
+++ b/src/cornelgrade/services/ports.py
@@ -341,12 +341,6 @@
             runs after ``wait_s``; ``ran`` is unknown).
         """
 
-    async def finish(self, run: Run, answer: StoredAnswer) -> bool:
-        """Store the answer; false if it is not what a resend will get.
-
-        Then it waits in the backlog for the platform to return, or an earlier answer stands.
-        """
-
     async def store(self, run: Run, answer: StoredAnswer) -> StoredAnswer:
         """Store the answer and give the one that stands, for callers that have no byte yet.
 
