--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -63,11 +63,11 @@
             target.teams * found["manifest_b"] / MB,
             "MB of 1 MB",
         ),
-        Line("stories", "bound by estimate", 8.0, "MB"),
+        Line("histories", "bound by estimate", 8.0, "MB"),
         Line(
-            "stories reach back",
-            f"8 MB / {found['story_bound_b']:.0f} B / {requests:.1f} a second",
-            8 * MB / found["story_bound_b"] / requests,
+            "histories reach back",
+            f"8 MB / {found['history_bound_b']:.0f} B / {requests:.1f} a second",
+            8 * MB / found["history_bound_b"] / requests,
             "s",
         ),
         Line(
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -17,7 +17,7 @@
 from cornelgrade.adapters import datagrams, peer_key, platform_http
 from cornelgrade.policy import admission
 from cornelgrade.schema import messages
-from cornelgrade.services import ports, stories
+from cornelgrade.services import histories, ports
 
 HOST = "127.0.0.1"
 DATAGRAMS = 5_000
@@ -66,9 +66,9 @@
     )
 
 
-def told(subjects: int, steps: int) -> stories.Stories:
-    """Make stories without their bound."""
-    made = stories.Stories(max_bytes=1 << 40)
+def told(subjects: int, steps: int) -> histories.Histories:
+    """Make histories without their bound."""
+    made = histories.Histories(max_bytes=1 << 40)
     for subject in range(subjects):
         for step in range(steps):
             sentence = f"Sent to engine-{subject % 600} as attempt {step}."
@@ -102,8 +102,10 @@
     return [
         Slope("member_b", "bytes of a member in the view", held_bytes(_members) / 1_000),
         Slope("team_b", "bytes of a team, manifest and bucket", (decoded + buckets) / 1_000),
-        Slope("story_b", "bytes of a story of 8 steps", held_bytes(lambda: told(1_000, 8)) / 1_000),
-        Slope("story_bound_b", "bytes that the bound counts for it", _counted_bytes()),
+        Slope(
+            "history_b", "bytes of a history of 8 steps", held_bytes(lambda: told(1_000, 8)) / 1_000
+        ),
+        Slope("history_bound_b", "bytes that the bound counts for it", _counted_bytes()),
         Slope("manifest_b", "bytes of a team in the stored manifest", len(raw) / 1_000),
     ]
 
--- a/bench/tracing_cost.py
+++ b/bench/tracing_cost.py
@@ -1,11 +1,11 @@
-"""Processor time of one span and of one story step: ``python -m bench.tracing_cost``."""
+"""Processor time of one span and of one history step: ``python -m bench.tracing_cost``."""
 
 import tempfile
 import time
 from collections.abc import Callable
 
 from cornelgrade import settings, tracing
-from cornelgrade.services import stories, trace_writer
+from cornelgrade.services import histories, trace_writer
 
 ROUNDS = 20_000
 PARENT = {"traceparent": "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"}
@@ -52,7 +52,7 @@
 
 def main() -> None:
     """Print the table."""
-    story = stories.Stories()
+    history = histories.Histories()
     print(f"span, nothing recorded        {cost_us(span):7.2f} us")
     print(f"read traceparent              {cost_us(lambda: tracing.from_headers(PARENT)):7.2f} us")
     print(f"pass traceparent on           {cost_us(lambda: tracing.inject(CALLER)):7.2f} us")
@@ -62,8 +62,8 @@
         writer = recorded(folder, share=1.0)
         print(f"span, recorded                {cost_us(span):7.2f} us")
         print(f"span, written in background   {write_cost_us(writer):7.2f} us")
-    noted = cost_us(lambda: story.note("r1", "route", "Chose engine-1.", "engine-1"))
-    print(f"story step                    {noted:7.2f} us")
+    noted = cost_us(lambda: history.note("r1", "route", "Chose engine-1.", "engine-1"))
+    print(f"history step                    {noted:7.2f} us")
 
 
 if __name__ == "__main__":
--- a/src/cornelgrade/adapters/peer_stories.py
+++ b/src/cornelgrade/adapters/peer_histories.py
@@ -1,4 +1,4 @@
-"""Fetching stories from another process of the fleet, authenticated both ways."""
+"""Fetching histories from another process of the fleet, authenticated both ways."""
 
 import dataclasses
 import time
@@ -11,13 +11,13 @@
 from cornelgrade.adapters import peer_auth, peer_key
 from cornelgrade.services import ports
 
-PREFIX = "/v1/peer/stories"
-_STEP = "fetch story"
+PREFIX = "/v1/peer/histories"
+_STEP = "fetch history"
 
-Steps = tuple[reports.StoryStep, ...]
+Steps = tuple[reports.HistoryStep, ...]
 
 
-def signed_path(scope: ports.StoryScope, identifier: str) -> str:
+def signed_path(scope: ports.HistoryScope, identifier: str) -> str:
     """Give the path as both ends sign it, without quoting."""
     return f"{PREFIX}/{scope}/{identifier}"
 
@@ -36,7 +36,7 @@
     vm: str
     scheme: str
 
-    async def fetch(self, address: str, scope: ports.StoryScope, identifier: str) -> Steps:
+    async def fetch(self, address: str, scope: ports.HistoryScope, identifier: str) -> Steps:
         """Ask one process.
 
         :raises CornelgradeError: if it does not answer or is no peer.
--- a/src/cornelgrade/commands/operate.py
+++ b/src/cornelgrade/commands/operate.py
@@ -18,18 +18,18 @@
 
 
 def explain(args: dict[str, Any]) -> errors.ExitCode:
-    """Tell the story of one subject."""
+    """Tell the history of one subject."""
     with _client.Client(args) as client:
         answer = client.call("GET", f"/v1/explain/{_client.segment(args['ID'])}")
-    story = _client.decode(answer, reports.Story)
+    history = _client.decode(answer, reports.History)
     if args["--json"]:
-        _output.write_json(story)
+        _output.write_json(history)
         return errors.ExitCode.OK
-    for step in story.steps:
+    for step in history.steps:
         where = f"{step.vm} {step.step}"
         _output.write(f"{_output.clock(step.at_s)}  {where}: {step.sentence}{_at(step.peer)}")
-    if story.silent:
-        _output.write(f"No answer from {', '.join(story.silent)}; the story may have gaps.")
+    if history.silent:
+        _output.write(f"No answer from {', '.join(history.silent)}; the history may have gaps.")
     return errors.ExitCode.OK
 
 
--- a/src/cornelgrade/daemons.py
+++ b/src/cornelgrade/daemons.py
@@ -17,22 +17,22 @@
     conditions,
     configuration,
     drain,
-    fleet_stories,
+    fleet_histories,
+    histories,
     job_store,
     leaving,
     load_reports,
     membership,
     online,
     open_uses,
-    peer_stories,
+    peer_histories,
     ports,
     quarantine,
     reconciler,
-    record_stories,
+    record_histories,
     records,
     router,
     share_grants,
-    stories,
     trace_writer,
     upstreams,
     worker_view,
@@ -94,7 +94,7 @@
     kern.add(router.Router(kern, cfg.failure_domain, random.Random()))
     kern.add(online.Online(kern))
     kern.add(load_reports.LoadReports(kern, cfg), _RESTART)
-    kern.add(peer_stories.PeerStories(kern, cfg), _RESTART)
+    kern.add(peer_histories.PeerHistories(kern, cfg), _RESTART)
     kern.add(conditions.Conditions(kern, cfg), _RESTART)
     kern.add(server.Web(kern, cfg, app.make(_blueprints(kern, cfg, outside))))
 
@@ -119,7 +119,7 @@
     members: membership.Membership | worker_view.WorkerView,
     grace_s: float,
 ) -> None:
-    told = stories.Stories()
+    told = histories.Histories()
     kern.add(drain.Drain(grace_s))
     kern.add(told)
     if cfg.tracing is not None:
@@ -134,7 +134,7 @@
             outside.peers,
             beside_gateway=isinstance(members, worker_view.WorkerView),
             open_uses=uses.read,
-            stories=told,
+            histories=told,
         )
     )
     kern.add(upstreams.Upstreams(kern))
@@ -146,8 +146,8 @@
 ) -> tuple[quart.Blueprint, ...]:
     jobs = job_store.JobStore(outside.store)
     followed = kern.find("configuration", ports.Configuration)
-    fleet = fleet_stories.FleetStories(outside.store, followed)
-    recorded = record_stories.RecordStories(jobs, kern.find("records", ports.Records))
+    fleet = fleet_histories.FleetHistories(outside.store, followed)
+    recorded = record_histories.RecordHistories(jobs, kern.find("records", ports.Records))
     return (
         web_online.blueprint(kern),
         web_requests.blueprint(kern, cfg),
--- a/src/cornelgrade/reports.py
+++ b/src/cornelgrade/reports.py
@@ -92,7 +92,7 @@
     services: tuple[ServiceReport, ...] = ()
 
 
-class StoryStep(msgspec.Struct, frozen=True):
+class HistoryStep(msgspec.Struct, frozen=True):
     """One step of an explained subject; ``vm`` is where it was noted."""
 
     at_s: float
@@ -102,12 +102,12 @@
     peer: str = ""
 
 
-class Story(msgspec.Struct, frozen=True):
+class History(msgspec.Struct, frozen=True):
     """What ``GET /v1/explain/ID`` answers.
 
-    :param silent: processes that were asked and did not answer, so the story may have gaps.
+    :param silent: processes that were asked and did not answer, so the history may have gaps.
     """
 
     subject: str
-    steps: tuple[StoryStep, ...]
+    steps: tuple[HistoryStep, ...]
     silent: tuple[str, ...] = ()
--- a/src/cornelgrade/services/_chunk_run.py
+++ b/src/cornelgrade/services/_chunk_run.py
@@ -48,7 +48,7 @@
 
     @property
     def name(self) -> str:
-        """A name for logs and stories."""
+        """A name for logs and histories."""
         number = self.run.claim.chunk * self.run.header.chunk_items + self.index
         return f"{self.run.header.job}/{number}"
 
--- a/src/cornelgrade/services/configuration.py
+++ b/src/cornelgrade/services/configuration.py
@@ -49,7 +49,7 @@
         *,
         beside_gateway: bool = False,
         open_uses: _manifest_writer.OpenUses | None = None,
-        stories: ports.Stories | None = None,
+        histories: ports.Histories | None = None,
         rng: random.Random | None = None,
     ) -> None:
         self._cfg = cfg
@@ -58,7 +58,7 @@
         self._heard = membership.subscribe(ports.VersionHeard)
         self._peers = peers
         self._beside_gateway = beside_gateway
-        self._stories = stories
+        self._histories = histories
         self._rng = rng or random.Random()
         self._log = logs.Logger("configuration")
         self._writer = _manifest_writer.Writer(cfg.vm, store, open_uses)
@@ -89,9 +89,9 @@
             sent again and are the same acceptance.
         """
         accepted = await self._writer.put(raw, if_match)
-        if self._stories is not None:
+        if self._histories is not None:
             sentence = f"accepted by {self._cfg.vm}"
-            self._stories.note(f"manifest/{accepted.version}", "accept", sentence)
+            self._histories.note(f"manifest/{accepted.version}", "accept", sentence)
         self._adopt(accepted, "submitted here")
         return accepted
 
@@ -135,9 +135,9 @@
         self._log.info(
             "manifest_in_force", version=found.version, confirmed=found.confirmed, source=source
         )
-        if self._stories is not None:
+        if self._histories is not None:
             sentence = f"in force at {self._cfg.vm}, {source}"
-            self._stories.note(f"manifest/{found.version}", "in force", sentence)
+            self._histories.note(f"manifest/{found.version}", "in force", sentence)
         self._membership.set_version(found.version)
 
     def _adopt_stored(self, stored: platform.Stored, source: str) -> None:
--- a/src/cornelgrade/services/fleet_stories.py
+++ b/src/cornelgrade/services/fleet_histories.py
@@ -1,4 +1,4 @@
-"""What the platform keeps of manifest versions and of engines' orders, as story steps."""
+"""What the platform keeps of manifest versions and of engines' orders, as history steps."""
 
 import time
 from collections.abc import Callable
@@ -16,7 +16,7 @@
 _ORDER = "order"
 
 
-class FleetStories:
+class FleetHistories:
     """Tells operators of ``manifest/VERSION`` and ``UPSTREAM/order``.
 
     :param now_s: gives Unix time in seconds, the time of what is read as a state.
--- a/src/cornelgrade/services/stories.py
+++ b/src/cornelgrade/services/histories.py
@@ -1,4 +1,4 @@
-"""The service ``stories``: what happened lately to each subject, in bounded memory."""
+"""The service ``histories``: what happened lately to each subject, in bounded memory."""
 
 import collections
 import time
@@ -15,17 +15,17 @@
 MAX_SENTENCE_CHARACTERS = 500
 
 
-class Stories:
+class Histories:
     """Keeps the newest steps of the subjects that were last written to.
 
-    Subjects are named as :class:`ports.Stories` says.
+    Subjects are named as :class:`ports.Histories` says.
 
     :param max_steps: steps kept for one subject; older ones go first.
-    :param max_bytes: estimated memory of all stories; the subject longest unwritten goes first.
+    :param max_bytes: estimated memory of all histories; the subject longest unwritten goes first.
     :param now_s: gives Unix time in seconds.
     """
 
-    name = "stories"
+    name = "histories"
 
     def __init__(
         self,
@@ -42,32 +42,32 @@
 
     @property
     def estimated_bytes(self) -> int:
-        """The estimated memory of all stories."""
+        """The estimated memory of all histories."""
         return self._bytes
 
     async def run(self, started: Callable[[], None]) -> None:
-        """Be there; stories are written and read by plain calls."""
+        """Be there; histories are written and read by plain calls."""
         started()
         await trio.sleep_forever()
 
     def note(self, subject: str, step: str, sentence: str, peer: str = "") -> None:
-        """Add a step to the story of ``subject``."""
+        """Add a step to the history of ``subject``."""
         made = ports.Step(self._now_s(), step, sentence[:MAX_SENTENCE_CHARACTERS], peer)
-        story = self._told.get(subject)
-        if story is None:
-            story = self._told[subject] = collections.deque()
+        history = self._told.get(subject)
+        if history is None:
+            history = self._told[subject] = collections.deque()
             self._bytes += _subject_bytes(subject)
         else:
             self._told.move_to_end(subject)
-        story.append(made)
+        history.append(made)
         self._bytes += _step_bytes(made)
-        if len(story) > self._max_steps:
-            self._bytes -= _step_bytes(story.popleft())
+        if len(history) > self._max_steps:
+            self._bytes -= _step_bytes(history.popleft())
         while self._bytes > self._max_bytes and len(self._told) > 1:
             self._forget_oldest()
 
     def tell(self, subject: str) -> tuple[ports.Step, ...]:
-        """Give a story, oldest step first; empty if nothing is known."""
+        """Give a history, oldest step first; empty if nothing is known."""
         return tuple(self._told.get(subject, ()))
 
     def find(self, identifier: str) -> tuple[str, ...]:
@@ -76,8 +76,8 @@
         return tuple(s for s in self._told if s == identifier or s.endswith(ending))
 
     def _forget_oldest(self) -> None:
-        subject, story = self._told.popitem(last=False)
-        self._bytes -= _subject_bytes(subject) + sum(map(_step_bytes, story))
+        subject, history = self._told.popitem(last=False)
+        self._bytes -= _subject_bytes(subject) + sum(map(_step_bytes, history))
 
 
 def _subject_bytes(subject: str) -> int:
--- a/src/cornelgrade/services/load_reports.py
+++ b/src/cornelgrade/services/load_reports.py
@@ -39,12 +39,12 @@
 
     async def run(self, started: Callable[[], None]) -> None:
         """Report until cancelled."""
-        desk = self._kern.find("router", router.Router)
+        router_service = self._kern.find("router", router.Router)
         started()
         while True:
             with trio.move_on_after(FALL_INTERVAL_S):
-                await desk.wait_rise()
-            self._report(desk.usage())
+                await router_service.wait_rise()
+            self._report(router_service.usage())
 
     def _report(self, usage: tuple[router_messages.Usage, ...]) -> None:
         members = self._kern.find("membership", ports.Membership)
--- a/src/cornelgrade/services/online.py
+++ b/src/cornelgrade/services/online.py
@@ -20,7 +20,7 @@
     exchange,
     keyed,
     ports,
-    request_story,
+    request_history,
     router,
     router_messages,
     upstreams,
@@ -100,7 +100,7 @@
             parts = keyed.serve(self._kern, self._nursery, req, self._attempts)
         else:
             parts = self._attempts(req)
-        with request_story.told(self._kern, req):
+        with request_history.told(self._kern, req):
             async with contextlib.aclosing(parts):
                 async for part in parts:
                     yield part
@@ -123,7 +123,9 @@
     async def _attempt(self, req: exchange.Request, progress: _Progress) -> exchange.Parts:
         async with self._seat(req, progress) as upstream:
             started_s = trio.current_time()
-            request_story.note(self._kern, req, "route", f"Sent to {upstream.name}.", upstream.name)
+            request_history.note(
+                self._kern, req, "route", f"Sent to {upstream.name}.", upstream.name
+            )
             call = self._call(req, progress)
             try:
                 async with contextlib.AsyncExitStack() as stack:
@@ -184,9 +186,9 @@
         self, req: exchange.Request, progress: _Progress
     ) -> AsyncIterator[engine.Upstream]:
         """Hold a seat at an upstream; a failed call counts against the upstream's health."""
-        desk = self._kern.find("router", router.Router)
-        place = admission.Place(req.rank, req.deadline_s, desk.next_number())
-        name = await self._ask(desk, req, place, progress)
+        router_service = self._kern.find("router", router.Router)
+        place = admission.Place(req.rank, req.deadline_s, router_service.next_number())
+        name = await self._ask(router_service, req, place, progress)
         began_s = trio.current_time()
         outcome = router_messages.Outcome.OTHER
         try:
@@ -198,11 +200,11 @@
             raise
         finally:
             duration_s = trio.current_time() - began_s
-            desk.post(router_messages.Release(name, place, outcome, duration_s))
+            router_service.post(router_messages.Release(name, place, outcome, duration_s))
 
     async def _ask(
         self,
-        desk: router.Router,
+        router_service: router.Router,
         req: exchange.Request,
         place: admission.Place,
         progress: _Progress,
@@ -221,12 +223,12 @@
             alone=verdict is ports.Verdict.ALONE,
         )
         send, receive = trio.open_memory_channel[router_messages.Reply](1)
-        desk.post(router_messages.Ask(place, req.service, wish, req.fingerprint, send))
+        router_service.post(router_messages.Ask(place, req.service, wish, req.fingerprint, send))
         try:
             with tracing.start(tracing.Hop.QUEUE, req.span, service=req.service):
                 reply = await receive.receive()
         except trio.Cancelled:
-            desk.post(router_messages.Withdraw(place, req.service))
+            router_service.post(router_messages.Withdraw(place, req.service))
             raise
         if isinstance(reply, result.Err):
             raise _with_ran(reply.err_value, progress.ran)
@@ -260,7 +262,7 @@
         rule = retry.after_failure(exc.progress, req.idempotent)
         progress.attempts += 1
         progress.ran = retry.ran_after(progress.ran, rule.ran)
-        request_story.note(self._kern, req, exc.step, f"Failed: {exc.message}.", exc.peer)
+        request_history.note(self._kern, req, exc.step, f"Failed: {exc.message}.", exc.peer)
         self._log.warning(
             "attempt_failed",
             request=req.request_id,
--- a/src/cornelgrade/services/peer_stories.py
+++ b/src/cornelgrade/services/peer_histories.py
@@ -1,4 +1,4 @@
-"""The service ``peer_stories``: asks the other processes of the fleet for their stories."""
+"""The service ``peer_histories``: asks the other processes of the fleet for their histories."""
 
 from collections.abc import Callable
 
@@ -6,17 +6,17 @@
 import trio
 
 from cornelgrade import errors, kernel, settings
-from cornelgrade.adapters import peer_key, peer_stories
+from cornelgrade.adapters import peer_histories, peer_key
 from cornelgrade.services import ports
 
 TIMEOUT_S = 1.0
 MAX_AT_ONCE = 32
 
 
-class PeerStories:
+class PeerHistories:
     """Asks every usable VM's gateway and worker; a slow or dead one is named, not waited for."""
 
-    name = "peer_stories"
+    name = "peer_histories"
 
     def __init__(
         self, kern: kernel.Kernel, cfg: settings.Settings, key: peer_key.PeerKey | None = None
@@ -24,19 +24,19 @@
         self._kern = kern
         self._cfg = cfg
         self._key = key or peer_key.read(cfg.peer_key_file)
-        self._fetcher: peer_stories.Fetcher | None = None
+        self._fetcher: peer_histories.Fetcher | None = None
 
     async def run(self, started: Callable[[], None]) -> None:
         """Keep the connections until cancelled."""
         scheme = "https" if self._cfg.tls is not None else "http"
         async with httpx.AsyncClient(timeout=TIMEOUT_S, verify=False, trust_env=False) as client:
-            self._fetcher = peer_stories.Fetcher(client, self._key, self._cfg.vm, scheme)
+            self._fetcher = peer_histories.Fetcher(client, self._key, self._cfg.vm, scheme)
             started()
             await trio.sleep_forever()
 
-    async def gather(self, scope: ports.StoryScope, identifier: str) -> ports.Gathered:
+    async def gather(self, scope: ports.HistoryScope, identifier: str) -> ports.Gathered:
         """Ask all of them at once, for a bounded time."""
-        found: list[peer_stories.Steps] = []
+        found: list[peer_histories.Steps] = []
         silent: list[str] = []
         limit = trio.CapacityLimiter(MAX_AT_ONCE)
 
--- a/src/cornelgrade/services/ports.py
+++ b/src/cornelgrade/services/ports.py
@@ -198,7 +198,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Step:
-    """One step in the story of a request, item, job, manifest version or order.
+    """One step in the history of a request, item, job, manifest version or order.
 
     :param at_s: Unix time in seconds.
     :param sentence: what happened, in plain English.
@@ -210,26 +210,26 @@
     peer: str = ""
 
 
-class Stories(Protocol):
-    """The service ``stories``: bounded recent history, the source of ``explain``.
+class Histories(Protocol):
+    """The service ``histories``: bounded recent history, the source of ``explain``.
 
     What belongs to a team is noted under ``TEAM/ID``, where the id is a request's id or key, a
-    job's id or ``JOB/CUSTOM_ID``, so that a team can read its own stories and no others. The
+    job's id or ``JOB/CUSTOM_ID``, so that a team can read its own histories and no others. The
     rest is noted under ``manifest/VERSION`` and ``UPSTREAM/order``.
     """
 
     def note(self, subject: str, step: str, sentence: str, peer: str = "") -> None:
-        """Add a step to the story of ``subject``."""
+        """Add a step to the history of ``subject``."""
 
     def tell(self, subject: str) -> tuple[Step, ...]:
-        """Give a story, oldest step first."""
+        """Give a history, oldest step first."""
 
     def find(self, identifier: str) -> tuple[str, ...]:
         """Give the subjects that are ``identifier`` or end with ``/`` and it."""
 
 
-class StoryScope(enum.StrEnum):
-    """Which subjects an identifier stands for: itself, or all that :meth:`Stories.find` gives."""
+class HistoryScope(enum.StrEnum):
+    """Which subjects an identifier stands for: itself, or all that :meth:`Histories.find` gives."""
 
     EXACT = "exact"
     ANY = "any"
@@ -239,18 +239,18 @@
 class Gathered:
     """What other processes know of a subject; ``silent`` names those that did not answer."""
 
-    steps: tuple[reports.StoryStep, ...]
+    steps: tuple[reports.HistoryStep, ...]
     silent: tuple[str, ...]
 
 
-class PeerStories(Protocol):
-    """The service ``peer_stories``: asks the other processes of the fleet for their stories."""
+class PeerHistories(Protocol):
+    """The service ``peer_histories``: asks the other processes of the fleet for their histories."""
 
-    async def gather(self, scope: StoryScope, identifier: str) -> Gathered:
+    async def gather(self, scope: HistoryScope, identifier: str) -> Gathered:
         """Ask all of them at once, for a bounded time."""
 
 
-class RecordedStories(Protocol):
+class RecordedHistories(Protocol):
     """Tells what the durable records know of a team's requests, jobs and items."""
 
     async def tell(self, team: str, identifier: str) -> tuple[Step, ...]:
@@ -260,7 +260,7 @@
         """Give open jobs that may miss their due times; raises ``UnavailableError``."""
 
 
-class FleetStories(Protocol):
+class FleetHistories(Protocol):
     """Tells what the platform keeps of manifest versions and engines' orders."""
 
     async def tell(self, subject: str) -> tuple[Step, ...]:
--- a/src/cornelgrade/services/reconciler.py
+++ b/src/cornelgrade/services/reconciler.py
@@ -264,9 +264,9 @@
 
     def _note(self, name: str, step: str, sentence: str) -> None:
         self._log.info("order", peer=name, step=step, sentence=sentence)
-        if self._kern.has("stories"):
-            stories = self._kern.find("stories", ports.Stories)
-            stories.note(f"{name}/order", step, sentence, peer=name)
+        if self._kern.has("histories"):
+            histories = self._kern.find("histories", ports.Histories)
+            histories.note(f"{name}/order", step, sentence, peer=name)
 
     # The snapshot on the platform -------------------------------------------------------
 
--- a/src/cornelgrade/services/record_stories.py
+++ b/src/cornelgrade/services/record_histories.py
@@ -1,4 +1,4 @@
-"""What the durable records tell of a team's requests, jobs and items, as story steps."""
+"""What the durable records tell of a team's requests, jobs and items, as history steps."""
 
 import datetime
 import time
@@ -26,7 +26,7 @@
 }
 
 
-class RecordStories:
+class RecordHistories:
     """Reads the platform, so it outlives every VM.
 
     Times of what is read as a state, not as an event, are those of the reading.
--- a/src/cornelgrade/services/request_story.py
+++ b/src/cornelgrade/services/request_history.py
@@ -1,4 +1,4 @@
-"""Notes the story of one online request, from its admission to its end."""
+"""Notes the history of one online request, from its admission to its end."""
 
 import contextlib
 from collections.abc import Iterator
@@ -14,10 +14,10 @@
 def note(
     kern: kernel.Kernel, req: exchange.Request, step: str, sentence: str, peer: str = ""
 ) -> None:
-    """Add a step to the request's story, where the process keeps stories."""
-    if kern.has("stories"):
-        stories = kern.find("stories", ports.Stories)
-        stories.note(f"{req.team}/{req.request_id}", step, sentence, peer)
+    """Add a step to the request's history, where the process keeps histories."""
+    if kern.has("histories"):
+        histories = kern.find("histories", ports.Histories)
+        histories.note(f"{req.team}/{req.request_id}", step, sentence, peer)
 
 
 @contextlib.contextmanager
@@ -26,9 +26,9 @@
     note(
         kern, req, "admit", f"Taken for {req.service} with rank {req.rank}{_KINDS[req.idempotent]}."
     )
-    if req.key and kern.has("stories"):
-        stories = kern.find("stories", ports.Stories)
-        stories.note(f"{req.team}/{req.key}", "admit", f"Sent as request {req.request_id}.")
+    if req.key and kern.has("histories"):
+        histories = kern.find("histories", ports.Histories)
+        histories.note(f"{req.team}/{req.key}", "admit", f"Sent as request {req.request_id}.")
     try:
         yield
     except errors.Refusal as exc:
--- a/src/cornelgrade/services/web/operations.py
+++ b/src/cornelgrade/services/web/operations.py
@@ -8,7 +8,7 @@
 from aioprometheus.formats import text
 
 from cornelgrade import errors, kernel, metrics, reports, settings
-from cornelgrade.adapters import peer_auth, peer_key, peer_stories, platform
+from cornelgrade.adapters import peer_auth, peer_histories, peer_key, platform
 from cornelgrade.services import ports
 from cornelgrade.services.web import access
 
@@ -20,8 +20,8 @@
     kern: kernel.Kernel,
     cfg: settings.Settings,
     address: str | None = None,
-    recorded: ports.RecordedStories | None = None,
-    fleet: ports.FleetStories | None = None,
+    recorded: ports.RecordedHistories | None = None,
+    fleet: ports.FleetHistories | None = None,
 ) -> quart.Blueprint:
     """Make the operators' routes, and the one for peers.
 
@@ -41,15 +41,15 @@
 
     @made.get("/v1/explain/<path:identifier>")
     async def explain(identifier: str) -> quart.Response:
-        story = await _story(kern, cfg, identifier, recorded, fleet)
-        return quart.Response(msgspec.json.encode(story), content_type=_JSON)
+        history = await _history(kern, cfg, identifier, recorded, fleet)
+        return quart.Response(msgspec.json.encode(history), content_type=_JSON)
 
-    @made.get(f"{peer_stories.PREFIX}/<scope>/<path:identifier>")
+    @made.get(f"{peer_histories.PREFIX}/<scope>/<path:identifier>")
     async def tell_peer(scope: str, identifier: str) -> quart.Response:
         header = quart.request.headers.get(peer_auth.AUTH_HEADER)
-        path = f"{peer_stories.PREFIX}/{scope}/{identifier}"
+        path = f"{peer_histories.PREFIX}/{scope}/{identifier}"
         nonce = peer_auth.check_auth(key, header, own_address, path, time.time())
-        steps = _local_steps(kern, cfg.vm, ports.StoryScope(scope), identifier)
+        steps = _local_steps(kern, cfg.vm, ports.HistoryScope(scope), identifier)
         body = msgspec.json.encode(steps)
         answer = quart.Response(body, content_type=_JSON)
         answer.headers[peer_auth.TAG_HEADER] = peer_auth.answer_tag(key, nonce, body)
@@ -75,7 +75,7 @@
 
 
 async def _with_jobs(
-    status: reports.Status, recorded: ports.RecordedStories | None
+    status: reports.Status, recorded: ports.RecordedHistories | None
 ) -> reports.Status:
     """Add the jobs at risk; a platform that is out is said instead."""
     if recorded is None:
@@ -89,13 +89,13 @@
     return msgspec.structs.replace(status, jobs_at_risk=(*status.jobs_at_risk, *jobs))
 
 
-async def _story(
+async def _history(
     kern: kernel.Kernel,
     cfg: settings.Settings,
     identifier: str,
-    recorded: ports.RecordedStories | None,
-    fleet: ports.FleetStories | None,
-) -> reports.Story:
+    recorded: ports.RecordedHistories | None,
+    fleet: ports.FleetHistories | None,
+) -> reports.History:
     """Put together what this process, its peers and the durable records know.
 
     :raises Refusal: ``NOT_FOUND`` if none of them knows anything.
@@ -103,33 +103,33 @@
     scope, subject = _readable(kern, cfg, identifier)
     steps = list(_local_steps(kern, cfg.vm, scope, subject))
     silent: tuple[str, ...] = ()
-    if kern.has("peer_stories"):
-        gathered = await kern.find("peer_stories", ports.PeerStories).gather(scope, subject)
+    if kern.has("peer_histories"):
+        gathered = await kern.find("peer_histories", ports.PeerHistories).gather(scope, subject)
         steps += gathered.steps
         silent = gathered.silent
     if recorded is not None:
         for team, own in _owned(kern, scope, subject):
             steps += _shown(cfg.vm, await recorded.tell(team, own))
-    if fleet is not None and scope is ports.StoryScope.ANY:
+    if fleet is not None and scope is ports.HistoryScope.ANY:
         steps += _shown(cfg.vm, await fleet.tell(subject))
     if not steps:
         raise errors.Refusal(
             errors.Code.NOT_FOUND, f"nothing is known of {identifier}", step="explain"
         )
     steps.sort(key=lambda step: step.at_s)
-    return reports.Story(subject=identifier, steps=tuple(steps), silent=silent)
+    return reports.History(subject=identifier, steps=tuple(steps), silent=silent)
 
 
 def _owned(
-    kern: kernel.Kernel, scope: ports.StoryScope, subject: str
+    kern: kernel.Kernel, scope: ports.HistoryScope, subject: str
 ) -> tuple[tuple[str, str], ...]:
     """Split the subjects that belong to a team into the team and the rest.
 
     An operator's identifier is one only if it is heard of here or begins with the team.
     """
     found = {subject}
-    if scope is ports.StoryScope.ANY:
-        found |= {*kern.find("stories", ports.Stories).find(subject)}
+    if scope is ports.HistoryScope.ANY:
+        found |= {*kern.find("histories", ports.Histories).find(subject)}
     accepted = kern.find("configuration", ports.Configuration).current()
     teams = {team.name for team in accepted.manifest.teams} if accepted else set()
     parts = [name.partition("/") for name in sorted(found)]
@@ -137,31 +137,31 @@
 
 
 def _local_steps(
-    kern: kernel.Kernel, vm: str, scope: ports.StoryScope, identifier: str
-) -> tuple[reports.StoryStep, ...]:
+    kern: kernel.Kernel, vm: str, scope: ports.HistoryScope, identifier: str
+) -> tuple[reports.HistoryStep, ...]:
     """Give what this process knows, oldest step first."""
-    stories = kern.find("stories", ports.Stories)
-    exact = scope is ports.StoryScope.EXACT
-    subjects = (identifier,) if exact else stories.find(identifier)
-    steps = [step for subject in subjects for step in stories.tell(subject)]
+    histories = kern.find("histories", ports.Histories)
+    exact = scope is ports.HistoryScope.EXACT
+    subjects = (identifier,) if exact else histories.find(identifier)
+    steps = [step for subject in subjects for step in histories.tell(subject)]
     return _shown(vm, sorted(steps, key=lambda step: step.at_s))
 
 
-def _shown(vm: str, steps: Iterable[ports.Step]) -> tuple[reports.StoryStep, ...]:
+def _shown(vm: str, steps: Iterable[ports.Step]) -> tuple[reports.HistoryStep, ...]:
     return tuple(
-        reports.StoryStep(step.at_s, vm, step.step, step.sentence, step.peer) for step in steps
+        reports.HistoryStep(step.at_s, vm, step.step, step.sentence, step.peer) for step in steps
     )
 
 
 def _readable(
     kern: kernel.Kernel, cfg: settings.Settings, identifier: str
-) -> tuple[ports.StoryScope, str]:
+) -> tuple[ports.HistoryScope, str]:
     """Say what the caller may read under an identifier: an operator all, a team its own.
 
     :raises Refusal: ``UNAUTHORIZED`` for a key that is neither.
     """
     hashed = access.bearer_hash(quart.request.headers.get("Authorization"))
     if hashed in cfg.operator_key_hashes:
-        return ports.StoryScope.ANY, identifier
+        return ports.HistoryScope.ANY, identifier
     team = access.caller(kern, quart.request).team.name
-    return ports.StoryScope.EXACT, f"{team}/{identifier}"
+    return ports.HistoryScope.EXACT, f"{team}/{identifier}"
--- a/tests/cli/test_cli.py
+++ b/tests/cli/test_cli.py
@@ -140,10 +140,10 @@
 
 
 def test_explain_is_told_in_order_and_names_the_silent(gateway, capsys):
-    step = reports.StoryStep(at_s=1.5, vm="entry-1", step="route", sentence="Chose engine-2.")
-    story = reports.Story(subject="clinic/k 1", steps=(step,), silent=("entry-3 worker",))
+    step = reports.HistoryStep(at_s=1.5, vm="entry-1", step="route", sentence="Chose engine-2.")
+    history = reports.History(subject="clinic/k 1", steps=(step,), silent=("entry-3 worker",))
     gateway.on(
-        "GET", "/v1/explain/clinic/k 1", httpx.Response(200, json=msgspec.to_builtins(story))
+        "GET", "/v1/explain/clinic/k 1", httpx.Response(200, json=msgspec.to_builtins(history))
     )
     assert cli.run(["explain", "clinic/k 1"]) == 0
     shown = capsys.readouterr().out.splitlines()
--- a/tests/fleet/test_fleet_stories.py
+++ b/tests/fleet/test_fleet_histories.py
@@ -4,7 +4,7 @@
 
 from cornelgrade import manifest
 from cornelgrade.policy import manifest_rules
-from cornelgrade.services import _manifest_writer, fleet_stories, ports, reconciler
+from cornelgrade.services import _manifest_writer, fleet_histories, ports, reconciler
 from cornelgrade.standins import platform_store
 
 
@@ -53,12 +53,12 @@
     ],
 )
 async def test_platform_tells_of_manifests_and_orders(autojump_clock, subject, sentences):
-    stories = fleet_stories.FleetStories(await recorded(), Followed())
-    assert [step.sentence for step in await stories.tell(subject)] == sentences
+    histories = fleet_histories.FleetHistories(await recorded(), Followed())
+    assert [step.sentence for step in await histories.tell(subject)] == sentences
 
 
 async def test_platform_that_is_out_is_said(autojump_clock):
     store = await recorded()
     store.switch(platform_store.Switches(down=True))
-    told = await fleet_stories.FleetStories(store, Followed()).tell("manifest/1")
+    told = await fleet_histories.FleetHistories(store, Followed()).tell("manifest/1")
     assert [step.sentence for step in told] == ["What is recorded cannot be read: down."]
--- a/tests/matrix/faults.py
+++ b/tests/matrix/faults.py
@@ -1,6 +1,7 @@
 """The matrix's rows: what goes wrong when a VM reaches a step."""
 
 import trio
+from tests.matrix import callers
 from tests.matrix import world as worlds
 
 from cornelgrade import errors
@@ -136,7 +137,5 @@
 
 
 async def _poison(world: worlds.World) -> None:
-    from tests.matrix import callers
-
     prompt = f"{engine_model.CRASH_MARKER} {world.rng.random()}"
     await callers.stream(world, "poison", prompt, vms=("west-2", "east-2"))
--- a/tests/matrix/world.py
+++ b/tests/matrix/world.py
@@ -14,6 +14,7 @@
 from cornelgrade.services import (
     batch,
     configuration,
+    histories,
     load_reports,
     online,
     ports,
@@ -22,7 +23,6 @@
     records,
     router,
     share_grants,
-    stories,
 )
 from cornelgrade.standins import engine as engine_standin
 from cornelgrade.standins import engine_model, memory_engine, plain_service, platform_store
@@ -195,7 +195,7 @@
             peer_key_file="",
         )
         made = (
-            stories.Stories(),
+            histories.Histories(),
             member,
             configuration.Configuration(cfg, store, member, Peers(self, vm), rng=self.rng),
             Links(self, vm),
--- a/tests/services/test_stories.py
+++ b/tests/services/test_histories.py
@@ -3,15 +3,15 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from cornelgrade.services import stories
+from cornelgrade.services import histories
 
 
-def made(**bounds) -> stories.Stories:
+def made(**bounds) -> histories.Histories:
     ticks = itertools.count()
-    return stories.Stories(now_s=lambda: float(next(ticks)), **bounds)
+    return histories.Histories(now_s=lambda: float(next(ticks)), **bounds)
 
 
-def test_story_is_told_oldest_step_first():
+def test_history_is_told_oldest_step_first():
     service = made()
     service.note("r1", "admit", "Taken.")
     service.note("r2", "admit", "Another.")
@@ -21,7 +21,7 @@
     assert (second.step, second.peer) == ("route", "engine-1")
 
 
-def test_unknown_subject_has_an_empty_story():
+def test_unknown_subject_has_an_empty_history():
     assert made().tell("nothing") == ()
 
 
@@ -43,7 +43,7 @@
 def test_long_sentence_is_cut():
     service = made()
     service.note("r1", "step", "x" * 10_000)
-    assert len(service.tell("r1")[0].sentence) == stories.MAX_SENTENCE_CHARACTERS
+    assert len(service.tell("r1")[0].sentence) == histories.MAX_SENTENCE_CHARACTERS
 
 
 @given(st.lists(st.tuples(st.integers(0, 30), st.integers(0, 700)), max_size=300))
--- a/tests/services/test_record_stories.py
+++ b/tests/services/test_record_histories.py
@@ -2,7 +2,7 @@
 import trio
 from tests import batch_kit
 
-from cornelgrade.services import job_ending, job_submission, ports, record_stories
+from cornelgrade.services import job_ending, job_submission, ports, record_histories
 from cornelgrade.standins import platform_store
 
 ANSWER = ports.StoredAnswer(200, "application/json", b"{}")
@@ -22,15 +22,15 @@
     return accepted.header.job
 
 
-def teller(rig: batch_kit.Rig) -> record_stories.RecordStories:
-    return record_stories.RecordStories(rig.store, Records(), batch_kit.unix_s)
+def teller(rig: batch_kit.Rig) -> record_histories.RecordHistories:
+    return record_histories.RecordHistories(rig.store, Records(), batch_kit.unix_s)
 
 
 def sentences(steps: tuple[ports.Step, ...]) -> str:
     return "\n".join(step.sentence for step in steps)
 
 
-async def test_story_of_a_job_runs_from_its_acceptance_to_its_end(autojump_clock):
+async def test_history_of_a_job_runs_from_its_acceptance_to_its_end(autojump_clock):
     async with batch_kit.rig() as rig:
         await rig.worker("vm1")
         job = await submitted(rig, 120)
@@ -42,7 +42,7 @@
     assert told[0].at_s < told[2].at_s <= told[1].at_s
 
 
-async def test_story_of_a_running_job_names_who_holds_its_chunks(autojump_clock):
+async def test_history_of_a_running_job_names_who_holds_its_chunks(autojump_clock):
     async with batch_kit.rig() as rig:
         await rig.worker("vm1")
         job = await submitted(rig, 2_000)
@@ -52,7 +52,7 @@
     assert "vm1 holds chunks" in sentences(told)
 
 
-async def test_story_of_an_item_says_how_it_ended(autojump_clock):
+async def test_history_of_an_item_says_how_it_ended(autojump_clock):
     async with batch_kit.rig() as rig:
         await rig.worker("vm1")
         job = await submitted(rig, 70)
@@ -63,7 +63,7 @@
     assert "has its result, status 200, from e" in told[1].sentence
 
 
-async def test_story_of_a_cancelled_job_counts_what_did_not_run(autojump_clock):
+async def test_history_of_a_cancelled_job_counts_what_did_not_run(autojump_clock):
     async with batch_kit.rig() as rig:
         worker = await rig.worker("vm1", plat=platform_store.MemoryPlatform())
         rig.workers["vm1"] = worker
@@ -81,7 +81,7 @@
         ("k3", ""),
     ],
 )
-async def test_story_of_a_request_tells_what_is_recorded(autojump_clock, key, expected):
+async def test_history_of_a_request_tells_what_is_recorded(autojump_clock, key, expected):
     async with batch_kit.rig() as rig:
         await rig.worker("vm1")
         assert sentences(await teller(rig).tell("afya", key)) == expected
--- a/tests/web/test_operations.py
+++ b/tests/web/test_operations.py
@@ -7,7 +7,7 @@
 
 from cornelgrade import errors, kernel, reports
 from cornelgrade.adapters import platform
-from cornelgrade.services import conditions, drain, ports, stories
+from cornelgrade.services import conditions, drain, histories, ports
 from cornelgrade.services.web import access, app, operations
 
 
@@ -60,10 +60,10 @@
         self.kern = kernel.Kernel()
         self.configuration = Configuration(ports.Accepted(samples.manifest(), 7))
         self.reporter = Reporter()
-        self.stories = stories.Stories(now_s=lambda: float(next(ticks)))
+        self.histories = histories.Histories(now_s=lambda: float(next(ticks)))
         self.drain = drain.Drain(1.0)
         watch = conditions.Conditions(self.kern, cfg, now_s=lambda: float(next(ticks)))
-        for service in (self.configuration, self.reporter, self.stories, self.drain, watch):
+        for service in (self.configuration, self.reporter, self.histories, self.drain, watch):
             self.kern.add(service)
         self.recorded = Recorded()
         routes = operations.blueprint(self.kern, cfg, recorded=self.recorded)
@@ -128,18 +128,18 @@
         ("operator", "r9", None),
     ],
 )
-async def test_team_reads_its_own_stories_and_an_operator_all(system, key, identifier, sentences):
-    system.stories.note("clinic/r1", "admit", "Taken.")
-    system.stories.note("other/r1", "admit", "Other team.")
-    system.stories.note("manifest/7", "accept", "Accepted.")
-    system.stories.note("clinic/r1", "route", "Sent.", peer="engine-1")
+async def test_team_reads_its_own_histories_and_an_operator_all(system, key, identifier, sentences):
+    system.histories.note("clinic/r1", "admit", "Taken.")
+    system.histories.note("other/r1", "admit", "Other team.")
+    system.histories.note("manifest/7", "accept", "Accepted.")
+    system.histories.note("clinic/r1", "route", "Sent.", peer="engine-1")
     answer = await system.get(f"/v1/explain/{identifier}", key)
     if sentences is None:
         assert answer.status_code == errors.STATUS[errors.Code.NOT_FOUND]
         return
-    story = msgspec.json.decode(await answer.get_data(), type=reports.Story)
-    assert [step.sentence for step in story.steps] == sentences
-    assert {step.vm for step in story.steps} == {"entry-1"}
+    history = msgspec.json.decode(await answer.get_data(), type=reports.History)
+    assert [step.sentence for step in history.steps] == sentences
+    assert {step.vm for step in history.steps} == {"entry-1"}
 
 
 @pytest.mark.parametrize(
@@ -151,17 +151,17 @@
         ("clinic-key", "clinic/j1", 404),
     ],
 )
-async def test_recorded_story_is_told_to_its_team_and_to_operators(system, key, identifier, status):
+async def test_recorded_history_is_told_to_team_and_operators(system, key, identifier, status):
     answer = await system.get(f"/v1/explain/{identifier}", key)
     assert answer.status_code == status
     assert ("3 items" in await answer.get_data(as_text=True)) == (status == 200)
 
 
 async def test_operator_reads_the_record_of_a_bare_id_that_was_heard_of_here(system):
-    system.stories.note("clinic/j1", "submit", "Submitted.")
+    system.histories.note("clinic/j1", "submit", "Submitted.")
     answer = await system.get("/v1/explain/j1")
-    story = msgspec.json.decode(await answer.get_data(), type=reports.Story)
-    assert [step.sentence for step in story.steps] == ["Accepted with 3 items.", "Submitted."]
+    history = msgspec.json.decode(await answer.get_data(), type=reports.History)
+    assert [step.sentence for step in history.steps] == ["Accepted with 3 items.", "Submitted."]
 
 
 async def test_status_names_jobs_at_risk_or_that_they_cannot_be_read(system):
--- a/tests/web/test_peer_stories.py
+++ b/tests/web/test_peer_histories.py
@@ -10,8 +10,8 @@
 
 from cornelgrade import kernel, reports
 from cornelgrade.adapters import peer_auth, peer_key
-from cornelgrade.adapters import peer_stories as adapter
-from cornelgrade.services import conditions, drain, peer_stories, ports, stories
+from cornelgrade.adapters import peer_histories as adapter
+from cornelgrade.services import conditions, drain, histories, peer_histories, ports
 from cornelgrade.services.web import access, app, operations, server
 
 OPERATOR = {"Authorization": "Bearer operator"}
@@ -60,18 +60,18 @@
             operator_key_hashes=[access.key_hash("operator")],
         )
         self.kern = kernel.Kernel()
-        self.stories = stories.Stories()
+        self.histories = histories.Histories()
         web_app = app.make([operations.blueprint(self.kern, self.cfg)])
-        for service in (Configuration(), Membership(view), self.stories, drain.Drain(0.0)):
+        for service in (Configuration(), Membership(view), self.histories, drain.Drain(0.0)):
             self.kern.add(service)
         self.kern.add(conditions.Conditions(self.kern, self.cfg))
-        self.kern.add(peer_stories.PeerStories(self.kern, self.cfg))
+        self.kern.add(peer_histories.PeerHistories(self.kern, self.cfg))
         self.web = server.Web(self.kern, self.cfg, web_app)
         self.web_app = web_app
 
     async def serve(self, task_status: trio.TaskStatus[None]) -> None:
         async with trio.open_nursery() as nursery:
-            asker = self.kern.find("peer_stories", peer_stories.PeerStories)
+            asker = self.kern.find("peer_histories", peer_histories.PeerHistories)
             await nursery.start(lambda task_status: asker.run(task_status.started))
             await nursery.start(lambda task_status: self.web.run(task_status.started))
             task_status.started()
@@ -98,32 +98,32 @@
     nursery.cancel_scope.cancel()
 
 
-async def test_story_is_put_together_from_all_vms_in_order(vms):
-    vms[0].stories.note("clinic/r1", "admit", "Taken.")
-    vms[1].stories.note("clinic/r1", "route", "Sent.", "engine-2")
-    vms[1].stories.note("other/r1", "admit", "Of another team.")
+async def test_history_is_put_together_from_all_vms_in_order(vms):
+    vms[0].histories.note("clinic/r1", "admit", "Taken.")
+    vms[1].histories.note("clinic/r1", "route", "Sent.", "engine-2")
+    vms[1].histories.note("other/r1", "admit", "Of another team.")
     for headers, expected in ((TEAM, ["Taken.", "Sent."]), (OPERATOR, ["Taken.", "Sent."])):
         answer = await vms[0].get("/v1/explain/r1", headers)
-        story = msgspec.json.decode(answer.content, type=reports.Story)
-        sentences = [s.sentence for s in story.steps if s.sentence != "Of another team."]
+        history = msgspec.json.decode(answer.content, type=reports.History)
+        sentences = [s.sentence for s in history.steps if s.sentence != "Of another team."]
         assert sentences == expected
-        assert [step.vm for step in story.steps][:2] == ["entry-1", "entry-2"]
-        assert len(story.steps) == (2 if headers is TEAM else 3)
-        assert story.silent == ("entry-1 worker", "entry-2 worker")
+        assert [step.vm for step in history.steps][:2] == ["entry-1", "entry-2"]
+        assert len(history.steps) == (2 if headers is TEAM else 3)
+        assert history.silent == ("entry-1 worker", "entry-2 worker")
 
 
-async def test_story_that_only_a_peer_knows_is_told(vms):
-    vms[1].stories.note("clinic/j1/a b", "run", "Item ran.")
+async def test_history_that_only_a_peer_knows_is_told(vms):
+    vms[1].histories.note("clinic/j1/a b", "run", "Item ran.")
     answer = await vms[0].get("/v1/explain/j1/a%20b", TEAM)
-    assert [s.sentence for s in msgspec.json.decode(answer.content, type=reports.Story).steps]
+    assert [s.sentence for s in msgspec.json.decode(answer.content, type=reports.History).steps]
 
 
 @pytest.mark.parametrize("wrong", ["key", "path", "address", "old", "none"])
-async def test_only_peers_may_ask_for_stories(vms, wrong):
-    vms[1].stories.note("clinic/r1", "admit", "Taken.")
+async def test_only_peers_may_ask_for_histories(vms, wrong):
+    vms[1].histories.note("clinic/r1", "admit", "Taken.")
     key = peer_key.derive(b"other" if wrong == "key" else b"5e" * 32)
     address = "127.0.0.1:1" if wrong == "address" else vms[1].cfg.gateway_address
-    path = adapter.signed_path(ports.StoryScope.EXACT, "clinic/r1")
+    path = adapter.signed_path(ports.HistoryScope.EXACT, "clinic/r1")
     now_s = time.time() - (120.0 if wrong == "old" else 0.0)
     signed = "/v1/peer/manifest" if wrong == "path" else path
     header, _ = peer_auth.auth_header(key, "entry-1", address, signed, now_s)
