A second signal names what it drops; a span for the route hop

Both were asked for and missing: the second SIGTERM only said that it was one (tests/process/test_daemons.py), and routing had no span of its own.

--- a/src/cornelgrade/daemons.py
+++ b/src/cornelgrade/daemons.py
@@ -60,12 +60,12 @@
 
 def run_gateway(cfg: settings.Settings) -> None:
     """Run a gateway process until it is told to stop and has drained."""
-    _run(cfg, gateway)
+    _run(cfg, add_gateway)
 
 
 def run_worker(cfg: settings.Settings) -> None:
     """Run a worker process until it is told to stop and has drained."""
-    _run(cfg, worker)
+    _run(cfg, add_worker)
 
 
 async def gateway(
@@ -161,10 +161,11 @@
     cfg: settings.Settings,
     stopping: trio.Event,
     assemble: Assemble,
-    task_status: trio.TaskStatus[None],
+    task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    kern: kernel.Kernel | None = None,
 ) -> None:
     async with _outside(cfg) as outside, trio.open_nursery() as nursery:
-        kern = kernel.Kernel()
+        kern = kern or kernel.Kernel()
         assemble(kern, cfg, outside)
         await nursery.start(kern.run)
         _log.info("started", failure_domain=cfg.failure_domain)
@@ -193,29 +194,34 @@
     kern.find("drain", drain.Drain).begin()
 
 
-def _run(cfg: settings.Settings, program: Callable) -> None:
+def _run(cfg: settings.Settings, assemble: Assemble) -> None:
     with logs.handler(cfg.log_level, cfg.vm).applicationbound():
         try:
-            trio.run(_run_until_signalled, cfg, program)
+            trio.run(_run_until_signalled, cfg, assemble)
         except* Exception as group:
             for exc in kernel.causes(group):
                 _log.error("failed", error=repr(exc), where=kernel.place(exc))
             sys.exit(errors.ExitCode.FAILED)
 
 
-async def _run_until_signalled(cfg: settings.Settings, program: Callable) -> None:
+async def _run_until_signalled(cfg: settings.Settings, assemble: Assemble) -> None:
     stopping = trio.Event()
+    kern = kernel.Kernel()
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(_follow_signals, stopping, nursery.cancel_scope)
-        await program(cfg, stopping)
+        nursery.start_soon(_follow_signals, stopping, kern, nursery.cancel_scope)
+        await _serve(cfg, stopping, assemble, kern=kern)
         nursery.cancel_scope.cancel()
 
 
-async def _follow_signals(stopping: trio.Event, scope: trio.CancelScope) -> None:
-    """Drain at the first SIGTERM or SIGINT, and drop what is left at the second."""
+async def _follow_signals(
+    stopping: trio.Event, kern: kernel.Kernel, scope: trio.CancelScope
+) -> None:
+    """Drain at the first SIGTERM or SIGINT; at the second say what is dropped, and drop it."""
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async for signum in signals:
             _log.info("signal", signal=signal.Signals(signum).name, second=stopping.is_set())
             if stopping.is_set():
+                dropped = kern.find("drain", drain.Drain).active()
+                _log.warning("dropped", count=len(dropped), requests=",".join(dropped))
                 scope.cancel()
             stopping.set()
--- a/src/cornelgrade/services/online.py
+++ b/src/cornelgrade/services/online.py
@@ -188,7 +188,8 @@
         """Hold a seat at an upstream; a failed call counts against the upstream's health."""
         router_service = self._kern.find("router", router.Router)
         place = admission.Place(req.rank, req.deadline_s, router_service.next_number())
-        name = await self._ask(router_service, req, place, progress)
+        with tracing.start(tracing.Hop.ROUTE, req.span, service=req.service):
+            name = await self._ask(router_service, req, place, progress)
         began_s = trio.current_time()
         outcome = router_messages.Outcome.OTHER
         try:
--- a/tests/process/test_daemons.py
+++ b/tests/process/test_daemons.py
@@ -119,3 +119,17 @@
     worker.restart()
     shown = wait_done(fleet, job)
     assert (shown["finished"], shown["failed"]) == (ITEMS, 0)
+
+
+def test_second_signal_says_what_it_drops(fleet):
+    url, gateway = fleet.vms[0].url, fleet.vms[0].gateway
+    with concurrent.futures.ThreadPoolExecutor(2) as pool:
+        asked = [pool.submit(stream, url) for _ in range(2)]
+        time.sleep(0.3)
+        gateway.send(signal.SIGTERM)
+        time.sleep(0.3)
+        gateway.send(signal.SIGTERM)
+        gateway.wait(WAIT_S)
+        ended = [call.result() for call in asked]
+    assert "count=2" in gateway.wait_for("event=dropped")
+    assert all(end.startswith("cut off") for end in ended)
