--- a/src/cornelgrade/adapters/datagrams.py
+++ b/src/cornelgrade/adapters/datagrams.py
@@ -14,7 +14,7 @@
 
 import trio
 
-from cornelgrade import metrics
+from cornelgrade import addresses, metrics
 from cornelgrade.adapters import peer_key
 from cornelgrade.schema import codec, messages
 from cornelgrade.services import ports
@@ -39,12 +39,6 @@
     NOT_SENT = "not_sent"
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Split ``IP:port`` into the pair that sockets take; IPv6 stands in brackets."""
-    host, _, port = address.rpartition(":")
-    return host.strip("[]"), int(port)
-
-
 @dataclasses.dataclass(slots=True)
 class _Sender:
     session: int
@@ -142,7 +136,7 @@
         self._dropped_metric = metrics.counter(
             "cornelgrade_peer_datagrams_dropped_total", "Datagrams dropped, by reason."
         )
-        host, port = split_address(address)
+        host, port = addresses.split(address)
         ip = ipaddress.ip_address(host)
         family = socket.AF_INET6 if ip.version == 6 else socket.AF_INET
         self._sock = socket.socket(family, socket.SOCK_DGRAM)
@@ -184,7 +178,7 @@
             return
         raw = self._key.tag(address.encode(), payload) + payload
         try:
-            self._sock.sendto(raw, split_address(address))
+            self._sock.sendto(raw, addresses.split(address))
         except OSError:
             self._drop(Dropped.NOT_SENT)
             return
--- a/src/cornelgrade/adapters/platform.py
+++ b/src/cornelgrade/adapters/platform.py
@@ -20,6 +20,7 @@
     :param version: the platform's revision at the object's last write; it grows with every
         write to any object.
     :param nonce: the nonce of the last writer.
+    :param created: the revision of its creation, 0 where the platform does not tell.
     """
 
     kind: str
@@ -27,6 +28,7 @@
     version: int
     value: bytes
     nonce: str = ""
+    created: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/cornelgrade/adapters/platform_http.py
+++ b/src/cornelgrade/adapters/platform_http.py
@@ -4,8 +4,6 @@
 ``Writer-Nonce``; ``GET /v1/objects/KIND``; ``GET /v1/watch/KIND``; ``GET /v1/vms``.
 """
 
-import dataclasses
-import secrets
 import urllib.parse
 from types import TracebackType
 
@@ -13,11 +11,10 @@
 import msgspec
 import trio
 
-from cornelgrade.adapters import platform
+from cornelgrade.adapters import platform, settled_writes
 from cornelgrade.policy import settle
 
 NONCE_HEADER = "writer-nonce"
-RETRY_PAUSE_S = 0.05
 _PEER = "platform"
 _CONNECTIONS = httpx.Limits(max_connections=200, max_keepalive_connections=20)
 _Query = dict[str, str | int | float]
@@ -63,34 +60,6 @@
     return int(tag.strip().strip('"'))
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Writing:
-    """A conditional write on its way; ``version`` is 0 for a create."""
-
-    write: settle.Write
-    kind: str
-    name: str
-    value: bytes
-    version: int
-    nonce: str
-
-    @property
-    def step(self) -> str:
-        return self.write.value
-
-    @property
-    def headers(self) -> dict[str, str]:
-        condition = {"if-match": etag(self.version)} if self.version else {"if-none-match": "*"}
-        return {NONCE_HEADER: self.nonce, **condition}
-
-    def stored(self, version: int) -> platform.Stored:
-        return platform.Stored(self.kind, self.name, version, self.value, self.nonce)
-
-
-class _LostAnswerError(Exception):
-    """A request went out and its answer did not come back."""
-
-
 class HttpPlatform:
     """Implements :class:`cornelgrade.adapters.platform.Platform` over HTTP.
 
@@ -102,6 +71,7 @@
 
     def __init__(self, base_url: str, *, deadline_s: float = 2.0) -> None:
         self._deadline_s = deadline_s
+        self._writer = settled_writes.Writer(self, deadline_s)
         self._client = httpx.AsyncClient(
             base_url=base_url, timeout=None, limits=_CONNECTIONS, trust_env=False
         )
@@ -152,17 +122,17 @@
 
     async def create(self, kind: str, name: str, value: bytes, nonce: str = "") -> platform.Stored:
         """Write an object that must not be there yet; an empty nonce gets a random one."""
-        return await self._write(settle.Write.CREATE, kind, name, value, 0, nonce)
+        return await self._writer.write(settle.Write.CREATE, kind, name, value, 0, nonce)
 
     async def update(
         self, kind: str, name: str, value: bytes, version: int, nonce: str = ""
     ) -> platform.Stored:
         """Write an object that must still be at ``version``."""
-        return await self._write(settle.Write.UPDATE, kind, name, value, version, nonce)
+        return await self._writer.write(settle.Write.UPDATE, kind, name, value, version, nonce)
 
     async def delete(self, kind: str, name: str, version: int) -> None:
         """Remove an object that must still be at ``version``; one already gone is no error."""
-        await self._write(settle.Write.DELETE, kind, name, b"", version, "")
+        await self._writer.write(settle.Write.DELETE, kind, name, b"", version, "")
 
     async def _read(
         self,
@@ -181,95 +151,45 @@
             return res
         raise platform.UnavailableError("no answer in time", step=step)
 
-    async def _write(
-        self, write: settle.Write, kind: str, name: str, value: bytes, version: int, nonce: str
-    ) -> platform.Stored:
-        writing = _Writing(write, kind, name, value, version, nonce or secrets.token_hex(8))
-        sent = _Sent()
-        with trio.move_on_after(self._deadline_s):
-            return await self._settled(writing, sent)
-        raise platform.UnavailableError(
-            "no answer in time", step=writing.step, outcome_unknown=sent.maybe
-        )
-
-    async def _settled(self, writing: _Writing, sent: "_Sent") -> platform.Stored:
-        """Send until the outcome is known; runs under the call's deadline."""
-        while True:
-            try:
-                return await self._send(writing, sent)
-            except _LostAnswerError:
-                found = await self._read_back(writing)
-            verdict = settle.settle(writing.write, _compare(writing, found))
-            if verdict is settle.Verdict.DONE:
-                return found or writing.stored(writing.version)
-            if verdict is settle.Verdict.CONFLICT:
-                raise _conflict(writing, found, outcome_unknown=True)
-            await trio.sleep(RETRY_PAUSE_S)
-
-    async def _read_back(self, writing: _Writing) -> platform.Stored | None:
-        while True:
-            try:
-                return await self.get(writing.kind, writing.name)
-            except platform.UnavailableError as exc:
-                await trio.sleep(exc.retry_after_s or RETRY_PAUSE_S)
-
-    async def _send(self, writing: _Writing, sent: "_Sent") -> platform.Stored:
-        """Send once.
-
-        :raises _LostAnswerError: if the write may have taken effect.
-        """
+    async def send(self, writing: settled_writes.Writing) -> platform.Stored:
+        """Send a write once; see :class:`settled_writes.Sender`."""
         method = "DELETE" if writing.write is settle.Write.DELETE else "PUT"
         path = _object_path(writing.kind, writing.name)
-        maybe_before = sent.maybe
-        sent.maybe = True
         try:
             res = await self._client.request(
-                method, path, content=writing.value, headers=writing.headers
+                method, path, content=writing.value, headers=_condition(writing)
             )
         except _NOT_SENT as exc:
-            sent.maybe = maybe_before
-            raise platform.UnavailableError(
-                repr(exc), step=writing.step, outcome_unknown=maybe_before
-            ) from exc
+            raise platform.UnavailableError(repr(exc), step=writing.step) from exc
         except httpx.TransportError as exc:
-            raise _LostAnswerError from exc
+            raise settled_writes.LostAnswerError from exc
         if res.status_code in (200, 201, 204):
             return writing.stored(version_of(res.headers.get("etag", "0")))
         if res.status_code == 412:
-            return await self._precondition_failed(writing, res, maybe_before)
+            raise settled_writes.FailedConditionError(_found(writing, res))
         if res.status_code == 413:
             raise platform.TooLargeError(
                 f"{writing.kind}/{writing.name}: {len(writing.value)} bytes",
                 step=writing.step,
                 peer=_PEER,
             )
-        if res.status_code in (429, 503):
-            raise _refused(writing.step, res, outcome_unknown=maybe_before)
-        if res.status_code >= 500:
-            raise _LostAnswerError
-        raise _refused(writing.step, res, outcome_unknown=maybe_before)
-
-    async def _precondition_failed(
-        self, writing: _Writing, res: httpx.Response, maybe_before: bool
-    ) -> platform.Stored:
-        """Tell an earlier sending of the same write from somebody else's."""
-        tag = res.headers.get("etag")
-        if tag and writing.write is not settle.Write.DELETE:
-            found_nonce = res.headers.get(NONCE_HEADER, "")
-            what = settle.seen(
-                writing.write, writing.version, writing.nonce, version_of(tag), found_nonce
-            )
-            if what is settle.Seen.OWN:
-                return writing.stored(version_of(tag))
-        current = await self._read_back(writing)
-        raise _conflict(writing, current, outcome_unknown=maybe_before)
+        if res.status_code >= 500 and res.status_code != 503:
+            raise settled_writes.LostAnswerError
+        raise _refused(writing.step, res, outcome_unknown=False)
+
 
+def _condition(writing: settled_writes.Writing) -> dict[str, str]:
+    condition = {"if-match": etag(writing.version)} if writing.version else {"if-none-match": "*"}
+    return {NONCE_HEADER: writing.nonce, **condition}
 
-@dataclasses.dataclass(slots=True)
-class _Sent:
-    """Whether any sending of a write may have taken effect."""
 
-    maybe: bool = False
+def _found(writing: settled_writes.Writing, res: httpx.Response) -> platform.Stored | None:
+    """Read who wrote the version that was there, if the answer tells and it was this write."""
+    tag = res.headers.get("etag")
+    nonce = res.headers.get(NONCE_HEADER, "")
+    if not tag or nonce != writing.nonce:
+        return None
+    return platform.Stored(writing.kind, writing.name, version_of(tag), writing.value, nonce)
 
 
 def _quote(part: str) -> str:
@@ -289,23 +209,6 @@
     return platform.Stored(kind, name, version_of(res.headers["etag"]), res.content, nonce)
 
 
-def _compare(writing: _Writing, found: platform.Stored | None) -> settle.Seen:
-    version = found.version if found else 0
-    nonce = found.nonce if found else ""
-    return settle.seen(writing.write, writing.version, writing.nonce, version, nonce)
-
-
-def _conflict(
-    writing: _Writing, current: platform.Stored | None, *, outcome_unknown: bool
-) -> platform.ConflictError:
-    return platform.ConflictError(
-        f"{writing.kind}/{writing.name} is at another version",
-        step=writing.step,
-        current=current,
-        outcome_unknown=outcome_unknown,
-    )
-
-
 def _refused(step: str, res: httpx.Response, *, outcome_unknown: bool) -> platform.UnavailableError:
     after = res.headers.get("retry-after")
     return platform.UnavailableError(
--- /dev/null
+++ b/src/cornelgrade/edge_daemons.py
@@ -0,0 +1,124 @@
+"""The daemons that forward by host and path: which services each runs, and what its signals do."""
+
+import dataclasses
+import signal
+import sys
+from collections.abc import Awaitable, Callable
+
+import trio
+
+from cornelgrade import errors, kernel, logs, settings
+from cornelgrade.adapters import platform
+from cornelgrade.services.edge import (
+    _following,
+    fleet,
+    front,
+    item_call,
+    job_book,
+    job_desk,
+    peers,
+    ports,
+    runner,
+    seats,
+)
+
+_log = logs.Logger("daemon")
+_RESTART = kernel.Supervision(on_exit=kernel.OnExit.RESTART)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Outside:
+    """What the daemons speak to, and how."""
+
+    store: platform.Platform
+    directory: ports.Directory
+    calls: ports.Calls
+    job_calls: ports.JobCalls
+
+
+Drain = Callable[[], Awaitable[None]]
+Assemble = Callable[[kernel.Kernel, settings.EdgeSettings, Outside], Drain]
+
+
+def run_gateway(cfg: settings.EdgeSettings, outside: Outside) -> None:
+    """Run a gateway process until it is told to stop and has drained."""
+    _run(cfg, outside, add_gateway)
+
+
+def run_worker(cfg: settings.EdgeSettings, outside: Outside) -> None:
+    """Run a worker process until it is told to stop and has drained."""
+    _run(cfg, outside, add_worker)
+
+
+def add_gateway(kern: kernel.Kernel, cfg: settings.EdgeSettings, outside: Outside) -> Drain:
+    """Add a gateway's services in the order in which they start, and give its shutdown."""
+    _add_common(kern, cfg, outside, peers.Role.GATEWAY)
+    kern.add(seats.Seats(kern, cfg))
+    book = job_book.JobBook(outside.store, cfg.value_bytes)
+    desk = job_desk.JobDesk(book, outside.calls, outside.job_calls)
+    door = front.Front(kern, cfg, outside.calls, desk)
+    kern.add(door)
+    return door.drain
+
+
+def add_worker(kern: kernel.Kernel, cfg: settings.EdgeSettings, outside: Outside) -> Drain:
+    """Add a worker's services in the order in which they start, and give its shutdown."""
+    contact = _add_common(kern, cfg, outside, peers.Role.WORKER)
+    caller = item_call.ItemCaller(outside.calls)
+    running = runner.Runner(kern, cfg, outside.store, contact, caller)
+    kern.add(running)
+    return running.drain
+
+
+def _add_common(
+    kern: kernel.Kernel, cfg: settings.EdgeSettings, outside: Outside, role: peers.Role
+) -> _following.Contact:
+    contact = _following.Contact()
+    kern.add(peers.Peers(cfg, role, outside.store, contact), _RESTART)
+    kern.add(fleet.Fleet(outside.store, outside.directory, contact))
+    return contact
+
+
+def _run(cfg: settings.EdgeSettings, outside: Outside, assemble: Assemble) -> None:
+    with logs.handler(cfg.log_level, cfg.vm, sys.stdout).applicationbound():
+        try:
+            trio.run(serve, cfg, outside, assemble)
+        except* Exception as group:
+            for exc in kernel.causes(group):
+                _log.error("failed", error=repr(exc), where=kernel.place(exc))
+            sys.exit(errors.ExitCode.FAILED)
+
+
+async def serve(cfg: settings.EdgeSettings, outside: Outside, assemble: Assemble) -> None:
+    """Run a daemon until a signal stops it."""
+    kern = kernel.Kernel()
+    drain = assemble(kern, cfg, outside)
+    async with trio.open_nursery() as nursery:
+        await nursery.start(kern.run)
+        _log.info("started", vm=cfg.vm, failure_domain=cfg.failure_domain)
+        nursery.start_soon(_follow_signals, kern, drain)
+        await kern.wait_stopped()
+        nursery.cancel_scope.cancel()
+    _log.info("stopped")
+
+
+async def _follow_signals(kern: kernel.Kernel, drain: Drain) -> None:
+    """Drain at the first signal to stop; at a second one stop at once."""
+    stopping = trio.Event()
+    watched = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+    with trio.open_signal_receiver(*watched) as signals:
+        async with trio.open_nursery() as nursery:
+            async for signum in signals:
+                _log.info("signal", signal=signal.Signals(signum).name, second=stopping.is_set())
+                if signum == signal.SIGHUP:
+                    continue
+                if stopping.is_set():
+                    kern.stop()
+                    return
+                stopping.set()
+                nursery.start_soon(_drain_then_stop, kern, drain)
+
+
+async def _drain_then_stop(kern: kernel.Kernel, drain: Drain) -> None:
+    await drain()
+    kern.stop()
--- /dev/null
+++ b/src/cornelgrade/platform/__main__.py
@@ -0,0 +1,41 @@
+"""Starts a daemon on the users' platform: ``python -m cornelgrade.platform gateway|worker``."""
+
+import os
+import sys
+
+import docopt
+
+from cornelgrade import checked, edge_daemons, errors, settings
+from cornelgrade.platform import calls, directory, jobs, objects
+
+# The platform names the settings file by this variable.
+SETTINGS_VARIABLE = "CORNELGRADE_SETTINGS"
+USAGE = """Run a daemon of cornelgrade on the platform; CORNELGRADE_SETTINGS names its settings.
+
+Usage:
+  cornelgrade.platform gateway
+  cornelgrade.platform worker
+"""
+
+
+def main(argv: list[str] | None = None) -> None:
+    """Run one daemon until it is stopped."""
+    args = docopt.docopt(USAGE, argv=argv)
+    try:
+        path = os.environ.get(SETTINGS_VARIABLE, "")
+        cfg = checked.decode(checked.read_file(path), settings.EdgeSettings, step="settings")
+    except errors.CornelgradeError as exc:
+        print(exc.show(), file=sys.stderr)
+        sys.exit(exc.exit_code)
+    outside = edge_daemons.Outside(
+        store=objects.Objects(cfg.store_address, deadline_s=cfg.store_deadline_s),
+        directory=directory.Directory(),
+        calls=calls.Calls(),
+        job_calls=jobs.JobCalls(),
+    )
+    run = edge_daemons.run_gateway if args["gateway"] else edge_daemons.run_worker
+    run(cfg, outside)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/cornelgrade/platform/jobs.py
@@ -0,0 +1,105 @@
+"""Calls about batch jobs, as the platform's clients make them."""
+
+import base64
+import binascii
+import urllib.parse
+
+import msgspec
+
+from cornelgrade import errors
+from cornelgrade.adapters import http1_server
+from cornelgrade.services.edge import ports
+
+_WAIT = "x-wait-ms"
+_MS_PER_S = 1000.0
+_MAX_ITEMS = 200
+_MAX_WAIT_S = 1.0
+_STATES = {
+    ports.ItemEnd.COMPLETED: "completed",
+    ports.ItemEnd.GIVEN_UP: "dead_letter",
+}
+# Method and first part of the path of calls about an accepted job.
+_ACTS = {
+    ("GET", "lots"): ports.JobAct.READ,
+    ("GET", "items"): ports.JobAct.BODY,
+    ("DELETE", "lots"): ports.JobAct.END,
+}
+
+
+class _Item(msgspec.Struct):
+    id: str
+    path: str
+    body: str
+    tokens: int
+    headers: dict[str, str] = {}
+
+
+class _Lot(msgspec.Struct):
+    items: list[_Item]
+
+
+class _Result(msgspec.Struct):
+    id: str
+    state: str
+    text: str
+
+
+class _Results(msgspec.Struct):
+    # Items of the whole job, not of this answer.
+    total: int
+    # The position from which to read on.
+    next: int
+    results: list[_Result]
+
+
+class JobCalls:
+    """Implements :class:`ports.JobCalls`."""
+
+    def job_call(self, exchange: http1_server.Exchange) -> ports.JobCall | None:
+        """Read a call about an accepted job, ``None`` if it is none."""
+        parts = exchange.path.split("/")
+        act = _ACTS.get((exchange.method, parts[1] if len(parts) == 3 else ""))
+        if act is None:
+            return None
+        return ports.JobCall(
+            act=act,
+            job=urllib.parse.unquote(parts[2]),
+            after=_count(exchange.query.get("after", "0"), "after"),
+            item=exchange.query.get("id", ""),
+            wait_s=min(_MAX_WAIT_S, _count(exchange.headers.get(_WAIT, "0"), _WAIT) / _MS_PER_S),
+        )
+
+    def submission(self, body: bytes) -> tuple[ports.Item, ...]:
+        """Read the items of a new job."""
+        try:
+            lot = msgspec.json.decode(body, type=_Lot)
+            items = tuple(_item(item) for item in lot.items)
+        except (msgspec.DecodeError, UnicodeDecodeError, binascii.Error, ValueError) as exc:
+            raise _bad(str(exc)) from exc
+        names = {item.name for item in items}
+        if not 0 < len(items) <= _MAX_ITEMS or len(names) < len(items):
+            raise _bad(f"{len(items)} items with {len(names)} ids")
+        return items
+
+    def page(self, total: int, after: int, results: tuple[ports.ItemResult, ...]) -> bytes:
+        """Write results from position ``after`` on."""
+        listed = [_Result(r.item, _STATES[r.end], r.text) for r in results]
+        return msgspec.json.encode(_Results(total, after + len(listed), listed))
+
+
+def _item(got: _Item) -> ports.Item:
+    headers = tuple((k.lower(), v) for k, v in got.headers.items())
+    body = base64.b64decode(got.body, validate=True)
+    if not got.path.startswith("/") or got.tokens < 0:
+        raise ValueError(f"item {got.id}: path {got.path!r}, {got.tokens} tokens")
+    return ports.Item(got.id, got.path, headers, body, got.tokens)
+
+
+def _count(text: str, name: str) -> int:
+    if not text.isdigit():
+        raise _bad(f"{name}={text!r} is no count")
+    return int(text)
+
+
+def _bad(problem: str) -> errors.BadInputError:
+    return errors.BadInputError((problem,), step="read job call")
--- /dev/null
+++ b/src/cornelgrade/policy/route_table.py
@@ -0,0 +1,63 @@
+"""Which route a request takes, and which of its services."""
+
+import collections
+
+import xxhash
+
+from cornelgrade import routes
+
+_HASH_SPAN = float(1 << 64)
+
+
+def bare_host(header: str) -> str:
+    """Take the port off a ``Host`` header and fold its case."""
+    name, _, port = header.strip().rpartition(":")
+    return (name if port.isdigit() and name else header.strip()).lower()
+
+
+class RouteTable:
+    """Finds routes by host and longest path prefix.
+
+    The longest prefixes of a host come first, so that a search ends at its first match.
+    """
+
+    def __init__(self, plan: routes.Plan) -> None:
+        self.plan = plan
+        self._by_host: dict[str, list[routes.Route]] = collections.defaultdict(list)
+        for route in sorted(plan.routes, key=lambda r: len(r.path_prefix), reverse=True):
+            self._by_host[route.host].append(route)
+        self._services = {service.name: service for service in plan.services}
+
+    def find(self, host: str, path: str) -> routes.Route | None:
+        """Give the route of a request, ``None`` if there is none."""
+        for route in self._by_host.get(bare_host(host), ()):
+            if path.startswith(route.path_prefix):
+                return route
+        return None
+
+    def find_batch(self, host: str) -> tuple[routes.Route, ...]:
+        """Give the batch routes of a host."""
+        found = self._by_host.get(bare_host(host), ())
+        return tuple(route for route in found if route.kind is routes.RouteKind.BATCH)
+
+    def by_name(self, name: str) -> routes.Route | None:
+        """Give the route called ``name``."""
+        return next((route for route in self.plan.routes if route.name == name), None)
+
+    def service(self, name: str) -> routes.Service | None:
+        """Give the service called ``name``."""
+        return self._services.get(name)
+
+
+def pick_service(route: routes.Route, key: str) -> str:
+    """Divide requests among a route's services by their weights; one key always goes to one.
+
+    :param key: what the division goes by, such as the request's id.
+    """
+    total = sum(target.weight for target in route.targets)
+    point = xxhash.xxh3_64_intdigest(key.encode()) / _HASH_SPAN * total
+    for target in route.targets:
+        point -= target.weight
+        if point < 0:
+            return target.service
+    return route.targets[-1].service
--- a/src/cornelgrade/schema/codec.py
+++ b/src/cornelgrade/schema/codec.py
@@ -116,6 +116,45 @@
     out.init(field).upstream = body.upstream
 
 
+def _put_uses(out: Any, field: str, body: messages.Uses) -> None:
+    made = out.init(field, len(body.uses))
+    for i, use in enumerate(body.uses):
+        made[i].upstream = use.upstream
+        made[i].online = use.online
+        made[i].batch = use.batch
+
+
+def _put_job_claims(out: Any, field: str, body: messages.JobClaims) -> None:
+    made = out.init(field, len(body.claims))
+    for i, claim in enumerate(body.claims):
+        made[i].job = claim.job
+        made[i].running = _bits(claim.running)
+        made[i].done = _bits(claim.done)
+
+
+def _bits(number: int) -> bytes:
+    return number.to_bytes((number.bit_length() + 7) // 8, "little")
+
+
+def _get_uses(raw: Any) -> messages.Uses:
+    return messages.Uses(
+        tuple(messages.UpstreamUse(use.upstream, use.online, use.batch) for use in raw)
+    )
+
+
+def _get_job_claims(raw: Any) -> messages.JobClaims:
+    return messages.JobClaims(
+        tuple(
+            messages.JobClaim(
+                claim.job,
+                int.from_bytes(claim.running, "little"),
+                int.from_bytes(claim.done, "little"),
+            )
+            for claim in raw
+        )
+    )
+
+
 _PUT: dict[type, tuple[str, Callable[[Any, str, Any], None]]] = {
     messages.Ping: ("ping", _put_probe),
     messages.Ack: ("ack", _put_probe),
@@ -123,6 +162,8 @@
     messages.Join: ("join", _put_void),
     messages.Roster: ("roster", _put_void),
     messages.Version: ("version", _put_version),
+    messages.Uses: ("uses", _put_uses),
+    messages.JobClaims: ("jobClaims", _put_job_claims),
     ports.Load: ("load", _put_load),
     ports.Yield: ("yield", _put_slots),
     ports.Share: ("share", _put_slots),
@@ -151,6 +192,8 @@
     "join": lambda raw: messages.Join(),
     "roster": lambda raw: messages.Roster(),
     "version": lambda raw: messages.Version(raw),
+    "uses": _get_uses,
+    "jobClaims": _get_job_claims,
     **_GET_MESSAGE,
 }
 
--- a/src/cornelgrade/schema/messages.py
+++ b/src/cornelgrade/schema/messages.py
@@ -44,7 +44,52 @@
     version: int
 
 
-Body = Ping | Ack | ProbeRequest | Join | Roster | Version | ports.PeerMessage
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamUse:
+    """Requests at one upstream.
+
+    :param online: online requests; the sender's own from a gateway, those of all other gateways
+        from the upstream's batch owner.
+    :param batch: batch items, from its batch owner.
+    """
+
+    upstream: str
+    online: int
+    batch: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Uses:
+    """Uses of upstreams: a gateway tells their batch owner, and the owner answers.
+
+    :param vm: the sender, set on receipt.
+    """
+
+    uses: tuple[UpstreamUse, ...]
+    vm: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobClaim:
+    """Items of a job, one bit each: those that a worker runs and those that it knows are done."""
+
+    job: str
+    running: int
+    done: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobClaims:
+    """A worker tells the other workers what it runs.
+
+    :param vm: the sender, set on receipt.
+    """
+
+    claims: tuple[JobClaim, ...]
+    vm: str = ""
+
+
+Body = Ping | Ack | ProbeRequest | Join | Roster | Version | Uses | JobClaims | ports.PeerMessage
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/cornelgrade/schema/peer.capnp
+++ b/src/cornelgrade/schema/peer.capnp
@@ -64,6 +64,18 @@
   vm @1 :Text;
 }
 
+struct UpstreamUse {
+  upstream @0 :Text;
+  online @1 :UInt32;
+  batch @2 :UInt32;
+}
+
+struct JobClaim {
+  job @0 :Text;
+  running @1 :Data;
+  done @2 :Data;
+}
+
 struct Rumor {
   origin @0 :Text;
   number @1 :UInt64;
@@ -97,5 +109,7 @@
     leaving @15 :Leaving;
     share @16 :Share;
     upstreamCrashed @17 :UpstreamCrashed;
+    uses @18 :List(UpstreamUse);
+    jobClaims @19 :List(JobClaim);
   }
 }
--- /dev/null
+++ b/src/cornelgrade/services/edge/job_book.py
@@ -0,0 +1,181 @@
+"""How jobs lie in the platform's store, the only place where they last.
+
+A job is accepted by the creation of its header, which comes after its input. Each result is an
+object of its own, named by its item's index and created once: whoever is first decides, and the
+order of creation gives the results' positions.
+"""
+
+import base64
+import dataclasses
+from typing import Literal
+
+import msgspec
+import trio
+
+from cornelgrade.adapters import platform
+from cornelgrade.services.edge import ports
+
+HEADER_KIND = "cornelgrade-jobs"
+INPUT_KIND = "cornelgrade-inputs"
+RESULT_KIND = "cornelgrade-results"
+# Base64 makes three bytes four; the rest is left for the object's frame.
+PIECE_SHARE = 0.7
+
+
+class Header(msgspec.Struct, frozen=True):
+    """What is known of a job without its items.
+
+    :param received_ms: Unix milliseconds of its acceptance; its times count from there.
+    :param pieces: objects that hold its input.
+    :param state: ``open`` until all results are there (``done``) or its caller ends it.
+    """
+
+    job: str
+    route: str
+    host: str
+    received_ms: int
+    due_ms: int
+    expires_ms: int
+    total: int
+    tokens: int
+    pieces: int
+    state: Literal["open", "done", "ended"] = "open"
+
+
+class _Result(msgspec.Struct, frozen=True):
+    item: str
+    end: ports.ItemEnd
+    text: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Found:
+    """A header and its version in the store."""
+
+    header: Header
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Listed:
+    """A result in the store.
+
+    :param created: orders the results of a job.
+    """
+
+    index: int
+    result: ports.ItemResult
+    created: int
+
+
+class JobBook:
+    """Reads and writes jobs.
+
+    All calls raise :class:`platform.UnavailableError` if the store does not answer.
+
+    :param value_bytes: largest object that the store takes.
+    """
+
+    def __init__(self, store: platform.Platform, value_bytes: int) -> None:
+        self._store = store
+        self._piece_bytes = int(value_bytes * PIECE_SHARE)
+
+    async def accept(self, header: Header, items: tuple[ports.Item, ...]) -> Header:
+        """Store a job and give its header, or that of the same job accepted earlier."""
+        blob = msgspec.msgpack.encode(items)
+        size = self._piece_bytes
+        pieces = [blob[at : at + size] for at in range(0, len(blob), size)]
+        async with trio.open_nursery() as nursery:
+            for number, piece in enumerate(pieces):
+                nursery.start_soon(self._add_piece, header.job, number, piece)
+        full = msgspec.structs.replace(header, pieces=len(pieces))
+        try:
+            await self._store.create(HEADER_KIND, header.job, msgspec.json.encode(full))
+        except platform.ConflictError as exc:
+            if exc.current is None:
+                raise platform.UnavailableError("header taken back", step="accept") from exc
+            return read_header(exc.current).header
+        return full
+
+    async def _add_piece(self, job: str, number: int, piece: bytes) -> None:
+        value = msgspec.json.encode(base64.b64encode(piece).decode())
+        try:
+            await self._store.create(INPUT_KIND, f"{job}.{number}", value)
+        except platform.ConflictError:
+            # An earlier submission of the same job got this far.
+            return
+
+    async def find(self, job: str) -> Found | None:
+        """Read a job's header."""
+        stored = await self._store.get(HEADER_KIND, job)
+        return read_header(stored) if stored else None
+
+    async def headers(self) -> tuple[Header, ...]:
+        """Read the headers of all jobs."""
+        changes = await self._store.watch(HEADER_KIND, after=0)
+        return tuple(read_header(stored).header for stored in changes.items)
+
+    async def items(self, header: Header) -> tuple[ports.Item, ...]:
+        """Read a job's input."""
+        pieces = [b""] * header.pieces
+
+        async def fetch(number: int) -> None:
+            stored = await self._store.get(INPUT_KIND, f"{header.job}.{number}")
+            if stored is None:
+                raise platform.UnavailableError("input is missing", step="read input")
+            pieces[number] = base64.b64decode(msgspec.json.decode(stored.value, type=str))
+
+        async with trio.open_nursery(strict_exception_groups=False) as nursery:
+            for number in range(header.pieces):
+                nursery.start_soon(fetch, number)
+        return msgspec.msgpack.decode(b"".join(pieces), type=tuple[ports.Item, ...])
+
+    async def close(self, found: Found, state: Literal["done", "ended"]) -> Header:
+        """Move an open job to its final state; one that is final already stays as it is."""
+        while found.header.state == "open":
+            closed = msgspec.structs.replace(found.header, state=state)
+            try:
+                await self._store.update(
+                    HEADER_KIND, closed.job, msgspec.json.encode(closed), found.version
+                )
+                return closed
+            except platform.ConflictError as exc:
+                if exc.current is None:
+                    return closed
+                found = read_header(exc.current)
+        return found.header
+
+    async def add_result(self, job: str, index: int, result: ports.ItemResult) -> None:
+        """Store a result; one that another VM stored earlier stands."""
+        value = msgspec.json.encode(_Result(result.item, result.end, result.text))
+        try:
+            await self._store.create(_result_kind(job), f"{index:05d}", value)
+        except platform.ConflictError:
+            return
+
+    async def results(
+        self, job: str, after: int, wait_s: float
+    ) -> tuple[tuple[Listed, ...], int, bool]:
+        """Give results newer than a revision, in their order, and the revision to go on from.
+
+        :param after: 0 for all results.
+        :returns: results, revision, and whether the store forgot what lies behind ``after``.
+        """
+        changes = await self._store.watch(_result_kind(job), after=after, wait_s=wait_s)
+        listed = [_listed(stored) for stored in changes.items]
+        ordered = tuple(sorted(listed, key=lambda entry: entry.created))
+        return ordered, changes.version, changes.reset
+
+
+def read_header(stored: platform.Stored) -> Found:
+    """Decode a header."""
+    return Found(msgspec.json.decode(stored.value, type=Header), stored.version)
+
+
+def _listed(stored: platform.Stored) -> Listed:
+    got = msgspec.json.decode(stored.value, type=_Result)
+    return Listed(int(stored.name), ports.ItemResult(got.item, got.end, got.text), stored.created)
+
+
+def _result_kind(job: str) -> str:
+    return f"{RESULT_KIND}-{job}"
--- /dev/null
+++ b/src/cornelgrade/services/edge/peers.py
@@ -0,0 +1,189 @@
+"""The service ``peers``: the other processes of the fleet, and datagrams to them.
+
+Processes find each other through the platform's store, where each leaves its address; who lives is
+told by who was heard. Nothing that must hold depends on it.
+"""
+
+import dataclasses
+import enum
+import secrets
+from collections.abc import Callable
+from typing import TypeVar
+
+import msgspec
+import trio
+
+from cornelgrade import logs, settings
+from cornelgrade.adapters import datagrams, peer_key, platform
+from cornelgrade.policy import rendezvous
+from cornelgrade.schema import messages
+from cornelgrade.services import _subscriptions
+from cornelgrade.services.edge import _following
+
+KIND = "cornelgrade-vms"
+SECRET_KIND = "cornelgrade-secrets"
+SECRET_NAME = "peers"
+SECRET_BYTES = 32
+# A process that was not heard for this long is taken for gone: six beats of a quarter second.
+SILENT_S = 1.5
+# One that was just listed counts as living until it had this time to be heard.
+LISTED_S = 3.0
+# Processes that start together register within this time; one answer then tells of them all.
+SETTLE_S = 0.5
+RETRY_S = 0.3
+T = TypeVar("T")
+_log = logs.Logger("peers")
+
+
+class Role(enum.StrEnum):
+    """What a process of the fleet does."""
+
+    GATEWAY = "gateway"
+    WORKER = "worker"
+
+
+class Entry(msgspec.Struct, frozen=True):
+    """What a process leaves in the store for the others."""
+
+    address: str
+    role: Role
+    failure_domain: str
+
+
+@dataclasses.dataclass(slots=True)
+class _Known:
+    entry: Entry
+    listed_s: float
+    heard_s: float = -1e9
+
+
+class Peers:
+    """Owns the process's datagram socket."""
+
+    name = "peers"
+
+    def __init__(
+        self,
+        cfg: settings.EdgeSettings,
+        role: Role,
+        store: platform.Platform,
+        contact: _following.Contact,
+    ) -> None:
+        self.vm = cfg.vm
+        self._own = Entry(cfg.peer_address, role, cfg.failure_domain)
+        self._store = store
+        self._contact = contact
+        self._known: dict[str, _Known] = {}
+        self._subscribers = _subscriptions.Subscriptions()
+        self._socket: datagrams.Socket | None = None
+
+    async def run(self, started: Callable[[], None]) -> None:
+        """Register, then follow the others and hear them until cancelled."""
+        started()
+        key = await self._key()
+        with datagrams.Socket(self._own.address, key, self.vm) as self._socket:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._receive, self._socket)
+                await self._register()
+                await _following.follow(
+                    self._store, KIND, self._contact, self._listed, settle_s=SETTLE_S
+                )
+
+    def subscribe(self, kind: type[T]) -> trio.MemoryReceiveChannel[T]:
+        """Receive one type of message; its ``vm`` names the sender."""
+        return self._subscribers.subscribe(kind)
+
+    def send(self, vm: str, body: messages.Body) -> None:
+        """Send a datagram, or lose it."""
+        known = self._known.get(vm)
+        if known is not None and self._socket is not None:
+            self._socket.send(known.entry.address, body)
+
+    def living(self, role: Role, failure_domain: str | None = None) -> tuple[str, ...]:
+        """Name the living processes of a role, this one included."""
+        now_s = trio.current_time()
+        found = [
+            vm
+            for vm, known in self._known.items()
+            if known.entry.role is role
+            and failure_domain in (None, known.entry.failure_domain)
+            and (now_s - known.heard_s < SILENT_S or now_s - known.listed_s < LISTED_S)
+        ]
+        own = self._own.role is role and failure_domain in (None, self._own.failure_domain)
+        return tuple(sorted({*found, *([self.vm] if own else [])}))
+
+    def batch_owner(self, upstream: str, failure_domain: str) -> str | None:
+        """Name the worker that runs batch items on an upstream, a near one if any lives."""
+        workers = self.living(Role.WORKER, failure_domain) or self.living(Role.WORKER)
+        return max(workers, key=lambda vm: rendezvous.score(upstream, vm), default=None)
+
+    async def _key(self) -> peer_key.PeerKey:
+        """Read the fleet's key, or make it; the first that is stored holds."""
+        while True:
+            try:
+                return peer_key.derive(await self._secret())
+            except platform.UnavailableError as exc:
+                _log.warning("peer_key_missing", error=exc.show())
+                await trio.sleep(RETRY_S)
+
+    async def _secret(self) -> bytes:
+        found = await self._store.get(SECRET_KIND, SECRET_NAME)
+        if found is not None:
+            return found.value
+        made = msgspec.json.encode(secrets.token_hex(SECRET_BYTES))
+        try:
+            return (await self._store.create(SECRET_KIND, SECRET_NAME, made)).value
+        except platform.ConflictError as exc:
+            if exc.current is None:
+                raise platform.UnavailableError("the key was taken back", step="key") from exc
+            return exc.current.value
+
+    async def _register(self) -> None:
+        while True:
+            try:
+                await self._write_entry()
+                return
+            except (platform.UnavailableError, platform.ConflictError) as exc:
+                _log.warning("register_failed", error=exc.show())
+                await trio.sleep(RETRY_S)
+
+    async def _write_entry(self) -> None:
+        value = msgspec.json.encode(self._own)
+        found = await self._store.get(KIND, self.vm)
+        if found is None:
+            await self._store.create(KIND, self.vm, value)
+        elif found.value != value:
+            await self._store.update(KIND, self.vm, value, found.version)
+
+    async def _listed(self, changes: platform.Changes, whole: bool) -> None:
+        for stored in changes.items:
+            self._list(stored)
+        for name in changes.deleted:
+            self._known.pop(name, None)
+
+    def _list(self, stored: platform.Stored) -> None:
+        try:
+            entry = msgspec.json.decode(stored.value, type=Entry)
+        except msgspec.DecodeError as exc:
+            _log.warning("peer_unreadable", peer=stored.name, error=repr(exc))
+            return
+        known = self._known.get(stored.name)
+        if stored.name == self.vm or (known and known.entry == entry):
+            return
+        self._known[stored.name] = _Known(entry, trio.current_time())
+        _log.info("peer", peer=stored.name, role=entry.role, address=entry.address)
+
+    async def _receive(self, sock: datagrams.Socket) -> None:
+        while True:
+            for got in await sock.receive():
+                known = self._known.get(got.sender)
+                if known is not None:
+                    known.heard_s = trio.current_time()
+                self._subscribers.deliver(_from(got))
+
+
+def _from(got: messages.Datagram) -> messages.Body:
+    """Write the sender into a message that has a place for it."""
+    if isinstance(got.body, messages.Uses | messages.JobClaims):
+        return dataclasses.replace(got.body, vm=got.sender)
+    return got.body
--- /dev/null
+++ b/src/cornelgrade/services/edge/runner.py
@@ -0,0 +1,447 @@
+"""The service ``runner``: runs batch items in the slots that online requests leave.
+
+Each upstream has one worker that runs batch there. Every worker may run items of every job; the
+workers tell each other which they run, and the store decides which result of an item stands.
+"""
+
+import dataclasses
+import time
+from collections.abc import Callable, Iterator
+
+import trio
+
+from cornelgrade import kernel, logs, routes, settings
+from cornelgrade.adapters import engine, platform
+from cornelgrade.policy import batch_room, health, rendezvous, route_table
+from cornelgrade.schema import messages
+from cornelgrade.services.edge import (
+    _following,
+    _signal,
+    fleet,
+    item_call,
+    job_book,
+    peers,
+    ports,
+)
+
+# Longest time between two looks at the slots; changes of load are acted on at once.
+TICK_S = 0.05
+TELL_S = 0.25
+# What another worker said it runs holds this long: six tellings.
+CLAIM_S = 1.5
+# A gateway's load holds this long: six of its reports.
+LOAD_S = 1.5
+# An item that failed is tried again after this long, so that a fault has time to pass.
+RETRY_PAUSE_S = 0.3
+# The store is asked again for a result that it did not take, a little later each time.
+STORE_PAUSE_S = 0.2
+LONGEST_STORE_PAUSE_S = 1.0
+# Jobs in one datagram, so that it stays below its size.
+JOBS_IN_A_DATAGRAM = 8
+# A route that is missing for this long was removed for good.
+ROUTE_GONE_S = 4.0
+# Kept back from the grace of a stop for telling the others.
+STOP_MARGIN_S = 1.0
+_MS_PER_S = 1000.0
+_log = logs.Logger("runner")
+
+
+@dataclasses.dataclass(slots=True)
+class _Run:
+    """An item that runs here.
+
+    :ivar gave_way: it was cancelled for online requests.
+    """
+
+    upstream: str
+    started_s: float
+    scope: trio.CancelScope
+    gave_way: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class _Job:
+    """An open job as this worker knows it; ``done`` has one bit for each item."""
+
+    header: job_book.Header
+    version: int
+    items: tuple[ports.Item, ...] = ()
+    done: int = 0
+    runs: dict[int, _Run] = dataclasses.field(default_factory=dict)
+    storing: set[int] = dataclasses.field(default_factory=set)
+    partial: dict[int, item_call.Partial] = dataclasses.field(default_factory=dict)
+    failures: dict[int, int] = dataclasses.field(default_factory=dict)
+    not_before_s: dict[int, float] = dataclasses.field(default_factory=dict)
+    claims: dict[str, tuple[int, float]] = dataclasses.field(default_factory=dict)
+    closing: bool = False
+    route_seen_s: float = 0.0
+
+    @property
+    def complete(self) -> bool:
+        return self.done == (1 << self.header.total) - 1
+
+    def claimed(self, now_s: float) -> int:
+        """Give the items that other workers run."""
+        bits = 0
+        for running, at_s in self.claims.values():
+            bits |= running if now_s - at_s < CLAIM_S else 0
+        return bits
+
+    def held(self) -> int:
+        """Give the items that run here or whose results are on their way to the store."""
+        return sum(1 << index for index in {*self.runs, *self.storing})
+
+
+class Runner:
+    """Owns the batch items that run in this process."""
+
+    name = "runner"
+
+    def __init__(
+        self,
+        kern: kernel.Kernel,
+        cfg: settings.EdgeSettings,
+        store: platform.Platform,
+        contact: _following.Contact,
+        caller: item_call.ItemCaller,
+    ) -> None:
+        self._fleet = kern.find("fleet", fleet.Fleet)
+        self._peers = kern.find("peers", peers.Peers)
+        self._cfg = cfg
+        self._store = store
+        self._book = job_book.JobBook(store, cfg.value_bytes)
+        self._contact = contact
+        self._caller = caller
+        self._jobs: dict[str, _Job] = {}
+        self._online: dict[str, dict[str, tuple[int, float]]] = {}
+        self._health: dict[str, health.Health] = {}
+        self._wake = _signal.Signal()
+        self._stopping = False
+        self._nursery: trio.Nursery | None = None
+
+    async def run(self, started: Callable[[], None]) -> None:
+        """Run items until cancelled."""
+        uses = self._peers.subscribe(messages.Uses)
+        claims = self._peers.subscribe(messages.JobClaims)
+        async with trio.open_nursery() as self._nursery:
+            nursery = self._nursery
+            nursery.start_soon(self._hear_uses, uses)
+            nursery.start_soon(self._hear_claims, claims)
+            nursery.start_soon(self._tell)
+            nursery.start_soon(
+                _following.follow, self._store, job_book.HEADER_KIND, self._contact, self._headers
+            )
+            started()
+            while True:
+                self._schedule()
+                with trio.move_on_after(TICK_S):
+                    await self._wake.wait()
+
+    async def drain(self) -> None:
+        """Start nothing more, and let what runs end if it can within the grace."""
+        self._stopping = True
+        with trio.move_on_after(self._cfg.stop_grace_s - STOP_MARGIN_S):
+            while any(job.runs or job.storing for job in self._jobs.values()):
+                await trio.sleep(TICK_S)
+        left = sum(len(job.runs) for job in self._jobs.values())
+        _log.info("drained", items_left=left)
+
+    # Jobs
+
+    async def _headers(self, changes: platform.Changes, whole: bool) -> None:
+        for stored in changes.items:
+            found = job_book.read_header(stored)
+            await self._follow_job(found, fresh=not whole)
+
+    async def _follow_job(self, found: job_book.Found, *, fresh: bool) -> None:
+        header = found.header
+        known = self._jobs.get(header.job)
+        if header.state != "open":
+            if known is not None:
+                self._drop(known, header.state)
+            return
+        if known is not None:
+            known.version = found.version
+            return
+        job = _Job(header, found.version, route_seen_s=trio.current_time())
+        self._jobs[header.job] = job
+        assert self._nursery is not None
+        self._nursery.start_soon(self._load, job, fresh)
+
+    def _drop(self, job: _Job, why: str) -> None:
+        self._jobs.pop(job.header.job, None)
+        _log.info("job_dropped", job=job.header.job, why=why, running=len(job.runs))
+        for run in job.runs.values():
+            run.scope.cancel()
+
+    async def _load(self, job: _Job, fresh: bool) -> None:
+        """Read a job's input, and which of its items are done."""
+        while self._jobs.get(job.header.job) is job:
+            try:
+                if not fresh:
+                    listed, _, _ = await self._book.results(job.header.job, 0, 0.0)
+                    job.done |= sum(1 << entry.index for entry in listed)
+                job.items = await self._book.items(job.header)
+                _log.info("job_loaded", job=job.header.job, items=job.header.total, done=job.done)
+                self._wake.give()
+                return
+            except platform.UnavailableError as exc:
+                _log.warning("job_not_loaded", job=job.header.job, error=exc.show())
+                await trio.sleep(RETRY_PAUSE_S)
+
+    def _open_items(self, job: _Job, now_s: float) -> Iterator[int]:
+        """Give the items that nobody runs and that may be tried now."""
+        taken = job.done | job.claimed(now_s) | job.held()
+        for index in range(len(job.items)):
+            if not taken >> index & 1 and now_s >= job.not_before_s.get(index, 0.0):
+                yield index
+
+    # Slots
+
+    def _schedule(self) -> None:
+        now_s = trio.current_time()
+        for job in tuple(self._jobs.values()):
+            self._settle(job, now_s)
+        table = self._fleet.table()
+        if table is None or self._stopping:
+            return
+        waiting = self._waiting(now_s)
+        for reg in self._fleet.upstreams():
+            up = reg.upstream
+            sound = health.usable(self._health.get(up.name, health.HEALTHY), now_s)
+            if self._owns(up) and sound and not reg.doubted_until_s:
+                self._fill(up, table, waiting, now_s)
+
+    def _owns(self, up: routes.Upstream) -> bool:
+        return self._peers.batch_owner(up.name, up.failure_domain) == self._cfg.vm
+
+    def _fill(
+        self,
+        up: routes.Upstream,
+        table: route_table.RouteTable,
+        waiting: list[batch_room.Waiting],
+        now_s: float,
+    ) -> None:
+        change = batch_room.change(self._use(up, now_s))
+        for _ in range(-change):
+            self._give_way(up.name)
+        started = 0
+        for entry in tuple(waiting):
+            if started >= change:
+                return
+            job = self._jobs[entry.job]
+            if self._service(table, job, entry.index) == up.service:
+                waiting.remove(entry)
+                self._start(job, entry.index, up)
+                started += 1
+
+    def _use(self, up: routes.Upstream, now_s: float) -> batch_room.Use:
+        fresh = [
+            count for count, at_s in self._online.get(up.name, {}).values() if now_s - at_s < LOAD_S
+        ]
+        batch = sum(
+            run.upstream == up.name for job in self._jobs.values() for run in job.runs.values()
+        )
+        return batch_room.Use(up.slots, sum(fresh), batch, heard=bool(fresh))
+
+    def _waiting(self, now_s: float) -> list[batch_room.Waiting]:
+        waiting = [
+            batch_room.Waiting(job.header.job, index, job.header.due_ms / _MS_PER_S)
+            for job in self._jobs.values()
+            for index in self._open_items(job, now_s)
+        ]
+        return batch_room.order(waiting, self._cfg.vm, time.time())
+
+    def _service(self, table: route_table.RouteTable, job: _Job, index: int) -> str | None:
+        """Give the service that runs an item under the plan in force."""
+        item = job.items[index]
+        route = table.find(job.header.host, item.target)
+        if route is None or not route.targets:
+            return None
+        job.route_seen_s = trio.current_time()
+        return route_table.pick_service(route, item.name)
+
+    def _give_way(self, upstream: str) -> None:
+        """Cancel the item that was started last: it loses the least."""
+        runs = [
+            run
+            for job in self._jobs.values()
+            for run in job.runs.values()
+            if run.upstream == upstream and not run.gave_way
+        ]
+        if runs:
+            last = max(runs, key=lambda run: run.started_s)
+            last.gave_way = True
+            last.scope.cancel()
+
+    def _start(self, job: _Job, index: int, up: routes.Upstream) -> None:
+        assert self._nursery is not None
+        run = _Run(up.name, trio.current_time(), trio.CancelScope())
+        job.runs[index] = run
+        self._nursery.start_soon(self._run, job, index, up, run)
+
+    # Items
+
+    async def _run(self, job: _Job, index: int, up: routes.Upstream, run: _Run) -> None:
+        item = job.items[index]
+        partial = job.partial.setdefault(index, item_call.Partial())
+        outcome = "cancelled"
+        try:
+            with run.scope:
+                result = await self._caller.call(job.header, item, up, partial)
+                outcome = result.end.value if result else "failed"
+                self._health.pop(up.name, None)
+                self._take(job, index, result)
+        except engine.CallError as exc:
+            outcome = exc.show()
+            job.not_before_s[index] = trio.current_time() + RETRY_PAUSE_S
+            if exc.progress is engine.Progress.NOT_SENT or exc.silent:
+                self._suspect(up, exc)
+        finally:
+            job.runs.pop(index, None)
+            self._wake.give()
+            _log.info(
+                "item",
+                item=item.name,
+                job=job.header.job,
+                upstream=up.name,
+                outcome="gave_way" if run.gave_way and run.scope.cancelled_caught else outcome,
+                events=partial.events,
+                took_s=trio.current_time() - run.started_s,
+            )
+
+    def _suspect(self, up: routes.Upstream, exc: engine.CallError) -> None:
+        now_s = trio.current_time()
+        before = self._health.get(up.name, health.HEALTHY)
+        self._health[up.name] = health.failed(before, now_s)
+        _log.info("upstream_suspect", upstream=up.name, error=exc.show())
+
+    def _take(self, job: _Job, index: int, result: ports.ItemResult | None) -> None:
+        """Store a final result; count a failure and give the item up after too many."""
+        if result is None:
+            job.failures[index] = job.failures.get(index, 0) + 1
+            job.partial.pop(index, None)
+            job.not_before_s[index] = trio.current_time() + RETRY_PAUSE_S
+            if job.failures[index] < self._max_attempts(job, index):
+                return
+            result = _given_up(job.items[index])
+        self._store_soon(job, index, result)
+
+    def _max_attempts(self, job: _Job, index: int) -> int:
+        table = self._fleet.table()
+        route = table.find(job.header.host, job.items[index].target) if table else None
+        return route.max_attempts if route else 1
+
+    def _store_soon(self, job: _Job, index: int, result: ports.ItemResult) -> None:
+        assert self._nursery is not None
+        job.storing.add(index)
+        self._nursery.start_soon(self._store_result, job, index, result)
+
+    async def _store_result(self, job: _Job, index: int, result: ports.ItemResult) -> None:
+        pause_s = STORE_PAUSE_S
+        while self._jobs.get(job.header.job) is job:
+            try:
+                await self._book.add_result(job.header.job, index, result)
+                break
+            except platform.UnavailableError as exc:
+                _log.info("result_not_stored", item=result.item, error=exc.show())
+                await trio.sleep(pause_s)
+                pause_s = min(2 * pause_s, LONGEST_STORE_PAUSE_S)
+        job.done |= 1 << index
+        job.storing.discard(index)
+        job.partial.pop(index, None)
+        self._wake.give()
+
+    # Ends of jobs
+
+    def _settle(self, job: _Job, now_s: float) -> None:
+        """Close a job whose results are all there, and give up items whose time is over."""
+        workers = self._peers.living(peers.Role.WORKER)
+        owner = max(workers, key=lambda vm: rendezvous.score(job.header.job, vm))
+        if owner != self._cfg.vm or job.closing:
+            return
+        if job.complete:
+            assert self._nursery is not None
+            job.closing = True
+            self._nursery.start_soon(self._close, job)
+        elif self._over(job, now_s):
+            for index in tuple(self._open_items(job, now_s)):
+                self._store_soon(job, index, _given_up(job.items[index]))
+
+    def _over(self, job: _Job, now_s: float) -> bool:
+        """Whether a job's items may be given up: their time is over or their route is gone."""
+        expired = time.time() * _MS_PER_S > job.header.expires_ms
+        table = self._fleet.table()
+        if table is None or not job.items:
+            return expired and bool(job.items)
+        if table.find(job.header.host, job.items[0].target) is not None:
+            job.route_seen_s = now_s
+        return expired or now_s - job.route_seen_s > ROUTE_GONE_S
+
+    async def _close(self, job: _Job) -> None:
+        try:
+            await self._book.close(job_book.Found(job.header, job.version), "done")
+            self._drop(job, "done")
+        except platform.UnavailableError as exc:
+            _log.info("job_not_closed", job=job.header.job, error=exc.show())
+            await trio.sleep(RETRY_PAUSE_S)
+        finally:
+            job.closing = False
+
+    # Peers
+
+    async def _hear_uses(self, heard: trio.MemoryReceiveChannel[messages.Uses]) -> None:
+        async for got in heard:
+            now_s = trio.current_time()
+            for use in got.uses:
+                self._online.setdefault(use.upstream, {})[got.vm] = (use.online, now_s)
+            self._wake.give()
+
+    async def _hear_claims(self, heard: trio.MemoryReceiveChannel[messages.JobClaims]) -> None:
+        async for got in heard:
+            now_s = trio.current_time()
+            for claim in got.claims:
+                job = self._jobs.get(claim.job)
+                if job is not None:
+                    job.claims[got.vm] = (claim.running, now_s)
+                    job.done |= claim.done
+
+    async def _tell(self) -> None:
+        while True:
+            self._tell_workers()
+            self._tell_gateways()
+            with trio.move_on_after(TELL_S):
+                await self._wake.wait()
+            await trio.sleep(TICK_S)
+
+    def _tell_workers(self) -> None:
+        claims = [
+            messages.JobClaim(job.header.job, job.held(), job.done) for job in self._jobs.values()
+        ]
+        groups = [
+            tuple(claims[at : at + JOBS_IN_A_DATAGRAM])
+            for at in range(0, len(claims), JOBS_IN_A_DATAGRAM)
+        ]
+        for vm in self._peers.living(peers.Role.WORKER):
+            for group in groups or [()]:
+                self._peers.send(vm, messages.JobClaims(group))
+
+    def _tell_gateways(self) -> None:
+        """Tell each gateway of the others' requests at the upstreams that it asked about."""
+        now_s = trio.current_time()
+        told: dict[str, list[messages.UpstreamUse]] = {}
+        for reg in self._fleet.upstreams():
+            up = reg.upstream
+            if not self._owns(up):
+                continue
+            use = self._use(up, now_s)
+            for vm, (count, at_s) in self._online.get(up.name, {}).items():
+                if now_s - at_s < LOAD_S:
+                    other = messages.UpstreamUse(up.name, use.online - count, use.batch)
+                    told.setdefault(vm, []).append(other)
+        for vm, uses in told.items():
+            self._peers.send(vm, messages.Uses(tuple(uses)))
+
+
+def _given_up(item: ports.Item) -> ports.ItemResult:
+    return ports.ItemResult(item.name, ports.ItemEnd.GIVEN_UP, "")
--- /dev/null
+++ b/src/cornelgrade/services/edge/seats.py
@@ -0,0 +1,236 @@
+"""The service ``seats``: which upstream a gateway's next online request goes to, or that it waits.
+
+A gateway tells an upstream's batch owner how many requests it has there, at once when that
+changes, so that batch gives way; the owner answers with everybody else's.
+"""
+
+import dataclasses
+import itertools
+import random
+from collections.abc import Callable
+from types import TracebackType
+
+import trio
+
+from cornelgrade import errors, kernel, logs, routes, settings
+from cornelgrade.policy import health, placement, rendezvous
+from cornelgrade.schema import messages
+from cornelgrade.services.edge import fleet, peers
+
+# A lost datagram is made up for after this long.
+REFRESH_S = 0.25
+# Figures of others that are older than this are not used: four refreshes.
+STALE_S = 1.0
+# Upstreams that a gateway considers at once, so that its messages stay bounded in a large fleet.
+NEAR_UPSTREAMS = 16
+FAR_UPSTREAMS = 8
+# When to come back after a refusal: about the time in which an upstream ends a request.
+RETRY_AFTER_S = 0.4
+_log = logs.Logger("seats")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Report:
+    others: int
+    batch: int
+    at_s: float
+
+
+class Seat:
+    """A place at an upstream; a context manager that gives it back."""
+
+    def __init__(self, owner: "Seats", upstream: routes.Upstream) -> None:
+        self.upstream = upstream
+        self._owner = owner
+
+    def __enter__(self) -> "Seat":
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        self._owner.give_back(self.upstream)
+
+
+@dataclasses.dataclass(slots=True)
+class _Waiter:
+    service: str
+    rank: int
+    number: int
+    exclude: frozenset[str]
+    found: routes.Upstream | None = None
+    wake: trio.Event = dataclasses.field(default_factory=trio.Event)
+
+
+class Seats:
+    """Counts requests at upstreams and lets those that find no room wait in order."""
+
+    name = "seats"
+
+    def __init__(self, kern: kernel.Kernel, cfg: settings.EdgeSettings) -> None:
+        self._fleet = kern.find("fleet", fleet.Fleet)
+        self._peers = kern.find("peers", peers.Peers)
+        self._cfg = cfg
+        self._rng = random.Random(cfg.vm)
+        self._own: dict[str, int] = {}
+        self._reports: dict[str, _Report] = {}
+        self._health: dict[str, health.Health] = {}
+        self._waiting: list[_Waiter] = []
+        self._numbers = itertools.count()
+
+    async def run(self, started: Callable[[], None]) -> None:
+        """Tell and hear uses until cancelled."""
+        heard = self._peers.subscribe(messages.Uses)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._hear, heard)
+            nursery.start_soon(self._refresh)
+            nursery.start_soon(self._on_change)
+            started()
+
+    async def take(
+        self, service: str, rank: int, exclude: frozenset[str], longest_wait_s: float
+    ) -> Seat:
+        """Give a place, at once if there is one.
+
+        :param exclude: upstreams that already failed this request; used if there are no others.
+        :raises Refusal: ``OVERLOADED`` if none gets free in time, ``UNAVAILABLE`` if there is no
+            upstream at all.
+        """
+        waiter = _Waiter(service, rank, next(self._numbers), exclude)
+        if not self._candidates(service, exclude):
+            raise self._refusal(errors.Code.UNAVAILABLE, f"no upstream of {service}")
+        self._waiting.append(waiter)
+        self._waiting.sort(key=lambda w: (w.rank, w.number))
+        self._dispatch()
+        try:
+            with trio.move_on_after(longest_wait_s):
+                await waiter.wake.wait()
+        except trio.Cancelled:
+            self._leave(waiter)
+            raise
+        if waiter.found is None:
+            self._waiting.remove(waiter)
+            raise self._refusal(errors.Code.OVERLOADED, f"no room at {service}")
+        return Seat(self, waiter.found)
+
+    def _leave(self, waiter: _Waiter) -> None:
+        if waiter.found is None:
+            self._waiting.remove(waiter)
+        else:
+            self.give_back(waiter.found)
+
+    def give_back(self, upstream: routes.Upstream) -> None:
+        """Free a place."""
+        self._count(upstream, -1)
+        self._dispatch()
+
+    def failed(self, upstream: routes.Upstream, reason: str) -> None:
+        """Note that an upstream could not be reached or fell silent."""
+        now_s = trio.current_time()
+        before = self._health.get(upstream.name, health.HEALTHY)
+        after = health.failed(before, now_s)
+        if after != before:
+            self._health[upstream.name] = after
+            _log.warning(
+                "upstream_suspect",
+                upstream=upstream.name,
+                failures=after.failures,
+                for_s=after.retry_at_s - now_s,
+                reason=reason,
+            )
+
+    def answered(self, upstream: routes.Upstream) -> None:
+        """Note that an upstream answers."""
+        if self._health.pop(upstream.name, None):
+            _log.info("upstream_answers", upstream=upstream.name)
+
+    def _candidates(self, service: str, exclude: frozenset[str]) -> list[placement.Seen]:
+        now_s = trio.current_time()
+        known = [reg for reg in self._fleet.upstreams() if reg.upstream.service == service]
+        sound = [
+            reg
+            for reg in known
+            if health.usable(self._health.get(reg.upstream.name, health.HEALTHY), now_s)
+        ]
+        fresh = [reg for reg in sound if reg.upstream.name not in exclude]
+        return [
+            self._seen(reg.upstream, bool(reg.doubted_until_s), now_s)
+            for reg in fresh or sound or known
+        ]
+
+    def _seen(self, up: routes.Upstream, doubtful: bool, now_s: float) -> placement.Seen:
+        report = self._reports.get(up.name)
+        if report is not None and now_s - report.at_s > STALE_S:
+            report = None
+        return placement.Seen(
+            name=up.name,
+            slots=up.slots,
+            local=up.failure_domain == self._cfg.failure_domain,
+            own=self._own.get(up.name, 0),
+            others=report.others if report else 0,
+            batch=report.batch if report else 0,
+            doubtful=doubtful,
+        )
+
+    def _dispatch(self) -> None:
+        for waiter in tuple(self._waiting):
+            candidates = self._candidates(waiter.service, waiter.exclude)
+            chosen = placement.choose(tuple(candidates), self._rng)
+            if chosen is None:
+                continue
+            waiter.found = self._upstream(chosen.name)
+            self._waiting.remove(waiter)
+            self._count(waiter.found, 1)
+            waiter.wake.set()
+
+    def _upstream(self, name: str) -> routes.Upstream:
+        return next(r.upstream for r in self._fleet.upstreams() if r.upstream.name == name)
+
+    def _count(self, upstream: routes.Upstream, change: int) -> None:
+        count = self._own.get(upstream.name, 0) + change
+        if count:
+            self._own[upstream.name] = count
+        else:
+            self._own.pop(upstream.name, None)
+        owner = self._peers.batch_owner(upstream.name, upstream.failure_domain)
+        if owner is not None:
+            self._peers.send(owner, messages.Uses((messages.UpstreamUse(upstream.name, count),)))
+
+    def _considered(self) -> list[routes.Upstream]:
+        """Give the upstreams whose load this gateway wants to know: a bounded number."""
+        known = [reg.upstream for reg in self._fleet.upstreams()]
+        ranked = sorted(known, key=lambda up: rendezvous.score(up.name, self._cfg.vm))
+        near = [up for up in ranked if up.failure_domain == self._cfg.failure_domain]
+        far = [up for up in ranked if up.failure_domain != self._cfg.failure_domain]
+        return near[:NEAR_UPSTREAMS] + far[:FAR_UPSTREAMS]
+
+    async def _refresh(self) -> None:
+        while True:
+            by_owner: dict[str, list[messages.UpstreamUse]] = {}
+            for up in self._considered():
+                owner = self._peers.batch_owner(up.name, up.failure_domain)
+                if owner is not None:
+                    use = messages.UpstreamUse(up.name, self._own.get(up.name, 0))
+                    by_owner.setdefault(owner, []).append(use)
+            for owner, uses in by_owner.items():
+                self._peers.send(owner, messages.Uses(tuple(uses)))
+            await trio.sleep(REFRESH_S)
+
+    async def _hear(self, heard: trio.MemoryReceiveChannel[messages.Uses]) -> None:
+        async for got in heard:
+            now_s = trio.current_time()
+            for use in got.uses:
+                self._reports[use.upstream] = _Report(use.online, use.batch, now_s)
+            self._dispatch()
+
+    async def _on_change(self) -> None:
+        while True:
+            await self._fleet.changed.wait()
+            self._dispatch()
+
+    @staticmethod
+    def _refusal(code: errors.Code, message: str) -> errors.Refusal:
+        return errors.Refusal(code, message, step="choose", retry_after_s=RETRY_AFTER_S)
--- a/src/cornelgrade/settings.py
+++ b/src/cornelgrade/settings.py
@@ -53,3 +53,31 @@
     log_level: Literal["debug", "info", "notice", "warning", "error"] = "info"
     tracing: Tracing | None = None
     drain_grace_s: Annotated[float, msgspec.Meta(ge=0, le=600)] = 1.0
+
+
+class EdgeSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """What a program that forwards by host and path needs to know when it starts.
+
+    Addresses are ``IP:port``.
+
+    :param caller_address: where callers connect, gateways only.
+    :param ready_address: where the balancer asks whether to send callers here, gateways only.
+    :param store_address: the platform's object store.
+    :param value_bytes: largest object that the store takes.
+    :param metrics_address: where metrics are served; none are if it is not set.
+    :param stop_grace_s: from the signal to stop until the process is killed.
+    :param retention_s: how long a job stays readable after its submission.
+    """
+
+    vm: Name
+    failure_domain: Name
+    caller_address: Address | None = None
+    ready_address: Address | None = None
+    peer_address: Address
+    metrics_address: Address | None = None
+    store_address: Address
+    store_deadline_s: Seconds = 2.0
+    value_bytes: Annotated[int, msgspec.Meta(ge=65_536)] = 1_000_000
+    stop_grace_s: Seconds = 8.0
+    retention_s: Seconds = 120.0
+    log_level: Literal["debug", "info", "notice", "warning", "error"] = "info"
--- a/src/cornelgrade/standins/fault_proxy.py
+++ b/src/cornelgrade/standins/fault_proxy.py
@@ -8,7 +8,8 @@
 import msgspec
 import trio
 
-from cornelgrade.standins import _address, _http_server
+from cornelgrade import addresses
+from cornelgrade.standins import _http_server
 
 READ_BYTES = 65_536
 QUEUE_CHUNKS = 64
@@ -59,9 +60,9 @@
         self, address: str, task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED
     ) -> None:
         """Relay until cancelled; reports the bound ``IP:port``."""
-        host, port = _address.split(address)
+        host, port = addresses.split(address)
         listeners = await trio.open_tcp_listeners(port, host=host)
-        bound = _address.join(host, listeners[0].socket.getsockname()[1])
+        bound = addresses.join(host, listeners[0].socket.getsockname()[1])
         task_status.started(bound)
         await trio.serve_listeners(self._accepted, listeners)
 
@@ -77,7 +78,7 @@
             _reset_on_close(near)
             return
         try:
-            far = await trio.open_tcp_stream(*_address.split(self.target))
+            far = await trio.open_tcp_stream(*addresses.split(self.target))
         except OSError:
             _reset_on_close(near)
             return
--- a/tests/fleet/test_datagrams.py
+++ b/tests/fleet/test_datagrams.py
@@ -8,6 +8,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from cornelgrade import addresses
 from cornelgrade.adapters import datagrams, peer_key
 from cornelgrade.schema import codec, messages
 from cornelgrade.services import ports
@@ -92,7 +93,7 @@
     ):
         a.send(b.address, messages.Ping(1))
         c.send(b.address, messages.Ping(2))
-        a._sock.sendto(b"y" * 32, datagrams.split_address(b.address))
+        a._sock.sendto(b"y" * 32, addresses.split(b.address))
         got = await b.receive()
         assert [(d.sender, d.body) for d in got] == [("a", messages.Ping(1))]
         assert b.dropped == {Dropped.WRONG_KEY: 2}
@@ -104,7 +105,7 @@
         raw = fleet_helpers.KEY.tag(b.address.encode(), payload) + payload
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as anyone:
             for _ in range(3):
-                anyone.sendto(raw, datagrams.split_address(b.address))
+                anyone.sendto(raw, addresses.split(b.address))
         assert len(await b.receive()) == 1
         assert b.dropped == {Dropped.REPLAY: 2}
 
