Batch gives way by what upstreams report too; starts beside the recent peak; cuts heal

Processes that fell silent were never told anything again, so a healed cut stayed a cut. Ruled out: slow gateways (0.07 cores), the store (calls were answered). Items that were cancelled right after their start had read their prompts for nothing.

--- a/src/cornelgrade/edge_daemons.py
+++ b/src/cornelgrade/edge_daemons.py
@@ -65,7 +65,7 @@
     """Add a worker's services in the order in which they start, and give its shutdown."""
     contact = _add_common(kern, cfg, outside, peers.Role.WORKER)
     caller = item_call.ItemCaller(outside.calls)
-    running = runner.Runner(kern, cfg, outside.store, contact, caller)
+    running = runner.Runner(kern, cfg, outside.store, contact, caller, outside.calls)
     kern.add(running)
     return running.drain
 
--- a/src/cornelgrade/platform/calls.py
+++ b/src/cornelgrade/platform/calls.py
@@ -2,6 +2,9 @@
 
 import math
 
+import msgspec
+
+from cornelgrade import logs
 from cornelgrade.adapters import http1
 from cornelgrade.services.edge import ports
 
@@ -14,12 +17,29 @@
 _RETRY_AFTER = "Retry-After"
 _WRONG_INSTANCE = 421
 _MS_PER_S = 1000.0
+_log = logs.Logger("calls")
 _SET_HERE = frozenset((_DEADLINE, _EXPECT, b"content-length"))
 
 
+class _Report(msgspec.Struct):
+    running: int
+    waiting: int
+
+
 class Calls:
     """Implements :class:`ports.Calls` as the platform's clients and engines speak."""
 
+    load_target = b"/report"
+
+    def load(self, body: bytes) -> ports.UpstreamLoad | None:
+        """Read an engine's report of itself."""
+        try:
+            got = msgspec.json.decode(body, type=_Report)
+        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+            _log.warning("report_unreadable", error=repr(exc))
+            return None
+        return ports.UpstreamLoad(got.running, got.waiting)
+
     def caller(self, headers: http1.Headers) -> ports.Caller:
         """Read what a caller says of its request."""
         found = dict(headers)
--- a/src/cornelgrade/policy/batch_room.py
+++ b/src/cornelgrade/policy/batch_room.py
@@ -7,33 +7,74 @@
 # Slots left free for the next online request, so that it starts without waiting for an item to
 # give way.
 SPARE_SLOTS = 1
-# Share of the slots that batch uses while no gateway's load was heard.
-UNHEARD_SHARE = 0.5
+# Items are started beside the highest online load of this time: one that is cancelled right after
+# its start has cost a prompt for nothing.
+PEAK_S = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Use:
     """What is known of an upstream.
 
-    :param online: online requests of all gateways.
+    :param online: online requests there, as the gateways tell.
+    :param peak: the most of them within :data:`PEAK_S`.
     :param batch: batch items that this VM runs there.
-    :param heard: whether any gateway's load was heard lately.
+    :param heard: whether any gateway told its load lately.
+    :param reported: requests there that this VM did not send, by the upstream's own late report;
+        ``None`` if there is no fresh one.
+    :param reported_waiting: requests that wait there by the same report.
     """
 
     slots: int
     online: int
     batch: int
+    peak: int = 0
     heard: bool = True
+    reported: int | None = None
+    reported_waiting: int = 0
+
+
+def others(use: Use) -> int | None:
+    """Count the requests that batch has to make room for, ``None`` if nothing is known.
+
+    The gateways' word is fresh, so it goes before the upstream's own; but where requests wait,
+    someone was not heard.
+    """
+    if use.reported is not None and (use.reported_waiting or not use.heard):
+        return max(use.online, use.reported)
+    return use.online if use.heard else None
 
 
 def change(use: Use) -> int:
     """Say how many items to start (positive) or to cancel (negative)."""
-    if not use.heard:
-        return int(use.slots * UNHEARD_SHARE) - use.batch
-    free = use.slots - use.online - use.batch
+    online = others(use)
+    if online is None:
+        return 0
+    free = use.slots - online - use.batch
     if free < 0:
         return max(free, -use.batch)
-    return max(0, free - SPARE_SLOTS)
+    return max(0, use.slots - max(online, use.peak) - use.batch - SPARE_SLOTS)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Running:
+    """An item that runs.
+
+    :param events: those it has brought so far in all its runs.
+    """
+
+    job: str
+    index: int
+    started_s: float
+    events: int
+
+
+def gives_way(running: list[Running]) -> Running | None:
+    """Choose the item to cancel: one that can go on from its last event, the youngest of them.
+
+    One without an event would begin anew, so that its prompt was read for nothing.
+    """
+    return max(running, key=lambda r: (r.events > 0, r.started_s), default=None)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/cornelgrade/services/edge/peers.py
+++ b/src/cornelgrade/services/edge/peers.py
@@ -26,8 +26,11 @@
 SECRET_BYTES = 32
 # A process that was not heard for this long is taken for gone: six beats of a quarter second.
 SILENT_S = 1.5
-# One that was just listed counts as living until it had this time to be heard.
-LISTED_S = 3.0
+# A process that is not heard is still told something this often, so that a cut heals.
+RECALL_S = 1.0
+# Workers of a failure domain that hear of an upstream's load: its batch owner and those next in
+# line, whose view of who lives may differ.
+OWNERS = 2
 # Processes that start together register within this time; one answer then tells of them all.
 SETTLE_S = 0.5
 RETRY_S = 0.3
@@ -53,8 +56,8 @@
 @dataclasses.dataclass(slots=True)
 class _Known:
     entry: Entry
-    listed_s: float
     heard_s: float = -1e9
+    recalled_s: float = -1e9
 
 
 class Peers:
@@ -100,22 +103,41 @@
             self._socket.send(known.entry.address, body)
 
     def living(self, role: Role, failure_domain: str | None = None) -> tuple[str, ...]:
-        """Name the living processes of a role, this one included."""
-        now_s = trio.current_time()
-        found = [
-            vm
-            for vm, known in self._known.items()
-            if known.entry.role is role
-            and failure_domain in (None, known.entry.failure_domain)
-            and (now_s - known.heard_s < SILENT_S or now_s - known.listed_s < LISTED_S)
-        ]
-        own = self._own.role is role and failure_domain in (None, self._own.failure_domain)
-        return tuple(sorted({*found, *([self.vm] if own else [])}))
+        """Name the processes of a role that were heard lately, this one included."""
+        return tuple(sorted(vm for vm in self._of(role, failure_domain) if self._heard(vm)))
+
+    def audience(self, role: Role) -> tuple[str, ...]:
+        """Name the processes to tell something now: those that live and, seldom, the silent."""
+        return tuple(vm for vm in self._of(role, None) if self._heard(vm) or self._recall(vm))
 
     def batch_owner(self, upstream: str, failure_domain: str) -> str | None:
         """Name the worker that runs batch items on an upstream, a near one if any lives."""
+        return next(iter(self.batch_owners(upstream, failure_domain)), None)
+
+    def batch_owners(self, upstream: str, failure_domain: str) -> tuple[str, ...]:
+        """Name an upstream's batch owner and those that are next in line."""
         workers = self.living(Role.WORKER, failure_domain) or self.living(Role.WORKER)
-        return max(workers, key=lambda vm: rendezvous.score(upstream, vm), default=None)
+        ranked = sorted(workers, key=lambda vm: rendezvous.score(upstream, vm), reverse=True)
+        return tuple(ranked[:OWNERS])
+
+    def _of(self, role: Role, failure_domain: str | None) -> tuple[str, ...]:
+        entries = {vm: known.entry for vm, known in self._known.items()} | {self.vm: self._own}
+        return tuple(
+            vm
+            for vm, entry in entries.items()
+            if entry.role is role and failure_domain in (None, entry.failure_domain)
+        )
+
+    def _heard(self, vm: str) -> bool:
+        return vm == self.vm or trio.current_time() - self._known[vm].heard_s < SILENT_S
+
+    def _recall(self, vm: str) -> bool:
+        """Whether a silent process is due to be told something."""
+        known = self._known[vm]
+        due = trio.current_time() - known.recalled_s >= RECALL_S
+        if due:
+            known.recalled_s = trio.current_time()
+        return due
 
     async def _key(self) -> peer_key.PeerKey:
         """Read the fleet's key, or make it; the first that is stored holds."""
@@ -170,7 +192,7 @@
         known = self._known.get(stored.name)
         if stored.name == self.vm or (known and known.entry == entry):
             return
-        self._known[stored.name] = _Known(entry, trio.current_time())
+        self._known[stored.name] = _Known(entry)
         _log.info("peer", peer=stored.name, role=entry.role, address=entry.address)
 
     async def _receive(self, sock: datagrams.Socket) -> None:
--- a/src/cornelgrade/services/edge/ports.py
+++ b/src/cornelgrade/services/edge/ports.py
@@ -35,8 +35,24 @@
     UNSIGNED = "unsigned"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamLoad:
+    """Requests at an upstream, as it reports itself a moment late."""
+
+    running: int
+    waiting: int
+
+
 class Calls(Protocol):
-    """How requests and answers are written in headers and statuses."""
+    """How requests and answers are written in headers and statuses.
+
+    :ivar load_target: where an upstream tells its load.
+    """
+
+    load_target: bytes
+
+    def load(self, body: bytes) -> UpstreamLoad | None:
+        """Read an upstream's load, ``None`` if it can't be read."""
 
     def caller(self, headers: http1.Headers) -> Caller:
         """Read what a caller says of its request."""
--- a/src/cornelgrade/services/edge/runner.py
+++ b/src/cornelgrade/services/edge/runner.py
@@ -4,6 +4,7 @@
 workers tell each other which they run, and the store decides which result of an item stands.
 """
 
+import collections
 import dataclasses
 import time
 from collections.abc import Callable, Iterator
@@ -22,6 +23,7 @@
     job_book,
     peers,
     ports,
+    upstream_loads,
 )
 
 # Longest time between two looks at the slots; changes of load are acted on at once.
@@ -104,6 +106,7 @@
         store: platform.Platform,
         contact: _following.Contact,
         caller: item_call.ItemCaller,
+        calls: ports.Calls,
     ) -> None:
         self._fleet = kern.find("fleet", fleet.Fleet)
         self._peers = kern.find("peers", peers.Peers)
@@ -112,6 +115,8 @@
         self._book = job_book.JobBook(store, cfg.value_bytes)
         self._contact = contact
         self._caller = caller
+        self._loads = upstream_loads.UpstreamLoads(calls, self._items_at)
+        self._seen: dict[str, collections.deque[tuple[float, int]]] = {}
         self._jobs: dict[str, _Job] = {}
         self._online: dict[str, dict[str, tuple[int, float]]] = {}
         self._health: dict[str, health.Health] = {}
@@ -128,6 +133,7 @@
             nursery.start_soon(self._hear_uses, uses)
             nursery.start_soon(self._hear_claims, claims)
             nursery.start_soon(self._tell)
+            nursery.start_soon(self._loads.follow, self._owned, self._suspect)
             nursery.start_soon(
                 _following.follow, self._store, job_book.HEADER_KIND, self._contact, self._headers
             )
@@ -212,6 +218,9 @@
             if self._owns(up) and sound and not reg.doubted_until_s:
                 self._fill(up, table, waiting, now_s)
 
+    def _owned(self) -> list[routes.Upstream]:
+        return [reg.upstream for reg in self._fleet.upstreams() if self._owns(reg.upstream)]
+
     def _owns(self, up: routes.Upstream) -> bool:
         return self._peers.batch_owner(up.name, up.failure_domain) == self._cfg.vm
 
@@ -239,10 +248,31 @@
         fresh = [
             count for count, at_s in self._online.get(up.name, {}).values() if now_s - at_s < LOAD_S
         ]
-        batch = sum(
-            run.upstream == up.name for job in self._jobs.values() for run in job.runs.values()
+        online = sum(fresh)
+        report = self._loads.latest(up.name, now_s)
+        return batch_room.Use(
+            slots=up.slots,
+            online=online,
+            batch=self._items_at(up.name),
+            peak=self._peak(up.name, online, now_s),
+            heard=bool(fresh),
+            reported=report.others if report else None,
+            reported_waiting=report.waiting if report else 0,
+        )
+
+    def _peak(self, upstream: str, online: int, now_s: float) -> int:
+        """Note the online load and give its highest value of late."""
+        seen = self._seen.setdefault(upstream, collections.deque())
+        seen.append((now_s, online))
+        while seen and now_s - seen[0][0] > batch_room.PEAK_S:
+            seen.popleft()
+        return max(count for _, count in seen)
+
+    def _items_at(self, upstream: str) -> int:
+        """Count the items that run at an upstream."""
+        return sum(
+            run.upstream == upstream for job in self._jobs.values() for run in job.runs.values()
         )
-        return batch_room.Use(up.slots, sum(fresh), batch, heard=bool(fresh))
 
     def _waiting(self, now_s: float) -> list[batch_room.Waiting]:
         waiting = [
@@ -262,21 +292,22 @@
         return route_table.pick_service(route, item.name)
 
     def _give_way(self, upstream: str) -> None:
-        """Cancel the item that was started last: it loses the least."""
-        runs = [
-            run
+        running = [
+            batch_room.Running(job.header.job, index, run.started_s, job.partial[index].events)
             for job in self._jobs.values()
-            for run in job.runs.values()
+            for index, run in job.runs.items()
             if run.upstream == upstream and not run.gave_way
         ]
-        if runs:
-            last = max(runs, key=lambda run: run.started_s)
-            last.gave_way = True
-            last.scope.cancel()
+        chosen = batch_room.gives_way(running)
+        if chosen is not None:
+            run = self._jobs[chosen.job].runs[chosen.index]
+            run.gave_way = True
+            run.scope.cancel()
 
     def _start(self, job: _Job, index: int, up: routes.Upstream) -> None:
         assert self._nursery is not None
         run = _Run(up.name, trio.current_time(), trio.CancelScope())
+        job.partial.setdefault(index, item_call.Partial())
         job.runs[index] = run
         self._nursery.start_soon(self._run, job, index, up, run)
 
@@ -284,7 +315,7 @@
 
     async def _run(self, job: _Job, index: int, up: routes.Upstream, run: _Run) -> None:
         item = job.items[index]
-        partial = job.partial.setdefault(index, item_call.Partial())
+        partial = job.partial[index]
         outcome = "cancelled"
         try:
             with run.scope:
@@ -422,7 +453,7 @@
             tuple(claims[at : at + JOBS_IN_A_DATAGRAM])
             for at in range(0, len(claims), JOBS_IN_A_DATAGRAM)
         ]
-        for vm in self._peers.living(peers.Role.WORKER):
+        for vm in self._peers.audience(peers.Role.WORKER):
             for group in groups or [()]:
                 self._peers.send(vm, messages.JobClaims(group))
 
--- a/src/cornelgrade/services/edge/seats.py
+++ b/src/cornelgrade/services/edge/seats.py
@@ -195,9 +195,9 @@
             self._own[upstream.name] = count
         else:
             self._own.pop(upstream.name, None)
-        owner = self._peers.batch_owner(upstream.name, upstream.failure_domain)
-        if owner is not None:
-            self._peers.send(owner, messages.Uses((messages.UpstreamUse(upstream.name, count),)))
+        told = messages.Uses((messages.UpstreamUse(upstream.name, count),))
+        for owner in self._peers.batch_owners(upstream.name, upstream.failure_domain):
+            self._peers.send(owner, told)
 
     def _considered(self) -> list[routes.Upstream]:
         """Give the upstreams whose load this gateway wants to know: a bounded number."""
@@ -209,14 +209,15 @@
 
     async def _refresh(self) -> None:
         while True:
-            by_owner: dict[str, list[messages.UpstreamUse]] = {}
+            silent = set(self._peers.audience(peers.Role.WORKER))
+            silent -= set(self._peers.living(peers.Role.WORKER))
+            told: dict[str, list[messages.UpstreamUse]] = {vm: [] for vm in silent}
             for up in self._considered():
-                owner = self._peers.batch_owner(up.name, up.failure_domain)
-                if owner is not None:
-                    use = messages.UpstreamUse(up.name, self._own.get(up.name, 0))
-                    by_owner.setdefault(owner, []).append(use)
-            for owner, uses in by_owner.items():
-                self._peers.send(owner, messages.Uses(tuple(uses)))
+                use = messages.UpstreamUse(up.name, self._own.get(up.name, 0))
+                for owner in self._peers.batch_owners(up.name, up.failure_domain):
+                    told.setdefault(owner, []).append(use)
+            for vm, uses in told.items():
+                self._peers.send(vm, messages.Uses(tuple(uses)))
             await trio.sleep(REFRESH_S)
 
     async def _hear(self, heard: trio.MemoryReceiveChannel[messages.Uses]) -> None:
--- /dev/null
+++ b/src/cornelgrade/services/edge/upstream_loads.py
@@ -0,0 +1,92 @@
+"""Asks upstreams for the load that they see themselves."""
+
+import dataclasses
+from collections.abc import Callable
+
+import trio
+
+from cornelgrade import routes
+from cornelgrade.adapters import engine, http1
+from cornelgrade.services.edge import ports
+
+# Asked about three times a second, so that an owner who missed a gateway's word notices within
+# the time that an online request may wait.
+INTERVAL_S = 0.3
+# An upstream answers from memory, without a slot.
+TIMEOUT_S = 0.5
+FRESH_S = 0.8
+ANSWER_LIMIT_BYTES = 1_000_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Report:
+    """An upstream's load.
+
+    :param others: requests running or waiting there that are not this VM's batch items.
+    """
+
+    others: int
+    waiting: int
+    at_s: float
+
+
+class UpstreamLoads:
+    """Keeps the latest report of each upstream.
+
+    :param items_at: counts the batch items that run at an upstream.
+    """
+
+    def __init__(self, calls: ports.Calls, items_at: Callable[[str], int]) -> None:
+        self._calls = calls
+        self._items_at = items_at
+        self._reports: dict[str, Report] = {}
+
+    def latest(self, upstream: str, now_s: float) -> Report | None:
+        """Give an upstream's report if it is fresh."""
+        report = self._reports.get(upstream)
+        return report if report and now_s - report.at_s < FRESH_S else None
+
+    async def follow(
+        self,
+        asked: Callable[[], list[routes.Upstream]],
+        failed: Callable[[routes.Upstream, engine.CallError], None],
+    ) -> None:
+        """Ask until cancelled.
+
+        :param asked: the upstreams to ask now.
+        :param failed: told of an upstream that did not answer.
+        """
+        while True:
+            async with trio.open_nursery() as nursery:
+                for up in asked():
+                    nursery.start_soon(self._ask, up, failed)
+                await trio.sleep(INTERVAL_S)
+
+    async def _ask(
+        self, up: routes.Upstream, failed: Callable[[routes.Upstream, engine.CallError], None]
+    ) -> None:
+        batch = self._items_at(up.name)
+        try:
+            load = await self._load(up)
+        except engine.CallError as exc:
+            failed(up, exc)
+            return
+        if load is not None:
+            others = max(0, load.running + load.waiting - batch)
+            self._reports[up.name] = Report(others, load.waiting, trio.current_time())
+
+    async def _load(self, up: routes.Upstream) -> ports.UpstreamLoad | None:
+        with trio.move_on_after(TIMEOUT_S):
+            with await http1.connect(up.address, TIMEOUT_S) as channel:
+                host = ((b"host", up.address.encode()),)
+                await channel.send("GET", self._calls.load_target, host, b"")
+                head = await channel.head()
+                body = await channel.whole(ANSWER_LIMIT_BYTES)
+                return self._calls.load(body) if head.status == 200 else None
+        raise engine.CallError(
+            "no answer in time",
+            step="ask load",
+            peer=up.address,
+            progress=engine.Progress.NOT_SENT,
+            silent=True,
+        )
