Workers answer every gateway that speaks to them; edge tests on stand-ins

Also found there: a store that is away while a job's input is written ended the process (an exception group), and a fault in one handler ended all.

--- a/src/cornelgrade/adapters/http1_server.py
+++ b/src/cornelgrade/adapters/http1_server.py
@@ -9,6 +9,7 @@
 import dataclasses
 import socket
 import struct
+import traceback
 import urllib.parse
 from collections.abc import Awaitable, Callable
 from types import TracebackType
@@ -116,6 +117,7 @@
 
 
 Handler = Callable[[Exchange], Awaitable[None]]
+_EXPECTED = (trio.BrokenResourceError, trio.ClosedResourceError, h11.LocalProtocolError)
 
 
 class Server:
@@ -172,7 +174,7 @@
             except* (trio.BrokenResourceError, trio.ClosedResourceError):
                 _log.debug("connection_lost", peer=conn.peer)
             except* h11.LocalProtocolError as group:
-                _log.warning("answer_misframed", peer=conn.peer, error=repr(group.exceptions[0]))
+                _log.warning("answer_misframed", peer=conn.peer, error=repr(group))
                 conn.reset_on_close()
             except* BrokenOffError:
                 conn.reset_on_close()
@@ -187,12 +189,28 @@
             conn.busy = True
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(conn.watch, nursery.cancel_scope)
-                await self._handler(exchange)
+                await self._guarded(exchange)
                 nursery.cancel_scope.cancel()
             conn.busy = False
             if not conn.reusable():
                 return
 
+    async def _guarded(self, exchange: Exchange) -> None:
+        """Keep a fault in one request's handler from ending the others."""
+        try:
+            await self._handler(exchange)
+        except (*_EXPECTED, BrokenOffError):
+            raise
+        except Exception as exc:
+            place = traceback.extract_tb(exc.__traceback__)[-1]
+            _log.error(
+                "handler_failed",
+                target=exchange.target.decode("latin-1"),
+                error=repr(exc),
+                where=f"{place.name}:{place.lineno}",
+            )
+            raise BrokenOffError from exc
+
     async def _next(self, conn: "_Connection") -> Exchange | None:
         """Read a request; what can't be one is refused here and ends the connection."""
         try:
--- a/src/cornelgrade/policy/batch_room.py
+++ b/src/cornelgrade/policy/batch_room.py
@@ -4,8 +4,8 @@
 
 from cornelgrade.policy import rendezvous
 
-# Slots left free for the next online request, so that it starts without waiting for an item to
-# give way.
+# Slots kept free for the next online request: an upstream takes some tens of milliseconds to drop
+# an item, so one gives way as soon as the last free slot is taken, not when the next request waits.
 SPARE_SLOTS = 1
 # Items are started beside the highest online load of this time: one that is cancelled right after
 # its start has cost a prompt for nothing.
@@ -50,10 +50,10 @@
     online = others(use)
     if online is None:
         return 0
-    free = use.slots - online - use.batch
+    free = use.slots - SPARE_SLOTS - online - use.batch
     if free < 0:
         return max(free, -use.batch)
-    return max(0, use.slots - max(online, use.peak) - use.batch - SPARE_SLOTS)
+    return max(0, use.slots - SPARE_SLOTS - max(online, use.peak) - use.batch)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/cornelgrade/services/edge/job_book.py
+++ b/src/cornelgrade/services/edge/job_book.py
@@ -10,7 +10,6 @@
 from typing import Literal
 
 import msgspec
-import trio
 
 from cornelgrade.adapters import platform
 from cornelgrade.services.edge import ports
@@ -85,9 +84,8 @@
         blob = msgspec.msgpack.encode(items)
         size = self._piece_bytes
         pieces = [blob[at : at + size] for at in range(0, len(blob), size)]
-        async with trio.open_nursery() as nursery:
-            for number, piece in enumerate(pieces):
-                nursery.start_soon(self._add_piece, header.job, number, piece)
+        for number, piece in enumerate(pieces):
+            await self._add_piece(header.job, number, piece)
         full = msgspec.structs.replace(header, pieces=len(pieces))
         try:
             await self._store.create(HEADER_KIND, header.job, msgspec.json.encode(full))
@@ -117,19 +115,15 @@
 
     async def items(self, header: Header) -> tuple[ports.Item, ...]:
         """Read a job's input."""
-        pieces = [b""] * header.pieces
-
-        async def fetch(number: int) -> None:
-            stored = await self._store.get(INPUT_KIND, f"{header.job}.{number}")
-            if stored is None:
-                raise platform.UnavailableError("input is missing", step="read input")
-            pieces[number] = base64.b64decode(msgspec.json.decode(stored.value, type=str))
-
-        async with trio.open_nursery(strict_exception_groups=False) as nursery:
-            for number in range(header.pieces):
-                nursery.start_soon(fetch, number)
+        pieces = [await self._piece(header.job, number) for number in range(header.pieces)]
         return msgspec.msgpack.decode(b"".join(pieces), type=tuple[ports.Item, ...])
 
+    async def _piece(self, job: str, number: int) -> bytes:
+        stored = await self._store.get(INPUT_KIND, f"{job}.{number}")
+        if stored is None:
+            raise platform.UnavailableError("input is missing", step="read input")
+        return base64.b64decode(msgspec.json.decode(stored.value, type=str))
+
     async def close(self, found: Found, state: Literal["done", "ended"]) -> Header:
         """Move an open job to its final state; one that is final already stays as it is."""
         while found.header.state == "open":
--- a/src/cornelgrade/services/edge/runner.py
+++ b/src/cornelgrade/services/edge/runner.py
@@ -119,6 +119,7 @@
         self._seen: dict[str, collections.deque[tuple[float, int]]] = {}
         self._jobs: dict[str, _Job] = {}
         self._online: dict[str, dict[str, tuple[int, float]]] = {}
+        self._asking: dict[str, float] = {}
         self._health: dict[str, health.Health] = {}
         self._wake = _signal.Signal()
         self._stopping = False
@@ -424,6 +425,7 @@
     async def _hear_uses(self, heard: trio.MemoryReceiveChannel[messages.Uses]) -> None:
         async for got in heard:
             now_s = trio.current_time()
+            self._asking[got.vm] = now_s
             for use in got.uses:
                 self._online.setdefault(use.upstream, {})[got.vm] = (use.online, now_s)
             self._wake.give()
@@ -458,9 +460,15 @@
                 self._peers.send(vm, messages.JobClaims(group))
 
     def _tell_gateways(self) -> None:
-        """Tell each gateway of the others' requests at the upstreams that it asked about."""
+        """Tell each gateway of the others' requests at the upstreams that it uses.
+
+        One that uses none here gets an empty message: it has to know who lives to choose whom to
+        tell.
+        """
         now_s = trio.current_time()
-        told: dict[str, list[messages.UpstreamUse]] = {}
+        told: dict[str, list[messages.UpstreamUse]] = {
+            vm: [] for vm, at_s in self._asking.items() if now_s - at_s < LOAD_S
+        }
         for reg in self._fleet.upstreams():
             up = reg.upstream
             if not self._owns(up):
--- a/src/cornelgrade/standins/platform_store.py
+++ b/src/cornelgrade/standins/platform_store.py
@@ -200,8 +200,9 @@
             if (current.version if current else 0) != version:
                 raise self._conflict(call, kind, name, current)
             self.version += 1
+            created = current.created if current else self.version
             stored = platform.Stored(
-                kind, name, self.version, bytes(value), nonce or secrets.token_hex(8)
+                kind, name, self.version, bytes(value), nonce or secrets.token_hex(8), created
             )
             held.put(stored)
             self._maybe_lose(call)
--- /dev/null
+++ b/tests/edge/test_jobs.py
@@ -0,0 +1,216 @@
+"""Batch jobs through gateways and workers."""
+
+import base64
+
+import edge_rig
+import msgspec
+import pytest
+import trio
+
+from cornelgrade.standins import stream_engine
+
+
+def a_job(*names: str, tokens: int = 100) -> bytes:
+    items = [
+        {
+            "id": name,
+            "path": f"{edge_rig.NOTES}{name}",
+            "headers": {"X-Model": "m"},
+            "body": base64.b64encode(name.encode()).decode(),
+            "tokens": tokens,
+        }
+        for name in names
+    ]
+    return msgspec.json.encode({"items": items})
+
+
+async def submit(rig, job: str, body: bytes, gateway: str = "gateway-0") -> edge_rig.Answer:
+    return await rig.send(gateway, "POST", f"{edge_rig.NOTES}{job}", {"x-request-id": job}, body)
+
+
+async def read(rig, job: str, after: int = 0, gateway: str = "gateway-0") -> dict:
+    headers = {"x-wait-ms": "500"}
+    got = await rig.send(gateway, "GET", f"/lots/{job}?after={after}", headers)
+    assert got.status == 200
+    return msgspec.json.decode(got.body)
+
+
+async def read_all(rig, job: str, gateway: str = "gateway-0") -> list[dict]:
+    results: list[dict] = []
+    with trio.fail_after(10):
+        while True:
+            page = await read(rig, job, len(results), gateway)
+            results += page["results"]
+            assert page["next"] == len(results)
+            if len(results) == page["total"]:
+                return results
+
+
+def text(name: str, events: int = 5) -> str:
+    return "\n".join(f"{name}-{number}" for number in range(1, events + 1))
+
+
+async def test_each_item_completes_once_and_keeps_its_position_at_every_gateway():
+    names = [f"item-{number}" for number in range(20)]
+    async with edge_rig.running(gateways=2, workers=3, engines=3) as rig:
+        assert (await submit(rig, "job-1", a_job(*names))).status == 202
+        first = await read_all(rig, "job-1", "gateway-0")
+        second = await read_all(rig, "job-1", "gateway-1")
+    assert first == second
+    assert sorted(r["id"] for r in first) == sorted(names)
+    assert all(r["state"] == "completed" and r["text"] == text(r["id"]) for r in first)
+
+
+async def test_repeat_of_a_job_is_accepted_and_runs_nothing_again():
+    async with edge_rig.running(gateways=2, workers=1) as rig:
+        await submit(rig, "job-1", a_job("a"))
+        await read_all(rig, "job-1")
+        again = await submit(rig, "job-1", a_job("a"), "gateway-1")
+        await trio.sleep(0.3)
+        runs = len(rig.engines["engine-0"].seen)
+    assert again.status == 202
+    assert runs == 1
+
+
+async def test_item_goes_on_behind_its_last_event_after_a_broken_run():
+    async with edge_rig.running(workers=1) as rig:
+        engine = rig.engines["engine-0"]
+        engine.faults = stream_engine.Faults(cut_after=3)
+        await submit(rig, "job-1", a_job("a"))
+        with trio.fail_after(3):
+            while not engine.seen:
+                await trio.sleep(0.01)
+        await trio.sleep(0.1)
+        engine.faults = stream_engine.Faults()
+        results = await read_all(rig, "job-1")
+    assert results[0]["text"] == text("a")
+    assert engine.seen[-1].resumed_after == 3
+
+
+@pytest.mark.parametrize(("status", "runs"), [(422, 1), (500, 3)])
+async def test_item_that_cant_be_done_is_given_up(status, runs):
+    async with edge_rig.running(workers=1) as rig:
+        rig.engines["engine-0"].faults = stream_engine.Faults(fail=status)
+        await submit(rig, "job-1", a_job("a"))
+        results = await read_all(rig, "job-1")
+        assert len(rig.engines["engine-0"].seen) == runs
+    assert results == [{"id": "a", "state": "dead_letter", "text": ""}]
+
+
+async def test_ended_job_stops():
+    async with edge_rig.running(workers=1, events=500) as rig:
+        engine = rig.engines["engine-0"]
+        await submit(rig, "job-1", a_job("a", "b", "c"))
+        with trio.fail_after(3):
+            while not engine.running:
+                await trio.sleep(0.01)
+        got = await rig.send("gateway-0", "DELETE", "/lots/job-1", {})
+        again = await rig.send("gateway-0", "DELETE", "/lots/job-1", {})
+        with trio.fail_after(1):
+            while engine.running:
+                await trio.sleep(0.01)
+        runs = len(engine.seen)
+        await trio.sleep(0.3)
+    assert (got.status, again.status) == (200, 200)
+    assert len(engine.seen) == runs
+
+
+async def test_body_of_an_item_is_given_back():
+    async with edge_rig.running() as rig:
+        await submit(rig, "job-1", a_job("a", "b"))
+        got = await rig.send("gateway-0", "GET", "/items/job-1?id=b", {})
+        missing = await rig.send("gateway-0", "GET", "/items/job-1?id=z", {})
+    assert (got.status, got.body) == (200, b"b")
+    assert missing.status == 404
+
+
+async def test_unknown_job_is_not_found():
+    async with edge_rig.running() as rig:
+        got = await rig.send("gateway-0", "GET", "/lots/none?after=0", {})
+    assert got.status == 404
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        b"{",
+        b'{"items":[]}',
+        b'{"items":[{"id":"a","path":"/x","body":"!!!","tokens":1}]}',
+        b'{"items":[{"id":"a","path":"x","body":"","tokens":1}]}',
+        a_job("a", "a"),
+        a_job(*(f"i{n}" for n in range(201))),
+    ],
+)
+async def test_job_that_cant_be_read_is_refused_and_nothing_is_kept(body):
+    async with edge_rig.running() as rig:
+        got = await submit(rig, "job-1", body)
+        kept = await rig.send("gateway-0", "GET", "/lots/job-1?after=0", {})
+    assert (got.status, kept.status) == (400, 404)
+
+
+async def test_jobs_over_the_waiting_tokens_are_refused_with_a_time_to_come_back():
+    async with edge_rig.running() as rig:
+        await rig.plan(edge_rig.a_plan(version=2, waiting_tokens=250))
+        await trio.sleep(0.2)
+        statuses = [(await submit(rig, f"job-{n}", a_job("a"))).status for n in range(3)]
+        refused = await submit(rig, "job-9", a_job("a"))
+        repeat = await submit(rig, "job-0", a_job("a"))
+    assert statuses == [202, 202, 429]
+    assert float(refused.headers["retry-after"]) > 0
+    assert repeat.status == 202
+
+
+async def test_job_is_refused_as_not_run_while_the_store_is_away_and_readers_are_told_so():
+    async with edge_rig.running() as rig:
+        await submit(rig, "job-1", a_job("a"))
+        edge_rig.outage(rig.store, down=True)
+        got = await submit(rig, "job-2", a_job("b"))
+        unsure = await rig.send("gateway-0", "GET", "/lots/job-2?after=0", {})
+        edge_rig.outage(rig.store, down=False)
+        missing = await rig.send("gateway-0", "GET", "/lots/job-2?after=0", {})
+    assert (got.status, unsure.status, missing.status) == (503, 503, 404)
+
+
+async def test_results_made_in_an_outage_are_listed_after_it():
+    async with edge_rig.running(workers=1, events=20) as rig:
+        await submit(rig, "job-1", a_job("a", "b"))
+        with trio.fail_after(3):
+            while len(rig.engines["engine-0"].seen) < 2:
+                await trio.sleep(0.01)
+        edge_rig.outage(rig.store, down=True)
+        await trio.sleep(0.6)
+        edge_rig.outage(rig.store, down=False)
+        results = await read_all(rig, "job-1")
+        runs = len(rig.engines["engine-0"].seen)
+    assert sorted(r["id"] for r in results) == ["a", "b"]
+    assert runs == 2
+
+
+async def test_another_worker_finishes_what_a_killed_one_left():
+    async with edge_rig.running(workers=2, engines=2, events=50) as rig:
+        await submit(rig, "job-1", a_job(*(f"i{n}" for n in range(6))))
+        with trio.fail_after(3):
+            while not all(engine.running for engine in rig.engines.values()):
+                await trio.sleep(0.01)
+        rig.nodes["worker-0"].scope.cancel()
+        results = await read_all(rig, "job-1")
+    assert sorted(r["id"] for r in results) == [f"i{n}" for n in range(6)]
+    assert all(r["text"] == text(r["id"], 50) for r in results)
+
+
+async def test_online_requests_do_not_wait_behind_batch():
+    async with edge_rig.running(workers=1, slots=4, events=40, event_s=0.02) as rig:
+        engine = rig.engines["engine-0"]
+        await submit(rig, "job-1", a_job(*(f"i{n}" for n in range(12))))
+        with trio.fail_after(3):
+            while engine.running < 3:
+                await trio.sleep(0.01)
+        begun_s = trio.current_time()
+        async with trio.open_nursery() as nursery:
+            for number in range(4):
+                nursery.start_soon(rig.ask, "gateway-0", edge_rig.ONCE, f"r{number}")
+        took_s = trio.current_time() - begun_s
+        cut = [seen for seen in engine.seen if seen.request.startswith("i") and seen.cancelled]
+    assert took_s < 40 * 0.02 + 0.5
+    assert cut
