--- a/src/cornelgrade/edge_daemons.py
+++ b/src/cornelgrade/edge_daemons.py
@@ -18,6 +18,7 @@
     job_desk,
     peers,
     ports,
+    retiring,
     runner,
     seats,
 )
@@ -34,6 +35,7 @@
     directory: ports.Directory
     calls: ports.Calls
     job_calls: ports.JobCalls
+    retirements: ports.Retirements
 
 
 Drain = Callable[[], Awaitable[None]]
@@ -67,6 +69,7 @@
     caller = item_call.ItemCaller(outside.calls)
     running = runner.Runner(kern, cfg, outside.store, contact, caller, outside.calls)
     kern.add(running)
+    kern.add(retiring.Retiring(kern, outside.store, contact, outside.retirements), _RESTART)
     return running.drain
 
 
--- a/src/cornelgrade/platform/__main__.py
+++ b/src/cornelgrade/platform/__main__.py
@@ -6,7 +6,7 @@
 import docopt
 
 from cornelgrade import checked, edge_daemons, errors, settings
-from cornelgrade.platform import calls, directory, jobs, objects
+from cornelgrade.platform import calls, directory, jobs, objects, retirements
 
 # The platform names the settings file by this variable.
 SETTINGS_VARIABLE = "CORNELGRADE_SETTINGS"
@@ -27,11 +27,13 @@
     except errors.CornelgradeError as exc:
         print(exc.show(), file=sys.stderr)
         sys.exit(exc.exit_code)
+    store = objects.Objects(cfg.store_address, deadline_s=cfg.store_deadline_s)
     outside = edge_daemons.Outside(
-        store=objects.Objects(cfg.store_address, deadline_s=cfg.store_deadline_s),
+        store=store,
         directory=directory.Directory(),
         calls=calls.Calls(),
         job_calls=jobs.JobCalls(),
+        retirements=retirements.Retirements(store),
     )
     run = edge_daemons.run_gateway if args["gateway"] else edge_daemons.run_worker
     run(cfg, outside)
--- a/src/cornelgrade/services/edge/ports.py
+++ b/src/cornelgrade/services/edge/ports.py
@@ -162,3 +162,22 @@
 
     def page(self, total: int, after: int, results: tuple[ItemResult, ...]) -> bytes:
         """Write results from position ``after`` on."""
+
+
+class Emptying(enum.Enum):
+    """How far the emptying of a VM is."""
+
+    RUNNING = "running"
+    DONE = "done"
+
+
+class Retirements(Protocol):
+    """Operators' requests to empty a worker's VM; each is an object with the VM's name."""
+
+    kind: str
+
+    async def tell(self, vm: str, emptying: Emptying) -> None:
+        """Tell operators how far the emptying is.
+
+        :raises UnavailableError: if they may not have been told.
+        """
--- a/src/cornelgrade/services/edge/runner.py
+++ b/src/cornelgrade/services/edge/runner.py
@@ -145,13 +145,18 @@
                     await self._wake.wait()
 
     async def drain(self) -> None:
-        """Start nothing more, and let what runs end if it can within the grace."""
+        """Start nothing more, and let what runs end if it can within the grace.
+
+        What is left then is cancelled, so that other workers take it over.
+        """
         self._stopping = True
         with trio.move_on_after(self._cfg.stop_grace_s - STOP_MARGIN_S):
             while any(job.runs or job.storing for job in self._jobs.values()):
                 await trio.sleep(TICK_S)
-        left = sum(len(job.runs) for job in self._jobs.values())
-        _log.info("drained", items_left=left)
+        left = [run for job in self._jobs.values() for run in job.runs.values()]
+        _log.info("drained", items_left=len(left))
+        for run in left:
+            run.scope.cancel()
 
     # Jobs
 
--- a/tests/edge/edge_rig.py
+++ b/tests/edge/edge_rig.py
@@ -36,6 +36,18 @@
         return msgspec.json.decode(value, type=routes.Upstream)
 
 
+class Retirements:
+    """Remembers what operators were told."""
+
+    kind = "retired-vms"
+
+    def __init__(self) -> None:
+        self.told: list[tuple[str, ports.Emptying]] = []
+
+    async def tell(self, vm: str, emptying: ports.Emptying) -> None:
+        self.told.append((vm, emptying))
+
+
 def a_route(name: str, prefix: str, kind: routes.RouteKind, **more) -> routes.Route:
     made = routes.Route(name, HOST, prefix, kind, (routes.Target(SERVICE),))
     return dataclasses.replace(made, **{"timeout_s": 5.0, "aim_s": 0.3, **more})
@@ -87,6 +99,7 @@
         self.store = platform_store.MemoryPlatform(platform_store.Switches(0, 0, 0, 0, 0, 0))
         self.nursery = nursery
         self.nodes: dict[str, Node] = {}
+        self.retirements = Retirements()
         self.engines: dict[str, stream_engine.StreamEngine] = {}
 
     async def plan(self, plan: routes.Plan) -> None:
@@ -125,7 +138,9 @@
             peer_address=f"127.0.0.1:{free_port(socket.SOCK_DGRAM)}",
             store_address="127.0.0.1:1",
         )
-        outside = edge_daemons.Outside(self.store, Directory(), calls.Calls(), jobs.JobCalls())
+        outside = edge_daemons.Outside(
+            self.store, Directory(), calls.Calls(), jobs.JobCalls(), self.retirements
+        )
         kern = kernel.Kernel()
         drain = assemble(kern, cfg, outside)
         node = Node(cfg, kern, drain, trio.CancelScope())
--- a/tests/edge/test_jobs.py
+++ b/tests/edge/test_jobs.py
@@ -214,3 +214,27 @@
         cut = [seen for seen in engine.seen if seen.request.startswith("i") and seen.cancelled]
     assert took_s < 40 * 0.02 + 0.5
     assert cut
+
+
+async def test_worker_that_is_to_be_emptied_ends_its_items_and_says_so():
+    async with edge_rig.running(workers=2, engines=2, events=30) as rig:
+        await submit(rig, "job-1", a_job(*(f"i{n}" for n in range(6))))
+        await trio.sleep(0.1)
+        await rig.store.create(rig.retirements.kind, "worker-0", b"{}")
+        results = await read_all(rig, "job-1")
+        with trio.fail_after(8):
+            while len(rig.retirements.told) < 2:
+                await trio.sleep(0.05)
+    done = edge_rig.ports.Emptying.DONE
+    assert rig.retirements.told[-1] == ("worker-0", done)
+    assert sorted(r["id"] for r in results) == [f"i{n}" for n in range(6)]
+
+
+async def test_silent_worker_that_is_to_be_emptied_is_spoken_for():
+    async with edge_rig.running(workers=2) as rig:
+        rig.nodes["worker-0"].scope.cancel()
+        await rig.store.create(rig.retirements.kind, "worker-0", b"{}")
+        with trio.fail_after(8):
+            while not rig.retirements.told:
+                await trio.sleep(0.05)
+    assert rig.retirements.told == [("worker-0", edge_rig.ports.Emptying.DONE)]
