--- a/src/cornelgrade/edge_daemons.py
+++ b/src/cornelgrade/edge_daemons.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from cornelgrade import errors, kernel, logs, settings
+from cornelgrade import errors, kernel, log_stream, logs, settings
 from cornelgrade.adapters import platform
 from cornelgrade.services.edge import (
     _following,
@@ -16,6 +16,7 @@
     item_call,
     job_book,
     job_desk,
+    metrics_page,
     peers,
     ports,
     retiring,
@@ -79,11 +80,14 @@
     contact = _following.Contact()
     kern.add(peers.Peers(cfg, role, outside.store, contact), _RESTART)
     kern.add(fleet.Fleet(outside.store, outside.directory, contact))
+    if cfg.metrics_address is not None:
+        kern.add(metrics_page.MetricsPage(cfg.metrics_address), _RESTART)
     return contact
 
 
 def _run(cfg: settings.EdgeSettings, outside: Outside, assemble: Assemble) -> None:
-    with logs.handler(cfg.log_level, cfg.vm, sys.stdout).applicationbound():
+    stream = log_stream.BoundedStream(sys.stdout.fileno())
+    with logs.handler(cfg.log_level, cfg.vm, stream).applicationbound():
         try:
             trio.run(serve, cfg, outside, assemble)
         except* Exception as group:
--- a/src/cornelgrade/logs.py
+++ b/src/cornelgrade/logs.py
@@ -5,6 +5,8 @@
 
 import logbook
 
+from cornelgrade import log_stream
+
 Value = str | int | float | bool | None
 
 
@@ -54,7 +56,9 @@
 )
 
 
-def handler(level: str, vm: str, stream: TextIO | None = None) -> logbook.StreamHandler:
+def handler(
+    level: str, vm: str, stream: TextIO | log_stream.BoundedStream | None = None
+) -> logbook.StreamHandler:
     """Make the handler of one process.
 
     :param level: the lowest level that is written.
--- a/src/cornelgrade/platform/objects.py
+++ b/src/cornelgrade/platform/objects.py
@@ -10,7 +10,7 @@
 import msgspec
 import trio
 
-from cornelgrade import logs
+from cornelgrade import logs, metrics
 from cornelgrade.adapters import engine, http1, platform, settled_writes
 from cornelgrade.policy import settle
 
@@ -92,6 +92,9 @@
         self._address = address
         self._deadline_s = deadline_s
         self._writer = settled_writes.Writer(self, deadline_s)
+        self._calls = metrics.counter(
+            "cornelgrade_store_calls_total", "Calls to the platform's object store by step."
+        )
 
     async def get(self, kind: str, name: str) -> platform.Stored | None:
         """Read one object, ``None`` if there is none."""
@@ -210,6 +213,7 @@
         :raises UnavailableError: if no answer came.
         """
         headers = ((b"host", self._address.encode()), (b"content-type", b"application/json"))
+        self._calls.inc({"step": step})
         try:
             with await http1.connect(self._address, CONNECT_TIMEOUT_S) as channel:
                 await channel.send(method, target.encode(), headers, body)
--- a/src/cornelgrade/services/edge/job_desk.py
+++ b/src/cornelgrade/services/edge/job_desk.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from cornelgrade import errors, logs, routes
+from cornelgrade import errors, logs, metrics, routes
 from cornelgrade.adapters import http1_server, platform
 from cornelgrade.policy import route_table
 from cornelgrade.services.edge import job_book, ports
@@ -43,6 +43,9 @@
         self._book = book
         self._calls = calls
         self._job_calls = job_calls
+        self._job_calls_made = metrics.counter(
+            "cornelgrade_edge_job_calls_total", "Calls about jobs by act and outcome."
+        )
         self._views: collections.OrderedDict[str, _View] = collections.OrderedDict()
         self._acts: dict[
             ports.JobAct, Callable[[http1_server.Exchange, ports.JobCall], Awaitable[str]]
@@ -76,6 +79,7 @@
                 outcome = await self._acts[call.act](exchange, call)
         except errors.CornelgradeError as exc:
             outcome = await self._refuse(exchange, caller, exc)
+        self._job_calls_made.inc({"act": act, "outcome": outcome.split(" ")[0]})
         _log.info(
             "job_call",
             act=act,
--- /dev/null
+++ b/src/cornelgrade/services/edge/metrics_page.py
@@ -0,0 +1,34 @@
+"""The service ``metrics_page``: counters and latency histograms, as text over HTTP."""
+
+from collections.abc import Callable
+
+from aioprometheus.formats import text
+
+from cornelgrade import metrics
+from cornelgrade.adapters import http1_server
+
+PATH = "/metrics"
+
+
+class MetricsPage:
+    """Serves the process's registry."""
+
+    name = "metrics_page"
+
+    def __init__(self, address: str) -> None:
+        self._address = address
+        self._server = http1_server.Server(self._handle)
+
+    async def run(self, started: Callable[[], None]) -> None:
+        """Serve until cancelled."""
+        started()
+        await self._server.serve(self._address)
+
+    async def _handle(self, exchange: http1_server.Exchange) -> None:
+        if exchange.path != PATH:
+            await exchange.answer(404, b"", ())
+            return
+        formatter = text.TextFormatter()
+        body = formatter.marshall(metrics.REGISTRY)
+        headers = tuple((k, v) for k, v in formatter.get_headers().items())
+        await exchange.answer(200, body, headers)
--- a/src/cornelgrade/services/edge/relay.py
+++ b/src/cornelgrade/services/edge/relay.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from cornelgrade import errors, kernel, logs, routes
+from cornelgrade import errors, kernel, logs, metrics, routes
 from cornelgrade.adapters import engine, http1, http1_server
 from cornelgrade.policy import event_stream, retry, route_table
 from cornelgrade.services.edge import fleet, ports, seats
@@ -64,6 +64,12 @@
         self._seats = kern.find("seats", seats.Seats)
         self._fleet = kern.find("fleet", fleet.Fleet)
         self._calls = calls
+        self._requests = metrics.counter(
+            "cornelgrade_edge_requests_total", "Requests by route and outcome."
+        )
+        self._first = metrics.histogram(
+            "cornelgrade_edge_first_byte_seconds", "Time to the first byte of an answer, by route."
+        )
 
     async def serve(
         self, exchange: http1_server.Exchange, caller: ports.Caller, route: routes.Route
@@ -285,6 +291,9 @@
         return refusal.code.value
 
     def _tell(self, work: _Work, done: _Progress, outcome: str) -> None:
+        self._requests.inc({"route": work.route.name, "outcome": outcome})
+        if done.first_s is not None:
+            self._first.observe({"route": work.route.name}, done.first_s)
         table = self._fleet.table()
         _log.info(
             "request",
--- a/src/cornelgrade/services/edge/runner.py
+++ b/src/cornelgrade/services/edge/runner.py
@@ -11,7 +11,7 @@
 
 import trio
 
-from cornelgrade import kernel, logs, routes, settings
+from cornelgrade import kernel, logs, metrics, routes, settings
 from cornelgrade.adapters import engine, platform
 from cornelgrade.policy import batch_room, health, rendezvous, route_table
 from cornelgrade.schema import messages
@@ -121,6 +121,12 @@
         self._online: dict[str, dict[str, tuple[int, float]]] = {}
         self._asking: dict[str, float] = {}
         self._health: dict[str, health.Health] = {}
+        self._runs = metrics.counter(
+            "cornelgrade_edge_item_runs_total", "Runs of batch items by outcome."
+        )
+        self._took = metrics.histogram(
+            "cornelgrade_edge_item_run_seconds", "Time of one run of a batch item."
+        )
         self._wake = _signal.Signal()
         self._stopping = False
         self._nursery: trio.Nursery | None = None
@@ -337,14 +343,18 @@
         finally:
             job.runs.pop(index, None)
             self._wake.give()
+            took_s = trio.current_time() - run.started_s
+            gave_way = run.gave_way and run.scope.cancelled_caught
+            self._runs.inc({"outcome": "gave_way" if gave_way else outcome.split(":")[0]})
+            self._took.observe({}, took_s)
             _log.info(
                 "item",
                 item=item.name,
                 job=job.header.job,
                 upstream=up.name,
-                outcome="gave_way" if run.gave_way and run.scope.cancelled_caught else outcome,
+                outcome="gave_way" if gave_way else outcome,
                 events=partial.events,
-                took_s=trio.current_time() - run.started_s,
+                took_s=took_s,
             )
 
     def _suspect(self, up: routes.Upstream, exc: engine.CallError) -> None:
