--- a/src/cornelgrade/policy/batch_room.py
+++ b/src/cornelgrade/policy/batch_room.py
@@ -4,14 +4,22 @@
 
 from cornelgrade.policy import rendezvous
 
-# Slots kept free for the next online request: an upstream takes some tens of milliseconds to drop
-# an item, so one gives way as soon as the last free slot is taken, not when the next request waits.
+# Slots kept free for the next online request while online requests are many: an upstream takes some
+# tens of milliseconds to drop an item, so one gives way as soon as the last free slot is taken, not
+# when the next request waits.
 SPARE_SLOTS = 1
+# Below this share of the slots online requests come so seldom that the next one can wait for an
+# item to be dropped and still be on time.
+CALM_SHARE = 0.25
 # Items are started beside the highest online load of this time: one that is cancelled right after
 # its start has cost a prompt for nothing.
 PEAK_S = 0.5
 
 
+# How much the last completed item counts in the pace: about ten items make it.
+PACE_WEIGHT = 0.1
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Use:
     """What is known of an upstream.
@@ -50,10 +58,12 @@
     online = others(use)
     if online is None:
         return 0
-    free = use.slots - SPARE_SLOTS - online - use.batch
+    busiest = max(online, use.peak)
+    slots = use.slots - (SPARE_SLOTS if busiest > use.slots * CALM_SHARE else 0)
+    free = slots - online - use.batch
     if free < 0:
         return max(free, -use.batch)
-    return max(0, use.slots - SPARE_SLOTS - max(online, use.peak) - use.batch)
+    return max(0, slots - busiest - use.batch)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -61,20 +71,25 @@
     """An item that runs.
 
     :param events: those it has brought so far in all its runs.
+    :param due_s: Unix time at which its job is due.
     """
 
     job: str
     index: int
     started_s: float
     events: int
+    due_s: float
+
 
+def gives_way(running: list[Running], now_s: float) -> Running | None:
+    """Choose the item to cancel.
 
-def gives_way(running: list[Running]) -> Running | None:
-    """Choose the item to cancel: one that can go on from its last event, the youngest of them.
+    One that can go on from its last event goes before one that would begin anew, whose prompt was
+    read for nothing. Of these the one that is late anyway goes first, then the youngest.
 
-    One without an event would begin anew, so that its prompt was read for nothing.
+    :param now_s: Unix time.
     """
-    return max(running, key=lambda r: (r.events > 0, r.started_s), default=None)
+    return max(running, key=lambda r: (r.events > 0, r.due_s < now_s, r.started_s), default=None)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -82,25 +97,60 @@
     """An item that waits for a slot.
 
     :param due_s: Unix time at which its job is due.
+    :param needs_s: time that it will take to end.
     """
 
     job: str
     index: int
     due_s: float
+    needs_s: float = 0.0
 
 
 def order(waiting: list[Waiting], vm: str, now_s: float) -> list[Waiting]:
     """Put items in the order in which this VM starts them.
 
-    Earliest due first; jobs past their due time come last, since their worth is mostly gone. VMs
-    begin with different items of a job, so that two seldom start the same one.
+    Earliest due first. Items that can't be done in time any more come last: run before others they
+    would make these late too, one after the other. VMs begin with different items of a job, so that
+    two seldom start the same one.
+
+    :param now_s: Unix time.
     """
     return sorted(
         waiting,
         key=lambda w: (
-            w.due_s < now_s,
+            now_s + w.needs_s > w.due_s,
             w.due_s,
             w.job,
             -rendezvous.score(f"{w.job}/{w.index}", vm),
         ),
     )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pace:
+    """How long items take, learnt from those that completed.
+
+    :param events: of a whole item.
+    :param event_s: time between two events.
+    """
+
+    events: float = 0.0
+    event_s: float = 0.0
+
+    def needs_s(self, events: int) -> float:
+        """Estimate the time that an item needs which has brought ``events`` so far."""
+        return max(0.0, self.events - events) * self.event_s
+
+    def learn(self, events: int, brought: int, took_s: float) -> "Pace":
+        """Take in a run that completed an item.
+
+        :param events: of the whole item.
+        :param brought: those that this run brought, in ``took_s``.
+        """
+        event_s = took_s / max(1, brought)
+        if not self.events:
+            return Pace(events, event_s)
+        return Pace(
+            self.events + PACE_WEIGHT * (events - self.events),
+            self.event_s + PACE_WEIGHT * (event_s - self.event_s),
+        )
--- a/src/cornelgrade/services/edge/runner.py
+++ b/src/cornelgrade/services/edge/runner.py
@@ -128,6 +128,7 @@
             "cornelgrade_edge_item_run_seconds", "Time of one run of a batch item."
         )
         self._wake = _signal.Signal()
+        self._pace = batch_room.Pace()
         self._stopping = False
         self._nursery: trio.Nursery | None = None
 
@@ -288,7 +289,12 @@
 
     def _waiting(self, now_s: float) -> list[batch_room.Waiting]:
         waiting = [
-            batch_room.Waiting(job.header.job, index, job.header.due_ms / _MS_PER_S)
+            batch_room.Waiting(
+                job.header.job,
+                index,
+                job.header.due_ms / _MS_PER_S,
+                self._pace.needs_s(job.partial[index].events if index in job.partial else 0),
+            )
             for job in self._jobs.values()
             for index in self._open_items(job, now_s)
         ]
@@ -305,12 +311,18 @@
 
     def _give_way(self, upstream: str) -> None:
         running = [
-            batch_room.Running(job.header.job, index, run.started_s, job.partial[index].events)
+            batch_room.Running(
+                job.header.job,
+                index,
+                run.started_s,
+                job.partial[index].events,
+                job.header.due_ms / _MS_PER_S,
+            )
             for job in self._jobs.values()
             for index, run in job.runs.items()
             if run.upstream == upstream and not run.gave_way
         ]
-        chosen = batch_room.gives_way(running)
+        chosen = batch_room.gives_way(running, time.time())
         if chosen is not None:
             run = self._jobs[chosen.job].runs[chosen.index]
             run.gave_way = True
@@ -328,12 +340,17 @@
     async def _run(self, job: _Job, index: int, up: routes.Upstream, run: _Run) -> None:
         item = job.items[index]
         partial = job.partial[index]
+        before = partial.events
         outcome = "cancelled"
         try:
             with run.scope:
                 result = await self._caller.call(job.header, item, up, partial)
                 outcome = result.end.value if result else "failed"
                 self._health.pop(up.name, None)
+                if result is not None and result.end is ports.ItemEnd.COMPLETED:
+                    took_s = trio.current_time() - run.started_s
+                    brought = partial.events - before
+                    self._pace = self._pace.learn(partial.events, brought, took_s)
                 self._take(job, index, result)
         except engine.CallError as exc:
             outcome = exc.show()
