Watch: the last event of an object decides whether it is there

Ruled out: the engines (they were back in the store), the watch itself (later events came). The test failed first, in all four orders.

--- a/src/cornelgrade/platform/objects.py
+++ b/src/cornelgrade/platform/objects.py
@@ -120,12 +120,15 @@
         if status == 410:
             return platform.Changes(after, reset=True)
         events = _decoded(raw, _Events)
-        pairs = [(e.gone, _stored(kind, e.object)) for e in events.events]
-        known = [(gone, s) for gone, s in pairs if s and s.name.startswith(prefix)]
+        latest: dict[str, tuple[bool, platform.Stored]] = {}
+        for event in events.events:
+            stored = _stored(kind, event.object)
+            if stored is not None and stored.name.startswith(prefix):
+                latest[stored.name] = (event.gone, stored)
         return platform.Changes(
             version=events.at,
-            items=tuple(s for gone, s in known if not gone),
-            deleted=tuple(s.name for gone, s in known if gone),
+            items=tuple(stored for gone, stored in latest.values() if not gone),
+            deleted=tuple(name for name, (gone, _) in latest.items() if gone),
         )
 
     async def vms(self) -> tuple[platform.Vm, ...]:
--- a/tests/platform/test_objects.py
+++ b/tests/platform/test_objects.py
@@ -25,6 +25,7 @@
         self.page = 2
         self.calls: list[tuple[str, str]] = []
         self.raw: dict[str, bytes] = {}
+        self.events: list[dict] = []
 
     async def handle(self, req: http1_server.Exchange) -> None:
         self.calls.append((req.method, req.target.decode()))
@@ -46,7 +47,8 @@
         if kind in self.raw:
             return 200, self.raw[kind]
         if "watch" in req.query:
-            return (410, {}) if int(req.query["watch"]) < 5 else (200, {"events": [], "at": 99})
+            forgotten = int(req.query["watch"]) < 5
+            return (410, {}) if forgotten else (200, {"events": self.events, "at": 99})
         names = sorted(n for k, n in self.objects if k == kind and n > req.query.get("after", ""))
         items = [self.objects[kind, n] for n in names[: self.page]]
         return 200, {"items": items, "more": len(names) > self.page, "at": self.revision}
@@ -162,3 +164,24 @@
         store.raw["servers"] = raw % msgspec.json.encode(good)
         changes = await client.watch("servers", after=0)
     assert [s.value for s in changes.items if s.name == "a"] == [b'{"state":"ready"}']
+
+
+@pytest.mark.parametrize(
+    ("gone", "names", "deleted"),
+    [
+        ([True, False], ["a"], ()),
+        ([False, True], [], ("a",)),
+        ([False, True, False], ["a"], ()),
+        ([False, False], ["a"], ()),
+    ],
+)
+async def test_last_event_of_an_object_decides_whether_it_is_there(gone, names, deleted):
+    async with serving() as (store, client):
+        store.events = [
+            {"object": {"metadata": {"name": "a", "revision": n}, "spec": n}, "gone": lost}
+            for n, lost in enumerate(gone)
+        ]
+        changes = await client.watch("k", after=9)
+    assert [s.name for s in changes.items] == names
+    assert changes.deleted == deleted
+    assert all(s.version == len(gone) - 1 for s in changes.items)
