--- a/src/cornelgrade/platform/objects.py
+++ b/src/cornelgrade/platform/objects.py
@@ -204,7 +204,11 @@
     async def _read(self, step: str, path: str, query: _Query, extra_s: float) -> tuple[int, bytes]:
         target = f"{path}?{urllib.parse.urlencode(query)}" if query else path
         with trio.move_on_after(self._deadline_s + extra_s):
-            status, raw = await self._call(step, "GET", target, b"")
+            try:
+                status, raw = await self._call(step, "GET", target, b"")
+            except platform.UnavailableError as exc:
+                # A read changes nothing, so its outcome is never unknown.
+                raise platform.UnavailableError(exc.message, step=step) from exc
             if status in (200, 404, 410):
                 return status, raw
             raise platform.UnavailableError(f"status {status}", step=step)
--- a/src/cornelgrade/services/edge/job_desk.py
+++ b/src/cornelgrade/services/edge/job_desk.py
@@ -33,6 +33,11 @@
     revision: int = 0
     lock: trio.Lock = dataclasses.field(default_factory=trio.Lock)
 
+    @property
+    def complete(self) -> bool:
+        """Whether there can be no further results."""
+        return len(self.results) >= self.header.total
+
 
 class JobDesk:
     """Answers calls about jobs from the store, with no state that must last."""
@@ -171,10 +176,12 @@
         async with view.lock:
             if len(view.results) > call.after:
                 return
-            complete = len(view.results) == view.header.total
-            wait_s = 0.0 if complete or not view.revision else call.wait_s
-            await self._refresh(view, wait_s)
-            if len(view.results) <= call.after and call.wait_s and not wait_s and not complete:
+            if not view.revision:
+                await self._refresh(view, 0.0)
+            elif not view.complete:
+                await self._refresh(view, call.wait_s)
+                return
+            if call.wait_s and len(view.results) <= call.after and not view.complete:
                 await self._refresh(view, call.wait_s)
 
     async def _refresh(self, view: _View, wait_s: float) -> None:
--- a/tests/edge/test_jobs.py
+++ b/tests/edge/test_jobs.py
@@ -238,3 +238,15 @@
             while not rig.retirements.told:
                 await trio.sleep(0.05)
     assert rig.retirements.told == [("worker-0", edge_rig.ports.Emptying.DONE)]
+
+
+async def test_reading_a_complete_job_again_asks_the_store_nothing():
+    async with edge_rig.running(workers=1) as rig:
+        await submit(rig, "job-1", a_job("a", "b"))
+        await read_all(rig, "job-1")
+        kind = "cornelgrade-results-job-1"
+        before = rig.store.calls[f"watch:{kind}"]
+        for after in (0, 1, 2, 2, 5):
+            page = await read(rig, "job-1", after)
+            assert page["next"] == max(after, 2)
+        assert rig.store.calls[f"watch:{kind}"] == before
--- a/tests/platform/test_objects.py
+++ b/tests/platform/test_objects.py
@@ -185,3 +185,15 @@
     assert [s.name for s in changes.items] == names
     assert changes.deleted == deleted
     assert all(s.version == len(gone) - 1 for s in changes.items)
+
+
+async def test_read_without_an_answer_leaves_nothing_unknown():
+    async def break_off(req: http1_server.Exchange) -> None:
+        raise http1_server.BrokenOffError
+
+    async with trio.open_nursery() as nursery:
+        address = await nursery.start(http1_server.Server(break_off).serve, "127.0.0.1:0")
+        with pytest.raises(platform.UnavailableError) as caught:
+            await objects.Objects(address).get("k", "a")
+        nursery.cancel_scope.cancel()
+    assert not caught.value.outcome_unknown
