--- a/src/cornelgrade/edge_daemons.py
+++ b/src/cornelgrade/edge_daemons.py
@@ -56,7 +56,7 @@
 def add_gateway(kern: kernel.Kernel, cfg: settings.EdgeSettings, outside: Outside) -> Drain:
     """Add a gateway's services in the order in which they start, and give its shutdown."""
     _add_common(kern, cfg, outside, peers.Role.GATEWAY)
-    kern.add(seats.Seats(kern, cfg))
+    kern.add(seats.Seats(kern, cfg, outside.calls))
     book = job_book.JobBook(outside.store, cfg.value_bytes)
     desk = job_desk.JobDesk(book, outside.calls, outside.job_calls)
     door = front.Front(kern, cfg, outside.calls, desk)
--- a/src/cornelgrade/services/edge/relay.py
+++ b/src/cornelgrade/services/edge/relay.py
@@ -183,7 +183,6 @@
                     break
                 _log.warning("foreign_answer", request=work.caller.request_id, upstream=up.name)
                 await channel.next_answer()
-            self._seats.answered(up)
             return self._judged(channel, head, verdict)
         self._seats.failed(up, "silent")
         raise _failure(channel, "no answer in time", silent=True)
--- a/src/cornelgrade/services/edge/runner.py
+++ b/src/cornelgrade/services/edge/runner.py
@@ -141,7 +141,7 @@
             nursery.start_soon(self._hear_uses, uses)
             nursery.start_soon(self._hear_claims, claims)
             nursery.start_soon(self._tell)
-            nursery.start_soon(self._loads.follow, self._owned, self._suspect)
+            nursery.start_soon(self._loads.follow, self._owned, self._suspect, self._sound)
             nursery.start_soon(
                 _following.follow, self._store, job_book.HEADER_KIND, self._contact, self._headers
             )
@@ -346,7 +346,7 @@
             with run.scope:
                 result = await self._caller.call(job.header, item, up, partial)
                 outcome = result.end.value if result else "failed"
-                self._health.pop(up.name, None)
+                self._sound(up)
                 if result is not None and result.end is ports.ItemEnd.COMPLETED:
                     took_s = trio.current_time() - run.started_s
                     brought = partial.events - before
@@ -380,6 +380,9 @@
         self._health[up.name] = health.failed(before, now_s)
         _log.info("upstream_suspect", upstream=up.name, error=exc.show())
 
+    def _sound(self, up: routes.Upstream) -> None:
+        self._health.pop(up.name, None)
+
     def _take(self, job: _Job, index: int, result: ports.ItemResult | None) -> None:
         """Store a final result; count a failure and give the item up after too many."""
         if result is None:
--- a/src/cornelgrade/services/edge/seats.py
+++ b/src/cornelgrade/services/edge/seats.py
@@ -13,9 +13,10 @@
 import trio
 
 from cornelgrade import errors, kernel, logs, routes, settings
-from cornelgrade.policy import health, placement, rendezvous
+from cornelgrade.adapters import engine
+from cornelgrade.policy import placement, rendezvous
 from cornelgrade.schema import messages
-from cornelgrade.services.edge import fleet, peers
+from cornelgrade.services.edge import fleet, peers, ports, upstream_loads
 
 # A lost datagram is made up for after this long.
 REFRESH_S = 0.25
@@ -24,6 +25,8 @@
 # Upstreams that a gateway considers at once, so that its messages stay bounded in a large fleet.
 NEAR_UPSTREAMS = 16
 FAR_UPSTREAMS = 8
+# A suspect upstream is asked again after this pause: a short outage costs little capacity.
+PROBE_S = 0.25
 # When to come back after a refusal: about the time in which an upstream ends a request.
 RETRY_AFTER_S = 0.4
 _log = logs.Logger("seats")
@@ -70,21 +73,24 @@
 
     name = "seats"
 
-    def __init__(self, kern: kernel.Kernel, cfg: settings.EdgeSettings) -> None:
+    def __init__(self, kern: kernel.Kernel, cfg: settings.EdgeSettings, calls: ports.Calls) -> None:
         self._fleet = kern.find("fleet", fleet.Fleet)
         self._peers = kern.find("peers", peers.Peers)
         self._cfg = cfg
+        self._calls = calls
         self._rng = random.Random(cfg.vm)
         self._own: dict[str, int] = {}
         self._reports: dict[str, _Report] = {}
-        self._health: dict[str, health.Health] = {}
+        self._suspects: set[str] = set()
+        self._nursery: trio.Nursery | None = None
         self._waiting: list[_Waiter] = []
         self._numbers = itertools.count()
 
     async def run(self, started: Callable[[], None]) -> None:
         """Tell and hear uses until cancelled."""
         heard = self._peers.subscribe(messages.Uses)
-        async with trio.open_nursery() as nursery:
+        async with trio.open_nursery() as self._nursery:
+            nursery = self._nursery
             nursery.start_soon(self._hear, heard)
             nursery.start_soon(self._refresh)
             nursery.start_soon(self._on_change)
@@ -128,33 +134,34 @@
         self._dispatch()
 
     def failed(self, upstream: routes.Upstream, reason: str) -> None:
-        """Note that an upstream could not be reached or fell silent."""
-        now_s = trio.current_time()
-        before = self._health.get(upstream.name, health.HEALTHY)
-        after = health.failed(before, now_s)
-        if after != before:
-            self._health[upstream.name] = after
-            _log.warning(
-                "upstream_suspect",
-                upstream=upstream.name,
-                failures=after.failures,
-                for_s=after.retry_at_s - now_s,
-                reason=reason,
-            )
-
-    def answered(self, upstream: routes.Upstream) -> None:
-        """Note that an upstream answers."""
-        if self._health.pop(upstream.name, None):
-            _log.info("upstream_answers", upstream=upstream.name)
+        """Note that an upstream could not be reached or fell silent: it gets no new requests.
+
+        From then on it is asked for its load until it answers, so that no request has to try it.
+        """
+        if upstream.name in self._suspects or self._nursery is None:
+            return
+        self._suspects.add(upstream.name)
+        _log.warning("upstream_suspect", upstream=upstream.name, reason=reason)
+        self._nursery.start_soon(self._probe, upstream)
+
+    async def _probe(self, upstream: routes.Upstream) -> None:
+        since_s = trio.current_time()
+        while any(reg.upstream == upstream for reg in self._fleet.upstreams()):
+            await trio.sleep(PROBE_S)
+            try:
+                await upstream_loads.ask(self._calls, upstream)
+                break
+            except engine.CallError as exc:
+                _log.debug("upstream_silent", upstream=upstream.name, error=exc.show())
+        self._suspects.discard(upstream.name)
+        suspect_s = trio.current_time() - since_s
+        _log.info("upstream_trusted", upstream=upstream.name, suspect_s=suspect_s)
+        self._dispatch()
 
     def _candidates(self, service: str, exclude: frozenset[str]) -> list[placement.Seen]:
         now_s = trio.current_time()
         known = [reg for reg in self._fleet.upstreams() if reg.upstream.service == service]
-        sound = [
-            reg
-            for reg in known
-            if health.usable(self._health.get(reg.upstream.name, health.HEALTHY), now_s)
-        ]
+        sound = [reg for reg in known if reg.upstream.name not in self._suspects]
         fresh = [reg for reg in sound if reg.upstream.name not in exclude]
         return [
             self._seen(reg.upstream, bool(reg.doubted_until_s), now_s)
--- a/src/cornelgrade/services/edge/upstream_loads.py
+++ b/src/cornelgrade/services/edge/upstream_loads.py
@@ -50,43 +50,54 @@
         self,
         asked: Callable[[], list[routes.Upstream]],
         failed: Callable[[routes.Upstream, engine.CallError], None],
+        answered: Callable[[routes.Upstream], None],
     ) -> None:
         """Ask until cancelled.
 
         :param asked: the upstreams to ask now.
         :param failed: told of an upstream that did not answer.
+        :param answered: told of one that did.
         """
         while True:
             async with trio.open_nursery() as nursery:
                 for up in asked():
-                    nursery.start_soon(self._ask, up, failed)
+                    nursery.start_soon(self._ask, up, failed, answered)
                 await trio.sleep(INTERVAL_S)
 
     async def _ask(
-        self, up: routes.Upstream, failed: Callable[[routes.Upstream, engine.CallError], None]
+        self,
+        up: routes.Upstream,
+        failed: Callable[[routes.Upstream, engine.CallError], None],
+        answered: Callable[[routes.Upstream], None],
     ) -> None:
         batch = self._items_at(up.name)
         try:
-            load = await self._load(up)
+            load = await ask(self._calls, up)
         except engine.CallError as exc:
             failed(up, exc)
             return
+        answered(up)
         if load is not None:
             others = max(0, load.running + load.waiting - batch)
             self._reports[up.name] = Report(others, load.waiting, trio.current_time())
 
-    async def _load(self, up: routes.Upstream) -> ports.UpstreamLoad | None:
-        with trio.move_on_after(TIMEOUT_S):
-            with await http1.connect(up.address, TIMEOUT_S) as channel:
-                host = ((b"host", up.address.encode()),)
-                await channel.send("GET", self._calls.load_target, host, b"")
-                head = await channel.head()
-                body = await channel.whole(ANSWER_LIMIT_BYTES)
-                return self._calls.load(body) if head.status == 200 else None
-        raise engine.CallError(
-            "no answer in time",
-            step="ask load",
-            peer=up.address,
-            progress=engine.Progress.NOT_SENT,
-            silent=True,
-        )
+
+async def ask(calls: ports.Calls, up: routes.Upstream) -> ports.UpstreamLoad | None:
+    """Ask an upstream for its load; ``None`` if it answers something else.
+
+    :raises CallError: if it does not answer in time.
+    """
+    with trio.move_on_after(TIMEOUT_S):
+        with await http1.connect(up.address, TIMEOUT_S) as channel:
+            host = ((b"host", up.address.encode()),)
+            await channel.send("GET", calls.load_target, host, b"")
+            head = await channel.head()
+            body = await channel.whole(ANSWER_LIMIT_BYTES)
+            return calls.load(body) if head.status == 200 else None
+    raise engine.CallError(
+        "no answer in time",
+        step="ask load",
+        peer=up.address,
+        progress=engine.Progress.NOT_SENT,
+        silent=True,
+    )
--- a/tests/edge/test_relay.py
+++ b/tests/edge/test_relay.py
@@ -175,3 +175,17 @@
             await rig.nodes["gateway-0"].drain()
         assert await rig.ready("gateway-0") == 503
     assert answers[0].body == stream_engine.whole("r1", 100)
+
+
+async def test_upstream_that_cant_be_reached_costs_one_request_and_is_used_again_when_it_answers():
+    async with edge_rig.running(engines=2) as rig:
+        near, far = rig.engines["engine-0"], rig.engines["engine-1"]
+        near._server.crash(down_s=1.0)
+        await trio.sleep(0.05)
+        for number in range(8):
+            got = await rig.ask("gateway-0", edge_rig.ONCE, f"r{number}")
+            assert got.body == stream_engine.whole(f"r{number}", 5)
+        assert len(far.seen) == 8
+        await trio.sleep(1.6)
+        await rig.ask("gateway-0", edge_rig.ONCE, "again")
+    assert [seen.request for seen in near.seen] == ["again"]
