--- a/src/cornelgrade/services/edge/relay.py
+++ b/src/cornelgrade/services/edge/relay.py
@@ -15,6 +15,9 @@
 # How long a request waits for a place, as a share of its aim: later it would not be on time, and
 # one that is refused this early may still be on time elsewhere.
 WAIT_SHARE_OF_AIM = 0.2
+# How long a stream that has begun waits for a place to go on: its caller gives up after 2 s without
+# an event, part of which it took to notice the failure.
+RESUME_WAIT_S = 1.0
 # Upstreams that may decline one request before it is refused.
 MAX_OFFERS = 4
 # A silent upstream is given up for another one after this many times the aim, if the request may
@@ -44,6 +47,7 @@
     last_event: int | None = None
     first_s: float | None = None
     upstream: str = ""
+    seat: seats.Seat | None = None
     failed: frozenset[str] = frozenset()
 
 
@@ -104,6 +108,7 @@
             with seat:
                 done.offers += 1
                 done.upstream = seat.upstream.name
+                done.seat = seat
                 try:
                     await self._attempt(work, done, seat.upstream)
                     return "answered"
@@ -114,7 +119,7 @@
 
     async def _seat(self, work: _Work, done: _Progress) -> seats.Seat:
         service = route_table.pick_service(work.route, work.caller.request_id)
-        wait_s = WAIT_SHARE_OF_AIM * work.route.aim_s
+        wait_s = RESUME_WAIT_S if done.started else WAIT_SHARE_OF_AIM * work.route.aim_s
         return await self._seats.take(service, work.route.rank, done.failed, wait_s)
 
     def _after(self, work: _Work, done: _Progress, exc: engine.CallError) -> errors.Refusal | None:
@@ -305,9 +310,24 @@
             first_s=done.first_s,
             total_s=trio.current_time() - work.exchange.arrived_s,
             plan=table.plan.version if table else 0,
+            **_choice(done.seat),
         )
 
 
+def _choice(seat: seats.Seat | None) -> dict[str, logs.Value]:
+    """Give what the choice of the last upstream went by."""
+    if seat is None:
+        return {}
+    seen = seat.seen
+    return {
+        "own": seen.own,
+        "others": seen.others,
+        "batch": seen.batch,
+        "load_age_s": seat.load_age_s,
+        "waited_s": seat.waited_s,
+    }
+
+
 def _follows(event: event_stream.Event, last: int | None) -> bool:
     """Whether an event comes behind the last one that the caller has."""
     return event.number is None or last is None or event.number > last
--- a/src/cornelgrade/services/edge/seats.py
+++ b/src/cornelgrade/services/edge/seats.py
@@ -40,10 +40,18 @@
 
 
 class Seat:
-    """A place at an upstream; a context manager that gives it back."""
-
-    def __init__(self, owner: "Seats", upstream: routes.Upstream) -> None:
-        self.upstream = upstream
+    """A place at an upstream; a context manager that gives it back.
+
+    :ivar seen: what the choice went by.
+    :ivar load_age_s: age of what it knew of others' requests, ``None`` if it knew nothing.
+    :ivar waited_s: how long it took to get free.
+    """
+
+    def __init__(self, owner: "Seats", found: "_Found", waited_s: float) -> None:
+        self.upstream = found.upstream
+        self.seen = found.seen
+        self.load_age_s = found.load_age_s
+        self.waited_s = waited_s
         self._owner = owner
 
     def __enter__(self) -> "Seat":
@@ -58,13 +66,20 @@
         self._owner.give_back(self.upstream)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Found:
+    upstream: routes.Upstream
+    seen: placement.Seen
+    load_age_s: float | None
+
+
 @dataclasses.dataclass(slots=True)
 class _Waiter:
     service: str
     rank: int
     number: int
     exclude: frozenset[str]
-    found: routes.Upstream | None = None
+    found: _Found | None = None
     wake: trio.Event = dataclasses.field(default_factory=trio.Event)
 
 
@@ -105,6 +120,7 @@
         :raises Refusal: ``OVERLOADED`` if none gets free in time, ``UNAVAILABLE`` if there is no
             upstream at all.
         """
+        begun_s = trio.current_time()
         waiter = _Waiter(service, rank, next(self._numbers), exclude)
         if not self._candidates(service, exclude):
             raise self._refusal(errors.Code.UNAVAILABLE, f"no upstream of {service}")
@@ -120,13 +136,13 @@
         if waiter.found is None:
             self._waiting.remove(waiter)
             raise self._refusal(errors.Code.OVERLOADED, f"no room at {service}")
-        return Seat(self, waiter.found)
+        return Seat(self, waiter.found, trio.current_time() - begun_s)
 
     def _leave(self, waiter: _Waiter) -> None:
         if waiter.found is None:
             self._waiting.remove(waiter)
         else:
-            self.give_back(waiter.found)
+            self.give_back(waiter.found.upstream)
 
     def give_back(self, upstream: routes.Upstream) -> None:
         """Free a place."""
@@ -188,13 +204,17 @@
             chosen = placement.choose(tuple(candidates), self._rng)
             if chosen is None:
                 continue
-            waiter.found = self._upstream(chosen.name)
+            waiter.found = self._found(chosen)
             self._waiting.remove(waiter)
-            self._count(waiter.found, 1)
+            self._count(waiter.found.upstream, 1)
             waiter.wake.set()
 
-    def _upstream(self, name: str) -> routes.Upstream:
-        return next(r.upstream for r in self._fleet.upstreams() if r.upstream.name == name)
+    def _found(self, seen: placement.Seen) -> _Found:
+        known = (reg.upstream for reg in self._fleet.upstreams())
+        upstream = next(up for up in known if up.name == seen.name)
+        report = self._reports.get(seen.name)
+        age_s = trio.current_time() - report.at_s if report else None
+        return _Found(upstream, seen, age_s)
 
     def _count(self, upstream: routes.Upstream, change: int) -> None:
         count = self._own.get(upstream.name, 0) + change
--- a/tests/edge/test_relay.py
+++ b/tests/edge/test_relay.py
@@ -189,3 +189,23 @@
         await trio.sleep(1.6)
         await rig.ask("gateway-0", edge_rig.ONCE, "again")
     assert [seen.request for seen in near.seen] == ["again"]
+
+
+async def test_stream_that_has_begun_waits_for_a_place_to_go_on():
+    async with edge_rig.running(engines=2, slots=1, events=40) as rig:
+        first, second = rig.engines["engine-0"], rig.engines["engine-1"]
+        first.faults = stream_engine.Faults(cut_after=4)
+        answers: dict[str, edge_rig.Answer] = {}
+
+        async def ask(request: str, path: str) -> None:
+            answers[request] = await rig.ask("gateway-0", path, request)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask, "resumed", edge_rig.RESUMED)
+            with trio.fail_after(2):
+                while not first.seen:
+                    await trio.sleep(0.001)
+            for number in range(3):
+                nursery.start_soon(ask, f"other-{number}", edge_rig.ONCE)
+    assert answers["resumed"].body == stream_engine.whole("resumed", 40)
+    assert second.seen[-1].request == "resumed"
