--- /dev/null
+++ b/src/cornelgrade/services/edge/open_job.py
@@ -0,0 +1,86 @@
+"""What a worker knows of an open job, and which of its items it may start."""
+
+import dataclasses
+from collections.abc import Iterator
+
+import trio
+
+from cornelgrade.services.edge import item_call, job_book, ports
+
+# What another worker said it runs holds this long: six tellings.
+CLAIM_S = 1.5
+# An item that failed is tried again after this long, so that a fault has time to pass.
+RETRY_PAUSE_S = 0.3
+
+
+@dataclasses.dataclass(slots=True)
+class Run:
+    """An item that runs here.
+
+    :ivar gave_way: it was cancelled for online requests.
+    """
+
+    upstream: str
+    started_s: float
+    scope: trio.CancelScope
+    gave_way: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class OpenJob:
+    """An open job as this worker knows it.
+
+    :ivar version: of its header in the store.
+    :ivar done: items whose results are stored, one bit each.
+    :ivar storing: items whose results are on their way to the store.
+    :ivar partial: what earlier runs brought, by item.
+    :ivar failures: runs that an upstream called failed, by item.
+    :ivar not_before_s: when items that failed may be tried again, on the process's clock.
+    :ivar claims: items that other workers run, one bit each, and when they said so.
+    :ivar closing: its final state is on its way to the store.
+    :ivar route_seen_s: when its route was last part of the plan.
+    """
+
+    header: job_book.Header
+    version: int
+    items: tuple[ports.Item, ...] = ()
+    done: int = 0
+    runs: dict[int, Run] = dataclasses.field(default_factory=dict)
+    storing: set[int] = dataclasses.field(default_factory=set)
+    partial: dict[int, item_call.Partial] = dataclasses.field(default_factory=dict)
+    failures: dict[int, int] = dataclasses.field(default_factory=dict)
+    not_before_s: dict[int, float] = dataclasses.field(default_factory=dict)
+    claims: dict[str, tuple[int, float]] = dataclasses.field(default_factory=dict)
+    closing: bool = False
+    route_seen_s: float = 0.0
+
+    @property
+    def complete(self) -> bool:
+        """Whether all results are stored."""
+        return self.done == (1 << self.header.total) - 1
+
+    def claimed(self, now_s: float) -> int:
+        """Give the items that other workers run."""
+        bits = 0
+        for running, at_s in self.claims.values():
+            bits |= running if now_s - at_s < CLAIM_S else 0
+        return bits
+
+    def held(self) -> int:
+        """Give the items that run here or whose results are on their way to the store."""
+        return sum(1 << index for index in {*self.runs, *self.storing})
+
+    def open_items(self, now_s: float) -> Iterator[int]:
+        """Give the items that nobody runs and that may be tried now."""
+        taken = self.done | self.claimed(now_s) | self.held()
+        for index in range(len(self.items)):
+            if not taken >> index & 1 and now_s >= self.not_before_s.get(index, 0.0):
+                yield index
+
+    def running(self, upstream: str) -> Iterator[tuple[int, Run]]:
+        """Give the items that run at an upstream."""
+        return ((index, run) for index, run in self.runs.items() if run.upstream == upstream)
+
+    def retry_later(self, index: int, now_s: float) -> None:
+        """Keep an item back for a while."""
+        self.not_before_s[index] = now_s + RETRY_PAUSE_S
--- a/src/cornelgrade/services/edge/runner.py
+++ b/src/cornelgrade/services/edge/runner.py
@@ -4,10 +4,8 @@
 workers tell each other which they run, and the store decides which result of an item stands.
 """
 
-import collections
-import dataclasses
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 
 import trio
 
@@ -22,20 +20,15 @@
     item_call,
     job_book,
     job_sweeper,
+    open_job,
     peers,
     ports,
-    upstream_loads,
+    upstream_uses,
 )
 
 # Longest time between two looks at the slots; changes of load are acted on at once.
 TICK_S = 0.05
 TELL_S = 0.25
-# What another worker said it runs holds this long: six tellings.
-CLAIM_S = 1.5
-# A gateway's load holds this long: six of its reports.
-LOAD_S = 1.5
-# An item that failed is tried again after this long, so that a fault has time to pass.
-RETRY_PAUSE_S = 0.3
 # The store is asked again for a result that it did not take, a little later each time.
 STORE_PAUSE_S = 0.2
 LONGEST_STORE_PAUSE_S = 1.0
@@ -49,52 +42,6 @@
 _log = logs.Logger("runner")
 
 
-@dataclasses.dataclass(slots=True)
-class _Run:
-    """An item that runs here.
-
-    :ivar gave_way: it was cancelled for online requests.
-    """
-
-    upstream: str
-    started_s: float
-    scope: trio.CancelScope
-    gave_way: bool = False
-
-
-@dataclasses.dataclass(slots=True)
-class _Job:
-    """An open job as this worker knows it; ``done`` has one bit for each item."""
-
-    header: job_book.Header
-    version: int
-    items: tuple[ports.Item, ...] = ()
-    done: int = 0
-    runs: dict[int, _Run] = dataclasses.field(default_factory=dict)
-    storing: set[int] = dataclasses.field(default_factory=set)
-    partial: dict[int, item_call.Partial] = dataclasses.field(default_factory=dict)
-    failures: dict[int, int] = dataclasses.field(default_factory=dict)
-    not_before_s: dict[int, float] = dataclasses.field(default_factory=dict)
-    claims: dict[str, tuple[int, float]] = dataclasses.field(default_factory=dict)
-    closing: bool = False
-    route_seen_s: float = 0.0
-
-    @property
-    def complete(self) -> bool:
-        return self.done == (1 << self.header.total) - 1
-
-    def claimed(self, now_s: float) -> int:
-        """Give the items that other workers run."""
-        bits = 0
-        for running, at_s in self.claims.values():
-            bits |= running if now_s - at_s < CLAIM_S else 0
-        return bits
-
-    def held(self) -> int:
-        """Give the items that run here or whose results are on their way to the store."""
-        return sum(1 << index for index in {*self.runs, *self.storing})
-
-
 class Runner:
     """Owns the batch items that run in this process."""
 
@@ -117,11 +64,7 @@
         self._contact = contact
         self._sweeper = job_sweeper.JobSweeper(self._book, self._peers, cfg)
         self._caller = caller
-        self._loads = upstream_loads.UpstreamLoads(calls, self._items_at)
-        self._seen: dict[str, collections.deque[tuple[float, int]]] = {}
-        self._jobs: dict[str, _Job] = {}
-        self._online: dict[str, dict[str, tuple[int, float]]] = {}
-        self._asking: dict[str, float] = {}
+        self._jobs: dict[str, open_job.OpenJob] = {}
         self._health: dict[str, health.Health] = {}
         self._runs = metrics.counter(
             "cornelgrade_edge_item_runs_total", "Runs of batch items by outcome."
@@ -130,6 +73,7 @@
             "cornelgrade_edge_item_run_seconds", "Time of one run of a batch item."
         )
         self._wake = _signal.Signal()
+        self._uses = upstream_uses.UpstreamUses(self._peers, calls, self._items_at, self._wake.give)
         self._pace = batch_room.Pace()
         self._stopping = False
         self._nursery: trio.Nursery | None = None
@@ -140,11 +84,11 @@
         claims = self._peers.subscribe(messages.JobClaims)
         async with trio.open_nursery() as self._nursery:
             nursery = self._nursery
-            nursery.start_soon(self._hear_uses, uses)
+            nursery.start_soon(self._uses.hear, uses)
             nursery.start_soon(self._hear_claims, claims)
             nursery.start_soon(self._tell)
             nursery.start_soon(self._sweeper.run)
-            nursery.start_soon(self._loads.follow, self._owned, self._suspect, self._sound)
+            nursery.start_soon(self._uses.loads.follow, self._owned, self._suspect, self._sound)
             nursery.start_soon(
                 _following.follow, self._store, job_book.HEADER_KIND, self._contact, self._headers
             )
@@ -186,18 +130,18 @@
         if known is not None:
             known.version = found.version
             return
-        job = _Job(header, found.version, route_seen_s=trio.current_time())
+        job = open_job.OpenJob(header, found.version, route_seen_s=trio.current_time())
         self._jobs[header.job] = job
         assert self._nursery is not None
         self._nursery.start_soon(self._load, job, fresh)
 
-    def _drop(self, job: _Job, why: str) -> None:
+    def _drop(self, job: open_job.OpenJob, why: str) -> None:
         self._jobs.pop(job.header.job, None)
         _log.info("job_dropped", job=job.header.job, why=why, running=len(job.runs))
         for run in job.runs.values():
             run.scope.cancel()
 
-    async def _load(self, job: _Job, fresh: bool) -> None:
+    async def _load(self, job: open_job.OpenJob, fresh: bool) -> None:
         """Read a job's input, and which of its items are done."""
         while self._jobs.get(job.header.job) is job:
             try:
@@ -210,14 +154,7 @@
                 return
             except platform.UnavailableError as exc:
                 _log.warning("job_not_loaded", job=job.header.job, error=exc.show())
-                await trio.sleep(RETRY_PAUSE_S)
-
-    def _open_items(self, job: _Job, now_s: float) -> Iterator[int]:
-        """Give the items that nobody runs and that may be tried now."""
-        taken = job.done | job.claimed(now_s) | job.held()
-        for index in range(len(job.items)):
-            if not taken >> index & 1 and now_s >= job.not_before_s.get(index, 0.0):
-                yield index
+                await trio.sleep(open_job.RETRY_PAUSE_S)
 
     # Slots
 
@@ -248,7 +185,7 @@
         waiting: list[batch_room.Waiting],
         now_s: float,
     ) -> None:
-        change = batch_room.change(self._use(up, now_s))
+        change = batch_room.change(self._uses.use(up, now_s))
         for _ in range(-change):
             self._give_way(up.name)
         started = 0
@@ -261,35 +198,9 @@
                 self._start(job, entry.index, up)
                 started += 1
 
-    def _use(self, up: routes.Upstream, now_s: float) -> batch_room.Use:
-        fresh = [
-            count for count, at_s in self._online.get(up.name, {}).values() if now_s - at_s < LOAD_S
-        ]
-        online = sum(fresh)
-        report = self._loads.latest(up.name, now_s)
-        return batch_room.Use(
-            slots=up.slots,
-            online=online,
-            batch=self._items_at(up.name),
-            peak=self._peak(up.name, online, now_s),
-            heard=bool(fresh),
-            reported=report.others if report else None,
-            reported_waiting=report.waiting if report else 0,
-        )
-
-    def _peak(self, upstream: str, online: int, now_s: float) -> int:
-        """Note the online load and give its highest value of late."""
-        seen = self._seen.setdefault(upstream, collections.deque())
-        seen.append((now_s, online))
-        while seen and now_s - seen[0][0] > batch_room.PEAK_S:
-            seen.popleft()
-        return max(count for _, count in seen)
-
     def _items_at(self, upstream: str) -> int:
         """Count the items that run at an upstream."""
-        return sum(
-            run.upstream == upstream for job in self._jobs.values() for run in job.runs.values()
-        )
+        return sum(1 for job in self._jobs.values() for _ in job.running(upstream))
 
     def _waiting(self, now_s: float) -> list[batch_room.Waiting]:
         waiting = [
@@ -300,11 +211,13 @@
                 self._pace.needs_s(job.partial[index].events if index in job.partial else 0),
             )
             for job in self._jobs.values()
-            for index in self._open_items(job, now_s)
+            for index in job.open_items(now_s)
         ]
         return batch_room.order(waiting, self._cfg.vm, time.time())
 
-    def _service(self, table: route_table.RouteTable, job: _Job, index: int) -> str | None:
+    def _service(
+        self, table: route_table.RouteTable, job: open_job.OpenJob, index: int
+    ) -> str | None:
         """Give the service that runs an item under the plan in force."""
         item = job.items[index]
         route = table.find(job.header.host, item.target)
@@ -323,8 +236,8 @@
                 job.header.due_ms / _MS_PER_S,
             )
             for job in self._jobs.values()
-            for index, run in job.runs.items()
-            if run.upstream == upstream and not run.gave_way
+            for index, run in job.running(upstream)
+            if not run.gave_way
         ]
         chosen = batch_room.gives_way(running, time.time())
         if chosen is not None:
@@ -332,16 +245,18 @@
             run.gave_way = True
             run.scope.cancel()
 
-    def _start(self, job: _Job, index: int, up: routes.Upstream) -> None:
+    def _start(self, job: open_job.OpenJob, index: int, up: routes.Upstream) -> None:
         assert self._nursery is not None
-        run = _Run(up.name, trio.current_time(), trio.CancelScope())
+        run = open_job.Run(up.name, trio.current_time(), trio.CancelScope())
         job.partial.setdefault(index, item_call.Partial())
         job.runs[index] = run
         self._nursery.start_soon(self._run, job, index, up, run)
 
     # Items
 
-    async def _run(self, job: _Job, index: int, up: routes.Upstream, run: _Run) -> None:
+    async def _run(
+        self, job: open_job.OpenJob, index: int, up: routes.Upstream, run: open_job.Run
+    ) -> None:
         item = job.items[index]
         partial = job.partial[index]
         before = partial.events
@@ -358,7 +273,7 @@
                 self._take(job, index, result)
         except engine.CallError as exc:
             outcome = exc.show()
-            job.not_before_s[index] = trio.current_time() + RETRY_PAUSE_S
+            job.retry_later(index, trio.current_time())
             if exc.progress is engine.Progress.NOT_SENT or exc.silent:
                 self._suspect(up, exc)
         finally:
@@ -387,28 +302,30 @@
     def _sound(self, up: routes.Upstream) -> None:
         self._health.pop(up.name, None)
 
-    def _take(self, job: _Job, index: int, result: ports.ItemResult | None) -> None:
+    def _take(self, job: open_job.OpenJob, index: int, result: ports.ItemResult | None) -> None:
         """Store a final result; count a failure and give the item up after too many."""
         if result is None:
             job.failures[index] = job.failures.get(index, 0) + 1
             job.partial.pop(index, None)
-            job.not_before_s[index] = trio.current_time() + RETRY_PAUSE_S
+            job.retry_later(index, trio.current_time())
             if job.failures[index] < self._max_attempts(job, index):
                 return
             result = _given_up(job.items[index])
         self._store_soon(job, index, result)
 
-    def _max_attempts(self, job: _Job, index: int) -> int:
+    def _max_attempts(self, job: open_job.OpenJob, index: int) -> int:
         table = self._fleet.table()
         route = table.find(job.header.host, job.items[index].target) if table else None
         return route.max_attempts if route else 1
 
-    def _store_soon(self, job: _Job, index: int, result: ports.ItemResult) -> None:
+    def _store_soon(self, job: open_job.OpenJob, index: int, result: ports.ItemResult) -> None:
         assert self._nursery is not None
         job.storing.add(index)
         self._nursery.start_soon(self._store_result, job, index, result)
 
-    async def _store_result(self, job: _Job, index: int, result: ports.ItemResult) -> None:
+    async def _store_result(
+        self, job: open_job.OpenJob, index: int, result: ports.ItemResult
+    ) -> None:
         pause_s = STORE_PAUSE_S
         while self._jobs.get(job.header.job) is job:
             try:
@@ -425,7 +342,7 @@
 
     # Ends of jobs
 
-    def _settle(self, job: _Job, now_s: float) -> None:
+    def _settle(self, job: open_job.OpenJob, now_s: float) -> None:
         """Close a job whose results are all there, and give up items whose time is over."""
         workers = self._peers.living(peers.Role.WORKER)
         owner = max(workers, key=lambda vm: rendezvous.score(job.header.job, vm))
@@ -436,10 +353,10 @@
             job.closing = True
             self._nursery.start_soon(self._close, job)
         elif self._over(job, now_s):
-            for index in tuple(self._open_items(job, now_s)):
+            for index in tuple(job.open_items(now_s)):
                 self._store_soon(job, index, _given_up(job.items[index]))
 
-    def _over(self, job: _Job, now_s: float) -> bool:
+    def _over(self, job: open_job.OpenJob, now_s: float) -> bool:
         """Whether a job's items may be given up: their time is over or their route is gone."""
         expired = time.time() * _MS_PER_S > job.header.expires_ms
         table = self._fleet.table()
@@ -449,26 +366,18 @@
             job.route_seen_s = now_s
         return expired or now_s - job.route_seen_s > ROUTE_GONE_S
 
-    async def _close(self, job: _Job) -> None:
+    async def _close(self, job: open_job.OpenJob) -> None:
         try:
             await self._book.close(job_book.Found(job.header, job.version), "done")
             self._drop(job, "done")
         except platform.UnavailableError as exc:
             _log.info("job_not_closed", job=job.header.job, error=exc.show())
-            await trio.sleep(RETRY_PAUSE_S)
+            await trio.sleep(open_job.RETRY_PAUSE_S)
         finally:
             job.closing = False
 
     # Peers
 
-    async def _hear_uses(self, heard: trio.MemoryReceiveChannel[messages.Uses]) -> None:
-        async for got in heard:
-            now_s = trio.current_time()
-            self._asking[got.vm] = now_s
-            for use in got.uses:
-                self._online.setdefault(use.upstream, {})[got.vm] = (use.online, now_s)
-            self._wake.give()
-
     async def _hear_claims(self, heard: trio.MemoryReceiveChannel[messages.JobClaims]) -> None:
         async for got in heard:
             now_s = trio.current_time()
@@ -481,7 +390,7 @@
     async def _tell(self) -> None:
         while True:
             self._tell_workers()
-            self._tell_gateways()
+            self._uses.tell_gateways(self._owned())
             with trio.move_on_after(TELL_S):
                 await self._wake.wait()
             await trio.sleep(TICK_S)
@@ -498,28 +407,6 @@
             for group in groups or [()]:
                 self._peers.send(vm, messages.JobClaims(group))
 
-    def _tell_gateways(self) -> None:
-        """Tell each gateway of the others' requests at the upstreams that it uses.
-
-        One that uses none here gets an empty message: it has to know who lives to choose whom to
-        tell.
-        """
-        now_s = trio.current_time()
-        told: dict[str, list[messages.UpstreamUse]] = {
-            vm: [] for vm, at_s in self._asking.items() if now_s - at_s < LOAD_S
-        }
-        for reg in self._fleet.upstreams():
-            up = reg.upstream
-            if not self._owns(up):
-                continue
-            use = self._use(up, now_s)
-            for vm, (count, at_s) in self._online.get(up.name, {}).items():
-                if now_s - at_s < LOAD_S:
-                    other = messages.UpstreamUse(up.name, use.online - count, use.batch)
-                    told.setdefault(vm, []).append(other)
-        for vm, uses in told.items():
-            self._peers.send(vm, messages.Uses(tuple(uses)))
-
 
 def _given_up(item: ports.Item) -> ports.ItemResult:
     return ports.ItemResult(item.name, ports.ItemEnd.GIVEN_UP, "")
