--- a/tests/edge/edge_rig.py
+++ b/src/cornelgrade/platform/standins/edge_system.py
@@ -1,5 +1,6 @@
-"""Gateways, workers, engines and a store in one process on loopback."""
+"""Gateways, workers, engines and a store in one process on loopback, for tests and measurements."""
 
+import base64
 import contextlib
 import dataclasses
 import socket
@@ -11,8 +12,9 @@
 from cornelgrade.adapters import engine as engine_port
 from cornelgrade.adapters import http1
 from cornelgrade.platform import calls, jobs
+from cornelgrade.platform.standins import stream_engine
 from cornelgrade.services.edge import peers, ports
-from cornelgrade.standins import platform_store, stream_engine
+from cornelgrade.standins import platform_store
 
 HOST = "questions.example"
 SERVICE = "llm"
@@ -30,9 +32,11 @@
     upstream_kind = "upstreams"
 
     def plan(self, value: bytes) -> routes.Plan | None:
+        """Decode a plan."""
         return msgspec.json.decode(value, type=routes.Plan)
 
     def upstream(self, name: str, value: bytes) -> routes.Upstream | None:
+        """Decode a registration."""
         return msgspec.json.decode(value, type=routes.Upstream)
 
 
@@ -45,15 +49,18 @@
         self.told: list[tuple[str, ports.Emptying]] = []
 
     async def tell(self, vm: str, emptying: ports.Emptying) -> None:
+        """Remember what was told."""
         self.told.append((vm, emptying))
 
 
 def a_route(name: str, prefix: str, kind: routes.RouteKind, **more) -> routes.Route:
+    """Make a route to :data:`SERVICE`."""
     made = routes.Route(name, HOST, prefix, kind, (routes.Target(SERVICE),))
     return dataclasses.replace(made, **{"timeout_s": 5.0, "aim_s": 0.3, **more})
 
 
 def a_plan(version: int = 1, **terms) -> routes.Plan:
+    """Make a plan with a route of each kind; ``terms`` are those of its jobs."""
     stream, batch = routes.RouteKind.STREAM, routes.RouteKind.BATCH
     return routes.Plan(
         version,
@@ -67,6 +74,7 @@
 
 
 def free_port(kind: int = socket.SOCK_STREAM) -> int:
+    """Find a port that is free now."""
     with socket.socket(socket.AF_INET, kind) as sock:
         sock.bind(("127.0.0.1", 0))
         return sock.getsockname()[1]
@@ -74,12 +82,17 @@
 
 @dataclasses.dataclass(frozen=True)
 class Answer:
-    """What a caller got; ``whole`` tells whether the answer came to its proper end."""
+    """What a caller got.
+
+    :param whole: whether the answer came to its proper end.
+    :param first_at_s: when its first part came, on trio's clock.
+    """
 
     status: int
     headers: dict[str, str]
     body: bytes
     whole: bool
+    first_at_s: float
 
 
 @dataclasses.dataclass
@@ -92,7 +105,7 @@
     scope: trio.CancelScope
 
 
-class Rig:
+class System:
     """A running system; made by :func:`running`."""
 
     def __init__(self, nursery: trio.Nursery) -> None:
@@ -103,9 +116,11 @@
         self.engines: dict[str, stream_engine.StreamEngine] = {}
 
     async def plan(self, plan: routes.Plan) -> None:
+        """Put a plan in force."""
         await self._put(Directory.plan_kind, Directory.plan_name, plan)
 
     async def engine(self, name: str, domain: str = "north", **more) -> stream_engine.StreamEngine:
+        """Start an engine and register it."""
         made = stream_engine.StreamEngine(name, **more)
         self.engines[name] = made
         await self.nursery.start(made.run)
@@ -113,6 +128,7 @@
         return made
 
     async def register(self, upstream: routes.Upstream) -> None:
+        """Write a registration."""
         await self._put(Directory.upstream_kind, upstream.name, upstream)
 
     async def _put(self, kind: str, name: str, value: object) -> None:
@@ -124,9 +140,11 @@
             await self.store.create(kind, name, raw)
 
     async def gateway(self, name: str, domain: str = "north") -> Node:
+        """Start a gateway."""
         return await self._node(name, domain, edge_daemons.add_gateway)
 
     async def worker(self, name: str, domain: str = "north") -> Node:
+        """Start a worker."""
         return await self._node(name, domain, edge_daemons.add_worker)
 
     async def _node(self, name: str, domain: str, assemble: edge_daemons.Assemble) -> Node:
@@ -154,10 +172,12 @@
             await node.kern.run(task_status)
 
     async def ready(self, gateway: str) -> int:
+        """Ask whether a gateway is ready, as a status."""
         address = self.nodes[gateway].cfg.ready_address
         return (await call(address, "GET", b"/ready", {}, b"")).status
 
     async def until_ready(self, gateway: str) -> None:
+        """Wait until a gateway is ready."""
         with trio.fail_after(5):
             while await self.ready(gateway) != 200:
                 await trio.sleep(0.02)
@@ -181,9 +201,31 @@
     async def send(
         self, gateway: str, method: str, path: str, headers: dict[str, str], body: bytes = b""
     ) -> Answer:
+        """Make a call at a gateway."""
         address = self.nodes[gateway].cfg.caller_address
         return await call(address, method, path.encode(), {"host": HOST, **headers}, body)
 
+    async def submit(self, gateway: str, job: str, items: dict[str, bytes]) -> Answer:
+        """Send a job of items with their bodies."""
+        listed = [
+            {
+                "id": name,
+                "path": f"{NOTES}{name}",
+                "body": base64.b64encode(body).decode(),
+                "tokens": 100,
+            }
+            for name, body in items.items()
+        ]
+        raw = msgspec.json.encode({"items": listed})
+        return await self.send(gateway, "POST", f"{NOTES}{job}", {"x-request-id": job}, raw)
+
+    async def results(self, gateway: str, job: str, after: int) -> list[tuple[str, str]]:
+        """Wait a second for results from a position on; gives items and their texts."""
+        path = f"/lots/{job}?after={after}"
+        got = await self.send(gateway, "GET", path, {"x-wait-ms": "1000"})
+        page = msgspec.json.decode(got.body)
+        return [(result["id"], result["text"]) for result in page["results"]]
+
 
 def _named(headers: dict[str, str]) -> dict[str, str]:
     return {name.replace("_", "-"): value for name, value in headers.items()}
@@ -199,36 +241,36 @@
         head = await channel.head()
         parts: list[bytes] = []
         found = {k.decode(): v.decode() for k, v in head.headers}
+        first_at_s = trio.current_time()
+        whole = True
         try:
             while part := await channel.body():
+                first_at_s = first_at_s if parts else trio.current_time()
                 parts.append(part)
         except engine_port.CallError:
-            return Answer(head.status, found, b"".join(parts), False)
-    return Answer(head.status, found, b"".join(parts), True)
+            whole = False
+        return Answer(head.status, found, b"".join(parts), whole, first_at_s)
 
 
 @contextlib.asynccontextmanager
 async def running(*, gateways: int = 1, workers: int = 0, engines: int = 1, **engine):
     """Run a system whose parts are spread over the failure domains in turn."""
     async with trio.open_nursery() as nursery:
-        rig = Rig(nursery)
-        await rig.plan(a_plan())
+        system = System(nursery)
+        await system.plan(a_plan())
         for number in range(engines):
-            await rig.engine(f"engine-{number}", DOMAINS[number % 3], **engine)
+            await system.engine(f"engine-{number}", DOMAINS[number % 3], **engine)
         for number in range(workers):
-            await rig.worker(f"worker-{number}", DOMAINS[number % 3])
+            await system.worker(f"worker-{number}", DOMAINS[number % 3])
         for number in range(gateways):
-            await rig.gateway(f"gateway-{number}", DOMAINS[number % 3])
+            await system.gateway(f"gateway-{number}", DOMAINS[number % 3])
         for number in range(gateways):
-            await rig.until_ready(f"gateway-{number}")
-        await rig.until_acquainted()
-        yield rig
+            await system.until_ready(f"gateway-{number}")
+        await system.until_acquainted()
+        yield system
         nursery.cancel_scope.cancel()
 
 
-def an_item(name: str, tokens: int = 100) -> ports.Item:
-    return ports.Item(name, f"{NOTES}{name}", (("x-model", "m"),), name.encode(), tokens)
-
-
 def outage(store: platform_store.MemoryPlatform, *, down: bool) -> None:
+    """Begin or end an outage of the store."""
     store.switch(platform_store.Switches(down, 0, 0, 0, 0, 0))
--- a/tests/edge/test_jobs.py
+++ b/tests/edge/test_jobs.py
@@ -2,20 +2,19 @@
 
 import base64
 
-import edge_rig
 import msgspec
 import pytest
 import trio
 
+from cornelgrade.platform.standins import edge_system, stream_engine
 from cornelgrade.services.edge import job_sweeper
-from cornelgrade.standins import stream_engine
 
 
 def a_job(*names: str, tokens: int = 100) -> bytes:
     items = [
         {
             "id": name,
-            "path": f"{edge_rig.NOTES}{name}",
+            "path": f"{edge_system.NOTES}{name}",
             "headers": {"X-Model": "m"},
             "body": base64.b64encode(name.encode()).decode(),
             "tokens": tokens,
@@ -25,8 +24,8 @@
     return msgspec.json.encode({"items": items})
 
 
-async def submit(rig, job: str, body: bytes, gateway: str = "gateway-0") -> edge_rig.Answer:
-    return await rig.send(gateway, "POST", f"{edge_rig.NOTES}{job}", {"x-request-id": job}, body)
+async def submit(rig, job: str, body: bytes, gateway: str = "gateway-0") -> edge_system.Answer:
+    return await rig.send(gateway, "POST", f"{edge_system.NOTES}{job}", {"x-request-id": job}, body)
 
 
 async def read(rig, job: str, after: int = 0, gateway: str = "gateway-0") -> dict:
@@ -53,7 +52,7 @@
 
 async def test_each_item_completes_once_and_keeps_its_position_at_every_gateway():
     names = [f"item-{number}" for number in range(20)]
-    async with edge_rig.running(gateways=2, workers=3, engines=3) as rig:
+    async with edge_system.running(gateways=2, workers=3, engines=3) as rig:
         assert (await submit(rig, "job-1", a_job(*names))).status == 202
         first = await read_all(rig, "job-1", "gateway-0")
         second = await read_all(rig, "job-1", "gateway-1")
@@ -63,7 +62,7 @@
 
 
 async def test_repeat_of_a_job_is_accepted_and_runs_nothing_again():
-    async with edge_rig.running(gateways=2, workers=1) as rig:
+    async with edge_system.running(gateways=2, workers=1) as rig:
         await submit(rig, "job-1", a_job("a"))
         await read_all(rig, "job-1")
         again = await submit(rig, "job-1", a_job("a"), "gateway-1")
@@ -74,7 +73,7 @@
 
 
 async def test_item_goes_on_behind_its_last_event_after_a_broken_run():
-    async with edge_rig.running(workers=1) as rig:
+    async with edge_system.running(workers=1) as rig:
         engine = rig.engines["engine-0"]
         engine.faults = stream_engine.Faults(cut_after=3)
         await submit(rig, "job-1", a_job("a"))
@@ -90,7 +89,7 @@
 
 @pytest.mark.parametrize(("status", "runs"), [(422, 1), (500, 3)])
 async def test_item_that_cant_be_done_is_given_up(status, runs):
-    async with edge_rig.running(workers=1) as rig:
+    async with edge_system.running(workers=1) as rig:
         rig.engines["engine-0"].faults = stream_engine.Faults(fail=status)
         await submit(rig, "job-1", a_job("a"))
         results = await read_all(rig, "job-1")
@@ -99,7 +98,7 @@
 
 
 async def test_ended_job_stops():
-    async with edge_rig.running(workers=1, events=500) as rig:
+    async with edge_system.running(workers=1, events=500) as rig:
         engine = rig.engines["engine-0"]
         await submit(rig, "job-1", a_job("a", "b", "c"))
         with trio.fail_after(3):
@@ -117,7 +116,7 @@
 
 
 async def test_body_of_an_item_is_given_back():
-    async with edge_rig.running() as rig:
+    async with edge_system.running() as rig:
         await submit(rig, "job-1", a_job("a", "b"))
         got = await rig.send("gateway-0", "GET", "/items/job-1?id=b", {})
         missing = await rig.send("gateway-0", "GET", "/items/job-1?id=z", {})
@@ -126,7 +125,7 @@
 
 
 async def test_unknown_job_is_not_found():
-    async with edge_rig.running() as rig:
+    async with edge_system.running() as rig:
         got = await rig.send("gateway-0", "GET", "/lots/none?after=0", {})
     assert got.status == 404
 
@@ -144,15 +143,15 @@
     ],
 )
 async def test_job_that_cant_be_read_is_refused_and_nothing_is_kept(body):
-    async with edge_rig.running() as rig:
+    async with edge_system.running() as rig:
         got = await submit(rig, "job-1", body)
         kept = await rig.send("gateway-0", "GET", "/lots/job-1?after=0", {})
     assert (got.status, kept.status) == (400, 404)
 
 
 async def test_jobs_over_the_waiting_tokens_are_refused_with_a_time_to_come_back():
-    async with edge_rig.running() as rig:
-        await rig.plan(edge_rig.a_plan(version=2, waiting_tokens=250))
+    async with edge_system.running() as rig:
+        await rig.plan(edge_system.a_plan(version=2, waiting_tokens=250))
         await trio.sleep(0.2)
         statuses = [(await submit(rig, f"job-{n}", a_job("a"))).status for n in range(3)]
         refused = await submit(rig, "job-9", a_job("a"))
@@ -163,25 +162,25 @@
 
 
 async def test_job_is_refused_as_not_run_while_the_store_is_away_and_readers_are_told_so():
-    async with edge_rig.running() as rig:
+    async with edge_system.running() as rig:
         await submit(rig, "job-1", a_job("a"))
-        edge_rig.outage(rig.store, down=True)
+        edge_system.outage(rig.store, down=True)
         got = await submit(rig, "job-2", a_job("b"))
         unsure = await rig.send("gateway-0", "GET", "/lots/job-2?after=0", {})
-        edge_rig.outage(rig.store, down=False)
+        edge_system.outage(rig.store, down=False)
         missing = await rig.send("gateway-0", "GET", "/lots/job-2?after=0", {})
     assert (got.status, unsure.status, missing.status) == (503, 503, 404)
 
 
 async def test_results_made_in_an_outage_are_listed_after_it():
-    async with edge_rig.running(workers=1, events=20) as rig:
+    async with edge_system.running(workers=1, events=20) as rig:
         await submit(rig, "job-1", a_job("a", "b"))
         with trio.fail_after(3):
             while len(rig.engines["engine-0"].seen) < 2:
                 await trio.sleep(0.01)
-        edge_rig.outage(rig.store, down=True)
+        edge_system.outage(rig.store, down=True)
         await trio.sleep(0.6)
-        edge_rig.outage(rig.store, down=False)
+        edge_system.outage(rig.store, down=False)
         results = await read_all(rig, "job-1")
         runs = len(rig.engines["engine-0"].seen)
     assert sorted(r["id"] for r in results) == ["a", "b"]
@@ -189,7 +188,7 @@
 
 
 async def test_another_worker_finishes_what_a_killed_one_left():
-    async with edge_rig.running(workers=2, engines=2, events=50) as rig:
+    async with edge_system.running(workers=2, engines=2, events=50) as rig:
         await submit(rig, "job-1", a_job(*(f"i{n}" for n in range(6))))
         with trio.fail_after(3):
             while not all(engine.running for engine in rig.engines.values()):
@@ -201,7 +200,7 @@
 
 
 async def test_online_requests_do_not_wait_behind_batch():
-    async with edge_rig.running(workers=1, slots=4, events=40, event_s=0.02) as rig:
+    async with edge_system.running(workers=1, slots=4, events=40, event_s=0.02) as rig:
         engine = rig.engines["engine-0"]
         await submit(rig, "job-1", a_job(*(f"i{n}" for n in range(12))))
         with trio.fail_after(3):
@@ -210,7 +209,7 @@
         begun_s = trio.current_time()
         async with trio.open_nursery() as nursery:
             for number in range(4):
-                nursery.start_soon(rig.ask, "gateway-0", edge_rig.ONCE, f"r{number}")
+                nursery.start_soon(rig.ask, "gateway-0", edge_system.ONCE, f"r{number}")
         took_s = trio.current_time() - begun_s
         cut = [seen for seen in engine.seen if seen.request.startswith("i") and seen.cancelled]
     assert took_s < 40 * 0.02 + 0.5
@@ -218,7 +217,7 @@
 
 
 async def test_worker_that_is_to_be_emptied_ends_its_items_and_says_so():
-    async with edge_rig.running(workers=2, engines=2, events=30) as rig:
+    async with edge_system.running(workers=2, engines=2, events=30) as rig:
         await submit(rig, "job-1", a_job(*(f"i{n}" for n in range(6))))
         await trio.sleep(0.1)
         await rig.store.create(rig.retirements.kind, "worker-0", b"{}")
@@ -226,23 +225,23 @@
         with trio.fail_after(8):
             while len(rig.retirements.told) < 2:
                 await trio.sleep(0.05)
-    done = edge_rig.ports.Emptying.DONE
+    done = edge_system.ports.Emptying.DONE
     assert rig.retirements.told[-1] == ("worker-0", done)
     assert sorted(r["id"] for r in results) == [f"i{n}" for n in range(6)]
 
 
 async def test_silent_worker_that_is_to_be_emptied_is_spoken_for():
-    async with edge_rig.running(workers=2) as rig:
+    async with edge_system.running(workers=2) as rig:
         rig.nodes["worker-0"].scope.cancel()
         await rig.store.create(rig.retirements.kind, "worker-0", b"{}")
         with trio.fail_after(8):
             while not rig.retirements.told:
                 await trio.sleep(0.05)
-    assert rig.retirements.told == [("worker-0", edge_rig.ports.Emptying.DONE)]
+    assert rig.retirements.told == [("worker-0", edge_system.ports.Emptying.DONE)]
 
 
 async def test_reading_a_complete_job_again_asks_the_store_nothing():
-    async with edge_rig.running(workers=1) as rig:
+    async with edge_system.running(workers=1) as rig:
         await submit(rig, "job-1", a_job("a", "b"))
         await read_all(rig, "job-1")
         kind = "cornelgrade-results-job-1"
@@ -254,8 +253,8 @@
 
 
 async def test_jobs_that_come_at_once_at_several_gateways_stay_within_the_bound_together():
-    async with edge_rig.running(gateways=3) as rig:
-        await rig.plan(edge_rig.a_plan(version=2, waiting_tokens=250))
+    async with edge_system.running(gateways=3) as rig:
+        await rig.plan(edge_system.a_plan(version=2, waiting_tokens=250))
         await trio.sleep(0.2)
         statuses: list[int] = []
 
@@ -271,8 +270,8 @@
 
 
 async def test_job_that_was_refused_runs_nothing():
-    async with edge_rig.running(workers=1) as rig:
-        await rig.plan(edge_rig.a_plan(version=2, waiting_tokens=150))
+    async with edge_system.running(workers=1) as rig:
+        await rig.plan(edge_system.a_plan(version=2, waiting_tokens=150))
         await trio.sleep(0.2)
         assert (await submit(rig, "job-1", a_job("a", tokens=200))).status == 429
         await trio.sleep(0.3)
@@ -284,7 +283,7 @@
 async def test_job_is_forgotten_when_its_retention_is_over(monkeypatch):
     monkeypatch.setattr(job_sweeper, "INTERVAL_S", 0.05)
     monkeypatch.setattr(job_sweeper, "MARGIN_S", -119.0)
-    async with edge_rig.running(workers=2) as rig:
+    async with edge_system.running(workers=2) as rig:
         await submit(rig, "job-1", a_job("a", "b"))
         await read_all(rig, "job-1")
         with trio.fail_after(5):
--- a/tests/test_bench.py
+++ b/tests/test_bench.py
@@ -1,4 +1,4 @@
-from bench import fleet, online, workload
+from bench import edge, fleet, online, workload
 
 
 def test_online_bench_measures_whole_answers(monkeypatch):
@@ -9,3 +9,9 @@
     assert not [sample.code for sample in run.samples if sample.code]
     assert 0.0 < run.hit_share < 1.0
     assert all(0.0 < sample.first_s <= sample.total_s for sample in run.samples)
+
+
+async def test_edge_bench_serves_online_and_batch_whole():
+    seen = await edge.measure(seconds=2.0, rate=15.0, jobs=2, seed=1)
+    assert seen.first_s
+    assert (seen.failed, seen.items, seen.wrong) == (0, 2 * edge.ITEMS, 0)
