--- a/src/cornelgrade/platform/standins/edge_system.py
+++ b/src/cornelgrade/platform/standins/edge_system.py
@@ -22,6 +22,7 @@
 ONCE = "/once/"
 RESUMED = "/resumed/"
 NOTES = "/notes/"
+UNLIMITED = platform_store.Switches(writes_per_s=0, reads_per_s=0)
 
 
 class Directory:
@@ -109,7 +110,7 @@
     """A running system; made by :func:`running`."""
 
     def __init__(self, nursery: trio.Nursery) -> None:
-        self.store = platform_store.MemoryPlatform(platform_store.Switches(0, 0, 0, 0, 0, 0))
+        self.store = platform_store.MemoryPlatform(UNLIMITED)
         self.nursery = nursery
         self.nodes: dict[str, Node] = {}
         self.retirements = Retirements()
@@ -174,6 +175,7 @@
     async def ready(self, gateway: str) -> int:
         """Ask whether a gateway is ready, as a status."""
         address = self.nodes[gateway].cfg.ready_address
+        assert address is not None
         return (await call(address, "GET", b"/ready", {}, b"")).status
 
     async def until_ready(self, gateway: str) -> None:
@@ -203,6 +205,7 @@
     ) -> Answer:
         """Make a call at a gateway."""
         address = self.nodes[gateway].cfg.caller_address
+        assert address is not None
         return await call(address, method, path.encode(), {"host": HOST, **headers}, body)
 
     async def submit(self, gateway: str, job: str, items: dict[str, bytes]) -> Answer:
@@ -273,4 +276,4 @@
 
 def outage(store: platform_store.MemoryPlatform, *, down: bool) -> None:
     """Begin or end an outage of the store."""
-    store.switch(platform_store.Switches(down, 0, 0, 0, 0, 0))
+    store.switch(msgspec.structs.replace(UNLIMITED, down=down))
