--- a/src/cornelgrade/adapters/platform_http.py
+++ b/src/cornelgrade/adapters/platform_http.py
@@ -1,9 +1,10 @@
 """The platform's object API over HTTP: the client and the bodies on the wire.
 
 ``GET|PUT|DELETE /v1/objects/KIND/NAME`` with ``ETag``, ``If-None-Match: *``, ``If-Match`` and
-``Writer-Nonce``; ``GET /v1/objects/KIND``; ``GET /v1/watch/KIND``; ``GET /v1/vms``.
+``Writer-Nonce``, and ``Created-Version`` in answers; ``GET /v1/objects/KIND``; ``GET /v1/watch/KIND``; ``GET /v1/vms``.
 """
 
+import dataclasses
 import urllib.parse
 from types import TracebackType
 
@@ -15,6 +16,7 @@
 from cornelgrade.policy import settle
 
 NONCE_HEADER = "writer-nonce"
+CREATED_HEADER = "created-version"
 _PEER = "platform"
 _CONNECTIONS = httpx.Limits(max_connections=200, max_keepalive_connections=20)
 _Query = dict[str, str | int | float]
@@ -28,6 +30,7 @@
     version: int
     value: bytes
     nonce: str = ""
+    created: int = 0
 
 
 class WireChanges(msgspec.Struct, frozen=True):
@@ -164,7 +167,8 @@
         except httpx.TransportError as exc:
             raise settled_writes.LostAnswerError from exc
         if res.status_code in (200, 201, 204):
-            return writing.stored(version_of(res.headers.get("etag", "0")))
+            version = version_of(res.headers.get("etag", "0"))
+            return dataclasses.replace(writing.stored(version), created=_created(res))
         if res.status_code == 412:
             raise settled_writes.FailedConditionError(_found(writing, res))
         if res.status_code == 413:
@@ -189,7 +193,8 @@
     nonce = res.headers.get(NONCE_HEADER, "")
     if not tag or nonce != writing.nonce:
         return None
-    return platform.Stored(writing.kind, writing.name, version_of(tag), writing.value, nonce)
+    version = version_of(tag)
+    return platform.Stored(writing.kind, writing.name, version, writing.value, nonce, _created(res))
 
 
 def _quote(part: str) -> str:
@@ -201,12 +206,17 @@
 
 
 def _from_wire(kind: str, item: WireStored) -> platform.Stored:
-    return platform.Stored(kind, item.name, item.version, item.value, item.nonce)
+    return platform.Stored(kind, item.name, item.version, item.value, item.nonce, item.created)
 
 
 def _stored(kind: str, name: str, res: httpx.Response) -> platform.Stored:
     nonce = res.headers.get(NONCE_HEADER, "")
-    return platform.Stored(kind, name, version_of(res.headers["etag"]), res.content, nonce)
+    version = version_of(res.headers["etag"])
+    return platform.Stored(kind, name, version, res.content, nonce, _created(res))
+
+
+def _created(res: httpx.Response) -> int:
+    return int(res.headers.get(CREATED_HEADER, "0"))
 
 
 def _refused(step: str, res: httpx.Response, *, outcome_unknown: bool) -> platform.UnavailableError:
--- a/src/cornelgrade/standins/platform_http.py
+++ b/src/cornelgrade/standins/platform_http.py
@@ -26,13 +26,16 @@
 
 
 def _wire(stored: platform.Stored) -> platform_http.WireStored:
-    return platform_http.WireStored(stored.name, stored.version, stored.value, stored.nonce)
+    return platform_http.WireStored(
+        stored.name, stored.version, stored.value, stored.nonce, stored.created
+    )
 
 
 def _head(stored: platform.Stored) -> dict[str, str]:
     return {
         "etag": platform_http.etag(stored.version),
         platform_http.NONCE_HEADER: stored.nonce,
+        platform_http.CREATED_HEADER: str(stored.created),
     }
 
 
