--- a/src/cornelgrade/adapters/platform_http.py
+++ b/src/cornelgrade/adapters/platform_http.py
@@ -1,7 +1,8 @@
 """The platform's object API over HTTP: the client and the bodies on the wire.
 
 ``GET|PUT|DELETE /v1/objects/KIND/NAME`` with ``ETag``, ``If-None-Match: *``, ``If-Match`` and
-``Writer-Nonce``, and ``Created-Version`` in answers; ``GET /v1/objects/KIND``; ``GET /v1/watch/KIND``; ``GET /v1/vms``.
+``Writer-Nonce``, and ``Created-Version`` in answers; ``GET /v1/objects/KIND``;
+``GET /v1/watch/KIND``; ``GET /v1/vms``.
 """
 
 import dataclasses
