--- a/src/cornelgrade/services/edge/job_book.py
+++ b/src/cornelgrade/services/edge/job_book.py
@@ -130,8 +130,14 @@
         return found.header
 
     async def forget(self, found: Found) -> None:
-        """Remove all that the store holds of a job, its header last."""
+        """Remove all that the store holds of a job, its header last.
+
+        :raises ConflictError: if the job has changed; then all of it stays.
+        """
         job = found.header.job
+        current = await self._store.get(HEADER_KIND, job)
+        if current is None or current.version != found.version:
+            raise platform.ConflictError(f"{job} has changed", step="forget", current=current)
         kind = _result_kind(job)
         changes = await self._store.watch(kind, after=0, wait_s=0.0)
         for stored in changes.items:
--- a/src/cornelgrade/services/edge/job_sweeper.py
+++ b/src/cornelgrade/services/edge/job_sweeper.py
@@ -31,6 +31,10 @@
         """Note a job that is no longer open, or not open yet."""
         self._closed[found.header.job] = found
 
+    def opened(self, job: str) -> None:
+        """Note a job that is open now: it is not swept, however old it is."""
+        self._closed.pop(job, None)
+
     async def run(self) -> None:
         """Sweep until cancelled."""
         while True:
--- a/src/cornelgrade/services/edge/runner.py
+++ b/src/cornelgrade/services/edge/runner.py
@@ -7,6 +7,7 @@
 import time
 from collections.abc import Callable
 
+import msgspec
 import trio
 
 from cornelgrade import kernel, logs, metrics, routes, settings
@@ -116,10 +117,14 @@
 
     async def _headers(self, changes: platform.Changes, whole: bool) -> None:
         for stored in changes.items:
-            found = job_book.read_header(stored)
-            await self._follow_job(found, fresh=not whole)
+            try:
+                found = job_book.read_header(stored)
+            except msgspec.MsgspecError as exc:
+                _log.error("header_unreadable", job=stored.name, error=repr(exc))
+                continue
+            self._follow_job(found, fresh=not whole)
 
-    async def _follow_job(self, found: job_book.Found, *, fresh: bool) -> None:
+    def _follow_job(self, found: job_book.Found, *, fresh: bool) -> None:
         header = found.header
         known = self._jobs.get(header.job)
         if header.state != "open":
@@ -127,6 +132,7 @@
                 self._drop(known, header.state)
             self._sweeper.closed(found)
             return
+        self._sweeper.opened(header.job)
         if known is not None:
             known.version = found.version
             return
--- a/tests/edge/test_jobs.py
+++ b/tests/edge/test_jobs.py
@@ -6,8 +6,9 @@
 import pytest
 import trio
 
+from cornelgrade.adapters import platform
 from cornelgrade.platform.standins import edge_system, stream_engine
-from cornelgrade.services.edge import job_sweeper
+from cornelgrade.services.edge import job_book, job_sweeper
 
 
 def a_job(*names: str, tokens: int = 100) -> bytes:
@@ -293,3 +294,29 @@
             await rig.store.list(k) for k in ("cornelgrade-inputs", "cornelgrade-results-job-1")
         ]
     assert left == [(), ()]
+
+
+async def test_open_job_is_kept_however_old_it_is(monkeypatch):
+    monkeypatch.setattr(job_sweeper, "INTERVAL_S", 0.05)
+    monkeypatch.setattr(job_sweeper, "MARGIN_S", -119.9)
+    async with edge_system.running(workers=1, engines=1, events=100) as system:
+        await system.plan(edge_system.a_plan(version=2, waiting_tokens=250))
+        await trio.sleep(0.2)
+        await submit(system, "job-1", a_job("a"))
+        await trio.sleep(0.8)
+        kept = await system.store.list("cornelgrade-inputs")
+        monkeypatch.setattr(job_sweeper, "MARGIN_S", 60.0)
+        results = await read_all(system, "job-1")
+    assert len(kept) == 1
+    assert results[0]["text"] == text("a", 100)
+
+
+async def test_job_that_has_changed_is_not_forgotten():
+    async with edge_system.running() as system:
+        await submit(system, "job-1", a_job("a"))
+        book = job_book.JobBook(system.store, 100_000)
+        found = await book.find("job-1")
+        await book.close(found, "ended")
+        with pytest.raises(platform.ConflictError):
+            await book.forget(found)
+        assert await system.store.list("cornelgrade-inputs")
