A reservation that does not fit is declined in place, not removed

Cause (found by reading): removing it could take the input from a repeat that another gateway was accepting at that moment. Now its header only changes state, conditionally; a repeat may open it.

--- a/src/cornelgrade/services/edge/job_book.py
+++ b/src/cornelgrade/services/edge/job_book.py
@@ -26,8 +26,9 @@
 
     :param received_ms: Unix milliseconds of its acceptance; its times count from there.
     :param pieces: objects that hold its input.
-    :param state: ``reserved`` until it is known to fit, then ``open`` until all results are there
-        (``done``) or its caller ends it. A reserved job is not accepted.
+    :param state: ``reserved`` until it is known to fit or not (``declined``), then ``open`` until
+        all results are there (``done``) or its caller ends it. A reserved or declined job is not
+        accepted; a repeat of it may be.
     """
 
     job: str
@@ -39,7 +40,12 @@
     total: int
     tokens: int
     pieces: int
-    state: Literal["reserved", "open", "done", "ended"] = "open"
+    state: Literal["reserved", "declined", "open", "done", "ended"] = "open"
+
+    @property
+    def accepted(self) -> bool:
+        """Whether the job was ever accepted."""
+        return self.state not in ("reserved", "declined")
 
 
 class _Result(msgspec.Struct, frozen=True):
@@ -50,11 +56,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Found:
-    """A header and its version in the store; ``created`` orders headers."""
+    """A header in the store.
+
+    :param created: orders headers by their creation.
+    :param made: this call created it.
+    """
 
     header: Header
     version: int
     created: int = 0
+    made: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -95,7 +106,7 @@
             if exc.current is None:
                 raise platform.UnavailableError("header taken back", step="accept") from exc
             return read_header(exc.current)
-        return Found(full, made.version, made.created)
+        return Found(full, made.version, made.created, made=True)
 
     async def _add_piece(self, job: str, number: int, piece: bytes) -> None:
         value = msgspec.json.encode(base64.b64encode(piece).decode())
@@ -116,16 +127,32 @@
         return tuple(read_header(stored) for stored in changes.items)
 
     async def open(self, found: Found) -> Header:
-        """Accept a reserved job; one that has moved on stays as it is."""
-        while found.header.state == "reserved":
-            opened = msgspec.structs.replace(found.header, state="open")
-            value = msgspec.json.encode(opened)
+        """Accept a job that is not accepted yet."""
+        return await self._move(found, "open", ("reserved", "declined"))
+
+    async def decline(self, found: Found) -> Header:
+        """Give up a reservation; a job that was accepted meanwhile stays so."""
+        return await self._move(found, "declined", ("reserved",))
+
+    async def close(self, found: Found, state: Literal["done", "ended"]) -> Header:
+        """Move an open job to its final state; one that is final already stays as it is."""
+        return await self._move(found, state, ("open",))
+
+    async def _move(
+        self,
+        found: Found,
+        state: Literal["declined", "open", "done", "ended"],
+        moved_from: tuple[str, ...],
+    ) -> Header:
+        while found.header.state in moved_from:
+            moved = msgspec.structs.replace(found.header, state=state)
+            value = msgspec.json.encode(moved)
             try:
-                await self._store.update(HEADER_KIND, opened.job, value, found.version)
-                return opened
+                await self._store.update(HEADER_KIND, moved.job, value, found.version)
+                return moved
             except platform.ConflictError as exc:
                 if exc.current is None:
-                    raise platform.UnavailableError("header taken back", step="accept") from exc
+                    raise platform.UnavailableError("header is gone", step="move job") from exc
                 found = read_header(exc.current)
         return found.header
 
@@ -159,21 +186,6 @@
             raise platform.UnavailableError("input is missing", step="read input")
         return base64.b64decode(msgspec.json.decode(stored.value, type=str))
 
-    async def close(self, found: Found, state: Literal["done", "ended"]) -> Header:
-        """Move an open job to its final state; one that is final already stays as it is."""
-        while found.header.state == "open":
-            closed = msgspec.structs.replace(found.header, state=state)
-            try:
-                await self._store.update(
-                    HEADER_KIND, closed.job, msgspec.json.encode(closed), found.version
-                )
-                return closed
-            except platform.ConflictError as exc:
-                if exc.current is None:
-                    return closed
-                found = read_header(exc.current)
-        return found.header
-
     async def add_result(self, job: str, index: int, result: ports.ItemResult) -> None:
         """Store a result; one that another VM stored earlier stands."""
         value = msgspec.json.encode(_Result(result.item, result.end, result.text))
--- a/src/cornelgrade/services/edge/job_desk.py
+++ b/src/cornelgrade/services/edge/job_desk.py
@@ -148,7 +148,7 @@
             await self._book.store(header, items)
             return
         headers = await self._book.headers()
-        if any(f.header.job == header.job and f.header.state != "reserved" for f in headers):
+        if any(f.header.job == header.job and f.header.accepted for f in headers):
             return
         waiting = _waiting(headers, header)
         if waiting + header.tokens > bound:
@@ -157,10 +157,12 @@
             await self._book.store(header, items)
             return
         found = await self._book.store(msgspec.structs.replace(header, state="reserved"), items)
-        earlier = [f for f in await self._book.headers() if f.created < found.created]
-        waiting = _waiting(earlier, header)
+        headers = await self._book.headers()
+        # Of two reservations the earlier goes first; one left by an earlier try has lost its place.
+        before = [f for f in headers if not found.made or f.created < found.created]
+        waiting = _waiting(before, header)
         if waiting + header.tokens > bound:
-            await self._book.forget(found)
+            await self._book.decline(found)
             raise _over(waiting, header.tokens, bound)
         await self._book.open(found)
 
@@ -172,7 +174,7 @@
         view = self._views.get(job)
         if view is None:
             found = await self._book.find(job)
-            if found is None or found.header.state == "reserved":
+            if found is None or not found.header.accepted:
                 raise errors.Refusal(errors.Code.NOT_FOUND, f"no job {job}", step="read")
             view = self._views.setdefault(job, _View(found.header))
         self._views.move_to_end(job)
@@ -214,7 +216,7 @@
 
     async def _body(self, exchange: http1_server.Exchange, call: ports.JobCall) -> str:
         found = await self._book.find(call.job)
-        if found is None or found.header.state == "ended":
+        if found is None or found.header.state == "ended" or not found.header.accepted:
             raise errors.Refusal(errors.Code.NOT_FOUND, f"no job {call.job}", step="read")
         for item in await self._book.items(found.header):
             if item.name == call.item:
@@ -225,7 +227,7 @@
 
     async def _end(self, exchange: http1_server.Exchange, call: ports.JobCall) -> str:
         found = await self._book.find(call.job)
-        if found is None:
+        if found is None or not found.header.accepted:
             raise errors.Refusal(errors.Code.NOT_FOUND, f"no job {call.job}", step="end")
         with trio.CancelScope(shield=True):
             header = await self._book.close(found, "ended")
--- a/tests/edge/test_jobs.py
+++ b/tests/edge/test_jobs.py
@@ -320,3 +320,19 @@
         with pytest.raises(platform.ConflictError):
             await book.forget(found)
         assert await system.store.list("cornelgrade-inputs")
+
+
+async def test_job_that_was_declined_is_accepted_when_it_comes_again_and_fits():
+    async with edge_system.running(workers=1, events=40) as system:
+        await system.plan(edge_system.a_plan(version=2, waiting_tokens=150))
+        await trio.sleep(0.2)
+        first = await submit(system, "job-1", a_job("a"))
+        declined = await submit(system, "job-2", a_job("b"))
+        unknown = await system.send("gateway-0", "GET", "/items/job-2?id=b", {})
+        await read_all(system, "job-1")
+        with trio.fail_after(5):
+            while (await submit(system, "job-2", a_job("b"))).status != 202:
+                await trio.sleep(0.05)
+        results = await read_all(system, "job-2")
+    assert (first.status, declined.status, unknown.status) == (202, 429, 404)
+    assert [r["id"] for r in results] == ["b"]
