Batch: an item that gave way stays with the worker that has its events; others steal late

Ruled out: capacity (72 slots), online load (p50 49 ms). Progress is now claimed for 6 s, and a worker begins another one's item only 0.3 s after it was free.

--- a/src/cornelgrade/policy/batch_room.py
+++ b/src/cornelgrade/policy/batch_room.py
@@ -98,12 +98,14 @@
 
     :param due_s: Unix time at which its job is due.
     :param needs_s: time that it will take to end.
+    :param begun: this VM has a part of it from an earlier run.
     """
 
     job: str
     index: int
     due_s: float
     needs_s: float = 0.0
+    begun: bool = False
 
 
 def order(waiting: list[Waiting], vm: str, now_s: float) -> list[Waiting]:
@@ -121,6 +123,7 @@
             now_s + w.needs_s > w.due_s,
             w.due_s,
             w.job,
+            not w.begun,
             -rendezvous.score(f"{w.job}/{w.index}", vm),
         ),
     )
--- a/src/cornelgrade/services/edge/open_job.py
+++ b/src/cornelgrade/services/edge/open_job.py
@@ -1,14 +1,22 @@
 """What a worker knows of an open job, and which of its items it may start."""
 
 import dataclasses
+import functools
 from collections.abc import Iterator
 
 import trio
 
+from cornelgrade.policy import rendezvous
 from cornelgrade.services.edge import item_call, job_book, ports
 
 # What another worker said it runs holds this long: six tellings.
 CLAIM_S = 1.5
+# An item that gave way is kept for the worker that has its events for this long: busy and calm
+# phases alternate within some seconds, and another worker would have to begin it anew.
+PARKED_S = 6.0
+# A worker begins another one's item only after it was free for this long, so that the other had its
+# chance to start it and to say so.
+STEAL_S = 0.3
 # An item that failed is tried again after this long, so that a fault has time to pass.
 RETRY_PAUSE_S = 0.3
 
@@ -37,6 +45,9 @@
     :ivar failures: runs that an upstream called failed, by item.
     :ivar not_before_s: when items that failed may be tried again, on the process's clock.
     :ivar claims: items that other workers run, one bit each, and when they said so.
+    :ivar parked_s: when items gave way here, on the process's clock.
+    :ivar taken_s: when other workers last claimed items.
+    :ivar loaded_s: when its input was read.
     :ivar closing: its final state is on its way to the store.
     :ivar route_seen_s: when its route was last part of the plan.
     """
@@ -51,6 +62,9 @@
     failures: dict[int, int] = dataclasses.field(default_factory=dict)
     not_before_s: dict[int, float] = dataclasses.field(default_factory=dict)
     claims: dict[str, tuple[int, float]] = dataclasses.field(default_factory=dict)
+    parked_s: dict[int, float] = dataclasses.field(default_factory=dict)
+    taken_s: dict[int, float] = dataclasses.field(default_factory=dict)
+    loaded_s: float = 0.0
     closing: bool = False
     route_seen_s: float = 0.0
 
@@ -70,6 +84,28 @@
         """Give the items that run here or whose results are on their way to the store."""
         return sum(1 << index for index in {*self.runs, *self.storing})
 
+    def claims_here(self, now_s: float) -> int:
+        """Give the items that others are to leave to this worker: held, or parked here of late."""
+        bits = self.held()
+        for index, at_s in self.parked_s.items():
+            bits |= 1 << index if now_s - at_s < PARKED_S else 0
+        return bits & ~self.done
+
+    def claim(self, vm: str, running: int, done: int, now_s: float) -> None:
+        """Take in what another worker told."""
+        self.claims[vm] = (running, now_s)
+        self.done |= done
+        for index in range(self.header.total):
+            if running >> index & 1:
+                self.taken_s[index] = now_s
+
+    def may_start(self, index: int, workers: tuple[str, ...], vm: str, now_s: float) -> bool:
+        """Whether a worker may start an open item: its own at once, another's a little later."""
+        if index in self.parked_s or _first(self.header.job, index, workers) == vm:
+            return True
+        free_s = max(self.loaded_s, self.taken_s.get(index, 0.0))
+        return now_s - free_s >= STEAL_S
+
     def open_items(self, now_s: float) -> Iterator[int]:
         """Give the items that nobody runs and that may be tried now."""
         taken = self.done | self.claimed(now_s) | self.held()
@@ -84,3 +120,9 @@
     def retry_later(self, index: int, now_s: float) -> None:
         """Keep an item back for a while."""
         self.not_before_s[index] = now_s + RETRY_PAUSE_S
+
+
+@functools.lru_cache(maxsize=16_384)
+def _first(job: str, index: int, workers: tuple[str, ...]) -> str:
+    """Name the worker whose item it is."""
+    return max(workers, key=lambda vm: rendezvous.score(f"{job}/{index}", vm))
--- a/src/cornelgrade/services/edge/runner.py
+++ b/src/cornelgrade/services/edge/runner.py
@@ -155,6 +155,7 @@
                     listed, _, _ = await self._book.results(job.header.job, 0, 0.0)
                     job.done |= sum(1 << entry.index for entry in listed)
                 job.items = await self._book.items(job.header)
+                job.loaded_s = trio.current_time()
                 _log.info("job_loaded", job=job.header.job, items=job.header.total, done=job.done)
                 self._wake.give()
                 return
@@ -209,15 +210,18 @@
         return sum(1 for job in self._jobs.values() for _ in job.running(upstream))
 
     def _waiting(self, now_s: float) -> list[batch_room.Waiting]:
+        workers = self._peers.living(peers.Role.WORKER)
         waiting = [
             batch_room.Waiting(
                 job.header.job,
                 index,
                 job.header.due_ms / _MS_PER_S,
                 self._pace.needs_s(job.partial[index].events if index in job.partial else 0),
+                index in job.parked_s,
             )
             for job in self._jobs.values()
             for index in job.open_items(now_s)
+            if job.may_start(index, workers, self._cfg.vm, now_s)
         ]
         return batch_room.order(waiting, self._cfg.vm, time.time())
 
@@ -284,6 +288,8 @@
                 self._suspect(up, exc)
         finally:
             job.runs.pop(index, None)
+            if partial.events:
+                job.parked_s[index] = trio.current_time()
             self._wake.give()
             took_s = trio.current_time() - run.started_s
             gave_way = run.gave_way and run.scope.cancelled_caught
@@ -390,8 +396,7 @@
             for claim in got.claims:
                 job = self._jobs.get(claim.job)
                 if job is not None:
-                    job.claims[got.vm] = (claim.running, now_s)
-                    job.done |= claim.done
+                    job.claim(got.vm, claim.running, claim.done, now_s)
 
     async def _tell(self) -> None:
         while True:
@@ -402,8 +407,10 @@
             await trio.sleep(TICK_S)
 
     def _tell_workers(self) -> None:
+        now_s = trio.current_time()
         claims = [
-            messages.JobClaim(job.header.job, job.held(), job.done) for job in self._jobs.values()
+            messages.JobClaim(job.header.job, job.claims_here(now_s), job.done)
+            for job in self._jobs.values()
         ]
         groups = [
             tuple(claims[at : at + JOBS_IN_A_DATAGRAM])
--- a/tests/edge/test_jobs.py
+++ b/tests/edge/test_jobs.py
@@ -336,3 +336,24 @@
         results = await read_all(system, "job-2")
     assert (first.status, declined.status, unknown.status) == (202, 429, 404)
     assert [r["id"] for r in results] == ["b"]
+
+
+async def test_item_that_gave_way_goes_on_where_its_events_are_and_begins_nowhere_else():
+    shape = {"slots": 2, "events": 60, "event_s": 0.01}
+    async with edge_system.running(gateways=2, workers=2, engines=2, **shape) as system:
+        names = [f"i{n}" for n in range(6)]
+        await submit(system, "job-1", a_job(*names))
+        for wave in range(3):
+            await trio.sleep(0.3)
+            async with trio.open_nursery() as nursery:
+                for number in range(4):
+                    request = f"r{wave}-{number}"
+                    nursery.start_soon(
+                        system.ask, f"gateway-{number % 2}", edge_system.ONCE, request
+                    )
+        results = await read_all(system, "job-1")
+        runs = [s for engine in system.engines.values() for s in engine.seen]
+    begun = [run.request for run in runs if run.request in names and run.resumed_after is None]
+    assert sorted(begun) == names
+    assert any(run.resumed_after for run in runs if run.request in names)
+    assert all(r["text"] == text(r["id"], 60) for r in results)
