--- a/src/cornelgrade/services/edge/open_job.py
+++ b/src/cornelgrade/services/edge/open_job.py
@@ -14,8 +14,8 @@
 # An item that gave way is kept for the worker that has its events for this long: busy and calm
 # phases alternate within some seconds, and another worker would have to begin it anew.
 PARKED_S = 6.0
-# A worker begins another one's item only after it was free for this long, so that the other had its
-# chance to start it and to say so.
+# The workers have an order for each item: each begins it only after it was free for this long times
+# its place in the order, so that those before it had their chance to start it and to say so.
 STEAL_S = 0.3
 # An item that failed is tried again after this long, so that a fault has time to pass.
 RETRY_PAUSE_S = 0.3
@@ -87,10 +87,17 @@
     def claims_here(self, now_s: float) -> int:
         """Give the items that others are to leave to this worker: held, or parked here of late."""
         bits = self.held()
-        for index, at_s in self.parked_s.items():
-            bits |= 1 << index if now_s - at_s < PARKED_S else 0
+        for index in self.parked_s:
+            bits |= 1 << index if self._keeps(index, now_s) else 0
         return bits & ~self.done
 
+    def _keeps(self, index: int, now_s: float) -> bool:
+        """Whether an item gave way here of late and nobody else has taken it since."""
+        parked_s = self.parked_s.get(index)
+        if parked_s is None or now_s - parked_s >= PARKED_S:
+            return False
+        return self.taken_s.get(index, 0.0) < parked_s
+
     def claim(self, vm: str, running: int, done: int, now_s: float) -> None:
         """Take in what another worker told."""
         self.claims[vm] = (running, now_s)
@@ -100,11 +107,12 @@
                 self.taken_s[index] = now_s
 
     def may_start(self, index: int, workers: tuple[str, ...], vm: str, now_s: float) -> bool:
-        """Whether a worker may start an open item: its own at once, another's a little later."""
-        if index in self.parked_s or _first(self.header.job, index, workers) == vm:
+        """Whether a worker may start an open item now."""
+        if self._keeps(index, now_s):
             return True
         free_s = max(self.loaded_s, self.taken_s.get(index, 0.0))
-        return now_s - free_s >= STEAL_S
+        place = _order(self.header.job, index, workers).index(vm)
+        return now_s - free_s >= place * STEAL_S
 
     def open_items(self, now_s: float) -> Iterator[int]:
         """Give the items that nobody runs and that may be tried now."""
@@ -123,6 +131,7 @@
 
 
 @functools.lru_cache(maxsize=16_384)
-def _first(job: str, index: int, workers: tuple[str, ...]) -> str:
-    """Name the worker whose item it is."""
-    return max(workers, key=lambda vm: rendezvous.score(f"{job}/{index}", vm))
+def _order(job: str, index: int, workers: tuple[str, ...]) -> tuple[str, ...]:
+    """Give the order in which workers may begin an item."""
+    key = f"{job}/{index}"
+    return tuple(sorted(workers, key=lambda vm: rendezvous.score(key, vm), reverse=True))
--- a/src/cornelgrade/services/edge/runner.py
+++ b/src/cornelgrade/services/edge/runner.py
@@ -30,6 +30,8 @@
 # Longest time between two looks at the slots; changes of load are acted on at once.
 TICK_S = 0.05
 TELL_S = 0.25
+# Least time between two tellings: changes close together go into one datagram.
+TELL_PAUSE_S = 0.02
 # The store is asked again for a result that it did not take, a little later each time.
 STORE_PAUSE_S = 0.2
 LONGEST_STORE_PAUSE_S = 1.0
@@ -404,7 +406,7 @@
             self._uses.tell_gateways(self._owned())
             with trio.move_on_after(TELL_S):
                 await self._wake.wait()
-            await trio.sleep(TICK_S)
+            await trio.sleep(TELL_PAUSE_S)
 
     def _tell_workers(self) -> None:
         now_s = trio.current_time()
