Items that can't be sent are refused when they come; counts are read strictly

Cause (found by reading; six of the new cases failed first): an item whose path, id or header can't stand in a request was accepted and then raised in the worker, which ended the process at each try.

--- a/src/cornelgrade/adapters/http1.py
+++ b/src/cornelgrade/adapters/http1.py
@@ -94,7 +94,10 @@
     async def send(self, method: str, target: bytes, headers: Headers, body: bytes) -> None:
         """Send a whole request; ``headers`` without length and framing."""
         sized = [*headers, (b"content-length", str(len(body)).encode())]
-        request = h11.Request(method=method, target=target, headers=sized)
+        try:
+            request = h11.Request(method=method, target=target, headers=sized)
+        except h11.LocalProtocolError as exc:
+            raise self._error(f"no proper request: {exc}", "send") from exc
         events = [request, h11.Data(data=body), h11.EndOfMessage()]
         raw = b"".join(self._h11.send(event) or b"" for event in events)
         self._request = request
--- a/src/cornelgrade/platform/calls.py
+++ b/src/cornelgrade/platform/calls.py
@@ -16,6 +16,8 @@
 _RESUME = b"last-event-id"
 _RETRY_AFTER = "Retry-After"
 _WRONG_INSTANCE = 421
+# Digits of the largest count: above any position or event number, below what is slow to read.
+COUNT_DIGITS = 15
 _MS_PER_S = 1000.0
 _log = logs.Logger("calls")
 _SET_HERE = frozenset((_DEADLINE, _EXPECT, b"content-length"))
@@ -49,7 +51,7 @@
             request_id=found.get(_ID, b"").decode("latin-1"),
             host=found.get(b"host", b"").decode("latin-1"),
             patience_s=_milliseconds(deadline),
-            resume_after=int(resume) if resume.isdigit() else None,
+            resume_after=int(resume) if is_count(resume) else None,
         )
 
     def to_upstream(
@@ -95,6 +97,11 @@
         return echo + after
 
 
+def is_count(text: str) -> bool:
+    """Whether a text is a whole number of a size that makes sense."""
+    return text.isascii() and text.isdigit() and len(text) <= COUNT_DIGITS
+
+
 def _milliseconds(text: str) -> float | None:
     """Read a header that holds milliseconds, in seconds; ``None`` if it is no such number."""
     try:
--- a/src/cornelgrade/platform/jobs.py
+++ b/src/cornelgrade/platform/jobs.py
@@ -2,12 +2,14 @@
 
 import base64
 import binascii
+import re
 import urllib.parse
 
 import msgspec
 
 from cornelgrade import errors
 from cornelgrade.adapters import http1_server
+from cornelgrade.platform import calls
 from cornelgrade.services.edge import ports
 
 _WAIT = "x-wait-ms"
@@ -18,6 +20,11 @@
     ports.ItemEnd.COMPLETED: "completed",
     ports.ItemEnd.GIVEN_UP: "dead_letter",
 }
+# What can stand in the head of a request (RFC 9110, sections 5.1 and 5.5; RFC 3986): an item that
+# is accepted must be one that can be sent.
+_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+_VALUE = re.compile(r"(?:[\x21-\x7e\x80-\xff](?:[ \t\x21-\x7e\x80-\xff]*[\x21-\x7e\x80-\xff])?)?")
+_PATH = re.compile(r"/[\x21-\x7e]*")
 # Method and first part of the path of calls about an accepted job.
 _ACTS = {
     ("GET", "lots"): ports.JobAct.READ,
@@ -90,13 +97,18 @@
 def _item(got: _Item) -> ports.Item:
     headers = tuple((k.lower(), v) for k, v in got.headers.items())
     body = base64.b64decode(got.body, validate=True)
-    if not got.path.startswith("/") or got.tokens < 0:
+    if not _PATH.fullmatch(got.path) or got.tokens < 0:
         raise ValueError(f"item {got.id}: path {got.path!r}, {got.tokens} tokens")
+    if not _NAME.fullmatch(got.id):
+        raise ValueError(f"item {got.id!r}: no proper id")
+    for name, value in headers:
+        if not _NAME.fullmatch(name) or not _VALUE.fullmatch(value):
+            raise ValueError(f"item {got.id}: header {name!r}")
     return ports.Item(got.id, got.path, headers, body, got.tokens)
 
 
 def _count(text: str, name: str) -> int:
-    if not text.isdigit():
+    if not calls.is_count(text):
         raise _bad(f"{name}={text!r} is no count")
     return int(text)
 
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -213,6 +213,16 @@
     assert jobs.JobCalls().job_call(exchange) == call
 
 
-def test_position_that_is_no_number_is_refused():
+@pytest.mark.parametrize("after", ["-1", "", "x", "\xb2", "9" * 5000])
+def test_position_that_is_no_number_is_refused(after):
     with pytest.raises(errors.BadInputError):
-        jobs.JobCalls().job_call(FakeExchange("GET", "/lots/j?after=-1"))
+        jobs.JobCalls().job_call(FakeExchange("GET", f"/lots/j?after={after}"))
+
+
+@pytest.mark.parametrize(
+    ("text", "resume_after"),
+    [(b"7", 7), (b"", None), (b"x", None), (b"\xb2", None), (b"9" * 5000, None)],
+)
+def test_last_event_is_read_if_it_is_a_number(text, resume_after):
+    headers = ((b"x-request-id", b"r"), (b"last-event-id", text))
+    assert calls.Calls().caller(headers).resume_after == resume_after
