A declined job that comes again with ample room is opened before it is accepted

Cause (found on the last reading; both cases of the test failed first): far from the bound a submission took whatever header was stored for an accepted one. A repeat of a declined job was answered 202 and never ran.

--- a/src/cornelgrade/services/edge/job_desk.py
+++ b/src/cornelgrade/services/edge/job_desk.py
@@ -145,7 +145,7 @@
         """
         bound = route.job_terms.waiting_tokens
         if not bound:
-            await self._book.store(header, items)
+            await self._book.open(await self._book.store(header, items))
             return
         headers = await self._book.headers()
         if any(f.header.job == header.job and f.header.accepted for f in headers):
@@ -154,7 +154,8 @@
         if waiting + header.tokens > bound:
             raise _over(waiting, header.tokens, bound)
         if waiting + AT_ONCE * header.tokens <= bound:
-            await self._book.store(header, items)
+            # What is stored may be an earlier try that was declined.
+            await self._book.open(await self._book.store(header, items))
             return
         found = await self._book.store(msgspec.structs.replace(header, state="reserved"), items)
         headers = await self._book.headers()
--- a/tests/edge/test_jobs.py
+++ b/tests/edge/test_jobs.py
@@ -1,6 +1,7 @@
 """Batch jobs through gateways and workers."""
 
 import base64
+import time
 
 import msgspec
 import pytest
@@ -8,7 +9,7 @@
 
 from cornelgrade.adapters import platform
 from cornelgrade.platform.standins import edge_system, stream_engine
-from cornelgrade.services.edge import job_book, job_sweeper
+from cornelgrade.services.edge import job_book, job_sweeper, ports
 
 
 def a_job(*names: str, tokens: int = 100) -> bytes:
@@ -363,3 +364,20 @@
     assert sorted(begun) == names
     assert any(run.resumed_after for run in runs if run.request in names)
     assert all(r["text"] == text(r["id"], 60) for r in results)
+
+
+@pytest.mark.parametrize("bound", [0, 10_000])
+async def test_job_that_was_declined_runs_when_it_comes_again_and_there_is_ample_room(bound):
+    async with edge_system.running(workers=1) as system:
+        book = job_book.JobBook(system.store, 100_000)
+        items = (ports.Item("a", f"{edge_system.NOTES}a", (), b"a", 100),)
+        now_ms = int(time.time() * 1000)
+        times = (now_ms, now_ms + 60_000, now_ms + 600_000)
+        header = job_book.Header("job-1", "notes", edge_system.HOST, *times, 1, 100, 0, "reserved")
+        await book.decline(await book.store(header, items))
+        await system.plan(edge_system.a_plan(version=2, waiting_tokens=bound))
+        await trio.sleep(0.2)
+        again = await submit(system, "job-1", a_job("a"))
+        results = await read_all(system, "job-1")
+    assert again.status == 202
+    assert [r["text"] for r in results] == [text("a")]
