A request that ran is never refused as not run; a soak of the platform's programs

Cause: the refusal of a place went out as it was, also after a run. Ruled out: the engine's own word (none came, attempt_failed has progress=sent). Now 502 follows a run. tests/edge/test_relay.py failed first.

The soak (bench/soak edge) runs gateways and workers as processes behind fault proxies; the old one is its command 'own'.

--- /dev/null
+++ b/bench/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soaks of the real programs as processes on loopback."""
--- /dev/null
+++ b/bench/soak/callers.py
@@ -0,0 +1,210 @@
+"""The callers of the soak: online requests, jobs, and questions which plan is in force."""
+
+import base64
+import collections
+import dataclasses
+import random
+
+import httpx
+import trio
+
+from bench.soak import world
+from cornelgrade.platform.standins import edge_system
+
+PATIENCE_S = 5.0
+# A caller that gives up later than it said has seen its request held.
+HELD_S = PATIENCE_S + 1.0
+ONLINE_PER_S = 10.0
+JOBS_PER_S = 0.5
+ITEMS = 6
+CLIENTS = 8
+CANCEL_SHARE = 0.15
+RESUMED_SHARE = 0.5
+RETRY_S = 0.2
+WAIT_MS = 500
+MARK_PAUSE_S = 0.25
+
+
+@dataclasses.dataclass(slots=True)
+class Request:
+    """An online request and what became of it.
+
+    :ivar status: 0 if no answer began.
+    :ivar whole: its answer came to a proper end.
+    :ivar error: how it broke.
+    """
+
+    id: str
+    path: str
+    gateway: str
+    begin_s: float
+    status: int = 0
+    body: bytes = b""
+    whole: bool = False
+    error: str = ""
+    end_s: float = 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class Job:
+    """A job and what callers read of it.
+
+    :ivar accepted_s: when its acceptance was seen.
+    :ivar ended_s: when its cancellation was acknowledged.
+    """
+
+    id: str
+    items: tuple[str, ...]
+    accepted_s: float | None = None
+    ended_s: float | None = None
+    results: list[tuple[str, str, str]] = dataclasses.field(default_factory=list)
+    done: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Mark:
+    """One look at which plan a gateway serves.
+
+    :param served: whether the route of that version was there.
+    """
+
+    gateway: str
+    version: int
+    begin_s: float
+    end_s: float
+    served: bool
+
+
+class Callers:
+    """Everyone who calls the system.
+
+    :ivar more: whether new requests and jobs are sent.
+    """
+
+    def __init__(self, system: world.World, rng: random.Random) -> None:
+        self.system = system
+        self.rng = rng
+        self.requests: list[Request] = []
+        self.jobs: list[Job] = []
+        self.marks: list[Mark] = []
+        self.outcomes: collections.Counter[str] = collections.Counter()
+        self.more = True
+
+    async def run(self) -> None:
+        """Call until told to stop, then until every accepted job has been read."""
+        async with trio.open_nursery() as nursery:
+            for _ in range(CLIENTS):
+                nursery.start_soon(self._client)
+            for daemon in self.system.gateways:
+                nursery.start_soon(self._look, daemon)
+            while self.more:
+                job = f"job-{len(self.jobs)}"
+                self.jobs.append(Job(job, tuple(f"{job}-item-{n}" for n in range(ITEMS))))
+                nursery.start_soon(self._job, self.jobs[-1])
+                await trio.sleep(self.rng.expovariate(JOBS_PER_S))
+
+    def _gateway(self) -> world.Daemon:
+        """Draw a gateway as the balancer does: any if none is in rotation."""
+        found = [d for d in self.system.gateways if d.rotation]
+        return self.rng.choice(found or self.system.gateways)
+
+    async def _client(self) -> None:
+        """Send requests on a connection that is kept until it breaks."""
+        while self.more:
+            gateway = self._gateway()
+            limits = httpx.Limits(max_connections=1)
+            url = f"http://{gateway.caller_address}"
+            timeout = httpx.Timeout(HELD_S, connect=1.0)
+            async with httpx.AsyncClient(base_url=url, limits=limits, timeout=timeout) as client:
+                broken = False
+                while self.more and not broken:
+                    await trio.sleep(self.rng.expovariate(ONLINE_PER_S / CLIENTS))
+                    broken = not await self._ask(client, gateway.name)
+
+    async def _ask(self, client: httpx.AsyncClient, gateway: str) -> bool:
+        """Send one request; ``False`` if its connection can't be used any more."""
+        path = world.RESUMED if self.rng.random() < RESUMED_SHARE else world.ONCE
+        req = Request(f"r{len(self.requests)}", path, gateway, trio.current_time())
+        self.requests.append(req)
+        headers = {
+            "host": edge_system.HOST,
+            "x-request-id": req.id,
+            "x-deadline-ms": str(int(PATIENCE_S * 1000)),
+        }
+        try:
+            async with client.stream("POST", path, headers=headers, content=b"question") as got:
+                req.status = got.status_code
+                async for part in got.aiter_raw():
+                    req.body += part
+            req.whole = True
+        except httpx.HTTPError as exc:
+            req.error = repr(exc)
+        req.end_s = trio.current_time()
+        self.outcomes[f"{req.status} {'whole' if req.whole else 'broken'}"] += 1
+        return req.whole
+
+    async def _call(
+        self, method: str, path: str, content: bytes = b"", **headers: str
+    ) -> httpx.Response | None:
+        """Make a call about a job at any gateway; ``None`` if no whole answer came."""
+        address = self._gateway().caller_address
+        sent = {"host": edge_system.HOST} | {k.replace("_", "-"): v for k, v in headers.items()}
+        try:
+            async with httpx.AsyncClient(timeout=httpx.Timeout(HELD_S, connect=1.0)) as client:
+                url = f"http://{address}{path}"
+                return await client.request(method, url, headers=sent, content=content)
+        except httpx.HTTPError:
+            return None
+
+    async def _job(self, job: Job) -> None:
+        """Send a job until it is accepted, read its results, or cancel it on the way."""
+        cancelled = self.rng.random() < CANCEL_SHARE
+        body = httpx.Request("POST", "http://none", json={"items": [_item(i) for i in job.items]})
+        while job.accepted_s is None:
+            path = f"{world.NOTES}{job.id}"
+            got = await self._call("POST", path, body.content, x_request_id=job.id)
+            if got is not None and got.status_code == 202:
+                job.accepted_s = trio.current_time()
+            await trio.sleep(RETRY_S)
+        while cancelled and job.ended_s is None:
+            got = await self._call("DELETE", f"/lots/{job.id}")
+            if got is not None and got.status_code < 300:
+                job.ended_s = trio.current_time()
+            await trio.sleep(RETRY_S)
+        while not cancelled and len(job.results) < len(job.items):
+            job.results += await self.read(job, len(job.results))
+        job.done = True
+
+    async def read(self, job: Job, after: int) -> list[tuple[str, str, str]]:
+        """Read results from a position on."""
+        got = await self._call("GET", f"/lots/{job.id}?after={after}", x_wait_ms=str(WAIT_MS))
+        if got is None or got.status_code != 200:
+            await trio.sleep(RETRY_S)
+            return []
+        return [(r["id"], r["state"], r["text"]) for r in got.json()["results"]]
+
+    async def _look(self, daemon: world.Daemon) -> None:
+        """Ask one gateway for routes that were just added."""
+        while self.more:
+            await trio.sleep(MARK_PAUSE_S)
+            if not daemon.rotation:
+                continue
+            for version in sorted(self.system.plans)[-2:]:
+                await self._look_for(daemon, version)
+
+    async def _look_for(self, daemon: world.Daemon, version: int) -> None:
+        begin_s = trio.current_time()
+        headers = {"host": edge_system.HOST, "x-request-id": f"mark-{len(self.marks)}"}
+        try:
+            async with httpx.AsyncClient(timeout=1.0) as client:
+                url = f"http://{daemon.caller_address}{world.mark(version)}"
+                got = await client.post(url, headers=headers)
+        except httpx.HTTPError:
+            return
+        served = got.status_code != 404
+        self.marks.append(Mark(daemon.name, version, begin_s, trio.current_time(), served))
+
+
+def _item(name: str) -> dict[str, object]:
+    body = base64.b64encode(name.encode()).decode()
+    return {"id": name, "path": f"{world.NOTES}{name}", "body": body, "tokens": 100}
--- /dev/null
+++ b/bench/soak/edge.py
@@ -0,0 +1,58 @@
+"""One seeded soak of the platform's programs."""
+
+import dataclasses
+import pathlib
+import random
+
+import trio
+
+from bench.soak import callers, faults, judge, world
+
+GATEWAYS, WORKERS, ENGINES = 3, 3, 4
+# From the last fault until every accepted job must have been read whole.
+FINISH_S = 18.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Report:
+    """What a run found; ``problems`` is empty if all checks held."""
+
+    requests: int
+    items: int
+    faults: dict[str, int]
+    outcomes: dict[str, int]
+    problems: list[str]
+
+
+async def soak(seed: int, seconds: float, folder: pathlib.Path) -> Report:
+    """Run one seed; logs of the processes go to ``folder``."""
+    async with world.running(folder, GATEWAYS, WORKERS, ENGINES) as system:
+        injected = faults.Faults(system, random.Random(f"faults {seed}"))
+        seen = callers.Callers(system, random.Random(f"callers {seed}"))
+        again: list[str] = []
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(seen.run)
+            await injected.run(seconds)
+            seen.more = False
+            with trio.move_on_after(FINISH_S):
+                while not all(job.done for job in seen.jobs):
+                    await trio.sleep(0.1)
+                again = await _read_again(seen)
+            await trio.sleep(callers.HELD_S)
+            nursery.cancel_scope.cancel()
+        problems = [*judge.Judge(system, seen).all(), *again]
+        items = sum(len(job.results) for job in seen.jobs)
+        return Report(len(seen.requests), items, dict(injected.done), dict(seen.outcomes), problems)
+
+
+async def _read_again(seen: callers.Callers) -> list[str]:
+    """Read each finished job from the start; what was read once must stand."""
+    problems = []
+    for job in seen.jobs:
+        again: list[tuple[str, str, str]] = []
+        while job.ended_s is None and len(again) < len(job.items):
+            again += await seen.read(job, len(again))
+        if job.ended_s is None and again != job.results:
+            first, second = ([name for name, _, _ in read] for read in (job.results, again))
+            problems.append(f"{job.id} reads {second} after {first}")
+    return problems
--- /dev/null
+++ b/bench/soak/faults.py
@@ -0,0 +1,261 @@
+"""The faults of the soak: drawn by seed, injected from outside, in series and overlapping."""
+
+import collections
+import contextlib
+import random
+import signal
+from collections.abc import Awaitable, Callable
+
+import msgspec
+import trio
+
+from bench.soak import world
+from cornelgrade.platform.standins import edge_system, stream_engine
+from cornelgrade.standins import fault_proxy
+
+# Mean pause between two faults; most last longer, so that they overlap.
+GAP_S = 0.7
+SERIES_SHARE = 0.25
+SERIES = 3
+SERIES_GAP_S = 0.4
+DOWN_S = (0.1, 2.0)
+FREEZE_S = (0.2, 4.0)
+OUTAGE_S = (0.5, 5.0)
+SLOW_S = (0.05, 0.5)
+ENGINE_FAULT_S = (0.5, 3.0)
+DELAY_S = (0.02, 0.3)
+# How long an engine that leaves goes on serving what it has.
+LEAVE_S = 4.0
+HERD_SHARE = 0.5
+Act = Callable[["Faults"], Awaitable[None]]
+_ENGINE_FAULTS = (
+    stream_engine.Faults(decline=True),
+    stream_engine.Faults(fail=500),
+    stream_engine.Faults(cut_after=4),
+    stream_engine.Faults(silent_after=4),
+    stream_engine.Faults(foreign=True),
+)
+_PATH_FAULTS = (
+    fault_proxy.Switches(cut=True, refuse=True),
+    fault_proxy.Switches(cut=True),
+    fault_proxy.Switches(freeze=True),
+    fault_proxy.Switches(freeze=True, lose="up"),
+    fault_proxy.Switches(lose="up"),
+    fault_proxy.Switches(lose="down"),
+)
+_HEALED = fault_proxy.Switches()
+
+
+class Faults:
+    """Injects faults into a world.
+
+    :ivar done: how often each was injected.
+    """
+
+    def __init__(self, system: world.World, rng: random.Random) -> None:
+        self.system = system
+        self.rng = rng
+        self.done: collections.Counter[str] = collections.Counter()
+
+    async def run(self, seconds: float) -> None:
+        """Inject faults for a time, then wait until the last is over."""
+        async with trio.open_nursery() as nursery:
+            until_s = trio.current_time() + seconds
+            while trio.current_time() < until_s:
+                name = self.rng.choice(sorted(_ACTS))
+                times = SERIES if self.rng.random() < SERIES_SHARE else 1
+                nursery.start_soon(self._series, name, times)
+                await trio.sleep(self.rng.expovariate(1 / GAP_S))
+
+    async def _series(self, name: str, times: int) -> None:
+        for _ in range(times):
+            self.done[name] += 1
+            await _ACTS[name](self)
+            await trio.sleep(SERIES_GAP_S)
+
+    def free_daemons(self, role: str = "") -> list[world.Daemon]:
+        """Give the processes that no fault is at work on."""
+        found = [d for d in self.system.daemons.values() if d.role == role or not role]
+        return [d for d in found if not d.held]
+
+    def free_engine(self) -> world.Engine | None:
+        """Draw an engine that no fault is at work on."""
+        found = [e for e in self.system.engines.values() if not e.held and e.left_s is None]
+        return self.rng.choice(found) if found else None
+
+    def between(self, span: tuple[float, float]) -> float:
+        """Draw a figure."""
+        return self.rng.uniform(*span)
+
+    @contextlib.contextmanager
+    def on(self, daemon: world.Daemon, fault: str):
+        """Hold a process while a fault is at work on it."""
+        daemon.held = True
+        with self.system.window(daemon.name, fault):
+            try:
+                yield
+            finally:
+                daemon.held = False
+
+    @contextlib.contextmanager
+    def on_engine(self, engine: world.Engine, fault: str):
+        """Hold an engine while a fault is at work on it."""
+        engine.held = True
+        with self.system.window(engine.stand_in.name, fault):
+            try:
+                yield
+            finally:
+                engine.held = False
+
+    async def kill(self, daemon: world.Daemon) -> None:
+        """Kill a process and start it again."""
+        with self.on(daemon, "kill"):
+            await daemon.kill()
+            await trio.sleep(self.between(DOWN_S))
+            await daemon.start()
+
+
+async def _kill(faults: Faults) -> None:
+    for daemon in faults.rng.sample(free := faults.free_daemons(), min(1, len(free))):
+        await faults.kill(daemon)
+
+
+async def _herd(faults: Faults) -> None:
+    free = faults.free_daemons()
+    async with trio.open_nursery() as nursery:
+        for daemon in faults.rng.sample(free, round(HERD_SHARE * len(free))):
+            nursery.start_soon(faults.kill, daemon)
+
+
+async def _freeze(faults: Faults) -> None:
+    for daemon in faults.rng.sample(free := faults.free_daemons(), min(1, len(free))):
+        with faults.on(daemon, "freeze"):
+            daemon.signal(signal.SIGSTOP)
+            await trio.sleep(faults.between(FREEZE_S))
+            daemon.signal(signal.SIGCONT)
+
+
+async def _hup(faults: Faults) -> None:
+    for daemon in faults.free_daemons():
+        daemon.signal(signal.SIGHUP)
+
+
+async def _roll(faults: Faults) -> None:
+    """Stop a process as an operator does and start it again; it must not be held longer."""
+    for daemon in faults.rng.sample(free := faults.free_daemons(), min(1, len(free))):
+        daemon.held = True
+        with faults.system.window(daemon.name, "stop") as window:
+            daemon.signal(signal.SIGTERM)
+            with trio.move_on_after(world.STOP_LIMIT_S):
+                code = await daemon.wait()
+                if code:
+                    faults.system.problems.append(f"{daemon.name} ended with {code}")
+        if window.end_s - window.begin_s >= world.STOP_LIMIT_S:
+            faults.system.problems.append(f"{daemon.name} was not over in its grace")
+            await daemon.kill()
+        with faults.on(daemon, "start"):
+            await daemon.start()
+
+
+async def _store_down(faults: Faults) -> None:
+    await _store(faults, "store down", down=True)
+
+
+async def _store_slow(faults: Faults) -> None:
+    await _store(faults, "store slow", slow_s=faults.between(SLOW_S))
+
+
+async def _store(faults: Faults, fault: str, **switches) -> None:
+    store = faults.system.store
+    with faults.system.window("store", fault):
+        store.switch(msgspec.structs.replace(edge_system.UNLIMITED, **switches))
+        await trio.sleep(faults.between(OUTAGE_S))
+        store.switch(edge_system.UNLIMITED)
+
+
+async def _store_loses(faults: Faults) -> None:
+    store = faults.system.store
+    lost = faults.rng.randrange(1, 4)
+    store.switch(msgspec.structs.replace(store.switches, lose_answers=lost))
+
+
+async def _cut_from_store(faults: Faults) -> None:
+    name = faults.rng.choice(sorted(faults.system.daemons))
+    proxy = faults.system.store_paths[name]
+    with faults.system.window(f"{name} to store", "cut"):
+        proxy.switch(faults.rng.choice(_PATH_FAULTS))
+        await trio.sleep(faults.between(OUTAGE_S))
+        proxy.switch(fault_proxy.Switches(cut=True))
+
+
+async def _engine_path(faults: Faults) -> None:
+    await _on_path(faults, faults.rng.choice(_PATH_FAULTS))
+
+
+async def _engine_delay(faults: Faults) -> None:
+    await _on_path(faults, fault_proxy.Switches(delay_s=faults.between(DELAY_S)))
+
+
+async def _on_path(faults: Faults, switches: fault_proxy.Switches) -> None:
+    if (engine := faults.free_engine()) is None:
+        return
+    with faults.on_engine(engine, "path"):
+        engine.proxy.switch(switches)
+        await trio.sleep(faults.between(ENGINE_FAULT_S))
+        engine.proxy.switch(_HEALED)
+
+
+async def _engine_misbehaves(faults: Faults) -> None:
+    if (engine := faults.free_engine()) is None:
+        return
+    with faults.on_engine(engine, "misbehaves"):
+        engine.stand_in.faults = faults.rng.choice(_ENGINE_FAULTS)
+        await trio.sleep(faults.between(ENGINE_FAULT_S))
+        engine.stand_in.faults = stream_engine.Faults()
+
+
+async def _engine_crash(faults: Faults) -> None:
+    """Crash an engine that comes back under its old name."""
+    if (engine := faults.free_engine()) is None:
+        return
+    with faults.on_engine(engine, "crash"):
+        down_s = faults.between(ENGINE_FAULT_S)
+        engine.stand_in.crash(down_s)
+        await trio.sleep(down_s)
+        engine.born += 1
+        await faults.system.register(engine)
+
+
+async def _engine_leaves(faults: Faults) -> None:
+    """Let a new engine take the place of one that leaves."""
+    if (engine := faults.free_engine()) is None:
+        return
+    engine.left_s = trio.current_time()
+    await faults.system.add_engine(f"engine-{len(faults.system.engines)}", engine.domain)
+    await faults.system.register(engine, "draining")
+    engine.left_s = trio.current_time()
+    await trio.sleep(LEAVE_S)
+    await faults.system.unregister(engine)
+
+
+async def _change(faults: Faults) -> None:
+    await faults.system.change()
+
+
+_ACTS: dict[str, Act] = {
+    "kill": _kill,
+    "herd": _herd,
+    "freeze": _freeze,
+    "hup": _hup,
+    "roll": _roll,
+    "store_down": _store_down,
+    "store_slow": _store_slow,
+    "store_loses": _store_loses,
+    "cut_from_store": _cut_from_store,
+    "engine_path": _engine_path,
+    "engine_delay": _engine_delay,
+    "engine_misbehaves": _engine_misbehaves,
+    "engine_crash": _engine_crash,
+    "engine_leaves": _engine_leaves,
+    "change": _change,
+}
--- /dev/null
+++ b/bench/soak/judge.py
@@ -0,0 +1,158 @@
+"""Judges what callers and engines of the soak saw against what the system promises."""
+
+import collections
+
+from bench.soak import callers, world
+from cornelgrade.platform.standins import stream_engine
+
+# Faults of a gateway that may break an answer; being told to stop is none.
+_BREAKING = frozenset(("kill", "freeze", "start"))
+# A change of the plan or of an entry is known everywhere after this long, if the store is reached.
+IN_FORCE_S = 3.0
+# After a fault on the way to the store, a process may need a watch's retry to learn of a change.
+CATCH_UP_S = 6.0
+# From the acknowledgement of a cancellation until no item of the job begins any more.
+CANCEL_S = 3.0
+# The wall clocks of this process and of the others are read at different moments.
+SLACK_S = 0.3
+_REFUSED = frozenset((429, 503))
+_ATTEMPTS = {world.ONCE: 1, world.RESUMED: world.MAX_ATTEMPTS}
+
+
+class Judge:
+    """Compares what was seen with what was promised; problems gather in ``problems``."""
+
+    def __init__(self, system: world.World, seen: callers.Callers) -> None:
+        self.system = system
+        self.seen = seen
+        self.problems: list[str] = list(system.problems)
+        self._attempts: dict[str, list[tuple[str, stream_engine.Seen]]] = collections.defaultdict(
+            list
+        )
+        for name, engine in system.engines.items():
+            for attempt in engine.stand_in.seen:
+                self._attempts[attempt.request].append((name, attempt))
+
+    def all(self) -> list[str]:
+        """Check everything and give what is wrong."""
+        for req in self.seen.requests:
+            self._online(req)
+        for job in self.seen.jobs:
+            self._job(job)
+        for engine in self.system.engines.values():
+            self._leaving(engine)
+        self._plans()
+        self._logs()
+        return self.problems
+
+    def _online(self, req: callers.Request) -> None:
+        attempts = self._attempts[req.id]
+        ran = [name for name, attempt in attempts if attempt.ran]
+        if req.path == world.ONCE and len(ran) > 1:
+            self._problem(req, f"ran {len(ran)} times")
+        if len(ran) > world.MAX_ATTEMPTS:
+            self._problem(req, f"was sent to {len(ran)} engines")
+        if req.status in _REFUSED and ran:
+            self._problem(req, f"refused with {req.status} as not run, but ran on {ran}")
+        if req.status == 200 and req.whole:
+            if req.body != stream_engine.whole(req.id, world.EVENTS):
+                self._problem(req, f"got another answer: {req.body[:80]!r}")
+        elif req.status not in _REFUSED and not self._excused(req):
+            self._problem(req, f"status {req.status} without a fault on its way: {req.error}")
+
+    def _excused(self, req: callers.Request) -> bool:
+        """Whether its gateway or an engine that it reached had a fault meanwhile."""
+        windows = [w for w in self.system.windows if w.touches(req.begin_s, req.end_s)]
+        engines = {name for name, _ in self._attempts[req.id]}
+        if any(w.part in engines or w.part == world.OWN for w in windows):
+            return True
+        faults = {w.fault for w in windows if w.part == req.gateway}
+        if faults & _BREAKING:
+            return True
+        if req.status == 0 and not engines:
+            # A connection that closes as a request is sent on it carries nothing to an engine.
+            return "stop" in faults
+        # An attempt that was lost on its way to an engine is not seen there.
+        unseen = len(engines) < _ATTEMPTS[req.path]
+        return unseen and any(w.part in self.system.engines for w in windows)
+
+    def _job(self, job: callers.Job) -> None:
+        if job.accepted_s is None:
+            self.problems.append(f"{job.id} was never accepted")
+        elif job.ended_s is not None:
+            self._ended(job, job.ended_s)
+        elif sorted(name for name, _, _ in job.results) != sorted(job.items):
+            names = [name for name, _, _ in job.results]
+            self.problems.append(f"{job.id} has results of {names} at the end")
+        for name, state, text in job.results:
+            whole = "\n".join(f"{name}-{n}" for n in range(1, world.EVENTS + 1))
+            if state == "completed" and text != whole:
+                self.problems.append(f"{name} has another text: {text!r}")
+            if state != "completed" and not self._failed(name):
+                self.problems.append(f"{name} is {state} although no engine failed it")
+
+    def _failed(self, item: str) -> bool:
+        """Whether an engine that an item reached had a fault while it was there."""
+        return any(
+            self.system.touched({name}, attempt.at_s - SLACK_S, attempt.at_s + world.EVENTS)
+            for name, attempt in self._attempts[item]
+        )
+
+    def _ended(self, job: callers.Job, ended_s: float) -> None:
+        workers = {d.name for d in self.system.daemons.values() if d.role == world.WORKER}
+        paths = {f"{name} to store" for name in workers} | {"store"}
+        for item in job.items:
+            for name, attempt in self._attempts[item]:
+                late = attempt.at_s > ended_s + CANCEL_S
+                begin_s = ended_s - SLACK_S
+                if late and not self.system.touched(workers | paths, begin_s, attempt.at_s):
+                    self.problems.append(f"{item} came to {name} after its job was cancelled")
+
+    def _leaving(self, engine: world.Engine) -> None:
+        if engine.left_s is None:
+            return
+        parts = set(self.system.daemons) | set(_store_paths(self.system)) | {"store"}
+        for attempt in engine.stand_in.seen:
+            late = attempt.at_s > engine.left_s + IN_FORCE_S
+            begin_s = engine.left_s - CATCH_UP_S
+            if late and not self.system.touched(parts, begin_s, attempt.at_s):
+                name = engine.stand_in.name
+                self.problems.append(f"{attempt.request} came to {name} after it left")
+
+    def _plans(self) -> None:
+        latest: dict[str, int] = collections.defaultdict(int)
+        for look in sorted(self.seen.marks, key=lambda m: m.begin_s):
+            if look.served and look.version < latest[look.gateway]:
+                self.problems.append(f"{look.gateway} went back to plan {look.version}")
+            if look.served:
+                latest[look.gateway] = max(latest[look.gateway], look.version)
+            self._in_force(look)
+
+    def _in_force(self, look: callers.Mark) -> None:
+        written_s = self.system.plans[look.version]
+        replaced_s = self.system.plans.get(look.version + 1)
+        parts = {look.gateway, f"{look.gateway} to store", "store"}
+        if replaced_s is None and not look.served and look.begin_s > written_s + IN_FORCE_S:
+            begin_s = written_s - CATCH_UP_S
+        elif replaced_s is not None and look.served and look.begin_s > replaced_s + IN_FORCE_S:
+            begin_s = replaced_s - CATCH_UP_S
+        else:
+            return
+        if not self.system.touched(parts, begin_s, look.end_s):
+            self.problems.append(f"{look} is not what was in force")
+
+    def _logs(self) -> None:
+        for daemon in self.system.daemons.values():
+            text = daemon.log.read_text(errors="replace")
+            for word in ("Traceback", "event=failed"):
+                if word in text:
+                    at = text.index(word)
+                    self.problems.append(f"{daemon.name} logged {text[at : at + 400]!r}")
+
+    def _problem(self, req: callers.Request, what: str) -> None:
+        took_s = req.end_s - req.begin_s
+        self.problems.append(f"{req.id} at {req.gateway} on {req.path}, {took_s:.2f} s: {what}")
+
+
+def _store_paths(system: world.World) -> list[str]:
+    return [f"{name} to store" for name in system.daemons]
--- a/bench/soak.py
+++ b/bench/soak/own.py
@@ -3,10 +3,9 @@
 Every accepted item has to end once, the engines' counters have to agree, and no non-idempotent
 item may have run twice::
 
-    python -m bench.soak --seed 1 --jobs 14 --items 800
+    python -m bench.soak own --seeds=1 --jobs=14 --items=800
 """
 
-import argparse
 import collections
 import contextlib
 import dataclasses
@@ -299,26 +298,3 @@
     drawn = make_jobs(random.Random(seed), jobs, items)
     with harness.Fleet(vms=vms, engines=3, engine=ENGINE, manifest={"batch": BATCH}) as fleet:
         return Soak(fleet, drawn, seed).run(timeout_s)
-
-
-def main() -> None:
-    """Run seeds one after the other."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--seed", type=int, nargs="+", default=[1])
-    parser.add_argument("--jobs", type=int, default=14)
-    parser.add_argument("--items", type=int, default=800)
-    parser.add_argument("--timeout", type=float, default=300.0)
-    args = parser.parse_args()
-    bad = 0
-    for seed in args.seed:
-        report = run(seed, args.jobs, args.items, timeout_s=args.timeout)
-        bad += bool(report.problems)
-        print(f"seed {seed}: {report.items} items in {report.seconds:.0f} s", flush=True)
-        print(f"  faults {report.faults}\n  outcomes {report.outcomes}", flush=True)
-        for problem in report.problems[:20]:
-            print(f"  PROBLEM {problem}", flush=True)
-    raise SystemExit(1 if bad else 0)
-
-
-if __name__ == "__main__":
-    main()
--- /dev/null
+++ b/bench/soak/world.py
@@ -0,0 +1,369 @@
+"""What the soak of the platform's programs runs: processes, proxies, engines and a store."""
+
+import contextlib
+import dataclasses
+import math
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+from collections.abc import AsyncIterator, Awaitable, Callable
+
+import msgspec
+import trio
+
+from cornelgrade import addresses
+from cornelgrade.adapters import platform
+from cornelgrade.platform.standins import edge_system, store_server, stream_engine
+from cornelgrade.standins import fault_proxy, platform_store
+
+SOURCE = pathlib.Path(__file__).resolve().parents[2] / "src"
+LOOPBACK = "127.0.0.1:0"
+GATEWAY, WORKER = "gateway", "worker"
+# Names this process among the parts that faults touch.
+OWN = "soak"
+# Changes that the store's watches can look back on: few, so that an outage outlasts them.
+HISTORY = 200
+GRACE_S = 8.0
+# A process that has been told to stop may take its grace, and a moment to be waited for.
+STOP_LIMIT_S = GRACE_S + 1.0
+WRITE_PAUSE_S = 0.05
+# A process needs about a second of a busy core to import its libraries.
+START_LIMIT_S = 15.0
+START_PAUSE_S = 0.05
+# Well under the least silence after which a gateway leaves an engine, 0.6 s.
+STALL_S = 0.15
+STALL_PAUSE_S = 0.05
+READY_PAUSE_S = 0.5
+READY_TIMEOUT_S = 0.5
+EVENTS = 10
+EVENT_S = 0.04
+ONCE, RESUMED, NOTES = edge_system.ONCE, edge_system.RESUMED, edge_system.NOTES
+MAX_ATTEMPTS = 2
+
+
+@dataclasses.dataclass(slots=True)
+class Window:
+    """A time in which a fault touched one part of the system, on trio's clock."""
+
+    part: str
+    fault: str
+    begin_s: float
+    end_s: float = math.inf
+
+    def touches(self, begin_s: float, end_s: float) -> bool:
+        """Whether it overlaps a span of time."""
+        return self.begin_s <= end_s and begin_s <= self.end_s
+
+
+class Daemon:
+    """One gateway or worker as a process, restarted by :meth:`start`.
+
+    :ivar held: a fault is at work on the process, so that no other one may begin.
+    :ivar rotation: whether callers are sent to it.
+    """
+
+    def __init__(self, name: str, role: str, domain: str, folder: pathlib.Path) -> None:
+        self.name = name
+        self.role = role
+        self.domain = domain
+        self.held = False
+        self.rotation = False
+        self.caller_address = _free_address() if role == GATEWAY else ""
+        self.ready_address = _free_address() if role == GATEWAY else ""
+        self.log = folder / f"{name}.log"
+        self._metrics_address = _free_address()
+        self._settings = folder / f"{name}.json"
+        self._process: trio.Process | None = None
+
+    def configure(self, store_address: str) -> None:
+        """Write its settings."""
+        cfg = {
+            "vm": self.name,
+            "failure_domain": self.domain,
+            "peer_address": _free_address(),
+            "metrics_address": self._metrics_address,
+            "store_address": store_address,
+            "stop_grace_s": GRACE_S,
+        }
+        if self.role == GATEWAY:
+            cfg |= {"caller_address": self.caller_address, "ready_address": self.ready_address}
+        self._settings.write_bytes(msgspec.json.encode(cfg))
+
+    async def start(self) -> None:
+        """Start the process, also again, and wait until it listens.
+
+        :raises TooSlowError: if it does not in time.
+        """
+        await self._open()
+        with trio.fail_after(START_LIMIT_S):
+            while not await self._listens():
+                await trio.sleep(START_PAUSE_S)
+
+    async def _listens(self) -> bool:
+        host, port = addresses.split(self.caller_address or self._metrics_address)
+        try:
+            await (await trio.open_tcp_stream(host, port)).aclose()
+        except OSError:
+            return False
+        return True
+
+    async def _open(self) -> None:
+        env = {
+            **os.environ,
+            "PYTHONPATH": str(SOURCE),
+            "CORNELGRADE_SETTINGS": str(self._settings),
+        }
+        command = [sys.executable, "-m", "cornelgrade.platform", self.role]
+        with self.log.open("ab") as out:
+            self._process = await trio.lowlevel.open_process(
+                command, env=env, stdout=out, stderr=subprocess.STDOUT
+            )
+
+    def signal(self, signum: signal.Signals) -> None:
+        """Send a signal; one that comes after the end is lost."""
+        with contextlib.suppress(ProcessLookupError):
+            self._alive.send_signal(signum)
+
+    async def wait(self) -> int:
+        """Wait for its end and give the exit code."""
+        return await self._alive.wait()
+
+    async def kill(self) -> None:
+        """End it at once."""
+        self.signal(signal.SIGKILL)
+        await self.wait()
+
+    @property
+    def pid(self) -> int:
+        """The id of the process that runs now, or ran last."""
+        return self._alive.pid
+
+    @property
+    def _alive(self) -> trio.Process:
+        if self._process is None:
+            raise RuntimeError(f"{self.name} was never started")
+        return self._process
+
+
+@dataclasses.dataclass(slots=True)
+class Engine:
+    """An engine behind a proxy, and the registration that names the proxy.
+
+    :ivar left_s: when its registration said that it leaves.
+    """
+
+    stand_in: stream_engine.StreamEngine
+    proxy: fault_proxy.FaultProxy
+    address: str
+    domain: str
+    born: int = 0
+    held: bool = False
+    left_s: float | None = None
+
+
+class World:
+    """Everything that runs; made by :func:`running`.
+
+    :ivar plans: when each version of the plan was written, by version.
+    """
+
+    def __init__(self, nursery: trio.Nursery, folder: pathlib.Path) -> None:
+        self.nursery = nursery
+        self.folder = folder
+        switches = edge_system.UNLIMITED
+        self.store = platform_store.MemoryPlatform(switches, history_limit=HISTORY)
+        self.daemons: dict[str, Daemon] = {}
+        self.engines: dict[str, Engine] = {}
+        self.store_paths: dict[str, fault_proxy.FaultProxy] = {}
+        self.windows: list[Window] = []
+        self.problems: list[str] = []
+        self.plans: dict[int, float] = {}
+        self._server = store_server.StoreServer(self.store)
+        self._store_address = ""
+        self._planning = trio.Lock()
+
+    @contextlib.contextmanager
+    def window(self, part: str, fault: str):
+        """Remember that a fault is at work on one part of the system."""
+        made = Window(part, fault, trio.current_time())
+        self.windows.append(made)
+        try:
+            yield made
+        finally:
+            made.end_s = trio.current_time()
+
+    def touched(self, parts: set[str], begin_s: float, end_s: float) -> bool:
+        """Whether a fault touched one of these parts within a span of time."""
+        return any(w.part in parts and w.touches(begin_s, end_s) for w in self.windows)
+
+    def attempts(self, request: str) -> list[tuple[Engine, stream_engine.Seen]]:
+        """Give what reached the engines of one request."""
+        return [
+            (engine, seen)
+            for engine in self.engines.values()
+            for seen in engine.stand_in.seen
+            if seen.request == request
+        ]
+
+    async def open(self, gateways: int, workers: int, engines: int) -> None:
+        """Start everything and wait until callers can come."""
+        self._store_address = await self.nursery.start(self._server.serve, LOOPBACK)
+        await self.change()
+        for number in range(engines):
+            await self.add_engine(f"engine-{number}", edge_system.DOMAINS[number % 3])
+        for role, count in ((WORKER, workers), (GATEWAY, gateways)):
+            for number in range(count):
+                await self._add_daemon(f"{role}-{number}", role, edge_system.DOMAINS[number % 3])
+        self.nursery.start_soon(self._balance)
+        self.nursery.start_soon(self._watch_itself)
+        with trio.fail_after(20.0):
+            while not all(d.rotation for d in self.gateways):
+                await trio.sleep(0.1)
+
+    @property
+    def gateways(self) -> list[Daemon]:
+        """All gateways."""
+        return [d for d in self.daemons.values() if d.role == GATEWAY]
+
+    async def change(self) -> None:
+        """Write the next version of the plan."""
+        async with self._planning:
+            await self._plan(max(self.plans, default=0) + 1)
+
+    async def _plan(self, version: int) -> None:
+        """Write a version of the plan; its number is also the path of a route of its own."""
+        target = {"service": edge_system.SERVICE, "host": edge_system.HOST, "timeoutMs": 5000}
+        stream = {**target, "kind": "streaming", "targetLatencyMs": 300, "gap_aim_ms": 200}
+        routes = [
+            {**stream, "name": "once", "pathPrefix": ONCE},
+            {**stream, "name": "mark", "pathPrefix": mark(version)},
+            {
+                **stream,
+                "name": "resumed",
+                "pathPrefix": RESUMED,
+                "resumable": True,
+                "maxAttempts": MAX_ATTEMPTS,
+            },
+            {**target, "name": "notes", "pathPrefix": NOTES, "kind": "batch", "maxAttempts": 5},
+        ]
+        services = [{"name": edge_system.SERVICE, "engine": {"slots": 8}}]
+        await self._put(
+            "config", "main", {"version": version, "routes": routes, "services": services}
+        )
+        self.plans[version] = trio.current_time()
+
+    async def add_engine(self, name: str, domain: str) -> Engine:
+        """Start an engine behind its proxy and register it."""
+        made = stream_engine.StreamEngine(name, events=EVENTS, event_s=EVENT_S)
+        proxy = fault_proxy.FaultProxy(await self.nursery.start(made.run))
+        address = await self.nursery.start(proxy.serve, LOOPBACK)
+        engine = Engine(made, proxy, address, domain)
+        self.engines[name] = engine
+        await self.register(engine)
+        return engine
+
+    async def register(self, engine: Engine, state: str = "ready") -> None:
+        """Write an engine's entry."""
+        entry = {
+            "service": edge_system.SERVICE,
+            "address": engine.address,
+            "zone": engine.domain,
+            "state": state,
+            "slots": engine.stand_in.slots,
+            "born": engine.born,
+        }
+        await self._put("servers", engine.stand_in.name, entry)
+
+    async def unregister(self, engine: Engine) -> None:
+        """Remove an engine's entry."""
+
+        async def remove() -> None:
+            found = await self.store.get("servers", engine.stand_in.name)
+            if found is not None:
+                await self.store.delete("servers", found.name, found.version)
+
+        await _until_done(remove)
+
+    async def _put(self, kind: str, name: str, spec: object) -> None:
+        raw = msgspec.json.encode(spec)
+
+        async def write() -> None:
+            found = await self.store.get(kind, name)
+            if found is None:
+                await self.store.create(kind, name, raw)
+            elif found.value != raw:
+                await self.store.update(kind, name, raw, found.version)
+
+        await _until_done(write)
+
+    async def _add_daemon(self, name: str, role: str, domain: str) -> None:
+        daemon = Daemon(name, role, domain, self.folder)
+        proxy = fault_proxy.FaultProxy(self._store_address)
+        daemon.configure(await self.nursery.start(proxy.serve, LOOPBACK))
+        self.daemons[name] = daemon
+        self.store_paths[name] = proxy
+        await daemon.start()
+
+    async def _watch_itself(self) -> None:
+        """Note when this process stood still: its engines were silent meanwhile."""
+        while True:
+            before_s = trio.current_time()
+            await trio.sleep(STALL_PAUSE_S)
+            now_s = trio.current_time()
+            if now_s - before_s > STALL_PAUSE_S + STALL_S:
+                self.windows.append(Window(OWN, "stall", before_s, now_s))
+
+    async def _balance(self) -> None:
+        """Ask each gateway whether it is ready, as a balancer does."""
+        while True:
+            for daemon in self.gateways:
+                self.nursery.start_soon(self._ask_ready, daemon)
+            await trio.sleep(READY_PAUSE_S)
+
+    async def _ask_ready(self, daemon: Daemon) -> None:
+        status = 0
+        with trio.move_on_after(READY_TIMEOUT_S), contextlib.suppress(Exception):
+            got = await edge_system.call(daemon.ready_address, "GET", b"/ready", {}, b"")
+            status = got.status
+        daemon.rotation = status == 200
+
+    async def close(self) -> None:
+        """End every process that was started here."""
+        for daemon in self.daemons.values():
+            await daemon.kill()
+
+
+async def _until_done(write: Callable[[], Awaitable[None]]) -> None:
+    """Try a write of an operator or an engine until the store has taken it."""
+    while True:
+        try:
+            return await write()
+        except (platform.UnavailableError, platform.ConflictError):
+            await trio.sleep(WRITE_PAUSE_S)
+
+
+def _free_address() -> str:
+    return f"127.0.0.1:{edge_system.free_port()}"
+
+
+def mark(version: int) -> str:
+    """Give the path that only this version of the plan serves."""
+    return f"/plan-{version}/"
+
+
+@contextlib.asynccontextmanager
+async def running(
+    folder: pathlib.Path, gateways: int, workers: int, engines: int
+) -> AsyncIterator[World]:
+    """Run a system until the block ends."""
+    async with trio.open_nursery() as nursery:
+        world = World(nursery, folder)
+        try:
+            await world.open(gateways, workers, engines)
+            yield world
+        finally:
+            with trio.CancelScope(shield=True):
+                await world.close()
+            nursery.cancel_scope.cancel()
--- /dev/null
+++ b/src/cornelgrade/platform/standins/store_server.py
@@ -0,0 +1,127 @@
+"""The platform's object store over HTTP, for programs that run as processes of their own.
+
+It keeps an object's spec as the value of :class:`platform_store.MemoryPlatform`, whose switches say
+how it misbehaves.
+"""
+
+import msgspec
+import trio
+
+from cornelgrade.adapters import platform
+from cornelgrade.standins import _http_server, platform_store
+
+PAGE_OBJECTS = 50
+_STATUS_KIND = "status-of-{}"
+_MS_PER_S = 1000.0
+
+
+class _Metadata(msgspec.Struct):
+    name: str
+    revision: int = 0
+    made: int = 0
+
+
+class _Object(msgspec.Struct):
+    metadata: _Metadata
+    spec: msgspec.Raw
+
+
+class _Page(msgspec.Struct):
+    items: list[_Object]
+    more: bool
+    at: int
+
+
+class _Event(msgspec.Struct):
+    object: _Object
+    gone: bool = False
+
+
+class _Events(msgspec.Struct):
+    events: list[_Event]
+    at: int
+
+
+class StoreServer:
+    """Serves one :class:`platform_store.MemoryPlatform`.
+
+    :ivar statuses: what was last written as the status of an object, by kind and name.
+    """
+
+    def __init__(self, store: platform_store.MemoryPlatform) -> None:
+        self.store = store
+        self.statuses: dict[tuple[str, str], bytes] = {}
+        self._server = _http_server.Server(self._handle)
+
+    async def serve(
+        self, address: str, task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Serve until cancelled; reports the bound ``IP:port``."""
+        await self._server.serve(address, task_status)
+
+    async def _handle(self, req: _http_server.Exchange) -> None:
+        acts = {
+            "GET": self._get,
+            "POST": self._create,
+            "PUT": self._update,
+            "DELETE": self._delete,
+        }
+        kind, name, part = ([*req.path.split("/")[2:], "", ""])[:3]
+        try:
+            if part == "status":
+                self.statuses[kind, name] = req.body
+                status, body = 200, b"{}"
+            else:
+                status, body = await acts[req.method](req, kind, name)
+        except platform.ConflictError as exc:
+            status, body = 409, _encoded(exc.current)
+        except platform.UnavailableError as exc:
+            if exc.outcome_unknown:
+                raise _http_server.BrokenOffError from exc
+            status, body = 503, b"{}"
+        await req.answer(status, body)
+
+    async def _get(self, req: _http_server.Exchange, kind: str, name: str) -> tuple[int, bytes]:
+        if name:
+            found = await self.store.get(kind, name)
+            return (200, _encoded(found)) if found else (404, b"{}")
+        if "watch" in req.query:
+            return await self._watch(req, kind)
+        after = req.query.get("after", "")
+        # Taken first: a watch from here may show a change again, but never misses one.
+        at = self.store.version
+        items = await self.store.list(kind, after=after, limit=PAGE_OBJECTS + 1)
+        shown = [_shown(stored) for stored in items[:PAGE_OBJECTS]]
+        page = _Page(shown, len(items) > PAGE_OBJECTS, at)
+        return 200, msgspec.json.encode(page)
+
+    async def _watch(self, req: _http_server.Exchange, kind: str) -> tuple[int, bytes]:
+        wait_s = float(req.query.get("waitMs", "0")) / _MS_PER_S
+        got = await self.store.watch(kind, after=int(req.query["watch"]), wait_s=wait_s)
+        if got.reset:
+            return 410, b"{}"
+        gone = [_Event(_Object(_Metadata(n), msgspec.Raw(b"null")), True) for n in got.deleted]
+        events = [_Event(_shown(stored)) for stored in got.items]
+        return 200, msgspec.json.encode(_Events(events + gone, got.version))
+
+    async def _create(self, req: _http_server.Exchange, kind: str, _: str) -> tuple[int, bytes]:
+        obj = msgspec.json.decode(req.body, type=_Object)
+        return 200, _encoded(await self.store.create(kind, obj.metadata.name, bytes(obj.spec)))
+
+    async def _update(self, req: _http_server.Exchange, kind: str, name: str) -> tuple[int, bytes]:
+        obj = msgspec.json.decode(req.body, type=_Object)
+        version = obj.metadata.revision
+        return 200, _encoded(await self.store.update(kind, name, bytes(obj.spec), version))
+
+    async def _delete(self, req: _http_server.Exchange, kind: str, name: str) -> tuple[int, bytes]:
+        await self.store.delete(kind, name, int(req.query["revision"]))
+        return 200, b"{}"
+
+
+def _shown(stored: platform.Stored) -> _Object:
+    meta = _Metadata(stored.name, stored.version, stored.created)
+    return _Object(meta, msgspec.Raw(stored.value))
+
+
+def _encoded(stored: platform.Stored | None) -> bytes:
+    return msgspec.json.encode(_shown(stored)) if stored else b"{}"
--- a/src/cornelgrade/platform/standins/stream_engine.py
+++ b/src/cornelgrade/platform/standins/stream_engine.py
@@ -38,6 +38,8 @@
 class Seen:
     """A request that reached the engine.
 
+    :ivar at_s: when it came, on trio's clock.
+    :ivar ran: a slot was given to it.
     :ivar cancelled: its caller left before the end.
     """
 
@@ -46,6 +48,8 @@
     headers: dict[str, str]
     body: bytes
     resumed_after: int | None
+    at_s: float = 0.0
+    ran: bool = False
     cancelled: bool = False
     ended: bool = False
 
@@ -83,6 +87,10 @@
         """Give the engine as it would register itself."""
         return routes.Upstream(self.name, service, self.address, failure_domain, self.slots)
 
+    def crash(self, down_s: float) -> None:
+        """Reset every connection and refuse new ones for a while."""
+        self._server.crash(down_s)
+
     async def _handle(self, req: _http_server.Exchange) -> None:
         if req.raw_path == "/report":
             load = {"running": self.running, "waiting": self.waiting}
@@ -91,7 +99,7 @@
         after = req.headers.get("last-event-id")
         resumed = int(after) if after else None
         request = req.headers.get("x-request-id", "")
-        seen = Seen(request, req.target, req.headers, req.body, resumed)
+        seen = Seen(request, req.target, req.headers, req.body, resumed, trio.current_time())
         self.seen.append(seen)
         if req.headers.get("x-expect-instance", self.name) != self.name:
             await req.answer(421, b"", (("x-instance-id", self.name),))
@@ -107,6 +115,7 @@
         finally:
             self.waiting -= 1
         self.running += 1
+        seen.ran = True
         self.most_running = max(self.most_running, self.running)
         try:
             await self._answer(req, seen)
--- a/src/cornelgrade/services/edge/relay.py
+++ b/src/cornelgrade/services/edge/relay.py
@@ -104,7 +104,7 @@
             try:
                 seat = await self._seat(work, done)
             except errors.Refusal as exc:
-                return await self._end(work, done, exc)
+                return await self._end(work, done, _final(done, exc))
             with seat:
                 done.offers += 1
                 done.upstream = seat.upstream.name
@@ -140,13 +140,10 @@
         spent = done.runs >= work.route.max_attempts or done.offers >= MAX_OFFERS
         if rule.then is not retry.Next.FAIL and not spent and not self._lost_place(work, done):
             return None
-        if done.runs == 0:
-            return errors.Refusal(
-                errors.Code.OVERLOADED, exc.message, step=exc.step, retry_after_s=RETRY_AFTER_S
-            )
-        return errors.Refusal(
-            errors.Code.UPSTREAM_FAILED, exc.message, step=exc.step, ran=errors.Ran.UNKNOWN
+        refusal = errors.Refusal(
+            errors.Code.OVERLOADED, exc.message, step=exc.step, retry_after_s=RETRY_AFTER_S
         )
+        return _final(done, refusal)
 
     @staticmethod
     def _lost_place(work: _Work, done: _Progress) -> bool:
@@ -338,6 +335,15 @@
     return event.number is not None and last is not None and event.number > last + 1
 
 
+def _final(done: _Progress, refusal: errors.Refusal) -> errors.Refusal:
+    """Refuse as not run only what no upstream can have run."""
+    if not done.runs:
+        return refusal
+    return errors.Refusal(
+        errors.Code.UPSTREAM_FAILED, refusal.message, step=refusal.step, ran=errors.Ran.UNKNOWN
+    )
+
+
 def _late(done: _Progress) -> errors.Refusal:
     """Say what is true when the time is over: an offer may have run."""
     if done.offers == 0:
--- a/tests/edge/test_relay.py
+++ b/tests/edge/test_relay.py
@@ -5,6 +5,7 @@
 
 from cornelgrade.adapters import http1
 from cornelgrade.platform.standins import edge_system, stream_engine
+from cornelgrade.policy import placement
 
 
 async def test_stream_comes_whole_and_unchanged():
@@ -51,6 +52,22 @@
     assert 0 < float(got.headers["retry-after"]) < 5
 
 
+async def test_request_that_ran_is_never_refused_as_not_run_when_no_other_engine_has_room():
+    async with edge_system.running(engines=2, slots=1, events=500) as rig:
+        full, cutting = rig.engines["engine-0"], rig.engines["engine-1"]
+        cutting.faults = stream_engine.Faults(decline=True)
+        longer = 1 + placement.WAITING_AT_UPSTREAM
+        for number in range(longer):
+            rig.nursery.start_soon(rig.ask, "gateway-0", edge_system.ONCE, f"long-{number}")
+        with trio.fail_after(3):
+            while full.running + full.waiting < longer:
+                await trio.sleep(0.01)
+        cutting.faults = stream_engine.Faults(cut_after=0)
+        got = await rig.ask("gateway-0", edge_system.RESUMED, "r1")
+        assert [seen.request for seen in cutting.seen if seen.ran] == ["r1"]
+    assert got.status == 502
+
+
 @pytest.mark.parametrize("cut_after", [0, 2])
 async def test_request_that_may_run_once_never_runs_again(cut_after):
     async with edge_system.running(engines=3) as rig:
