A result written between two pages of a list keeps its one position

Cause: a list of several pages isn't one moment; what was created behind the first page's revision was shown by the list and again by the watch from that revision, and what was created on an earlier page came later than it. Ruled out: two results in the store (their creation is conditional, the store held one). Results are now taken only up to the list's revision; the watch gives the rest, each once, in order. tests/edge/test_jobs.py failed first.

--- a/src/cornelgrade/services/edge/job_book.py
+++ b/src/cornelgrade/services/edge/job_book.py
@@ -199,11 +199,15 @@
     ) -> tuple[tuple[Listed, ...], int, bool]:
         """Give results newer than a revision, in their order, and the revision to go on from.
 
+        A list of several pages also holds results that were created after the revision of its
+        first page, but not all of these: they are left to the next call, which gives each once.
+
         :param after: 0 for all results.
         :returns: results, revision, and whether the store forgot what lies behind ``after``.
         """
         changes = await self._store.watch(_result_kind(job), after=after, wait_s=wait_s)
-        listed = [_listed(stored) for stored in changes.items]
+        new = (s for s in changes.items if after < s.created <= changes.version)
+        listed = [_listed(stored) for stored in new]
         ordered = tuple(sorted(listed, key=lambda entry: entry.created))
         return ordered, changes.version, changes.reset
 
--- a/tests/edge/test_jobs.py
+++ b/tests/edge/test_jobs.py
@@ -381,3 +381,36 @@
         results = await read_all(system, "job-1")
     assert again.status == 202
     assert [r["text"] for r in results] == [text("a")]
+
+
+class PagedStore:
+    """Answers watches from a script of results, given by index and creation."""
+
+    def __init__(self, *script: tuple[int, list[tuple[int, int]]]) -> None:
+        self._script = list(script)
+
+    async def watch(self, kind, prefix="", after=0, wait_s=0.0):
+        version, found = self._script.pop(0)
+        items = tuple(
+            platform.Stored(
+                kind,
+                f"{index:05d}",
+                created,
+                msgspec.json.encode({"item": f"i{index}", "end": "completed", "text": ""}),
+                "",
+                created,
+            )
+            for index, created in found
+        )
+        return platform.Changes(version, items)
+
+
+async def test_result_written_between_two_pages_of_a_list_keeps_its_one_position():
+    # The list's first page is of version 10; the second shows what was written later, and 11 is
+    # missing since it lies on the first page.
+    listed = (10, [(4, 9), (7, 12)])
+    watched = (12, [(2, 11), (7, 12)])
+    book = job_book.JobBook(PagedStore(listed, watched), 1000)
+    first, version, _ = await book.results("j", 0, 0.0)
+    then, _, _ = await book.results("j", version, 0.0)
+    assert [entry.index for entry in (*first, *then)] == [4, 2, 7]
