--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -41,7 +41,8 @@
     shutil.rmtree(folder, ignore_errors=True)
     folder.mkdir(parents=True)
     report = trio.run(edge.soak, seed, seconds, folder)
-    print(f"seed {seed}: {report.requests} requests, {report.items} items", flush=True)
+    counts = f"{report.requests} requests, {report.items} items, {report.stalled_s:.1f} s stalled"
+    print(f"seed {seed}: {counts}", flush=True)
     print(f"  faults {report.faults}\n  outcomes {report.outcomes}", flush=True)
     return report.problems
 
--- a/bench/soak/edge.py
+++ b/bench/soak/edge.py
@@ -15,10 +15,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Report:
-    """What a run found; ``problems`` is empty if all checks held."""
+    """What a run found; ``problems`` is empty if all checks held.
+
+    :param stalled_s: how long this process stood still in all, see :data:`world.STALL_S`.
+    """
 
     requests: int
     items: int
+    stalled_s: float
     faults: dict[str, int]
     outcomes: dict[str, int]
     problems: list[str]
@@ -27,7 +31,7 @@
 async def soak(seed: int, seconds: float, folder: pathlib.Path) -> Report:
     """Run one seed; logs of the processes go to ``folder``."""
     async with world.running(folder, GATEWAYS, WORKERS, ENGINES) as system:
-        injected = faults.Faults(system, random.Random(f"faults {seed}"))
+        injected = faults.Faults(system, f"faults {seed}")
         seen = callers.Callers(system, random.Random(f"callers {seed}"))
         again: list[str] = []
         async with trio.open_nursery() as nursery:
@@ -42,7 +46,9 @@
             nursery.cancel_scope.cancel()
         problems = [*judge.Judge(system, seen).all(), *again]
         items = sum(len(job.results) for job in seen.jobs)
-        return Report(len(seen.requests), items, dict(injected.done), dict(seen.outcomes), problems)
+        stalled_s = sum(w.end_s - w.begin_s for w in system.windows if w.part == world.OWN)
+        faulted, outcomes = dict(injected.done), dict(seen.outcomes)
+        return Report(len(seen.requests), items, stalled_s, faulted, outcomes, problems)
 
 
 async def _read_again(seen: callers.Callers) -> list[str]:
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -2,6 +2,7 @@
 
 import collections
 import contextlib
+import dataclasses
 import random
 import signal
 from collections.abc import Awaitable, Callable
@@ -27,7 +28,7 @@
 # How long an engine that leaves goes on serving what it has.
 LEAVE_S = 4.0
 HERD_SHARE = 0.5
-Act = Callable[["Faults"], Awaitable[None]]
+Act = Callable[["Injection"], Awaitable[None]]
 _ENGINE_FAULTS = (
     stream_engine.Faults(decline=True),
     stream_engine.Faults(fail=500),
@@ -46,33 +47,67 @@
 _HEALED = fault_proxy.Switches()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Plan:
+    """A fault that is injected some times in a row.
+
+    :param at_s: from the first fault's beginning.
+    :param seed: of the draws that it makes itself.
+    """
+
+    at_s: float
+    name: str
+    times: int
+    seed: str
+
+
+def plans(seed: str, seconds: float) -> list[Plan]:
+    """Draw which faults are injected when; a seed always gives the same."""
+    rng = random.Random(seed)
+    drawn: list[Plan] = []
+    at_s = 0.0
+    while at_s < seconds:
+        name = rng.choice(sorted(_ACTS))
+        times = SERIES if rng.random() < SERIES_SHARE else 1
+        drawn.append(Plan(at_s, name, times, f"{seed} {len(drawn)}"))
+        at_s += rng.expovariate(1 / GAP_S)
+    return drawn
+
+
 class Faults:
     """Injects faults into a world.
 
     :ivar done: how often each was injected.
     """
 
-    def __init__(self, system: world.World, rng: random.Random) -> None:
+    def __init__(self, system: world.World, seed: str) -> None:
         self.system = system
-        self.rng = rng
+        self.seed = seed
         self.done: collections.Counter[str] = collections.Counter()
 
     async def run(self, seconds: float) -> None:
         """Inject faults for a time, then wait until the last is over."""
+        begin_s = trio.current_time()
         async with trio.open_nursery() as nursery:
-            until_s = trio.current_time() + seconds
-            while trio.current_time() < until_s:
-                name = self.rng.choice(sorted(_ACTS))
-                times = SERIES if self.rng.random() < SERIES_SHARE else 1
-                nursery.start_soon(self._series, name, times)
-                await trio.sleep(self.rng.expovariate(1 / GAP_S))
-
-    async def _series(self, name: str, times: int) -> None:
-        for _ in range(times):
-            self.done[name] += 1
-            await _ACTS[name](self)
+            for plan in plans(self.seed, seconds):
+                await trio.sleep_until(begin_s + plan.at_s)
+                nursery.start_soon(self._series, plan)
+
+    async def _series(self, plan: Plan) -> None:
+        one = Injection(self.system, random.Random(plan.seed))
+        for _ in range(plan.times):
+            self.done[plan.name] += 1
+            await _ACTS[plan.name](one)
             await trio.sleep(SERIES_GAP_S)
 
+
+class Injection:
+    """One fault with its own draws and the parts of the system that it may touch."""
+
+    def __init__(self, system: world.World, rng: random.Random) -> None:
+        self.system = system
+        self.rng = rng
+
     def free_daemons(self, role: str = "") -> list[world.Daemon]:
         """Give the processes that no fault is at work on."""
         found = [d for d in self.system.daemons.values() if d.role == role or not role]
@@ -115,19 +150,19 @@
             await daemon.start()
 
 
-async def _kill(faults: Faults) -> None:
+async def _kill(faults: Injection) -> None:
     for daemon in faults.rng.sample(free := faults.free_daemons(), min(1, len(free))):
         await faults.kill(daemon)
 
 
-async def _herd(faults: Faults) -> None:
+async def _herd(faults: Injection) -> None:
     free = faults.free_daemons()
     async with trio.open_nursery() as nursery:
         for daemon in faults.rng.sample(free, round(HERD_SHARE * len(free))):
             nursery.start_soon(faults.kill, daemon)
 
 
-async def _freeze(faults: Faults) -> None:
+async def _freeze(faults: Injection) -> None:
     for daemon in faults.rng.sample(free := faults.free_daemons(), min(1, len(free))):
         with faults.on(daemon, "freeze"):
             daemon.signal(signal.SIGSTOP)
@@ -135,12 +170,12 @@
             daemon.signal(signal.SIGCONT)
 
 
-async def _hup(faults: Faults) -> None:
+async def _hup(faults: Injection) -> None:
     for daemon in faults.free_daemons():
         daemon.signal(signal.SIGHUP)
 
 
-async def _roll(faults: Faults) -> None:
+async def _roll(faults: Injection) -> None:
     """Stop a process as an operator does and start it again; it must not be held longer."""
     for daemon in faults.rng.sample(free := faults.free_daemons(), min(1, len(free))):
         daemon.held = True
@@ -157,15 +192,15 @@
             await daemon.start()
 
 
-async def _store_down(faults: Faults) -> None:
+async def _store_down(faults: Injection) -> None:
     await _store(faults, "store down", down=True)
 
 
-async def _store_slow(faults: Faults) -> None:
+async def _store_slow(faults: Injection) -> None:
     await _store(faults, "store slow", slow_s=faults.between(SLOW_S))
 
 
-async def _store(faults: Faults, fault: str, **switches) -> None:
+async def _store(faults: Injection, fault: str, **switches) -> None:
     store = faults.system.store
     with faults.system.window("store", fault):
         store.switch(msgspec.structs.replace(edge_system.UNLIMITED, **switches))
@@ -173,13 +208,13 @@
         store.switch(edge_system.UNLIMITED)
 
 
-async def _store_loses(faults: Faults) -> None:
+async def _store_loses(faults: Injection) -> None:
     store = faults.system.store
     lost = faults.rng.randrange(1, 4)
     store.switch(msgspec.structs.replace(store.switches, lose_answers=lost))
 
 
-async def _cut_from_store(faults: Faults) -> None:
+async def _cut_from_store(faults: Injection) -> None:
     name = faults.rng.choice(sorted(faults.system.daemons))
     proxy = faults.system.store_paths[name]
     with faults.system.window(f"{name} to store", "cut"):
@@ -188,15 +223,15 @@
         proxy.switch(fault_proxy.Switches(cut=True))
 
 
-async def _engine_path(faults: Faults) -> None:
+async def _engine_path(faults: Injection) -> None:
     await _on_path(faults, faults.rng.choice(_PATH_FAULTS))
 
 
-async def _engine_delay(faults: Faults) -> None:
+async def _engine_delay(faults: Injection) -> None:
     await _on_path(faults, fault_proxy.Switches(delay_s=faults.between(DELAY_S)))
 
 
-async def _on_path(faults: Faults, switches: fault_proxy.Switches) -> None:
+async def _on_path(faults: Injection, switches: fault_proxy.Switches) -> None:
     if (engine := faults.free_engine()) is None:
         return
     with faults.on_engine(engine, "path"):
@@ -205,7 +240,7 @@
         engine.proxy.switch(_HEALED)
 
 
-async def _engine_misbehaves(faults: Faults) -> None:
+async def _engine_misbehaves(faults: Injection) -> None:
     if (engine := faults.free_engine()) is None:
         return
     with faults.on_engine(engine, "misbehaves"):
@@ -214,7 +249,7 @@
         engine.stand_in.faults = stream_engine.Faults()
 
 
-async def _engine_crash(faults: Faults) -> None:
+async def _engine_crash(faults: Injection) -> None:
     """Crash an engine that comes back under its old name."""
     if (engine := faults.free_engine()) is None:
         return
@@ -226,7 +261,7 @@
         await faults.system.register(engine)
 
 
-async def _engine_leaves(faults: Faults) -> None:
+async def _engine_leaves(faults: Injection) -> None:
     """Let a new engine take the place of one that leaves."""
     if (engine := faults.free_engine()) is None:
         return
@@ -238,7 +273,7 @@
     await faults.system.unregister(engine)
 
 
-async def _change(faults: Faults) -> None:
+async def _change(faults: Injection) -> None:
     await faults.system.change()
 
 
