--- a/src/cornelgrade/cli.py
+++ b/src/cornelgrade/cli.py
@@ -26,6 +26,7 @@
   cornelgrade request get KEY [options]
   cornelgrade status [options]
   cornelgrade explain ID [options]
+  cornelgrade explain --logs=FILE ID [--json]
   cornelgrade --version
   cornelgrade --help
 
@@ -39,7 +40,8 @@
   job                 Submit a file of JSON lines as a batch job, and follow it.
   request get         Read the stored answer to a keyed request.
   status              Show what runs, what is degraded and since when.
-  explain             Tell what happened to a request, job, item, manifest or order.
+  explain             Tell what happened to a request, job, item, manifest or order; with
+                      --logs from collected logs, without asking the fleet.
 
 Options:
   --url=URL           A gateway's address [env: CORNELGRADE_URL].
@@ -50,6 +52,7 @@
   --service=NAME      The model service to run on; needed where there are several.
   --priority=NAME     One of the team's priorities.
   --due=SECONDS       Seconds from now at which the job should be finished.
+  --logs=FILE         The logs of all processes in one file, in any order.
   --wait              Follow the job until it ends.
   -h --help           Show this text.
   --version           Show the version.
--- a/src/cornelgrade/commands/operate.py
+++ b/src/cornelgrade/commands/operate.py
@@ -2,7 +2,7 @@
 
 from typing import Any
 
-from cornelgrade import errors, reports
+from cornelgrade import checked, errors, log_walk, reports
 from cornelgrade.commands import _client, _output
 
 
@@ -19,6 +19,8 @@
 
 def explain(args: dict[str, Any]) -> errors.ExitCode:
     """Tell the history of one subject."""
+    if args["--logs"]:
+        return _explain_from_logs(args)
     with _client.Client(args) as client:
         answer = client.call("GET", f"/v1/explain/{_client.segment(args['ID'])}")
     history = _client.decode(answer, reports.History)
@@ -33,6 +35,25 @@
     return errors.ExitCode.OK
 
 
+def _explain_from_logs(args: dict[str, Any]) -> errors.ExitCode:
+    """Walk from an id to its cause by collected logs."""
+    text = checked.read_file(args["--logs"]).decode(errors="replace")
+    found = log_walk.walk(text.splitlines(), args["ID"])
+    if args["--json"]:
+        _output.write_json(found)
+        return errors.ExitCode.OK
+    for entry in sorted((*found.own, *found.around), key=lambda e: e.at_s):
+        _output.write(f"{'*' if entry in found.own else ' '} {entry.text}")
+    if not found.own:
+        _output.write(f"No line names {args['ID']}.")
+        return errors.ExitCode.FAILED
+    if found.elsewhere:
+        _output.write(f"{found.elsewhere} other attempts failed at its upstreams meanwhile.")
+    if found.cause:
+        _output.write(f"Outcome: {found.cause}.")
+    return errors.ExitCode.OK
+
+
 def _at(peer: str) -> str:
     return f" ({peer})" if peer else ""
 
