--- a/src/cornelgrade/cli.py
+++ b/src/cornelgrade/cli.py
@@ -25,8 +25,7 @@
   cornelgrade job list [options]
   cornelgrade request get KEY [options]
   cornelgrade status [options]
-  cornelgrade explain ID [options]
-  cornelgrade explain --logs=FILE ID [--json]
+  cornelgrade explain ID [--logs=FILE] [options]
   cornelgrade --version
   cornelgrade --help
 
@@ -40,8 +39,8 @@
   job                 Submit a file of JSON lines as a batch job, and follow it.
   request get         Read the stored answer to a keyed request.
   status              Show what runs, what is degraded and since when.
-  explain             Tell what happened to a request, job, item, manifest or order; with
-                      --logs from collected logs, without asking the fleet.
+  explain             Tell what happened to a request, job, item, manifest or order; from
+                      collected logs if they are given, without asking the fleet.
 
 Options:
   --url=URL           A gateway's address [env: CORNELGRADE_URL].
--- a/src/cornelgrade/log_walk.py
+++ b/src/cornelgrade/log_walk.py
@@ -13,14 +13,22 @@
 _SUBJECTS = ("request", "item", "job")
 # What a process says of its own state, and of its view of an upstream.
 _OWN_STATE = frozenset(
-    "started stopped signal store_lost store_regained history_lost plan_in_force".split()
+    (
+        "started",
+        "stopped",
+        "signal",
+        "store_lost",
+        "store_regained",
+        "history_lost",
+        "plan_in_force",
+    )
 )
 _UPSTREAM_STATE = frozenset(
-    "upstream upstream_missing upstream_suspect upstream_trusted entry_unusable".split()
+    ("upstream", "upstream_missing", "upstream_suspect", "upstream_trusted", "entry_unusable")
 )
 _CAUSES = {
     "answered": "the whole answer was passed on",
-    "unavailable": "the process knew no upstream of the service: see upstream_missing and store_lost",
+    "unavailable": "the process knew no upstream: see upstream_missing and store_lost",
     "overloaded": "no upstream had room, or each declined: see own, others and batch",
     "upstream_failed": "an upstream may have run it and gave no answer: see attempt_failed",
     "broken_off": "the answer had begun and could not be completed: see attempt_failed",
