Workers order waiting items only where an upstream has room, and remember who closes a job

Cause: the same profile: the order of all waiting items was made at each look, also with every slot taken, and the closer of each job was hashed anew.

--- a/src/cornelgrade/services/edge/open_job.py
+++ b/src/cornelgrade/services/edge/open_job.py
@@ -130,6 +130,12 @@
         self.not_before_s[index] = now_s + RETRY_PAUSE_S
 
 
+@functools.lru_cache(maxsize=16_384)
+def owner(job: str, workers: tuple[str, ...]) -> str:
+    """Name the worker that closes a job."""
+    return rendezvous.pick(job, workers, 1)[0]
+
+
 @functools.lru_cache(maxsize=16_384)
 def _order(job: str, index: int, workers: tuple[str, ...]) -> tuple[str, ...]:
     """Give the order in which workers may begin an item."""
--- a/src/cornelgrade/services/edge/runner.py
+++ b/src/cornelgrade/services/edge/runner.py
@@ -12,7 +12,7 @@
 
 from cornelgrade import kernel, logs, metrics, routes, settings
 from cornelgrade.adapters import engine, platform
-from cornelgrade.policy import batch_room, health, rendezvous, route_table
+from cornelgrade.policy import batch_room, health, route_table
 from cornelgrade.schema import messages
 from cornelgrade.services.edge import (
     _following,
@@ -173,12 +173,18 @@
         table = self._fleet.table()
         if table is None or self._stopping:
             return
-        waiting = self._waiting(now_s)
+        room: list[tuple[routes.Upstream, int]] = []
         for reg in self._fleet.upstreams():
             up = reg.upstream
             sound = health.usable(self._health.get(up.name, health.HEALTHY), now_s)
             if self._owns(up) and sound and not reg.doubted_until_s:
-                self._fill(up, table, waiting, now_s)
+                change = batch_room.change(self._uses.use(up, now_s))
+                room += [(up, change)] if change > 0 else []
+                for _ in range(-change):
+                    self._give_way(up.name)
+        waiting = self._waiting(now_s) if room else []
+        for up, free in room:
+            self._fill(up, free, table, waiting)
 
     def _owned(self) -> list[routes.Upstream]:
         return [reg.upstream for reg in self._fleet.upstreams() if self._owns(reg.upstream)]
@@ -189,16 +195,14 @@
     def _fill(
         self,
         up: routes.Upstream,
+        free: int,
         table: route_table.RouteTable,
         waiting: list[batch_room.Waiting],
-        now_s: float,
     ) -> None:
-        change = batch_room.change(self._uses.use(up, now_s))
-        for _ in range(-change):
-            self._give_way(up.name)
+        """Start waiting items in the free slots of an upstream."""
         started = 0
         for entry in tuple(waiting):
-            if started >= change:
+            if started >= free:
                 return
             job = self._jobs[entry.job]
             if self._service(table, job, entry.index) == up.service:
@@ -358,8 +362,7 @@
     def _settle(self, job: open_job.OpenJob, now_s: float) -> None:
         """Close a job whose results are all there, and give up items whose time is over."""
         workers = self._peers.living(peers.Role.WORKER)
-        owner = max(workers, key=lambda vm: rendezvous.score(job.header.job, vm))
-        if owner != self._cfg.vm or job.closing:
+        if open_job.owner(job.header.job, workers) != self._cfg.vm or job.closing:
             return
         if job.complete:
             assert self._nursery is not None
