Soak: a process that another fault has got hold of is not killed too

Cause, read from the code: the processes to kill are drawn before their tasks begin; meanwhile a roll took one, which was then killed in its drain and started twice.

--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -143,7 +143,9 @@
                 engine.held = False
 
     async def kill(self, daemon: world.Daemon) -> None:
-        """Kill a process and start it again."""
+        """Kill a process and start it again, unless another fault has got hold of it."""
+        if daemon.held:
+            return
         with self.on(daemon, "kill"):
             await daemon.kill()
             await trio.sleep(self.between(DOWN_S))
