--- a/src/cornelgrade/platform/calls.py
+++ b/src/cornelgrade/platform/calls.py
@@ -6,6 +6,7 @@
 
 from cornelgrade import logs
 from cornelgrade.adapters import http1
+from cornelgrade.policy import event_stream
 from cornelgrade.services.edge import ports
 
 _ID = b"x-request-id"
@@ -16,8 +17,6 @@
 _RESUME = b"last-event-id"
 _RETRY_AFTER = "Retry-After"
 _WRONG_INSTANCE = 421
-# Digits of the largest count: above any position or event number, below what is slow to read.
-COUNT_DIGITS = 15
 _MS_PER_S = 1000.0
 _log = logs.Logger("calls")
 _SET_HERE = frozenset((_DEADLINE, _EXPECT, b"content-length"))
@@ -99,7 +98,7 @@
 
 def is_count(text: str) -> bool:
     """Whether a text is a whole number of a size that makes sense."""
-    return text.isascii() and text.isdigit() and len(text) <= COUNT_DIGITS
+    return text.isascii() and text.isdigit() and len(text) <= event_stream.NUMBER_DIGITS
 
 
 def _milliseconds(text: str) -> float | None:
--- a/src/cornelgrade/policy/event_stream.py
+++ b/src/cornelgrade/policy/event_stream.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+# Digits of the largest number: above any stream's length, below what is slow to read.
+NUMBER_DIGITS = 15
 _ID = b"id:"
 _DATA = b"data:"
 
@@ -52,5 +54,5 @@
     for line in raw.splitlines():
         if line.startswith(_ID):
             text = line[len(_ID) :].strip()
-            return int(text) if text.isdigit() else None
+            return int(text) if text.isdigit() and len(text) <= NUMBER_DIGITS else None
     return None
