--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -6,6 +6,7 @@
 import random
 
 import httpx
+import msgspec
 import trio
 
 from bench.soak import world
@@ -23,6 +24,7 @@
 RESUMED_SHARE = 0.5
 RETRY_S = 0.2
 WAIT_MS = 500
+MS_PER_S = 1000
 MARK_PAUSE_S = 0.25
 
 
@@ -130,7 +132,7 @@
         headers = {
             "host": edge_system.HOST,
             "x-request-id": req.id,
-            "x-deadline-ms": str(int(PATIENCE_S * 1000)),
+            "x-deadline-ms": str(int(PATIENCE_S * MS_PER_S)),
         }
         try:
             async with client.stream("POST", path, headers=headers, content=b"question") as got:
@@ -162,10 +164,10 @@
     async def _job(self, job: Job) -> None:
         """Send a job until it is accepted, read its results, or cancel it on the way."""
         cancelled = self.rng.random() < CANCEL_SHARE
-        body = httpx.Request("POST", "http://none", json={"items": [_item(i) for i in job.items]})
+        body = msgspec.json.encode({"items": [_item(name) for name in job.items]})
         while job.accepted_s is None:
             path = f"{world.NOTES}{job.id}"
-            got = await self._call("POST", path, body.content, x_request_id=job.id)
+            got = await self._call("POST", path, body, x_request_id=job.id)
             if got is not None and got.status_code == 202:
                 job.accepted_s = trio.current_time()
             await trio.sleep(RETRY_S)
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -32,6 +32,8 @@
 # A process needs about a second of a busy core to import its libraries.
 START_LIMIT_S = 15.0
 START_PAUSE_S = 0.05
+# All of them start at once on one machine, and a gateway is ready once it knows an engine.
+OPEN_LIMIT_S = 20.0
 # Well under the least silence after which a gateway leaves an engine, 0.6 s.
 STALL_S = 0.15
 STALL_PAUSE_S = 0.05
@@ -218,7 +220,7 @@
                 await self._add_daemon(f"{role}-{number}", role, edge_system.DOMAINS[number % 3])
         self.nursery.start_soon(self._balance)
         self.nursery.start_soon(self._watch_itself)
-        with trio.fail_after(20.0):
+        with trio.fail_after(OPEN_LIMIT_S):
             while not all(d.rotation for d in self.gateways):
                 await trio.sleep(0.1)
 
