--- a/src/cornelgrade/platform/standins/edge_system.py
+++ b/src/cornelgrade/platform/standins/edge_system.py
@@ -4,13 +4,14 @@
 import contextlib
 import dataclasses
 import socket
+import sys
 
 import msgspec
 import trio
 
 from cornelgrade import edge_daemons, kernel, routes, settings
 from cornelgrade.adapters import engine as engine_port
-from cornelgrade.adapters import http1
+from cornelgrade.adapters import http1, platform
 from cornelgrade.platform import calls, jobs
 from cornelgrade.platform.standins import stream_engine
 from cornelgrade.services.edge import peers, ports
@@ -25,6 +26,20 @@
 UNLIMITED = platform_store.Switches(writes_per_s=0, reads_per_s=0)
 
 
+class Store(platform_store.MemoryPlatform):
+    """Lists all objects for a watch that begins, as :class:`objects.Objects` does."""
+
+    async def watch(
+        self, kind: str, prefix: str = "", after: int = 0, wait_s: float = 30.0
+    ) -> platform.Changes:
+        """Wait for changes behind ``after``; with 0, give all objects that there are now."""
+        if after:
+            return await super().watch(kind, prefix, after, wait_s)
+        # Taken first: a watch from here may show a change again, but never misses one.
+        version = self.version
+        return platform.Changes(version, await self.list(kind, prefix, limit=sys.maxsize))
+
+
 class Directory:
     """Keeps plans and registrations as JSON of the project's own types."""
 
@@ -110,7 +125,7 @@
     """A running system; made by :func:`running`."""
 
     def __init__(self, nursery: trio.Nursery) -> None:
-        self.store = platform_store.MemoryPlatform(UNLIMITED)
+        self.store = Store(UNLIMITED)
         self.nursery = nursery
         self.nodes: dict[str, Node] = {}
         self.retirements = Retirements()
--- a/src/cornelgrade/standins/platform_store.py
+++ b/src/cornelgrade/standins/platform_store.py
@@ -120,6 +120,13 @@
         for kind in self._kinds.values():
             kind.wake()
 
+    def forget_history(self) -> None:
+        """Drop all that watches can look back on; those that wait now are told so."""
+        for kind in self._kinds.values():
+            kind.history.clear()
+            kind.forgotten_version = self.version
+            kind.wake()
+
     def set_vms(self, vms: tuple[platform.Vm, ...]) -> None:
         """Change the VM list; readers see it ``vm_lag_s`` later."""
         self._vm_lists.append((trio.current_time(), vms))
