One copy each: the owner of a key, a call's failure, a client's conditional writes, the last attempt

job_sweeper, retiring and open_job hashed owners by themselves beside policy/ownership; relay and item_call each made the error that http1.Channel makes; both clients of a store had the same three writes; relay repeated _last and had the seats' time to come back under a second name.

--- a/src/cornelgrade/adapters/http1.py
+++ b/src/cornelgrade/adapters/http1.py
@@ -97,7 +97,7 @@
         try:
             request = h11.Request(method=method, target=target, headers=sized)
         except h11.LocalProtocolError as exc:
-            raise self._error(f"no proper request: {exc}", "send") from exc
+            raise self.failure(f"no proper request: {exc}", "send") from exc
         events = [request, h11.Data(data=body), h11.EndOfMessage()]
         raw = b"".join(self._h11.send(event) or b"" for event in events)
         self._request = request
@@ -114,7 +114,7 @@
                 headers = tuple((bytes(k), bytes(v)) for k, v in event.headers)
                 return Head(event.status_code, headers)
             if not isinstance(event, h11.InformationalResponse):
-                raise self._error("the connection ended without an answer", "head")
+                raise self.failure("the connection ended without an answer", "head")
 
     async def body(self) -> bytes:
         """Give the next part of the body, ``b""`` at its proper end."""
@@ -127,7 +127,7 @@
             if isinstance(event, h11.Data) and event.data:
                 return bytes(event.data)
             if isinstance(event, h11.ConnectionClosed):
-                raise self._error("the connection ended within the answer", "body")
+                raise self.failure("the connection ended within the answer", "body")
 
     async def whole(self, limit_bytes: int) -> bytes:
         """Read the rest of the body.
@@ -140,7 +140,7 @@
             parts.append(part)
             left -= len(part)
             if left < 0:
-                raise self._error("the answer is over the limit", "body")
+                raise self.failure("the answer is over the limit", "body")
         return b"".join(parts)
 
     async def next_answer(self) -> None:
@@ -162,17 +162,20 @@
             while True:
                 event = self._h11.next_event()
                 if event is h11.PAUSED:
-                    raise self._error("bytes behind the end of the answer", step)
+                    raise self.failure("bytes behind the end of the answer", step)
                 if event is not h11.NEED_DATA:
                     return event
                 self._h11.receive_data(await self._stream.receive_some(READ_BYTES))
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
-            raise self._error(f"connection lost: {exc!r}", step) from exc
+            raise self.failure(f"connection lost: {exc!r}", step) from exc
         except h11.RemoteProtocolError as exc:
-            raise self._error(f"no proper answer: {exc}", step) from exc
+            raise self.failure(f"no proper answer: {exc}", step) from exc
 
-    def _error(self, message: str, step: str) -> engine.CallError:
-        return engine.CallError(message, step=step, peer=self.peer, progress=self.progress)
+    def failure(self, message: str, step: str, *, silent: bool = False) -> engine.CallError:
+        """Make the error of a call that came as far as this one has."""
+        return engine.CallError(
+            message, step=step, peer=self.peer, progress=self.progress, silent=silent
+        )
 
 
 async def connect(address: str, timeout_s: float) -> Channel:
--- a/src/cornelgrade/adapters/platform_http.py
+++ b/src/cornelgrade/adapters/platform_http.py
@@ -64,7 +64,7 @@
     return int(tag.strip().strip('"'))
 
 
-class HttpPlatform:
+class HttpPlatform(settled_writes.SettledClient):
     """Implements :class:`cornelgrade.adapters.platform.Platform` over HTTP.
 
     Use it as an async context manager; it owns its connections.
@@ -75,7 +75,7 @@
 
     def __init__(self, base_url: str, *, deadline_s: float = 2.0) -> None:
         self._deadline_s = deadline_s
-        self._writer = settled_writes.Writer(self, deadline_s)
+        super().__init__(deadline_s)
         self._client = httpx.AsyncClient(
             base_url=base_url, timeout=None, limits=_CONNECTIONS, trust_env=False
         )
@@ -124,20 +124,6 @@
         wire = msgspec.json.decode(res.content, type=tuple[WireVm, ...])
         return tuple(platform.Vm(vm.name, vm.state, vm.failure_domain) for vm in wire)
 
-    async def create(self, kind: str, name: str, value: bytes, nonce: str = "") -> platform.Stored:
-        """Write an object that must not be there yet; an empty nonce gets a random one."""
-        return await self._writer.write(settle.Write.CREATE, kind, name, value, 0, nonce)
-
-    async def update(
-        self, kind: str, name: str, value: bytes, version: int, nonce: str = ""
-    ) -> platform.Stored:
-        """Write an object that must still be at ``version``."""
-        return await self._writer.write(settle.Write.UPDATE, kind, name, value, version, nonce)
-
-    async def delete(self, kind: str, name: str, version: int) -> None:
-        """Remove an object that must still be at ``version``; one already gone is no error."""
-        await self._writer.write(settle.Write.DELETE, kind, name, b"", version, "")
-
     async def _read(
         self,
         step: str,
--- a/src/cornelgrade/adapters/settled_writes.py
+++ b/src/cornelgrade/adapters/settled_writes.py
@@ -129,6 +129,30 @@
                 await trio.sleep(exc.retry_after_s or RETRY_PAUSE_S)
 
 
+class SettledClient(Sender):
+    """The conditional writes of a store's client, which sends each call itself.
+
+    :param deadline_s: longest time of a write with all its repeats.
+    """
+
+    def __init__(self, deadline_s: float) -> None:
+        self._writer = Writer(self, deadline_s)
+
+    async def create(self, kind: str, name: str, value: bytes, nonce: str = "") -> platform.Stored:
+        """Write an object that must not be there yet; an empty nonce gets a random one."""
+        return await self._writer.write(settle.Write.CREATE, kind, name, value, 0, nonce)
+
+    async def update(
+        self, kind: str, name: str, value: bytes, version: int, nonce: str = ""
+    ) -> platform.Stored:
+        """Write an object that must still be at ``version``."""
+        return await self._writer.write(settle.Write.UPDATE, kind, name, value, version, nonce)
+
+    async def delete(self, kind: str, name: str, version: int) -> None:
+        """Remove an object that must still be at ``version``; one already gone is no error."""
+        await self._writer.write(settle.Write.DELETE, kind, name, b"", version, "")
+
+
 @dataclasses.dataclass(slots=True)
 class _Sent:
     """Whether any sending of a write may have taken effect."""
--- a/src/cornelgrade/platform/objects.py
+++ b/src/cornelgrade/platform/objects.py
@@ -78,7 +78,7 @@
     status: msgspec.Raw
 
 
-class Objects:
+class Objects(settled_writes.SettledClient):
     """Implements :class:`cornelgrade.adapters.platform.Platform` on the platform's store.
 
     Every call uses a connection of its own: calls are few, and a connection that has silently died
@@ -91,7 +91,7 @@
     def __init__(self, address: str, *, deadline_s: float = 2.0) -> None:
         self._address = address
         self._deadline_s = deadline_s
-        self._writer = settled_writes.Writer(self, deadline_s)
+        super().__init__(deadline_s)
         self._calls = metrics.counter(
             "cornelgrade_store_calls_total", "Calls to the platform's object store by step."
         )
@@ -135,20 +135,6 @@
         """Give no VMs: this platform keeps no list of them."""
         return ()
 
-    async def create(self, kind: str, name: str, value: bytes, nonce: str = "") -> platform.Stored:
-        """Write an object that must not be there yet; an empty nonce gets a random one."""
-        return await self._writer.write(settle.Write.CREATE, kind, name, value, 0, nonce)
-
-    async def update(
-        self, kind: str, name: str, value: bytes, version: int, nonce: str = ""
-    ) -> platform.Stored:
-        """Write an object that must still be at ``version``."""
-        return await self._writer.write(settle.Write.UPDATE, kind, name, value, version, nonce)
-
-    async def delete(self, kind: str, name: str, version: int) -> None:
-        """Remove an object that must still be at ``version``; one already gone is no error."""
-        await self._writer.write(settle.Write.DELETE, kind, name, b"", version, "")
-
     async def put_status(self, kind: str, name: str, value: bytes) -> None:
         """Replace the status of an object of the platform's own.
 
--- a/src/cornelgrade/policy/ownership.py
+++ b/src/cornelgrade/policy/ownership.py
@@ -1,13 +1,13 @@
-"""Which VM owns an engine's batch work: rendezvous hash over a failure domain's live VMs."""
+"""Which VM sees to a thing alone, such as an upstream's batch work: rendezvous hash over VMs."""
 
 from collections.abc import Iterable
 
 from cornelgrade.policy import rendezvous
 
 
-def owner(upstream: str, vms: Iterable[str]) -> str | None:
-    """Give the VM with the highest hash for an upstream, ``None`` if there is no VM."""
-    return max(vms, key=lambda vm: (rendezvous.score(upstream, vm), vm), default=None)
+def owner(key: str, vms: Iterable[str]) -> str | None:
+    """Give the VM with the highest hash for a key, ``None`` if there is no VM."""
+    return max(vms, key=lambda vm: (rendezvous.score(key, vm), vm), default=None)
 
 
 def owned(vm: str, upstreams: Iterable[str], vms: Iterable[str]) -> frozenset[str]:
--- a/src/cornelgrade/services/edge/item_call.py
+++ b/src/cornelgrade/services/edge/item_call.py
@@ -14,6 +14,7 @@
 FIRST_SILENCE_S = 2.0
 # Events of a running item come every few tens of milliseconds.
 SILENCE_S = 1.2
+_STEP = "run item"
 _CANT_BE_DONE = 422
 _FAILED = 500
 
@@ -58,7 +59,7 @@
             if head.status == _FAILED:
                 return None
             if head.status >= 300:
-                raise _failure(channel, f"status {head.status}")
+                raise channel.failure(f"status {head.status}", _STEP)
             await self._events(channel, partial)
         return ports.ItemResult(item.name, ports.ItemEnd.COMPLETED, "\n".join(partial.texts))
 
@@ -69,9 +70,9 @@
             if verdict is ports.Verdict.NOT_RUN:
                 channel.progress = engine.Progress.NOT_SENT
             if verdict is not ports.Verdict.ANSWER:
-                raise _failure(channel, f"{verdict.value} {head.status}")
+                raise channel.failure(f"{verdict.value} {head.status}", _STEP)
             return head
-        raise _failure(channel, "no answer in time", silent=True)
+        raise channel.failure("no answer in time", _STEP, silent=True)
 
     async def _events(self, channel: http1.Channel, partial: Partial) -> None:
         splitter = event_stream.EventSplitter()
@@ -79,13 +80,13 @@
             for event in splitter.feed(part):
                 _add(channel, partial, event)
         if splitter.rest:
-            raise _failure(channel, "the stream ended within an event")
+            raise channel.failure("the stream ended within an event", _STEP)
 
     @staticmethod
     async def _part(channel: http1.Channel) -> bytes:
         with trio.move_on_after(SILENCE_S):
             return await channel.body()
-        raise _failure(channel, "silent within the stream", silent=True)
+        raise channel.failure("silent within the stream", _STEP, silent=True)
 
 
 def _add(channel: http1.Channel, partial: Partial, event: event_stream.Event) -> None:
@@ -97,12 +98,6 @@
         if event.number <= partial.last:
             return
         if event.number > partial.last + 1:
-            raise _failure(channel, f"event {event.number} after {partial.last}")
+            raise channel.failure(f"event {event.number} after {partial.last}", _STEP)
     partial.texts.append(event.data().decode("utf-8", "replace"))
     partial.last = event.number if event.number is not None else partial.last
-
-
-def _failure(channel: http1.Channel, message: str, *, silent: bool = False) -> engine.CallError:
-    return engine.CallError(
-        message, step="run item", peer=channel.peer, progress=channel.progress, silent=silent
-    )
--- a/src/cornelgrade/services/edge/job_sweeper.py
+++ b/src/cornelgrade/services/edge/job_sweeper.py
@@ -6,7 +6,7 @@
 
 from cornelgrade import logs, settings
 from cornelgrade.adapters import platform
-from cornelgrade.policy import rendezvous
+from cornelgrade.policy import ownership
 from cornelgrade.services.edge import job_book, peers
 
 INTERVAL_S = 5.0
@@ -50,7 +50,7 @@
     async def _forget(self, found: job_book.Found) -> None:
         job = found.header.job
         workers = self._peers.living(peers.Role.WORKER)
-        if max(workers, key=lambda vm: rendezvous.score(job, vm)) != self._cfg.vm:
+        if ownership.owner(job, workers) != self._cfg.vm:
             del self._closed[job]
             return
         try:
--- a/src/cornelgrade/services/edge/open_job.py
+++ b/src/cornelgrade/services/edge/open_job.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from cornelgrade.policy import rendezvous
+from cornelgrade.policy import ownership, rendezvous
 from cornelgrade.services.edge import item_call, job_book, ports
 
 # What another worker said it runs holds this long: six tellings.
@@ -131,13 +131,13 @@
 
 
 @functools.lru_cache(maxsize=16_384)
-def owner(job: str, workers: tuple[str, ...]) -> str:
+def owner(job: str, workers: tuple[str, ...]) -> str | None:
     """Name the worker that closes a job."""
-    return rendezvous.pick(job, workers, 1)[0]
+    return ownership.owner(job, workers)
 
 
 @functools.lru_cache(maxsize=16_384)
 def _order(job: str, index: int, workers: tuple[str, ...]) -> tuple[str, ...]:
     """Give the order in which workers may begin an item."""
     key = f"{job}/{index}"
-    return tuple(sorted(workers, key=lambda vm: rendezvous.score(key, vm), reverse=True))
+    return rendezvous.pick(key, workers, len(workers))
--- a/src/cornelgrade/services/edge/relay.py
+++ b/src/cornelgrade/services/edge/relay.py
@@ -26,7 +26,7 @@
 LEAST_SILENCE_S = 0.6
 # Time kept back from the caller's for the answer's way.
 MARGIN_S = 0.02
-RETRY_AFTER_S = 0.4
+_STEP = "answer"
 _EVENT_STREAM = b"text/event-stream"
 _PROMISES = frozenset((408, 421, 429, 503))
 _log = logs.Logger("relay")
@@ -141,7 +141,7 @@
         if rule.then is not retry.Next.FAIL and not spent and not self._lost_place(work, done):
             return None
         refusal = errors.Refusal(
-            errors.Code.OVERLOADED, exc.message, step=exc.step, retry_after_s=RETRY_AFTER_S
+            errors.Code.OVERLOADED, exc.message, step=exc.step, retry_after_s=seats.RETRY_AFTER_S
         )
         return _final(done, refusal)
 
@@ -187,22 +187,21 @@
                 await channel.next_answer()
             return self._judged(channel, head, verdict)
         self._seats.failed(up, "silent")
-        raise _failure(channel, "no answer in time", silent=True)
+        raise channel.failure("no answer in time", _STEP, silent=True)
 
     @staticmethod
     def _judged(channel: http1.Channel, head: http1.Head, verdict: ports.Verdict) -> http1.Head:
         """Refuse heads that are no answer to pass on."""
         if verdict is ports.Verdict.NOT_RUN:
             channel.progress = engine.Progress.NOT_SENT
-            raise _failure(channel, f"declined with {head.status}")
+            raise channel.failure(f"declined with {head.status}", _STEP)
         if verdict is ports.Verdict.UNSIGNED and (head.status < 400 or head.status in _PROMISES):
-            raise _failure(channel, f"unsigned {head.status}")
+            raise channel.failure(f"unsigned {head.status}", _STEP)
         return head
 
     def _patience(self, work: _Work, done: _Progress, aim_s: float) -> float:
         """Give how long an upstream may be silent: to the end where nothing else can be tried."""
-        last = done.runs + 1 >= work.route.max_attempts
-        if last or not work.route.repeatable:
+        if self._last(work, done) or not work.route.repeatable:
             return float("inf")
         return max(LEAST_SILENCE_S, SILENCE_IN_AIMS * aim_s)
 
@@ -213,7 +212,7 @@
         headers = self._calls.to_caller(head)
         streamed = (head.get(b"content-type") or b"").startswith(_EVENT_STREAM)
         if head.status >= 500 and work.route.repeatable and not self._last(work, done):
-            raise _failure(channel, f"failed with {head.status}")
+            raise channel.failure(f"failed with {head.status}", _STEP)
         if streamed and work.route.resumable and head.status < 300:
             await self._events(channel, work, done, (head.status, headers))
             return
@@ -242,7 +241,7 @@
     ) -> None:
         """Continue a stream of which the caller has a part."""
         if head.status >= 300:
-            raise _failure(channel, f"resume answered with {head.status}")
+            raise channel.failure(f"resume answered with {head.status}", _STEP)
         await self._events(channel, work, done, None)
 
     async def _events(
@@ -257,12 +256,12 @@
         while part := await self._part(channel, work, done):
             for event in splitter.feed(part):
                 if _skips(event, done.last_event):
-                    raise _failure(channel, f"event {event.number} after {done.last_event}")
+                    raise channel.failure(f"event {event.number} after {done.last_event}", _STEP)
                 if _follows(event, done.last_event):
                     await self._pass(work, done, head, event.raw)
                     done.last_event = event.number if event.number is not None else done.last_event
         if splitter.rest:
-            raise _failure(channel, "the stream ended within an event")
+            raise channel.failure("the stream ended within an event", _STEP)
         if not done.started and head is not None:
             await self._pass(work, done, head, b"")
         await work.exchange.end()
@@ -270,7 +269,7 @@
     async def _part(self, channel: http1.Channel, work: _Work, done: _Progress) -> bytes:
         with trio.move_on_after(self._patience(work, done, work.route.gap_aim_s)):
             return await channel.body()
-        raise _failure(channel, "silent within the stream", silent=True)
+        raise channel.failure("silent within the stream", _STEP, silent=True)
 
     @staticmethod
     async def _pass(
@@ -348,14 +347,11 @@
     """Say what is true when the time is over: an offer may have run."""
     if done.offers == 0:
         return errors.Refusal(
-            errors.Code.OVERLOADED, "no place in time", step="choose", retry_after_s=RETRY_AFTER_S
+            errors.Code.OVERLOADED,
+            "no place in time",
+            step="choose",
+            retry_after_s=seats.RETRY_AFTER_S,
         )
     return errors.Refusal(
         errors.Code.DEADLINE, "no whole answer in time", step="answer", ran=errors.Ran.UNKNOWN
     )
-
-
-def _failure(channel: http1.Channel, message: str, *, silent: bool = False) -> engine.CallError:
-    return engine.CallError(
-        message, step="answer", peer=channel.peer, progress=channel.progress, silent=silent
-    )
--- a/src/cornelgrade/services/edge/retiring.py
+++ b/src/cornelgrade/services/edge/retiring.py
@@ -10,7 +10,7 @@
 
 from cornelgrade import kernel, logs
 from cornelgrade.adapters import platform
-from cornelgrade.policy import rendezvous
+from cornelgrade.policy import ownership
 from cornelgrade.services.edge import _following, peers, ports, runner
 
 # A worker that was not heard for this long after the request is spoken for by another one.
@@ -68,7 +68,7 @@
             workers = self._peers.living(peers.Role.WORKER)
             if vm in workers:
                 continue
-            if max(workers, key=lambda other: rendezvous.score(vm, other)) == self._peers.vm:
+            if ownership.owner(vm, workers) == self._peers.vm:
                 await self._tell(vm, ports.Emptying.DONE)
             return
 
