Claims and loads share one rule of what is told when

claim_exchange and upstream_uses each kept what was told last and when all of it was; services/edge/_beat.py does it for both. Behaviour is the same; tests/edge, tests/policy/test_item_claims.py and tests/docs pass.

--- a/src/cornelgrade/services/edge/claim_exchange.py
+++ b/src/cornelgrade/services/edge/claim_exchange.py
@@ -3,7 +3,7 @@
 import trio
 
 from cornelgrade.schema import messages
-from cornelgrade.services.edge import open_job, peers
+from cornelgrade.services.edge import _beat, open_job, peers
 
 # Jobs in one datagram, so that it stays below its size.
 JOBS_IN_A_DATAGRAM = 8
@@ -18,8 +18,7 @@
     def __init__(self, known: peers.Peers, jobs: dict[str, open_job.OpenJob]) -> None:
         self._peers = known
         self._jobs = jobs
-        self._told: dict[str, messages.JobClaim] = {}
-        self._all_told_s = -peers.BEAT_S
+        self._beat: _beat.Beat[messages.JobClaim] = _beat.Beat()
 
     async def hear(self, heard: trio.MemoryReceiveChannel[messages.JobClaims]) -> None:
         """Take in what the others tell until cancelled."""
@@ -33,18 +32,15 @@
     def tell(self) -> None:
         """Tell the others what is new; from time to time everything, if only that one lives."""
         now_s = trio.current_time()
-        claims = [
-            messages.JobClaim(job.header.job, job.claims_here(now_s), job.done)
-            for job in self._jobs.values()
-        ]
-        everything = now_s - self._all_told_s >= peers.BEAT_S
-        if everything:
-            self._all_told_s = now_s
-        new = [c for c in claims if everything or self._told.get(c.job) != c]
-        self._told = {claim.job: claim for claim in claims}
+        due, everything = self._beat.due(
+            {
+                name: messages.JobClaim(name, job.claims_here(now_s), job.done)
+                for name, job in self._jobs.items()
+            }
+        )
+        new = tuple(due.values())
         groups = [
-            tuple(new[at : at + JOBS_IN_A_DATAGRAM])
-            for at in range(0, len(new), JOBS_IN_A_DATAGRAM)
+            new[at : at + JOBS_IN_A_DATAGRAM] for at in range(0, len(new), JOBS_IN_A_DATAGRAM)
         ]
         if everything and not groups:
             groups = [()]
--- a/src/cornelgrade/services/edge/peers.py
+++ b/src/cornelgrade/services/edge/peers.py
@@ -24,8 +24,6 @@
 SECRET_KIND = "cornelgrade-secrets"
 SECRET_NAME = "peers"
 SECRET_BYTES = 32
-# Everything that processes tell each other is told this often; in between only what changed.
-BEAT_S = 0.25
 # A process that was not heard for this long is taken for gone: six beats.
 SILENT_S = 1.5
 # A view of who lives is used this long: a thirtieth of the silence that ends it.
--- a/src/cornelgrade/services/edge/runner.py
+++ b/src/cornelgrade/services/edge/runner.py
@@ -15,6 +15,7 @@
 from cornelgrade.policy import batch_room, health, route_table
 from cornelgrade.schema import messages
 from cornelgrade.services.edge import (
+    _beat,
     _following,
     _signal,
     claim_exchange,
@@ -398,7 +399,7 @@
         while True:
             self._claims.tell()
             self._uses.tell_gateways(self._owned())
-            with trio.move_on_after(peers.BEAT_S):
+            with trio.move_on_after(_beat.BEAT_S):
                 await self._wake.wait()
             await trio.sleep(TELL_PAUSE_S)
 
--- a/src/cornelgrade/services/edge/upstream_uses.py
+++ b/src/cornelgrade/services/edge/upstream_uses.py
@@ -8,7 +8,7 @@
 from cornelgrade import routes
 from cornelgrade.policy import batch_room
 from cornelgrade.schema import messages
-from cornelgrade.services.edge import peers, ports, upstream_loads
+from cornelgrade.services.edge import _beat, peers, ports, upstream_loads
 
 # A gateway's load holds this long: six of its reports.
 LOAD_S = 1.5
@@ -34,8 +34,7 @@
         self._heard = heard
         self._online: dict[str, dict[str, tuple[int, float]]] = {}
         self._asking: dict[str, float] = {}
-        self._told: dict[str, messages.Uses] = {}
-        self._all_told_s = -peers.BEAT_S
+        self._beat: _beat.Beat[messages.Uses] = _beat.Beat()
         self._seen: dict[str, collections.deque[tuple[float, int]]] = {}
 
     async def hear(self, got: trio.MemoryReceiveChannel[messages.Uses]) -> None:
@@ -76,7 +75,7 @@
         """Tell each gateway of the others' requests at the upstreams that it uses.
 
         One that uses none here gets an empty message: it has to know who lives to choose whom to
-        tell. What did not change is told again each :data:`peers.BEAT_S`.
+        tell. What did not change is told again each :data:`_beat.BEAT_S`.
         """
         now_s = trio.current_time()
         told: dict[str, list[messages.UpstreamUse]] = {
@@ -88,11 +87,6 @@
                 if now_s - at_s < LOAD_S:
                     other = messages.UpstreamUse(up.name, use.online - count, use.batch)
                     told.setdefault(vm, []).append(other)
-        everything = now_s - self._all_told_s >= peers.BEAT_S
-        if everything:
-            self._all_told_s = now_s
-        current = {vm: messages.Uses(tuple(uses)) for vm, uses in told.items()}
-        for vm, message in current.items():
-            if everything or self._told.get(vm) != message:
-                self._peers.send(vm, message)
-        self._told = current
+        due, _ = self._beat.due({vm: messages.Uses(tuple(uses)) for vm, uses in told.items()})
+        for vm, message in due.items():
+            self._peers.send(vm, message)
