The platform's formats that operators, engines and callers write stand in one stand-in module

The soak wrote plans, entries, headers and job bodies in the platform's words outside platform/, beside the rig's own copies. platform/standins/formats.py writes them from the project's types for both; a test reads them back.

--- a/bench/edge.py
+++ b/bench/edge.py
@@ -59,9 +59,8 @@
     after = 0
     while after < ITEMS:
         for item, text in await system.results(gateway, job, after):
-            wanted = "\n".join(f"{item}-{n}" for n in range(1, EVENTS + 1))
             seen.items += 1
-            seen.wrong += text != wanted
+            seen.wrong += text != stream_engine.text(item, EVENTS)
             after += 1
 
 
--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -1,16 +1,14 @@
 """The callers of the soak: online requests, jobs, and questions which plan is in force."""
 
-import base64
 import collections
 import dataclasses
 import random
 
 import httpx
-import msgspec
 import trio
 
 from bench.soak import world
-from cornelgrade.platform.standins import edge_system
+from cornelgrade.platform.standins import edge_system, formats
 
 PATIENCE_S = 5.0
 # A caller that gives up later than it said has seen its request held.
@@ -23,8 +21,7 @@
 CANCEL_SHARE = 0.15
 RESUMED_SHARE = 0.5
 RETRY_S = 0.2
-WAIT_MS = 500
-MS_PER_S = 1000
+WAIT_S = 0.5
 MARK_PAUSE_S = 0.25
 
 
@@ -129,11 +126,7 @@
         path = world.RESUMED if self.rng.random() < RESUMED_SHARE else world.ONCE
         req = Request(f"r{len(self.requests)}", path, gateway, trio.current_time())
         self.requests.append(req)
-        headers = {
-            "host": edge_system.HOST,
-            "x-request-id": req.id,
-            "x-deadline-ms": str(int(PATIENCE_S * MS_PER_S)),
-        }
+        headers = {"host": edge_system.HOST, **formats.online_headers(req.id, PATIENCE_S)}
         try:
             async with client.stream("POST", path, headers=headers, content=b"question") as got:
                 req.status = got.status_code
@@ -147,16 +140,16 @@
         return req.whole
 
     async def _call(
-        self, method: str, path: str, content: bytes = b"", **headers: str
+        self, method: str, target: str, headers: dict[str, str], content: bytes = b""
     ) -> httpx.Response | None:
         """Make a call about a job at any gateway; ``None`` if no whole answer came."""
         address = self._gateway().caller_address
-        sent = {"host": edge_system.HOST} | {k.replace("_", "-"): v for k, v in headers.items()}
+        sent = {"host": edge_system.HOST, **headers}
         try:
             async with httpx.AsyncClient(
                 timeout=httpx.Timeout(HELD_S, connect=CONNECT_S)
             ) as client:
-                url = f"http://{address}{path}"
+                url = f"http://{address}{target}"
                 return await client.request(method, url, headers=sent, content=content)
         except httpx.HTTPError:
             return None
@@ -164,15 +157,15 @@
     async def _job(self, job: Job) -> None:
         """Send a job until it is accepted, read its results, or cancel it on the way."""
         cancelled = self.rng.random() < CANCEL_SHARE
-        body = msgspec.json.encode({"items": [_item(name) for name in job.items]})
+        body = formats.job_body(world.NOTES, {name: name.encode() for name in job.items})
         while job.accepted_s is None:
-            path = f"{world.NOTES}{job.id}"
-            got = await self._call("POST", path, body, x_request_id=job.id)
+            target = f"{world.NOTES}{job.id}"
+            got = await self._call("POST", target, formats.request_headers(job.id), body)
             if got is not None and got.status_code == 202:
                 job.accepted_s = trio.current_time()
             await trio.sleep(RETRY_S)
         while cancelled and job.ended_s is None:
-            got = await self._call("DELETE", f"/lots/{job.id}")
+            got = await self._call("DELETE", formats.job_target(job.id), {})
             if got is not None and got.status_code < 300:
                 job.ended_s = trio.current_time()
             await trio.sleep(RETRY_S)
@@ -182,11 +175,12 @@
 
     async def read(self, job: Job, after: int) -> list[tuple[str, str, str]]:
         """Read results from a position on."""
-        got = await self._call("GET", f"/lots/{job.id}?after={after}", x_wait_ms=str(WAIT_MS))
+        target = formats.job_target(job.id, after)
+        got = await self._call("GET", target, formats.wait_headers(WAIT_S))
         if got is None or got.status_code != 200:
             await trio.sleep(RETRY_S)
             return []
-        return [(r["id"], r["state"], r["text"]) for r in got.json()["results"]]
+        return formats.results(got.content)
 
     async def _look(self, daemon: world.Daemon) -> None:
         """Ask one gateway for routes that were just added."""
@@ -199,7 +193,8 @@
 
     async def _look_for(self, daemon: world.Daemon, version: int) -> None:
         begin_s = trio.current_time()
-        headers = {"host": edge_system.HOST, "x-request-id": f"mark-{len(self.marks)}"}
+        request = f"mark-{len(self.marks)}"
+        headers = {"host": edge_system.HOST, **formats.request_headers(request)}
         try:
             async with httpx.AsyncClient(timeout=1.0) as client:
                 url = f"http://{daemon.caller_address}{world.mark(version)}"
@@ -208,8 +203,3 @@
             return
         served = got.status_code != 404
         self.marks.append(Mark(daemon.name, version, begin_s, trio.current_time(), served))
-
-
-def _item(name: str) -> dict[str, object]:
-    body = base64.b64encode(name.encode()).decode()
-    return {"id": name, "path": f"{world.NOTES}{name}", "body": body, "tokens": 100}
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -269,7 +269,7 @@
         return
     engine.left_s = trio.current_time()
     await faults.system.add_engine(f"engine-{len(faults.system.engines)}", engine.domain)
-    await faults.system.register(engine, "draining")
+    await faults.system.register(engine, leaving=True)
     engine.left_s = trio.current_time()
     await trio.sleep(LEAVE_S)
     await faults.system.unregister(engine)
--- a/bench/soak/judge.py
+++ b/bench/soak/judge.py
@@ -85,8 +85,7 @@
             names = [name for name, _, _ in job.results]
             self.problems.append(f"{job.id} has results of {names} at the end")
         for name, state, text in job.results:
-            whole = "\n".join(f"{name}-{n}" for n in range(1, world.EVENTS + 1))
-            if state == "completed" and text != whole:
+            if state == "completed" and text != stream_engine.text(name, world.EVENTS):
                 self.problems.append(f"{name} has another text: {text!r}")
             if state != "completed" and not self._failed(name):
                 self.problems.append(f"{name} is {state} although no engine failed it")
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -13,9 +13,10 @@
 import msgspec
 import trio
 
-from cornelgrade import addresses
+from cornelgrade import addresses, routes
 from cornelgrade.adapters import platform
-from cornelgrade.platform.standins import edge_system, store_server, stream_engine
+from cornelgrade.platform import directory
+from cornelgrade.platform.standins import edge_system, formats, store_server, stream_engine
 from cornelgrade.standins import fault_proxy, platform_store
 
 SOURCE = pathlib.Path(__file__).resolve().parents[2] / "src"
@@ -43,6 +44,7 @@
 EVENT_S = 0.04
 ONCE, RESUMED, NOTES = edge_system.ONCE, edge_system.RESUMED, edge_system.NOTES
 MAX_ATTEMPTS = 2
+ITEM_ATTEMPTS = 5
 
 
 @dataclasses.dataclass(slots=True)
@@ -236,24 +238,19 @@
 
     async def _plan(self, version: int) -> None:
         """Write a version of the plan; its number is also the path of a route of its own."""
-        target = {"service": edge_system.SERVICE, "host": edge_system.HOST, "timeoutMs": 5000}
-        stream = {**target, "kind": "streaming", "targetLatencyMs": 300, "gap_aim_ms": 200}
-        routes = [
-            {**stream, "name": "once", "pathPrefix": ONCE},
-            {**stream, "name": "mark", "pathPrefix": mark(version)},
-            {
-                **stream,
-                "name": "resumed",
-                "pathPrefix": RESUMED,
-                "resumable": True,
-                "maxAttempts": MAX_ATTEMPTS,
-            },
-            {**target, "name": "notes", "pathPrefix": NOTES, "kind": "batch", "maxAttempts": 5},
-        ]
-        services = [{"name": edge_system.SERVICE, "engine": {"slots": 8}}]
-        await self._put(
-            "config", "main", {"version": version, "routes": routes, "services": services}
+        own = edge_system.a_route("mark", mark(version), routes.RouteKind.STREAM, gap_aim_s=0.2)
+        base = edge_system.a_plan(version)
+        listed = tuple(
+            (
+                dataclasses.replace(route, max_attempts=ITEM_ATTEMPTS)
+                if route.kind is routes.RouteKind.BATCH
+                else route
+            )
+            for route in base.routes
         )
+        plan = dataclasses.replace(base, routes=(*listed, own))
+        kinds = directory.Directory
+        await self._put(kinds.plan_kind, kinds.plan_name, formats.plan(plan))
         self.plans[version] = trio.current_time()
 
     async def add_engine(self, name: str, domain: str) -> Engine:
@@ -266,31 +263,28 @@
         await self.register(engine)
         return engine
 
-    async def register(self, engine: Engine, state: str = "ready") -> None:
+    async def register(self, engine: Engine, *, leaving: bool = False) -> None:
         """Write an engine's entry."""
-        entry = {
-            "service": edge_system.SERVICE,
-            "address": engine.address,
-            "zone": engine.domain,
-            "state": state,
-            "slots": engine.stand_in.slots,
-            "born": engine.born,
-        }
-        await self._put("servers", engine.stand_in.name, entry)
+        up = dataclasses.replace(
+            engine.stand_in.upstream(edge_system.SERVICE, engine.domain),
+            address=engine.address,
+            leaving=leaving,
+            started_ms=engine.born,
+        )
+        await self._put(directory.Directory.upstream_kind, up.name, formats.entry(up))
 
     async def unregister(self, engine: Engine) -> None:
         """Remove an engine's entry."""
+        kind = directory.Directory.upstream_kind
 
         async def remove() -> None:
-            found = await self.store.get("servers", engine.stand_in.name)
+            found = await self.store.get(kind, engine.stand_in.name)
             if found is not None:
-                await self.store.delete("servers", found.name, found.version)
+                await self.store.delete(kind, found.name, found.version)
 
         await _until_done(remove)
 
-    async def _put(self, kind: str, name: str, spec: object) -> None:
-        raw = msgspec.json.encode(spec)
-
+    async def _put(self, kind: str, name: str, raw: bytes) -> None:
         async def write() -> None:
             found = await self.store.get(kind, name)
             if found is None:
--- a/src/cornelgrade/platform/standins/edge_system.py
+++ b/src/cornelgrade/platform/standins/edge_system.py
@@ -1,6 +1,5 @@
 """Gateways, workers, engines and a store in one process on loopback, for tests and measurements."""
 
-import base64
 import contextlib
 import dataclasses
 import socket
@@ -13,7 +12,7 @@
 from cornelgrade.adapters import engine as engine_port
 from cornelgrade.adapters import http1, platform
 from cornelgrade.platform import calls, jobs
-from cornelgrade.platform.standins import stream_engine
+from cornelgrade.platform.standins import formats, stream_engine
 from cornelgrade.services.edge import peers, ports
 from cornelgrade.standins import platform_store
 
@@ -23,6 +22,8 @@
 ONCE = "/once/"
 RESUMED = "/resumed/"
 NOTES = "/notes/"
+PATIENCE_S = 5.0
+READ_WAIT_S = 1.0
 UNLIMITED = platform_store.Switches(writes_per_s=0, reads_per_s=0)
 
 
@@ -212,7 +213,7 @@
         self, gateway: str, path: str, request: str, body: bytes = b"question", **headers: str
     ) -> Answer:
         """Send an online request."""
-        sent = {"x-request-id": request, "x-deadline-ms": "5000", **_named(headers)}
+        sent = {**formats.online_headers(request, PATIENCE_S), **_named(headers)}
         return await self.send(gateway, "POST", path, sent, body)
 
     async def send(
@@ -225,24 +226,14 @@
 
     async def submit(self, gateway: str, job: str, items: dict[str, bytes]) -> Answer:
         """Send a job of items with their bodies."""
-        listed = [
-            {
-                "id": name,
-                "path": f"{NOTES}{name}",
-                "body": base64.b64encode(body).decode(),
-                "tokens": 100,
-            }
-            for name, body in items.items()
-        ]
-        raw = msgspec.json.encode({"items": listed})
-        return await self.send(gateway, "POST", f"{NOTES}{job}", {"x-request-id": job}, raw)
+        raw = formats.job_body(NOTES, items)
+        return await self.send(gateway, "POST", f"{NOTES}{job}", formats.request_headers(job), raw)
 
     async def results(self, gateway: str, job: str, after: int) -> list[tuple[str, str]]:
         """Wait a second for results from a position on; gives items and their texts."""
-        path = f"/lots/{job}?after={after}"
-        got = await self.send(gateway, "GET", path, {"x-wait-ms": "1000"})
-        page = msgspec.json.decode(got.body)
-        return [(result["id"], result["text"]) for result in page["results"]]
+        target = formats.job_target(job, after)
+        got = await self.send(gateway, "GET", target, formats.wait_headers(READ_WAIT_S))
+        return [(item, text) for item, _, text in formats.results(got.body)]
 
 
 def _named(headers: dict[str, str]) -> dict[str, str]:
--- /dev/null
+++ b/src/cornelgrade/platform/standins/formats.py
@@ -0,0 +1,98 @@
+"""What operators, engines and callers write, in the platform's formats, for tests and soaks."""
+
+import base64
+
+import msgspec
+
+from cornelgrade import routes
+
+_MS_PER_S = 1000.0
+_KINDS = {
+    routes.RouteKind.IDEMPOTENT: "safe",
+    routes.RouteKind.ONCE: "unsafe",
+    routes.RouteKind.STREAM: "streaming",
+    routes.RouteKind.BATCH: "batch",
+}
+
+
+def plan(value: routes.Plan) -> bytes:
+    """Write a plan as an operator does."""
+    services = [
+        {"name": s.name, "engine": {"slots": s.slots}, "maxConnections": s.max_connections}
+        for s in value.services
+    ]
+    listed = [_route(route) for route in value.routes]
+    return msgspec.json.encode({"version": value.version, "routes": listed, "services": services})
+
+
+def _route(route: routes.Route) -> dict[str, object]:
+    return {
+        "name": route.name,
+        "host": route.host,
+        "pathPrefix": route.path_prefix,
+        "kind": _KINDS[route.kind],
+        "trafficSplit": [{"service": t.service, "weight": t.weight} for t in route.targets],
+        "timeoutMs": route.timeout_s * _MS_PER_S,
+        "targetLatencyMs": route.aim_s * _MS_PER_S,
+        "gap_aim_ms": route.gap_aim_s * _MS_PER_S,
+        "priority": route.rank,
+        "maxAttempts": route.max_attempts,
+        "resumable": route.resumable,
+        "completionTargetMs": route.job_terms.completion_aim_s * _MS_PER_S,
+        "itemTtlS": route.job_terms.item_ttl_s,
+        "cap": route.job_terms.waiting_tokens,
+    }
+
+
+def entry(up: routes.Upstream) -> bytes:
+    """Write an engine's registration as the engine does."""
+    return msgspec.json.encode(
+        {
+            "service": up.service,
+            "address": up.address,
+            "zone": up.failure_domain,
+            "state": "draining" if up.leaving else "ready",
+            "slots": up.slots,
+            "born": up.started_ms,
+        }
+    )
+
+
+def online_headers(request: str, patience_s: float) -> dict[str, str]:
+    """Give the headers of an online request."""
+    return {**request_headers(request), "x-deadline-ms": str(int(patience_s * _MS_PER_S))}
+
+
+def request_headers(request: str) -> dict[str, str]:
+    """Give the headers of a job's submission, or of a request without a time limit."""
+    return {"x-request-id": request}
+
+
+def job_body(prefix: str, items: dict[str, bytes], tokens: int = 100) -> bytes:
+    """Write a job of items, each with its body, which run below a path prefix."""
+    listed = [
+        {
+            "id": name,
+            "path": f"{prefix}{name}",
+            "body": base64.b64encode(body).decode(),
+            "tokens": tokens,
+        }
+        for name, body in items.items()
+    ]
+    return msgspec.json.encode({"items": listed})
+
+
+def job_target(job: str, after: int | None = None) -> str:
+    """Give the target of calls about a job: its results behind a position, or the job itself."""
+    return f"/lots/{job}" if after is None else f"/lots/{job}?after={after}"
+
+
+def wait_headers(wait_s: float) -> dict[str, str]:
+    """Give the headers of a reader that waits for a result."""
+    return {"x-wait-ms": str(int(wait_s * _MS_PER_S))}
+
+
+def results(body: bytes) -> list[tuple[str, str, str]]:
+    """Read a page of results: item, state and text of each."""
+    page = msgspec.json.decode(body)
+    return [(result["id"], result["state"], result["text"]) for result in page["results"]]
--- a/src/cornelgrade/platform/standins/stream_engine.py
+++ b/src/cornelgrade/platform/standins/stream_engine.py
@@ -157,6 +157,11 @@
     return f"id: {number}\ndata: {request}-{number}\n\n".encode()
 
 
+def text(request: str, events: int) -> str:
+    """Give the text of a whole answer, as the result of a batch item holds it."""
+    return "\n".join(f"{request}-{number}" for number in range(1, events + 1))
+
+
 def whole(request: str, events: int) -> bytes:
     """Write the whole answer to a request."""
     return b"".join(event(request, number) for number in range(1, events + 1))
--- a/tests/edge/test_surroundings.py
+++ b/tests/edge/test_surroundings.py
@@ -23,7 +23,7 @@
 
 
 def texts() -> dict[str, str]:
-    return {n: "\n".join(f"{n}-{number}" for number in range(1, EVENTS + 1)) for n in ITEMS}
+    return {name: stream_engine.text(name, EVENTS) for name in ITEMS}
 
 
 async def test_job_acknowledged_just_before_all_vms_lose_power_is_completed():
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -6,6 +6,7 @@
 from cornelgrade import errors, routes
 from cornelgrade.adapters import http1, http1_server
 from cornelgrade.platform import calls, entries, jobs, plans
+from cornelgrade.platform.standins import edge_system, formats
 from cornelgrade.services.edge import ports
 
 ENTRY = {
@@ -73,6 +74,13 @@
     assert entries.read("i-1", raw) is None
 
 
+def test_plan_and_entry_that_stand_ins_write_are_read_as_they_were():
+    plan = edge_system.a_plan(7, completion_aim_s=18.0, waiting_tokens=900)
+    up = routes.Upstream("i-1", "llm", "10.0.0.9:80", "north", 8, True, 17)
+    assert plans.read(formats.plan(plan)) == plan
+    assert entries.read("i-1", formats.entry(up)) == up
+
+
 def test_plan_is_read_with_its_units():
     raw = msgspec.json.encode(
         {
