Soak: an item may be given up only for a fault within the silence that ends its attempt

The span was a number of events taken for seconds, 10 s in place of 2. The check is narrower now; literal times are named. tests/process/test_edge_soak.py passes.

--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -23,6 +23,8 @@
 RETRY_S = 0.2
 WAIT_S = 0.5
 MARK_PAUSE_S = 0.25
+# An answer that takes longer says nothing of the moment at which it was asked for.
+MARK_LIMIT_S = 1.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -196,7 +198,7 @@
         request = f"mark-{len(self.marks)}"
         headers = {"host": edge_system.HOST, **formats.request_headers(request)}
         try:
-            async with httpx.AsyncClient(timeout=1.0) as client:
+            async with httpx.AsyncClient(timeout=MARK_LIMIT_S) as client:
                 url = f"http://{daemon.caller_address}{world.mark(version)}"
                 got = await client.post(url, headers=headers)
         except httpx.HTTPError:
--- a/bench/soak/edge.py
+++ b/bench/soak/edge.py
@@ -40,7 +40,7 @@
             seen.more = False
             with trio.move_on_after(FINISH_S):
                 while not all(job.done for job in seen.jobs):
-                    await trio.sleep(0.1)
+                    await trio.sleep(world.POLL_S)
                 again = await _read_again(seen)
             await trio.sleep(callers.HELD_S + callers.CONNECT_S)
             nursery.cancel_scope.cancel()
--- a/bench/soak/judge.py
+++ b/bench/soak/judge.py
@@ -4,6 +4,7 @@
 
 from bench.soak import callers, world
 from cornelgrade.platform.standins import stream_engine
+from cornelgrade.services.edge import item_call
 
 # Faults of a gateway that may break an answer; being told to stop is none.
 _BREAKING = frozenset(("kill", "freeze", "start"))
@@ -93,8 +94,8 @@
     def _failed(self, item: str) -> bool:
         """Whether an engine that an item reached had a fault while it was there."""
         return any(
-            self.system.touched({name}, attempt.at_s - SLACK_S, attempt.at_s + world.EVENTS)
-            for name, attempt in self._attempts[item]
+            self.system.touched({name}, at.at_s - SLACK_S, at.at_s + item_call.FIRST_SILENCE_S)
+            for name, at in self._attempts[item]
         )
 
     def _ended(self, job: callers.Job, ended_s: float) -> None:
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -35,6 +35,7 @@
 START_PAUSE_S = 0.05
 # All of them start at once on one machine, and a gateway is ready once it knows an engine.
 OPEN_LIMIT_S = 20.0
+POLL_S = 0.1
 # Well under the least silence after which a gateway leaves an engine, 0.6 s.
 STALL_S = 0.15
 STALL_PAUSE_S = 0.05
@@ -224,7 +225,7 @@
         self.nursery.start_soon(self._watch_itself)
         with trio.fail_after(OPEN_LIMIT_S):
             while not all(d.rotation for d in self.gateways):
-                await trio.sleep(0.1)
+                await trio.sleep(POLL_S)
 
     @property
     def gateways(self) -> list[Daemon]:
