--- a/src/cornelgrade/services/edge/ports.py
+++ b/src/cornelgrade/services/edge/ports.py
@@ -6,6 +6,7 @@
 
 from cornelgrade import routes
 from cornelgrade.adapters import http1, http1_server
+from cornelgrade.policy import quarantine
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -128,6 +129,11 @@
     body: bytes
     tokens: int
 
+    @property
+    def fingerprint(self) -> str:
+        """The hash by which the quarantine identifies its runs."""
+        return quarantine.fingerprint(self.target, self.body)
+
 
 class ItemEnd(enum.StrEnum):
     """How an item ended."""
--- a/src/cornelgrade/services/edge/relay.py
+++ b/src/cornelgrade/services/edge/relay.py
@@ -6,7 +6,7 @@
 
 from cornelgrade import errors, kernel, logs, metrics, routes
 from cornelgrade.adapters import engine, http1, http1_server
-from cornelgrade.policy import event_stream, retry, route_table
+from cornelgrade.policy import event_stream, quarantine, retry, route_table
 from cornelgrade.services.edge import fleet, ports, slot_permits
 
 # A connection within a region takes a few milliseconds; an upstream that takes this long is down or
@@ -53,12 +53,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Request:
-    """A request with its caller, route and deadline."""
+    """A request with its caller, route and deadline.
+
+    :param fingerprint: identifies the request across callers' repeats, which have ids of their own.
+    """
 
     exchange: http1_server.Exchange
     caller: ports.Caller
     route: routes.Route
     deadline_s: float
+    fingerprint: str
 
 
 class Relay:
@@ -84,7 +88,8 @@
         """
         timeout_s = caller.timeout_s if caller.timeout_s is not None else route.timeout_s
         limit_s = min(route.timeout_s, timeout_s - DEADLINE_MARGIN_S)
-        req = _Request(exchange, caller, route, exchange.arrived_s + limit_s)
+        fingerprint = quarantine.fingerprint(exchange.target.decode("latin-1"), exchange.body)
+        req = _Request(exchange, caller, route, exchange.arrived_s + limit_s, fingerprint)
         progress = _Progress(last_event=caller.resume_after)
         outcome = "caller_left"
         try:
@@ -134,6 +139,7 @@
         _log.info(
             "attempt_failed",
             request=req.caller.request_id,
+            fingerprint=req.fingerprint,
             upstream=progress.upstream,
             progress=exc.progress.value,
             then=decision.then.value,
@@ -324,6 +330,7 @@
         _log.info(
             "request",
             request=req.caller.request_id,
+            fingerprint=req.fingerprint,
             route=req.route.name,
             outcome=outcome,
             upstream=progress.upstream,
--- a/src/cornelgrade/services/edge/runner.py
+++ b/src/cornelgrade/services/edge/runner.py
@@ -319,6 +319,7 @@
             _log.info(
                 "item",
                 item=item.name,
+                fingerprint=item.fingerprint,
                 job=job.header.job,
                 upstream=up.name,
                 outcome="gave_way" if preempted else outcome,
