Failing tests of the incident: requests and items that crash or fail at each upstream are repeated without limit

Cause: not mended yet. The daemons on the users' platform have no quarantine, and workers count an item's failed runs alone.

--- a/src/cornelgrade/platform/standins/stream_engine.py
+++ b/src/cornelgrade/platform/standins/stream_engine.py
@@ -19,11 +19,13 @@
     """Faults to inject.
 
     :param decline: reject requests as not executed.
-    :param fail: run requests and respond with this status.
+    :param fail: run requests for the time of one event and respond with this status.
     :param cut_after: abort the connection after this many events, within the next one.
     :param silent_after: stop sending after this many events, but keep the connection open.
     :param foreign: respond with the response to another request.
     :param unsigned: omit the signature of responses.
+    :param crash_on: crash as soon as a request whose body contains this begins to run.
+    :param down_s: how long the engine is down after such a crash.
     """
 
     decline: bool = False
@@ -32,6 +34,8 @@
     silent_after: int | None = None
     foreign: bool = False
     unsigned: bool = False
+    crash_on: bytes = b""
+    down_s: float = 0.5
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -73,6 +77,7 @@
         self.running = 0
         self.waiting = 0
         self.max_running = 0
+        self.crashes = 0
         self.address = ""
         self._slot_limiter = trio.CapacityLimiter(slots)
         self._server = _http_server.Server(self._handle)
@@ -89,6 +94,7 @@
 
     def crash(self, down_s: float) -> None:
         """Reset every connection and refuse new ones for a while."""
+        self.crashes += 1
         self._server.crash(down_s)
 
     async def _handle(self, req: _http_server.Exchange) -> None:
@@ -119,6 +125,8 @@
         self.running += 1
         seen.ran = True
         self.max_running = max(self.max_running, self.running)
+        if self.faults.crash_on and self.faults.crash_on in seen.body:
+            self.crash(self.faults.down_s)
         try:
             await self._answer(req, seen)
             seen.ended = True
@@ -136,6 +144,7 @@
             await req.respond(200, b"not yours", (("x-request-id", "someone-else"),))
             return
         if self.faults.fail:
+            await trio.sleep(self.event_s)
             await req.respond(self.faults.fail, b"failed", head)
             return
         first = (seen.resumed_after or 0) + 1
--- /dev/null
+++ b/tests/edge/test_crashing_request.py
@@ -0,0 +1,112 @@
+"""Requests and batch items that crash each upstream that runs them."""
+
+import itertools
+
+import pytest
+import trio
+
+from cornelgrade.platform.standins import edge_system, stream_engine
+
+CULPRIT = b"crashes the engine"
+CRASHES = 3
+# The operators' bounds: how long news of the last crash may take to spread, and how often the
+# request may be sent to upstreams after that.
+SPREAD_S = 3.0
+MAX_LATE_RUNS = 3
+LATE_SENDS = 8
+ITEM_OBSERVATION_S = 6.0
+
+
+def list_runs(system, body=CULPRIT):
+    return [seen for eng in system.engines.values() for seen in eng.seen if seen.body == body]
+
+
+def count_crashes(system):
+    return sum(eng.crashes for eng in system.engines.values())
+
+
+def make_engines_crash(system):
+    for eng in system.engines.values():
+        eng.faults = stream_engine.Faults(crash_on=CULPRIT)
+
+
+async def send_culprit(system, gateways, numbers, path=edge_system.RESUMABLE_PREFIX):
+    """Send the request once more, from the next gateway, as a caller's repeat does."""
+    return await system.send_online(next(gateways), path, f"r{next(numbers)}", body=CULPRIT)
+
+
+async def crash_engines(system, gateways, numbers, path=edge_system.RESUMABLE_PREFIX):
+    """Send the request until it has crashed :data:`CRASHES` engines and the news has spread."""
+    with trio.fail_after(20):
+        while count_crashes(system) < CRASHES:
+            await send_culprit(system, gateways, numbers, path)
+            await trio.sleep(0.2)
+    await trio.sleep(SPREAD_S)
+
+
+async def count_late_runs(system, gateways, numbers, path=edge_system.RESUMABLE_PREFIX):
+    """Return how often engines get the request when callers repeat it."""
+    before = len(list_runs(system))
+    for _ in range(LATE_SENDS):
+        await send_culprit(system, gateways, numbers, path)
+    return len(list_runs(system)) - before
+
+
+# Guards against a crashing request that each attempt of its caller sends to further upstreams.
+@pytest.mark.parametrize("path", [edge_system.ONCE_PREFIX, edge_system.RESUMABLE_PREFIX])
+@pytest.mark.parametrize("gateways", [1, 3])
+async def test_request_that_crashed_three_upstreams_is_not_repeated(gateways, path):
+    async with edge_system.run_system(gateways=gateways, engines=6) as system:
+        make_engines_crash(system)
+        names = itertools.cycle(f"gateway-{number}" for number in range(gateways))
+        numbers = itertools.count()
+        await crash_engines(system, names, numbers, path)
+        assert await count_late_runs(system, names, numbers, path) <= MAX_LATE_RUNS
+        innocent = await system.send_online("gateway-0", edge_system.ONCE_PREFIX, "innocent")
+    assert innocent.body == stream_engine.response_body("innocent", 5)
+
+
+# Guards against gateways that forget a crashing request when they restart.
+async def test_restarted_gateways_do_not_repeat_a_request_that_crashed_upstreams():
+    async with edge_system.run_system(gateways=2, engines=6) as system:
+        make_engines_crash(system)
+        names, numbers = itertools.cycle(["gateway-0", "gateway-1"]), itertools.count()
+        await crash_engines(system, names, numbers)
+        for name in ("gateway-0", "gateway-1"):
+            system.nodes[name].scope.cancel()
+        for name in ("gateway-2", "gateway-3"):
+            await system.start_gateway(name)
+            await system.wait_until_ready(name)
+        names = itertools.cycle(["gateway-2", "gateway-3"])
+        assert await count_late_runs(system, names, numbers) <= MAX_LATE_RUNS
+
+
+# Guards against a worker that runs an item again each time that the upstream crashes under it.
+@pytest.mark.parametrize("workers", [1, 3])
+async def test_item_that_crashed_three_upstreams_is_not_repeated(workers):
+    async with edge_system.run_system(workers=workers, engines=6) as system:
+        make_engines_crash(system)
+        items = {"culprit": CULPRIT, **{f"item-{number}": b"note" for number in range(4)}}
+        await system.submit("gateway-0", "job", items)
+        with trio.fail_after(20):
+            while count_crashes(system) < CRASHES:
+                await trio.sleep(0.05)
+        await trio.sleep(SPREAD_S)
+        before = len(list_runs(system))
+        await trio.sleep(ITEM_OBSERVATION_S)
+        assert len(list_runs(system)) - before <= MAX_LATE_RUNS
+        results = await system.results("gateway-0", "job", 0)
+    assert sorted(item for item, _ in results) == [f"item-{number}" for number in range(4)]
+
+
+# Guards against taking connections that break without a crash for crashes of the upstream.
+async def test_request_whose_connections_broke_without_a_crash_is_still_served():
+    async with edge_system.run_system(engines=3) as system:
+        for eng in system.engines.values():
+            eng.faults = stream_engine.Faults(cut_after=0)
+        for number in range(4):
+            await system.send_online("gateway-0", edge_system.RESUMABLE_PREFIX, f"r{number}")
+        for eng in system.engines.values():
+            eng.faults = stream_engine.Faults()
+        got = await system.send_online("gateway-0", edge_system.RESUMABLE_PREFIX, "r9")
+    assert got.body == stream_engine.response_body("r9", 5)
