Quarantine requests and items that crash upstreams in the daemons on the users' platform

What callers saw: a request that crashes each upstream that runs it was sent again by every gateway with every repeat; each crash took the requests beside it along. Cause: services/quarantine was started by the product's daemons only. The platform's daemons kept nothing about a request beyond one attempt, and a worker ran an item again 0.3 s after each crash. Class of fault: state about a request that fails is kept for one attempt in one process. Change: both daemons run the quarantine. crash_detector tracks what is in flight at an upstream and, after a broken call, asks the upstream whether it still runs as the same start; quarantine_sync sends reports to all processes, again to a few, and stores decisions, which a process reads at its start. Suspects of one process don't share an upstream. Quarantined requests get 502 at once; quarantined items, which may have no final error before their time to live, run ever more rarely. A request seen at six crashes is quarantined even if none counts against it: three, and the three retries that the operators allow. New cases: neighbours are served, the refusal comes at once, a gateway that missed the reports.

--- a/src/cornelgrade/edge_daemons.py
+++ b/src/cornelgrade/edge_daemons.py
@@ -9,8 +9,10 @@
 
 from cornelgrade import errors, kernel, log_stream, logs, settings
 from cornelgrade.adapters import platform
+from cornelgrade.services import quarantine
 from cornelgrade.services.edge import (
     _object_watch,
+    crash_detector,
     fleet,
     frontend,
     item_call,
@@ -19,6 +21,7 @@
     metrics_page,
     peers,
     ports,
+    quarantine_sync,
     runner,
     slot_permits,
     vm_retirement,
@@ -89,8 +92,14 @@
     kern: kernel.Kernel, cfg: settings.EdgeSettings, dependencies: Dependencies, role: peers.Role
 ) -> _object_watch.StoreAvailability:
     availability = _object_watch.StoreAvailability()
-    kern.add(peers.Peers(cfg, role, dependencies.store, availability), _RESTART)
+    peer_service = peers.Peers(cfg, role, dependencies.store, availability)
+    kern.add(peer_service, _RESTART)
     kern.add(fleet.Fleet(dependencies.store, dependencies.directory, availability))
+    kern.add(quarantine.Quarantine(kern, quarantine_sync.PeerReports(peer_service)))
+    kern.add(
+        quarantine_sync.QuarantineSync(kern, dependencies.store, availability, cfg.vm), _RESTART
+    )
+    kern.add(crash_detector.CrashDetector(kern, dependencies.calls), _RESTART)
     if cfg.metrics_address is not None:
         kern.add(metrics_page.MetricsPage(cfg.metrics_address), _RESTART)
     return availability
--- a/src/cornelgrade/platform/calls.py
+++ b/src/cornelgrade/platform/calls.py
@@ -25,6 +25,8 @@
 class _Report(msgspec.Struct):
     running: int
     waiting: int
+    # Start of the engine in Unix milliseconds.
+    born: int = 0
 
 
 class CallFormat:
@@ -39,7 +41,7 @@
         except (msgspec.DecodeError, UnicodeDecodeError) as exc:
             _log.warning("report_invalid", error=repr(exc))
             return None
-        return ports.UpstreamLoad(report.running, report.waiting)
+        return ports.UpstreamLoad(report.running, report.waiting, report.born)
 
     def parse_caller(self, headers: http1.Headers) -> ports.Caller:
         """Parse the request metadata in a caller's headers."""
--- a/src/cornelgrade/platform/standins/edge_system.py
+++ b/src/cornelgrade/platform/standins/edge_system.py
@@ -210,11 +210,13 @@
                 await trio.sleep(0.02)
 
     async def wait_until_peers_known(self) -> None:
-        """Wait until every process has discovered all workers."""
+        """Wait until every process has discovered all others and hears all workers."""
         workers = sorted(name for name in self.nodes if name.startswith("worker"))
         with trio.fail_after(5):
             for node in self.nodes.values():
                 known = node.kern.find("peers", peers.Peers)
+                while len(known.other_vms()) < len(self.nodes) - 1:
+                    await trio.sleep(0.02)
                 while sorted(known.live_vms(peers.Role.WORKER)) != workers:
                     await trio.sleep(0.02)
 
--- a/src/cornelgrade/policy/quarantine.py
+++ b/src/cornelgrade/policy/quarantine.py
@@ -3,15 +3,21 @@
 A request in flight on an engine that crashes becomes a suspect and runs alone from then on. A crash
 counts against a request if, over all VMs, it was the only request in flight there or the only
 suspect among them. The next response clears a request that did not cause the crash, whereas the one
-that did is in flight at every crash.
+that did is in flight at every crash. A request that was in flight at several crashes in a row is
+quarantined even if no crash counts against it, because suspects of several VMs may have met.
 """
 
 import dataclasses
 import enum
 import hashlib
-import itertools
 
 MAX_CRASHES = 2
+# Crashes with a request in flight, counted or not: operators allow three, and three retries.
+MAX_CRASHES_SEEN = 6
+# First pause before a quarantined batch item runs again; it doubles with each further crash.
+# Engines are back some seconds after a crash.
+PROBATION_S = 8.0
+MAX_PROBATION_DOUBLINGS = 8
 MAX_PEER_COUNTS = 8
 SUSPECT_S = 120.0
 QUARANTINE_S = 3_600.0
@@ -81,10 +87,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeerCount:
-    """Number of crashes that another process attributes to a request, from its own evidence."""
+    """Crashes that another process reports for a request, from its own evidence.
+
+    :param crashes: crashes that it attributes to the request.
+    :param seen: crashes with the request in flight.
+    """
 
     source: str
     crashes: int
+    seen: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -94,12 +105,14 @@
     :param peer_counts: counts of other processes, one for each.
     :param reported: upstreams whose crash was recorded since the request was last allowed to run; a
         second report of the same crash is not another crash.
+    :param last_crash_s: when the last crash was detected or reported by a peer.
     """
 
     evidence: tuple[Evidence, ...] = ()
     peer_counts: tuple[PeerCount, ...] = ()
     reported: frozenset[str] = frozenset()
     expires_at_s: float = 0.0
+    last_crash_s: float = 0.0
 
 
 def record_crash(
@@ -126,9 +139,10 @@
             evidence = _add_peer_report(evidence, fingerprint, peer_crash)
     return dataclasses.replace(
         entry,
-        evidence=(*entry.evidence, evidence)[-2 * MAX_CRASHES :],
+        evidence=(*entry.evidence, evidence)[-MAX_CRASHES_SEEN:],
         reported=entry.reported | {crash.upstream},
         expires_at_s=max(entry.expires_at_s, crash.at_s + SUSPECT_S),
+        last_crash_s=crash.at_s,
     )
 
 
@@ -169,16 +183,24 @@
     return dataclasses.replace(entry, evidence=evidence)
 
 
-def merge_peer_count(entry: Entry | None, peer_count: PeerCount, expires_at_s: float) -> Entry:
-    """Store another process's count, which never decreases."""
+def merge_peer_count(
+    entry: Entry | None, peer_count: PeerCount, expires_at_s: float, now_s: float
+) -> Entry:
+    """Store another process's counts, which never decrease."""
     entry = entry or Entry()
-    counts = {count.source: count.crashes for count in entry.peer_counts}
-    counts[peer_count.source] = max(peer_count.crashes, counts.get(peer_count.source, 0))
-    newest = list(itertools.starmap(PeerCount, counts.items()))[-MAX_PEER_COUNTS:]
+    counts = {count.source: count for count in entry.peer_counts}
+    known = counts.get(peer_count.source, PeerCount(peer_count.source, 0))
+    merged = PeerCount(
+        peer_count.source,
+        max(peer_count.crashes, known.crashes),
+        max(peer_count.seen, known.seen),
+    )
+    counts[peer_count.source] = merged
     return dataclasses.replace(
         entry,
-        peer_counts=tuple(newest),
+        peer_counts=tuple(counts.values())[-MAX_PEER_COUNTS:],
         expires_at_s=max(entry.expires_at_s, expires_at_s),
+        last_crash_s=entry.last_crash_s if merged == known else now_s,
     )
 
 
@@ -203,11 +225,21 @@
     return count_own_crashes(entry) + sum(count.crashes for count in entry.peer_counts)
 
 
+def count_own_crashes_seen(entry: Entry) -> int:
+    """Count the crashes in this process's evidence."""
+    return len(entry.evidence)
+
+
+def crashes_seen(entry: Entry) -> int:
+    """Count the crashes with the request in flight, over all processes."""
+    return count_own_crashes_seen(entry) + sum(count.seen for count in entry.peer_counts)
+
+
 def classify_request(entry: Entry | None, now_s: float) -> RequestStatus:
     """Return the status of a request."""
     if entry is None or entry.expires_at_s <= now_s:
         return RequestStatus.CLEAR
-    if crashes(entry) < MAX_CRASHES:
+    if crashes(entry) < MAX_CRASHES and crashes_seen(entry) < MAX_CRASHES_SEEN:
         return RequestStatus.SUSPECT
     return RequestStatus.PENDING if decided_at_s(entry) > now_s else RequestStatus.QUARANTINED
 
@@ -215,3 +247,12 @@
 def decided_at_s(entry: Entry) -> float:
     """Return the time by which peers' reports of the last crash should have arrived."""
     return max((e.at_s + REPORT_WAIT_S for e in entry.evidence), default=0.0)
+
+
+def probation_ends_at_s(entry: Entry) -> float:
+    """Return when a quarantined batch item may run once more.
+
+    An item has no final error before its time to live ends, so it is retried ever more rarely.
+    """
+    further = max(crashes(entry) - MAX_CRASHES, crashes_seen(entry) - MAX_CRASHES_SEEN, 0)
+    return entry.last_crash_s + PROBATION_S * 2.0 ** min(further, MAX_PROBATION_DOUBLINGS)
--- a/src/cornelgrade/schema/codec.py
+++ b/src/cornelgrade/schema/codec.py
@@ -101,6 +101,7 @@
     builder.crashes = body.crashes
     builder.expiresS = body.expires_s
     builder.source = body.source
+    builder.seen = body.seen
 
 
 def _write_upstream_crashed(out: Any, field: str, body: ports.UpstreamCrashed) -> None:
@@ -177,7 +178,7 @@
     "yield": lambda raw: ports.Yield(raw.upstream, raw.slots),
     "share": lambda raw: ports.Share(raw.upstream, raw.slots),
     "quarantined": lambda raw: ports.Quarantined(
-        raw.fingerprint, raw.crashes, raw.expiresS, raw.source
+        raw.fingerprint, raw.crashes, raw.expiresS, raw.source, raw.seen
     ),
     "upstreamCrashed": lambda raw: ports.UpstreamCrashed(
         raw.source, raw.upstream, raw.inFlight, raw.suspects, raw.fingerprint
--- a/src/cornelgrade/schema/peer.capnp
+++ b/src/cornelgrade/schema/peer.capnp
@@ -41,6 +41,7 @@
   crashes @1 :UInt32;
   expiresS @2 :Float64;
   source @3 :Text;
+  seen @4 :UInt32;
 }
 
 struct UpstreamCrashed {
--- /dev/null
+++ b/src/cornelgrade/services/edge/crash_detector.py
@@ -0,0 +1,159 @@
+"""The service ``crash_detector``: which requests were in flight at an upstream that crashed.
+
+A connection may break for many reasons. After one did, the upstream is asked for its load; it has
+crashed if it does not respond, or if it responds that it was started anew.
+"""
+
+import dataclasses
+import itertools
+from collections.abc import Callable
+from types import TracebackType
+
+import trio
+
+from cornelgrade import kernel, logs, routes
+from cornelgrade.adapters import engine
+from cornelgrade.services import ports as shared_ports
+from cornelgrade.services.edge import ports, upstream_loads
+
+# How long a failed request waits for the check before its retry. A crashed process refuses
+# connections at once.
+CHECK_WAIT_S = 0.15
+# A caller that gives up after this long without a response may have met a crash without a reset.
+SILENCE_S = 1.0
+# Progress of calls that an upstream may have been running.
+_MAY_HAVE_RUN = frozenset((engine.Progress.SENT, engine.Progress.PART_ANSWERED))
+_log = logs.Logger("crash_detector")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Boot:
+    """One start of an upstream."""
+
+    upstream: str
+    started_ms: int
+
+
+@dataclasses.dataclass(slots=True)
+class _Check:
+    """A check of one upstream; ``fingerprints`` are the requests in flight when it was needed."""
+
+    fingerprints: set[str] = dataclasses.field(default_factory=set)
+    done: trio.Event = dataclasses.field(default_factory=trio.Event)
+
+
+class TrackedCall:
+    """A call in flight at an upstream; a context manager that ends it.
+
+    :ivar waiting_since_s: since when a response is awaited, on the process's clock; ``None`` if its
+        absence says nothing about the upstream.
+    """
+
+    def __init__(self, detector: "CrashDetector", up: routes.Upstream, number: int) -> None:
+        self.waiting_since_s: float | None = None
+        self._detector = detector
+        self._up = up
+        self._number = number
+
+    def __enter__(self) -> "TrackedCall":
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        if isinstance(exc, trio.Cancelled) and self._is_silent():
+            self._detector.start_check(self._up)
+        self._detector.end_call(self._up, self._number)
+
+    def _is_silent(self) -> bool:
+        since_s = self.waiting_since_s
+        return since_s is not None and trio.current_time() - since_s >= SILENCE_S
+
+
+class CrashDetector:
+    """Tracks the calls in flight at upstreams and reports crashes to the quarantine."""
+
+    name = "crash_detector"
+
+    def __init__(self, kern: kernel.Kernel, call_format: ports.CallFormat) -> None:
+        self._quarantine = kern.find("quarantine", shared_ports.Quarantine)
+        self._call_format = call_format
+        self._in_flight: dict[_Boot, dict[int, str]] = {}
+        self._checks: dict[_Boot, _Check] = {}
+        self._call_numbers = itertools.count()
+        self._nursery: trio.Nursery | None = None
+
+    async def run(self, started: Callable[[], None]) -> None:
+        """Run checks until cancelled."""
+        self._checks.clear()
+        async with trio.open_nursery() as self._nursery:
+            started()
+            await trio.sleep_forever()
+
+    def track_call(self, up: routes.Upstream, fingerprint: str) -> TrackedCall:
+        """Return a context within which a request is in flight at an upstream."""
+        number = next(self._call_numbers)
+        self._in_flight.setdefault(_get_boot(up), {})[number] = fingerprint
+        return TrackedCall(self, up, number)
+
+    def end_call(self, up: routes.Upstream, number: int) -> None:
+        """Forget a call."""
+        boot = _get_boot(up)
+        calls = self._in_flight[boot]
+        del calls[number]
+        if not calls:
+            del self._in_flight[boot]
+
+    async def check_after(self, up: routes.Upstream, exc: engine.CallError) -> None:
+        """Check an upstream after a call failed there, if it may have been running the call.
+
+        Returns once the check is done or has taken long; it then ends in the background.
+        """
+        if exc.progress not in _MAY_HAVE_RUN:
+            return
+        check = self.start_check(up)
+        with trio.move_on_after(CHECK_WAIT_S):
+            await check.done.wait()
+
+    def start_check(self, up: routes.Upstream) -> _Check:
+        """Check an upstream in the background, together with earlier failures there."""
+        boot = _get_boot(up)
+        check = self._checks.setdefault(boot, _Check())
+        if not check.fingerprints and self._nursery is not None:
+            self._nursery.start_soon(self._run_check, up, boot, check)
+        check.fingerprints.update(self._in_flight.get(boot, {}).values())
+        return check
+
+    async def _run_check(self, up: routes.Upstream, boot: _Boot, check: _Check) -> None:
+        try:
+            reason = await self._find_crash(up)
+        finally:
+            self._checks.pop(boot, None)
+        _log.info(
+            "upstream_checked",
+            upstream=up.name,
+            crashed=reason is not None,
+            reason=reason or "",
+            in_flight=len(check.fingerprints),
+        )
+        if reason is not None:
+            self._quarantine.report_crash(up.name, tuple(sorted(check.fingerprints)))
+        check.done.set()
+
+    async def _find_crash(self, up: routes.Upstream) -> str | None:
+        """Return the sign of a crash, ``None`` if the upstream still runs."""
+        try:
+            load = await upstream_loads.fetch_load(self._call_format, up)
+        except engine.CallError as exc:
+            return exc.format_message()
+        known = load is not None and load.started_ms and up.started_ms
+        if load is None or not known or load.started_ms == up.started_ms:
+            return None
+        return "restarted"
+
+
+def _get_boot(up: routes.Upstream) -> _Boot:
+    return _Boot(up.name, up.started_ms)
--- a/src/cornelgrade/services/edge/open_job.py
+++ b/src/cornelgrade/services/edge/open_job.py
@@ -39,6 +39,7 @@
     """An open job as known to this worker.
 
     :ivar version: version of its header in the store.
+    :ivar fingerprints: by which the quarantine identifies the items.
     :ivar done: items whose results are stored, as a bit set.
     :ivar storing: items whose results are being stored.
     :ivar partial: events received in earlier runs, by item.
@@ -55,6 +56,7 @@
     header: job_repository.JobHeader
     version: int
     items: tuple[ports.Item, ...] = ()
+    fingerprints: tuple[str, ...] = ()
     done: int = 0
     runs: dict[int, ItemRun] = dataclasses.field(default_factory=dict)
     storing: set[int] = dataclasses.field(default_factory=set)
--- a/src/cornelgrade/services/edge/peers.py
+++ b/src/cornelgrade/services/edge/peers.py
@@ -125,6 +125,10 @@
             vm for vm in self._vms_of(role, None) if self._is_live(vm) or self._is_retry_due(vm)
         )
 
+    def other_vms(self) -> tuple[str, ...]:
+        """Return all registered processes but this one, also unresponsive ones."""
+        return tuple(self._peers)
+
     def batch_owner(self, upstream: str, failure_domain: str) -> str | None:
         """Return the worker that runs batch items on an upstream; local ones are preferred."""
         return next(iter(self.batch_owners(upstream, failure_domain)), None)
--- a/src/cornelgrade/services/edge/ports.py
+++ b/src/cornelgrade/services/edge/ports.py
@@ -38,10 +38,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class UpstreamLoad:
-    """Requests at an upstream, from its own load report, which lags slightly."""
+    """Requests at an upstream, from its own load report, which lags slightly.
+
+    :param started_ms: Unix time of the upstream's start in milliseconds, 0 if not given.
+    """
 
     running: int
     waiting: int
+    started_ms: int = 0
 
 
 class CallFormat(Protocol):
--- a/src/cornelgrade/services/edge/relay.py
+++ b/src/cornelgrade/services/edge/relay.py
@@ -7,7 +7,8 @@
 from cornelgrade import errors, kernel, logs, metrics, routes
 from cornelgrade.adapters import engine, http1, http1_server
 from cornelgrade.policy import event_stream, quarantine, retry, route_table
-from cornelgrade.services.edge import fleet, ports, slot_permits
+from cornelgrade.services import ports as shared_ports
+from cornelgrade.services.edge import crash_detector, fleet, ports, slot_permits
 
 # A connection within a region takes a few milliseconds; an upstream that takes this long is down or
 # overloaded.
@@ -29,6 +30,10 @@
 _STEP = "answer"
 _EVENT_STREAM = b"text/event-stream"
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+# The quarantine judges by circumstances, so it must not tell a caller that its request is invalid.
+_STATUS = errors.STATUS | {
+    errors.Code.QUARANTINED: errors.STATUS[errors.Code.UPSTREAM_FAILED],
+}
 _log = logs.Logger("relay")
 
 
@@ -71,6 +76,8 @@
     def __init__(self, kern: kernel.Kernel, call_format: ports.CallFormat) -> None:
         self._permits = kern.find("seats", slot_permits.SlotPermits)
         self._fleet = kern.find("fleet", fleet.Fleet)
+        self._quarantine = kern.find("quarantine", shared_ports.Quarantine)
+        self._crash_detector = kern.find("crash_detector", crash_detector.CrashDetector)
         self._call_format = call_format
         self._request_counter = metrics.counter(
             "cornelgrade_edge_requests_total", "Requests by route and outcome."
@@ -116,6 +123,7 @@
                 progress.permit = permit
                 try:
                     await self._try_upstream(req, progress, permit.upstream)
+                    self._quarantine.report_completion(req.fingerprint)
                     return "answered"
                 except engine.CallError as exc:
                     refusal = self._refusal_after_failure(req, progress, exc)
@@ -123,12 +131,27 @@
                 return await self._send_refusal(req, progress, refusal)
 
     async def _acquire_permit(self, req: _Request, progress: _Progress) -> slot_permits.SlotPermit:
+        isolated = await self._is_suspect(req)
         service = route_table.pick_service(req.route, req.caller.request_id)
         wait_s = RESUME_PERMIT_WAIT_S if progress.started else PERMIT_WAIT_RATIO * req.route.aim_s
         return await self._permits.acquire(
-            service, req.route.rank, progress.failed_upstreams, wait_s
+            service, req.route.rank, progress.failed_upstreams, wait_s, isolated=isolated
         )
 
+    async def _is_suspect(self, req: _Request) -> bool:
+        """Return whether a request may have crashed an upstream.
+
+        :raises Refusal: ``QUARANTINED`` if it must not run.
+        """
+        verdict = await self._quarantine.wait_verdict(req.fingerprint)
+        if verdict is shared_ports.Verdict.CONDEMNED:
+            raise errors.Refusal(
+                errors.Code.QUARANTINED,
+                "the request was in flight at crashes of its upstreams",
+                step="quarantine",
+            )
+        return verdict is shared_ports.Verdict.ALONE
+
     def _refusal_after_failure(
         self, req: _Request, progress: _Progress, exc: engine.CallError
     ) -> errors.Refusal | None:
@@ -176,13 +199,30 @@
         except engine.CallError as exc:
             self._permits.mark_suspect(up, exc.message)
             raise
-        with channel:
-            await self._send_request(channel, req, progress, up)
-            head = await self._read_head(channel, req, progress, up)
-            if progress.started:
-                await self._resume_stream(channel, req, progress, head)
-            else:
-                await self._relay_response(channel, req, progress, head)
+        with self._crash_detector.track_call(up, req.fingerprint) as call:
+            try:
+                with channel:
+                    await self._call_upstream(channel, req, progress, up, call)
+            except engine.CallError as exc:
+                await self._crash_detector.check_after(up, exc)
+                raise
+
+    async def _call_upstream(
+        self,
+        channel: http1.Channel,
+        req: _Request,
+        progress: _Progress,
+        up: routes.Upstream,
+        call: crash_detector.TrackedCall,
+    ) -> None:
+        call.waiting_since_s = trio.current_time()
+        await self._send_request(channel, req, progress, up)
+        head = await self._read_head(channel, req, progress, up)
+        call.waiting_since_s = None
+        if progress.started:
+            await self._resume_stream(channel, req, progress, head)
+        else:
+            await self._relay_response(channel, req, progress, head)
 
     async def _send_request(
         self, channel: http1.Channel, req: _Request, progress: _Progress, up: routes.Upstream
@@ -319,7 +359,7 @@
         if progress.started:
             raise http1_server.AbortConnectionError
         headers = self._call_format.refusal_headers(req.caller.request_id, refusal.retry_after_s)
-        await req.exchange.respond(refusal.status, b"", headers)
+        await req.exchange.respond(_STATUS[refusal.code], b"", headers)
         return refusal.code.value
 
     def _record_request(self, req: _Request, progress: _Progress, outcome: str) -> None:
--- a/src/cornelgrade/services/edge/runner.py
+++ b/src/cornelgrade/services/edge/runner.py
@@ -14,11 +14,13 @@
 from cornelgrade.adapters import engine, platform
 from cornelgrade.policy import batch_capacity, health, route_table
 from cornelgrade.schema import messages
+from cornelgrade.services import ports as shared_ports
 from cornelgrade.services.edge import (
     _broadcast,
     _notifier,
     _object_watch,
     claim_exchange,
+    crash_detector,
     fleet,
     item_call,
     job_repository,
@@ -60,6 +62,8 @@
     ) -> None:
         self._fleet = kern.find("fleet", fleet.Fleet)
         self._peers = kern.find("peers", peers.Peers)
+        self._quarantine = kern.find("quarantine", shared_ports.Quarantine)
+        self._crash_detector = kern.find("crash_detector", crash_detector.CrashDetector)
         self._cfg = cfg
         self._store = store
         self._repository = job_repository.JobRepository(store, cfg.value_bytes)
@@ -168,6 +172,7 @@
                     listed, _, _ = await self._repository.list_results(job.header.job, 0, 0.0)
                     job.done |= sum(1 << entry.index for entry in listed)
                 job.items = await self._repository.read_items(job.header)
+                job.fingerprints = tuple(item.fingerprint for item in job.items)
                 job.loaded_s = trio.current_time()
                 _log.info("job_loaded", job=job.header.job, items=job.header.total, done=job.done)
                 self._wake.notify_all()
@@ -221,11 +226,24 @@
             if started >= free:
                 return
             job = self._jobs[entry.job]
+            if self._would_join_suspect(job.fingerprints[entry.index], up):
+                continue
             if self._pick_service(table, job, entry.index) == up.service:
                 waiting.remove(entry)
                 self._start_item(job, entry.index, up)
                 started += 1
 
+    def _would_join_suspect(self, fingerprint: str, up: routes.Upstream) -> bool:
+        """Whether an item and one that runs at an upstream are both suspects.
+
+        Suspects are kept apart, so that the next crash shows which of them caused it.
+        """
+        return self._quarantine.is_suspect(fingerprint) and any(
+            self._quarantine.is_suspect(job.fingerprints[index])
+            for job in self._jobs.values()
+            for index, _ in job.runs_at(up.name)
+        )
+
     def _count_items_at(self, upstream: str) -> int:
         """Return the number of items that run at an upstream."""
         return sum(1 for job in self._jobs.values() for _ in job.runs_at(upstream))
@@ -243,6 +261,7 @@
             for job in self._jobs.values()
             for index in job.startable_items(now_s)
             if job.may_start(index, workers, self._cfg.vm, now_s)
+            and self._quarantine.item_may_run(job.fingerprints[index])
         ]
         return batch_capacity.sort_waiting(waiting, self._cfg.vm, time.time())
 
@@ -281,6 +300,8 @@
         run = open_job.ItemRun(up.name, trio.current_time(), trio.CancelScope())
         job.partial.setdefault(index, item_call.PartialResult())
         job.runs[index] = run
+        # A crash that is reported after this counts as another one.
+        self._quarantine.verdict(job.fingerprints[index])
         self._nursery.start_soon(self._run_item, job, index, up, run)
 
     # Items
@@ -289,14 +310,17 @@
         self, job: open_job.OpenJob, index: int, up: routes.Upstream, run: open_job.ItemRun
     ) -> None:
         item = job.items[index]
+        fingerprint = job.fingerprints[index]
         partial = job.partial[index]
         events_before = partial.events
         outcome = "cancelled"
         try:
             with run.scope:
-                result = await self._item_caller.run_item(job.header, item, up, partial)
+                with self._crash_detector.track_call(up, fingerprint):
+                    result = await self._call_upstream(job, item, up, partial)
                 outcome = result.end.value if result else "failed"
                 self._record_upstream_success(up)
+                self._quarantine.report_completion(fingerprint)
                 if result is not None and result.end is ports.ItemEnd.COMPLETED:
                     took_s = trio.current_time() - run.started_s
                     new_events = partial.events - events_before
@@ -319,7 +343,7 @@
             _log.info(
                 "item",
                 item=item.name,
-                fingerprint=item.fingerprint,
+                fingerprint=fingerprint,
                 job=job.header.job,
                 upstream=up.name,
                 outcome="gave_way" if preempted else outcome,
@@ -327,6 +351,20 @@
                 took_s=took_s,
             )
 
+    async def _call_upstream(
+        self,
+        job: open_job.OpenJob,
+        item: ports.Item,
+        up: routes.Upstream,
+        partial: item_call.PartialResult,
+    ) -> ports.ItemResult | None:
+        """Run an item at an upstream, and check the upstream if that fails."""
+        try:
+            return await self._item_caller.run_item(job.header, item, up, partial)
+        except engine.CallError as exc:
+            await self._crash_detector.check_after(up, exc)
+            raise
+
     def _record_upstream_failure(self, up: routes.Upstream, exc: engine.CallError) -> None:
         now_s = trio.current_time()
         previous = self._health.get(up.name, health.HEALTHY)
--- a/src/cornelgrade/services/edge/slot_permits.py
+++ b/src/cornelgrade/services/edge/slot_permits.py
@@ -5,6 +5,7 @@
 other gateways.
 """
 
+import collections
 import dataclasses
 import itertools
 import random
@@ -54,6 +55,7 @@
         self.load_age_s = assignment.load_age_s
         self.waited_s = waited_s
         self._owner = owner
+        self._isolated = assignment.isolated
 
     def __enter__(self) -> "SlotPermit":
         return self
@@ -64,7 +66,7 @@
         exc: BaseException | None,
         traceback: TracebackType | None,
     ) -> None:
-        self._owner.release(self.upstream)
+        self._owner.release(self.upstream, isolated=self._isolated)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -72,6 +74,7 @@
     upstream: routes.Upstream
     candidate: placement.Candidate
     load_age_s: float | None
+    isolated: bool
 
 
 @dataclasses.dataclass(slots=True)
@@ -80,6 +83,7 @@
     rank: int
     arrival: int
     exclude: frozenset[str]
+    isolated: bool = False
     assignment: _Assignment | None = None
     wake: trio.Event = dataclasses.field(default_factory=trio.Event)
 
@@ -98,6 +102,7 @@
         self._call_format = call_format
         self._rng = random.Random(cfg.vm)
         self._outstanding: dict[str, int] = {}
+        self._isolated: collections.Counter[str] = collections.Counter()
         self._reports: dict[str, _Report] = {}
         self._suspects: set[str] = set()
         self._nursery: trio.Nursery | None = None
@@ -115,16 +120,23 @@
             started()
 
     async def acquire(
-        self, service: str, rank: int, exclude: frozenset[str], max_wait_s: float
+        self,
+        service: str,
+        rank: int,
+        exclude: frozenset[str],
+        max_wait_s: float,
+        *,
+        isolated: bool = False,
     ) -> SlotPermit:
         """Return a permit, waiting for one if necessary.
 
         :param exclude: upstreams that already failed this request; used only as a last resort.
+        :param isolated: avoid upstreams at which another isolated request has a permit.
         :raises Refusal: ``OVERLOADED`` if none is free in time, ``UNAVAILABLE`` if there is no
             upstream at all.
         """
         started_s = trio.current_time()
-        waiter = _Waiter(service, rank, next(self._arrival_numbers), exclude)
+        waiter = _Waiter(service, rank, next(self._arrival_numbers), exclude, isolated)
         if not self._list_candidates(service, exclude):
             raise self._refusal(errors.Code.UNAVAILABLE, f"no upstream of {service} is registered")
         self._waiting.append(waiter)
@@ -145,10 +157,12 @@
         if waiter.assignment is None:
             self._waiting.remove(waiter)
         else:
-            self.release(waiter.assignment.upstream)
+            self.release(waiter.assignment.upstream, isolated=waiter.isolated)
 
-    def release(self, upstream: routes.Upstream) -> None:
+    def release(self, upstream: routes.Upstream, *, isolated: bool) -> None:
         """Release a permit."""
+        if isolated:
+            self._isolated -= collections.Counter((upstream.name,))
         self._change_outstanding(upstream, -1)
         self._dispatch()
 
@@ -209,21 +223,24 @@
 
     def _dispatch(self) -> None:
         for waiter in tuple(self._waiting):
-            candidates = self._list_candidates(waiter.service, waiter.exclude)
+            exclude = waiter.exclude | (set(self._isolated) if waiter.isolated else set())
+            candidates = self._list_candidates(waiter.service, exclude)
             chosen = placement.choose_upstream(tuple(candidates), self._rng)
             if chosen is None:
                 continue
-            waiter.assignment = self._assign(chosen)
+            waiter.assignment = self._assign(chosen, waiter.isolated)
             self._waiting.remove(waiter)
+            if waiter.isolated:
+                self._isolated[chosen.name] += 1
             self._change_outstanding(waiter.assignment.upstream, 1)
             waiter.wake.set()
 
-    def _assign(self, candidate: placement.Candidate) -> _Assignment:
+    def _assign(self, candidate: placement.Candidate, isolated: bool) -> _Assignment:
         registered = (reg.upstream for reg in self._fleet.usable_registrations())
         upstream = next(up for up in registered if up.name == candidate.name)
         report = self._reports.get(candidate.name)
         age_s = trio.current_time() - report.at_s if report else None
-        return _Assignment(upstream, candidate, age_s)
+        return _Assignment(upstream, candidate, age_s, isolated)
 
     def _change_outstanding(self, upstream: routes.Upstream, change: int) -> None:
         count = self._outstanding.get(upstream.name, 0) + change
--- a/src/cornelgrade/services/ports.py
+++ b/src/cornelgrade/services/ports.py
@@ -94,12 +94,14 @@
     :param crashes: crashes that it caused, by the sender's own evidence; 0 for a suspect.
     :param expires_s: seconds from now until the entry expires.
     :param source: id of the process that counted.
+    :param seen: crashes with the request in flight, by the same evidence.
     """
 
     fingerprint: str
     crashes: int
     expires_s: float
     source: str = ""
+    seen: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -376,9 +378,30 @@
     CONDEMNED = "condemned"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class QuarantineDecision:
+    """A request that this process quarantined by its own evidence."""
+
+    fingerprint: str
+    expires_s: float
+
+
+class CrashReports(Protocol):
+    """Exchange of crash reports with the quarantines of other processes."""
+
+    def subscribe(self, kind: type[T]) -> trio.MemoryReceiveChannel[T]:
+        """Subscribe to one type of report."""
+
+    def publish(self, report: Quarantined | UpstreamCrashed) -> None:
+        """Send a report to the other processes."""
+
+
 class Quarantine(Protocol):
     """The service ``quarantine``: tracks requests that crash engines."""
 
+    def is_suspect(self, fingerprint: str) -> bool:
+        """Return whether a request may have crashed an engine."""
+
     def verdict(self, fingerprint: str) -> Verdict:
         """Return how a request may run: with others, alone on an engine, or not at all.
 
@@ -393,3 +416,6 @@
 
     def report_completion(self, fingerprint: str) -> None:
         """Report that a request completed."""
+
+    def item_may_run(self, fingerprint: str) -> bool:
+        """Return whether a batch item may run now: a quarantined one does so ever more rarely."""
--- a/src/cornelgrade/services/quarantine.py
+++ b/src/cornelgrade/services/quarantine.py
@@ -1,25 +1,29 @@
 """The service ``quarantine``: isolates requests that crash engines.
 
 The rules are in :mod:`cornelgrade.policy.quarantine`. This service stores a bounded number of
-entries and exchanges them between VMs. It runs in the gateway and in the worker.
+entries and exchanges them between VMs. It runs in every gateway and worker.
 """
 
 import collections
 import dataclasses
 import secrets
 from collections.abc import Callable
+from typing import TypeVar
 
 import trio
 
 from cornelgrade import kernel, logs
 from cornelgrade.policy import quarantine
-from cornelgrade.services import ports
+from cornelgrade.services import _subscriptions, ports
 
 NAME = "quarantine"
 MAX_ENTRIES = 2_048
 MAX_CRASHES_KEPT = 256
 MAX_ANNOUNCED_PER_CRASH = 16
 MAX_DIRECT_PEERS = 16
+# Source of the counts of requests that were quarantined before this process started.
+RESTORED_SOURCE = "restored"
+T = TypeVar("T")
 
 _VERDICTS = {
     quarantine.RequestStatus.CLEAR: ports.Verdict.CLEAR,
@@ -27,18 +31,51 @@
     quarantine.RequestStatus.PENDING: ports.Verdict.ALONE,
     quarantine.RequestStatus.QUARANTINED: ports.Verdict.CONDEMNED,
 }
+_HELD = (quarantine.RequestStatus.PENDING, quarantine.RequestStatus.QUARANTINED)
+# How long after its last crash an entry is sent again: a quarantined one for longer than most
+# partitions last, a suspect for as long as its caller may still repeat it.
+_RESEND_S = {
+    quarantine.RequestStatus.SUSPECT: 5.0,
+    quarantine.RequestStatus.PENDING: 5.0,
+    quarantine.RequestStatus.QUARANTINED: 30.0,
+}
+
+
+class MembershipReports:
+    """Implements :class:`ports.CrashReports` by the ``membership`` service."""
+
+    def __init__(self, members: ports.Membership) -> None:
+        self._members = members
+
+    def subscribe(self, kind: type[T]) -> trio.MemoryReceiveChannel[T]:
+        """Subscribe to one type of report."""
+        return self._members.subscribe(kind)
+
+    def publish(self, report: ports.Quarantined | ports.UpstreamCrashed) -> None:
+        """Broadcast a report; in a small fleet, also send a crash directly, which is faster."""
+        if isinstance(report, ports.UpstreamCrashed):
+            view = self._members.view()
+            peers = [m.vm for m in view.usable() if m.vm != view.self_vm]
+            for vm in peers if len(peers) <= MAX_DIRECT_PEERS else ():
+                self._members.send(vm, report)
+        self._members.broadcast(report)
 
 
 class Quarantine:
     """Implements :class:`ports.Quarantine`.
 
     :param kern: provides ``membership``, if the process has one.
+    :param crash_reports: the exchange with other processes; by default that of ``membership``.
     """
 
     name = NAME
 
-    def __init__(self, kern: kernel.Kernel) -> None:
+    def __init__(
+        self, kern: kernel.Kernel, crash_reports: ports.CrashReports | None = None
+    ) -> None:
         self._kern = kern
+        self._crash_reports = crash_reports
+        self._decisions = _subscriptions.Subscriptions()
         self._log = logs.Logger(NAME)
         self._entries: collections.OrderedDict[str, quarantine.Entry] = collections.OrderedDict()
         self._crashes: collections.deque[quarantine.Crash] = collections.deque(
@@ -49,15 +86,78 @@
 
     async def run(self, started: Callable[[], None]) -> None:
         """Receive peers' reports until cancelled."""
+        if self._crash_reports is None and self._kern.has("membership"):
+            members = self._kern.find("membership", ports.Membership)
+            self._crash_reports = MembershipReports(members)
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
-            if self._kern.has("membership"):
-                members = self._kern.find("membership", ports.Membership)
-                nursery.start_soon(self._receive_counts, members.subscribe(ports.Quarantined))
-                nursery.start_soon(self._receive_crashes, members.subscribe(ports.UpstreamCrashed))
+            if self._crash_reports is not None:
+                counts = self._crash_reports.subscribe(ports.Quarantined)
+                nursery.start_soon(self._receive_counts, counts)
+                crashes = self._crash_reports.subscribe(ports.UpstreamCrashed)
+                nursery.start_soon(self._receive_crashes, crashes)
             started()
             await trio.sleep_forever()
 
+    def subscribe_decisions(self) -> trio.MemoryReceiveChannel[ports.QuarantineDecision]:
+        """Subscribe to the requests that this process quarantines by its own evidence."""
+        return self._decisions.subscribe(ports.QuarantineDecision)
+
+    def restore(self, decision: ports.QuarantineDecision) -> None:
+        """Quarantine a request again after a restart, unless it already is."""
+        now_s = trio.current_time()
+        entry = self._entries.get(decision.fingerprint)
+        if quarantine.classify_request(entry, now_s) is quarantine.RequestStatus.QUARANTINED:
+            return
+        count = quarantine.PeerCount(
+            RESTORED_SOURCE, quarantine.MAX_CRASHES, quarantine.MAX_CRASHES_SEEN
+        )
+        expires_at_s = now_s + min(decision.expires_s, quarantine.QUARANTINE_S)
+        self._store_entry(
+            decision.fingerprint,
+            quarantine.merge_peer_count(entry, count, expires_at_s, now_s),
+        )
+
+    def recent_reports(self) -> tuple[ports.Quarantined, ...]:
+        """Return reports to send again, since some may be lost: own ones and, once a request is
+        quarantined, those of the other processes too.
+        """
+        now_s = trio.current_time()
+        return tuple(
+            report
+            for fingerprint, entry in reversed(self._entries.items())
+            for report in self._list_reports(fingerprint, entry, now_s)
+        )
+
+    def _list_reports(
+        self, fingerprint: str, entry: quarantine.Entry, now_s: float
+    ) -> list[ports.Quarantined]:
+        status = quarantine.classify_request(entry, now_s)
+        if now_s - entry.last_crash_s > _RESEND_S.get(status, 0.0):
+            return []
+        own = [self._make_report(fingerprint, entry, now_s)] if entry.evidence else []
+        if status is not quarantine.RequestStatus.QUARANTINED:
+            return own
+        remaining_s = entry.expires_at_s - now_s
+        return own + [
+            ports.Quarantined(fingerprint, count.crashes, remaining_s, count.source, count.seen)
+            for count in entry.peer_counts
+            if count.source != RESTORED_SOURCE
+        ]
+
+    def is_suspect(self, fingerprint: str) -> bool:
+        """Return whether a request may have crashed an engine."""
+        return self._is_suspect(fingerprint, trio.current_time())
+
+    def item_may_run(self, fingerprint: str) -> bool:
+        """Return whether a batch item may run now: a quarantined one does so ever more rarely."""
+        entry = self._entries.get(fingerprint)
+        now_s = trio.current_time()
+        status = quarantine.classify_request(entry, now_s)
+        if entry is None or status not in _HELD:
+            return True
+        return now_s >= quarantine.probation_ends_at_s(entry)
+
     def verdict(self, fingerprint: str) -> ports.Verdict:
         """Return how a request may run, and record that it is allowed to run."""
         entry = self._entries.get(fingerprint)
@@ -93,8 +193,16 @@
         if not attributed:
             return
         self._crashes.append(crash)
-        self._log.warning("upstream_crashed", peer=upstream, in_flight=len(fingerprints))
+        self._log.warning(
+            "upstream_crashed",
+            peer=upstream,
+            in_flight=len(fingerprints),
+            suspects=len(suspects),
+            fingerprints=",".join(attributed[:MAX_ANNOUNCED_PER_CRASH]),
+        )
         self._send_crash(crash)
+        for fingerprint in attributed[:MAX_ANNOUNCED_PER_CRASH]:
+            self._publish_entry(fingerprint)
         if self._nursery is not None:
             self._nursery.start_soon(self._announce, tuple(attributed[:MAX_ANNOUNCED_PER_CRASH]))
 
@@ -124,40 +232,56 @@
             self._entries.popitem(last=False)
 
     def _send_crash(self, crash: quarantine.Crash) -> None:
-        """Send peers what was in flight: directly in a small fleet, and to all by broadcast."""
-        if not self._kern.has("membership"):
-            return
-        members = self._kern.find("membership", ports.Membership)
-        message = ports.UpstreamCrashed(
-            self._source, crash.upstream, crash.in_flight, crash.suspects, crash.fingerprint
-        )
-        view = members.view()
-        peers = [m.vm for m in view.usable() if m.vm != view.self_vm]
-        if len(peers) <= MAX_DIRECT_PEERS:
-            for vm in peers:
-                members.send(vm, message)
-        members.broadcast(message)
+        """Send peers what was in flight here, so that they can attribute the same crash."""
+        if self._crash_reports is not None:
+            self._crash_reports.publish(
+                ports.UpstreamCrashed(
+                    self._source, crash.upstream, crash.in_flight, crash.suspects, crash.fingerprint
+                )
+            )
 
     async def _announce(self, fingerprints: tuple[str, ...]) -> None:
-        """Broadcast entries to peers once their evidence has settled."""
+        """Publish entries once their evidence has settled."""
         await trio.sleep(quarantine.REPORT_WAIT_S)
         for fingerprint in fingerprints:
-            entry = self._entries.get(fingerprint)
-            if entry is not None:
-                self._announce_entry(fingerprint, entry)
+            self._decide(fingerprint)
+            self._publish_entry(fingerprint)
 
-    def _announce_entry(self, fingerprint: str, entry: quarantine.Entry) -> None:
+    def _decide(self, fingerprint: str) -> None:
+        """Quarantine a request for long if the evidence suffices."""
         now_s = trio.current_time()
-        if quarantine.classify_request(entry, now_s) is quarantine.RequestStatus.QUARANTINED:
-            expires_at_s = now_s + quarantine.QUARANTINE_S
-            entry = dataclasses.replace(entry, expires_at_s=expires_at_s)
-            self._store_entry(fingerprint, entry)
-            self._log.error("request_quarantined", fingerprint=fingerprint)
-        if self._kern.has("membership") and entry.expires_at_s > now_s:
-            members = self._kern.find("membership", ports.Membership)
-            remaining_s = entry.expires_at_s - now_s
-            count = quarantine.count_own_crashes(entry)
-            members.broadcast(ports.Quarantined(fingerprint, count, remaining_s, self._source))
+        entry = self._entries.get(fingerprint)
+        status = quarantine.classify_request(entry, now_s)
+        if entry is None or status is not quarantine.RequestStatus.QUARANTINED:
+            return
+        expires_at_s = now_s + quarantine.QUARANTINE_S
+        self._store_entry(fingerprint, dataclasses.replace(entry, expires_at_s=expires_at_s))
+        self._log.error(
+            "request_quarantined",
+            fingerprint=fingerprint,
+            crashes=quarantine.crashes(entry),
+            seen=quarantine.crashes_seen(entry),
+        )
+        self._decisions.deliver(ports.QuarantineDecision(fingerprint, quarantine.QUARANTINE_S))
+
+    def _publish_entry(self, fingerprint: str) -> None:
+        now_s = trio.current_time()
+        entry = self._entries.get(fingerprint)
+        if self._crash_reports is not None and entry is not None and entry.expires_at_s > now_s:
+            self._crash_reports.publish(self._make_report(fingerprint, entry, now_s))
+
+    def _make_report(
+        self, fingerprint: str, entry: quarantine.Entry, now_s: float
+    ) -> ports.Quarantined:
+        """Return this process's counts; crashes count once peers' reports should have arrived."""
+        settled = quarantine.decided_at_s(entry) <= now_s
+        return ports.Quarantined(
+            fingerprint,
+            quarantine.count_own_crashes(entry) if settled else 0,
+            entry.expires_at_s - now_s,
+            self._source,
+            quarantine.count_own_crashes_seen(entry),
+        )
 
     async def _receive_counts(self, messages: trio.MemoryReceiveChannel) -> None:
         async for message in messages:
@@ -166,12 +290,21 @@
     def _handle_count(self, message: ports.Quarantined) -> None:
         if message.source == self._source:
             return
-        expires_at_s = trio.current_time() + min(message.expires_s, quarantine.QUARANTINE_S)
+        now_s = trio.current_time()
+        expires_at_s = now_s + min(message.expires_s, quarantine.QUARANTINE_S)
         entry = self._entries.get(message.fingerprint)
-        received = quarantine.PeerCount(message.source, message.crashes)
-        self._store_entry(
-            message.fingerprint, quarantine.merge_peer_count(entry, received, expires_at_s)
-        )
+        received = quarantine.PeerCount(message.source, message.crashes, message.seen)
+        updated = quarantine.merge_peer_count(entry, received, expires_at_s, now_s)
+        self._store_entry(message.fingerprint, updated)
+        before = quarantine.classify_request(entry, now_s)
+        status = quarantine.classify_request(updated, now_s)
+        if status is not before and status is quarantine.RequestStatus.QUARANTINED:
+            self._log.warning(
+                "request_quarantined_by_peers",
+                fingerprint=message.fingerprint,
+                crashes=quarantine.crashes(updated),
+                seen=quarantine.crashes_seen(updated),
+            )
 
     async def _receive_crashes(self, messages: trio.MemoryReceiveChannel) -> None:
         async for message in messages:
--- a/tests/edge/test_crashing_request.py
+++ b/tests/edge/test_crashing_request.py
@@ -6,6 +6,8 @@
 import trio
 
 from cornelgrade.platform.standins import edge_system, stream_engine
+from cornelgrade.services import _subscriptions
+from cornelgrade.services.edge import peers
 
 CULPRIT = b"crashes the engine"
 CRASHES = 3
@@ -36,11 +38,12 @@
 
 
 async def crash_engines(system, gateways, numbers, path=edge_system.RESUMABLE_PREFIX):
-    """Send the request until it has crashed :data:`CRASHES` engines and the news has spread."""
-    with trio.fail_after(20):
-        while count_crashes(system) < CRASHES:
+    """Send the request until it has crashed :data:`CRASHES` engines or is refused at once."""
+    for _ in range(LATE_SENDS):
+        if count_crashes(system) < CRASHES:
             await send_culprit(system, gateways, numbers, path)
             await trio.sleep(0.2)
+    assert count_crashes(system)
     await trio.sleep(SPREAD_S)
 
 
@@ -110,3 +113,64 @@
             eng.faults = stream_engine.Faults()
         got = await system.send_online("gateway-0", edge_system.RESUMABLE_PREFIX, "r9")
     assert got.body == stream_engine.response_body("r9", 5)
+
+
+# Guards against blaming the requests that were in flight beside the one that crashes upstreams.
+async def test_neighbours_of_a_crashing_request_are_all_served():
+    async with edge_system.run_system(gateways=3, engines=6, events=20) as system:
+        make_engines_crash(system)
+        names = itertools.cycle(f"gateway-{number}" for number in range(3))
+        numbers = itertools.count()
+        statuses = {}
+
+        async def ask_until_served(request):
+            for _ in range(8):
+                got = await system.send_online(
+                    next(names), edge_system.RESUMABLE_PREFIX, request, body=request.encode()
+                )
+                statuses.setdefault(request, []).append((got.status, got.complete))
+                if (got.status, got.complete) == (200, True):
+                    return
+                await trio.sleep(0.3)
+
+        async with trio.open_nursery() as nursery:
+            for number in range(24):
+                nursery.start_soon(ask_until_served, f"neighbour-{number}")
+            await trio.sleep(0.05)
+            for _ in range(LATE_SENDS):
+                await send_culprit(system, names, numbers)
+                await trio.sleep(0.1)
+    assert len(statuses) == 24
+    assert {tries[-1] for tries in statuses.values()} == {(200, True)}
+
+
+# Guards against callers that wait for an answer to a request which the quarantine refuses.
+async def test_quarantined_request_is_refused_at_once_without_reaching_an_upstream():
+    async with edge_system.run_system(gateways=2, engines=6) as system:
+        make_engines_crash(system)
+        names, numbers = itertools.cycle(["gateway-0", "gateway-1"]), itertools.count()
+        await crash_engines(system, names, numbers)
+        for _ in range(MAX_LATE_RUNS):
+            await send_culprit(system, names, numbers)
+        before = len(list_runs(system))
+        started_s = trio.current_time()
+        got = await send_culprit(system, names, numbers)
+        took_s = trio.current_time() - started_s
+        assert len(list_runs(system)) == before
+    assert (got.status, got.body) == (502, b"")
+    assert "retry-after" not in got.headers
+    assert took_s < 0.3
+
+
+# Guards against processes that missed all reports about a request and never learn of them.
+async def test_gateway_that_was_cut_off_learns_of_the_quarantine_afterwards():
+    async with edge_system.run_system(gateways=3, engines=6) as system:
+        make_engines_crash(system)
+        names, numbers = itertools.cycle(["gateway-0", "gateway-1"]), itertools.count()
+        cut = system.nodes["gateway-2"].kern.find("peers", peers.Peers)
+        cut_subscribers, cut._subscribers = cut._subscribers, _subscriptions.Subscriptions()
+        await crash_engines(system, names, numbers)
+        cut._subscribers = cut_subscribers
+        await trio.sleep(SPREAD_S)
+        late = await count_late_runs(system, itertools.cycle(["gateway-2"]), numbers)
+    assert late <= MAX_LATE_RUNS
--- a/tests/policy/test_quarantine_rules.py
+++ b/tests/policy/test_quarantine_rules.py
@@ -105,6 +105,6 @@
 def test_each_peer_has_one_count(messages):
     entry = quarantine.Entry()
     for source, count in messages:
-        entry = quarantine.merge_peer_count(entry, quarantine.PeerCount(source, count), 10.0)
+        entry = quarantine.merge_peer_count(entry, quarantine.PeerCount(source, count), 10.0, 0.0)
     assert len(entry.peer_counts) <= quarantine.MAX_PEER_COUNTS
     assert len({h.source for h in entry.peer_counts}) == len(entry.peer_counts)
