Workers count a batch item's failed runs together

What callers saw: nothing wrong in the result, but an item that fails at each run kept engines busy far beyond its route's attempts; the operators' bound is three times those. Cause: each worker counted the runs that it had made since its start, so that the count grew with workers and restarts. Change: a claim on a job carries the items' counts, which others take over if they are higher; one worker at a time runs an item, so the highest is the sum. Claims are grouped so that each datagram fits.

--- a/src/cornelgrade/schema/codec.py
+++ b/src/cornelgrade/schema/codec.py
@@ -131,6 +131,10 @@
         builder[i].job = claim.job
         builder[i].running = _encode_bitmap(claim.running)
         builder[i].done = _encode_bitmap(claim.done)
+        failed = builder[i].init("failed", len(claim.failed))
+        for number, entry in enumerate(claim.failed):
+            failed[number].item = entry.item
+            failed[number].failures = entry.failures
 
 
 def _encode_bitmap(number: int) -> bytes:
@@ -150,6 +154,7 @@
                 claim.job,
                 int.from_bytes(claim.running, "little"),
                 int.from_bytes(claim.done, "little"),
+                tuple(messages.ItemFailures(entry.item, entry.failures) for entry in claim.failed),
             )
             for claim in raw
         )
--- a/src/cornelgrade/schema/messages.py
+++ b/src/cornelgrade/schema/messages.py
@@ -69,13 +69,27 @@
     vm: str = ""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ItemFailures:
+    """Number of failed runs of one item that a worker knows of, its own and other workers'."""
+
+    item: int
+    failures: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class JobClaim:
-    """Bitmaps of a job's items: those that a worker runs, and those that it knows are done."""
+    """A worker's knowledge of a job's items.
+
+    :param running: items that the worker runs, as a bit set.
+    :param done: items that it knows are done, as a bit set.
+    :param failed: items with failed runs.
+    """
 
     job: str
     running: int
     done: int
+    failed: tuple[ItemFailures, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/cornelgrade/schema/peer.capnp
+++ b/src/cornelgrade/schema/peer.capnp
@@ -71,10 +71,16 @@
   batch @2 :UInt32;
 }
 
+struct ItemFailures {
+  item @0 :UInt32;
+  failures @1 :UInt32;
+}
+
 struct JobClaim {
   job @0 :Text;
   running @1 :Data;
   done @2 :Data;
+  failed @3 :List(ItemFailures);
 }
 
 struct Rumor {
--- a/src/cornelgrade/services/edge/claim_exchange.py
+++ b/src/cornelgrade/services/edge/claim_exchange.py
@@ -5,8 +5,9 @@
 from cornelgrade.schema import messages
 from cornelgrade.services.edge import _broadcast, open_job, peers
 
-# Keeps a datagram below its maximum size.
+# Keep a datagram below its maximum size. A single claim fits with all of its items failed.
 MAX_JOBS_PER_DATAGRAM = 8
+MAX_FAILED_PER_DATAGRAM = 64
 
 
 class ClaimExchange:
@@ -27,7 +28,7 @@
             for remote in message.claims:
                 job = self._jobs.get(remote.job)
                 if job is not None:
-                    job.apply_claim(message.vm, remote.running, remote.done, now_s)
+                    job.apply_claim(message.vm, remote, now_s)
 
     def send_claims(self) -> None:
         """Send changed claims to the other workers, and periodically all of them.
@@ -36,18 +37,24 @@
         """
         now_s = trio.current_time()
         changed, is_full = self._delta.select_entries(
-            {
-                name: messages.JobClaim(name, job.claims_to_send(now_s), job.done)
-                for name, job in self._jobs.items()
-            }
+            {name: job.claim_to_send(now_s) for name, job in self._jobs.items()}
         )
-        claims = tuple(changed.values())
-        groups = [
-            claims[at : at + MAX_JOBS_PER_DATAGRAM]
-            for at in range(0, len(claims), MAX_JOBS_PER_DATAGRAM)
-        ]
+        groups = group_claims(tuple(changed.values()))
         if is_full and not groups:
             groups = [()]
         for vm in self._peers.broadcast_targets(peers.Role.WORKER) if groups else ():
             for group in groups:
                 self._peers.send(vm, messages.JobClaims(group))
+
+
+def group_claims(claims: tuple[messages.JobClaim, ...]) -> list[tuple[messages.JobClaim, ...]]:
+    """Split claims into groups that fit in one datagram each."""
+    groups: list[tuple[messages.JobClaim, ...]] = []
+    for claim in claims:
+        last = groups[-1] if groups else ()
+        failed = sum(len(other.failed) for other in (*last, claim))
+        if last and len(last) < MAX_JOBS_PER_DATAGRAM and failed <= MAX_FAILED_PER_DATAGRAM:
+            groups[-1] = (*last, claim)
+        else:
+            groups.append((claim,))
+    return groups
--- a/src/cornelgrade/services/edge/open_job.py
+++ b/src/cornelgrade/services/edge/open_job.py
@@ -7,6 +7,7 @@
 import trio
 
 from cornelgrade.policy import ownership, rendezvous
+from cornelgrade.schema import messages
 from cornelgrade.services.edge import item_call, job_repository, ports
 
 # A claim of another worker expires after six missed broadcasts.
@@ -43,7 +44,7 @@
     :ivar done: items whose results are stored, as a bit set.
     :ivar storing: items whose results are being stored.
     :ivar partial: events received in earlier runs, by item.
-    :ivar failures: number of runs that an upstream reported as failed, by item.
+    :ivar failures: number of runs at any worker that an upstream reported as failed, by item.
     :ivar not_before_s: when failed items may be retried, on the process's clock.
     :ivar claims: items that each other worker runs, as a bit set, and when it reported them.
     :ivar interrupted_s: when runs that had received events ended here, on the process's clock.
@@ -86,7 +87,7 @@
         """Return the items that run here or whose results are being stored, as a bit set."""
         return sum(1 << index for index in {*self.runs, *self.storing})
 
-    def claims_to_send(self, now_s: float) -> int:
+    def _unavailable_to_others(self, now_s: float) -> int:
         """Return the items that other workers must leave alone: in progress or held here."""
         bits = self.items_in_progress()
         for index in self.interrupted_s:
@@ -100,13 +101,28 @@
             return False
         return self.claimed_s.get(index, 0.0) < interrupted_s
 
-    def apply_claim(self, vm: str, running: int, done: int, now_s: float) -> None:
-        """Record the running and finished items that another worker reported."""
-        self.claims[vm] = (running, now_s)
-        self.done |= done
+    def claim_to_send(self, now_s: float) -> messages.JobClaim:
+        """Return what the other workers need to know about this job."""
+        failed = tuple(
+            messages.ItemFailures(index, count)
+            for index, count in self.failures.items()
+            if not self.done >> index & 1
+        )
+        return messages.JobClaim(
+            self.header.job, self._unavailable_to_others(now_s), self.done, failed
+        )
+
+    def apply_claim(self, vm: str, claim: messages.JobClaim, now_s: float) -> None:
+        """Record what another worker reported."""
+        self.claims[vm] = (claim.running, now_s)
+        self.done |= claim.done
         for index in range(self.header.total):
-            if running >> index & 1:
+            if claim.running >> index & 1:
                 self.claimed_s[index] = now_s
+        # One worker at a time runs an item and counts on from what it knows, so the highest count
+        # is the number of failed runs.
+        for entry in claim.failed:
+            self.failures[entry.item] = max(entry.failures, self.failures.get(entry.item, 0))
 
     def may_start(self, index: int, workers: tuple[str, ...], vm: str, now_s: float) -> bool:
         """Whether a worker may start an open item now."""
--- a/tests/policy/test_item_claims.py
+++ b/tests/policy/test_item_claims.py
@@ -6,7 +6,9 @@
 
 import pytest
 
-from cornelgrade.services.edge import job_repository, open_job
+from cornelgrade.adapters import peer_key
+from cornelgrade.schema import codec, messages
+from cornelgrade.services.edge import claim_exchange, job_repository, open_job
 
 WORKERS = ("w1", "w2", "w3")
 ITEMS = 30
@@ -34,7 +36,7 @@
 
 def test_item_released_by_another_worker_may_start_at_one_worker_first():
     job = make_job()
-    job.apply_claim("w2", 1 << 4, 0, now_s=200.0)
+    job.apply_claim("w2", messages.JobClaim("job", 1 << 4, 0), now_s=200.0)
     assert len(workers_that_may_start(job, 4, 200.1)) == 1
     assert len(workers_that_may_start(job, 4, 200.7)) == 3
 
@@ -48,13 +50,39 @@
     job = make_job()
     job.interrupted_s[3] = 101.0
     if taken_s is not None:
-        job.apply_claim("w2", 1 << 3, 0, taken_s)
-    assert bool(job.claims_to_send(now_s) >> 3 & 1) is kept
+        job.apply_claim("w2", messages.JobClaim("job", 1 << 3, 0), taken_s)
+    assert bool(job.claim_to_send(now_s).running >> 3 & 1) is kept
 
 
 def test_completed_item_is_no_longer_claimed():
     job = make_job()
     job.interrupted_s[3] = 101.0
-    job.apply_claim("w2", 0, 1 << 3, 102.0)
-    assert job.claims_to_send(102.0) == 0
+    job.apply_claim("w2", messages.JobClaim("job", 0, 1 << 3), 102.0)
+    assert job.claim_to_send(102.0).running == 0
     assert 3 not in job.startable_items(102.0)
+
+
+def test_failed_runs_of_all_workers_count_together():
+    job = make_job()
+    job.failures[3] = 1
+    job.apply_claim("w2", messages.JobClaim("j", 0, 0, (messages.ItemFailures(3, 2),)), 102.0)
+    job.apply_claim("w3", messages.JobClaim("j", 0, 0, (messages.ItemFailures(3, 1),)), 102.1)
+    assert job.claim_to_send(102.2).failed == (messages.ItemFailures(3, 2),)
+
+
+# Guards against claims that are dropped because a datagram is too large.
+def test_claims_on_jobs_whose_items_all_failed_fit_in_datagrams():
+    items = 200
+    bits = (1 << items) - 1
+    failed = tuple(messages.ItemFailures(index, 250) for index in range(items))
+    large = [messages.JobClaim(f"{n:016x}", bits, bits, failed) for n in range(3)]
+    small = [messages.JobClaim(f"{n:016x}", bits, bits, failed[:8]) for n in range(20)]
+    claims = (*small, *large)
+    groups = claim_exchange.group_claims(claims)
+    assert tuple(claim for group in groups for claim in group) == claims
+    for group in groups:
+        body = messages.JobClaims(group)
+        datagram = messages.Datagram("frontend-providencia-10", 2**60, 2**40, 1.8e9, body)
+        raw = codec.encode(datagram)
+        assert len(raw) + peer_key.TAG_BYTES <= codec.MAX_DATAGRAM_BYTES
+        assert codec.decode(raw).body == body
