Notice upstreams that crash without resetting connections when a caller gives up

Cause: a stream that may run once has no idle timeout here, so a caller that leaves after 2 s of silence ended the call without a look at the upstream; a request under which upstreams fall silent was never counted. Change: http1.Channel keeps when data last came; after a second of silence an abandoned call has its upstream checked in the background. The stand-in engine can go dark.

--- a/src/cornelgrade/adapters/http1.py
+++ b/src/cornelgrade/adapters/http1.py
@@ -71,11 +71,14 @@
     """A connection that carries one call; a context manager that closes it.
 
     Failures are raised as :class:`engine.CallError`, whose ``progress`` is that of the call.
+
+    :ivar last_received_s: when the peer last sent something or was connected to, on trio's clock.
     """
 
     def __init__(self, stream: trio.SocketStream, peer: str) -> None:
         self.peer = peer
         self.progress = engine.Progress.NOT_SENT
+        self.last_received_s = trio.current_time()
         self._stream = stream
         self._h11 = h11.Connection(h11.CLIENT)
         self._request: h11.Request | None = None
@@ -170,6 +173,7 @@
                 if event is not h11.NEED_DATA:
                     return event
                 self._h11.receive_data(await self._stream.receive_some(READ_BYTES))
+                self.last_received_s = trio.current_time()
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
             raise self.call_error(f"connection lost: {exc!r}", step) from exc
         except h11.RemoteProtocolError as exc:
--- a/src/cornelgrade/platform/standins/stream_engine.py
+++ b/src/cornelgrade/platform/standins/stream_engine.py
@@ -26,6 +26,7 @@
     :param unsigned: omit the signature of responses.
     :param crash_on: crash as soon as a request whose body contains this begins to run.
     :param down_s: how long the engine is down after such a crash.
+    :param dark: such a crash closes no connection; the engine only falls silent.
     """
 
     decline: bool = False
@@ -36,6 +37,7 @@
     unsigned: bool = False
     crash_on: bytes = b""
     down_s: float = 0.5
+    dark: bool = False
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -78,6 +80,7 @@
         self.waiting = 0
         self.max_running = 0
         self.crashes = 0
+        self._dark_until_s = -1e9
         self.address = ""
         self._slot_limiter = trio.CapacityLimiter(slots)
         self._server = _http_server.Server(self._handle)
@@ -97,7 +100,14 @@
         self.crashes += 1
         self._server.crash(down_s)
 
+    def _go_dark(self, down_s: float) -> None:
+        """Lose the requests that are running, and respond to nothing for a while."""
+        self.crashes += 1
+        self._server.silence()
+        self._dark_until_s = trio.current_time() + down_s
+
     async def _handle(self, req: _http_server.Exchange) -> None:
+        await trio.sleep_until(self._dark_until_s)
         if req.raw_path == "/report":
             load = {"running": self.running, "waiting": self.waiting}
             await req.respond(200, msgspec.json.encode(load))
@@ -126,7 +136,8 @@
         seen.ran = True
         self.max_running = max(self.max_running, self.running)
         if self.faults.crash_on and self.faults.crash_on in seen.body:
-            self.crash(self.faults.down_s)
+            crash = self._go_dark if self.faults.dark else self.crash
+            crash(self.faults.down_s)
         try:
             await self._answer(req, seen)
             seen.ended = True
--- a/src/cornelgrade/services/edge/crash_detector.py
+++ b/src/cornelgrade/services/edge/crash_detector.py
@@ -4,10 +4,10 @@
 crashed if it does not respond, or if it responds that it was started anew.
 """
 
+import contextlib
 import dataclasses
 import itertools
-from collections.abc import Callable
-from types import TracebackType
+from collections.abc import Callable, Iterator
 
 import trio
 
@@ -19,7 +19,8 @@
 # How long a failed request waits for the check before its retry. A crashed process refuses
 # connections at once.
 CHECK_WAIT_S = 0.15
-# A caller that gives up after this long without a response may have met a crash without a reset.
+# A caller that gives up after the upstream sent nothing for this long may have met a crash that
+# reset no connection. Callers wait for 2 s at least.
 SILENCE_S = 1.0
 # Progress of calls that an upstream may have been running.
 _MAY_HAVE_RUN = frozenset((engine.Progress.SENT, engine.Progress.PART_ANSWERED))
@@ -36,41 +37,13 @@
 
 @dataclasses.dataclass(slots=True)
 class _Check:
-    """A check of one upstream; ``fingerprints`` are the requests in flight when it was needed."""
+    """A check of one upstream.
 
-    fingerprints: set[str] = dataclasses.field(default_factory=set)
-    done: trio.Event = dataclasses.field(default_factory=trio.Event)
-
-
-class TrackedCall:
-    """A call in flight at an upstream; a context manager that ends it.
-
-    :ivar waiting_since_s: since when a response is awaited, on the process's clock; ``None`` if its
-        absence says nothing about the upstream.
+    :ivar fingerprints: requests in flight there when a failure asked for the check.
     """
 
-    def __init__(self, detector: "CrashDetector", up: routes.Upstream, number: int) -> None:
-        self.waiting_since_s: float | None = None
-        self._detector = detector
-        self._up = up
-        self._number = number
-
-    def __enter__(self) -> "TrackedCall":
-        return self
-
-    def __exit__(
-        self,
-        exc_type: type[BaseException] | None,
-        exc: BaseException | None,
-        traceback: TracebackType | None,
-    ) -> None:
-        if isinstance(exc, trio.Cancelled) and self._is_silent():
-            self._detector.start_check(self._up)
-        self._detector.end_call(self._up, self._number)
-
-    def _is_silent(self) -> bool:
-        since_s = self.waiting_since_s
-        return since_s is not None and trio.current_time() - since_s >= SILENCE_S
+    fingerprints: set[str] = dataclasses.field(default_factory=set)
+    done: trio.Event = dataclasses.field(default_factory=trio.Event)
 
 
 class CrashDetector:
@@ -93,19 +66,18 @@
             started()
             await trio.sleep_forever()
 
-    def track_call(self, up: routes.Upstream, fingerprint: str) -> TrackedCall:
-        """Return a context within which a request is in flight at an upstream."""
-        number = next(self._call_numbers)
-        self._in_flight.setdefault(_get_boot(up), {})[number] = fingerprint
-        return TrackedCall(self, up, number)
-
-    def end_call(self, up: routes.Upstream, number: int) -> None:
-        """Forget a call."""
-        boot = _get_boot(up)
-        calls = self._in_flight[boot]
-        del calls[number]
-        if not calls:
-            del self._in_flight[boot]
+    @contextlib.contextmanager
+    def track_call(self, up: routes.Upstream, fingerprint: str) -> Iterator[None]:
+        """Track a request as in flight at an upstream within the context."""
+        boot, number = _get_boot(up), next(self._call_numbers)
+        calls = self._in_flight.setdefault(boot, {})
+        calls[number] = fingerprint
+        try:
+            yield
+        finally:
+            del calls[number]
+            if not calls:
+                del self._in_flight[boot]
 
     async def check_after(self, up: routes.Upstream, exc: engine.CallError) -> None:
         """Check an upstream after a call failed there, if it may have been running the call.
@@ -114,11 +86,19 @@
         """
         if exc.progress not in _MAY_HAVE_RUN:
             return
-        check = self.start_check(up)
+        check = self._start_check(up)
         with trio.move_on_after(CHECK_WAIT_S):
             await check.done.wait()
 
-    def start_check(self, up: routes.Upstream) -> _Check:
+    def check_abandoned(self, up: routes.Upstream, last_received_s: float) -> None:
+        """Check an upstream in the background if a caller gave up because it was silent.
+
+        :param last_received_s: when it last sent something, on the process's clock.
+        """
+        if trio.current_time() - last_received_s >= SILENCE_S:
+            self._start_check(up)
+
+    def _start_check(self, up: routes.Upstream) -> _Check:
         """Check an upstream in the background, together with earlier failures there."""
         boot = _get_boot(up)
         check = self._checks.setdefault(boot, _Check())
@@ -149,10 +129,9 @@
             load = await upstream_loads.fetch_load(self._call_format, up)
         except engine.CallError as exc:
             return exc.format_message()
-        known = load is not None and load.started_ms and up.started_ms
-        if load is None or not known or load.started_ms == up.started_ms:
+        if load is None or not (load.started_ms and up.started_ms):
             return None
-        return "restarted"
+        return "restarted" if load.started_ms != up.started_ms else None
 
 
 def _get_boot(up: routes.Upstream) -> _Boot:
--- a/src/cornelgrade/services/edge/relay.py
+++ b/src/cornelgrade/services/edge/relay.py
@@ -199,13 +199,16 @@
         except engine.CallError as exc:
             self._permits.mark_suspect(up, exc.message)
             raise
-        with self._crash_detector.track_call(up, req.fingerprint) as call:
+        with self._crash_detector.track_call(up, req.fingerprint):
             try:
                 with channel:
-                    await self._call_upstream(channel, req, progress, up, call)
+                    await self._call_upstream(channel, req, progress, up)
             except engine.CallError as exc:
                 await self._crash_detector.check_after(up, exc)
                 raise
+            except trio.Cancelled:
+                self._crash_detector.check_abandoned(up, channel.last_received_s)
+                raise
 
     async def _call_upstream(
         self,
@@ -213,12 +216,9 @@
         req: _Request,
         progress: _Progress,
         up: routes.Upstream,
-        call: crash_detector.TrackedCall,
     ) -> None:
-        call.waiting_since_s = trio.current_time()
         await self._send_request(channel, req, progress, up)
         head = await self._read_head(channel, req, progress, up)
-        call.waiting_since_s = None
         if progress.started:
             await self._resume_stream(channel, req, progress, head)
         else:
--- a/tests/edge/test_crashing_request.py
+++ b/tests/edge/test_crashing_request.py
@@ -16,6 +16,7 @@
 SPREAD_S = 3.0
 MAX_LATE_RUNS = 3
 LATE_SENDS = 8
+CALLER_PATIENCE_S = 2.0
 ITEM_OBSERVATION_S = 6.0
 
 
@@ -27,9 +28,9 @@
     return sum(eng.crashes for eng in system.engines.values())
 
 
-def make_engines_crash(system):
+def make_engines_crash(system, **how):
     for eng in system.engines.values():
-        eng.faults = stream_engine.Faults(crash_on=CULPRIT)
+        eng.faults = stream_engine.Faults(crash_on=CULPRIT, **how)
 
 
 async def send_culprit(system, gateways, numbers, path=edge_system.RESUMABLE_PREFIX):
@@ -84,6 +85,25 @@
         assert await count_late_runs(system, names, numbers) <= MAX_LATE_RUNS
 
 
+# Guards against crashes that reset no connection and are noticed by the caller's patience alone.
+async def test_request_under_which_upstreams_fall_silent_is_not_repeated():
+    async with edge_system.run_system(gateways=2, engines=8) as system:
+        make_engines_crash(system, dark=True, down_s=5.0)
+        names, numbers = itertools.cycle(["gateway-0", "gateway-1"]), itertools.count()
+
+        async def send_and_give_up():
+            with trio.move_on_after(CALLER_PATIENCE_S):
+                await send_culprit(system, names, numbers, edge_system.ONCE_PREFIX)
+
+        while count_crashes(system) < CRASHES:
+            await send_and_give_up()
+        await trio.sleep(SPREAD_S)
+        before = len(list_runs(system))
+        for _ in range(LATE_SENDS):
+            await send_and_give_up()
+        assert len(list_runs(system)) - before <= MAX_LATE_RUNS
+
+
 # Guards against a worker that runs an item again each time that the upstream crashes under it.
 @pytest.mark.parametrize("workers", [1, 3])
 async def test_item_that_crashed_three_upstreams_is_not_repeated(workers):
