The stand-in engine can crash after some events, which shows the silent crash that mends

Cause: the case added there crashes before the response begins, and passes on too: that code checked calls without any response. Change: crash_after, and the case with one event sent first.

--- a/src/cornelgrade/platform/standins/stream_engine.py
+++ b/src/cornelgrade/platform/standins/stream_engine.py
@@ -24,7 +24,8 @@
     :param silent_after: stop sending after this many events, but keep the connection open.
     :param foreign: respond with the response to another request.
     :param unsigned: omit the signature of responses.
-    :param crash_on: crash as soon as a request whose body contains this begins to run.
+    :param crash_on: crash under each request whose body contains this.
+    :param crash_after: number of events sent before such a crash; ``None`` for not even a head.
     :param down_s: how long the engine is down after such a crash.
     :param dark: such a crash closes no connection; the engine only falls silent.
     """
@@ -36,6 +37,7 @@
     foreign: bool = False
     unsigned: bool = False
     crash_on: bytes = b""
+    crash_after: int | None = None
     down_s: float = 0.5
     dark: bool = False
 
@@ -106,6 +108,12 @@
         self._server.silence()
         self._dark_until_s = trio.current_time() + down_s
 
+    def _crash_if_due(self, seen: ReceivedRequest, sent_events: int | None) -> None:
+        faults = self.faults
+        if faults.crash_on and faults.crash_on in seen.body and faults.crash_after == sent_events:
+            crash = self._go_dark if faults.dark else self.crash
+            crash(faults.down_s)
+
     async def _handle(self, req: _http_server.Exchange) -> None:
         await trio.sleep_until(self._dark_until_s)
         if req.raw_path == "/report":
@@ -135,9 +143,7 @@
         self.running += 1
         seen.ran = True
         self.max_running = max(self.max_running, self.running)
-        if self.faults.crash_on and self.faults.crash_on in seen.body:
-            crash = self._go_dark if self.faults.dark else self.crash
-            crash(self.faults.down_s)
+        self._crash_if_due(seen, None)
         try:
             await self._answer(req, seen)
             seen.ended = True
@@ -161,6 +167,7 @@
         first = (seen.resumed_after or 0) + 1
         await req.start_response(200, (*head, ("content-type", "text/event-stream")), b"")
         for number in range(first, self.events + 1):
+            self._crash_if_due(seen, number - 1)
             await self._inject_faults(req, number - 1)
             await trio.sleep(self.event_s)
             await req.send_chunk(encode_event(seen.request, number))
--- a/tests/edge/test_crashing_request.py
+++ b/tests/edge/test_crashing_request.py
@@ -86,9 +86,10 @@
 
 
 # Guards against crashes that reset no connection and are noticed by the caller's patience alone.
-async def test_request_under_which_upstreams_fall_silent_is_not_repeated():
+@pytest.mark.parametrize("crash_after", [None, 1])
+async def test_request_under_which_upstreams_fall_silent_is_not_repeated(crash_after):
     async with edge_system.run_system(gateways=2, engines=8) as system:
-        make_engines_crash(system, dark=True, down_s=5.0)
+        make_engines_crash(system, dark=True, down_s=5.0, crash_after=crash_after)
         names, numbers = itertools.cycle(["gateway-0", "gateway-1"]), itertools.count()
 
         async def send_and_give_up():
