Count one outage as one crash, and clear a request in all processes once it completes

Change: an upstream counts as crashed again only after it has responded; of the processes that had the same request in flight one counts the crash; a completion clears the request at all processes, and releases a stored decision.

--- a/src/cornelgrade/platform/standins/stream_engine.py
+++ b/src/cornelgrade/platform/standins/stream_engine.py
@@ -82,6 +82,7 @@
         self.waiting = 0
         self.max_running = 0
         self.crashes = 0
+        self.started_ms = 0
         self._dark_until_s = -1e9
         self.address = ""
         self._slot_limiter = trio.CapacityLimiter(slots)
@@ -117,7 +118,7 @@
     async def _handle(self, req: _http_server.Exchange) -> None:
         await trio.sleep_until(self._dark_until_s)
         if req.raw_path == "/report":
-            load = {"running": self.running, "waiting": self.waiting}
+            load = {"running": self.running, "waiting": self.waiting, "born": self.started_ms}
             await req.respond(200, msgspec.json.encode(load))
             return
         after = req.headers.get("last-event-id")
--- a/src/cornelgrade/policy/quarantine.py
+++ b/src/cornelgrade/policy/quarantine.py
@@ -52,6 +52,7 @@
     :param suspects: number of them that were suspects before.
     :param fingerprint: the only suspect or the only request; empty if there are several.
     :param own: detected by this process rather than reported by a peer.
+    :param source: id of the process that detected it.
     """
 
     upstream: str
@@ -60,6 +61,7 @@
     suspects: int
     fingerprint: str = ""
     own: bool = True
+    source: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -70,6 +72,9 @@
     :param others: other requests in flight there, from all VMs.
     :param other_suspects: suspects among the others.
     :param unstable: the upstream had crashed without this request shortly before.
+    :param source: id of the process that detected the crash.
+    :param duplicate: another process counts this crash against the same request, which was in
+        flight from there too.
     """
 
     upstream: str
@@ -78,11 +83,14 @@
     others: int
     other_suspects: int
     unstable: bool = False
+    source: str = ""
+    duplicate: bool = False
 
     @property
     def counts(self) -> bool:
         """Whether this evidence attributes the crash to the request."""
-        return self.other_suspects == 0 and (self.was_suspect or self.others == 0)
+        alone = self.other_suspects == 0 and (self.was_suspect or self.others == 0)
+        return alone and not self.duplicate
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -133,6 +141,7 @@
         others=crash.in_flight - 1,
         other_suspects=crash.suspects - was_suspect,
         unstable=_crashed_without_request(entry, crash, earlier),
+        source=crash.source,
     )
     for peer_crash in earlier:
         if not peer_crash.own and _is_same_crash(peer_crash, crash, earlier):
@@ -163,12 +172,16 @@
 
 
 def _add_peer_report(evidence: Evidence, fingerprint: str, peer_crash: Crash) -> Evidence:
-    """Add the requests that another VM had in flight, except for the same request."""
+    """Add the requests that another VM had in flight, except for the same request.
+
+    Of the processes that had the same request in flight, the one with the lowest id counts.
+    """
     same_request = peer_crash.fingerprint == fingerprint
     return dataclasses.replace(
         evidence,
         others=evidence.others + peer_crash.in_flight - same_request,
         other_suspects=evidence.other_suspects + max(0, peer_crash.suspects - same_request),
+        duplicate=evidence.duplicate or (same_request and peer_crash.source < evidence.source),
     )
 
 
@@ -226,8 +239,8 @@
 
 
 def count_own_crashes_seen(entry: Entry) -> int:
-    """Count the crashes in this process's evidence."""
-    return len(entry.evidence)
+    """Count the crashes in this process's evidence that no other process counts."""
+    return sum(not e.duplicate for e in entry.evidence)
 
 
 def crashes_seen(entry: Entry) -> int:
--- a/src/cornelgrade/services/edge/crash_detector.py
+++ b/src/cornelgrade/services/edge/crash_detector.py
@@ -1,7 +1,8 @@
 """The service ``crash_detector``: which requests were in flight at an upstream that crashed.
 
 A connection may break for many reasons. After one did, the upstream is asked for its load; it has
-crashed if it does not respond, or if it responds that it was started anew.
+crashed if it does not respond, or if it responds that it was started anew. One outage is one crash:
+an upstream counts as crashed again only if it has responded in between.
 """
 
 import contextlib
@@ -22,6 +23,8 @@
 # A caller that gives up after the upstream sent nothing for this long may have met a crash that
 # reset no connection. Callers wait for 2 s at least.
 SILENCE_S = 1.0
+# Crashed upstreams that are remembered; most return as another start and are never met again.
+MAX_DOWN = 256
 # Progress of calls that an upstream may have been running.
 _MAY_HAVE_RUN = frozenset((engine.Progress.SENT, engine.Progress.PART_ANSWERED))
 _log = logs.Logger("crash_detector")
@@ -56,6 +59,7 @@
         self._call_format = call_format
         self._in_flight: dict[_Boot, dict[int, str]] = {}
         self._checks: dict[_Boot, _Check] = {}
+        self._down: dict[_Boot, None] = {}
         self._call_numbers = itertools.count()
         self._nursery: trio.Nursery | None = None
 
@@ -79,6 +83,10 @@
             if not calls:
                 del self._in_flight[boot]
 
+    def record_response(self, up: routes.Upstream) -> None:
+        """Record that an upstream responded."""
+        self._down.pop(_get_boot(up), None)
+
     async def check_after(self, up: routes.Upstream, exc: engine.CallError) -> None:
         """Check an upstream after a call failed there, if it may have been running the call.
 
@@ -119,10 +127,18 @@
             reason=reason or "",
             in_flight=len(check.fingerprints),
         )
-        if reason is not None:
+        if reason is None:
+            self.record_response(up)
+        elif boot not in self._down:
+            self._record_crash(boot)
             self._quarantine.report_crash(up.name, tuple(sorted(check.fingerprints)))
         check.done.set()
 
+    def _record_crash(self, boot: _Boot) -> None:
+        self._down[boot] = None
+        while len(self._down) > MAX_DOWN:
+            del self._down[next(iter(self._down))]
+
     async def _find_crash(self, up: routes.Upstream) -> str | None:
         """Return the sign of a crash, ``None`` if the upstream still runs."""
         try:
--- a/src/cornelgrade/services/edge/quarantine_sync.py
+++ b/src/cornelgrade/services/edge/quarantine_sync.py
@@ -5,6 +5,7 @@
 after it has lost the store.
 """
 
+import contextlib
 import random
 import time
 from collections.abc import Callable
@@ -94,14 +95,11 @@
             await self._store_decision(decision)
 
     async def _store_decision(self, decision: ports.QuarantineDecision) -> None:
-        expires_ms = int((time.time() + decision.expires_s) * _MS_PER_S)
-        value = msgspec.json.encode(StoredDecision(expires_ms))
+        write = self._create_decision if decision.expires_s > 0.0 else self._delete_decision
         while True:
             try:
-                await self._store.create(KIND, decision.fingerprint, value)
+                await write(decision)
                 return
-            except platform.ConflictError:
-                return  # Another process has stored the same decision.
             except platform.UnavailableError as exc:
                 _log.info(
                     "decision_not_stored",
@@ -110,6 +108,20 @@
                 )
                 await trio.sleep(RETRY_PAUSE_S)
 
+    async def _create_decision(self, decision: ports.QuarantineDecision) -> None:
+        expires_ms = int((time.time() + decision.expires_s) * _MS_PER_S)
+        value = msgspec.json.encode(StoredDecision(expires_ms))
+        # On a conflict, another process has stored the same decision.
+        with contextlib.suppress(platform.ConflictError):
+            await self._store.create(KIND, decision.fingerprint, value)
+
+    async def _delete_decision(self, decision: ports.QuarantineDecision) -> None:
+        stored = await self._store.get(KIND, decision.fingerprint)
+        if stored is not None:
+            # On a conflict, the request was quarantined again.
+            with contextlib.suppress(platform.ConflictError):
+                await self._store.delete(KIND, stored.name, stored.version)
+
     async def _restore_decisions(self) -> None:
         """Read the stored decisions now and each time that the store was regained."""
         while True:
--- a/src/cornelgrade/services/edge/relay.py
+++ b/src/cornelgrade/services/edge/relay.py
@@ -247,6 +247,7 @@
                     break
                 _log.warning("foreign_response", request=req.caller.request_id, upstream=up.name)
                 await channel.skip_response()
+            self._crash_detector.record_response(up)
             return self._check_verdict(channel, head, verdict)
         self._permits.mark_suspect(up, "silent")
         raise channel.call_error("no response within the timeout", _STEP, timed_out=True)
--- a/src/cornelgrade/services/edge/runner.py
+++ b/src/cornelgrade/services/edge/runner.py
@@ -373,6 +373,7 @@
 
     def _record_upstream_success(self, up: routes.Upstream) -> None:
         self._health.pop(up.name, None)
+        self._crash_detector.record_response(up)
 
     def _handle_result(
         self, job: open_job.OpenJob, index: int, result: ports.ItemResult | None
--- a/src/cornelgrade/services/ports.py
+++ b/src/cornelgrade/services/ports.py
@@ -92,7 +92,8 @@
     """A request fingerprint that may crash engines.
 
     :param crashes: crashes that it caused, by the sender's own evidence; 0 for a suspect.
-    :param expires_s: seconds from now until the entry expires.
+    :param expires_s: seconds from now until the entry expires; 0 if the request completed, which
+        clears it.
     :param source: id of the process that counted.
     :param seen: crashes with the request in flight, by the same evidence.
     """
@@ -380,7 +381,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class QuarantineDecision:
-    """A request that this process quarantined by its own evidence."""
+    """A request that this process quarantined by its own evidence, or released.
+
+    :param expires_s: seconds from now until the quarantine ends; 0 after a release.
+    """
 
     fingerprint: str
     expires_s: float
--- a/src/cornelgrade/services/quarantine.py
+++ b/src/cornelgrade/services/quarantine.py
@@ -187,6 +187,7 @@
             in_flight=len(fingerprints),
             suspects=len(suspects),
             fingerprint=sole[0] if len(sole) == 1 else "",
+            source=self._source,
         )
         earlier = tuple(c for c in self._crashes if c.upstream == upstream)
         attributed = [f for f in fingerprints if self._attribute_crash(f, crash, earlier)]
@@ -207,8 +208,16 @@
             self._nursery.start_soon(self._announce, tuple(attributed[:MAX_ANNOUNCED_PER_CRASH]))
 
     def report_completion(self, fingerprint: str) -> None:
-        """Record that a request completed, which clears it."""
-        self._entries.pop(fingerprint, None)
+        """Record that a request completed, which clears it in all processes."""
+        entry = self._entries.pop(fingerprint, None)
+        if entry is None:
+            return
+        if self._crash_reports is not None:
+            self._crash_reports.publish(ports.Quarantined(fingerprint, 0, 0.0, self._source))
+        status = quarantine.classify_request(entry, trio.current_time())
+        if status is quarantine.RequestStatus.QUARANTINED:
+            self._log.warning("request_released", fingerprint=fingerprint)
+            self._decisions.deliver(ports.QuarantineDecision(fingerprint, 0.0))
 
     def _is_suspect(self, fingerprint: str, now_s: float) -> bool:
         standing = quarantine.classify_request(self._entries.get(fingerprint), now_s)
@@ -290,6 +299,9 @@
     def _handle_count(self, message: ports.Quarantined) -> None:
         if message.source == self._source:
             return
+        if message.expires_s <= 0.0:
+            self._entries.pop(message.fingerprint, None)
+            return
         now_s = trio.current_time()
         expires_at_s = now_s + min(message.expires_s, quarantine.QUARANTINE_S)
         entry = self._entries.get(message.fingerprint)
@@ -320,6 +332,7 @@
             message.suspects,
             message.fingerprint,
             own=False,
+            source=message.source,
         )
         self._crashes.append(crash)
         for fingerprint, entry in self._entries.items():
--- a/tests/services/test_quarantine.py
+++ b/tests/services/test_quarantine.py
@@ -200,6 +200,31 @@
     assert len(alone._crashes) <= quarantine.MAX_CRASHES_KEPT
 
 
+# Guards against counting one crash once for each VM from which the same request was in flight.
+async def test_crash_counts_once_for_a_request_in_flight_from_several_vms(autojump_clock, fleet):
+    vms = ("one", "two", "three")
+    for engine, verdict in (
+        ("engine-1", ports.Verdict.ALONE),
+        ("engine-2", ports.Verdict.CONDEMNED),
+    ):
+        for vm in vms:
+            assert await fleet[vm].wait_verdict("x") is not ports.Verdict.CONDEMNED
+        for vm in vms:
+            fleet[vm].report_crash(engine, ("x",))
+        await trio.sleep(1.0)
+        assert [fleet[vm].verdict("x") for vm in vms] == [verdict] * 3
+
+
+async def test_completion_at_one_vm_clears_the_request_at_all(autojump_clock, fleet):
+    fleet["one"].report_crash("engine-1", ("x", "y"))
+    await trio.sleep(1.0)
+    assert fleet["two"].verdict("x") is ports.Verdict.ALONE
+    fleet["three"].report_completion("x")
+    await trio.sleep(0.1)
+    assert [fleet[vm].verdict("x") for vm in ("one", "two", "three")] == [ports.Verdict.CLEAR] * 3
+    assert fleet["two"].verdict("y") is ports.Verdict.ALONE
+
+
 @pytest.mark.parametrize("seed", range(30))
 async def test_culprit_is_found_and_every_neighbour_completes(autojump_clock, fleet, seed):
     """Requests of three VMs run on six engines; one request crashes every engine that runs it."""
