--- a/src/cornelgrade/log_explain.py
+++ b/src/cornelgrade/log_explain.py
@@ -24,7 +24,14 @@
     )
 )
 _UPSTREAM_EVENTS = frozenset(
-    ("upstream", "upstream_missing", "upstream_suspect", "upstream_trusted", "entry_unusable")
+    (
+        "upstream",
+        "upstream_checked",
+        "upstream_missing",
+        "upstream_suspect",
+        "upstream_trusted",
+        "entry_unusable",
+    )
 )
 _CAUSE_BY_OUTCOME = {
     "answered": "the complete response was sent to the caller",
@@ -35,6 +42,7 @@
     "out_of_time": "the caller's deadline passed: see waited_s and attempt_failed",
     "deadline": "the caller's deadline passed: see waited_s and attempt_failed",
     "caller_left": "the caller closed its connection",
+    "quarantined": "upstreams crashed while it was in flight: see upstream_crashed",
     "completed": "the item's result is stored",
 }
 
@@ -62,7 +70,8 @@
     """What the logs show about one subject.
 
     :param own: lines that name the subject.
-    :param around: state changes of its processes and upstreams at about the same time.
+    :param around: state changes of its processes and upstreams at about the same time, and lines
+        about earlier attempts of the same request.
     :param elsewhere: number of failed attempts of other requests at its upstreams.
     :param cause: what its last outcome means, empty if it has none.
     """
@@ -93,7 +102,14 @@
     nearby = [e for e in entries if begin_s <= e.at_s <= end_s and e not in own]
     vms = {e.vm for e in own}
     upstreams = {e.pairs["upstream"] for e in own if e.pairs.get("upstream")}
-    around = [e for e in nearby if e.vm in vms and _is_relevant(e, upstreams)]
+    fingerprints = {e.pairs["fingerprint"] for e in own if e.pairs.get("fingerprint")}
+    before = [e for e in entries if e.at_s <= end_s and e not in own]
+    around = [
+        e
+        for e in before
+        if _names_fingerprint(e, fingerprints)
+        or (e.at_s >= begin_s and e.vm in vms and _is_relevant(e, upstreams))
+    ]
     elsewhere = sum(
         e.pairs.get("event") == "attempt_failed" and e.pairs.get("upstream") in upstreams
         for e in nearby
@@ -103,6 +119,12 @@
     return Explanation(tuple(own), tuple(around), elsewhere, cause)
 
 
+def _names_fingerprint(entry: Entry, fingerprints: set[str]) -> bool:
+    """Whether a line is about a request that the quarantine takes for the same one."""
+    named = {entry.pairs.get("fingerprint", ""), *entry.pairs.get("fingerprints", "").split(",")}
+    return not fingerprints.isdisjoint(named)
+
+
 def _is_relevant(entry: Entry, upstreams: set[str]) -> bool:
     event = entry.pairs.get("event", "")
     concerns_upstream = event in _UPSTREAM_EVENTS and entry.pairs.get("upstream") in upstreams
--- a/tests/test_log_explain.py
+++ b/tests/test_log_explain.py
@@ -35,6 +35,17 @@
     assert (len(explanation.own), len(explanation.around), explanation.elsewhere) == (2, 1, 1)
 
 
+def test_quarantined_request_shows_its_earlier_attempts_and_their_crashes_at_all_vms():
+    attempt = line(1, "g2", event="attempt_failed", request="r1", fingerprint="aa", upstream="e1")
+    crash = line(1, "g2", event="upstream_crashed", peer="e1", fingerprints="bb,aa")
+    decision = line(2, "g3", event="request_quarantined", fingerprint="aa")
+    other = line(2, "g3", event="request_quarantined", fingerprint="bb")
+    own = line(20, "g1", event="request", request="r2", fingerprint="aa", outcome="quarantined")
+    explanation = log_explain.explain_subject([attempt, crash, decision, other, own], "r2")
+    assert [entry.text for entry in explanation.around] == [attempt, crash, decision]
+    assert "upstream_crashed" in explanation.cause
+
+
 @pytest.mark.parametrize("text", ["", "no structure", "time=yesterday event=x", "\xff=\x00"])
 def test_unstructured_lines_are_skipped(text):
     assert log_explain.parse_line(text) is None
