Don't blame a request that completed recently; the soak can repeat a request that crashes engines

Many callers may well send the same short text. Change: a request that completed at this process in the last 120 s is left out when a crash is attributed. Ruled out: probation of online requests, which broke test_entries_expire, an older promise of the product; reverted.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -1,12 +1,13 @@
 """Randomized soaks of the real programs as processes; run ``python -m bench.soak``.
 
 Usage:
-  soak edge [--seeds=S] [--seconds=T] [--keep=DIR]
+  soak edge [--seeds=S] [--seconds=T] [--keep=DIR] [--crashing]
   soak own [--seeds=S] [--jobs=J] [--items=I] [--timeout=T]
 
 Options:
   --seeds=S    Seeds, as 1,2,5 or 1-50 [default: 1].
   --seconds=T  How long faults are injected [default: 20].
+  --crashing   Callers also repeat a request that crashes each engine that runs it.
   --keep=DIR   Where logs of seeds with problems stay; a temporary folder if not given.
   --jobs=J     Jobs [default: 14].
   --items=I    Items of each job [default: 800].
@@ -15,6 +16,7 @@
 "edge" soaks the programs for the users' platform, "own" those with the product's own interface.
 """
 
+import functools
 import pathlib
 import shutil
 import sys
@@ -37,10 +39,10 @@
     return found
 
 
-def _edge(seed: int, seconds: float, folder: pathlib.Path) -> list[str]:
+def _edge(seed: int, seconds: float, folder: pathlib.Path, crashing: bool) -> list[str]:
     shutil.rmtree(folder, ignore_errors=True)
     folder.mkdir(parents=True)
-    report = trio.run(edge.soak, seed, seconds, folder)
+    report = trio.run(functools.partial(edge.soak, seed, seconds, folder, crashing=crashing))
     counts = f"{report.requests} requests, {report.items} items, {report.stalled_s:.1f} s stalled"
     print(f"seed {seed}: {counts}", flush=True)
     print(f"  faults {report.faults}\n  outcomes {report.outcomes}", flush=True)
@@ -61,7 +63,7 @@
     bad = 0
     for seed in seeds(args["--seeds"]):
         if args["edge"]:
-            problems = _edge(seed, float(args["--seconds"]), folder / str(seed))
+            problems = _edge(seed, float(args["--seconds"]), folder / str(seed), args["--crashing"])
         else:
             sizes = int(args["--jobs"]), int(args["--items"])
             problems = _own(seed, *sizes, float(args["--timeout"]))
--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -21,6 +21,7 @@
 CANCEL_SHARE = 0.15
 RESUMED_SHARE = 0.5
 RETRY_S = 0.2
+CULPRIT_PAUSE_S = 0.7
 WAIT_S = 0.5
 MARK_PAUSE_S = 0.25
 # An answer that takes longer says nothing of the moment at which it was asked for.
@@ -141,6 +142,16 @@
         self.outcomes[f"{req.status} {'whole' if req.whole else 'broken'}"] += 1
         return req.whole
 
+    async def repeat_culprit(self) -> None:
+        """Send the request that crashes engines again and again, each time to some gateway."""
+        number = 0
+        path = self.rng.choice((world.ONCE, world.RESUMED))
+        while self.more:
+            headers = formats.online_headers(f"culprit-{number}", PATIENCE_S)
+            await self._call("POST", path, headers, world.CULPRIT)
+            await trio.sleep(CULPRIT_PAUSE_S)
+            number += 1
+
     async def _call(
         self, method: str, target: str, headers: dict[str, str], content: bytes = b""
     ) -> httpx.Response | None:
--- a/bench/soak/edge.py
+++ b/bench/soak/edge.py
@@ -28,14 +28,21 @@
     problems: list[str]
 
 
-async def soak(seed: int, seconds: float, folder: pathlib.Path) -> Report:
-    """Run one seed; logs of the processes go to ``folder``."""
-    async with world.running(folder, GATEWAYS, WORKERS, ENGINES) as system:
+async def soak(
+    seed: int, seconds: float, folder: pathlib.Path, *, crashing: bool = False
+) -> Report:
+    """Run one seed; logs of the processes go to ``folder``.
+
+    :param crashing: whether callers also repeat a request that crashes engines.
+    """
+    async with world.running(folder, GATEWAYS, WORKERS, ENGINES, crashing=crashing) as system:
         injected = faults.Faults(system, f"faults {seed}")
         seen = callers.Callers(system, random.Random(f"callers {seed}"))
         again: list[str] = []
         async with trio.open_nursery() as nursery:
             nursery.start_soon(seen.run)
+            if crashing:
+                nursery.start_soon(seen.repeat_culprit)
             await injected.run(seconds)
             seen.more = False
             with trio.move_on_after(FINISH_S):
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -246,9 +246,12 @@
     if (engine := faults.free_engine()) is None:
         return
     with faults.on_engine(engine, "misbehaves"):
-        engine.stand_in.faults = faults.rng.choice(_ENGINE_FAULTS)
+        usual = faults.system.engine_faults
+        engine.stand_in.faults = msgspec.structs.replace(
+            faults.rng.choice(_ENGINE_FAULTS), crash_on=usual.crash_on, down_s=usual.down_s
+        )
         await trio.sleep(faults.between(ENGINE_FAULT_S))
-        engine.stand_in.faults = stream_engine.Faults()
+        engine.stand_in.faults = faults.system.engine_faults
 
 
 async def _engine_crash(faults: Injection) -> None:
--- a/bench/soak/judge.py
+++ b/bench/soak/judge.py
@@ -16,6 +16,10 @@
 CANCEL_S = 3.0
 # The wall clocks of this process and of the others are read at different moments.
 SLACK_S = 0.3
+# How long news of a crash may take, and the runs of a request that crashes engines after that.
+SPREAD_S = 3.0
+CULPRIT_CRASHES = 3
+MAX_LATE_RUNS = 3
 _REFUSED = frozenset((429, 503))
 _ATTEMPTS = {world.ONCE: 1, world.RESUMED: world.MAX_ATTEMPTS}
 
@@ -43,6 +47,7 @@
         for engine in self.system.engines.values():
             self._leaving(engine)
         self._plans()
+        self._culprit()
         self._logs()
         return self.problems
 
@@ -141,6 +146,21 @@
         if not self.system.touched(parts, begin_s, look.end_s):
             self.problems.append(f"{look} is not what was in force")
 
+    def _culprit(self) -> None:
+        """Check how often the request that crashes engines was sent after its third crash."""
+        begun_s = sorted(
+            attempt.at_s
+            for engine in self.system.engines.values()
+            for attempt in engine.stand_in.seen
+            if attempt.body == world.CULPRIT and attempt.ran
+        )
+        if len(begun_s) < CULPRIT_CRASHES:
+            return
+        settled_s = begun_s[CULPRIT_CRASHES - 1] + SPREAD_S
+        late = [round(at_s - settled_s, 1) for at_s in begun_s if at_s > settled_s]
+        if len(late) > MAX_LATE_RUNS:
+            self.problems.append(f"the crashing request ran {late} s after it was known")
+
     def _logs(self) -> None:
         for daemon in self.system.daemons.values():
             text = daemon.log.read_text(errors="replace")
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import dataclasses
+import functools
 import math
 import os
 import pathlib
@@ -48,6 +49,9 @@
     edge_system.RESUMABLE_PREFIX,
     edge_system.NOTES_PREFIX,
 )
+# Body of the request that crashes engines, and how long each is down then.
+CULPRIT = b"crashes the engine"
+CULPRIT_DOWN_S = 1.0
 MAX_ATTEMPTS = 2
 ITEM_ATTEMPTS = 5
 
@@ -175,11 +179,18 @@
 class World:
     """Everything that runs; made by :func:`running`.
 
+    :param crashing: whether :data:`CULPRIT` crashes engines.
     :ivar plans: when each version of the plan was written, by version.
+    :ivar engine_faults: the faults of an engine on which no other fault is at work.
     """
 
-    def __init__(self, nursery: trio.Nursery, folder: pathlib.Path) -> None:
+    def __init__(
+        self, nursery: trio.Nursery, folder: pathlib.Path, *, crashing: bool = False
+    ) -> None:
         self.nursery = nursery
+        self.engine_faults = stream_engine.Faults(
+            crash_on=CULPRIT if crashing else b"", down_s=CULPRIT_DOWN_S
+        )
         self.folder = folder
         switches = edge_system.UNLIMITED
         self.store = platform_store.MemoryPlatform(switches, history_limit=HISTORY)
@@ -261,6 +272,8 @@
     async def add_engine(self, name: str, domain: str) -> Engine:
         """Start an engine behind its proxy and register it."""
         made = stream_engine.StreamEngine(name, events=EVENTS, event_s=EVENT_S)
+        made.faults = self.engine_faults
+        made.on_crash = functools.partial(self._record_crash, name)
         proxy = fault_proxy.FaultProxy(await self.nursery.start(made.run))
         address = await self.nursery.start(proxy.serve, LOOPBACK)
         engine = Engine(made, proxy, address, domain)
@@ -268,6 +281,10 @@
         await self.register(engine)
         return engine
 
+    def _record_crash(self, engine: str, down_s: float) -> None:
+        now_s = trio.current_time()
+        self.windows.append(Window(engine, "crash", now_s, now_s + down_s))
+
     async def register(self, engine: Engine, *, leaving: bool = False) -> None:
         """Write an engine's entry."""
         up = dataclasses.replace(
@@ -356,11 +373,11 @@
 
 @contextlib.asynccontextmanager
 async def running(
-    folder: pathlib.Path, gateways: int, workers: int, engines: int
+    folder: pathlib.Path, gateways: int, workers: int, engines: int, *, crashing: bool = False
 ) -> AsyncIterator[World]:
     """Run a system until the block ends."""
     async with trio.open_nursery() as nursery:
-        world = World(nursery, folder)
+        world = World(nursery, folder, crashing=crashing)
         try:
             await world.open(gateways, workers, engines)
             yield world
--- a/src/cornelgrade/platform/standins/stream_engine.py
+++ b/src/cornelgrade/platform/standins/stream_engine.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+from collections.abc import Callable
 
 import msgspec
 import trio
@@ -67,6 +68,7 @@
 
     :param events: number of events in each response.
     :param event_s: time between two events.
+    :ivar on_crash: called with the time for which it is down after a request crashed it.
     """
 
     def __init__(
@@ -82,6 +84,7 @@
         self.waiting = 0
         self.max_running = 0
         self.crashes = 0
+        self.on_crash: Callable[[float], None] = lambda down_s: None
         self.started_ms = 0
         self._dark_until_s = -1e9
         self.address = ""
@@ -114,6 +117,7 @@
         if faults.crash_on and faults.crash_on in seen.body and faults.crash_after == sent_events:
             crash = self._go_dark if faults.dark else self.crash
             crash(faults.down_s)
+            self.on_crash(faults.down_s)
 
     async def _handle(self, req: _http_server.Exchange) -> None:
         await trio.sleep_until(self._dark_until_s)
--- a/src/cornelgrade/services/quarantine.py
+++ b/src/cornelgrade/services/quarantine.py
@@ -19,6 +19,10 @@
 NAME = "quarantine"
 MAX_ENTRIES = 2_048
 MAX_CRASHES_KEPT = 256
+MAX_COMPLETED = 2_048
+# A request that completed this recently is not what crashes upstreams. Callers often send the same
+# short text.
+COMPLETED_TTL_S = 120.0
 MAX_ANNOUNCED_PER_CRASH = 16
 MAX_DIRECT_PEERS = 16
 # Source of the counts of requests that were quarantined before this process started.
@@ -81,6 +85,7 @@
         self._crashes: collections.deque[quarantine.Crash] = collections.deque(
             maxlen=MAX_CRASHES_KEPT
         )
+        self._completed_s: collections.OrderedDict[str, float] = collections.OrderedDict()
         self._source = secrets.token_hex(4)
         self._nursery: trio.Nursery | None = None
 
@@ -178,7 +183,9 @@
     def report_crash(self, upstream: str, in_flight: tuple[str, ...]) -> None:
         """Record an engine's crash and attribute it to the requests in flight there."""
         now_s = trio.current_time()
-        fingerprints = tuple(dict.fromkeys(in_flight))
+        fingerprints = tuple(
+            f for f in dict.fromkeys(in_flight) if not self._has_completed(f, now_s)
+        )
         suspects = tuple(f for f in fingerprints if self._is_suspect(f, now_s))
         sole = suspects if len(suspects) == 1 else fingerprints
         crash = quarantine.Crash(
@@ -209,6 +216,10 @@
 
     def report_completion(self, fingerprint: str) -> None:
         """Record that a request completed, which clears it in all processes."""
+        self._completed_s[fingerprint] = trio.current_time()
+        self._completed_s.move_to_end(fingerprint)
+        while len(self._completed_s) > MAX_COMPLETED:
+            self._completed_s.popitem(last=False)
         entry = self._entries.pop(fingerprint, None)
         if entry is None:
             return
@@ -219,6 +230,10 @@
             self._log.warning("request_released", fingerprint=fingerprint)
             self._decisions.deliver(ports.QuarantineDecision(fingerprint, 0.0))
 
+    def _has_completed(self, fingerprint: str, now_s: float) -> bool:
+        completed_s = self._completed_s.get(fingerprint)
+        return completed_s is not None and now_s - completed_s < COMPLETED_TTL_S
+
     def _is_suspect(self, fingerprint: str, now_s: float) -> bool:
         standing = quarantine.classify_request(self._entries.get(fingerprint), now_s)
         return standing is not quarantine.RequestStatus.CLEAR
--- a/tests/services/test_quarantine.py
+++ b/tests/services/test_quarantine.py
@@ -200,6 +200,30 @@
     assert len(alone._crashes) <= quarantine.MAX_CRASHES_KEPT
 
 
+async def test_quarantined_request_that_completes_is_released_for_good(autojump_clock, alone):
+    decisions = alone.subscribe_decisions()
+    for engine in ("engine-1", "engine-2"):
+        await alone.wait_verdict("x")
+        alone.report_crash(engine, ("x",))
+        await trio.sleep(1.0)
+    assert not alone.item_may_run("x")
+    alone.report_completion("x")
+    assert alone.verdict("x") is ports.Verdict.CLEAR
+    assert [decisions.receive_nowait().expires_s > 0 for _ in range(2)] == [True, False]
+
+
+# Guards against quarantining a text that many callers send because upstreams crash beside it.
+async def test_request_that_completed_recently_is_not_blamed_for_crashes(autojump_clock, alone):
+    alone.report_completion("x")
+    for engine in ("engine-1", "engine-2", "engine-3"):
+        alone.report_crash(engine, ("x", "y"))
+        assert await alone.wait_verdict("x") is ports.Verdict.CLEAR
+    assert await alone.wait_verdict("y") is ports.Verdict.CONDEMNED
+    await trio.sleep(quarantine.COMPLETED_TTL_S)
+    alone.report_crash("engine-1", ("x",))
+    assert await alone.wait_verdict("x") is ports.Verdict.ALONE
+
+
 # Guards against counting one crash once for each VM from which the same request was in flight.
 async def test_crash_counts_once_for_a_request_in_flight_from_several_vms(autojump_clock, fleet):
     vms = ("one", "two", "three")
