--- a/src/cornelgrade/services/edge/relay.py
+++ b/src/cornelgrade/services/edge/relay.py
@@ -30,8 +30,8 @@
 _STEP = "answer"
 _EVENT_STREAM = b"text/event-stream"
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
-# The quarantine judges by circumstances, so it must not tell a caller that its request is invalid.
-_STATUS = errors.STATUS | {
+# The quarantine judges by circumstances, so a caller must not be told that its request is invalid.
+_STATUS_BY_CODE = errors.STATUS | {
     errors.Code.QUARANTINED: errors.STATUS[errors.Code.UPSTREAM_FAILED],
 }
 _log = logs.Logger("relay")
@@ -211,12 +211,9 @@
                 raise
 
     async def _call_upstream(
-        self,
-        channel: http1.Channel,
-        req: _Request,
-        progress: _Progress,
-        up: routes.Upstream,
+        self, channel: http1.Channel, req: _Request, progress: _Progress, up: routes.Upstream
     ) -> None:
+        """Send a request and relay the response."""
         await self._send_request(channel, req, progress, up)
         head = await self._read_head(channel, req, progress, up)
         if progress.started:
@@ -360,7 +357,7 @@
         if progress.started:
             raise http1_server.AbortConnectionError
         headers = self._call_format.refusal_headers(req.caller.request_id, refusal.retry_after_s)
-        await req.exchange.respond(_STATUS[refusal.code], b"", headers)
+        await req.exchange.respond(_STATUS_BY_CODE[refusal.code], b"", headers)
         return refusal.code.value
 
     def _record_request(self, req: _Request, progress: _Progress, outcome: str) -> None:
--- a/src/cornelgrade/services/quarantine.py
+++ b/src/cornelgrade/services/quarantine.py
@@ -36,8 +36,8 @@
     quarantine.RequestStatus.QUARANTINED: ports.Verdict.CONDEMNED,
 }
 _HELD = (quarantine.RequestStatus.PENDING, quarantine.RequestStatus.QUARANTINED)
-# How long after its last crash an entry is sent again: a quarantined one for longer than most
-# partitions last, a suspect for as long as its caller may still repeat it.
+# How long after its last crash an entry is sent again, by status. A quarantined one should outlast
+# a short partition; a suspect matters only while its caller may repeat it.
 _RESEND_S = {
     quarantine.RequestStatus.SUSPECT: 5.0,
     quarantine.RequestStatus.PENDING: 5.0,
@@ -124,8 +124,9 @@
         )
 
     def recent_reports(self) -> tuple[ports.Quarantined, ...]:
-        """Return reports to send again, since some may be lost: own ones and, once a request is
-        quarantined, those of the other processes too.
+        """Return reports to send again, because some may be lost.
+
+        These are own ones and, once a request is quarantined, those of the other processes too.
         """
         now_s = trio.current_time()
         return tuple(
