--- a/tests/services/test_quarantine.py
+++ b/tests/services/test_quarantine.py
@@ -224,6 +224,22 @@
     assert await alone.wait_verdict("x") is ports.Verdict.ALONE
 
 
+# Guards against quarantining a text that many callers send, each of whose runs met a crash that
+# another request caused. Such requests share a fingerprint, so their crashes add up.
+async def test_text_of_many_callers_is_not_quarantined_for_crashes_of_another_request(
+    autojump_clock, fleet
+):
+    for number in range(rules.MAX_CRASHES_SEEN):
+        for vm in ("one", "two"):
+            await fleet[vm].wait_verdict("text")
+        await fleet["three"].wait_verdict(f"culprit-{number}")
+        for vm in ("one", "two"):
+            fleet[vm].report_crash(f"engine-{number}", ("text",))
+        fleet["three"].report_crash(f"engine-{number}", (f"culprit-{number}",))
+        await trio.sleep(1.0)
+    assert fleet["one"].verdict("text") is not ports.Verdict.CONDEMNED
+
+
 # Guards against counting one crash once for each VM from which the same request was in flight.
 async def test_crash_counts_once_for_a_request_in_flight_from_several_vms(autojump_clock, fleet):
     vms = ("one", "two", "three")
