--- a/tests/edge/test_quarantine_sync.py
+++ b/tests/edge/test_quarantine_sync.py
@@ -49,6 +49,7 @@
             await trio.sleep(0.05)
 
 
+# Guards against processes that miss a decision, and against a write by each of them.
 async def test_decision_reaches_workers_and_is_stored_once():
     async with edge_system.run_system(gateways=2, workers=1) as system:
         await quarantine_culprit(system, "gateway-0")
@@ -70,6 +71,7 @@
                 await trio.sleep(0.1)
 
 
+# Guards against a process that starts without the decisions because the store is away then.
 async def test_process_started_during_an_outage_reads_decisions_afterwards():
     async with edge_system.run_system(gateways=1) as system:
         await quarantine_culprit(system, "gateway-0")
@@ -81,6 +83,7 @@
         await wait_for_verdict(system, "gateway-1", CULPRIT, ports.Verdict.CONDEMNED)
 
 
+# Guards against decisions that stay in the store, and foreign objects that stop the reading.
 async def test_expired_decision_is_deleted_and_an_unreadable_one_skipped():
     async with edge_system.run_system(gateways=1) as system:
         expired = msgspec.json.encode(quarantine_sync.StoredDecision(1_000))
@@ -93,6 +96,7 @@
     assert [found.name for found in stored] == [NEIGHBOUR]
 
 
+# Guards against taking a broken connection for a crash, and a quick restart for none.
 @pytest.mark.parametrize(
     ("reported_ms", "registered_ms", "crashed"),
     [(2_000, 1_000, True), (1_000, 1_000, False), (0, 1_000, False), (2_000, 0, False)],
@@ -110,6 +114,7 @@
         assert find_quarantine(system, "gateway-0").is_suspect(CULPRIT) is crashed
 
 
+# Guards against overlooking the culprit, or blaming requests at other upstreams.
 async def test_all_requests_in_flight_at_a_crash_become_suspects_but_those_elsewhere():
     async with edge_system.run_system(engines=2) as system:
         ups = [eng.upstream(edge_system.SERVICE, "north") for eng in system.engines.values()]
@@ -126,6 +131,7 @@
     assert suspects == [True, True, False]
 
 
+# Guards against blaming a request that an upstream never ran or has answered.
 @pytest.mark.parametrize("progress", [engine.Progress.NOT_SENT, engine.Progress.ANSWERED])
 async def test_call_that_never_ran_or_was_answered_asks_for_no_check(progress):
     async with edge_system.run_system() as system:
--- a/tests/policy/test_item_claims.py
+++ b/tests/policy/test_item_claims.py
@@ -62,6 +62,7 @@
     assert 3 not in job.startable_items(102.0)
 
 
+# Guards against a worker that counts only its own failed runs of an item.
 def test_failed_runs_of_all_workers_count_together():
     job = make_job()
     job.failures[3] = 1
--- a/tests/services/test_quarantine.py
+++ b/tests/services/test_quarantine.py
@@ -200,6 +200,7 @@
     assert len(alone._crashes) <= quarantine.MAX_CRASHES_KEPT
 
 
+# Guards against a request that stays quarantined although it completed.
 async def test_quarantined_request_that_completes_is_released_for_good(autojump_clock, alone):
     decisions = alone.subscribe_decisions()
     for engine in ("engine-1", "engine-2"):
@@ -255,6 +256,7 @@
         assert [fleet[vm].verdict("x") for vm in vms] == [verdict] * 3
 
 
+# Guards against VMs that go on suspecting a request which completed at another VM.
 async def test_completion_at_one_vm_clears_the_request_at_all(autojump_clock, fleet):
     fleet["one"].report_crash("engine-1", ("x", "y"))
     await trio.sleep(1.0)
--- a/tests/test_log_explain.py
+++ b/tests/test_log_explain.py
@@ -35,6 +35,7 @@
     assert (len(explanation.own), len(explanation.around), explanation.elsewhere) == (2, 1, 1)
 
 
+# Guards against an explanation that leaves out earlier attempts, where the cause lies.
 def test_quarantined_request_shows_its_earlier_attempts_and_their_crashes_at_all_vms():
     attempt = line(1, "g2", event="attempt_failed", request="r1", fingerprint="aa", upstream="e1")
     crash = line(1, "g2", event="upstream_crashed", peer="e1", fingerprints="bb,aa")
