--- a/src/cornelgrade/policy/quarantine.py
+++ b/src/cornelgrade/policy/quarantine.py
@@ -12,8 +12,8 @@
 import hashlib
 
 MAX_CRASHES = 2
-# Crashes with a request in flight, counted or not. Operators allow a request three crashes and three
-# retries after them.
+# Crashes with a request in flight, counted or not. Operators allow a request three crashes and
+# three retries after them.
 MAX_CRASHES_SEEN = 6
 # First pause before a quarantined batch item runs again; it doubles with each further crash.
 # Engines are back some seconds after a crash.
