Send watches again after each outage of the store, also a silent one

Cause: a watch that the store never answers looks like one without changes; it was only given up after its own 22 s, also long after the store's return. Change: store_monitor probes the store (a cheap stale read) when a process has heard nothing of it for 1 s, one probe in a failure domain spares the others theirs; on the store's return all watches are sent again; neighbours compare what they received, so that a watch lost by one VM is found; a suspended process sends its watches again. Two tests bound the calls.

--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -16,6 +16,7 @@
 
 # Mean pause between two faults; most last longer, so that they overlap.
 GAP_S = 0.7
+LATER_GAP_S = 4.0
 SERIES_SHARE = 0.25
 SERIES = 3
 SERIES_GAP_S = 0.4
@@ -63,14 +64,21 @@
 
 def plans(seed: str, seconds: float) -> list[Plan]:
     """Draw which faults are injected when; a seed always gives the same."""
+    drawn = _draw(seed, seconds, GAP_S, _ACTS)
+    # Drawn apart, so that the seeds of earlier findings still give the faults that they gave.
+    drawn += _draw(f"{seed} later", seconds, LATER_GAP_S, _LATER_ACTS)
+    return sorted(drawn, key=lambda plan: plan.at_s)
+
+
+def _draw(seed: str, seconds: float, gap_s: float, acts: dict[str, Act]) -> list[Plan]:
     rng = random.Random(seed)
     drawn: list[Plan] = []
     at_s = 0.0
     while at_s < seconds:
-        name = rng.choice(sorted(_ACTS))
+        name = rng.choice(sorted(acts))
         times = SERIES if rng.random() < SERIES_SHARE else 1
         drawn.append(Plan(at_s, name, times, f"{seed} {len(drawn)}"))
-        at_s += rng.expovariate(1 / GAP_S)
+        at_s += rng.expovariate(1 / gap_s)
     return drawn
 
 
@@ -97,7 +105,7 @@
         one = Injection(self.system, random.Random(plan.seed))
         for _ in range(plan.times):
             self.done[plan.name] += 1
-            await _ACTS[plan.name](one)
+            await (_ACTS | _LATER_ACTS)[plan.name](one)
             await trio.sleep(SERIES_GAP_S)
 
 
@@ -198,6 +206,10 @@
     await _store(faults, "store down", down=True)
 
 
+async def _store_silent(faults: Injection) -> None:
+    await _store(faults, "store silent", silent=True)
+
+
 async def _store_slow(faults: Injection) -> None:
     await _store(faults, "store slow", slow_s=faults.between(SLOW_S))
 
@@ -299,3 +311,4 @@
     "engine_leaves": _engine_leaves,
     "change": _change,
 }
+_LATER_ACTS: dict[str, Act] = {"store_silent": _store_silent}
--- a/src/cornelgrade/adapters/conditional_writes.py
+++ b/src/cornelgrade/adapters/conditional_writes.py
@@ -51,7 +51,9 @@
 class WriteSender(Protocol):
     """Sends single calls without retrying."""
 
-    async def get(self, kind: str, name: str) -> platform.StoredObject | None:
+    async def get(
+        self, kind: str, name: str, *, allow_stale: bool = False
+    ) -> platform.StoredObject | None:
         """Return one object, ``None`` if there is none."""
 
     async def send(self, pending: ConditionalWrite) -> platform.StoredObject:
--- a/src/cornelgrade/adapters/platform.py
+++ b/src/cornelgrade/adapters/platform.py
@@ -118,8 +118,11 @@
     :class:`TooLargeError`. A write that returns has taken effect.
     """
 
-    async def get(self, kind: str, name: str) -> StoredObject | None:
-        """Return one object, ``None`` if there is none."""
+    async def get(self, kind: str, name: str, *, allow_stale: bool = False) -> StoredObject | None:
+        """Return one object, ``None`` if there is none.
+
+        :param allow_stale: accept a state that is seconds old, which costs the platform less.
+        """
 
     async def list(
         self, kind: str, prefix: str = "", after: str = "", limit: int = 100
--- a/src/cornelgrade/adapters/platform_http.py
+++ b/src/cornelgrade/adapters/platform_http.py
@@ -92,7 +92,9 @@
     ) -> None:
         await self._client.__aexit__(exc_type, exc, traceback)
 
-    async def get(self, kind: str, name: str) -> platform.StoredObject | None:
+    async def get(
+        self, kind: str, name: str, *, allow_stale: bool = False
+    ) -> platform.StoredObject | None:
         """Return one object, ``None`` if there is none."""
         response = await self._read("get", _object_path(kind, name))
         if response.status_code == 404:
--- a/src/cornelgrade/edge_daemons.py
+++ b/src/cornelgrade/edge_daemons.py
@@ -11,7 +11,7 @@
 from cornelgrade.adapters import platform
 from cornelgrade.services import quarantine
 from cornelgrade.services.edge import (
-    _object_watch,
+    _store_availability,
     crash_detector,
     fleet,
     frontend,
@@ -24,6 +24,7 @@
     quarantine_sync,
     runner,
     slot_permits,
+    store_monitor,
     vm_retirement,
 )
 
@@ -90,10 +91,15 @@
 
 def _add_common_services(
     kern: kernel.Kernel, cfg: settings.EdgeSettings, dependencies: Dependencies, role: peers.Role
-) -> _object_watch.StoreAvailability:
-    availability = _object_watch.StoreAvailability()
+) -> _store_availability.StoreAvailability:
+    availability = _store_availability.StoreAvailability()
     peer_service = peers.Peers(cfg, role, dependencies.store, availability)
     kern.add(peer_service, _RESTART)
+    kern.add(
+        store_monitor.StoreMonitor(
+            kern, dependencies.store, dependencies.directory, availability, cfg.vm
+        )
+    )
     kern.add(fleet.Fleet(dependencies.store, dependencies.directory, availability))
     kern.add(quarantine.Quarantine(kern, quarantine_sync.PeerReports(peer_service)))
     kern.add(
--- a/src/cornelgrade/platform/objects.py
+++ b/src/cornelgrade/platform/objects.py
@@ -96,9 +96,12 @@
             "cornelgrade_store_calls_total", "Calls to the platform's object store by step."
         )
 
-    async def get(self, kind: str, name: str) -> platform.StoredObject | None:
+    async def get(
+        self, kind: str, name: str, *, allow_stale: bool = False
+    ) -> platform.StoredObject | None:
         """Return one object, ``None`` if there is none."""
-        status, raw = await self._read("get", _object_path(kind, name), {}, 0.0)
+        query = {"stale": "1"} if allow_stale else {}
+        status, raw = await self._read("get", _object_path(kind, name), query, 0.0)
         return _decode_object(kind, raw) if status != 404 else None
 
     async def list(
--- a/src/cornelgrade/platform/standins/edge_system.py
+++ b/src/cornelgrade/platform/standins/edge_system.py
@@ -41,6 +41,33 @@
         return platform.Changes(version, await self.list(kind, prefix, limit=sys.maxsize))
 
 
+class VmStore:
+    """The store as one VM sees it.
+
+    :ivar loses_watches: whether the VM's watches, also those that are open, get no response.
+    """
+
+    def __init__(self, store: Store) -> None:
+        self.loses_watches = False
+        self._store = store
+
+    def __getattr__(self, name: str):
+        return getattr(self._store, name)
+
+    async def watch(
+        self, kind: str, prefix: str = "", after: int = 0, wait_s: float = 30.0
+    ) -> platform.Changes:
+        """Watch, unless the VM's watches are lost."""
+        lost = self.loses_watches
+        with trio.move_on_after(wait_s + self._store.deadline_s) as scope:
+            changes = await self._store.watch(kind, prefix, after, wait_s)
+            lost = lost or self.loses_watches
+            if not lost:
+                return changes
+            await trio.sleep_until(scope.deadline)
+        raise platform.UnavailableError("no answer in time", step="watch")
+
+
 class Directory:
     """Decodes plans and registrations stored as JSON of the project's own types."""
 
@@ -126,6 +153,7 @@
     cfg: settings.EdgeSettings
     kern: kernel.Kernel
     drain: edge_daemons.Drain
+    store: VmStore
     scope: trio.CancelScope
 
 
@@ -182,12 +210,13 @@
             peer_address=f"127.0.0.1:{free_port(socket.SOCK_DGRAM)}",
             store_address="127.0.0.1:1",
         )
+        store = VmStore(self.store)
         dependencies = edge_daemons.Dependencies(
-            self.store, Directory(), calls.CallFormat(), jobs.JobCallFormat(), self.retirements
+            store, Directory(), calls.CallFormat(), jobs.JobCallFormat(), self.retirements
         )
         kern = kernel.Kernel()
         drain = assemble(kern, cfg, dependencies)
-        node = Node(cfg, kern, drain, trio.CancelScope())
+        node = Node(cfg, kern, drain, store, trio.CancelScope())
         self.nodes[name] = node
         await self.nursery.start(self._run_node, node)
         return node
@@ -298,6 +327,6 @@
         nursery.cancel_scope.cancel()
 
 
-def set_outage(store: platform_store.MemoryPlatform, *, down: bool) -> None:
-    """Start or end an outage of the store."""
-    store.switch(msgspec.structs.replace(UNLIMITED, down=down))
+def set_outage(store: platform_store.MemoryPlatform, *, down: bool, silent: bool = False) -> None:
+    """Start or end an outage of the store; a silent one responds to nothing."""
+    store.switch(msgspec.structs.replace(UNLIMITED, down=down, silent=silent))
--- a/src/cornelgrade/schema/codec.py
+++ b/src/cornelgrade/schema/codec.py
@@ -137,6 +137,13 @@
             failed[number].failures = entry.failures
 
 
+def _write_store_progress(out: Any, field: str, body: messages.StoreProgress) -> None:
+    builder = out.init(field, len(body.followed))
+    for i, (kind, revision) in enumerate(body.followed):
+        builder[i].kind = kind
+        builder[i].revision = revision
+
+
 def _encode_bitmap(number: int) -> bytes:
     return number.to_bytes((number.bit_length() + 7) // 8, "little")
 
@@ -170,6 +177,7 @@
     messages.Version: ("version", _write_version),
     messages.Uses: ("uses", _write_uses),
     messages.JobClaims: ("jobClaims", _write_job_claims),
+    messages.StoreProgress: ("storeProgress", _write_store_progress),
     ports.Load: ("load", _write_load),
     ports.Yield: ("yield", _write_slots),
     ports.Share: ("share", _write_slots),
@@ -200,6 +208,9 @@
     "version": lambda raw: messages.Version(raw),
     "uses": _read_uses,
     "jobClaims": _read_job_claims,
+    "storeProgress": lambda raw: messages.StoreProgress(
+        tuple((entry.kind, entry.revision) for entry in raw)
+    ),
     **_MESSAGE_READERS,
 }
 
--- a/src/cornelgrade/schema/messages.py
+++ b/src/cornelgrade/schema/messages.py
@@ -103,7 +103,29 @@
     vm: str = ""
 
 
-Body = Ping | Ack | ProbeRequest | Join | Roster | Version | Uses | JobClaims | ports.PeerMessage
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreProgress:
+    """Tells that the platform's store responded to the sender just now.
+
+    :param followed: kinds of objects that the sender watches, each with the newest revision of an
+        object that it received.
+    """
+
+    followed: tuple[tuple[str, int], ...]
+
+
+Body = (
+    Ping
+    | Ack
+    | ProbeRequest
+    | Join
+    | Roster
+    | Version
+    | Uses
+    | JobClaims
+    | StoreProgress
+    | ports.PeerMessage
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/cornelgrade/schema/peer.capnp
+++ b/src/cornelgrade/schema/peer.capnp
@@ -83,6 +83,11 @@
   failed @3 :List(ItemFailures);
 }
 
+struct Followed {
+  kind @0 :Text;
+  revision @1 :UInt64;
+}
+
 struct Rumor {
   origin @0 :Text;
   number @1 :UInt64;
@@ -118,5 +123,6 @@
     upstreamCrashed @17 :UpstreamCrashed;
     uses @18 :List(UpstreamUse);
     jobClaims @19 :List(JobClaim);
+    storeProgress @20 :List(Followed);
   }
 }
--- /dev/null
+++ b/src/cornelgrade/services/edge/_store_availability.py
@@ -0,0 +1,81 @@
+"""What a process knows of the platform's store: whether it responds, what was received of it."""
+
+import contextlib
+from collections.abc import Iterator
+
+import trio
+
+
+class StoreAvailability:
+    """Tracks whether the platform's store responds; shared by all its clients in a process.
+
+    A watch that gets no response can't be told from one without changes. So every watch is sent
+    again each time that the store has become available.
+
+    :ivar unavailable: whether the last call failed.
+    :ivar recovered_s: when calls last succeeded again after failures, on the process's clock.
+    :ivar responded_s: when a call last succeeded, on the process's clock.
+    """
+
+    def __init__(self) -> None:
+        self.unavailable = False
+        self.recovered_s = -1e9
+        self.responded_s = -1e9
+        self._changed = trio.Event()
+        self._watches: set[trio.CancelScope] = set()
+        self._followed: dict[str, int] = {}
+
+    def record_failure(self) -> bool:
+        """Record a failed call; return ``True`` if it is the first in a row."""
+        if self.unavailable:
+            return False
+        self.unavailable = True
+        self._notify()
+        return True
+
+    def record_success(self) -> bool:
+        """Record a successful call; return ``True`` if it is the first after failures."""
+        self.responded_s = trio.current_time()
+        if not self.unavailable:
+            return False
+        self.unavailable = False
+        self.recovered_s = self.responded_s
+        self.restart_watches()
+        return True
+
+    def restart_watches(self) -> None:
+        """Send all watches again, because changes may have been missed."""
+        for scope in self._watches:
+            scope.cancel()
+        self._notify()
+
+    @contextlib.contextmanager
+    def interruptible_watch(self) -> Iterator[trio.CancelScope]:
+        """Run a watch in a scope that is cancelled when watches have to be sent again."""
+        with trio.CancelScope() as scope:
+            self._watches.add(scope)
+            try:
+                yield scope
+            finally:
+                self._watches.discard(scope)
+
+    async def wait_change(self) -> None:
+        """Wait until the store becomes unavailable or available, or watches are restarted."""
+        await self._changed.wait()
+
+    async def wait_available(self) -> None:
+        """Wait until the store responds."""
+        while self.unavailable:
+            await self._changed.wait()
+
+    def record_followed(self, kind: str, revision: int) -> None:
+        """Record that changes of a kind have been received up to a revision."""
+        self._followed[kind] = max(revision, self._followed.get(kind, 0))
+
+    def followed_revisions(self) -> dict[str, int]:
+        """Return the newest revision received of each kind that is watched without a pause."""
+        return dict(self._followed)
+
+    def _notify(self) -> None:
+        self._changed.set()
+        self._changed = trio.Event()
--- a/src/cornelgrade/services/edge/fleet.py
+++ b/src/cornelgrade/services/edge/fleet.py
@@ -7,7 +7,7 @@
 from cornelgrade import logs, routes
 from cornelgrade.adapters import platform
 from cornelgrade.policy import registrations, route_table
-from cornelgrade.services.edge import _notifier, _object_watch, ports
+from cornelgrade.services.edge import _notifier, _object_watch, _store_availability, ports
 
 EXPIRY_INTERVAL_S = 0.25
 _log = logs.Logger("fleet")
@@ -25,7 +25,7 @@
         self,
         store: platform.Platform,
         directory: ports.Directory,
-        availability: _object_watch.StoreAvailability,
+        availability: _store_availability.StoreAvailability,
     ) -> None:
         self.changed = _notifier.Notifier()
         self._store = store
--- a/src/cornelgrade/services/edge/peers.py
+++ b/src/cornelgrade/services/edge/peers.py
@@ -18,7 +18,7 @@
 from cornelgrade.policy import rendezvous
 from cornelgrade.schema import messages
 from cornelgrade.services import _subscriptions
-from cornelgrade.services.edge import _object_watch
+from cornelgrade.services.edge import _object_watch, _store_availability
 
 PEER_KIND = "cornelgrade-vms"
 SECRET_KIND = "cornelgrade-secrets"
@@ -72,7 +72,7 @@
         cfg: settings.EdgeSettings,
         role: Role,
         store: platform.Platform,
-        availability: _object_watch.StoreAvailability,
+        availability: _store_availability.StoreAvailability,
     ) -> None:
         self.vm = cfg.vm
         self._own_entry = PeerEntry(cfg.peer_address, role, cfg.failure_domain)
@@ -129,6 +129,11 @@
         """Return all registered processes but this one, also unresponsive ones."""
         return tuple(self._peers)
 
+    def other_vms_nearby(self) -> tuple[str, ...]:
+        """Return all registered processes of this failure domain but this one."""
+        domain = self._own_entry.failure_domain
+        return tuple(vm for vm, peer in self._peers.items() if peer.entry.failure_domain == domain)
+
     def batch_owner(self, upstream: str, failure_domain: str) -> str | None:
         """Return the worker that runs batch items on an upstream; local ones are preferred."""
         return next(iter(self.batch_owners(upstream, failure_domain)), None)
--- a/src/cornelgrade/services/edge/quarantine_sync.py
+++ b/src/cornelgrade/services/edge/quarantine_sync.py
@@ -17,7 +17,7 @@
 from cornelgrade import kernel, logs
 from cornelgrade.adapters import platform
 from cornelgrade.services import ports, quarantine
-from cornelgrade.services.edge import _object_watch, peers
+from cornelgrade.services.edge import _store_availability, peers
 
 KIND = "cornelgrade-quarantine"
 RESEND_INTERVAL_S = 1.0
@@ -62,7 +62,7 @@
         self,
         kern: kernel.Kernel,
         store: platform.Platform,
-        availability: _object_watch.StoreAvailability,
+        availability: _store_availability.StoreAvailability,
         vm: str,
     ) -> None:
         self._quarantine = kern.find("quarantine", quarantine.Quarantine)
--- a/src/cornelgrade/services/edge/runner.py
+++ b/src/cornelgrade/services/edge/runner.py
@@ -19,6 +19,7 @@
     _broadcast,
     _notifier,
     _object_watch,
+    _store_availability,
     claim_exchange,
     crash_detector,
     fleet,
@@ -56,7 +57,7 @@
         kern: kernel.Kernel,
         cfg: settings.EdgeSettings,
         store: platform.Platform,
-        availability: _object_watch.StoreAvailability,
+        availability: _store_availability.StoreAvailability,
         item_caller: item_call.ItemCaller,
         call_format: ports.CallFormat,
     ) -> None:
--- a/src/cornelgrade/services/edge/vm_retirement.py
+++ b/src/cornelgrade/services/edge/vm_retirement.py
@@ -11,7 +11,13 @@
 from cornelgrade import kernel, logs
 from cornelgrade.adapters import platform
 from cornelgrade.policy import ownership
-from cornelgrade.services.edge import _object_watch, peers, ports, runner
+from cornelgrade.services.edge import (
+    _object_watch,
+    _store_availability,
+    peers,
+    ports,
+    runner,
+)
 
 # After a request, another worker reports for one that stays unresponsive for this long.
 UNRESPONSIVE_AFTER_S = 3.0
@@ -28,7 +34,7 @@
         self,
         kern: kernel.Kernel,
         store: platform.Platform,
-        availability: _object_watch.StoreAvailability,
+        availability: _store_availability.StoreAvailability,
         retirements: ports.Retirements,
     ) -> None:
         self._peers = kern.find("peers", peers.Peers)
--- a/src/cornelgrade/standins/platform_store.py
+++ b/src/cornelgrade/standins/platform_store.py
@@ -20,6 +20,7 @@
     """Faults of the platform.
 
     :param down: every call is refused.
+    :param silent: calls get no response, also watches that are waiting, even after it has ended.
     :param slow_s: seconds added to each call, half before and half after its effect.
     :param lose_answers: number of next writes that take effect but whose responses are lost.
     :param vm_lag_s: age in seconds of the VM list that readers see.
@@ -28,6 +29,7 @@
     """
 
     down: bool = False
+    silent: bool = False
     slow_s: float = 0.0
     lose_answers: int = 0
     vm_lag_s: float = 0.0
@@ -109,12 +111,14 @@
         self._history_limit = history_limit
         self._kinds: dict[str, _KindStore] = {}
         self._vm_lists: list[tuple[float, tuple[platform.Vm, ...]]] = []
+        self._silences = 0
         self.switches = Switches()
         self.switch(switches or Switches())
 
     def switch(self, switches: Switches) -> None:
         """Replace the switches; waiting watches see them at once."""
         self.switches = switches
+        self._silences += switches.silent
         self._write_bucket = _token_bucket.TokenBucket(switches.writes_per_s)
         self._read_bucket = _token_bucket.TokenBucket(switches.reads_per_s)
         for kind in self._kinds.values():
@@ -131,7 +135,9 @@
         """Change the VM list; readers see it ``vm_lag_s`` later."""
         self._vm_lists.append((trio.current_time(), vms))
 
-    async def get(self, kind: str, name: str) -> platform.StoredObject | None:
+    async def get(
+        self, kind: str, name: str, *, allow_stale: bool = False
+    ) -> platform.StoredObject | None:
         """Return an object, or ``None`` if it does not exist."""
         async with self._limit_read("get", kind):
             return self._get_kind_store(kind).objects.get(name)
@@ -182,12 +188,17 @@
         self, kind: str, prefix: str = "", after: int = 0, wait_s: float = 30.0
     ) -> platform.Changes:
         """Wait up to ``wait_s`` for changes under ``prefix`` after version ``after``."""
+        if self.switches.silent:
+            await self._lose_call("watch", wait_s + self.deadline_s)
         async with self._limit_read("watch", kind):
             kind_store = self._get_kind_store(kind)
+        silences = self._silences
         with trio.move_on_after(wait_s):
             while not self._has_changes(kind_store.get_changes(prefix, after, self.version)):
                 await kind_store.changed.wait()
                 self._refuse_if_down("watch")
+                if self._silences != silences:
+                    await self._lose_call("watch", wait_s + self.deadline_s)
         return kind_store.get_changes(prefix, after, self.version)
 
     async def vms(self) -> tuple[platform.Vm, ...]:
@@ -229,6 +240,8 @@
         self.calls[call] += 1
         self.calls[f"{call}:{kind}"] += 1
         self._refuse_if_down(call)
+        if self.switches.silent:
+            await self._lose_call(call, self.deadline_s, outcome_unknown=write)
         wait_s = bucket.take_token()
         if wait_s:
             self.calls["rate_limited"] += 1
@@ -245,6 +258,14 @@
         if self.switches.down:
             raise platform.UnavailableError("down", step=call)
 
+    @staticmethod
+    async def _lose_call(call: str, timeout_s: float, *, outcome_unknown: bool = False) -> None:
+        """Let a call run into its timeout."""
+        await trio.sleep(timeout_s)
+        raise platform.UnavailableError(
+            "no answer in time", step=call, outcome_unknown=outcome_unknown
+        )
+
     def _lose_response_if_set(self, call: str) -> None:
         remaining = self.switches.lose_answers
         if remaining:
