Blame a text of several callers less for crashes of the requests beside it

Cause: requests of one text share a fingerprint, so that crashes met by different callers' runs add up. The bounds on a request that crashes upstreams stay. Result: tests/policy, tests/services/test_quarantine.py and the edge tests of crashing requests pass.

--- a/src/cornelgrade/policy/quarantine.py
+++ b/src/cornelgrade/policy/quarantine.py
@@ -5,6 +5,10 @@
 suspect among them. The next response clears a request that did not cause the crash, whereas the one
 that did is in flight at every crash. A request that was in flight at several crashes in a row is
 quarantined even if no crash counts against it, because suspects of several VMs may have met.
+
+Callers may send the same text, so that their requests can't be told apart. If several of them were
+in flight at a crash beside other requests, the crash says little about the text: with many callers,
+it is in flight at most upstreams, whichever request crashes them.
 """
 
 import dataclasses
@@ -15,10 +19,13 @@
 # Crashes with a request in flight, counted or not. Operators allow a request three crashes and
 # three retries after them.
 MAX_CRASHES_SEEN = 6
+# Crashes with several copies of a request in flight beside others that weigh as much as one.
+SHARED_CRASHES_AS_ONE = 4
 # First pause before a quarantined batch item runs again; it doubles with each further crash.
 # Engines are back some seconds after a crash.
 PROBATION_S = 8.0
 MAX_PROBATION_DOUBLINGS = 8
+MAX_EVIDENCE = MAX_CRASHES_SEEN * SHARED_CRASHES_AS_ONE
 MAX_PEER_COUNTS = 8
 SUSPECT_S = 120.0
 QUARANTINE_S = 3_600.0
@@ -76,6 +83,7 @@
     :param source: id of the process that detected the crash.
     :param duplicate: another process counts this crash against the same request, which was in
         flight from there too.
+    :param shared: the request was in flight there more than once.
     """
 
     upstream: str
@@ -86,12 +94,18 @@
     unstable: bool = False
     source: str = ""
     duplicate: bool = False
+    shared: bool = False
+
+    @property
+    def weak(self) -> bool:
+        """Whether the request of several callers was in flight beside other requests."""
+        return self.shared and self.others > 0
 
     @property
     def counts(self) -> bool:
         """Whether this evidence attributes the crash to the request."""
         alone = self.other_suspects == 0 and (self.was_suspect or self.others == 0)
-        return alone and not self.duplicate
+        return alone and not self.duplicate and not self.weak
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -125,11 +139,17 @@
 
 
 def record_crash(
-    entry: Entry | None, fingerprint: str, crash: Crash, earlier: tuple[Crash, ...]
+    entry: Entry | None,
+    fingerprint: str,
+    crash: Crash,
+    earlier: tuple[Crash, ...],
+    *,
+    shared: bool = False,
 ) -> Entry:
     """Record a crash detected by this VM as evidence on a request that was in flight.
 
     :param earlier: recent crashes of the same upstream, including those reported by peers.
+    :param shared: whether the request was in flight more than once from this VM.
     """
     was_suspect = entry is not None
     entry = entry or Entry()
@@ -143,13 +163,14 @@
         other_suspects=crash.suspects - was_suspect,
         unstable=_crashed_without_request(entry, crash, earlier),
         source=crash.source,
+        shared=shared,
     )
     for peer_crash in earlier:
         if not peer_crash.own and _is_same_crash(peer_crash, crash, earlier):
             evidence = _add_peer_report(evidence, fingerprint, peer_crash)
     return dataclasses.replace(
         entry,
-        evidence=(*entry.evidence, evidence)[-MAX_CRASHES_SEEN:],
+        evidence=(*entry.evidence, evidence)[-MAX_EVIDENCE:],
         reported=entry.reported | {crash.upstream},
         expires_at_s=max(entry.expires_at_s, crash.at_s + SUSPECT_S),
         last_crash_s=crash.at_s,
@@ -183,6 +204,7 @@
         others=evidence.others + peer_crash.in_flight - same_request,
         other_suspects=evidence.other_suspects + max(0, peer_crash.suspects - same_request),
         duplicate=evidence.duplicate or (same_request and peer_crash.source < evidence.source),
+        shared=evidence.shared or same_request,
     )
 
 
@@ -241,7 +263,9 @@
 
 def count_own_crashes_seen(entry: Entry) -> int:
     """Count the crashes in this process's evidence that no other process counts."""
-    return sum(not e.duplicate for e in entry.evidence)
+    own = [e for e in entry.evidence if not e.duplicate]
+    weak = sum(e.weak for e in own)
+    return len(own) - weak + weak // SHARED_CRASHES_AS_ONE
 
 
 def crashes_seen(entry: Entry) -> int:
--- a/src/cornelgrade/services/edge/crash_detector.py
+++ b/src/cornelgrade/services/edge/crash_detector.py
@@ -42,10 +42,10 @@
 class _Check:
     """A check of one upstream.
 
-    :ivar fingerprints: requests in flight there when a failure asked for the check.
+    :ivar fingerprints: requests in flight there when a failure asked for the check, by call.
     """
 
-    fingerprints: set[str] = dataclasses.field(default_factory=set)
+    fingerprints: dict[int, str] = dataclasses.field(default_factory=dict)
     done: trio.Event = dataclasses.field(default_factory=trio.Event)
 
 
@@ -112,7 +112,7 @@
         check = self._checks.setdefault(boot, _Check())
         if not check.fingerprints and self._nursery is not None:
             self._nursery.start_soon(self._run_check, up, boot, check)
-        check.fingerprints.update(self._in_flight.get(boot, {}).values())
+        check.fingerprints.update(self._in_flight.get(boot, {}))
         return check
 
     async def _run_check(self, up: routes.Upstream, boot: _Boot, check: _Check) -> None:
@@ -131,7 +131,7 @@
             self.record_response(up)
         elif boot not in self._down:
             self._record_crash(boot)
-            self._quarantine.report_crash(up.name, tuple(sorted(check.fingerprints)))
+            self._quarantine.report_crash(up.name, tuple(check.fingerprints.values()))
         check.done.set()
 
     def _record_crash(self, boot: _Boot) -> None:
--- a/src/cornelgrade/services/quarantine.py
+++ b/src/cornelgrade/services/quarantine.py
@@ -182,11 +182,13 @@
             await trio.sleep_until(quarantine.decided_at_s(entry))
 
     def report_crash(self, upstream: str, in_flight: tuple[str, ...]) -> None:
-        """Record an engine's crash and attribute it to the requests in flight there."""
+        """Record an engine's crash and attribute it to the requests in flight there.
+
+        :param in_flight: fingerprints, once for each request.
+        """
         now_s = trio.current_time()
-        fingerprints = tuple(
-            f for f in dict.fromkeys(in_flight) if not self._has_completed(f, now_s)
-        )
+        copies = collections.Counter(in_flight)
+        fingerprints = tuple(f for f in copies if not self._has_completed(f, now_s))
         suspects = tuple(f for f in fingerprints if self._is_suspect(f, now_s))
         sole = suspects if len(suspects) == 1 else fingerprints
         crash = quarantine.Crash(
@@ -198,7 +200,11 @@
             source=self._source,
         )
         earlier = tuple(c for c in self._crashes if c.upstream == upstream)
-        attributed = [f for f in fingerprints if self._attribute_crash(f, crash, earlier)]
+        attributed = [
+            f
+            for f in fingerprints
+            if self._attribute_crash(f, crash, earlier, shared=copies[f] > 1)
+        ]
         if not attributed:
             return
         self._crashes.append(crash)
@@ -217,10 +223,7 @@
 
     def report_completion(self, fingerprint: str) -> None:
         """Record that a request completed, which clears it in all processes."""
-        self._completed_s[fingerprint] = trio.current_time()
-        self._completed_s.move_to_end(fingerprint)
-        while len(self._completed_s) > MAX_COMPLETED:
-            self._completed_s.popitem(last=False)
+        self._record_completed(fingerprint)
         entry = self._entries.pop(fingerprint, None)
         if entry is None:
             return
@@ -231,6 +234,12 @@
             self._log.warning("request_released", fingerprint=fingerprint)
             self._decisions.deliver(ports.QuarantineDecision(fingerprint, 0.0))
 
+    def _record_completed(self, fingerprint: str) -> None:
+        self._completed_s[fingerprint] = trio.current_time()
+        self._completed_s.move_to_end(fingerprint)
+        while len(self._completed_s) > MAX_COMPLETED:
+            self._completed_s.popitem(last=False)
+
     def _has_completed(self, fingerprint: str, now_s: float) -> bool:
         completed_s = self._completed_s.get(fingerprint)
         return completed_s is not None and now_s - completed_s < COMPLETED_TTL_S
@@ -240,13 +249,18 @@
         return standing is not quarantine.RequestStatus.CLEAR
 
     def _attribute_crash(
-        self, fingerprint: str, crash: quarantine.Crash, earlier: tuple[quarantine.Crash, ...]
+        self,
+        fingerprint: str,
+        crash: quarantine.Crash,
+        earlier: tuple[quarantine.Crash, ...],
+        *,
+        shared: bool,
     ) -> bool:
         """Attribute a crash to a request; return ``False`` if it was already recorded."""
         entry = self._entries.get(fingerprint)
         if entry is not None and entry.expires_at_s <= crash.at_s:
             entry = None
-        updated = quarantine.record_crash(entry, fingerprint, crash, earlier)
+        updated = quarantine.record_crash(entry, fingerprint, crash, earlier, shared=shared)
         self._store_entry(fingerprint, updated)
         return updated is not entry
 
@@ -317,6 +331,7 @@
             return
         if message.expires_s <= 0.0:
             self._entries.pop(message.fingerprint, None)
+            self._record_completed(message.fingerprint)
             return
         now_s = trio.current_time()
         expires_at_s = now_s + min(message.expires_s, quarantine.QUARANTINE_S)
--- a/tests/policy/test_quarantine_rules.py
+++ b/tests/policy/test_quarantine_rules.py
@@ -108,3 +108,29 @@
         entry = quarantine.merge_peer_count(entry, quarantine.PeerCount(source, count), 10.0, 0.0)
     assert len(entry.peer_counts) <= quarantine.MAX_PEER_COUNTS
     assert len({h.source for h in entry.peer_counts}) == len(entry.peer_counts)
+
+
+# Guards against blaming a text that many callers send for crashes of the requests beside it.
+def test_crash_with_several_copies_of_a_request_beside_others_counts_little():
+    entry = None
+    for number in range(quarantine.MAX_CRASHES_SEEN):
+        own = crash(number * 10.0, 2, bool(entry), upstream=f"u{number}")
+        entry = entry and quarantine.clear_reported(entry)
+        entry = quarantine.record_crash(entry, X, own, (), shared=True)
+    assert quarantine.classify_request(entry, 60.0) is quarantine.RequestStatus.SUSPECT
+
+
+# Guards against a request that crashes upstreams without limit because its callers are many.
+def test_request_of_several_callers_is_quarantined_in_the_end():
+    entry = None
+    for number in range(quarantine.MAX_CRASHES_SEEN * quarantine.SHARED_CRASHES_AS_ONE):
+        own = crash(float(number), 2, bool(entry), upstream=f"u{number}")
+        entry = entry and quarantine.clear_reported(entry)
+        entry = quarantine.record_crash(entry, X, own, (), shared=True)
+    assert quarantine.classify_request(entry, 60.0) is quarantine.RequestStatus.QUARANTINED
+
+
+# Guards against letting a crash with nothing but copies of one request in flight go unblamed.
+def test_crash_with_only_copies_of_a_request_in_flight_counts():
+    entry = quarantine.record_crash(None, X, crash(0.0), (), shared=True)
+    assert quarantine.crashes(entry) == 1
--- a/tests/services/test_quarantine.py
+++ b/tests/services/test_quarantine.py
@@ -311,3 +311,14 @@
     assert quarantined == {"culprit"}
     assert not waiting
     assert alone_crashes <= 2
+
+
+# Guards against blaming a text at one VM that has just completed at another, for the next crash.
+async def test_completion_at_one_vm_protects_the_request_from_blame_at_all(autojump_clock, fleet):
+    fleet["one"].report_crash("engine-1", ("x", "y"))
+    await trio.sleep(1.0)
+    fleet["three"].report_completion("x")
+    await trio.sleep(0.1)
+    fleet["two"].report_crash("engine-2", ("x", "y"))
+    assert fleet["two"].verdict("x") is ports.Verdict.CLEAR
+    assert fleet["two"].verdict("y") is ports.Verdict.ALONE
