Stand-ins keep the port of a server that is down

What was seen: test_item_that_crashed_three_upstreams_is_not_repeated[3] failed once, with 'Address already in use' as its engine started again. Cause (by the traceback): the stand-in gives its port free while it is down, and another process on this machine got it; a soak ran beside. Change: a bound socket that never listens keeps the port.

--- a/src/cornelgrade/standins/_http_server.py
+++ b/src/cornelgrade/standins/_http_server.py
@@ -1,5 +1,7 @@
 """HTTP server of the stand-ins, which can also crash, restart and stop responding."""
 
+import socket
+
 import trio
 
 from cornelgrade import addresses
@@ -24,15 +26,17 @@
         self, address: str, task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED
     ) -> None:
         """Serve until cancelled, restarting after each crash; reports the bound ``IP:port``."""
-        async with trio.open_nursery() as nursery:
-            bound = await nursery.start(self._serve_until_crash, address)
-            host, port = addresses.split_host_port(bound)
-            task_status.started(bound)
-            while True:
-                with trio.CancelScope() as self._up_scope:
-                    await trio.sleep_forever()
-                await trio.sleep(self._down_s)
-                await nursery.start(self._serve_until_crash, addresses.join_host_port(host, port))
+        host, port = addresses.split_host_port(address)
+        with _reserve_port(host, port) as reserved:
+            bound = addresses.join_host_port(host, reserved.getsockname()[1])
+            async with trio.open_nursery() as nursery:
+                await nursery.start(self._serve_until_crash, bound)
+                task_status.started(bound)
+                while True:
+                    with trio.CancelScope() as self._up_scope:
+                        await trio.sleep_forever()
+                    await trio.sleep(self._down_s)
+                    await nursery.start(self._serve_until_crash, bound)
 
     async def _serve_until_crash(
         self, address: str, task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED
@@ -52,3 +56,11 @@
         """Send nothing more on the connections that are open now."""
         for conn in self._connections:
             conn.stalled = True
+
+
+def _reserve_port(host: str, port: int) -> socket.socket:
+    """Return a socket that keeps other processes off a port while the server is down."""
+    reserved = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    reserved.bind((host, port))
+    return reserved
