Send nothing more to an upstream that says in a response that it is leaving

Cause: only registrations told of leaving, and they lag, lapse or stay while the store is away. Change: every head of a response (online, resumed stream, batch item, load report, refusal, error, another request's response) is looked at; fleet keeps the word for this start of the upstream (name and start time) and tells the processes near the VM and the upstream. The soak has an engine that says so long before its registration goes, and judges each VM by it.

--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -290,6 +290,19 @@
     await faults.system.unregister(engine)
 
 
+async def _engine_says_leaving(faults: Injection) -> None:
+    """Let an engine say in its answers that it leaves, long before its registration is gone."""
+    if (engine := faults.free_engine()) is None:
+        return
+    engine.held = True
+    engine.stand_in.faults = msgspec.structs.replace(faults.system.engine_faults, leaving=True)
+    engine.said_leaving_s = trio.current_time()
+    await faults.system.add_engine(f"engine-{len(faults.system.engines)}", engine.domain)
+    await trio.sleep(2 * LEAVE_S)
+    await faults.system.unregister(engine)
+    engine.left_s = trio.current_time()
+
+
 async def _change(faults: Injection) -> None:
     await faults.system.change()
 
@@ -311,4 +324,7 @@
     "engine_leaves": _engine_leaves,
     "change": _change,
 }
-_LATER_ACTS: dict[str, Act] = {"store_silent": _store_silent}
+_LATER_ACTS: dict[str, Act] = {
+    "store_silent": _store_silent,
+    "engine_says_leaving": _engine_says_leaving,
+}
--- a/bench/soak/judge.py
+++ b/bench/soak/judge.py
@@ -12,6 +12,8 @@
 IN_FORCE_S = 3.0
 # After a fault on the way to the store, a process may need a watch's retry to learn of a change.
 CATCH_UP_S = 6.0
+# From an answer that says that its engine leaves until nothing is sent there any more.
+DRAIN_S = 2.0
 # From the acknowledgement of a cancellation until no item of the job begins any more.
 CANCEL_S = 3.0
 # The wall clocks of this process and of the others are read at different moments.
@@ -46,6 +48,7 @@
             self._job(job)
         for engine in self.system.engines.values():
             self._leaving(engine)
+            self._says_leaving(engine)
         self._plans()
         self._culprit()
         self._logs()
@@ -124,6 +127,25 @@
                 name = engine.stand_in.name
                 self.problems.append(f"{attempt.request} came to {name} after it left")
 
+    def _says_leaving(self, engine: world.Engine) -> None:
+        """Check what a VM sends to an engine after it passed on that the engine leaves."""
+        if engine.said_leaving_s is None:
+            return
+        requests = {req.id: req for req in self.seen.requests}
+        told_s: dict[str, float] = {}
+        for attempt in engine.stand_in.seen:
+            req = requests.get(attempt.request)
+            if req and req.status == 200 and req.whole and attempt.at_s > engine.said_leaving_s:
+                told_s[req.gateway] = min(req.end_s, told_s.get(req.gateway, req.end_s))
+        for attempt in engine.stand_in.seen:
+            req = requests.get(attempt.request)
+            if req is None or req.gateway not in told_s:
+                continue
+            since_s = told_s[req.gateway]
+            late = req.begin_s > since_s + DRAIN_S
+            if late and not self.system.touched({req.gateway}, since_s, req.begin_s):
+                self._problem(req, f"came to {engine.stand_in.name}, which had said it leaves")
+
     def _plans(self) -> None:
         latest: dict[str, int] = collections.defaultdict(int)
         for look in sorted(self.seen.marks, key=lambda m: m.begin_s):
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -165,6 +165,7 @@
     """An engine behind a proxy, and the registration that names the proxy.
 
     :ivar left_s: when its registration said that it leaves.
+    :ivar said_leaving_s: when its answers began to say so.
     """
 
     stand_in: stream_engine.StreamEngine
@@ -174,6 +175,7 @@
     born: int = 0
     held: bool = False
     left_s: float | None = None
+    said_leaving_s: float | None = None
 
 
 class World:
--- a/src/cornelgrade/edge_daemons.py
+++ b/src/cornelgrade/edge_daemons.py
@@ -75,7 +75,7 @@
 ) -> Drain:
     """Add a worker's services in start order and return its drain function."""
     availability = _add_common_services(kern, cfg, dependencies, peers.Role.WORKER)
-    caller = item_call.ItemCaller(dependencies.calls)
+    caller = item_call.ItemCaller(kern, dependencies.calls)
     item_runner = runner.Runner(
         kern, cfg, dependencies.store, availability, caller, dependencies.calls
     )
@@ -100,7 +100,7 @@
             kern, dependencies.store, dependencies.directory, availability, cfg.vm
         )
     )
-    kern.add(fleet.Fleet(dependencies.store, dependencies.directory, availability))
+    kern.add(fleet.Fleet(kern, dependencies.store, dependencies.directory, availability))
     kern.add(quarantine.Quarantine(kern, quarantine_sync.PeerReports(peer_service)))
     kern.add(
         quarantine_sync.QuarantineSync(kern, dependencies.store, availability, cfg.vm), _RESTART
--- a/src/cornelgrade/platform/calls.py
+++ b/src/cornelgrade/platform/calls.py
@@ -14,6 +14,8 @@
 _EXPECT_INSTANCE = b"x-expect-instance"
 _RESPONSE_SIGNATURE = b"x-response-signature"
 _NOT_EXECUTED = b"x-not-executed"
+_SERVER_LEAVING = b"server-leaving"
+_LEAVING = b"1"
 _LAST_EVENT_ID = b"last-event-id"
 _RETRY_AFTER = "Retry-After"
 _STATUS_WRONG_INSTANCE = 421
@@ -95,6 +97,10 @@
             return ports.Verdict.UNSIGNED
         return ports.Verdict.RESPONSE
 
+    def is_leaving(self, head: http1.ResponseHead) -> bool:
+        """Return whether the engine that responded says that it is leaving."""
+        return head.get(_SERVER_LEAVING) == _LEAVING
+
     def caller_headers(self, head: http1.ResponseHead) -> http1.Headers:
         """Return the headers of an upstream's response to the caller."""
         return http1.drop_hop_by_hop_headers(head.headers)
--- a/src/cornelgrade/platform/standins/stream_engine.py
+++ b/src/cornelgrade/platform/standins/stream_engine.py
@@ -29,6 +29,7 @@
     :param crash_after: number of events sent before such a crash; ``None`` for not even a head.
     :param down_s: how long the engine is down after such a crash.
     :param dark: such a crash closes no connection; the engine only falls silent.
+    :param leaving: say in each response that the engine is leaving.
     """
 
     decline: bool = False
@@ -41,6 +42,7 @@
     crash_after: int | None = None
     down_s: float = 0.5
     dark: bool = False
+    leaving: bool = False
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -123,7 +125,7 @@
         await trio.sleep_until(self._dark_until_s)
         if req.raw_path == "/report":
             load = {"running": self.running, "waiting": self.waiting, "born": self.started_ms}
-            await req.respond(200, msgspec.json.encode(load))
+            await req.respond(200, msgspec.json.encode(load), self._notice())
             return
         after = req.headers.get("last-event-id")
         resume_after = int(after) if after else None
@@ -133,9 +135,9 @@
         )
         self.seen.append(seen)
         if req.headers.get("x-expect-instance", self.name) != self.name:
-            await req.respond(421, b"", (("x-instance-id", self.name),))
+            await req.respond(421, b"", (("x-instance-id", self.name), *self._notice()))
         elif self.faults.decline or self.waiting >= MAX_QUEUED_REQUESTS:
-            await req.respond(503, b"", (("x-not-executed", "1"),))
+            await req.respond(503, b"", (("x-not-executed", "1"), *self._notice()))
         else:
             await self._serve(req, seen)
 
@@ -161,9 +163,10 @@
 
     async def _answer(self, req: _http_server.Exchange, seen: ReceivedRequest) -> None:
         signature = () if self.faults.unsigned else (("x-response-signature", "signed"),)
-        head = (("x-request-id", seen.request), *signature)
+        head = (("x-request-id", seen.request), *signature, *self._notice())
         if self.faults.foreign:
-            await req.respond(200, b"not yours", (("x-request-id", "someone-else"),))
+            foreign = (("x-request-id", "someone-else"), *self._notice())
+            await req.respond(200, b"not yours", foreign)
             return
         if self.faults.fail:
             await trio.sleep(self.event_s)
@@ -178,6 +181,9 @@
             await req.send_chunk(encode_event(seen.request, number))
         await req.end_response()
 
+    def _notice(self) -> tuple[tuple[str, str], ...]:
+        return (("server-leaving", "1"),) if self.faults.leaving else ()
+
     async def _inject_faults(self, req: _http_server.Exchange, sent_events: int) -> None:
         if self.faults.cut_after == sent_events:
             await req.send_chunk(b"id: 99\nda")
--- a/src/cornelgrade/schema/codec.py
+++ b/src/cornelgrade/schema/codec.py
@@ -114,7 +114,9 @@
 
 
 def _write_leaving(out: Any, field: str, body: ports.Leaving) -> None:
-    out.init(field).upstream = body.upstream
+    builder = out.init(field)
+    builder.upstream = body.upstream
+    builder.startedMs = body.started_ms
 
 
 def _write_uses(out: Any, field: str, body: messages.Uses) -> None:
@@ -196,7 +198,7 @@
     "upstreamCrashed": lambda raw: ports.UpstreamCrashed(
         raw.source, raw.upstream, raw.inFlight, raw.suspects, raw.fingerprint
     ),
-    "leaving": lambda raw: ports.Leaving(raw.upstream),
+    "leaving": lambda raw: ports.Leaving(raw.upstream, raw.startedMs),
 }
 
 _READERS: dict[str, Callable[[Any], messages.Body]] = {
--- a/src/cornelgrade/schema/peer.capnp
+++ b/src/cornelgrade/schema/peer.capnp
@@ -54,6 +54,7 @@
 
 struct Leaving {
   upstream @0 :Text;
+  startedMs @1 :UInt64;
 }
 
 struct Probe {
--- a/src/cornelgrade/services/edge/fleet.py
+++ b/src/cornelgrade/services/edge/fleet.py
@@ -1,21 +1,34 @@
 """The service ``fleet``: the plan in force and the registered upstreams."""
 
+import collections
 from collections.abc import Callable
 
 import trio
 
-from cornelgrade import logs, routes
+from cornelgrade import kernel, logs, routes
 from cornelgrade.adapters import platform
 from cornelgrade.policy import registrations, route_table
-from cornelgrade.services.edge import _notifier, _object_watch, _store_availability, ports
+from cornelgrade.services import ports as shared_ports
+from cornelgrade.services.edge import (
+    _notifier,
+    _object_watch,
+    _store_availability,
+    peers,
+    ports,
+)
 
 EXPIRY_INTERVAL_S = 0.25
+# Upstreams whose own notice is remembered: more than leave while one of them still responds.
+MAX_NOTICES = 1024
 _log = logs.Logger("fleet")
 
 
 class Fleet:
     """Watches plans and registrations; never replaces a plan by an older version.
 
+    An upstream that says in a response that it is leaving gets no more work from then on, whatever
+    its registration says: the store may be away, or the registration late.
+
     :ivar changed: notified after each change.
     """
 
@@ -23,16 +36,21 @@
 
     def __init__(
         self,
+        kern: kernel.Kernel,
         store: platform.Platform,
         directory: ports.Directory,
         availability: _store_availability.StoreAvailability,
     ) -> None:
+        self._peers = kern.find("peers", peers.Peers)
         self.changed = _notifier.Notifier()
         self._store = store
         self._directory = directory
         self._availability = availability
         self._table: route_table.RouteTable | None = None
         self._registered: registrations.Registrations = {}
+        self._notices: collections.OrderedDict[shared_ports.Leaving, None] = (
+            collections.OrderedDict()
+        )
 
     async def run(self, started: Callable[[], None]) -> None:
         """Watch until cancelled."""
@@ -53,6 +71,7 @@
                 self._apply_registrations,
             )
             nursery.start_soon(self._expire_registrations)
+            nursery.start_soon(self._receive_notices, self._peers.subscribe(shared_ports.Leaving))
             started()
 
     def table(self) -> route_table.RouteTable | None:
@@ -61,7 +80,42 @@
 
     def usable_registrations(self) -> tuple[registrations.Registration, ...]:
         """Return the registrations of upstreams that may receive new requests."""
-        return registrations.list_usable(self._registered, trio.current_time())
+        usable = registrations.list_usable(self._registered, trio.current_time())
+        if not self._notices:
+            return usable
+        return tuple(reg for reg in usable if _make_notice(reg.upstream) not in self._notices)
+
+    def record_leaving(self, up: routes.Upstream) -> None:
+        """Record that an upstream said in a response that it is leaving, and tell others.
+
+        Those are told that send it most of its work: the processes of its failure domain and of
+        this one. The others find out from its registration or by its responses to themselves.
+        """
+        notice = _make_notice(up)
+        if self._record_notice(notice):
+            _log.info("upstream_says_leaving", upstream=up.name, started_ms=up.started_ms)
+            nearby = self._peers.other_vms_nearby()
+            for vm in {*nearby, *self._peers.other_vms_in(up.failure_domain)}:
+                self._peers.send(vm, notice)
+
+    async def _receive_notices(
+        self, received: trio.MemoryReceiveChannel[shared_ports.Leaving]
+    ) -> None:
+        async for notice in received:
+            if self._record_notice(notice):
+                _log.info(
+                    "upstream_told_leaving", upstream=notice.upstream, started_ms=notice.started_ms
+                )
+
+    def _record_notice(self, notice: shared_ports.Leaving) -> bool:
+        """Record a notice; return ``False`` if it is known."""
+        if notice in self._notices:
+            return False
+        self._notices[notice] = None
+        while len(self._notices) > MAX_NOTICES:
+            self._notices.popitem(last=False)
+        self.changed.notify_all()
+        return True
 
     async def _apply_plans(self, changes: platform.Changes, is_snapshot: bool) -> None:
         for stored in changes.items:
@@ -108,3 +162,8 @@
         while True:
             await trio.sleep(EXPIRY_INTERVAL_S)
             self._registered = registrations.drop_expired(self._registered, trio.current_time())
+
+
+def _make_notice(up: routes.Upstream) -> shared_ports.Leaving:
+    """Return the notice about this start of an upstream; its next start gets work again."""
+    return shared_ports.Leaving(up.name, up.started_ms)
--- a/src/cornelgrade/services/edge/item_call.py
+++ b/src/cornelgrade/services/edge/item_call.py
@@ -4,10 +4,10 @@
 
 import trio
 
-from cornelgrade import routes
+from cornelgrade import kernel, routes
 from cornelgrade.adapters import engine, http1
 from cornelgrade.policy import event_stream
-from cornelgrade.services.edge import job_repository, ports
+from cornelgrade.services.edge import fleet, job_repository, ports
 
 CONNECT_TIMEOUT_S = 0.3
 # An upstream with a free slot responds within a fraction of a second.
@@ -38,7 +38,8 @@
 class ItemCaller:
     """Sends batch items to upstreams."""
 
-    def __init__(self, call_format: ports.CallFormat) -> None:
+    def __init__(self, kern: kernel.Kernel, call_format: ports.CallFormat) -> None:
+        self._fleet = kern.find("fleet", fleet.Fleet)
         self._call_format = call_format
 
     async def run_item(
@@ -59,7 +60,7 @@
         )
         with await http1.connect(up.address, CONNECT_TIMEOUT_S) as channel:
             await channel.send("POST", item.target.encode("latin-1"), request_headers, item.body)
-            head = await self._read_head(channel, item)
+            head = await self._read_head(channel, item, up)
             if head.status == _UNPROCESSABLE_STATUS:
                 return ports.ItemResult(item.name, ports.ItemEnd.GIVEN_UP, "")
             if head.status == _RUN_FAILED_STATUS:
@@ -69,9 +70,13 @@
             await self._read_events(channel, partial)
         return ports.ItemResult(item.name, ports.ItemEnd.COMPLETED, "\n".join(partial.texts))
 
-    async def _read_head(self, channel: http1.Channel, item: ports.Item) -> http1.ResponseHead:
+    async def _read_head(
+        self, channel: http1.Channel, item: ports.Item, up: routes.Upstream
+    ) -> http1.ResponseHead:
         with trio.move_on_after(RESPONSE_TIMEOUT_S):
             head = await channel.read_head()
+            if self._call_format.is_leaving(head):
+                self._fleet.record_leaving(up)
             verdict = self._call_format.verdict(head, item.name)
             if verdict is ports.Verdict.NOT_RUN:
                 channel.progress = engine.Progress.NOT_SENT
--- a/src/cornelgrade/services/edge/peers.py
+++ b/src/cornelgrade/services/edge/peers.py
@@ -131,8 +131,13 @@
 
     def other_vms_nearby(self) -> tuple[str, ...]:
         """Return all registered processes of this failure domain but this one."""
-        domain = self._own_entry.failure_domain
-        return tuple(vm for vm, peer in self._peers.items() if peer.entry.failure_domain == domain)
+        return self.other_vms_in(self._own_entry.failure_domain)
+
+    def other_vms_in(self, failure_domain: str) -> tuple[str, ...]:
+        """Return all registered processes of a failure domain but this one."""
+        return tuple(
+            vm for vm, peer in self._peers.items() if peer.entry.failure_domain == failure_domain
+        )
 
     def batch_owner(self, upstream: str, failure_domain: str) -> str | None:
         """Return the worker that runs batch items on an upstream; local ones are preferred."""
--- a/src/cornelgrade/services/edge/ports.py
+++ b/src/cornelgrade/services/edge/ports.py
@@ -75,6 +75,9 @@
     def verdict(self, head: http1.ResponseHead, request_id: str) -> Verdict:
         """Classify the head of an upstream's response to a request."""
 
+    def is_leaving(self, head: http1.ResponseHead) -> bool:
+        """Return whether an upstream says in a response, of any status, that it is leaving."""
+
     def caller_headers(self, head: http1.ResponseHead) -> http1.Headers:
         """Return the headers of an upstream's response as sent to the caller."""
 
--- a/src/cornelgrade/services/edge/relay.py
+++ b/src/cornelgrade/services/edge/relay.py
@@ -239,6 +239,8 @@
         with trio.move_on_after(self._idle_timeout_s(req, progress, req.route.aim_s)):
             while True:
                 head = await channel.read_head()
+                if self._call_format.is_leaving(head):
+                    self._fleet.record_leaving(up)
                 verdict = self._call_format.verdict(head, req.caller.request_id)
                 if verdict is not ports.Verdict.FOREIGN:
                     break
--- a/src/cornelgrade/services/edge/runner.py
+++ b/src/cornelgrade/services/edge/runner.py
@@ -82,7 +82,11 @@
         )
         self._wake = _notifier.Notifier()
         self._uses = upstream_uses.UpstreamUses(
-            self._peers, call_format, self._count_items_at, self._wake.notify_all
+            self._peers,
+            call_format,
+            self._count_items_at,
+            self._wake.notify_all,
+            self._fleet.record_leaving,
         )
         self._pace = batch_capacity.Pace()
         self._stopping = False
--- a/src/cornelgrade/services/edge/slot_permits.py
+++ b/src/cornelgrade/services/edge/slot_permits.py
@@ -182,7 +182,9 @@
         while any(reg.upstream == upstream for reg in self._fleet.usable_registrations()):
             await trio.sleep(PROBE_INTERVAL_S)
             try:
-                await upstream_loads.fetch_load(self._call_format, upstream)
+                await upstream_loads.fetch_load(
+                    self._call_format, upstream, self._fleet.record_leaving
+                )
                 break
             except engine.CallError as exc:
                 _log.debug(
--- a/src/cornelgrade/services/edge/upstream_loads.py
+++ b/src/cornelgrade/services/edge/upstream_loads.py
@@ -16,6 +16,7 @@
 LOAD_TIMEOUT_S = 0.5
 REPORT_TTL_S = 0.8
 MAX_RESPONSE_BYTES = 1_000_000
+LeavingHandler = Callable[[routes.Upstream], None]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -34,10 +35,17 @@
     """Keeps the latest report of each upstream.
 
     :param count_items_at: returns the number of batch items that run at an upstream.
+    :param on_leaving: called for an upstream that says that it is leaving.
     """
 
-    def __init__(self, call_format: ports.CallFormat, count_items_at: Callable[[str], int]) -> None:
+    def __init__(
+        self,
+        call_format: ports.CallFormat,
+        count_items_at: Callable[[str], int],
+        on_leaving: LeavingHandler,
+    ) -> None:
         self._call_format = call_format
+        self._on_leaving = on_leaving
         self._count_items_at = count_items_at
         self._reports: dict[str, LoadReport] = {}
 
@@ -72,7 +80,7 @@
     ) -> None:
         batch = self._count_items_at(up.name)
         try:
-            load = await fetch_load(self._call_format, up)
+            load = await fetch_load(self._call_format, up, self._on_leaving)
         except engine.CallError as exc:
             on_failure(up, exc)
             return
@@ -83,10 +91,11 @@
 
 
 async def fetch_load(
-    call_format: ports.CallFormat, up: routes.Upstream
+    call_format: ports.CallFormat, up: routes.Upstream, on_leaving: LeavingHandler
 ) -> ports.UpstreamLoad | None:
     """Request an upstream's load; return ``None`` for an unusable response.
 
+    :param on_leaving: called if the upstream says that it is leaving.
     :raises CallError: if it does not respond in time.
     """
     with trio.move_on_after(LOAD_TIMEOUT_S):
@@ -94,6 +103,8 @@
             host = ((b"host", up.address.encode()),)
             await channel.send("GET", call_format.load_target, host, b"")
             head = await channel.read_head()
+            if call_format.is_leaving(head):
+                on_leaving(up)
             body = await channel.read_body(MAX_RESPONSE_BYTES)
             return call_format.parse_load(body) if head.status == 200 else None
     raise engine.CallError(
--- a/src/cornelgrade/services/ports.py
+++ b/src/cornelgrade/services/ports.py
@@ -124,9 +124,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Leaving:
-    """A notice that an upstream is leaving and should get no new work."""
+    """A notice that an upstream is leaving and should get no new work.
+
+    :param started_ms: Unix time of the start that it is about, in milliseconds; 0 for any.
+    """
 
     upstream: str
+    started_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
