Share one watch of a job's results among its callers at a gateway

Cause: each read watched the store by itself for the second that its caller waits. Change: the service 'results' follows a job by one watch while callers ask, sent again each 3 s, since a watch may be lost without a sign; a read that may miss results gets 503. Headers of accepted jobs and inputs, which don't change, are read as stale copies first. Watches of the store wait 28 s, not 20.

--- a/src/cornelgrade/edge_daemons.py
+++ b/src/cornelgrade/edge_daemons.py
@@ -22,6 +22,7 @@
     peers,
     ports,
     quarantine_sync,
+    result_reader,
     runner,
     slot_permits,
     store_monitor,
@@ -61,10 +62,14 @@
     kern: kernel.Kernel, cfg: settings.EdgeSettings, dependencies: Dependencies
 ) -> Drain:
     """Add a gateway's services in start order and return its drain function."""
-    _add_common_services(kern, cfg, dependencies, peers.Role.GATEWAY)
+    availability = _add_common_services(kern, cfg, dependencies, peers.Role.GATEWAY)
     kern.add(slot_permits.SlotPermits(kern, cfg, dependencies.calls))
     repository = job_repository.JobRepository(dependencies.store, cfg.value_bytes)
-    handler = job_handler.JobHandler(repository, dependencies.calls, dependencies.job_calls)
+    results = result_reader.ResultReader(repository, availability)
+    kern.add(results)
+    handler = job_handler.JobHandler(
+        repository, results, dependencies.calls, dependencies.job_calls
+    )
     public_frontend = frontend.Frontend(kern, cfg, dependencies.calls, handler)
     kern.add(public_frontend)
     return public_frontend.drain
--- a/src/cornelgrade/services/edge/_object_watch.py
+++ b/src/cornelgrade/services/edge/_object_watch.py
@@ -9,7 +9,7 @@
 from cornelgrade.services.edge import _store_availability
 
 # Timeout of one watch call; the platform allows 30 s.
-WATCH_TIMEOUT_S = 20.0
+WATCH_TIMEOUT_S = 28.0
 # Pauses after failed watches while the store responds to other calls; each is twice the one before.
 MIN_RETRY_PAUSE_S = 0.1
 MAX_RETRY_PAUSE_S = 0.8
--- a/src/cornelgrade/services/edge/job_handler.py
+++ b/src/cornelgrade/services/edge/job_handler.py
@@ -1,7 +1,5 @@
 """Handles requests to submit, read and end batch jobs at a gateway."""
 
-import collections
-import dataclasses
 import time
 from collections.abc import Awaitable, Callable, Iterable
 
@@ -11,10 +9,8 @@
 from cornelgrade import errors, logs, metrics, routes
 from cornelgrade.adapters import http1_server, platform
 from cornelgrade.policy import route_table
-from cornelgrade.services.edge import job_repository, ports
+from cornelgrade.services.edge import job_repository, ports, result_reader
 
-# Jobs whose results are cached; the least recently read job is evicted first.
-MAX_CACHED_JOBS = 64
 # Text bytes in one response, below the 1 MB that callers accept.
 MAX_PAGE_BYTES = 900_000
 RETRY_AFTER_S = 0.5
@@ -27,40 +23,23 @@
 _log = logs.Logger("job_desk")
 
 
-@dataclasses.dataclass(slots=True)
-class _CachedResults:
-    """Results of a job that this gateway has read so far.
-
-    :ivar revision: store revision to continue reading from, 0 to read everything.
-    """
-
-    header: job_repository.JobHeader
-    results: list[ports.ItemResult] = dataclasses.field(default_factory=list)
-    revision: int = 0
-    lock: trio.Lock = dataclasses.field(default_factory=trio.Lock)
-
-    @property
-    def complete(self) -> bool:
-        """Whether all results have been read."""
-        return len(self.results) >= self.header.total
-
-
 class JobHandler:
-    """Answers requests about jobs from the store; holds only a cache."""
+    """Answers requests about jobs from the store."""
 
     def __init__(
         self,
         repository: job_repository.JobRepository,
+        results: result_reader.ResultReader,
         call_format: ports.CallFormat,
         job_call_format: ports.JobCallFormat,
     ) -> None:
         self._repository = repository
+        self._results = results
         self._call_format = call_format
         self._job_call_format = job_call_format
         self._call_counter = metrics.counter(
             "cornelgrade_edge_job_calls_total", "Calls about jobs by act and outcome."
         )
-        self._cache: collections.OrderedDict[str, _CachedResults] = collections.OrderedDict()
         self._operations: dict[
             ports.JobOperation, Callable[[http1_server.Exchange, ports.JobCall], Awaitable[str]]
         ] = {
@@ -175,56 +154,13 @@
             raise _token_limit_refusal(waiting, header.tokens, token_limit)
         await self._repository.accept_job(stored_header)
 
-    async def _load_cached(self, job: str) -> _CachedResults:
-        """Return the cached results of a job; the first call reads its header from the store.
-
-        :raises Refusal: ``NOT_FOUND`` if there is no such job.
-        """
-        cached = self._cache.get(job)
-        if cached is None:
-            stored_header = await self._repository.find_job(job)
-            if stored_header is None or not stored_header.header.accepted:
-                raise errors.Refusal(errors.Code.NOT_FOUND, f"no job {job}", step="read")
-            cached = self._cache.setdefault(job, _CachedResults(stored_header.header))
-        self._cache.move_to_end(job)
-        while len(self._cache) > MAX_CACHED_JOBS:
-            self._cache.popitem(last=False)
-        return cached
-
     async def _send_results(self, exchange: http1_server.Exchange, call: ports.JobCall) -> str:
-        cached = await self._load_cached(call.job)
-        if len(cached.results) <= call.after:
-            await self._catch_up(cached, call)
-        page = tuple(_limit_page(cached.results[call.after :]))
-        body = self._job_call_format.encode_page(cached.header.total, call.after, page)
+        total, results = await self._results.read(call.job, call.after, call.wait_s)
+        page = tuple(_limit_page(results))
+        body = self._job_call_format.encode_page(total, call.after, page)
         await exchange.respond(200, body)
         return f"{len(page)} results from {call.after}"
 
-    async def _catch_up(self, cached: _CachedResults, call: ports.JobCall) -> None:
-        """Read new results from the store, waiting if there are none yet."""
-        async with cached.lock:
-            if len(cached.results) > call.after:
-                return
-            if not cached.revision:
-                await self._refresh(cached, 0.0)
-            elif not cached.complete:
-                await self._refresh(cached, call.wait_s)
-                return
-            if call.wait_s and len(cached.results) <= call.after and not cached.complete:
-                await self._refresh(cached, call.wait_s)
-
-    async def _refresh(self, cached: _CachedResults, wait_s: float) -> None:
-        listed, revision, reset = await self._repository.list_results(
-            cached.header.job, cached.revision, wait_s
-        )
-        if reset:
-            listed, revision, _ = await self._repository.list_results(cached.header.job, 0, 0.0)
-            cached.results.clear()
-        elif not cached.revision:
-            cached.results.clear()
-        cached.results += [entry.result for entry in listed]
-        cached.revision = revision
-
     async def _send_item_body(self, exchange: http1_server.Exchange, call: ports.JobCall) -> str:
         stored_header = await self._repository.find_job(call.job)
         if (
@@ -276,7 +212,7 @@
     )
 
 
-def _limit_page(results: list[ports.ItemResult]) -> list[ports.ItemResult]:
+def _limit_page(results: tuple[ports.ItemResult, ...]) -> list[ports.ItemResult]:
     """Truncate results to the size of one response, keeping at least one."""
     page_results: list[ports.ItemResult] = []
     size = 0
--- a/src/cornelgrade/services/edge/job_repository.py
+++ b/src/cornelgrade/services/edge/job_repository.py
@@ -125,6 +125,18 @@
         stored = await self._store.get(HEADER_KIND, job)
         return decode_header(stored) if stored else None
 
+    async def find_accepted(self, job: str) -> JobHeader | None:
+        """Return the header of an accepted job, perhaps in an earlier state, or ``None``.
+
+        A job stays accepted, so a state that is seconds old will do if it shows that.
+        """
+        for allow_stale in (True, False):
+            stored = await self._store.get(HEADER_KIND, job, allow_stale=allow_stale)
+            header = decode_header(stored).header if stored else None
+            if header is not None and header.accepted:
+                return header
+        return None
+
     async def list_headers(self) -> tuple[StoredHeader, ...]:
         """Return the headers of all jobs."""
         changes = await self._store.watch(HEADER_KIND, after=0, wait_s=0.0)
@@ -189,7 +201,11 @@
         return msgspec.msgpack.decode(b"".join(pieces), type=tuple[ports.Item, ...])
 
     async def _read_piece(self, job: str, number: int) -> bytes:
-        stored = await self._store.get(INPUT_KIND, f"{job}.{number}")
+        # Input never changes, so any copy of it will do.
+        name = f"{job}.{number}"
+        stored = await self._store.get(INPUT_KIND, name, allow_stale=True)
+        if stored is None:
+            stored = await self._store.get(INPUT_KIND, name)
         if stored is None:
             raise platform.UnavailableError("job input is incomplete", step="read input")
         return base64.b64decode(msgspec.json.decode(stored.value, type=str))
--- /dev/null
+++ b/src/cornelgrade/services/edge/result_reader.py
@@ -0,0 +1,166 @@
+"""The service ``results``: reads the results of jobs for a gateway's callers, from a cache.
+
+A job whose callers wait for results is followed by one watch, which all of them share, until it is
+complete or nobody has asked for some seconds.
+"""
+
+import collections
+import dataclasses
+from collections.abc import Callable
+
+import trio
+
+from cornelgrade import errors, logs
+from cornelgrade.adapters import platform
+from cornelgrade.services.edge import _notifier, _store_availability, job_repository, ports
+
+# Jobs whose results are cached; the least recently read job is evicted first.
+MAX_CACHED_JOBS = 64
+# Callers read about twice a second; a longer pause means that they have left.
+FOLLOW_AFTER_READ_S = 3.0
+# A watch may be lost without a sign, so it is sent again this often.
+WATCH_TIMEOUT_S = 3.0
+# How long the response to a watch may take beyond its timeout.
+RESPONSE_TIMEOUT_S = 0.5
+# Pause after a change, so that one response covers results close together.
+SETTLE_S = 0.25
+_log = logs.Logger("results")
+
+
+@dataclasses.dataclass(slots=True)
+class _CachedJob:
+    """The results of a job that this gateway has read so far.
+
+    :ivar revision: store revision to continue reading from, 0 to read everything.
+    :ivar following: while a watch is open for it, the scope that ends it.
+    :ivar failure: why the last watch failed.
+    :ivar lock: held while a caller that does not wait reads on.
+    """
+
+    header: job_repository.JobHeader
+    results: list[ports.ItemResult] = dataclasses.field(default_factory=list)
+    revision: int = 0
+    following: trio.CancelScope | None = None
+    failure: platform.UnavailableError | None = None
+    lock: trio.Lock = dataclasses.field(default_factory=trio.Lock)
+    changed: _notifier.Notifier = dataclasses.field(default_factory=_notifier.Notifier)
+
+    @property
+    def complete(self) -> bool:
+        """Whether all results have been read."""
+        return len(self.results) >= self.header.total
+
+    def has_news(self, after: int) -> bool:
+        """Whether there is something to tell a caller that has read up to ``after``."""
+        return len(self.results) > after or self.complete
+
+
+class ResultReader:
+    """Reads results from the store; holds only a cache."""
+
+    name = "results"
+
+    def __init__(
+        self,
+        repository: job_repository.JobRepository,
+        availability: _store_availability.StoreAvailability,
+    ) -> None:
+        self._repository = repository
+        self._availability = availability
+        self._cache: collections.OrderedDict[str, _CachedJob] = collections.OrderedDict()
+        self._nursery: trio.Nursery | None = None
+
+    async def run(self, started: Callable[[], None]) -> None:
+        """Follow jobs until cancelled."""
+        async with trio.open_nursery() as self._nursery:
+            started()
+            await trio.sleep_forever()
+
+    async def read(
+        self, job: str, after: int, wait_s: float
+    ) -> tuple[int, tuple[ports.ItemResult, ...]]:
+        """Return the number of a job's items, and its results from position ``after`` on.
+
+        :param wait_s: how long to wait for a result if there is none.
+        :raises Refusal: ``NOT_FOUND`` if there is no such job.
+        :raises UnavailableError: if there may be results that can't be read now.
+        """
+        cached = await self._load(job)
+        if not cached.has_news(after) and not (cached.revision and wait_s):
+            asked = cached.revision
+            async with cached.lock:
+                if cached.revision == asked:
+                    await self._refresh(cached, 0.0)
+        if not cached.has_news(after) and wait_s:
+            await self._wait_for_news(cached, after, wait_s)
+        return cached.header.total, tuple(cached.results[after:])
+
+    async def _load(self, job: str) -> _CachedJob:
+        """Return what is cached of a job; the first call reads its header from the store."""
+        cached = self._cache.get(job)
+        if cached is None:
+            header = await self._repository.find_accepted(job)
+            if header is None:
+                raise errors.Refusal(errors.Code.NOT_FOUND, f"no job {job}", step="read")
+            cached = self._cache.setdefault(job, _CachedJob(header))
+        self._cache.move_to_end(job)
+        while len(self._cache) > MAX_CACHED_JOBS:
+            _, evicted = self._cache.popitem(last=False)
+            if evicted.following is not None:
+                evicted.following.cancel()
+        return cached
+
+    async def _wait_for_news(self, cached: _CachedJob, after: int, wait_s: float) -> None:
+        assert self._nursery is not None
+        deadline_s = trio.current_time() + wait_s + FOLLOW_AFTER_READ_S
+        if cached.following is None:
+            cached.failure = None
+            cached.following = trio.CancelScope(deadline=deadline_s)
+            self._nursery.start_soon(self._follow, cached, cached.following)
+        cached.following.deadline = deadline_s
+        with trio.move_on_after(wait_s):
+            while not cached.has_news(after) and cached.failure is None:
+                await cached.changed.wait()
+        if cached.has_news(after):
+            return
+        if cached.failure is not None:
+            raise cached.failure
+        if self._availability.unavailable:
+            raise platform.UnavailableError("the store does not respond", step="read")
+
+    async def _follow(self, cached: _CachedJob, scope: trio.CancelScope) -> None:
+        """Read new results until the job is complete, nobody asks any more or the store fails."""
+        try:
+            with scope:
+                while not cached.complete:
+                    with (
+                        self._availability.interruptible_watch(),
+                        trio.move_on_after(WATCH_TIMEOUT_S + RESPONSE_TIMEOUT_S),
+                    ):
+                        await self._refresh(cached, WATCH_TIMEOUT_S)
+                    await trio.sleep(SETTLE_S)
+        except platform.UnavailableError as exc:
+            cached.failure = exc
+            if self._availability.record_failure():
+                job = cached.header.job
+                _log.warning("store_lost", job=job, error=exc.format_message())
+        finally:
+            cached.following = None
+            cached.changed.notify_all()
+
+    async def _refresh(self, cached: _CachedJob, wait_s: float) -> None:
+        """Read the results after those cached, waiting for one up to ``wait_s``."""
+        asked = cached.revision
+        job = cached.header.job
+        listed, revision, reset = await self._repository.list_results(job, asked, wait_s)
+        if reset:
+            asked = cached.revision
+            listed, revision, _ = await self._repository.list_results(job, 0, 0.0)
+        if cached.revision != asked:
+            # Another call has read on meanwhile.
+            return
+        if reset:
+            cached.results.clear()
+        cached.results += [entry.result for entry in listed]
+        cached.revision = revision
+        cached.changed.notify_all()
