--- a/src/cornelgrade/services/edge/_object_watch.py
+++ b/src/cornelgrade/services/edge/_object_watch.py
@@ -59,9 +59,8 @@
             _log.info("history_lost", kind=kind, version=after)
             after = 0
             continue
-        if not settle_s:
-            # Others compare this; a watch that pauses after changes is behind by design.
-            availability.record_followed(kind, max((s.version for s in changes.items), default=0))
+        revision = max((stored.version for stored in changes.items), default=0)
+        availability.record_followed(kind, revision, settle_s)
         await handle_changes(changes, after == 0)
         await trio.sleep(settle_s if changes.version else EMPTY_RESPONSE_PAUSE_S)
         after = changes.version
--- a/src/cornelgrade/services/edge/_store_availability.py
+++ b/src/cornelgrade/services/edge/_store_availability.py
@@ -24,6 +24,7 @@
         self._changed = trio.Event()
         self._watches: set[trio.CancelScope] = set()
         self._followed: dict[str, int] = {}
+        self._settle_s: dict[str, float] = {}
 
     def record_failure(self) -> bool:
         """Record a failed call; return ``True`` if it is the first in a row."""
@@ -68,14 +69,22 @@
         while self.unavailable:
             await self._changed.wait()
 
-    def record_followed(self, kind: str, revision: int) -> None:
-        """Record that changes of a kind have been received up to a revision."""
+    def record_followed(self, kind: str, revision: int, settle_s: float) -> None:
+        """Record that changes of a kind have been received up to a revision.
+
+        :param settle_s: pause after a change, by which the next ones may arrive late.
+        """
         self._followed[kind] = max(revision, self._followed.get(kind, 0))
+        self._settle_s[kind] = settle_s
 
     def followed_revisions(self) -> dict[str, int]:
-        """Return the newest revision received of each kind that is watched without a pause."""
+        """Return the newest revision received of each kind that is watched."""
         return dict(self._followed)
 
+    def settle_s(self, kind: str) -> float:
+        """Return by how much changes of a watched kind may arrive late."""
+        return self._settle_s[kind]
+
     def _notify(self) -> None:
         self._changed.set()
         self._changed = trio.Event()
--- a/src/cornelgrade/services/edge/open_job.py
+++ b/src/cornelgrade/services/edge/open_job.py
@@ -18,6 +18,9 @@
 # Workers are ranked for each item. Each may start it after it was available for this long times its
 # rank, so that higher-ranked workers had time to start it and to broadcast their claim.
 START_STAGGER_S = 0.3
+# Workers that load a job's input at once. The others load it only when they have nothing else to
+# run, so that the calls for a job don't grow with the fleet.
+JOB_WORKERS = 4
 # Pause before a failed item is retried, so that a transient fault can clear.
 RETRY_PAUSE_S = 0.3
 
@@ -49,7 +52,8 @@
     :ivar claims: items that each other worker runs, as a bit set, and when it reported them.
     :ivar interrupted_s: when runs that had received events ended here, on the process's clock.
     :ivar claimed_s: when other workers last claimed items.
-    :ivar loaded_s: when its input was read.
+    :ivar known_s: when this worker learned of it.
+    :ivar loading: whether its input was read or is being read.
     :ivar closing: whether its final state is being stored.
     :ivar route_seen_s: when its route was last in the plan.
     """
@@ -67,7 +71,8 @@
     claims: dict[str, tuple[int, float]] = dataclasses.field(default_factory=dict)
     interrupted_s: dict[int, float] = dataclasses.field(default_factory=dict)
     claimed_s: dict[int, float] = dataclasses.field(default_factory=dict)
-    loaded_s: float = 0.0
+    known_s: float = 0.0
+    loading: bool = False
     closing: bool = False
     route_seen_s: float = 0.0
 
@@ -128,10 +133,21 @@
         """Whether a worker may start an open item now."""
         if self._is_held_for_resume(index, now_s):
             return True
-        available_s = max(self.loaded_s, self.claimed_s.get(index, 0.0))
+        available_s = max(self.known_s, self.claimed_s.get(index, 0.0))
         rank = _rank_workers(self.header.job, index, workers).index(vm)
         return now_s - available_s >= rank * START_STAGGER_S
 
+    def may_load(self, workers: tuple[str, ...], vm: str, now_s: float) -> bool:
+        """Whether a worker that has nothing else to run may load an open job that waits."""
+        if self.loading or not self._has_unclaimed_items(now_s):
+            return False
+        rank = _rank_job_workers(self.header.job, workers).index(vm)
+        return now_s - self.known_s >= rank * START_STAGGER_S
+
+    def _has_unclaimed_items(self, now_s: float) -> bool:
+        taken = (self.done | self.items_claimed_elsewhere(now_s)).bit_count()
+        return taken < self.header.total
+
     def startable_items(self, now_s: float) -> Iterator[int]:
         """Yield the items that nobody runs and that are not waiting for a retry."""
         unavailable = self.done | self.items_claimed_elsewhere(now_s) | self.items_in_progress()
@@ -154,8 +170,21 @@
     return ownership.choose_owner(job, workers)
 
 
+@functools.lru_cache(maxsize=16_384)
+def _rank_job_workers(job: str, workers: tuple[str, ...]) -> tuple[str, ...]:
+    """Return the workers in the order in which they load a job."""
+    return rendezvous.pick_members(job, workers, len(workers))
+
+
+def job_workers(job: str, workers: tuple[str, ...]) -> tuple[str, ...]:
+    """Return the workers that load a job at once, that which closes it among them."""
+    return _rank_job_workers(job, workers)[:JOB_WORKERS]
+
+
 @functools.lru_cache(maxsize=16_384)
 def _rank_workers(job: str, index: int, workers: tuple[str, ...]) -> tuple[str, ...]:
     """Return the workers in the order in which they may start an item."""
     key = f"{job}/{index}"
-    return rendezvous.pick_members(key, workers, len(workers))
+    first = job_workers(job, workers)
+    others = _rank_job_workers(job, workers)[JOB_WORKERS:]
+    return rendezvous.pick_members(key, first, len(first)) + others
--- a/src/cornelgrade/services/edge/runner.py
+++ b/src/cornelgrade/services/edge/runner.py
@@ -45,6 +45,9 @@
 # Pauses between attempts to store a result; each is twice the one before.
 MIN_STORE_RETRY_PAUSE_S = 0.2
 MAX_STORE_RETRY_PAUSE_S = 1.0
+# Job headers written close together share a response to a watch. Jobs are due, and cancelled ones
+# have to stop, within seconds.
+HEADER_SETTLE_S = 0.5
 # A route that is missing from the plan for this long was removed for good.
 ROUTE_REMOVED_AFTER_S = 4.0
 # Reserved from the shutdown grace period for broadcasting the final state.
@@ -117,13 +120,7 @@
                 self._record_upstream_failure,
                 self._record_upstream_success,
             )
-            nursery.start_soon(
-                _object_watch.watch_objects,
-                self._store,
-                job_repository.HEADER_KIND,
-                self._availability,
-                self._apply_headers,
-            )
+            nursery.start_soon(self._watch_headers)
             started()
             while True:
                 self._schedule()
@@ -147,6 +144,15 @@
 
     # Jobs
 
+    async def _watch_headers(self) -> None:
+        await _object_watch.watch_objects(
+            self._store,
+            job_repository.HEADER_KIND,
+            self._availability,
+            self._apply_headers,
+            settle_s=HEADER_SETTLE_S,
+        )
+
     async def _apply_headers(self, changes: platform.Changes, is_snapshot: bool) -> None:
         for stored in changes.items:
             try:
@@ -168,10 +174,11 @@
         if tracked is not None:
             tracked.version = stored_header.version
             return
-        job = open_job.OpenJob(header, stored_header.version, route_seen_s=trio.current_time())
+        now_s = trio.current_time()
+        job = open_job.OpenJob(header, stored_header.version, known_s=now_s, route_seen_s=now_s)
         self._jobs[header.job] = job
-        assert self._nursery is not None
-        self._nursery.start_soon(self._load_job, job, is_new)
+        if self._loads_at_once(job):
+            self._start_loading(job, is_new=is_new)
 
     def _drop_job(self, job: open_job.OpenJob, why: str) -> None:
         self._jobs.pop(job.header.job, None)
@@ -179,6 +186,24 @@
         for run in job.runs.values():
             run.scope.cancel()
 
+    def _loads_at_once(self, job: open_job.OpenJob) -> bool:
+        workers = self._peers.live_vms(peers.Role.WORKER)
+        return self._cfg.vm in open_job.job_workers(job.header.job, workers)
+
+    def _start_loading(self, job: open_job.OpenJob, *, is_new: bool) -> None:
+        assert self._nursery is not None
+        job.loading = True
+        self._nursery.start_soon(self._load_job, job, is_new)
+
+    def _load_next_job(self, now_s: float) -> None:
+        """Load the job due first of those whose items wait for a worker, one at a time."""
+        if any(job.loading and not job.items for job in self._jobs.values()):
+            return
+        workers = self._peers.live_vms(peers.Role.WORKER)
+        waiting = [job for job in self._jobs.values() if job.may_load(workers, self._cfg.vm, now_s)]
+        if waiting:
+            self._start_loading(min(waiting, key=lambda j: j.header.due_ms), is_new=False)
+
     async def _load_job(self, job: open_job.OpenJob, is_new: bool) -> None:
         """Read a job's input and which of its items are done."""
         while self._jobs.get(job.header.job) is job:
@@ -188,7 +213,6 @@
                     job.done |= sum(1 << entry.index for entry in listed)
                 job.items = await self._repository.read_items(job.header)
                 job.fingerprints = tuple(item.fingerprint for item in job.items)
-                job.loaded_s = trio.current_time()
                 _log.info("job_loaded", job=job.header.job, items=job.header.total, done=job.done)
                 self._wake.notify_all()
                 return
@@ -217,8 +241,9 @@
                 for _ in range(-change):
                     self._preempt_item(up.name)
         waiting = self._list_startable(now_s) if free_slots else []
-        for up, free in free_slots:
-            self._start_items(up, free, table, waiting)
+        started = sum(self._start_items(up, free, table, waiting) for up, free in free_slots)
+        if started < sum(free for _, free in free_slots):
+            self._load_next_job(now_s)
 
     def _owned_upstreams(self) -> list[routes.Upstream]:
         return [reg.upstream for reg in self._owned_registrations()]
@@ -241,12 +266,12 @@
         free: int,
         table: route_table.RouteTable,
         waiting: list[batch_capacity.WaitingItem],
-    ) -> None:
-        """Start waiting items in the free slots of an upstream."""
+    ) -> int:
+        """Start waiting items in the free slots of an upstream; return their number."""
         started = 0
         for entry in tuple(waiting):
             if started >= free:
-                return
+                break
             job = self._jobs[entry.job]
             if self._would_join_suspect(job.fingerprints[entry.index], up):
                 continue
@@ -254,6 +279,7 @@
                 waiting.remove(entry)
                 self._start_item(job, entry.index, up)
                 started += 1
+        return started
 
     def _would_join_suspect(self, fingerprint: str, up: routes.Upstream) -> bool:
         """Whether an item and one that runs at an upstream are both suspects.
@@ -441,6 +467,8 @@
 
     def _advance_job(self, job: open_job.OpenJob, now_s: float) -> None:
         """Close a completed job; give up the items of one that expired or lost its route."""
+        if not job.loading and self._loads_at_once(job):
+            self._start_loading(job, is_new=False)
         workers = self._peers.live_vms(peers.Role.WORKER)
         if open_job.closing_worker(job.header.job, workers) != self._cfg.vm or job.closing:
             return
--- a/src/cornelgrade/services/edge/store_monitor.py
+++ b/src/cornelgrade/services/edge/store_monitor.py
@@ -146,7 +146,7 @@
             nursery.start_soon(self._restart_if_behind, kind, revision)
 
     async def _restart_if_behind(self, kind: str, revision: int) -> None:
-        await trio.sleep(CATCH_UP_S)
+        await trio.sleep(CATCH_UP_S + self._availability.settle_s(kind))
         followed = self._availability.followed_revisions()[kind]
         if followed < revision and not self._availability.unavailable:
             _log.warning("watch_lost", kind=kind, version=followed, newer=revision)
--- a/tests/policy/test_item_claims.py
+++ b/tests/policy/test_item_claims.py
@@ -16,7 +16,7 @@
 
 def make_job() -> open_job.OpenJob:
     header = job_repository.JobHeader("j", "r", "h", 0, 0, 0, ITEMS, 0, 1)
-    return open_job.OpenJob(header, 1, loaded_s=100.0)
+    return open_job.OpenJob(header, 1, known_s=100.0)
 
 
 def workers_that_may_start(job: open_job.OpenJob, index: int, now_s: float) -> list[str]:
@@ -87,3 +87,29 @@
         raw = codec.encode(datagram)
         assert len(raw) + peer_key.TAG_BYTES <= codec.MAX_DATAGRAM_BYTES
         assert codec.decode(raw).body == body
+
+
+# Guards against calls to the store for each job by each worker of a large fleet.
+def test_job_is_loaded_at_once_by_few_workers_of_many_and_by_the_next_one_a_step_later():
+    workers = tuple(sorted(f"w{number}" for number in range(30)))
+    job = make_job()
+    first = open_job.job_workers("j", workers)
+    assert len(first) == open_job.JOB_WORKERS
+    assert open_job.closing_worker("j", workers) == first[0]
+    starters = {
+        vm for vm in workers for index in range(ITEMS) if job.may_start(index, workers, vm, 100.0)
+    }
+    assert starters == set(first)
+    loading = [
+        sum(job.may_load(workers, vm, 100.01 + s) for vm in workers) for s in (0.0, 0.3, 0.6, 9.0)
+    ]
+    assert loading == [1, 2, 3, 30]
+
+
+# Guards against idle workers that load a job of which nothing is left to start.
+def test_job_whose_items_all_run_elsewhere_is_not_loaded():
+    job = make_job()
+    job.apply_claim("w2", messages.JobClaim("j", (1 << ITEMS) - 2, 1), 200.0)
+    assert not job.may_load(WORKERS, "w1", 200.5)
+    job.apply_claim("w2", messages.JobClaim("j", (1 << ITEMS) - 4, 1), 200.0)
+    assert job.may_load(WORKERS, "w1", 200.5)
