Restart a lost watch again if its restart is lost too

Cause: the VM heard from its neighbours of a newer plan 3 ms before the store dropped its history and cut all watches; its restarted watch fell into that moment and got neither events nor a cut. The monitor never checked the same revision again. Change: it checks as often as it hears of it.

--- a/src/cornelgrade/services/edge/store_monitor.py
+++ b/src/cornelgrade/services/edge/store_monitor.py
@@ -55,7 +55,7 @@
         self._availability = availability
         self._rng = random.Random(vm)
         self._heard_s = 0.0
-        self._newer: dict[str, int] = {}
+        self._checked_kinds: set[str] = set()
 
     async def run(self, started: Callable[[], None]) -> None:
         """Probe and listen until cancelled."""
@@ -140,13 +140,14 @@
     def _check_followed(self, kind: str, revision: int, nursery: trio.Nursery) -> None:
         """Restart the watches if this process does not receive a change that others have."""
         followed = self._availability.followed_revisions().get(kind)
-        checked = self._newer.get(kind, 0)
-        if followed is not None and revision > max(followed, checked):
-            self._newer[kind] = revision
-            nursery.start_soon(self._restart_if_behind, kind, revision)
+        if followed is None or revision <= followed or kind in self._checked_kinds:
+            return
+        self._checked_kinds.add(kind)
+        nursery.start_soon(self._restart_if_behind, kind, revision)
 
     async def _restart_if_behind(self, kind: str, revision: int) -> None:
         await trio.sleep(CATCH_UP_S + self._availability.settle_s(kind))
+        self._checked_kinds.discard(kind)
         followed = self._availability.followed_revisions()[kind]
         if followed < revision and not self._availability.unavailable:
             _log.warning("watch_lost", kind=kind, version=followed, newer=revision)
--- a/tests/edge/test_store_outages.py
+++ b/tests/edge/test_store_outages.py
@@ -89,6 +89,24 @@
             await wait_for_plan(system, 2)
 
 
+# Guards against giving up on a lost watch whose restart is lost too, as just before a store drops
+# its history: the process kept its plan until the next change (kaitiaki-serve-grown, scale-1).
+async def test_watch_whose_restart_is_lost_too_is_restarted_again():
+    async with edge_system.run_system(gateways=4) as system:
+        lossy = system.nodes["gateway-0"].store
+        sent = system.store.calls["watch:plans"]
+        lossy.loses_watches = True
+        await system.plan(edge_system.make_plan(2))
+        with trio.fail_after(5):
+            # The three others receive the plan and watch on; the fourth call is the restart.
+            while system.store.calls["watch:plans"] < sent + 4:
+                await trio.sleep(0.02)
+        await trio.sleep(0.1)
+        lossy.loses_watches = False
+        with trio.fail_after(CURRENT_WITHIN_S):
+            await wait_for_plan(system, 2)
+
+
 # Guards against watches whose connections broke unnoticed while the machine was suspended.
 async def test_watches_are_sent_again_after_the_machine_was_suspended(monkeypatch):
     async with edge_system.run_system(gateways=1) as system:
@@ -121,3 +139,18 @@
         probes = system.store.calls["get:plans"] - calls_before
     shared, own = 3 * 6.0 / store_monitor.MAX_SILENCE_S, 12 * 6.0 / store_monitor.MAX_OWN_SILENCE_S
     assert probes <= shared + own
+
+
+# Guards against a call by each process for each change while upstreams are replaced in a row.
+async def test_registrations_close_together_share_a_response():
+    async with edge_system.run_system(gateways=2) as system:
+        up = system.engines["engine-0"].upstream(edge_system.SERVICE, "north")
+        await trio.sleep(0.5)
+        before = system.store.calls["watch:upstreams"]
+        for number in range(20):
+            await system.register(dataclasses.replace(up, name=f"engine-{number}"))
+            await trio.sleep(0.02)
+        await trio.sleep(1.0)
+        assert system.store.calls["watch:upstreams"] - before <= 2 * 4
+        for node in system.nodes:
+            assert len(find_fleet(system, node).usable_registrations()) == 20
