--- a/src/cornelgrade/services/edge/_object_watch.py
+++ b/src/cornelgrade/services/edge/_object_watch.py
@@ -33,7 +33,8 @@
     A failed watch is sent again once the store is available, which ``store_monitor`` finds out.
 
     :param handle_changes: called with the changes and whether they are a full snapshot.
-    :param settle_s: pause after a change, so that one response covers changes close together.
+    :param settle_s: pause after a change, so that one response covers changes close together; there
+        is none after a snapshot, whose first change is reported at once.
     """
     after = 0
     pause_s = MIN_RETRY_PAUSE_S
@@ -61,6 +62,10 @@
             continue
         revision = max((stored.version for stored in changes.items), default=0)
         availability.record_followed(kind, revision, settle_s)
-        await handle_changes(changes, after == 0)
-        await trio.sleep(settle_s if changes.version else EMPTY_RESPONSE_PAUSE_S)
+        is_snapshot = after == 0
+        await handle_changes(changes, is_snapshot)
+        if not changes.version:
+            await trio.sleep(EMPTY_RESPONSE_PAUSE_S)
+        elif not is_snapshot:
+            await trio.sleep(settle_s)
         after = changes.version
