--- a/tests/edge/test_store_outages.py
+++ b/tests/edge/test_store_outages.py
@@ -90,7 +90,7 @@
 
 
 # Guards against giving up on a lost watch whose restart is lost too, as just before a store drops
-# its history: the process kept its plan until the next change (kaitiaki-serve-grown, scale-1).
+# its history: the process kept its plan until the next change.
 async def test_watch_whose_restart_is_lost_too_is_restarted_again():
     async with edge_system.run_system(gateways=4) as system:
         lossy = system.nodes["gateway-0"].store
