Let only a successful response clear a request of crashing upstreams

Cause: the relay and the runner reported every answer that they passed on as a completion, also an upstream's own 500 or 504; that cleared the evidence in all processes and made the request immune for 120 s. Change: only a status below 300, or a completed item, counts.

--- a/src/cornelgrade/services/edge/relay.py
+++ b/src/cornelgrade/services/edge/relay.py
@@ -122,8 +122,9 @@
                 progress.upstream = permit.upstream.name
                 progress.permit = permit
                 try:
-                    await self._try_upstream(req, progress, permit.upstream)
-                    self._quarantine.report_completion(req.fingerprint)
+                    head = await self._try_upstream(req, progress, permit.upstream)
+                    if head.status < 300:
+                        self._quarantine.report_completion(req.fingerprint)
                     return "answered"
                 except engine.CallError as exc:
                     refusal = self._refusal_after_failure(req, progress, exc)
@@ -193,7 +194,10 @@
         """Whether the response was started on a route that is not resumable."""
         return progress.started and not req.route.resumable
 
-    async def _try_upstream(self, req: _Request, progress: _Progress, up: routes.Upstream) -> None:
+    async def _try_upstream(
+        self, req: _Request, progress: _Progress, up: routes.Upstream
+    ) -> http1.ResponseHead:
+        """Relay the response of one upstream; return its head."""
         try:
             channel = await http1.connect(up.address, CONNECT_TIMEOUT_S)
         except engine.CallError as exc:
@@ -202,7 +206,7 @@
         with self._crash_detector.track_call(up, req.fingerprint):
             try:
                 with channel:
-                    await self._call_upstream(channel, req, progress, up)
+                    return await self._call_upstream(channel, req, progress, up)
             except engine.CallError as exc:
                 await self._crash_detector.check_after(up, exc)
                 raise
@@ -212,14 +216,15 @@
 
     async def _call_upstream(
         self, channel: http1.Channel, req: _Request, progress: _Progress, up: routes.Upstream
-    ) -> None:
-        """Send a request and relay the response."""
+    ) -> http1.ResponseHead:
+        """Send a request and relay the response; return its head."""
         await self._send_request(channel, req, progress, up)
         head = await self._read_head(channel, req, progress, up)
         if progress.started:
             await self._resume_stream(channel, req, progress, head)
         else:
             await self._relay_response(channel, req, progress, head)
+        return head
 
     async def _send_request(
         self, channel: http1.Channel, req: _Request, progress: _Progress, up: routes.Upstream
--- a/src/cornelgrade/services/edge/runner.py
+++ b/src/cornelgrade/services/edge/runner.py
@@ -368,8 +368,8 @@
                     result = await self._call_upstream(job, item, up, partial)
                 outcome = result.end.value if result else "failed"
                 self._record_upstream_success(up)
-                self._quarantine.report_completion(fingerprint)
                 if result is not None and result.end is ports.ItemEnd.COMPLETED:
+                    self._quarantine.report_completion(fingerprint)
                     took_s = trio.current_time() - run.started_s
                     new_events = partial.events - events_before
                     self._pace = self._pace.update(partial.events, new_events, took_s)
