Count each crash of an upstream once, however many processes saw it

Cause: each process counted the crashes with the text in flight, and the counts of all were added; a report names a request only if it is the only one or the only suspect, so one crash seen from eight VMs counted eight times. Change: reports carry sightings, which name the crashed start of the upstream; a process counts the union. Processes that send only counts are added up as before.

--- a/src/cornelgrade/policy/quarantine.py
+++ b/src/cornelgrade/policy/quarantine.py
@@ -15,6 +15,8 @@
 import enum
 import hashlib
 
+from cornelgrade.policy import crash_sightings
+
 MAX_CRASHES = 2
 # Crashes with a request in flight, counted or not. Operators allow a request three crashes and
 # three retries after them.
@@ -27,6 +29,8 @@
 MAX_PROBATION_DOUBLINGS = 8
 MAX_EVIDENCE = MAX_CRASHES_SEEN * SHARED_CRASHES_AS_ONE
 MAX_PEER_COUNTS = 8
+# Sightings in a report, so that it fits into a datagram beside others.
+MAX_SIGHTINGS_SENT = MAX_CRASHES_SEEN
 SUSPECT_S = 120.0
 QUARANTINE_S = 3_600.0
 REPORT_WAIT_S = 0.25
@@ -61,6 +65,7 @@
     :param fingerprint: the only suspect or the only request; empty if there are several.
     :param own: detected by this process rather than reported by a peer.
     :param source: id of the process that detected it.
+    :param started_ms: Unix time of the upstream's start in milliseconds; 0 if unknown.
     """
 
     upstream: str
@@ -70,6 +75,7 @@
     fingerprint: str = ""
     own: bool = True
     source: str = ""
+    started_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -80,10 +86,8 @@
     :param others: other requests in flight there, from all VMs.
     :param other_suspects: suspects among the others.
     :param unstable: the upstream had crashed without this request shortly before.
-    :param source: id of the process that detected the crash.
-    :param duplicate: another process counts this crash against the same request, which was in
-        flight from there too.
     :param shared: the request was in flight there more than once.
+    :param started_ms: Unix time of the upstream's start in milliseconds; 0 if unknown.
     """
 
     upstream: str
@@ -92,9 +96,8 @@
     others: int
     other_suspects: int
     unstable: bool = False
-    source: str = ""
-    duplicate: bool = False
     shared: bool = False
+    started_ms: int = 0
 
     @property
     def weak(self) -> bool:
@@ -105,7 +108,17 @@
     def counts(self) -> bool:
         """Whether this evidence attributes the crash to the request."""
         alone = self.other_suspects == 0 and (self.was_suspect or self.others == 0)
-        return alone and not self.duplicate and not self.weak
+        return alone and not self.weak
+
+    def sighting(self, *, attributed: bool) -> crash_sightings.Sighting:
+        """Return the crash as other processes may have seen it too."""
+        return crash_sightings.Sighting(
+            crash_sightings.identify_crash(self.upstream, self.started_ms),
+            self.at_s,
+            exact=bool(self.started_ms),
+            attributed=attributed,
+            weak=self.weak,
+        )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -114,11 +127,13 @@
 
     :param crashes: crashes that it attributes to the request.
     :param seen: crashes with the request in flight.
+    :param sightings: the newest of these crashes; empty if the process tells only numbers.
     """
 
     source: str
     crashes: int
     seen: int = 0
+    sightings: tuple[crash_sightings.Sighting, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -162,8 +177,8 @@
         others=crash.in_flight - 1,
         other_suspects=crash.suspects - was_suspect,
         unstable=_crashed_without_request(entry, crash, earlier),
-        source=crash.source,
         shared=shared,
+        started_ms=crash.started_ms,
     )
     for peer_crash in earlier:
         if not peer_crash.own and _is_same_crash(peer_crash, crash, earlier):
@@ -194,16 +209,12 @@
 
 
 def _add_peer_report(evidence: Evidence, fingerprint: str, peer_crash: Crash) -> Evidence:
-    """Add the requests that another VM had in flight, except for the same request.
-
-    Of the processes that had the same request in flight, the one with the lowest id counts.
-    """
+    """Add the requests that another VM had in flight, except for the same request."""
     same_request = peer_crash.fingerprint == fingerprint
     return dataclasses.replace(
         evidence,
         others=evidence.others + peer_crash.in_flight - same_request,
         other_suspects=evidence.other_suspects + max(0, peer_crash.suspects - same_request),
-        duplicate=evidence.duplicate or (same_request and peer_crash.source < evidence.source),
         shared=evidence.shared or same_request,
     )
 
@@ -230,6 +241,7 @@
         peer_count.source,
         max(peer_count.crashes, known.crashes),
         max(peer_count.seen, known.seen),
+        crash_sightings.update_sightings(known.sightings, peer_count.sightings)[:MAX_EVIDENCE],
     )
     counts[peer_count.source] = merged
     return dataclasses.replace(
@@ -245,32 +257,71 @@
     return dataclasses.replace(entry, reported=frozenset())
 
 
-def count_own_crashes(entry: Entry) -> int:
-    """Count the crashes attributed to the request by this process's evidence.
+def _own_sightings(entry: Entry) -> tuple[crash_sightings.Sighting, ...]:
+    """Return the crashes of this process's evidence, those attributed to the request first.
 
     On an upstream that also crashes without it, two further crashes count as one.
     """
     counted = [e for e in entry.evidence if e.counts]
+    first = list({e.upstream: e for e in reversed(counted)}.values())
+    further = [e for e in counted if not any(e is known for known in first)]
     stable = sum(not e.unstable for e in counted)
-    upstreams = len({e.upstream for e in counted})
-    return max(upstreams, stable + (len(counted) - stable) // 2)
+    attributed = max(len(first), stable + (len(counted) - stable) // 2)
+    ranked = (*first, *sorted(further, key=lambda e: e.unstable))
+    rest = (*ranked[attributed:], *(e for e in entry.evidence if not e.counts))
+    return (
+        *(e.sighting(attributed=True) for e in ranked[:attributed]),
+        *(e.sighting(attributed=False) for e in rest),
+    )
+
+
+def _all_sightings(entry: Entry) -> tuple[crash_sightings.Sighting, ...]:
+    peers = (sighting for count in entry.peer_counts for sighting in count.sightings)
+    return crash_sightings.merge_sightings(_own_sightings(entry), peers)
+
+
+def _count_seen(sightings: tuple[crash_sightings.Sighting, ...]) -> int:
+    weak = sum(sighting.weak for sighting in sightings)
+    return len(sightings) - weak + weak // SHARED_CRASHES_AS_ONE
+
+
+def _count_attributed(sightings: tuple[crash_sightings.Sighting, ...]) -> int:
+    return sum(sighting.attributed for sighting in sightings)
+
+
+def count_own_crashes(entry: Entry) -> int:
+    """Count the crashes attributed to the request by this process's evidence."""
+    return _count_attributed(_own_sightings(entry))
 
 
 def crashes(entry: Entry) -> int:
     """Count the crashes attributed to the request by the evidence of all processes."""
-    return count_own_crashes(entry) + sum(count.crashes for count in entry.peer_counts)
+    counts = [count.crashes for count in entry.peer_counts]
+    unnamed = sum(count.crashes for count in entry.peer_counts if not count.sightings)
+    return max(_count_attributed(_all_sightings(entry)) + unnamed, *counts, 0)
 
 
 def count_own_crashes_seen(entry: Entry) -> int:
-    """Count the crashes in this process's evidence that no other process counts."""
-    own = [e for e in entry.evidence if not e.duplicate]
-    weak = sum(e.weak for e in own)
-    return len(own) - weak + weak // SHARED_CRASHES_AS_ONE
+    """Count the crashes in this process's evidence."""
+    return _count_seen(_own_sightings(entry))
 
 
 def crashes_seen(entry: Entry) -> int:
     """Count the crashes with the request in flight, over all processes."""
-    return count_own_crashes_seen(entry) + sum(count.seen for count in entry.peer_counts)
+    counts = [count.seen for count in entry.peer_counts]
+    unnamed = sum(count.seen for count in entry.peer_counts if not count.sightings)
+    return max(_count_seen(_all_sightings(entry)) + unnamed, *counts, 0)
+
+
+def own_sightings_to_send(entry: Entry, *, settled: bool) -> tuple[crash_sightings.Sighting, ...]:
+    """Return this process's newest sightings.
+
+    :param settled: whether peers' reports should have arrived; before, nothing is attributed.
+    """
+    sightings = _own_sightings(entry)
+    if not settled:
+        sightings = tuple(dataclasses.replace(s, attributed=False) for s in sightings)
+    return sightings[:MAX_SIGHTINGS_SENT]
 
 
 def classify_request(entry: Entry | None, now_s: float) -> RequestStatus:
--- a/src/cornelgrade/schema/codec.py
+++ b/src/cornelgrade/schema/codec.py
@@ -10,7 +10,9 @@
 _MEMBER_ADDRESS_FIELDS = ("peer_address", "worker_address", "gateway_address")
 _MEMBER_FIXED_BYTES = 48
 _RUMOR_FIXED_BYTES = 40
+_SIGHTING_BYTES = 18
 _MS_PER_S = 1000
+_MAX_AGE_MS = 2**32 - 1
 MAX_DATAGRAM_BYTES = 1200
 MEMBERS_BUDGET_BYTES = 1050
 RUMORS_BUDGET_BYTES = 300
@@ -35,7 +37,8 @@
     """Estimate the encoded size of a rumor."""
     names = ("source", "upstream", "fingerprint")
     texts = [rumor.origin, *(getattr(rumor.message, name, "") for name in names)]
-    return _RUMOR_FIXED_BYTES + sum(map(_estimate_text_bytes, texts))
+    sightings_bytes = _SIGHTING_BYTES * len(getattr(rumor.message, "sightings", ()))
+    return _RUMOR_FIXED_BYTES + sightings_bytes + sum(map(_estimate_text_bytes, texts))
 
 
 def _write_member(out: Any, member: ports.Member) -> None:
@@ -102,6 +105,13 @@
     builder.expiresS = body.expires_s
     builder.source = body.source
     builder.seen = body.seen
+    sightings = builder.init("sightings", len(body.sightings))
+    for i, sighting in enumerate(body.sightings):
+        sightings[i].crash = sighting.crash
+        sightings[i].ageMs = min(int(sighting.age_s * _MS_PER_S), _MAX_AGE_MS)
+        sightings[i].exact = sighting.exact
+        sightings[i].attributed = sighting.attributed
+        sightings[i].weak = sighting.weak
 
 
 def _write_upstream_crashed(out: Any, field: str, body: ports.UpstreamCrashed) -> None:
@@ -193,7 +203,21 @@
     "yield": lambda raw: ports.Yield(raw.upstream, raw.slots),
     "share": lambda raw: ports.Share(raw.upstream, raw.slots),
     "quarantined": lambda raw: ports.Quarantined(
-        raw.fingerprint, raw.crashes, raw.expiresS, raw.source, raw.seen
+        raw.fingerprint,
+        raw.crashes,
+        raw.expiresS,
+        raw.source,
+        raw.seen,
+        tuple(
+            ports.CrashSighting(
+                sighting.crash,
+                sighting.ageMs / _MS_PER_S,
+                sighting.exact,
+                sighting.attributed,
+                sighting.weak,
+            )
+            for sighting in raw.sightings
+        ),
     ),
     "upstreamCrashed": lambda raw: ports.UpstreamCrashed(
         raw.source, raw.upstream, raw.inFlight, raw.suspects, raw.fingerprint
--- a/src/cornelgrade/schema/peer.capnp
+++ b/src/cornelgrade/schema/peer.capnp
@@ -42,6 +42,15 @@
   expiresS @2 :Float64;
   source @3 :Text;
   seen @4 :UInt32;
+  sightings @5 :List(CrashSighting);
+}
+
+struct CrashSighting {
+  crash @0 :UInt64;
+  ageMs @1 :UInt32;
+  exact @2 :Bool;
+  attributed @3 :Bool;
+  weak @4 :Bool;
 }
 
 struct UpstreamCrashed {
--- a/src/cornelgrade/services/edge/crash_detector.py
+++ b/src/cornelgrade/services/edge/crash_detector.py
@@ -132,7 +132,8 @@
             self.record_response(up)
         elif boot not in self._down:
             self._record_crash(boot)
-            self._quarantine.report_crash(up.name, tuple(check.fingerprints.values()))
+            in_flight = tuple(check.fingerprints.values())
+            self._quarantine.report_crash(up.name, in_flight, up.started_ms)
         check.done.set()
 
     def _record_crash(self, boot: _Boot) -> None:
--- a/src/cornelgrade/services/ports.py
+++ b/src/cornelgrade/services/ports.py
@@ -87,6 +87,24 @@
     vm: str = ""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashSighting:
+    """One crash with a request in flight, as one process saw it.
+
+    :param crash: id of the upstream's start, or of the upstream if its start is unknown.
+    :param age_s: how long ago the process detected it.
+    :param exact: whether the id tells the starts of the upstream apart.
+    :param attributed: whether the process attributes the crash to the request.
+    :param weak: whether the request had several copies in flight beside other requests.
+    """
+
+    crash: int
+    age_s: float
+    exact: bool = False
+    attributed: bool = False
+    weak: bool = False
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Quarantined:
     """A request fingerprint that may crash engines.
@@ -96,6 +114,8 @@
         clears it.
     :param source: id of the process that counted.
     :param seen: crashes with the request in flight, by the same evidence.
+    :param sightings: the newest of these crashes, so that a crash counts once although several
+        processes saw it.
     """
 
     fingerprint: str
@@ -103,6 +123,7 @@
     expires_s: float
     source: str = ""
     seen: int = 0
+    sightings: tuple[CrashSighting, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -419,8 +440,11 @@
     async def wait_verdict(self, fingerprint: str) -> Verdict:
         """Return the verdict, after a short wait for peers' reports if they decide it."""
 
-    def report_crash(self, upstream: str, in_flight: tuple[str, ...]) -> None:
-        """Report an engine's crash with the fingerprints that were in flight there."""
+    def report_crash(self, upstream: str, in_flight: tuple[str, ...], started_ms: int = 0) -> None:
+        """Report an engine's crash with the fingerprints that were in flight there.
+
+        :param started_ms: Unix time of the start that crashed, in milliseconds; 0 if unknown.
+        """
 
     def report_completion(self, fingerprint: str) -> None:
         """Report that a request completed."""
--- a/src/cornelgrade/services/quarantine.py
+++ b/src/cornelgrade/services/quarantine.py
@@ -13,7 +13,7 @@
 import trio
 
 from cornelgrade import kernel, logs
-from cornelgrade.policy import quarantine
+from cornelgrade.policy import crash_sightings, quarantine
 from cornelgrade.services import _subscriptions, ports
 
 NAME = "quarantine"
@@ -146,7 +146,14 @@
             return own
         remaining_s = entry.expires_at_s - now_s
         return own + [
-            ports.Quarantined(fingerprint, count.crashes, remaining_s, count.source, count.seen)
+            ports.Quarantined(
+                fingerprint,
+                count.crashes,
+                remaining_s,
+                count.source,
+                count.seen,
+                _encode_sightings(count.sightings[: quarantine.MAX_SIGHTINGS_SENT], now_s),
+            )
             for count in entry.peer_counts
             if count.source != RESTORED_SOURCE
         ]
@@ -181,10 +188,11 @@
                 return self.verdict(fingerprint)
             await trio.sleep_until(quarantine.decided_at_s(entry))
 
-    def report_crash(self, upstream: str, in_flight: tuple[str, ...]) -> None:
+    def report_crash(self, upstream: str, in_flight: tuple[str, ...], started_ms: int = 0) -> None:
         """Record an engine's crash and attribute it to the requests in flight there.
 
         :param in_flight: fingerprints, once for each request.
+        :param started_ms: Unix time of the start that crashed, in milliseconds; 0 if unknown.
         """
         now_s = trio.current_time()
         copies = collections.Counter(in_flight)
@@ -198,6 +206,7 @@
             suspects=len(suspects),
             fingerprint=sole[0] if len(sole) == 1 else "",
             source=self._source,
+            started_ms=started_ms,
         )
         earlier = tuple(c for c in self._crashes if c.upstream == upstream)
         attributed = [
@@ -320,6 +329,7 @@
             entry.expires_at_s - now_s,
             self._source,
             quarantine.count_own_crashes_seen(entry),
+            _encode_sightings(quarantine.own_sightings_to_send(entry, settled=settled), now_s),
         )
 
     async def _receive_counts(self, messages: trio.MemoryReceiveChannel) -> None:
@@ -336,7 +346,12 @@
         now_s = trio.current_time()
         expires_at_s = now_s + min(message.expires_s, quarantine.QUARANTINE_S)
         entry = self._entries.get(message.fingerprint)
-        received = quarantine.PeerCount(message.source, message.crashes, message.seen)
+        received = quarantine.PeerCount(
+            message.source,
+            message.crashes,
+            message.seen,
+            _decode_sightings(message.sightings, now_s),
+        )
         updated = quarantine.merge_peer_count(entry, received, expires_at_s, now_s)
         self._store_entry(message.fingerprint, updated)
         before = quarantine.classify_request(entry, now_s)
@@ -369,3 +384,22 @@
         for fingerprint, entry in self._entries.items():
             if any(e.upstream == crash.upstream for e in entry.evidence):
                 self._entries[fingerprint] = quarantine.add_peer_crash(entry, fingerprint, crash)
+
+
+def _encode_sightings(
+    sightings: tuple[crash_sightings.Sighting, ...], now_s: float
+) -> tuple[ports.CrashSighting, ...]:
+    """Replace the times by ages, since processes share no monotonic clock."""
+    return tuple(
+        ports.CrashSighting(s.crash, max(0.0, now_s - s.at_s), s.exact, s.attributed, s.weak)
+        for s in sightings
+    )
+
+
+def _decode_sightings(
+    sightings: tuple[ports.CrashSighting, ...], now_s: float
+) -> tuple[crash_sightings.Sighting, ...]:
+    return tuple(
+        crash_sightings.Sighting(s.crash, now_s - s.age_s, s.exact, s.attributed, s.weak)
+        for s in sightings
+    )
--- a/tests/fleet/test_datagrams.py
+++ b/tests/fleet/test_datagrams.py
@@ -28,6 +28,7 @@
     ports.Load("e1", 4, 2),
     ports.Yield("e1", 3),
     ports.Quarantined("f" * 64, 2, 1.5, "ab12"),
+    ports.Quarantined("f", 2, 1.5, "ab12", 3, (ports.CrashSighting(2**64 - 1, 1.5, True, False),)),
     ports.UpstreamCrashed("ab12", "e1", 9, 1, "f" * 64),
     ports.Leaving("e1"),
 ]
