Let a completion clear a request of earlier crashes only, not of later ones

Cause: a request that completed in the last 120 s at any VM was left out of the requests that a crash may be blamed on, so nothing counted against it, and its neighbours were blamed instead. Change: a completion clears what was before it. A crash after it is recorded as for any other request; until one is attributed to the request, or it was in flight at more than three since its completion, it is no suspect and runs as before. A popular text completes again between such crashes, one that crashes engines doesn't.

--- a/src/cornelgrade/policy/quarantine.py
+++ b/src/cornelgrade/policy/quarantine.py
@@ -9,6 +9,10 @@
 Callers may send the same text, so that their requests can't be told apart. If several of them were
 in flight at a crash beside other requests, the crash says little about the text: with many callers,
 it is in flight at most upstreams, whichever request crashes them.
+
+A completion clears a request of all crashes before it. A request that completed recently becomes a
+suspect only if a later crash is attributed to it or it was in flight at several later crashes: a
+popular text completes again meanwhile, whereas one that has begun to crash engines does not.
 """
 
 import dataclasses
@@ -21,6 +25,8 @@
 # Crashes with a request in flight, counted or not. Operators allow a request three crashes and
 # three retries after them.
 MAX_CRASHES_SEEN = 6
+# Crashes since a recent completion with the request in flight that make it no suspect yet.
+MAX_CRASHES_AFTER_COMPLETION = 3
 # Crashes with several copies of a request in flight beside others that weigh as much as one.
 SHARED_CRASHES_AS_ONE = 4
 # First pause before a quarantined batch item runs again; it doubles with each further crash.
@@ -160,13 +166,16 @@
     earlier: tuple[Crash, ...],
     *,
     shared: bool = False,
+    completed: bool = False,
 ) -> Entry:
     """Record a crash detected by this VM as evidence on a request that was in flight.
 
     :param earlier: recent crashes of the same upstream, including those reported by peers.
     :param shared: whether the request was in flight more than once from this VM.
+    :param completed: whether the request completed recently.
     """
-    was_suspect = entry is not None
+    status = classify_request(entry, crash.at_s, completed=completed)
+    was_suspect = status is not RequestStatus.CLEAR
     entry = entry or Entry()
     if crash.upstream in entry.reported:
         return entry
@@ -324,12 +333,19 @@
     return sightings[:MAX_SIGHTINGS_SENT]
 
 
-def classify_request(entry: Entry | None, now_s: float) -> RequestStatus:
-    """Return the status of a request."""
+def classify_request(
+    entry: Entry | None, now_s: float, *, completed: bool = False
+) -> RequestStatus:
+    """Return the status of a request.
+
+    :param completed: whether the request completed recently, before the crashes of its entry.
+    """
     if entry is None or entry.expires_at_s <= now_s:
         return RequestStatus.CLEAR
-    if crashes(entry) < MAX_CRASHES and crashes_seen(entry) < MAX_CRASHES_SEEN:
-        return RequestStatus.SUSPECT
+    attributed, seen = crashes(entry), crashes_seen(entry)
+    if attributed < MAX_CRASHES and seen < MAX_CRASHES_SEEN:
+        unlikely = completed and not attributed and seen <= MAX_CRASHES_AFTER_COMPLETION
+        return RequestStatus.CLEAR if unlikely else RequestStatus.SUSPECT
     return RequestStatus.PENDING if decided_at_s(entry) > now_s else RequestStatus.QUARANTINED
 
 
--- a/src/cornelgrade/services/quarantine.py
+++ b/src/cornelgrade/services/quarantine.py
@@ -20,8 +20,7 @@
 MAX_ENTRIES = 2_048
 MAX_CRASHES_KEPT = 256
 MAX_COMPLETED = 2_048
-# A request that completed this recently is not what crashes upstreams. Callers often send the same
-# short text.
+# How long a completion speaks for a request. Callers often send the same short text.
 COMPLETED_TTL_S = 120.0
 MAX_ANNOUNCED_PER_CRASH = 16
 MAX_DIRECT_PEERS = 16
@@ -174,7 +173,7 @@
     def verdict(self, fingerprint: str) -> ports.Verdict:
         """Return how a request may run, and record that it is allowed to run."""
         entry = self._entries.get(fingerprint)
-        standing = quarantine.classify_request(entry, trio.current_time())
+        standing = self._classify(fingerprint, trio.current_time())
         if entry is not None:
             self._store_entry(fingerprint, quarantine.clear_reported(entry))
         return _VERDICTS[standing]
@@ -196,7 +195,7 @@
         """
         now_s = trio.current_time()
         copies = collections.Counter(in_flight)
-        fingerprints = tuple(f for f in copies if not self._has_completed(f, now_s))
+        fingerprints = tuple(copies)
         suspects = tuple(f for f in fingerprints if self._is_suspect(f, now_s))
         sole = suspects if len(suspects) == 1 else fingerprints
         crash = quarantine.Crash(
@@ -254,8 +253,13 @@
         return completed_s is not None and now_s - completed_s < COMPLETED_TTL_S
 
     def _is_suspect(self, fingerprint: str, now_s: float) -> bool:
-        standing = quarantine.classify_request(self._entries.get(fingerprint), now_s)
-        return standing is not quarantine.RequestStatus.CLEAR
+        return self._classify(fingerprint, now_s) is not quarantine.RequestStatus.CLEAR
+
+    def _classify(self, fingerprint: str, now_s: float) -> quarantine.RequestStatus:
+        completed = self._has_completed(fingerprint, now_s)
+        return quarantine.classify_request(
+            self._entries.get(fingerprint), now_s, completed=completed
+        )
 
     def _attribute_crash(
         self,
@@ -269,7 +273,10 @@
         entry = self._entries.get(fingerprint)
         if entry is not None and entry.expires_at_s <= crash.at_s:
             entry = None
-        updated = quarantine.record_crash(entry, fingerprint, crash, earlier, shared=shared)
+        completed = self._has_completed(fingerprint, crash.at_s)
+        updated = quarantine.record_crash(
+            entry, fingerprint, crash, earlier, shared=shared, completed=completed
+        )
         self._store_entry(fingerprint, updated)
         return updated is not entry
 
--- a/tests/edge/test_crash_evidence.py
+++ b/tests/edge/test_crash_evidence.py
@@ -68,9 +68,12 @@
             assert statuses[-1] == 200, statuses
 
     async def crash_engines(self, crashes=CRASHES):
-        while count_crashes(self.system) < crashes:
-            await self.send(CULPRIT)
-            await trio.sleep(LATE_SEND_PAUSE_S)
+        """Send the culprit until it has crashed so many engines or is stopped before."""
+        for _ in range(LATE_SENDS):
+            if count_crashes(self.system) < crashes:
+                await self.send(CULPRIT)
+                await trio.sleep(LATE_SEND_PAUSE_S)
+        assert count_crashes(self.system)
 
     async def count_late_runs(self):
         """Return how often the culprit reaches engines if callers go on sending it."""
@@ -169,18 +172,12 @@
     async with edge_system.run_system(gateways=3, engines=8, events=20) as system:
         make_engines_crash(system)
         callers = Callers(system)
-
-        async def repeat_culprit():
-            while count_crashes(system) < CRASHES:
-                await callers.send(CULPRIT)
-                await trio.sleep(LATE_SEND_PAUSE_S)
-
         async with trio.open_nursery() as nursery:
             for _ in range(6):
                 nursery.start_soon(Callers(system).send_unrelated, 14)
             async with trio.open_nursery() as culprits:
                 for _ in range(6):
-                    culprits.start_soon(repeat_culprit)
+                    culprits.start_soon(Callers(system).crash_engines)
             late = await callers.count_late_runs()
     assert late <= MAX_LATE_RUNS
 
--- a/tests/policy/test_quarantine_rules.py
+++ b/tests/policy/test_quarantine_rules.py
@@ -134,3 +134,22 @@
 def test_crash_with_only_copies_of_a_request_in_flight_counts():
     entry = quarantine.record_crash(None, X, crash(0.0), (), shared=True)
     assert quarantine.crashes(entry) == 1
+
+
+# Guards against a text that is immune to blame for what it does after it was served.
+def test_request_that_completed_is_quarantined_after_six_later_crashes():
+    statuses, entry = [], None
+    for number in range(quarantine.MAX_CRASHES_SEEN):
+        own = crash(float(number), 2, len(statuses) > 3, upstream=f"u{number}")
+        entry = entry and quarantine.clear_reported(entry)
+        entry = quarantine.record_crash(entry, X, own, (), completed=True)
+        statuses.append(quarantine.classify_request(entry, number + 0.5, completed=True))
+    clear, suspect = quarantine.RequestStatus.CLEAR, quarantine.RequestStatus.SUSPECT
+    assert statuses == [clear] * 3 + [suspect] * 2 + [quarantine.RequestStatus.QUARANTINED]
+
+
+# Guards against excusing a crash with nothing else in flight by an earlier completion.
+def test_crash_with_only_a_request_that_completed_in_flight_makes_it_a_suspect():
+    entry = quarantine.record_crash(None, X, crash(0.0), (), completed=True)
+    status = quarantine.classify_request(entry, 1.0, completed=True)
+    assert status is quarantine.RequestStatus.SUSPECT
