Keep crashes of a request in the store, so that a restart of all processes forgets none

Cause: evidence below the limit was kept only in memory. Change: from the second crash with a request in flight, or the first that is attributed to it, the crashes are stored by fingerprint, read at a start and after the store was lost, and deleted when the request completes. A single crash that is not attributed is not stored: every request in flight has that much against it. The case of items passes before and after: the item was alone at its crashes and so decided at the second.

--- a/src/cornelgrade/policy/quarantine.py
+++ b/src/cornelgrade/policy/quarantine.py
@@ -322,6 +322,16 @@
     return max(_count_seen(_all_sightings(entry)) + unnamed, *counts, 0)
 
 
+def sightings_to_keep(entry: Entry) -> tuple[crash_sightings.Sighting, ...]:
+    """Return the crashes that must not be forgotten if all processes restart.
+
+    None if there is a single one and nothing attributes it to the request: every request that is in
+    flight at a crash has that much against it, and most complete soon.
+    """
+    sightings = _all_sightings(entry)
+    return sightings if len(sightings) > 1 or _count_attributed(sightings) else ()
+
+
 def own_sightings_to_send(entry: Entry, *, settled: bool) -> tuple[crash_sightings.Sighting, ...]:
     """Return this process's newest sightings.
 
--- a/src/cornelgrade/services/edge/quarantine_sync.py
+++ b/src/cornelgrade/services/edge/quarantine_sync.py
@@ -1,14 +1,14 @@
 """The service ``quarantine_sync``: shares the quarantine with all processes, also later ones.
 
 Reports go to every process by datagram and again to a few random ones, since datagrams may be lost.
-A decision is also stored in the platform's store, where a process reads it when it starts and
-after it has lost the store.
+Decisions, and crashes that may lead to one, are also stored in the platform's store, where a
+process reads them when it starts and after it has lost the store.
 """
 
 import contextlib
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
 import msgspec
@@ -17,7 +17,7 @@
 from cornelgrade import kernel, logs
 from cornelgrade.adapters import platform
 from cornelgrade.services import ports, quarantine
-from cornelgrade.services.edge import _store_availability, peers
+from cornelgrade.services.edge import _store_availability, peers, suspect_records
 
 KIND = "cornelgrade-quarantine"
 RESEND_INTERVAL_S = 1.0
@@ -28,6 +28,7 @@
 RETRY_PAUSE_S = 0.5
 _MS_PER_S = 1000
 T = TypeVar("T")
+R = TypeVar("R", ports.QuarantineDecision, ports.SuspectRecord)
 _log = logs.Logger("quarantine_sync")
 
 
@@ -70,13 +71,16 @@
         self._store = store
         self._availability = availability
         self._rng = random.Random(vm)
+        self._suspects = suspect_records.SuspectRecords(store, self._quarantine)
 
     async def run(self, started: Callable[[], None]) -> None:
         """Share until cancelled."""
         decisions = self._quarantine.subscribe_decisions()
+        suspects = self._quarantine.subscribe_suspects()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._restore_decisions)
             nursery.start_soon(self._store_decisions, decisions)
+            nursery.start_soon(self._store_suspects, suspects)
             nursery.start_soon(self._resend_reports)
             started()
 
@@ -92,18 +96,26 @@
         self, decisions: trio.MemoryReceiveChannel[ports.QuarantineDecision]
     ) -> None:
         async for decision in decisions:
-            await self._store_decision(decision)
+            write = self._create_decision if decision.expires_s > 0.0 else self._delete_decision
+            await self._retry_write(write, decision)
 
-    async def _store_decision(self, decision: ports.QuarantineDecision) -> None:
-        write = self._create_decision if decision.expires_s > 0.0 else self._delete_decision
+    async def _store_suspects(
+        self, suspects: trio.MemoryReceiveChannel[ports.SuspectRecord]
+    ) -> None:
+        async for record in suspects:
+            await self._retry_write(self._suspects.write, record)
+
+    @staticmethod
+    async def _retry_write(write: Callable[[R], Awaitable[None]], written: R) -> None:
+        """Write until the store is available."""
         while True:
             try:
-                await write(decision)
+                await write(written)
                 return
             except platform.UnavailableError as exc:
                 _log.info(
                     "decision_not_stored",
-                    fingerprint=decision.fingerprint,
+                    fingerprint=written.fingerprint,
                     error=exc.format_message(),
                 )
                 await trio.sleep(RETRY_PAUSE_S)
@@ -137,6 +149,7 @@
             stored = await self._store.list(KIND, limit=quarantine.MAX_ENTRIES)
             for found in stored:
                 await self._restore_decision(found)
+            await self._suspects.restore()
         except platform.UnavailableError as exc:
             _log.info("decisions_not_read", error=exc.format_message())
             return False
--- a/src/cornelgrade/services/ports.py
+++ b/src/cornelgrade/services/ports.py
@@ -415,6 +415,19 @@
     expires_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SuspectRecord:
+    """The crashes of a request that is not quarantined yet, to be kept beyond this process.
+
+    :param expires_s: seconds from now until they no longer count; 0 once it completed.
+    :param sightings: crashes that this process knows of; none once it completed.
+    """
+
+    fingerprint: str
+    expires_s: float
+    sightings: tuple[CrashSighting, ...] = ()
+
+
 class CrashReports(Protocol):
     """Exchange of crash reports with the quarantines of other processes."""
 
--- a/src/cornelgrade/services/quarantine.py
+++ b/src/cornelgrade/services/quarantine.py
@@ -26,6 +26,9 @@
 MAX_DIRECT_PEERS = 16
 # Source of the counts of requests that were quarantined before this process started.
 RESTORED_SOURCE = "restored"
+# Source of crashes that were stored before this process started.
+STORED_SOURCE = "stored"
+_NOT_RESENT = frozenset((RESTORED_SOURCE, STORED_SOURCE))
 T = TypeVar("T")
 
 _VERDICTS = {
@@ -79,6 +82,7 @@
         self._kern = kern
         self._crash_reports = crash_reports
         self._decisions = _subscriptions.Subscriptions()
+        self._suspect_records = _subscriptions.Subscriptions()
         self._log = logs.Logger(NAME)
         self._entries: collections.OrderedDict[str, quarantine.Entry] = collections.OrderedDict()
         self._crashes: collections.deque[quarantine.Crash] = collections.deque(
@@ -122,6 +126,21 @@
             quarantine.merge_peer_count(entry, count, expires_at_s, now_s),
         )
 
+    def subscribe_suspects(self) -> trio.MemoryReceiveChannel[ports.SuspectRecord]:
+        """Subscribe to the crashes that have to outlast this process."""
+        return self._suspect_records.subscribe(ports.SuspectRecord)
+
+    def restore_suspect(self, record: ports.SuspectRecord) -> None:
+        """Take stored crashes into account."""
+        now_s = trio.current_time()
+        sightings = _decode_sightings(record.sightings, now_s)
+        count = quarantine.PeerCount(STORED_SOURCE, 0, 0, sightings)
+        entry = self._entries.get(record.fingerprint)
+        expires_at_s = now_s + min(record.expires_s, quarantine.SUSPECT_S)
+        self._store_entry(
+            record.fingerprint, quarantine.merge_peer_count(entry, count, expires_at_s, now_s)
+        )
+
     def recent_reports(self) -> tuple[ports.Quarantined, ...]:
         """Return reports to send again, because some may be lost.
 
@@ -154,7 +173,7 @@
                 _encode_sightings(count.sightings[: quarantine.MAX_SIGHTINGS_SENT], now_s),
             )
             for count in entry.peer_counts
-            if count.source != RESTORED_SOURCE
+            if count.source not in _NOT_RESENT
         ]
 
     def is_suspect(self, fingerprint: str) -> bool:
@@ -226,6 +245,7 @@
         self._send_crash(crash)
         for fingerprint in attributed[:MAX_ANNOUNCED_PER_CRASH]:
             self._publish_entry(fingerprint)
+            self._keep_crashes(fingerprint)
         if self._nursery is not None:
             self._nursery.start_soon(self._announce, tuple(attributed[:MAX_ANNOUNCED_PER_CRASH]))
 
@@ -237,6 +257,8 @@
             return
         if self._crash_reports is not None:
             self._crash_reports.publish(ports.Quarantined(fingerprint, 0, 0.0, self._source))
+        if quarantine.sightings_to_keep(entry):
+            self._suspect_records.deliver(ports.SuspectRecord(fingerprint, 0.0))
         status = quarantine.classify_request(entry, trio.current_time())
         if status is quarantine.RequestStatus.QUARANTINED:
             self._log.warning("request_released", fingerprint=fingerprint)
@@ -301,6 +323,17 @@
         for fingerprint in fingerprints:
             self._decide(fingerprint)
             self._publish_entry(fingerprint)
+            self._keep_crashes(fingerprint)
+
+    def _keep_crashes(self, fingerprint: str) -> None:
+        """Have the crashes of a request stored if they must not be forgotten."""
+        now_s = trio.current_time()
+        entry = self._entries.get(fingerprint)
+        sightings = quarantine.sightings_to_keep(entry) if entry is not None else ()
+        if entry is not None and sightings:
+            kept = _encode_sightings(sightings, now_s)
+            record = ports.SuspectRecord(fingerprint, entry.expires_at_s - now_s, kept)
+            self._suspect_records.deliver(record)
 
     def _decide(self, fingerprint: str) -> None:
         """Quarantine a request for long if the evidence suffices."""
