Store crashes of a request as the sightings that processes exchange

One type for them less; an object holds the ages and the time from which they count back. Tests of the objects' life: read by a later process, deleted at a completion, none for a single crash that nothing attributes.

--- a/src/cornelgrade/services/edge/suspect_records.py
+++ b/src/cornelgrade/services/edge/suspect_records.py
@@ -6,6 +6,7 @@
 """
 
 import contextlib
+import dataclasses
 import time
 
 import msgspec
@@ -19,21 +20,15 @@
 _log = logs.Logger("suspect_records")
 
 
-class StoredCrash(msgspec.Struct, frozen=True):
-    """A crash with the request in flight; the fields are those of :class:`ports.CrashSighting`."""
-
-    crash: int
-    at_ms: int
-    exact: bool
-    attributed: bool
-    weak: bool
-
-
 class StoredSuspect(msgspec.Struct, frozen=True):
-    """The crashes of one request."""
+    """The crashes of one request.
+
+    :param stored_ms: Unix time from which the ages of the crashes count back.
+    """
 
     expires_ms: int
-    crashes: tuple[StoredCrash, ...]
+    stored_ms: int
+    crashes: tuple[ports.CrashSighting, ...]
 
 
 class SuspectRecords:
@@ -97,25 +92,15 @@
 
 
 def _encode_record(record: ports.SuspectRecord) -> StoredSuspect:
-    now_s = time.time()
-    return StoredSuspect(
-        int((now_s + record.expires_s) * _MS_PER_S),
-        tuple(
-            StoredCrash(s.crash, int((now_s - s.age_s) * _MS_PER_S), s.exact, s.attributed, s.weak)
-            for s in record.sightings
-        ),
-    )
+    now_ms = int(time.time() * _MS_PER_S)
+    expires_ms = now_ms + int(record.expires_s * _MS_PER_S)
+    return StoredSuspect(expires_ms, now_ms, record.sightings)
 
 
 def _decode_suspect(fingerprint: str, suspect: StoredSuspect) -> ports.SuspectRecord:
-    now_s = time.time()
+    now_ms = time.time() * _MS_PER_S
+    stored_s = max(0.0, now_ms - suspect.stored_ms) / _MS_PER_S
+    crashes = (dataclasses.replace(c, age_s=c.age_s + stored_s) for c in suspect.crashes)
     return ports.SuspectRecord(
-        fingerprint,
-        suspect.expires_ms / _MS_PER_S - now_s,
-        tuple(
-            ports.CrashSighting(
-                c.crash, max(0.0, now_s - c.at_ms / _MS_PER_S), c.exact, c.attributed, c.weak
-            )
-            for c in suspect.crashes
-        ),
+        fingerprint, (suspect.expires_ms - now_ms) / _MS_PER_S, tuple(crashes)
     )
--- a/tests/edge/test_quarantine_sync.py
+++ b/tests/edge/test_quarantine_sync.py
@@ -10,7 +10,7 @@
 from cornelgrade.adapters import engine
 from cornelgrade.platform.standins import edge_system
 from cornelgrade.services import ports, quarantine
-from cornelgrade.services.edge import crash_detector, quarantine_sync
+from cornelgrade.services.edge import crash_detector, quarantine_sync, suspect_records
 
 CULPRIT = "f" * 32
 NEIGHBOUR = "e" * 32
@@ -141,3 +141,26 @@
         with detector.track_call(up, CULPRIT):
             await detector.check_after(up, lost_connection(progress))
         assert not find_quarantine(system, "gateway-0").is_suspect(CULPRIT)
+
+
+# Guards against stored crashes that no process takes into account, or that outlast a completion.
+async def test_stored_crashes_count_for_later_processes_until_the_request_completes():
+    async with edge_system.run_system(gateways=1) as system:
+        service = find_quarantine(system, "gateway-0")
+        service.report_crash("engine-0", (CULPRIT,), 1_000)
+        await trio.sleep(SETTLE_S)
+        system.nodes.pop("gateway-0").scope.cancel()
+        await system.start_gateway("gateway-1")
+        await wait_for_verdict(system, "gateway-1", CULPRIT, ports.Verdict.ALONE)
+        assert [s.name for s in await system.store.list(suspect_records.KIND)] == [CULPRIT]
+        find_quarantine(system, "gateway-1").report_completion(CULPRIT)
+        await trio.sleep(SETTLE_S)
+        assert await system.store.list(suspect_records.KIND) == ()
+
+
+# Guards against a write for every request that was in flight at a crash.
+async def test_single_crash_with_several_requests_in_flight_is_not_stored():
+    async with edge_system.run_system(gateways=1) as system:
+        find_quarantine(system, "gateway-0").report_crash("engine-0", (CULPRIT, NEIGHBOUR))
+        await trio.sleep(SETTLE_S)
+        assert await system.store.list(suspect_records.KIND) == ()
