--- a/src/cornelgrade/platform/standins/stream_engine.py
+++ b/src/cornelgrade/platform/standins/stream_engine.py
@@ -70,13 +70,21 @@
 
     :param events: number of events in each response.
     :param event_s: time between two events.
+    :param version: version of its software.
     :ivar on_crash: called with the time for which it is down after a request crashed it.
     """
 
     def __init__(
-        self, name: str, *, slots: int = 8, events: int = 5, event_s: float = 0.01
+        self,
+        name: str,
+        *,
+        slots: int = 8,
+        events: int = 5,
+        event_s: float = 0.01,
+        version: str = "",
     ) -> None:
         self.name = name
+        self.version = version
         self.slots = slots
         self.events = events
         self.event_s = event_s
@@ -101,7 +109,15 @@
 
     def upstream(self, service: str, failure_domain: str) -> routes.Upstream:
         """Return the registration of the engine."""
-        return routes.Upstream(self.name, service, self.address, failure_domain, self.slots)
+        return routes.Upstream(
+            self.name,
+            service,
+            self.address,
+            failure_domain,
+            self.slots,
+            started_ms=self.started_ms,
+            version=self.version,
+        )
 
     def crash(self, down_s: float) -> None:
         """Reset every connection and refuse new ones for a while."""
--- a/src/cornelgrade/routes.py
+++ b/src/cornelgrade/routes.py
@@ -113,6 +113,8 @@
 
     :param name: id of this start of the upstream, or of an earlier start that it took over.
     :param started_ms: Unix time of its start in milliseconds, 0 if not given.
+    :param version: version of its software; empty if not given. What two versions write doesn't fit
+        together, so a stream goes on only at the version that began it.
     """
 
     name: str
@@ -122,3 +124,4 @@
     slots: int
     leaving: bool = False
     started_ms: int = 0
+    version: str = ""
