Go on with a broken stream only at the software version that began it

Cause: registrations name the version, but it was not decoded, and a permit to go on was given by load alone. Change: routes.Upstream has the version; once the first event is sent, only upstreams of the same service and version count. If none is registered the response is broken off, which its caller can tell; a stream that only pauses is left alone then. A stream that goes on gets its permit before new ones of its rank, since few upstreams can serve it.

--- a/src/cornelgrade/platform/entries.py
+++ b/src/cornelgrade/platform/entries.py
@@ -17,6 +17,8 @@
     slots: int
     # Start of the engine in Unix milliseconds; tells apart restarts under the same name.
     born: int = 0
+    # Version of the engine's software, unlike ``Versions`` in responses, which is of the weights.
+    version: str = ""
 
 
 def decode(name: str, value: bytes) -> routes.Upstream | None:
@@ -38,4 +40,5 @@
         slots=entry.slots,
         leaving=leaving,
         started_ms=entry.born,
+        version=entry.version,
     )
--- a/src/cornelgrade/platform/standins/formats.py
+++ b/src/cornelgrade/platform/standins/formats.py
@@ -54,6 +54,7 @@
             "state": "draining" if up.leaving else "ready",
             "slots": up.slots,
             "born": up.started_ms,
+            "version": up.version,
         }
     )
 
--- /dev/null
+++ b/src/cornelgrade/policy/software_versions.py
@@ -0,0 +1,64 @@
+"""Which software versions of a service may have begun a stream that is still taken up."""
+
+import dataclasses
+from collections.abc import Iterable
+
+from cornelgrade import routes
+
+# No stream is taken up longer after it began than this.
+STREAM_LIFETIME_S = 60.0
+_MS_PER_S = 1000.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StreamOrigin:
+    """What began a stream; the stream goes on only there."""
+
+    service: str
+    version: str
+
+
+def origin_at(up: routes.Upstream) -> StreamOrigin:
+    """Return the origin of streams that begin at an upstream."""
+    return StreamOrigin(up.service, up.version)
+
+
+class VersionHistory:
+    """The versions that were registered lately, as one process has seen them.
+
+    :param since_s: since when the process follows the registrations, on its monotonic clock.
+    """
+
+    def __init__(self, since_s: float) -> None:
+        self._since_s = since_s
+        self._last_seen_s: dict[StreamOrigin, float] = {}
+        self._registered: frozenset[StreamOrigin] = frozenset()
+
+    def observe(self, upstreams: Iterable[routes.Upstream], now_s: float) -> None:
+        """Record the registered upstreams, including those that are leaving."""
+        # What was registered until now served until now.
+        before = self._registered
+        self._registered = frozenset(origin_at(up) for up in upstreams)
+        self._last_seen_s |= dict.fromkeys(before | self._registered, now_s)
+        for origin, last_seen_s in tuple(self._last_seen_s.items()):
+            if now_s - last_seen_s > STREAM_LIFETIME_S:
+                del self._last_seen_s[origin]
+
+    def list_origins(self, service: str, now_s: float) -> tuple[StreamOrigin, ...]:
+        """Return what may have begun a stream of a service, as far as this process knows."""
+        return tuple(
+            origin
+            for origin, last_seen_s in self._last_seen_s.items()
+            if origin.service == service
+            and (origin in self._registered or now_s - last_seen_s <= STREAM_LIFETIME_S)
+        )
+
+    def is_complete(self, now_s: float) -> bool:
+        """Return whether no version can have left before this process began to look."""
+        return now_s - self._since_s >= STREAM_LIFETIME_S
+
+
+def has_recent_start(upstreams: Iterable[routes.Upstream], service: str, unix_s: float) -> bool:
+    """Return whether an upstream of a service started so recently that it may replace others."""
+    earliest_ms = (unix_s - STREAM_LIFETIME_S) * _MS_PER_S
+    return any(up.service == service and up.started_ms > earliest_ms for up in upstreams)
--- a/src/cornelgrade/services/edge/fleet.py
+++ b/src/cornelgrade/services/edge/fleet.py
@@ -75,6 +75,10 @@
         """Return the route table in force, or ``None`` before the first plan is known."""
         return self._table
 
+    def upstreams(self) -> tuple[routes.Upstream, ...]:
+        """Return all registered upstreams, also those that are leaving."""
+        return tuple(reg.upstream for reg in self._registered.values())
+
     def usable_registrations(self) -> tuple[registrations.Registration, ...]:
         """Return the registrations of upstreams that may receive new requests."""
         usable = registrations.list_usable(self._registered, trio.current_time())
@@ -159,6 +163,7 @@
                     failure_domain=up.failure_domain,
                     leaving=up.leaving,
                     started_ms=up.started_ms,
+                    version=up.version,
                 )
         for name in missing & frozenset(self._registered):
             age_s = trio.current_time() - self._availability.recovered_s
--- a/src/cornelgrade/services/edge/relay.py
+++ b/src/cornelgrade/services/edge/relay.py
@@ -6,9 +6,20 @@
 
 from cornelgrade import errors, kernel, logs, metrics, routes
 from cornelgrade.adapters import engine, http1, http1_server
-from cornelgrade.policy import event_stream, quarantine, retry, route_table
+from cornelgrade.policy import (
+    event_stream,
+    quarantine,
+    retry,
+    route_table,
+    software_versions,
+)
 from cornelgrade.services import ports as shared_ports
-from cornelgrade.services.edge import crash_detector, fleet, ports, slot_permits
+from cornelgrade.services.edge import (
+    crash_detector,
+    fleet,
+    ports,
+    slot_permits,
+)
 
 # A connection within a region takes a few milliseconds; an upstream that takes this long is down or
 # overloaded.
@@ -16,7 +27,7 @@
 # How long a request waits for a permit, as a ratio of its latency target. After that it would be
 # late here, while an early refusal leaves the caller time to retry elsewhere.
 PERMIT_WAIT_RATIO = 0.2
-# How long a started stream waits for a permit to resume. Its caller gives up after 2 s without an
+# How long a stream that began waits for a permit to go on. Its caller gives up after 2 s without an
 # event, and detecting the failure took part of that.
 RESUME_PERMIT_WAIT_S = 1.0
 # Upstreams that may decline a request before it is refused.
@@ -44,12 +55,14 @@
     :ivar upstreams_tried: number of upstreams that it was assigned to.
     :ivar runs: number of upstreams that may have run it.
     :ivar last_event: number of the last event sent to the caller.
+    :ivar origin: what began the stream, once it has begun, here or in an earlier attempt.
     """
 
     upstreams_tried: int = 0
     runs: int = 0
     started: bool = False
     last_event: int | None = None
+    origin: software_versions.StreamOrigin | None = None
     first_byte_s: float | None = None
     upstream: str = ""
     permit: slot_permits.SlotPermit | None = None
@@ -133,10 +146,19 @@
 
     async def _acquire_permit(self, req: _Request, progress: _Progress) -> slot_permits.SlotPermit:
         isolated = await self._is_suspect(req)
-        service = route_table.pick_service(req.route, req.caller.request_id)
-        wait_s = RESUME_PERMIT_WAIT_S if progress.started else PERMIT_WAIT_RATIO * req.route.aim_s
+        origin = progress.origin
+        if origin is not None:
+            service, wait_s = origin.service, RESUME_PERMIT_WAIT_S
+        else:
+            service = route_table.pick_service(req.route, req.caller.request_id)
+            wait_s = PERMIT_WAIT_RATIO * req.route.aim_s
         return await self._permits.acquire(
-            service, req.route.rank, progress.failed_upstreams, wait_s, isolated=isolated
+            service,
+            req.route.rank,
+            progress.failed_upstreams,
+            wait_s,
+            isolated=isolated,
+            origin=origin,
         )
 
     async def _is_suspect(self, req: _Request) -> bool:
@@ -165,6 +187,7 @@
             request=req.caller.request_id,
             fingerprint=req.fingerprint,
             upstream=progress.upstream,
+            version=progress.origin.version if progress.origin else "",
             progress=exc.progress.value,
             then=decision.then.value,
             runs=progress.runs,
@@ -274,6 +297,9 @@
         """Return how long an upstream may be silent: unlimited if no other may be tried."""
         if self._is_last_attempt(req, progress) or not req.route.repeatable:
             return float("inf")
+        tried = progress.failed_upstreams | {progress.upstream}
+        if progress.origin and not self._permits.can_go_on_elsewhere(progress.origin, tried):
+            return float("inf")
         return max(MIN_IDLE_TIMEOUT_S, IDLE_TIMEOUT_RATIO * target_s)
 
     async def _relay_response(
@@ -331,6 +357,7 @@
                         f"events missing between {progress.last_event} and {event.event_id}", _STEP
                     )
                 if _is_new_event(event, progress.last_event):
+                    self._record_origin(req, progress)
                     await self._write_part(req, progress, head, event.raw)
                     progress.last_event = (
                         event.event_id if event.event_id is not None else progress.last_event
@@ -341,6 +368,12 @@
             await self._write_part(req, progress, head, b"")
         await req.exchange.end_response()
 
+    def _record_origin(self, req: _Request, progress: _Progress) -> None:
+        """Record what began a stream, before its first event is sent."""
+        if progress.origin is None and progress.permit is not None:
+            up = progress.permit.upstream
+            progress.origin = software_versions.origin_at(up)
+
     async def _read_part(self, channel: http1.Channel, req: _Request, progress: _Progress) -> bytes:
         with trio.move_on_after(self._idle_timeout_s(req, progress, req.route.gap_aim_s)):
             return await channel.read_chunk()
@@ -384,6 +417,7 @@
             first_s=progress.first_byte_s,
             total_s=trio.current_time() - req.exchange.arrived_s,
             plan=table.plan.version if table else 0,
+            version=progress.origin.version if progress.origin else "",
             **_placement_fields(progress.permit),
         )
 
--- a/src/cornelgrade/services/edge/slot_permits.py
+++ b/src/cornelgrade/services/edge/slot_permits.py
@@ -16,7 +16,7 @@
 
 from cornelgrade import errors, kernel, logs, routes, settings
 from cornelgrade.adapters import engine
-from cornelgrade.policy import placement, rendezvous
+from cornelgrade.policy import placement, rendezvous, software_versions
 from cornelgrade.schema import messages
 from cornelgrade.services.edge import fleet, peers, ports, upstream_loads
 
@@ -84,6 +84,7 @@
     arrival: int
     exclude: frozenset[str]
     isolated: bool = False
+    origin: software_versions.StreamOrigin | None = None
     assignment: _Assignment | None = None
     wake: trio.Event = dataclasses.field(default_factory=trio.Event)
 
@@ -127,20 +128,26 @@
         max_wait_s: float,
         *,
         isolated: bool = False,
+        origin: software_versions.StreamOrigin | None = None,
     ) -> SlotPermit:
         """Return a permit, waiting for one if necessary.
 
         :param exclude: upstreams that already failed this request; used only as a last resort.
         :param isolated: avoid upstreams at which another isolated request has a permit.
+        :param origin: what began a stream that goes on; others don't count as upstreams. Such a
+            request goes before new ones of its rank, because few upstreams can serve it.
         :raises Refusal: ``OVERLOADED`` if none is free in time, ``UNAVAILABLE`` if there is no
             upstream at all.
         """
         started_s = trio.current_time()
-        waiter = _Waiter(service, rank, next(self._arrival_numbers), exclude, isolated)
-        if not self._list_candidates(service, exclude):
-            raise self._refusal(errors.Code.UNAVAILABLE, f"no upstream of {service} is registered")
+        waiter = _Waiter(service, rank, next(self._arrival_numbers), exclude, isolated, origin)
+        if not self._list_candidates(service, exclude, origin):
+            version = f" version {origin.version}" if origin else ""
+            raise self._refusal(
+                errors.Code.UNAVAILABLE, f"no upstream of {service}{version} is registered"
+            )
         self._waiting.append(waiter)
-        self._waiting.sort(key=lambda w: (w.rank, w.arrival))
+        self._waiting.sort(key=lambda w: (w.rank, w.origin is None, w.arrival))
         self._dispatch()
         try:
             with trio.move_on_after(max_wait_s):
@@ -195,10 +202,27 @@
         _log.info("upstream_trusted", upstream=upstream.name, suspect_s=suspect_s)
         self._dispatch()
 
-    def _list_candidates(self, service: str, exclude: frozenset[str]) -> list[placement.Candidate]:
+    def can_go_on_elsewhere(
+        self, origin: software_versions.StreamOrigin, exclude: frozenset[str]
+    ) -> bool:
+        """Return whether an upstream that isn't excluded could go on with a stream."""
+        return any(
+            software_versions.origin_at(reg.upstream) == origin and reg.upstream.name not in exclude
+            for reg in self._fleet.usable_registrations()
+        )
+
+    def _list_candidates(
+        self,
+        service: str,
+        exclude: frozenset[str],
+        origin: software_versions.StreamOrigin | None,
+    ) -> list[placement.Candidate]:
         now_s = trio.current_time()
         registered = [
-            reg for reg in self._fleet.usable_registrations() if reg.upstream.service == service
+            reg
+            for reg in self._fleet.usable_registrations()
+            if reg.upstream.service == service
+            and origin in (None, software_versions.origin_at(reg.upstream))
         ]
         healthy = [reg for reg in registered if reg.upstream.name not in self._suspects]
         untried = [reg for reg in healthy if reg.upstream.name not in exclude]
@@ -226,7 +250,7 @@
     def _dispatch(self) -> None:
         for waiter in tuple(self._waiting):
             exclude = waiter.exclude | (set(self._isolated) if waiter.isolated else set())
-            candidates = self._list_candidates(waiter.service, exclude)
+            candidates = self._list_candidates(waiter.service, exclude, waiter.origin)
             chosen = placement.choose_upstream(tuple(candidates), self._rng)
             if chosen is None:
                 continue
--- a/tests/edge/test_stream_versions.py
+++ b/tests/edge/test_stream_versions.py
@@ -140,9 +140,20 @@
     fleet = await start_fleet(OLD, NEW, NEW)
     for eng in fleet.engines(NEW):
         eng.faults = stream_engine.Faults(decline=True)
-    fleet.engines(OLD)[0].event_s = 0.8
-    got = await fleet.send("gateway-0", "r1")
-    assert (got.status, got.complete) == (200, True)
+    old = fleet.engines(OLD)[0]
+    old.event_s = 0.1
+    answers = []
+
+    async def send():
+        answers.append(await fleet.send("gateway-0", "r1"))
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(send)
+        await trio.sleep(0.15)
+        old.event_s = 0.8
+        fleet.mend()
+    assert (answers[0].status, answers[0].complete) == (200, True)
+    assert set(fleet.ran("r1")) == {OLD}
 
 
 # Guards against taking up a stream at another version, from the VM that began it or another.
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -40,7 +40,9 @@
 def test_entry_is_decoded_to_an_upstream(change, leaving):
     found = entries.decode("i-1", msgspec.json.encode(ENTRY | change))
     started_ms = change.get("born", 0)
-    assert found == routes.Upstream("i-1", "llm", "10.0.0.9:8080", "north", 8, leaving, started_ms)
+    assert found == routes.Upstream(
+        "i-1", "llm", "10.0.0.9:8080", "north", 8, leaving, started_ms, "v1"
+    )
 
 
 @pytest.mark.parametrize(
