Take a stream up only at the software version that began it, at any gateway

Cause: nothing remembered what began a stream. Change: the service stream_origins. A gateway that gets a stream it doesn't know asks, by the attempt's id in Resumes; with a single version it need not. If nobody knows and several versions are possible, or the version or the service has left, the caller gets 503 with Retry-After at once: nothing has run. The record names the service too, for routes that are split.

--- a/src/cornelgrade/edge_daemons.py
+++ b/src/cornelgrade/edge_daemons.py
@@ -26,6 +26,7 @@
     runner,
     slot_permits,
     store_monitor,
+    stream_origins,
     vm_retirement,
 )
 
@@ -64,6 +65,7 @@
     """Add a gateway's services in start order and return its drain function."""
     availability = _add_common_services(kern, cfg, dependencies, peers.Role.GATEWAY)
     kern.add(slot_permits.SlotPermits(kern, cfg, dependencies.calls))
+    kern.add(stream_origins.StreamOrigins(kern, cfg.vm), _RESTART)
     repository = job_repository.JobRepository(dependencies.store, cfg.value_bytes)
     results = result_reader.ResultReader(repository, availability)
     kern.add(results)
--- a/src/cornelgrade/platform/calls.py
+++ b/src/cornelgrade/platform/calls.py
@@ -17,6 +17,7 @@
 _SERVER_LEAVING = b"server-leaving"
 _LEAVING = b"1"
 _LAST_EVENT_ID = b"last-event-id"
+_RESUMES = b"resumes"
 _RETRY_AFTER = "Retry-After"
 _STATUS_WRONG_INSTANCE = 421
 _MS_PER_S = 1000.0
@@ -55,6 +56,7 @@
             host=values.get(b"host", b"").decode("latin-1"),
             timeout_s=_parse_milliseconds(deadline),
             resume_after=int(resume) if is_unsigned_integer(resume) else None,
+            resumed_request=values.get(_RESUMES, b"").decode("latin-1"),
         )
 
     def upstream_headers(
--- a/src/cornelgrade/policy/software_versions.py
+++ b/src/cornelgrade/policy/software_versions.py
@@ -1,6 +1,7 @@
 """Which software versions of a service may have begun a stream that is still taken up."""
 
 import dataclasses
+import functools
 from collections.abc import Iterable
 
 from cornelgrade import routes
@@ -20,7 +21,13 @@
 
 def origin_at(up: routes.Upstream) -> StreamOrigin:
     """Return the origin of streams that begin at an upstream."""
-    return StreamOrigin(up.service, up.version)
+    return _make_origin(up.service, up.version)
+
+
+@functools.lru_cache(maxsize=256)
+def _make_origin(service: str, version: str) -> StreamOrigin:
+    """Return one object for all streams, of which a process remembers many."""
+    return StreamOrigin(service, version)
 
 
 class VersionHistory:
--- a/src/cornelgrade/schema/codec.py
+++ b/src/cornelgrade/schema/codec.py
@@ -156,6 +156,18 @@
         builder[i].revision = revision
 
 
+def _write_stream_origins(out: Any, field: str, body: messages.StreamOrigins) -> None:
+    builder = out.init(field, len(body.origins))
+    for i, origin in enumerate(body.origins):
+        builder[i].request = origin.request
+        builder[i].service = origin.service
+        builder[i].version = origin.version
+
+
+def _write_stream_origin_query(out: Any, field: str, body: messages.StreamOriginQuery) -> None:
+    setattr(out, field, body.request)
+
+
 def _encode_bitmap(number: int) -> bytes:
     return number.to_bytes((number.bit_length() + 7) // 8, "little")
 
@@ -190,6 +202,8 @@
     messages.Uses: ("uses", _write_uses),
     messages.JobClaims: ("jobClaims", _write_job_claims),
     messages.StoreProgress: ("storeProgress", _write_store_progress),
+    messages.StreamOrigins: ("streamOrigins", _write_stream_origins),
+    messages.StreamOriginQuery: ("streamOriginQuery", _write_stream_origin_query),
     ports.Load: ("load", _write_load),
     ports.Yield: ("yield", _write_slots),
     ports.Share: ("share", _write_slots),
@@ -237,6 +251,10 @@
     "storeProgress": lambda raw: messages.StoreProgress(
         tuple((entry.kind, entry.revision) for entry in raw)
     ),
+    "streamOrigins": lambda raw: messages.StreamOrigins(
+        tuple(messages.StreamOrigin(o.request, o.service, o.version) for o in raw)
+    ),
+    "streamOriginQuery": lambda raw: messages.StreamOriginQuery(raw),
     **_MESSAGE_READERS,
 }
 
--- a/src/cornelgrade/schema/messages.py
+++ b/src/cornelgrade/schema/messages.py
@@ -114,6 +114,36 @@
     followed: tuple[tuple[str, int], ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StreamOrigin:
+    """Tells which software version of which service began a stream.
+
+    :param request: hash of the id of the caller's attempt that began it.
+    """
+
+    request: int
+    service: str
+    version: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StreamOrigins:
+    """Tells the origins of streams, unasked or in reply to :class:`StreamOriginQuery`."""
+
+    origins: tuple[StreamOrigin, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StreamOriginQuery:
+    """Asks for the origin of a stream; who doesn't know it doesn't reply.
+
+    :param vm: the sender, set on receipt.
+    """
+
+    request: int
+    vm: str = ""
+
+
 Body = (
     Ping
     | Ack
@@ -124,6 +154,8 @@
     | Uses
     | JobClaims
     | StoreProgress
+    | StreamOrigins
+    | StreamOriginQuery
     | ports.PeerMessage
 )
 
--- a/src/cornelgrade/schema/peer.capnp
+++ b/src/cornelgrade/schema/peer.capnp
@@ -98,6 +98,12 @@
   revision @1 :UInt64;
 }
 
+struct StreamOrigin {
+  request @0 :UInt64;
+  service @1 :Text;
+  version @2 :Text;
+}
+
 struct Rumor {
   origin @0 :Text;
   number @1 :UInt64;
@@ -134,5 +140,7 @@
     uses @18 :List(UpstreamUse);
     jobClaims @19 :List(JobClaim);
     storeProgress @20 :List(Followed);
+    streamOrigins @21 :List(StreamOrigin);
+    streamOriginQuery @22 :UInt64;
   }
 }
--- a/src/cornelgrade/services/edge/peers.py
+++ b/src/cornelgrade/services/edge/peers.py
@@ -127,6 +127,10 @@
             vm for vm in self._vms_of(role, None) if self._is_live(vm) or self._is_retry_due(vm)
         )
 
+    def registered_vms(self, role: Role) -> tuple[str, ...]:
+        """Return all registered processes of a role, including this one."""
+        return self._vms_of(role, None)
+
     def other_vms(self) -> tuple[str, ...]:
         """Return all registered processes but this one, also unresponsive ones."""
         return tuple(self._peers)
@@ -262,6 +266,6 @@
 
 def _with_sender(datagram: messages.Datagram) -> messages.Body:
     """Set the sender in messages that have a field for it."""
-    if isinstance(datagram.body, messages.Uses | messages.JobClaims):
+    if isinstance(datagram.body, messages.Uses | messages.JobClaims | messages.StreamOriginQuery):
         return dataclasses.replace(datagram.body, vm=datagram.sender)
     return datagram.body
--- a/src/cornelgrade/services/edge/ports.py
+++ b/src/cornelgrade/services/edge/ports.py
@@ -15,12 +15,14 @@
 
     :param timeout_s: how long it waits for the complete response, ``None`` if not given.
     :param resume_after: number of the last event that it received from a broken stream.
+    :param resumed_request: id of its attempt that brought the first event of that stream.
     """
 
     request_id: str
     host: str
     timeout_s: float | None = None
     resume_after: int | None = None
+    resumed_request: str = ""
 
 
 class Verdict(enum.Enum):
--- a/src/cornelgrade/services/edge/relay.py
+++ b/src/cornelgrade/services/edge/relay.py
@@ -19,6 +19,7 @@
     fleet,
     ports,
     slot_permits,
+    stream_origins,
 )
 
 # A connection within a region takes a few milliseconds; an upstream that takes this long is down or
@@ -89,6 +90,7 @@
     def __init__(self, kern: kernel.Kernel, call_format: ports.CallFormat) -> None:
         self._permits = kern.find("seats", slot_permits.SlotPermits)
         self._fleet = kern.find("fleet", fleet.Fleet)
+        self._origins = kern.find("stream_origins", stream_origins.StreamOrigins)
         self._quarantine = kern.find("quarantine", shared_ports.Quarantine)
         self._crash_detector = kern.find("crash_detector", crash_detector.CrashDetector)
         self._call_format = call_format
@@ -127,6 +129,8 @@
     async def _forward(self, req: _Request, progress: _Progress) -> str:
         while True:
             try:
+                if progress.origin is None and progress.last_event is not None:
+                    progress.origin = await self._find_origin(req)
                 permit = await self._acquire_permit(req, progress)
             except errors.Refusal as exc:
                 return await self._send_refusal(req, progress, _final_refusal(progress, exc))
@@ -161,6 +165,24 @@
             origin=origin,
         )
 
+    async def _find_origin(self, req: _Request) -> software_versions.StreamOrigin | None:
+        """Return what began a stream that the caller takes up; ``None`` if it isn't resumable.
+
+        :raises Refusal: ``UNAVAILABLE`` if the stream can't go on here.
+        """
+        if not req.route.resumable:
+            return None
+        origin = await self._origins.find(req.caller.resumed_request, req.route.targets)
+        if origin is not None and any(t.service == origin.service for t in req.route.targets):
+            return origin
+        message = "its service left the route" if origin else "what began the stream is unknown"
+        raise errors.Refusal(
+            errors.Code.UNAVAILABLE,
+            message,
+            step="find origin",
+            retry_after_s=slot_permits.RETRY_AFTER_S,
+        )
+
     async def _is_suspect(self, req: _Request) -> bool:
         """Return whether a request may have crashed an upstream.
 
@@ -373,6 +395,7 @@
         if progress.origin is None and progress.permit is not None:
             up = progress.permit.upstream
             progress.origin = software_versions.origin_at(up)
+            self._origins.record(req.caller.request_id, up)
 
     async def _read_part(self, channel: http1.Channel, req: _Request, progress: _Progress) -> bytes:
         with trio.move_on_after(self._idle_timeout_s(req, progress, req.route.gap_aim_s)):
@@ -418,6 +441,7 @@
             total_s=trio.current_time() - req.exchange.arrived_s,
             plan=table.plan.version if table else 0,
             version=progress.origin.version if progress.origin else "",
+            resumes=req.caller.resumed_request,
             **_placement_fields(progress.permit),
         )
 
--- /dev/null
+++ b/src/cornelgrade/services/edge/stream_origins.py
@@ -0,0 +1,210 @@
+"""The service ``stream_origins``: which software version began a stream that a caller takes up.
+
+A stream goes on only at the version that began it, and its caller may take it up at any gateway.
+A gateway remembers the streams that began there. While several versions of a service serve, it also
+tells a few other gateways of each, so that the origin is known after the gateway is gone. A gateway
+that doesn't know the origin asks. No message is sent while a service has a single version.
+"""
+
+import collections
+import dataclasses
+import hashlib
+import random
+import time
+from collections.abc import Callable, Iterable
+
+import trio
+
+from cornelgrade import kernel, logs, routes
+from cornelgrade.policy import rendezvous, software_versions
+from cornelgrade.schema import messages
+from cornelgrade.services.edge import fleet, peers
+
+# Gateways that are told of a stream, beside the one at which it began.
+HOLDERS = 3
+# Other gateways that are asked beside the holders, because views of who is a holder may differ.
+MAX_OTHERS_ASKED = 5
+# A query is repeated because datagrams may be lost; a reply takes a few milliseconds.
+QUERY_INTERVAL_S = 0.05
+QUERY_ROUNDS = 3
+MAX_ORIGINS = 16_384
+MAX_ORIGINS_PER_DATAGRAM = 16
+_log = logs.Logger("stream_origins")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Known:
+    """An origin that this process remembers.
+
+    :param own: whether the stream began here.
+    """
+
+    origin: software_versions.StreamOrigin
+    at_s: float
+    own: bool
+
+
+class StreamOrigins:
+    """Remembers, shares and finds the origins of streams."""
+
+    name = "stream_origins"
+
+    def __init__(self, kern: kernel.Kernel, vm: str) -> None:
+        self._fleet = kern.find("fleet", fleet.Fleet)
+        self._peers = kern.find("peers", peers.Peers)
+        self._vm = vm
+        self._rng = random.Random(vm)
+        self._history = software_versions.VersionHistory(-software_versions.STREAM_LIFETIME_S)
+        self._known: collections.OrderedDict[int, _Known] = collections.OrderedDict()
+        self._queries: dict[int, trio.Event] = {}
+        self._mixed: frozenset[str] = frozenset()
+
+    async def run(self, started: Callable[[], None]) -> None:
+        """Follow the registrations and answer other gateways until cancelled."""
+        self._history = software_versions.VersionHistory(trio.current_time())
+        received = self._peers.subscribe(messages.StreamOrigins)
+        queries = self._peers.subscribe(messages.StreamOriginQuery)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._receive_origins, received)
+            nursery.start_soon(self._answer_queries, queries)
+            nursery.start_soon(self._observe_changes)
+            started()
+
+    def record(self, request_id: str, up: routes.Upstream) -> None:
+        """Record that a stream begins at an upstream; call it before its first event is sent.
+
+        :param request_id: id of the caller's attempt.
+        """
+        key = hash_request_id(request_id)
+        self._remember(key, software_versions.origin_at(up), own=True)
+        if up.service in self._mixed:
+            self._tell_holders((key,))
+
+    async def find(
+        self, request_id: str, targets: tuple[routes.Target, ...]
+    ) -> software_versions.StreamOrigin | None:
+        """Return what began a stream, or ``None`` if that can't be known.
+
+        :param request_id: id of the attempt that brought its first event; empty if not given.
+        :param targets: the services that may have begun it.
+        """
+        key = hash_request_id(request_id)
+        if key in self._known:
+            return self._known[key].origin
+        now_s = trio.current_time()
+        self._history.observe(self._fleet.upstreams(), now_s)
+        possible = [
+            origin
+            for target in targets
+            for origin in self._history.list_origins(target.service, now_s)
+        ]
+        if len(possible) == 1 and self._history.is_complete(now_s):
+            return possible[0]
+        found = await self._ask(key)
+        if found is None and len(possible) == 1 and not self._may_replace_others(possible[0]):
+            found = possible[0]
+        _log.info(
+            "stream_origin",
+            request=request_id,
+            service=found.service if found else "",
+            version=found.version if found else "",
+            possible=len(possible),
+        )
+        return found
+
+    def _may_replace_others(self, origin: software_versions.StreamOrigin) -> bool:
+        """Return whether another version may have served before this process began to look."""
+        return software_versions.has_recent_start(
+            self._fleet.upstreams(), origin.service, time.time()
+        )
+
+    async def _ask(self, key: int) -> software_versions.StreamOrigin | None:
+        """Ask other gateways for the origin of a stream."""
+        replied = self._queries.setdefault(key, trio.Event())
+        holders = self._holders(key)
+        others = [vm for vm in self._other_gateways() if vm not in holders]
+        asked = (*holders, *self._rng.sample(others, min(MAX_OTHERS_ASKED, len(others))))
+        try:
+            for _ in range(QUERY_ROUNDS if asked else 0):
+                for vm in asked:
+                    self._peers.send(vm, messages.StreamOriginQuery(key))
+                with trio.move_on_after(QUERY_INTERVAL_S):
+                    await replied.wait()
+                    break
+        finally:
+            self._queries.pop(key, None)
+        return self._known[key].origin if key in self._known else None
+
+    def _other_gateways(self) -> list[str]:
+        return [vm for vm in self._peers.registered_vms(peers.Role.GATEWAY) if vm != self._vm]
+
+    def _holders(self, key: int) -> tuple[str, ...]:
+        return rendezvous.pick_members(str(key), self._other_gateways(), HOLDERS)
+
+    def _tell_holders(self, keys: Iterable[int]) -> None:
+        """Send origins to their holders, joined into few datagrams."""
+        by_vm: dict[str, list[messages.StreamOrigin]] = {}
+        for key in keys:
+            origin = self._known[key].origin
+            for vm in self._holders(key):
+                told = messages.StreamOrigin(key, origin.service, origin.version)
+                by_vm.setdefault(vm, []).append(told)
+        for vm, origins in by_vm.items():
+            for at in range(0, len(origins), MAX_ORIGINS_PER_DATAGRAM):
+                part = tuple(origins[at : at + MAX_ORIGINS_PER_DATAGRAM])
+                self._peers.send(vm, messages.StreamOrigins(part))
+
+    async def _receive_origins(
+        self, received: trio.MemoryReceiveChannel[messages.StreamOrigins]
+    ) -> None:
+        async for message in received:
+            for told in message.origins:
+                origin = software_versions.StreamOrigin(told.service, told.version)
+                self._remember(told.request, origin, own=False)
+                if told.request in self._queries:
+                    self._queries[told.request].set()
+
+    async def _answer_queries(
+        self, queries: trio.MemoryReceiveChannel[messages.StreamOriginQuery]
+    ) -> None:
+        async for query in queries:
+            known = self._known.get(query.request)
+            if known is not None:
+                origin = known.origin
+                told = messages.StreamOrigin(query.request, origin.service, origin.version)
+                self._peers.send(query.vm, messages.StreamOrigins((told,)))
+
+    async def _observe_changes(self) -> None:
+        while True:
+            self._observe()
+            await self._fleet.changed.wait()
+
+    def _observe(self) -> None:
+        """Record the registered versions; once a service has several, tell of its streams."""
+        now_s = trio.current_time()
+        upstreams = self._fleet.upstreams()
+        self._history.observe(upstreams, now_s)
+        services = {up.service for up in upstreams}
+        mixed = frozenset(s for s in services if len(self._history.list_origins(s, now_s)) > 1)
+        newly_mixed, self._mixed = mixed - self._mixed, mixed
+        if newly_mixed:
+            _log.info("versions_mixed", services=",".join(sorted(newly_mixed)))
+            self._tell_holders(
+                key
+                for key, known in self._known.items()
+                if known.own and known.origin.service in newly_mixed
+            )
+
+    def _remember(self, key: int, origin: software_versions.StreamOrigin, *, own: bool) -> None:
+        """Remember an origin for as long as the stream may be taken up."""
+        now_s = trio.current_time()
+        self._known[key] = _Known(origin, now_s, own)
+        self._known.move_to_end(key)
+        earliest_s = now_s - software_versions.STREAM_LIFETIME_S
+        while len(self._known) > MAX_ORIGINS or next(iter(self._known.values())).at_s < earliest_s:
+            self._known.popitem(last=False)
+
+
+def hash_request_id(request_id: str) -> int:
+    """Return the 64-bit key of a stream in datagrams."""
+    return int.from_bytes(hashlib.blake2b(request_id.encode(), digest_size=8).digest(), "big")
--- a/tests/fleet/test_datagrams.py
+++ b/tests/fleet/test_datagrams.py
@@ -31,6 +31,8 @@
     ports.Quarantined("f", 2, 1.5, "ab12", 3, (ports.CrashSighting(2**64 - 1, 1.5, True, False),)),
     ports.UpstreamCrashed("ab12", "e1", 9, 1, "f" * 64),
     ports.Leaving("e1"),
+    messages.StreamOrigins((messages.StreamOrigin(2**64 - 1, "llm", "v1.2"),)),
+    messages.StreamOriginQuery(2**64 - 1),
 ]
 
 
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -236,3 +236,9 @@
 def test_last_event_id_is_parsed_if_it_is_a_number(text, resume_after):
     headers = ((b"x-request-id", b"r"), (b"last-event-id", text))
     assert calls.CallFormat().parse_caller(headers).resume_after == resume_after
+
+
+def test_caller_names_the_attempt_that_began_the_stream_it_takes_up():
+    headers = ((b"x-request-id", b"r2"), (b"last-event-id", b"4"), (b"resumes", b"r1"))
+    assert calls.CallFormat().parse_caller(headers).resumed_request == "r1"
+    assert calls.CallFormat().parse_caller(headers[:2]).resumed_request == ""
