Go on with a batch item only at the software version that made its events

Change: the events of an item carry what made them. For up to 6 s, in which the item is reserved for the worker that has them, it waits for an upstream of that version if the worker has one; else it starts anew, without the events.

--- a/src/cornelgrade/services/edge/item_call.py
+++ b/src/cornelgrade/services/edge/item_call.py
@@ -6,7 +6,7 @@
 
 from cornelgrade import kernel, routes
 from cornelgrade.adapters import engine, http1
-from cornelgrade.policy import event_stream
+from cornelgrade.policy import event_stream, software_versions
 from cornelgrade.services.edge import fleet, job_repository, ports
 
 CONNECT_TIMEOUT_S = 0.3
@@ -24,10 +24,12 @@
     """Events received in earlier runs of an item.
 
     :ivar last_event: number of the last event, ``None`` before the first.
+    :ivar origin: what made these events, ``None`` before the first; the item goes on only there.
     """
 
     texts: list[str] = dataclasses.field(default_factory=list)
     last_event: int | None = None
+    origin: software_versions.StreamOrigin | None = None
 
     @property
     def events(self) -> int:
@@ -67,7 +69,7 @@
                 return None
             if head.status >= 300:
                 raise channel.call_error(f"upstream responded with status {head.status}", _STEP)
-            await self._read_events(channel, partial)
+            await self._read_events(channel, partial, up)
         return ports.ItemResult(item.name, ports.ItemEnd.COMPLETED, "\n".join(partial.texts))
 
     async def _read_head(
@@ -87,10 +89,13 @@
             return head
         raise channel.call_error("no response within the timeout", _STEP, timed_out=True)
 
-    async def _read_events(self, channel: http1.Channel, partial: PartialResult) -> None:
+    async def _read_events(
+        self, channel: http1.Channel, partial: PartialResult, up: routes.Upstream
+    ) -> None:
         splitter = event_stream.EventSplitter()
         while part := await self._read_part(channel):
             for event in splitter.feed(part):
+                partial.origin = software_versions.origin_at(up)
                 _append_event(channel, partial, event)
         if splitter.remainder:
             raise channel.call_error("stream ended in the middle of an event", _STEP)
--- a/src/cornelgrade/services/edge/open_job.py
+++ b/src/cornelgrade/services/edge/open_job.py
@@ -6,7 +6,8 @@
 
 import trio
 
-from cornelgrade.policy import ownership, rendezvous
+from cornelgrade import routes
+from cornelgrade.policy import ownership, rendezvous, software_versions
 from cornelgrade.schema import messages
 from cornelgrade.services.edge import item_call, job_repository, ports
 
@@ -155,6 +156,32 @@
             if not unavailable >> index & 1 and now_s >= self.not_before_s.get(index, 0.0):
                 yield index
 
+    def may_run_at(
+        self,
+        index: int,
+        up: routes.Upstream,
+        available: frozenset[software_versions.StreamOrigin],
+        now_s: float,
+    ) -> bool:
+        """Whether an item may run at an upstream now.
+
+        An item with events waits a while for an upstream of the version that made them. After that,
+        or if there is none, it may run anywhere from its beginning.
+
+        :param available: what serves at the upstreams of this worker.
+        """
+        partial = self.partial.get(index)
+        if partial is None or partial.origin in (None, software_versions.origin_at(up)):
+            return True
+        return partial.origin not in available or not self._is_held_for_resume(index, now_s)
+
+    def partial_for_run(self, index: int, up: routes.Upstream) -> item_call.PartialResult:
+        """Return the events with which an item goes on at an upstream: none of another version."""
+        partial = self.partial.setdefault(index, item_call.PartialResult())
+        if partial.origin not in (None, software_versions.origin_at(up)):
+            partial = self.partial[index] = item_call.PartialResult()
+        return partial
+
     def runs_at(self, upstream: str) -> Iterator[tuple[int, ItemRun]]:
         """Return the items that run at an upstream, with their runs."""
         return ((index, run) for index, run in self.runs.items() if run.upstream == upstream)
--- a/src/cornelgrade/services/edge/runner.py
+++ b/src/cornelgrade/services/edge/runner.py
@@ -12,7 +12,13 @@
 
 from cornelgrade import kernel, logs, metrics, routes, settings
 from cornelgrade.adapters import engine, platform
-from cornelgrade.policy import batch_capacity, health, registrations, route_table
+from cornelgrade.policy import (
+    batch_capacity,
+    health,
+    registrations,
+    route_table,
+    software_versions,
+)
 from cornelgrade.schema import messages
 from cornelgrade.services import ports as shared_ports
 from cornelgrade.services.edge import (
@@ -268,13 +274,16 @@
         waiting: list[batch_capacity.WaitingItem],
     ) -> int:
         """Start waiting items in the free slots of an upstream; return their number."""
-        started = 0
+        started, now_s = 0, trio.current_time()
+        available = frozenset(map(software_versions.origin_at, self._owned_upstreams()))
         for entry in tuple(waiting):
             if started >= free:
                 break
             job = self._jobs[entry.job]
             if self._would_join_suspect(job.fingerprints[entry.index], up):
                 continue
+            if not job.may_run_at(entry.index, up, available, now_s):
+                continue
             if self._pick_service(table, job, entry.index) == up.service:
                 waiting.remove(entry)
                 self._start_item(job, entry.index, up)
@@ -346,7 +355,7 @@
     def _start_item(self, job: open_job.OpenJob, index: int, up: routes.Upstream) -> None:
         assert self._nursery is not None
         run = open_job.ItemRun(up.name, trio.current_time(), trio.CancelScope())
-        job.partial.setdefault(index, item_call.PartialResult())
+        job.partial_for_run(index, up)
         job.runs[index] = run
         # A crash that is reported after this counts as another one.
         self._quarantine.verdict(job.fingerprints[index])
