--- a/tests/edge/test_failing_items.py
+++ b/tests/edge/test_failing_items.py
@@ -1,5 +1,6 @@
 """Batch items whose every run fails at the upstream."""
 
+import pytest
 import trio
 
 from cornelgrade.platform.standins import edge_system, formats, stream_engine
@@ -32,14 +33,25 @@
         await system.start_worker(f"worker-{number + WORKERS}")
 
 
+async def restart_all_workers(system):
+    """Replace all workers at once, so that none of them lives on."""
+    for round_number in range(1, RESTARTS + 1):
+        await trio.sleep(RESTART_INTERVAL_S)
+        for name in [name for name in system.nodes if name.startswith("worker")]:
+            system.nodes.pop(name).scope.cancel()
+        for number in range(WORKERS):
+            await system.start_worker(f"worker-{round_number * WORKERS + number}")
+
+
 # Guards against workers that each count an item's failed runs alone and from zero after a restart.
-async def test_failing_item_is_given_up_after_its_attempts_across_worker_restarts():
+@pytest.mark.parametrize("restart", [restart_workers, restart_all_workers])
+async def test_failing_item_is_given_up_after_its_attempts_across_worker_restarts(restart):
     async with edge_system.run_system(workers=WORKERS, engines=9, event_s=RUN_S) as system:
         for eng in system.engines.values():
             eng.faults = stream_engine.Faults(fail=500)
         items = {f"item-{number}": b"note" for number in range(ITEMS)}
         await system.submit("gateway-0", "job", items)
-        await restart_workers(system)
+        await restart(system)
         ends = await read_ends(system, "job", ITEMS)
         runs = [seen.request for eng in system.engines.values() for seen in eng.seen if seen.ran]
     assert len(set(ends.values())) == 1
