Keep the number of failed runs of a batch item in the store

Change: after a failed run the number is stored before the item may run again, and read with the job. A worker that ends between an upstream's 500 and that write loses one run. One call for each failed run, one more when a job is loaded that isn't new, one more when it is deleted.

--- a/src/cornelgrade/services/edge/job_repository.py
+++ b/src/cornelgrade/services/edge/job_repository.py
@@ -2,7 +2,8 @@
 
 A job is accepted by creating its header after its input. Each result is an object named by the
 index of its item and created once, so the first writer wins. The order in which results are
-created determines their positions.
+created determines their positions. The number of failed runs of an item is an object too, so that
+workers that all restart go on counting.
 """
 
 import base64
@@ -17,6 +18,7 @@
 HEADER_KIND = "cornelgrade-jobs"
 INPUT_KIND = "cornelgrade-inputs"
 RESULT_KIND = "cornelgrade-results"
+FAILURE_KIND = "cornelgrade-failures"
 # Base64 grows data by a third; the remainder is for the object's envelope.
 PIECE_SIZE_RATIO = 0.7
 
@@ -189,6 +191,8 @@
         changes = await self._store.watch(kind, after=0, wait_s=0.0)
         for stored in changes.items:
             await self._store.delete(kind, stored.name, stored.version)
+        for stored in await self._store.list(_failure_kind(job)):
+            await self._store.delete(stored.kind, stored.name, stored.version)
         for number in range(stored_header.header.pieces):
             piece = await self._store.get(INPUT_KIND, f"{job}.{number}")
             if piece is not None:
@@ -214,10 +218,29 @@
         """Store a result unless another VM has already stored one."""
         value = msgspec.json.encode(_Result(result.item, result.end, result.text))
         try:
-            await self._store.create(_result_kind(job), f"{index:05d}", value)
+            await self._store.create(_result_kind(job), _item_name(index), value)
         except platform.ConflictError:
             return
 
+    async def record_failures(self, job: str, index: int, failures: int) -> None:
+        """Store the number of failed runs of an item, unless a higher one is stored."""
+        kind, name, value = _failure_kind(job), _item_name(index), msgspec.json.encode(failures)
+        try:
+            await self._store.create(kind, name, value)
+        except platform.ConflictError as exc:
+            current = exc.current
+            while current is not None and _decode_failures(current) < failures:
+                try:
+                    await self._store.update(kind, name, value, current.version)
+                    return
+                except platform.ConflictError as conflict:
+                    current = conflict.current
+
+    async def read_failures(self, job: str) -> dict[int, int]:
+        """Return the numbers of failed runs by item."""
+        stored = await self._store.list(_failure_kind(job))
+        return {int(found.name): _decode_failures(found) for found in stored}
+
     async def list_results(
         self, job: str, after: int, wait_s: float
     ) -> tuple[tuple[StoredResult, ...], int, bool]:
@@ -250,5 +273,17 @@
     )
 
 
+def _decode_failures(stored: platform.StoredObject) -> int:
+    return msgspec.json.decode(stored.value, type=int)
+
+
+def _item_name(index: int) -> str:
+    return f"{index:05d}"
+
+
 def _result_kind(job: str) -> str:
     return f"{RESULT_KIND}-{job}"
+
+
+def _failure_kind(job: str) -> str:
+    return f"{FAILURE_KIND}-{job}"
--- a/src/cornelgrade/services/edge/open_job.py
+++ b/src/cornelgrade/services/edge/open_job.py
@@ -49,6 +49,7 @@
     :ivar storing: items whose results are being stored.
     :ivar partial: events received in earlier runs, by item.
     :ivar failures: number of runs at any worker that an upstream reported as failed, by item.
+    :ivar recording: items whose number of failed runs is being stored; they run again after that.
     :ivar not_before_s: when failed items may be retried, on the process's clock.
     :ivar claims: items that each other worker runs, as a bit set, and when it reported them.
     :ivar interrupted_s: when runs that had received events ended here, on the process's clock.
@@ -68,6 +69,7 @@
     storing: set[int] = dataclasses.field(default_factory=set)
     partial: dict[int, item_call.PartialResult] = dataclasses.field(default_factory=dict)
     failures: dict[int, int] = dataclasses.field(default_factory=dict)
+    recording: set[int] = dataclasses.field(default_factory=set)
     not_before_s: dict[int, float] = dataclasses.field(default_factory=dict)
     claims: dict[str, tuple[int, float]] = dataclasses.field(default_factory=dict)
     interrupted_s: dict[int, float] = dataclasses.field(default_factory=dict)
@@ -90,8 +92,8 @@
         return bits
 
     def items_in_progress(self) -> int:
-        """Return the items that run here or whose results are being stored, as a bit set."""
-        return sum(1 << index for index in {*self.runs, *self.storing})
+        """Return the items that run here or of which something is being stored, as a bit set."""
+        return sum(1 << index for index in {*self.runs, *self.storing, *self.recording})
 
     def _unavailable_to_others(self, now_s: float) -> int:
         """Return the items that other workers must leave alone: in progress or held here."""
@@ -127,8 +129,12 @@
                 self.claimed_s[index] = now_s
         # One worker at a time runs an item and counts on from what it knows, so the highest count
         # is the number of failed runs.
-        for entry in claim.failed:
-            self.failures[entry.item] = max(entry.failures, self.failures.get(entry.item, 0))
+        self.merge_failures({entry.item: entry.failures for entry in claim.failed})
+
+    def merge_failures(self, failures: dict[int, int]) -> None:
+        """Take into account what others know of failed runs."""
+        for index, count in failures.items():
+            self.failures[index] = max(count, self.failures.get(index, 0))
 
     def may_start(self, index: int, workers: tuple[str, ...], vm: str, now_s: float) -> bool:
         """Whether a worker may start an open item now."""
--- a/src/cornelgrade/services/edge/runner.py
+++ b/src/cornelgrade/services/edge/runner.py
@@ -141,7 +141,7 @@
         """
         self._stopping = True
         with trio.move_on_after(self._cfg.stop_grace_s - SHUTDOWN_MARGIN_S):
-            while any(job.runs or job.storing for job in self._jobs.values()):
+            while any(job.items_in_progress() for job in self._jobs.values()):
                 await trio.sleep(SCHEDULE_INTERVAL_S)
         remaining = [run for job in self._jobs.values() for run in job.runs.values()]
         _log.info("drained", items_left=len(remaining))
@@ -217,6 +217,7 @@
                 if not is_new:
                     listed, _, _ = await self._repository.list_results(job.header.job, 0, 0.0)
                     job.done |= sum(1 << entry.index for entry in listed)
+                    job.merge_failures(await self._repository.read_failures(job.header.job))
                 job.items = await self._repository.read_items(job.header)
                 job.fingerprints = tuple(item.fingerprint for item in job.items)
                 _log.info("job_loaded", job=job.header.job, items=job.header.total, done=job.done)
@@ -441,6 +442,7 @@
             job.partial.pop(index, None)
             job.delay_retry(index, trio.current_time())
             if job.failures[index] < self._max_attempts(job, index):
+                self._start_recording(job, index)
                 return
             result = _given_up_result(job.items[index])
         self._start_storing(job, index, result)
@@ -450,6 +452,23 @@
         route = table.find(job.header.host, job.items[index].target) if table else None
         return route.max_attempts if route else 1
 
+    def _start_recording(self, job: open_job.OpenJob, index: int) -> None:
+        assert self._nursery is not None
+        job.recording.add(index)
+        self._nursery.start_soon(self._record_failures, job, index)
+
+    async def _record_failures(self, job: open_job.OpenJob, index: int) -> None:
+        while self._jobs.get(job.header.job) is job:
+            try:
+                await self._repository.record_failures(job.header.job, index, job.failures[index])
+                break
+            except platform.UnavailableError as exc:
+                item = job.items[index].name
+                _log.info("failure_not_stored", item=item, error=exc.format_message())
+                await trio.sleep(open_job.RETRY_PAUSE_S)
+        job.recording.discard(index)
+        self._wake.notify_all()
+
     def _start_storing(self, job: open_job.OpenJob, index: int, result: ports.ItemResult) -> None:
         assert self._nursery is not None
         job.storing.add(index)
--- a/tests/edge/test_failing_items.py
+++ b/tests/edge/test_failing_items.py
@@ -4,6 +4,7 @@
 import trio
 
 from cornelgrade.platform.standins import edge_system, formats, stream_engine
+from cornelgrade.services.edge import job_repository
 
 ITEMS = 12
 WORKERS = 3
@@ -58,3 +59,18 @@
     counts = [runs.count(item) for item in ends]
     assert min(counts) >= MAX_ATTEMPTS
     assert max(counts) <= MAX_FAILED_RUNS, counts
+
+
+# Guards against a lower number of failed runs that replaces a higher one, and against objects that
+# outlive their job.
+async def test_number_of_failed_runs_only_grows_and_is_deleted_with_its_job():
+    store = edge_system.Store(edge_system.UNLIMITED)
+    repository = job_repository.JobRepository(store, 100_000)
+    header = job_repository.JobHeader("job", "r", "host", 0, 0, 0, 3, 0, 0)
+    stored = await repository.create_job(header, ())
+    for count in (1, 3, 2):
+        await repository.record_failures("job", 1, count)
+    assert await repository.read_failures("job") == {1: 3}
+    await repository.delete_job(stored)
+    assert await repository.read_failures("job") == {}
+    assert await repository.find_job("job") is None
