Give up a call in which an upstream sends interim responses or responses to other requests without end

Cause: what comes before the response was skipped without limit. Change: 16 interim responses, 16 responses to other requests of 1 MB each.

--- a/src/cornelgrade/adapters/http1.py
+++ b/src/cornelgrade/adapters/http1.py
@@ -17,6 +17,11 @@
 from cornelgrade.adapters import engine
 
 READ_BYTES = 65_536
+# What is skipped before a response: interim ones (1xx), and those to other requests with the bytes
+# of their bodies. An upstream that sends more may never come to an end.
+MAX_INTERIM_RESPONSES = 16
+MAX_SKIPPED_RESPONSES = 16
+MAX_SKIPPED_BYTES = 1_000_000
 # The connection fails once sent data stays unacknowledged for this long. Shorter than the 2 s after
 # which callers abandon an idle stream.
 USER_TIMEOUT_MS = 1500
@@ -82,6 +87,7 @@
         self._stream = stream
         self._h11 = h11.Connection(h11.CLIENT)
         self._request: h11.Request | None = None
+        self._skipped_responses = 0
 
     def __enter__(self) -> "Channel":
         return self
@@ -115,13 +121,14 @@
 
     async def read_head(self) -> ResponseHead:
         """Wait for the status and headers of the final response."""
-        while True:
+        for _ in range(MAX_INTERIM_RESPONSES):
             event = await self._next_event("head")
             if isinstance(event, h11.Response):
                 headers = tuple((bytes(k), bytes(v)) for k, v in event.headers)
                 return ResponseHead(event.status_code, headers)
             if not isinstance(event, h11.InformationalResponse):
                 raise self.call_error("connection closed before a response", "head")
+        raise self.call_error("too many interim responses", "head")
 
     async def read_chunk(self) -> bytes:
         """Return the next chunk of the body, ``b""`` once it is complete."""
@@ -151,9 +158,14 @@
         return b"".join(parts)
 
     async def skip_response(self) -> None:
-        """Skip a response that belongs to another request, so that the next one can be read."""
-        while await self.read_chunk():
-            pass
+        """Skip a response that belongs to another request, so that the next one can be read.
+
+        :raises CallError: if it is too long or there were too many of them.
+        """
+        self._skipped_responses += 1
+        if self._skipped_responses > MAX_SKIPPED_RESPONSES:
+            raise self.call_error("too many responses to other requests", "head")
+        await self.read_body(MAX_SKIPPED_BYTES)
         trailing, _ = self._h11.trailing_data
         assert self._request is not None
         self._h11 = h11.Connection(h11.CLIENT)
