Give up an upstream whose response body never ends

Cause: an event had no limit, any byte counted as a sign that a stream goes on, and neither a response nor a result had a limit. Change: an event has 256 KB; only a new event restarts the time until the next one; a response has response_bytes (a new setting, 64 MiB), a result half of an object in the store. What exceeds them fails like a broken connection: a resumable stream goes on elsewhere, an item starts anew, and else the caller sees the response end incomplete.

--- a/src/cornelgrade/edge_daemons.py
+++ b/src/cornelgrade/edge_daemons.py
@@ -82,7 +82,7 @@
 ) -> Drain:
     """Add a worker's services in start order and return its drain function."""
     availability = _add_common_services(kern, cfg, dependencies, peers.Role.WORKER)
-    caller = item_call.ItemCaller(kern, dependencies.calls)
+    caller = item_call.ItemCaller(kern, cfg, dependencies.calls)
     item_runner = runner.Runner(
         kern, cfg, dependencies.store, availability, caller, dependencies.calls
     )
--- a/src/cornelgrade/policy/event_stream.py
+++ b/src/cornelgrade/policy/event_stream.py
@@ -4,6 +4,8 @@
 
 # Enough for the ids of any stream; longer numbers are slow to parse.
 MAX_ID_DIGITS = 15
+# An event carries a few tokens; what is longer than this is no event.
+MAX_EVENT_BYTES = 262_144
 _ID = b"id:"
 _DATA = b"data:"
 
@@ -25,6 +27,10 @@
         return b"\n".join(line[len(_DATA) :].removeprefix(b" ") for line in lines)
 
 
+class EventTooLongError(ValueError):
+    """An event does not end within :data:`MAX_EVENT_BYTES`."""
+
+
 class EventSplitter:
     """Buffers chunks of a stream and returns complete events.
 
@@ -35,12 +41,17 @@
         self.remainder = b""
 
     def feed(self, chunk: bytes) -> tuple[Event, ...]:
-        """Append a chunk and return the events that it completes."""
+        """Append a chunk and return the events that it completes.
+
+        :raises EventTooLongError: if the event that is not complete yet is too long.
+        """
         self.remainder += chunk
         events = []
         while (end := _find_event_end(self.remainder)) is not None:
             raw, self.remainder = self.remainder[:end], self.remainder[end:]
             events.append(Event(raw, _parse_id(raw)))
+        if len(self.remainder) > MAX_EVENT_BYTES:
+            raise EventTooLongError(f"no event ends within {MAX_EVENT_BYTES} bytes")
         return tuple(events)
 
 
--- a/src/cornelgrade/services/edge/frontend.py
+++ b/src/cornelgrade/services/edge/frontend.py
@@ -33,7 +33,7 @@
         handler: job_handler.JobHandler,
     ) -> None:
         self._fleet = kern.find("fleet", fleet.Fleet)
-        self._relay = relay.Relay(kern, call_format)
+        self._relay = relay.Relay(kern, cfg, call_format)
         self._job_handler = handler
         self._cfg = cfg
         self._call_format = call_format
--- a/src/cornelgrade/services/edge/item_call.py
+++ b/src/cornelgrade/services/edge/item_call.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from cornelgrade import kernel, routes
+from cornelgrade import kernel, routes, settings
 from cornelgrade.adapters import engine, http1
 from cornelgrade.policy import event_stream, software_versions
 from cornelgrade.services.edge import fleet, job_repository, ports
@@ -14,6 +14,8 @@
 RESPONSE_TIMEOUT_S = 2.0
 # Events of a running item arrive every few tens of milliseconds.
 EVENT_GAP_TIMEOUT_S = 1.2
+# Share of an object in the store that the text of a result may take; the encoding adds to it.
+MAX_TEXT_RATIO = 0.5
 _STEP = "run item"
 _UNPROCESSABLE_STATUS = 422
 _RUN_FAILED_STATUS = 500
@@ -23,11 +25,13 @@
 class PartialResult:
     """Events received in earlier runs of an item.
 
+    :ivar text_bytes: size of the events' data.
     :ivar last_event: number of the last event, ``None`` before the first.
     :ivar origin: what made these events, ``None`` before the first; the item goes on only there.
     """
 
     texts: list[str] = dataclasses.field(default_factory=list)
+    text_bytes: int = 0
     last_event: int | None = None
     origin: software_versions.StreamOrigin | None = None
 
@@ -36,11 +40,21 @@
         """Number of events received so far."""
         return len(self.texts)
 
+    def clear(self) -> None:
+        """Drop the events, so that the next run starts anew."""
+        self.texts.clear()
+        self.text_bytes = 0
+        self.last_event = None
+        self.origin = None
+
 
 class ItemCaller:
     """Sends batch items to upstreams."""
 
-    def __init__(self, kern: kernel.Kernel, call_format: ports.CallFormat) -> None:
+    def __init__(
+        self, kern: kernel.Kernel, cfg: settings.EdgeSettings, call_format: ports.CallFormat
+    ) -> None:
+        self._max_text_bytes = int(cfg.value_bytes * MAX_TEXT_RATIO)
         self._fleet = kern.find("fleet", fleet.Fleet)
         self._call_format = call_format
 
@@ -93,16 +107,28 @@
         self, channel: http1.Channel, partial: PartialResult, up: routes.Upstream
     ) -> None:
         splitter = event_stream.EventSplitter()
-        while part := await self._read_part(channel):
-            for event in splitter.feed(part):
+        last_event_s = trio.current_time()
+        while part := await self._read_part(channel, last_event_s):
+            try:
+                events = splitter.feed(part)
+            except event_stream.EventTooLongError as exc:
+                raise channel.call_error(str(exc), _STEP) from exc
+            events_before = partial.events
+            for event in events:
                 partial.origin = software_versions.origin_at(up)
                 _append_event(channel, partial, event)
+            if partial.events > events_before:
+                last_event_s = trio.current_time()
+            if partial.text_bytes > self._max_text_bytes:
+                partial.clear()
+                raise channel.call_error("result exceeds the size limit", _STEP)
         if splitter.remainder:
             raise channel.call_error("stream ended in the middle of an event", _STEP)
 
     @staticmethod
-    async def _read_part(channel: http1.Channel) -> bytes:
-        with trio.move_on_after(EVENT_GAP_TIMEOUT_S):
+    async def _read_part(channel: http1.Channel, last_event_s: float) -> bytes:
+        """Read on; bytes that complete no event don't extend the time until the next one."""
+        with trio.move_on_at(last_event_s + EVENT_GAP_TIMEOUT_S):
             return await channel.read_chunk()
         raise channel.call_error("no event within the timeout", _STEP, timed_out=True)
 
@@ -121,5 +147,7 @@
             raise channel.call_error(
                 f"events missing between {partial.last_event} and {event.event_id}", _STEP
             )
-    partial.texts.append(event.data().decode("utf-8", "replace"))
+    data = event.data()
+    partial.texts.append(data.decode("utf-8", "replace"))
+    partial.text_bytes += len(data)
     partial.last_event = event.event_id if event.event_id is not None else partial.last_event
--- a/src/cornelgrade/services/edge/relay.py
+++ b/src/cornelgrade/services/edge/relay.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from cornelgrade import errors, kernel, logs, metrics, routes
+from cornelgrade import errors, kernel, logs, metrics, routes, settings
 from cornelgrade.adapters import engine, http1, http1_server
 from cornelgrade.policy import (
     event_stream,
@@ -56,6 +56,8 @@
     :ivar upstreams_tried: number of upstreams that it was assigned to.
     :ivar runs: number of upstreams that may have run it.
     :ivar last_event: number of the last event sent to the caller.
+    :ivar last_event_s: when it arrived or, before the first one of an attempt, the head.
+    :ivar response_bytes: bytes of response bodies received.
     :ivar origin: what began the stream, once it has begun, here or in an earlier attempt.
     """
 
@@ -63,6 +65,8 @@
     runs: int = 0
     started: bool = False
     last_event: int | None = None
+    last_event_s: float = 0.0
+    response_bytes: int = 0
     origin: software_versions.StreamOrigin | None = None
     first_byte_s: float | None = None
     upstream: str = ""
@@ -87,7 +91,10 @@
 class Relay:
     """Forwards requests; each request's task owns its connection to the upstream."""
 
-    def __init__(self, kern: kernel.Kernel, call_format: ports.CallFormat) -> None:
+    def __init__(
+        self, kern: kernel.Kernel, cfg: settings.EdgeSettings, call_format: ports.CallFormat
+    ) -> None:
+        self._max_response_bytes = cfg.response_bytes
         self._permits = kern.find("seats", slot_permits.SlotPermits)
         self._fleet = kern.find("fleet", fleet.Fleet)
         self._origins = kern.find("stream_origins", stream_origins.StreamOrigins)
@@ -350,11 +357,17 @@
     ) -> None:
         """Relay the body as it arrives."""
         while part := await channel.read_chunk():
+            self._check_size(channel, progress, part)
             await self._write_part(req, progress, head, part)
         if not progress.started:
             await self._write_part(req, progress, head, b"")
         await req.exchange.end_response()
 
+    def _check_size(self, channel: http1.Channel, progress: _Progress, part: bytes) -> None:
+        progress.response_bytes += len(part)
+        if progress.response_bytes > self._max_response_bytes:
+            raise channel.call_error("response exceeds the size limit", _STEP)
+
     async def _resume_stream(
         self, channel: http1.Channel, req: _Request, progress: _Progress, head: http1.ResponseHead
     ) -> None:
@@ -372,8 +385,14 @@
     ) -> None:
         """Relay complete events only, so that another upstream can resume after the last one."""
         splitter = event_stream.EventSplitter()
+        progress.last_event_s = trio.current_time()
         while part := await self._read_part(channel, req, progress):
-            for event in splitter.feed(part):
+            self._check_size(channel, progress, part)
+            try:
+                events = splitter.feed(part)
+            except event_stream.EventTooLongError as exc:
+                raise channel.call_error(str(exc), _STEP) from exc
+            for event in events:
                 if _has_gap(event, progress.last_event):
                     raise channel.call_error(
                         f"events missing between {progress.last_event} and {event.event_id}", _STEP
@@ -381,6 +400,7 @@
                 if _is_new_event(event, progress.last_event):
                     self._record_origin(req, progress)
                     await self._write_part(req, progress, head, event.raw)
+                    progress.last_event_s = trio.current_time()
                     progress.last_event = (
                         event.event_id if event.event_id is not None else progress.last_event
                     )
@@ -398,7 +418,9 @@
             self._origins.record(req.caller.request_id, up)
 
     async def _read_part(self, channel: http1.Channel, req: _Request, progress: _Progress) -> bytes:
-        with trio.move_on_after(self._idle_timeout_s(req, progress, req.route.gap_aim_s)):
+        """Read on; bytes that complete no event don't extend the time until the next one."""
+        idle_s = self._idle_timeout_s(req, progress, req.route.gap_aim_s)
+        with trio.move_on_at(progress.last_event_s + idle_s):
             return await channel.read_chunk()
         raise channel.call_error("no event within the timeout", _STEP, timed_out=True)
 
--- a/src/cornelgrade/settings.py
+++ b/src/cornelgrade/settings.py
@@ -64,6 +64,8 @@
     :param ready_address: serves the load balancer's readiness checks; gateways only.
     :param store_address: the platform's object store.
     :param value_bytes: maximum size of an object in the store.
+    :param response_bytes: maximum size of the body of an upstream's response; one that is longer is
+        broken off, because it may never end.
     :param metrics_address: serves metrics; if unset, none are served.
     :param stop_grace_s: time between the signal to stop and the kill.
     :param retention_s: how long a job can be read after its submission.
@@ -78,6 +80,7 @@
     store_address: Address
     store_deadline_s: Seconds = 2.0
     value_bytes: Annotated[int, msgspec.Meta(ge=65_536)] = 1_000_000
+    response_bytes: Annotated[int, msgspec.Meta(ge=65_536)] = 64 * 1024 * 1024
     stop_grace_s: Seconds = 8.0
     retention_s: Seconds = 120.0
     log_level: Literal["debug", "info", "notice", "warning", "error"] = "info"
--- a/tests/edge/test_endless_bytes.py
+++ b/tests/edge/test_endless_bytes.py
@@ -1,6 +1,7 @@
 """Upstreams whose bytes are no response and never end, until their caller closes."""
 
 import contextlib
+import itertools
 
 import pytest
 import trio
@@ -67,9 +68,10 @@
                     await stream.send_all(REPORT)
                     return
                 await stream.send_all(self.first)
-                while True:
-                    await stream.send_all(self.block)
-                    taken += len(self.block)
+                for number in itertools.count(1):
+                    block = self.block(number) if callable(self.block) else self.block
+                    await stream.send_all(block)
+                    taken += len(block)
                     await trio.sleep(self.pause_s)
         finally:
             self.open_calls -= 1
@@ -177,3 +179,19 @@
             for name, text in results.items():
                 assert text == stream_engine.result_text(name, 5)
     assert 0 < endless.taken_bytes <= MAX_GARBAGE_BYTES
+
+
+# Guards against a text that grows without end, event by event, beyond what the store can hold.
+async def test_item_whose_events_never_end_completes_at_another_upstream():
+    async with edge_system.run_system(engines=2, workers=1) as system:
+        endless = await start_endless(system, "event without length")
+        endless.block = lambda number: b"id: %d\ndata: " % number + b"x" * 10_000 + b"\n\n"
+        await system.submit("gateway-0", "job", {f"item-{number}": b"note" for number in range(4)})
+        await trio.sleep(1.0)
+        await system.register(system.engines["engine-0"].upstream(edge_system.SERVICE, "north"))
+        results = {}
+        with trio.fail_after(20):
+            while len(results) < 4:
+                results |= dict(await system.results("gateway-0", "job", len(results)))
+    assert results == {name: stream_engine.result_text(name, 5) for name in results}
+    assert 0 < endless.taken_bytes <= MAX_GARBAGE_BYTES
