Soak: upstreams of two software versions, and callers that take streams up

Engines are replaced by ones of the other version (drawn apart, so that earlier seeds keep their faults) and tell their version in each event. Callers take a broken resumable stream up at any gateway, by Resumes and Last-Event-Id. Checked: no stream has events of two versions over all attempts, the events of a taken-up stream follow the last one, an item goes on only at a version at which it began.

--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -9,6 +9,7 @@
 
 from bench.soak import world
 from cornelgrade.platform.standins import edge_system, formats
+from cornelgrade.policy import event_stream
 
 PATIENCE_S = 5.0
 # A caller that gives up later than it said has seen its request held.
@@ -35,6 +36,8 @@
     :ivar status: 0 if no answer began.
     :ivar whole: its answer came to a proper end.
     :ivar error: how it broke.
+    :ivar first: the attempt that brought the stream's first event, if this one takes it up.
+    :ivar after: number of the last event that the caller had before.
     """
 
     id: str
@@ -46,6 +49,15 @@
     whole: bool = False
     error: str = ""
     end_s: float = 0.0
+    first: str = ""
+    after: int = 0
+
+    @property
+    def last_event(self) -> int:
+        """Number of the last complete event that the caller has, 0 for none."""
+        splitter = event_stream.EventSplitter()
+        numbers = [event.event_id or 0 for event in splitter.feed(self.body)]
+        return max(numbers, default=self.after)
 
 
 @dataclasses.dataclass(slots=True)
@@ -121,17 +133,45 @@
             async with httpx.AsyncClient(base_url=url, limits=limits, timeout=timeout) as client:
                 broken = False
                 while self.more and not broken:
-                    broken = not await self._ask(client, gateway.name)
+                    path = world.RESUMED if self.rng.random() < RESUMED_SHARE else world.ONCE
+                    name = f"r{len(self.requests)}"
+                    req = Request(name, path, gateway.name, trio.current_time())
+                    broken = not await self._ask(client, req)
+                    if broken:
+                        await self._take_up(req)
                     await trio.sleep(self.rng.expovariate(ONLINE_PER_S / CLIENTS))
 
-    async def _ask(self, client: httpx.AsyncClient, gateway: str) -> bool:
+    async def _take_up(self, req: Request) -> None:
+        """Take a broken stream up, at any gateway, until it is whole or the time is over."""
+        until_s = trio.current_time() + PATIENCE_S
+        while req.path == world.RESUMED and req.last_event and trio.current_time() < until_s:
+            gateway = self._gateway()
+            again = Request(
+                f"{req.first or req.id}-again-{len(self.requests)}",
+                req.path,
+                gateway.name,
+                trio.current_time(),
+                first=req.first or req.id,
+                after=req.last_event,
+            )
+            timeout = httpx.Timeout(HELD_S, connect=CONNECT_S)
+            url = f"http://{gateway.caller_address}"
+            async with httpx.AsyncClient(base_url=url, timeout=timeout) as client:
+                await self._ask(client, again)
+            self.outcomes[f"taken up {again.status} {'whole' if again.whole else 'broken'}"] += 1
+            if again.status == 200 and again.whole:
+                return
+            req = again
+            await trio.sleep(RETRY_S)
+
+    async def _ask(self, client: httpx.AsyncClient, req: Request) -> bool:
         """Send one request; ``False`` if its connection can't be used any more."""
-        path = world.RESUMED if self.rng.random() < RESUMED_SHARE else world.ONCE
-        req = Request(f"r{len(self.requests)}", path, gateway, trio.current_time())
         self.requests.append(req)
         headers = {"host": edge_system.HOST, **formats.online_headers(req.id, PATIENCE_S)}
+        if req.first:
+            headers |= formats.take_up_headers(req.first, req.after)
         try:
-            async with client.stream("POST", path, headers=headers, content=b"question") as got:
+            async with client.stream("POST", req.path, headers=headers, content=b"question") as got:
                 req.status = got.status_code
                 async for part in got.aiter_raw():
                     req.body += part
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -17,6 +17,7 @@
 # Mean pause between two faults; most last longer, so that they overlap.
 GAP_S = 0.7
 LATER_GAP_S = 4.0
+VERSIONS_GAP_S = 5.0
 SERIES_SHARE = 0.25
 SERIES = 3
 SERIES_GAP_S = 0.4
@@ -67,6 +68,7 @@
     drawn = _draw(seed, seconds, GAP_S, _ACTS)
     # Drawn apart, so that the seeds of earlier findings still give the faults that they gave.
     drawn += _draw(f"{seed} later", seconds, LATER_GAP_S, _LATER_ACTS)
+    drawn += _draw(f"{seed} versions", seconds, VERSIONS_GAP_S, _VERSION_ACTS)
     return sorted(drawn, key=lambda plan: plan.at_s)
 
 
@@ -105,7 +107,7 @@
         one = Injection(self.system, random.Random(plan.seed))
         for _ in range(plan.times):
             self.done[plan.name] += 1
-            await (_ACTS | _LATER_ACTS)[plan.name](one)
+            await (_ACTS | _LATER_ACTS | _VERSION_ACTS)[plan.name](one)
             await trio.sleep(SERIES_GAP_S)
 
 
@@ -290,6 +292,20 @@
     await faults.system.unregister(engine)
 
 
+async def _engine_upgraded(faults: Injection) -> None:
+    """Let an engine of another version take the place of one that leaves."""
+    if (engine := faults.free_engine()) is None:
+        return
+    engine.left_s = trio.current_time()
+    version = "v2" if engine.stand_in.version == "v1" else "v1"
+    name = f"engine-{len(faults.system.engines)}"
+    await faults.system.add_engine(name, engine.domain, version)
+    await faults.system.register(engine, leaving=True)
+    engine.left_s = trio.current_time()
+    await trio.sleep(LEAVE_S)
+    await faults.system.unregister(engine)
+
+
 async def _engine_says_leaving(faults: Injection) -> None:
     """Let an engine say in its answers that it leaves, long before its registration is gone."""
     if (engine := faults.free_engine()) is None:
@@ -328,3 +344,4 @@
     "store_silent": _store_silent,
     "engine_says_leaving": _engine_says_leaving,
 }
+_VERSION_ACTS: dict[str, Act] = {"engine_upgraded": _engine_upgraded}
--- a/bench/soak/judge.py
+++ b/bench/soak/judge.py
@@ -49,6 +49,7 @@
         for engine in self.system.engines.values():
             self._leaving(engine)
             self._says_leaving(engine)
+        self._versions()
         self._plans()
         self._culprit()
         self._logs()
@@ -64,7 +65,8 @@
         if req.status in _REFUSED and ran:
             self._problem(req, f"refused with {req.status} as not run, but ran on {ran}")
         if req.status == 200 and req.whole:
-            if req.body != stream_engine.response_body(req.id, world.EVENTS):
+            body, _ = stream_engine.split_versions(req.body)
+            if body != stream_engine.response_body(req.id, world.EVENTS, req.after):
                 self._problem(req, f"got another answer: {req.body[:80]!r}")
         elif req.status not in _REFUSED and not self._excused(req):
             self._problem(req, f"status {req.status} without a fault on its way: {req.error}")
@@ -85,6 +87,28 @@
         unseen = len(engines) < _ATTEMPTS[req.path]
         return unseen and any(w.part in self.system.engines for w in windows)
 
+    def _versions(self) -> None:
+        """Check that no stream has events of two versions, over all attempts of its caller."""
+        versions: dict[str, set[str]] = collections.defaultdict(set)
+        for req in self.seen.requests:
+            versions[req.first or req.id] |= stream_engine.split_versions(req.body)[1]
+        for first, found in versions.items():
+            if len(found) > 1:
+                self.problems.append(f"the stream of {first} has events of {sorted(found)}")
+        for job in self.seen.jobs:
+            for item in job.items:
+                self._item_versions(item)
+
+    def _item_versions(self, item: str) -> None:
+        """Check that an item goes on only at a version at which it began."""
+        begun: set[str] = set()
+        for name, attempt in sorted(self._attempts[item], key=lambda entry: entry[1].at_s):
+            version = self.system.engines[name].stand_in.version
+            if attempt.resumed_after is None:
+                begun.add(version)
+            elif attempt.ran and version not in begun:
+                self.problems.append(f"{item} went on at {version}, but began at {sorted(begun)}")
+
     def _job(self, job: callers.Job) -> None:
         if job.accepted_s is None:
             self.problems.append(f"{job.id} was never accepted")
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -271,9 +271,10 @@
         await self._put(kinds.plan_kind, kinds.plan_name, formats.encode_plan(plan))
         self.plans[version] = trio.current_time()
 
-    async def add_engine(self, name: str, domain: str) -> Engine:
+    async def add_engine(self, name: str, domain: str, version: str = "v1") -> Engine:
         """Start an engine behind its proxy and register it."""
-        made = stream_engine.StreamEngine(name, events=EVENTS, event_s=EVENT_S)
+        made = stream_engine.StreamEngine(name, events=EVENTS, event_s=EVENT_S, version=version)
+        made.tells_version = True
         made.faults = self.engine_faults
         made.on_crash = functools.partial(self._record_crash, name)
         proxy = fault_proxy.FaultProxy(await self.nursery.start(made.run))
--- a/src/cornelgrade/platform/standins/formats.py
+++ b/src/cornelgrade/platform/standins/formats.py
@@ -64,6 +64,14 @@
     return {**request_headers(request), "x-deadline-ms": str(int(timeout_s * _MS_PER_S))}
 
 
+def take_up_headers(first_request: str, last_event: int) -> dict[str, str]:
+    """Return the headers by which a caller takes a stream up.
+
+    :param first_request: id of the attempt that brought its first event.
+    """
+    return {"resumes": first_request, "last-event-id": str(last_event)}
+
+
 def request_headers(request: str) -> dict[str, str]:
     """Return the headers of a job submission or of a request without a deadline."""
     return {"x-request-id": request}
--- a/src/cornelgrade/platform/standins/stream_engine.py
+++ b/src/cornelgrade/platform/standins/stream_engine.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import re
 from collections.abc import Callable
 
 import msgspec
@@ -14,6 +15,7 @@
 from cornelgrade.standins import _http_server
 
 MAX_QUEUED_REQUESTS = 24
+_VERSION_LINE = re.compile(rb"^: ([^\n]*)\n", re.MULTILINE)
 
 
 class Faults(msgspec.Struct, frozen=True):
@@ -71,6 +73,7 @@
     :param events: number of events in each response.
     :param event_s: time between two events.
     :param version: version of its software.
+    :ivar tells_version: whether each event has a comment line with the version.
     :ivar on_crash: called with the time for which it is down after a request crashed it.
     """
 
@@ -85,6 +88,7 @@
     ) -> None:
         self.name = name
         self.version = version
+        self.tells_version = False
         self.slots = slots
         self.events = events
         self.event_s = event_s
@@ -194,7 +198,8 @@
             self._crash_if_due(seen, number - 1)
             await self._inject_faults(req, number - 1)
             await trio.sleep(self.event_s)
-            await req.send_chunk(encode_event(seen.request, number))
+            version = self.version if self.tells_version else ""
+            await req.send_chunk(encode_event(seen.request, number, version))
         await req.end_response()
 
     def _notice(self) -> tuple[tuple[str, str], ...]:
@@ -208,9 +213,10 @@
             await trio.sleep_forever()
 
 
-def encode_event(request: str, number: int) -> bytes:
-    """Encode one event of the response to a request."""
-    return f"id: {number}\ndata: {request}-{number}\n\n".encode()
+def encode_event(request: str, number: int, version: str = "") -> bytes:
+    """Encode one event of the response to a request, with a comment line for the version."""
+    comment = f": {version}\n" if version else ""
+    return f"id: {number}\n{comment}data: {request}-{number}\n\n".encode()
 
 
 def result_text(request: str, events: int) -> str:
@@ -218,6 +224,12 @@
     return "\n".join(f"{request}-{number}" for number in range(1, events + 1))
 
 
-def response_body(request: str, events: int) -> bytes:
-    """Return the complete response body of a request."""
-    return b"".join(encode_event(request, number) for number in range(1, events + 1))
+def response_body(request: str, events: int, after: int = 0) -> bytes:
+    """Return the complete response body of a request, or what follows event ``after``."""
+    return b"".join(encode_event(request, number) for number in range(after + 1, events + 1))
+
+
+def split_versions(body: bytes) -> tuple[bytes, set[str]]:
+    """Return a response body without the versions in its events, and these."""
+    versions = {found.decode() for found in _VERSION_LINE.findall(body)}
+    return _VERSION_LINE.sub(b"", body), versions
