Store a crash as attributed only once peers could tell what they had in flight

A suspect's crashes were written 0 ms after the crash with the attribution of this process alone, and a weaker later record doesn't replace a stronger one: a harmless request could have kept it over a restart. Evidence: test_crash_is_kept_only_once_peers_reports_should_have_arrived; the restart cases pass.

--- a/src/cornelgrade/policy/quarantine.py
+++ b/src/cornelgrade/policy/quarantine.py
@@ -322,25 +322,28 @@
     return max(_count_seen(_all_sightings(entry)) + unnamed, *counts, 0)
 
 
-def sightings_to_keep(entry: Entry) -> tuple[crash_sightings.Sighting, ...]:
+def sightings_to_keep(entry: Entry, now_s: float) -> tuple[crash_sightings.Sighting, ...]:
     """Return the crashes that must not be forgotten if all processes restart.
 
     None if there is a single one and nothing attributes it to the request: every request that is in
     flight at a crash has that much against it, and most complete soon.
     """
-    sightings = _all_sightings(entry)
+    peers = (sighting for count in entry.peer_counts for sighting in count.sightings)
+    sightings = crash_sightings.merge_sightings(_settled_sightings(entry, now_s), peers)
     return sightings if len(sightings) > 1 or _count_attributed(sightings) else ()
 
 
-def own_sightings_to_send(entry: Entry, *, settled: bool) -> tuple[crash_sightings.Sighting, ...]:
-    """Return this process's newest sightings.
+def sightings_to_send(entry: Entry, now_s: float) -> tuple[crash_sightings.Sighting, ...]:
+    """Return this process's newest sightings."""
+    return _settled_sightings(entry, now_s)[:MAX_SIGHTINGS_SENT]
 
-    :param settled: whether peers' reports should have arrived; before, nothing is attributed.
-    """
+
+def _settled_sightings(entry: Entry, now_s: float) -> tuple[crash_sightings.Sighting, ...]:
+    """Return this process's sightings; until peers' reports should have arrived, unattributed."""
     sightings = _own_sightings(entry)
-    if not settled:
-        sightings = tuple(dataclasses.replace(s, attributed=False) for s in sightings)
-    return sightings[:MAX_SIGHTINGS_SENT]
+    if decided_at_s(entry) <= now_s:
+        return sightings
+    return tuple(dataclasses.replace(s, attributed=False) for s in sightings)
 
 
 def classify_request(
--- a/src/cornelgrade/services/quarantine.py
+++ b/src/cornelgrade/services/quarantine.py
@@ -257,7 +257,7 @@
             return
         if self._crash_reports is not None:
             self._crash_reports.publish(ports.Quarantined(fingerprint, 0, 0.0, self._source))
-        if quarantine.sightings_to_keep(entry):
+        if quarantine.sightings_to_keep(entry, trio.current_time()):
             self._suspect_records.deliver(ports.SuspectRecord(fingerprint, 0.0))
         status = quarantine.classify_request(entry, trio.current_time())
         if status is quarantine.RequestStatus.QUARANTINED:
@@ -329,7 +329,7 @@
         """Have the crashes of a request stored if they must not be forgotten."""
         now_s = trio.current_time()
         entry = self._entries.get(fingerprint)
-        sightings = quarantine.sightings_to_keep(entry) if entry is not None else ()
+        sightings = quarantine.sightings_to_keep(entry, now_s) if entry is not None else ()
         if entry is not None and sightings:
             kept = _encode_sightings(sightings, now_s)
             record = ports.SuspectRecord(fingerprint, entry.expires_at_s - now_s, kept)
@@ -369,7 +369,7 @@
             entry.expires_at_s - now_s,
             self._source,
             quarantine.count_own_crashes_seen(entry),
-            _encode_sightings(quarantine.own_sightings_to_send(entry, settled=settled), now_s),
+            _encode_sightings(quarantine.sightings_to_send(entry, now_s), now_s),
         )
 
     async def _receive_counts(self, messages: trio.MemoryReceiveChannel) -> None:
--- a/tests/policy/test_quarantine_rules.py
+++ b/tests/policy/test_quarantine_rules.py
@@ -153,3 +153,11 @@
     entry = quarantine.record_crash(None, X, crash(0.0), (), completed=True)
     status = quarantine.classify_request(entry, 1.0, completed=True)
     assert status is quarantine.RequestStatus.SUSPECT
+
+
+# Guards against keeping a crash as attributed before other VMs could tell what they had in flight.
+def test_crash_is_kept_only_once_peers_reports_should_have_arrived():
+    entry = quarantine.record_crash(None, X, crash(0.0), ())
+    assert quarantine.sightings_to_keep(entry, 0.0) == ()
+    kept = quarantine.sightings_to_keep(entry, quarantine.REPORT_WAIT_S)
+    assert [sighting.attributed for sighting in kept] == [True]
