Give up a control call whose response never ends, also in the product's own daemons

Change: 4 MB. Evidence: test_control_response_without_end_raises_call_error; before, the call read on until its timeout without a limit.

--- a/src/cornelgrade/adapters/upstream_http.py
+++ b/src/cornelgrade/adapters/upstream_http.py
@@ -15,6 +15,8 @@
 
 CONNECT_TIMEOUT_S = 1.0
 CONTROL_TIMEOUT_S = 2.0
+# Reports and cache events are far shorter; a longer response may never end.
+MAX_CONTROL_BYTES = 4 * 1024 * 1024
 KEEPALIVE_EXPIRY_S = 15.0
 _NO_TIMEOUT = httpx.Timeout(None, connect=CONNECT_TIMEOUT_S)
 _HOP_BY_HOP = frozenset(
@@ -226,18 +228,34 @@
         """Make a control call and decode its response; an undecodable one is a failure too."""
         try:
             with trio.fail_after(CONTROL_TIMEOUT_S):
-                response = await self._pool.client.request(method, path, content=body)
+                status, content = await self._request_bounded(method, path, body)
         except _NOT_SENT_ERRORS as exc:
             raise self._call_error("connect", repr(exc), engine.Progress.NOT_SENT) from exc
         except (trio.TooSlowError, httpx.HTTPError) as exc:
             raise self._call_error("control", repr(exc), engine.Progress.SENT) from exc
-        if response.status_code >= 400:
-            raise self._call_error("control", response.text[:200], engine.Progress.ANSWERED)
+        if status >= 400:
+            message = content[:200].decode("utf-8", "replace")
+            raise self._call_error("control", message, engine.Progress.ANSWERED)
         try:
-            return msgspec.json.decode(response.content, type=kind)
+            return msgspec.json.decode(content, type=kind)
         except msgspec.DecodeError as exc:
             raise self._call_error("control", str(exc), engine.Progress.ANSWERED) from exc
 
+    async def _request_bounded(self, method: str, path: str, body: bytes) -> tuple[int, bytes]:
+        """Return the status and body of a response.
+
+        :raises CallError: if the body is longer than :data:`MAX_CONTROL_BYTES`.
+        """
+        received = bytearray()
+        async with self._pool.client.stream(method, path, content=body) as response:
+            async for part in response.aiter_bytes():
+                received += part
+                if len(received) > MAX_CONTROL_BYTES:
+                    raise self._call_error(
+                        "control", "response exceeds the size limit", engine.Progress.ANSWERED
+                    )
+        return response.status_code, bytes(received)
+
     def _call_error(
         self, step: str, message: str, progress: engine.Progress, timed_out: bool = False
     ) -> engine.CallError:
--- a/tests/adapters/test_upstream_http.py
+++ b/tests/adapters/test_upstream_http.py
@@ -1,3 +1,5 @@
+import contextlib
+
 import pytest
 import trio
 
@@ -15,3 +17,27 @@
         nursery.cancel_scope.cancel()
     assert caught.value.progress is engine.Progress.ANSWERED
     assert caught.value.peer == "refills-0"
+
+
+# Guards against holding all that an upstream sends in response to a control call, without end.
+async def test_control_response_without_end_raises_call_error():
+    sent = 0
+
+    async def answer(stream):
+        nonlocal sent
+        await stream.receive_some(65_536)
+        await stream.send_all(b"HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n")
+        with contextlib.suppress(trio.BrokenResourceError, trio.ClosedResourceError):
+            while True:
+                await stream.send_all(b"x" * 65_536)
+                sent += 65_536
+
+    async with trio.open_nursery() as nursery:
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        port = listeners[0].socket.getsockname()[1]
+        nursery.start_soon(trio.serve_listeners, answer, listeners)
+        async with upstream_http.HttpUpstream("e", f"127.0.0.1:{port}") as upstream:
+            with pytest.raises(engine.CallError):
+                await upstream.load()
+        nursery.cancel_scope.cancel()
+    assert upstream_http.MAX_CONTROL_BYTES <= sent <= 4 * upstream_http.MAX_CONTROL_BYTES
