--- /dev/null
+++ b/src/cornelgrade/services/edge/outcome_writer.py
@@ -0,0 +1,78 @@
+"""Writes how runs of batch items ended to the store, again until it is available."""
+
+from collections.abc import Awaitable, Callable
+
+import trio
+
+from cornelgrade import logs
+from cornelgrade.adapters import platform
+from cornelgrade.services.edge import job_repository, open_job, ports
+
+# Pauses between attempts; each is twice the one before.
+MIN_RETRY_PAUSE_S = 0.2
+MAX_RETRY_PAUSE_S = 1.0
+_log = logs.Logger("outcome_writer")
+
+
+class OutcomeWriter:
+    """Writes results and numbers of failed runs.
+
+    :param jobs: the open jobs of this worker, owned by the caller; a job that is dropped needs no
+        more writes.
+    :param on_written: called after each write.
+    """
+
+    def __init__(
+        self,
+        repository: job_repository.JobRepository,
+        jobs: dict[str, open_job.OpenJob],
+        on_written: Callable[[], None],
+    ) -> None:
+        self._repository = repository
+        self._jobs = jobs
+        self._on_written = on_written
+
+    def start_result(
+        self, nursery: trio.Nursery, job: open_job.OpenJob, index: int, result: ports.ItemResult
+    ) -> None:
+        """Write an item's result in the background."""
+        job.storing.add(index)
+        nursery.start_soon(self._write_result, job, index, result)
+
+    def start_failures(self, nursery: trio.Nursery, job: open_job.OpenJob, index: int) -> None:
+        """Write the number of an item's failed runs in the background; it runs again after that."""
+        job.recording.add(index)
+        nursery.start_soon(self._write_failures, job, index)
+
+    async def _write_result(
+        self, job: open_job.OpenJob, index: int, result: ports.ItemResult
+    ) -> None:
+        await self._retry(
+            job, index, lambda: self._repository.add_result(job.header.job, index, result)
+        )
+        job.done |= 1 << index
+        job.storing.discard(index)
+        job.partial.pop(index, None)
+        self._on_written()
+
+    async def _write_failures(self, job: open_job.OpenJob, index: int) -> None:
+        failures = job.failures[index]
+        await self._retry(
+            job, index, lambda: self._repository.record_failures(job.header.job, index, failures)
+        )
+        job.recording.discard(index)
+        self._on_written()
+
+    async def _retry(
+        self, job: open_job.OpenJob, index: int, write: Callable[[], Awaitable[None]]
+    ) -> None:
+        pause_s = MIN_RETRY_PAUSE_S
+        while self._jobs.get(job.header.job) is job:
+            try:
+                await write()
+                return
+            except platform.UnavailableError as exc:
+                item = job.items[index].name
+                _log.info("outcome_not_stored", item=item, error=exc.format_message())
+                await trio.sleep(pause_s)
+                pause_s = min(2 * pause_s, MAX_RETRY_PAUSE_S)
--- a/src/cornelgrade/services/edge/runner.py
+++ b/src/cornelgrade/services/edge/runner.py
@@ -33,6 +33,7 @@
     job_repository,
     job_sweeper,
     open_job,
+    outcome_writer,
     peers,
     ports,
     upstream_uses,
@@ -48,9 +49,6 @@
 OWNERSHIP_TTL_S = 0.05
 # Minimum time between two broadcasts, so that changes close together share a datagram.
 MIN_BROADCAST_PAUSE_S = 0.05
-# Pauses between attempts to store a result; each is twice the one before.
-MIN_STORE_RETRY_PAUSE_S = 0.2
-MAX_STORE_RETRY_PAUSE_S = 1.0
 # Job headers written close together share a response to a watch. Jobs are due, and cancelled ones
 # have to stop, within seconds.
 HEADER_SETTLE_S = 0.5
@@ -96,6 +94,9 @@
             "cornelgrade_edge_item_run_seconds", "Time of one run of a batch item."
         )
         self._wake = _notifier.Notifier()
+        self._outcomes = outcome_writer.OutcomeWriter(
+            self._repository, self._jobs, self._wake.notify_all
+        )
         self._uses = upstream_uses.UpstreamUses(
             self._peers,
             call_format,
@@ -437,60 +438,22 @@
         self, job: open_job.OpenJob, index: int, result: ports.ItemResult | None
     ) -> None:
         """Store a final result; after a failure, retry the item or give it up."""
+        assert self._nursery is not None
         if result is None:
             job.failures[index] = job.failures.get(index, 0) + 1
             job.partial.pop(index, None)
             job.delay_retry(index, trio.current_time())
             if job.failures[index] < self._max_attempts(job, index):
-                self._start_recording(job, index)
+                self._outcomes.start_failures(self._nursery, job, index)
                 return
             result = _given_up_result(job.items[index])
-        self._start_storing(job, index, result)
+        self._outcomes.start_result(self._nursery, job, index, result)
 
     def _max_attempts(self, job: open_job.OpenJob, index: int) -> int:
         table = self._fleet.table()
         route = table.find(job.header.host, job.items[index].target) if table else None
         return route.max_attempts if route else 1
 
-    def _start_recording(self, job: open_job.OpenJob, index: int) -> None:
-        assert self._nursery is not None
-        job.recording.add(index)
-        self._nursery.start_soon(self._record_failures, job, index)
-
-    async def _record_failures(self, job: open_job.OpenJob, index: int) -> None:
-        while self._jobs.get(job.header.job) is job:
-            try:
-                await self._repository.record_failures(job.header.job, index, job.failures[index])
-                break
-            except platform.UnavailableError as exc:
-                item = job.items[index].name
-                _log.info("failure_not_stored", item=item, error=exc.format_message())
-                await trio.sleep(open_job.RETRY_PAUSE_S)
-        job.recording.discard(index)
-        self._wake.notify_all()
-
-    def _start_storing(self, job: open_job.OpenJob, index: int, result: ports.ItemResult) -> None:
-        assert self._nursery is not None
-        job.storing.add(index)
-        self._nursery.start_soon(self._store_result, job, index, result)
-
-    async def _store_result(
-        self, job: open_job.OpenJob, index: int, result: ports.ItemResult
-    ) -> None:
-        pause_s = MIN_STORE_RETRY_PAUSE_S
-        while self._jobs.get(job.header.job) is job:
-            try:
-                await self._repository.add_result(job.header.job, index, result)
-                break
-            except platform.UnavailableError as exc:
-                _log.info("result_not_stored", item=result.item, error=exc.format_message())
-                await trio.sleep(pause_s)
-                pause_s = min(2 * pause_s, MAX_STORE_RETRY_PAUSE_S)
-        job.done |= 1 << index
-        job.storing.discard(index)
-        job.partial.pop(index, None)
-        self._wake.notify_all()
-
     # Completion of jobs
 
     def _advance_job(self, job: open_job.OpenJob, now_s: float) -> None:
@@ -505,8 +468,10 @@
             job.closing = True
             self._nursery.start_soon(self._close_job, job)
         elif self._may_give_up(job, now_s):
+            assert self._nursery is not None
             for index in tuple(job.startable_items(now_s)):
-                self._start_storing(job, index, _given_up_result(job.items[index]))
+                result = _given_up_result(job.items[index])
+                self._outcomes.start_result(self._nursery, job, index, result)
 
     def _may_give_up(self, job: open_job.OpenJob, now_s: float) -> bool:
         """Whether a job's items may be given up: it has expired or its route was removed."""
