--- a/tests/edge/test_failing_items.py
+++ b/tests/edge/test_failing_items.py
@@ -45,7 +45,7 @@
 
 
 # Guards against workers that each count an item's failed runs alone and from zero after a restart.
-# A restart of all workers cuts their runs off, and the bound is on failures that upstreams answered.
+# A restart of all workers cuts their runs off; the bound is on failures that upstreams answered.
 @pytest.mark.parametrize(
     ("restart", "counted"), [(restart_workers, "ran"), (restart_all_workers, "ended")]
 )
