Split the state of a relayed request from the relay

services/edge/_relay_state.py holds the request, its progress and the refusals that follow from it. No change of behaviour. Evidence: tests/edge/test_relay.py, test_stream_versions.py, test_leaving_upstreams.py.

--- /dev/null
+++ b/src/cornelgrade/services/edge/_relay_state.py
@@ -0,0 +1,97 @@
+"""What a relayed request is and how far it came, with the decisions that follow from it."""
+
+import dataclasses
+
+from cornelgrade import errors, logs, routes
+from cornelgrade.adapters import http1_server
+from cornelgrade.policy import event_stream, software_versions
+from cornelgrade.services.edge import ports, slot_permits
+
+
+@dataclasses.dataclass(slots=True)
+class Progress:
+    """Progress of a request over all its attempts.
+
+    :ivar upstreams_tried: number of upstreams that it was assigned to.
+    :ivar runs: number of upstreams that may have run it.
+    :ivar last_event: number of the last event sent to the caller.
+    :ivar last_event_s: when it arrived or, before the first one of an attempt, the head.
+    :ivar response_bytes: bytes of response bodies received.
+    :ivar origin: what began the stream, once it has begun, here or in an earlier attempt.
+    """
+
+    upstreams_tried: int = 0
+    runs: int = 0
+    started: bool = False
+    last_event: int | None = None
+    last_event_s: float = 0.0
+    response_bytes: int = 0
+    origin: software_versions.StreamOrigin | None = None
+    first_byte_s: float | None = None
+    upstream: str = ""
+    permit: slot_permits.SlotPermit | None = None
+    failed_upstreams: frozenset[str] = frozenset()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Request:
+    """A request with its caller, route and deadline.
+
+    :param fingerprint: identifies the request across callers' repeats, which have ids of their own.
+    """
+
+    exchange: http1_server.Exchange
+    caller: ports.Caller
+    route: routes.Route
+    deadline_s: float
+    fingerprint: str
+
+
+def placement_fields(permit: slot_permits.SlotPermit | None) -> dict[str, logs.Value]:
+    """Return the log fields of the load by which the last upstream was chosen."""
+    if permit is None:
+        return {}
+    candidate = permit.candidate
+    return {
+        "own": candidate.own,
+        "others": candidate.others,
+        "batch": candidate.batch,
+        "load_age_s": permit.load_age_s,
+        "waited_s": permit.waited_s,
+    }
+
+
+def is_new_event(event: event_stream.Event, last: int | None) -> bool:
+    """Whether an event follows the last one that the caller received."""
+    return event.event_id is None or last is None or event.event_id > last
+
+
+def has_gap(event: event_stream.Event, last: int | None) -> bool:
+    """Whether events are missing between the caller's last event and this one."""
+    return event.event_id is not None and last is not None and event.event_id > last + 1
+
+
+def final_refusal(progress: Progress, refusal: errors.Refusal) -> errors.Refusal:
+    """Return the refusal as is only if no upstream can have run the request."""
+    if not progress.runs:
+        return refusal
+    return errors.Refusal(
+        errors.Code.UPSTREAM_FAILED, refusal.message, step=refusal.step, ran=errors.Ran.UNKNOWN
+    )
+
+
+def timeout_refusal(progress: Progress) -> errors.Refusal:
+    """Return the refusal after a timeout; once an upstream was tried, it may have run."""
+    if progress.upstreams_tried == 0:
+        return errors.Refusal(
+            errors.Code.OVERLOADED,
+            "no permit before the deadline",
+            step="choose",
+            retry_after_s=slot_permits.RETRY_AFTER_S,
+        )
+    return errors.Refusal(
+        errors.Code.DEADLINE,
+        "no complete response before the deadline",
+        step="answer",
+        ran=errors.Ran.UNKNOWN,
+    )
--- a/src/cornelgrade/services/edge/relay.py
+++ b/src/cornelgrade/services/edge/relay.py
@@ -1,7 +1,5 @@
 """Relays an online request to upstreams and their response to the caller, with retries."""
 
-import dataclasses
-
 import trio
 
 from cornelgrade import errors, kernel, logs, metrics, routes, settings
@@ -15,6 +13,7 @@
 )
 from cornelgrade.services import ports as shared_ports
 from cornelgrade.services.edge import (
+    _relay_state,
     crash_detector,
     fleet,
     ports,
@@ -49,45 +48,6 @@
 _log = logs.Logger("relay")
 
 
-@dataclasses.dataclass(slots=True)
-class _Progress:
-    """Progress of a request over all its attempts.
-
-    :ivar upstreams_tried: number of upstreams that it was assigned to.
-    :ivar runs: number of upstreams that may have run it.
-    :ivar last_event: number of the last event sent to the caller.
-    :ivar last_event_s: when it arrived or, before the first one of an attempt, the head.
-    :ivar response_bytes: bytes of response bodies received.
-    :ivar origin: what began the stream, once it has begun, here or in an earlier attempt.
-    """
-
-    upstreams_tried: int = 0
-    runs: int = 0
-    started: bool = False
-    last_event: int | None = None
-    last_event_s: float = 0.0
-    response_bytes: int = 0
-    origin: software_versions.StreamOrigin | None = None
-    first_byte_s: float | None = None
-    upstream: str = ""
-    permit: slot_permits.SlotPermit | None = None
-    failed_upstreams: frozenset[str] = frozenset()
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Request:
-    """A request with its caller, route and deadline.
-
-    :param fingerprint: identifies the request across callers' repeats, which have ids of their own.
-    """
-
-    exchange: http1_server.Exchange
-    caller: ports.Caller
-    route: routes.Route
-    deadline_s: float
-    fingerprint: str
-
-
 class Relay:
     """Forwards requests; each request's task owns its connection to the upstream."""
 
@@ -118,29 +78,33 @@
         timeout_s = caller.timeout_s if caller.timeout_s is not None else route.timeout_s
         limit_s = min(route.timeout_s, timeout_s - DEADLINE_MARGIN_S)
         fingerprint = quarantine.fingerprint(exchange.target.decode("latin-1"), exchange.body)
-        req = _Request(exchange, caller, route, exchange.arrived_s + limit_s, fingerprint)
-        progress = _Progress(last_event=caller.resume_after)
+        req = _relay_state.Request(
+            exchange, caller, route, exchange.arrived_s + limit_s, fingerprint
+        )
+        progress = _relay_state.Progress(last_event=caller.resume_after)
         outcome = "caller_left"
         try:
             with trio.CancelScope(deadline=req.deadline_s) as scope:
                 outcome = await self._forward(req, progress)
             if scope.cancelled_caught:
                 outcome = "out_of_time"
-                await self._send_refusal(req, progress, _timeout_refusal(progress))
+                await self._send_refusal(req, progress, _relay_state.timeout_refusal(progress))
         except http1_server.AbortConnectionError:
             outcome = "broken_off"
             raise
         finally:
             self._record_request(req, progress, outcome)
 
-    async def _forward(self, req: _Request, progress: _Progress) -> str:
+    async def _forward(self, req: _relay_state.Request, progress: _relay_state.Progress) -> str:
         while True:
             try:
                 if progress.origin is None and progress.last_event is not None:
                     progress.origin = await self._find_origin(req)
                 permit = await self._acquire_permit(req, progress)
             except errors.Refusal as exc:
-                return await self._send_refusal(req, progress, _final_refusal(progress, exc))
+                return await self._send_refusal(
+                    req, progress, _relay_state.final_refusal(progress, exc)
+                )
             with permit:
                 progress.upstreams_tried += 1
                 progress.upstream = permit.upstream.name
@@ -155,7 +119,9 @@
             if refusal is not None:
                 return await self._send_refusal(req, progress, refusal)
 
-    async def _acquire_permit(self, req: _Request, progress: _Progress) -> slot_permits.SlotPermit:
+    async def _acquire_permit(
+        self, req: _relay_state.Request, progress: _relay_state.Progress
+    ) -> slot_permits.SlotPermit:
         isolated = await self._is_suspect(req)
         origin = progress.origin
         if origin is not None:
@@ -172,7 +138,9 @@
             origin=origin,
         )
 
-    async def _find_origin(self, req: _Request) -> software_versions.StreamOrigin | None:
+    async def _find_origin(
+        self, req: _relay_state.Request
+    ) -> software_versions.StreamOrigin | None:
         """Return what began a stream that the caller takes up; ``None`` if it isn't resumable.
 
         :raises Refusal: ``UNAVAILABLE`` if the stream can't go on here.
@@ -190,7 +158,7 @@
             retry_after_s=slot_permits.RETRY_AFTER_S,
         )
 
-    async def _is_suspect(self, req: _Request) -> bool:
+    async def _is_suspect(self, req: _relay_state.Request) -> bool:
         """Return whether a request may have crashed an upstream.
 
         :raises Refusal: ``QUARANTINED`` if it must not run.
@@ -205,7 +173,7 @@
         return verdict is shared_ports.Verdict.ALONE
 
     def _refusal_after_failure(
-        self, req: _Request, progress: _Progress, exc: engine.CallError
+        self, req: _relay_state.Request, progress: _relay_state.Progress, exc: engine.CallError
     ) -> errors.Refusal | None:
         """Return the refusal to send after a failed attempt, or ``None`` to try again."""
         decision = retry.after_failure(exc.progress, req.route.repeatable)
@@ -239,15 +207,15 @@
             step=exc.step,
             retry_after_s=slot_permits.RETRY_AFTER_S,
         )
-        return _final_refusal(progress, refusal)
+        return _relay_state.final_refusal(progress, refusal)
 
     @staticmethod
-    def _cannot_resume(req: _Request, progress: _Progress) -> bool:
+    def _cannot_resume(req: _relay_state.Request, progress: _relay_state.Progress) -> bool:
         """Whether the response was started on a route that is not resumable."""
         return progress.started and not req.route.resumable
 
     async def _try_upstream(
-        self, req: _Request, progress: _Progress, up: routes.Upstream
+        self, req: _relay_state.Request, progress: _relay_state.Progress, up: routes.Upstream
     ) -> http1.ResponseHead:
         """Relay the response of one upstream; return its head."""
         try:
@@ -267,7 +235,11 @@
                 raise
 
     async def _call_upstream(
-        self, channel: http1.Channel, req: _Request, progress: _Progress, up: routes.Upstream
+        self,
+        channel: http1.Channel,
+        req: _relay_state.Request,
+        progress: _relay_state.Progress,
+        up: routes.Upstream,
     ) -> http1.ResponseHead:
         """Send a request and relay the response; return its head."""
         await self._send_request(channel, req, progress, up)
@@ -279,7 +251,11 @@
         return head
 
     async def _send_request(
-        self, channel: http1.Channel, req: _Request, progress: _Progress, up: routes.Upstream
+        self,
+        channel: http1.Channel,
+        req: _relay_state.Request,
+        progress: _relay_state.Progress,
+        up: routes.Upstream,
     ) -> None:
         exchange = req.exchange
         timeout_s = req.caller.timeout_s or req.route.timeout_s
@@ -290,7 +266,11 @@
         await channel.send(exchange.method, exchange.target, headers, exchange.body)
 
     async def _read_head(
-        self, channel: http1.Channel, req: _Request, progress: _Progress, up: routes.Upstream
+        self,
+        channel: http1.Channel,
+        req: _relay_state.Request,
+        progress: _relay_state.Progress,
+        up: routes.Upstream,
     ) -> http1.ResponseHead:
         """Wait for the head of this request's response."""
         with trio.move_on_after(self._idle_timeout_s(req, progress, req.route.aim_s)):
@@ -322,7 +302,9 @@
             raise channel.call_error(f"unsigned response with status {head.status}", _STEP)
         return head
 
-    def _idle_timeout_s(self, req: _Request, progress: _Progress, target_s: float) -> float:
+    def _idle_timeout_s(
+        self, req: _relay_state.Request, progress: _relay_state.Progress, target_s: float
+    ) -> float:
         """Return how long an upstream may be silent: unlimited if no other may be tried."""
         if self._is_last_attempt(req, progress) or not req.route.repeatable:
             return float("inf")
@@ -332,7 +314,11 @@
         return max(MIN_IDLE_TIMEOUT_S, IDLE_TIMEOUT_RATIO * target_s)
 
     async def _relay_response(
-        self, channel: http1.Channel, req: _Request, progress: _Progress, head: http1.ResponseHead
+        self,
+        channel: http1.Channel,
+        req: _relay_state.Request,
+        progress: _relay_state.Progress,
+        head: http1.ResponseHead,
     ) -> None:
         """Relay a response whose head was received."""
         headers = self._call_format.caller_headers(head)
@@ -345,14 +331,14 @@
         await self._relay_body(channel, req, progress, (head.status, headers))
 
     @staticmethod
-    def _is_last_attempt(req: _Request, progress: _Progress) -> bool:
+    def _is_last_attempt(req: _relay_state.Request, progress: _relay_state.Progress) -> bool:
         return progress.runs + 1 >= req.route.max_attempts
 
     async def _relay_body(
         self,
         channel: http1.Channel,
-        req: _Request,
-        progress: _Progress,
+        req: _relay_state.Request,
+        progress: _relay_state.Progress,
         head: tuple[int, http1.Headers],
     ) -> None:
         """Relay the body as it arrives."""
@@ -363,13 +349,19 @@
             await self._write_part(req, progress, head, b"")
         await req.exchange.end_response()
 
-    def _check_size(self, channel: http1.Channel, progress: _Progress, part: bytes) -> None:
+    def _check_size(
+        self, channel: http1.Channel, progress: _relay_state.Progress, part: bytes
+    ) -> None:
         progress.response_bytes += len(part)
         if progress.response_bytes > self._max_response_bytes:
             raise channel.call_error("response exceeds the size limit", _STEP)
 
     async def _resume_stream(
-        self, channel: http1.Channel, req: _Request, progress: _Progress, head: http1.ResponseHead
+        self,
+        channel: http1.Channel,
+        req: _relay_state.Request,
+        progress: _relay_state.Progress,
+        head: http1.ResponseHead,
     ) -> None:
         """Continue a stream that the caller has received in part."""
         if head.status >= 300:
@@ -379,8 +371,8 @@
     async def _relay_events(
         self,
         channel: http1.Channel,
-        req: _Request,
-        progress: _Progress,
+        req: _relay_state.Request,
+        progress: _relay_state.Progress,
         head: tuple[int, http1.Headers] | None,
     ) -> None:
         """Relay complete events only, so that another upstream can resume after the last one."""
@@ -393,11 +385,11 @@
             except event_stream.EventTooLongError as exc:
                 raise channel.call_error(str(exc), _STEP) from exc
             for event in events:
-                if _has_gap(event, progress.last_event):
+                if _relay_state.has_gap(event, progress.last_event):
                     raise channel.call_error(
                         f"events missing between {progress.last_event} and {event.event_id}", _STEP
                     )
-                if _is_new_event(event, progress.last_event):
+                if _relay_state.is_new_event(event, progress.last_event):
                     self._record_origin(req, progress)
                     await self._write_part(req, progress, head, event.raw)
                     progress.last_event_s = trio.current_time()
@@ -410,14 +402,16 @@
             await self._write_part(req, progress, head, b"")
         await req.exchange.end_response()
 
-    def _record_origin(self, req: _Request, progress: _Progress) -> None:
+    def _record_origin(self, req: _relay_state.Request, progress: _relay_state.Progress) -> None:
         """Record what began a stream, before its first event is sent."""
         if progress.origin is None and progress.permit is not None:
             up = progress.permit.upstream
             progress.origin = software_versions.origin_at(up)
             self._origins.record(req.caller.request_id, up)
 
-    async def _read_part(self, channel: http1.Channel, req: _Request, progress: _Progress) -> bytes:
+    async def _read_part(
+        self, channel: http1.Channel, req: _relay_state.Request, progress: _relay_state.Progress
+    ) -> bytes:
         """Read on; bytes that complete no event don't extend the time until the next one."""
         idle_s = self._idle_timeout_s(req, progress, req.route.gap_aim_s)
         with trio.move_on_at(progress.last_event_s + idle_s):
@@ -426,7 +420,10 @@
 
     @staticmethod
     async def _write_part(
-        req: _Request, progress: _Progress, head: tuple[int, http1.Headers] | None, part: bytes
+        req: _relay_state.Request,
+        progress: _relay_state.Progress,
+        head: tuple[int, http1.Headers] | None,
+        part: bytes,
     ) -> None:
         if progress.started or head is None:
             await req.exchange.send_chunk(part)
@@ -436,7 +433,7 @@
         await req.exchange.start_response(*head, part)
 
     async def _send_refusal(
-        self, req: _Request, progress: _Progress, refusal: errors.Refusal
+        self, req: _relay_state.Request, progress: _relay_state.Progress, refusal: errors.Refusal
     ) -> str:
         """Send the refusal, or abort a response that was started."""
         if progress.started:
@@ -445,7 +442,9 @@
         await req.exchange.respond(_STATUS_BY_CODE[refusal.code], b"", headers)
         return refusal.code.value
 
-    def _record_request(self, req: _Request, progress: _Progress, outcome: str) -> None:
+    def _record_request(
+        self, req: _relay_state.Request, progress: _relay_state.Progress, outcome: str
+    ) -> None:
         self._request_counter.inc({"route": req.route.name, "outcome": outcome})
         if progress.first_byte_s is not None:
             self._first_byte_histogram.observe({"route": req.route.name}, progress.first_byte_s)
@@ -464,55 +463,5 @@
             plan=table.plan.version if table else 0,
             version=progress.origin.version if progress.origin else "",
             resumes=req.caller.resumed_request,
-            **_placement_fields(progress.permit),
-        )
-
-
-def _placement_fields(permit: slot_permits.SlotPermit | None) -> dict[str, logs.Value]:
-    """Return the log fields of the load by which the last upstream was chosen."""
-    if permit is None:
-        return {}
-    candidate = permit.candidate
-    return {
-        "own": candidate.own,
-        "others": candidate.others,
-        "batch": candidate.batch,
-        "load_age_s": permit.load_age_s,
-        "waited_s": permit.waited_s,
-    }
-
-
-def _is_new_event(event: event_stream.Event, last: int | None) -> bool:
-    """Whether an event follows the last one that the caller received."""
-    return event.event_id is None or last is None or event.event_id > last
-
-
-def _has_gap(event: event_stream.Event, last: int | None) -> bool:
-    """Whether events are missing between the caller's last event and this one."""
-    return event.event_id is not None and last is not None and event.event_id > last + 1
-
-
-def _final_refusal(progress: _Progress, refusal: errors.Refusal) -> errors.Refusal:
-    """Return the refusal as is only if no upstream can have run the request."""
-    if not progress.runs:
-        return refusal
-    return errors.Refusal(
-        errors.Code.UPSTREAM_FAILED, refusal.message, step=refusal.step, ran=errors.Ran.UNKNOWN
-    )
-
-
-def _timeout_refusal(progress: _Progress) -> errors.Refusal:
-    """Return the refusal after a timeout; once an upstream was tried, it may have run."""
-    if progress.upstreams_tried == 0:
-        return errors.Refusal(
-            errors.Code.OVERLOADED,
-            "no permit before the deadline",
-            step="choose",
-            retry_after_s=slot_permits.RETRY_AFTER_S,
+            **_relay_state.placement_fields(progress.permit),
         )
-    return errors.Refusal(
-        errors.Code.DEADLINE,
-        "no complete response before the deadline",
-        step="answer",
-        ran=errors.Ran.UNKNOWN,
-    )
