Soak: an engine's crash lasts until the engine accepts connections again

Trace: engine-3 crashed at 50.44 s and was registered again about 2 s later, which ended the fault's window; at 52.53 s its connections were still reset (crash_detector: connecting to it failed), since the stand-in opens its listener on its own time. The window now ends when the engine accepts connections.

--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -276,6 +276,7 @@
         down_s = faults.between(ENGINE_FAULT_S)
         engine.stand_in.crash(down_s)
         await trio.sleep(down_s)
+        await engine.wait_until_up()
         engine.born += 1
         await faults.system.register(engine)
 
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -115,12 +115,7 @@
                 await trio.sleep(START_PAUSE_S)
 
     async def _listens(self) -> bool:
-        host, port = addresses.split_host_port(self.caller_address or self._metrics_address)
-        try:
-            await (await trio.open_tcp_stream(host, port)).aclose()
-        except OSError:
-            return False
-        return True
+        return await _accepts(self.caller_address or self._metrics_address)
 
     async def _open(self) -> None:
         env = {
@@ -177,6 +172,11 @@
     left_s: float | None = None
     said_leaving_s: float | None = None
 
+    async def wait_until_up(self) -> None:
+        """Wait until the engine accepts connections again after a crash."""
+        while not await _accepts(self.stand_in.address):
+            await trio.sleep(START_PAUSE_S)
+
 
 class World:
     """Everything that runs; made by :func:`running`.
@@ -365,6 +365,16 @@
             await trio.sleep(WRITE_PAUSE_S)
 
 
+async def _accepts(address: str) -> bool:
+    """Whether something listens at an address."""
+    host, port = addresses.split_host_port(address)
+    try:
+        await (await trio.open_tcp_stream(host, port)).aclose()
+    except OSError:
+        return False
+    return True
+
+
 def _free_address() -> str:
     return f"127.0.0.1:{edge_system.free_port()}"
 
