--- a/tests/edge/test_crash_evidence.py
+++ b/tests/edge/test_crash_evidence.py
@@ -4,38 +4,19 @@
 
 import pytest
 import trio
+from tests.edge import culprits
 
 from cornelgrade.platform.standins import edge_system, formats, stream_engine
 
-CULPRIT = b"crashes the engine"
 POPULAR = b"the same words from many callers"
-CRASHES = 3
-# The operators' bounds: how long news of the last crash may take to spread, and how often the
-# request may be sent to upstreams after that.
-SPREAD_S = 3.0
-MAX_LATE_RUNS = 3
-LATE_SENDS = 8
 LATE_SEND_PAUSE_S = 0.3
 NEIGHBOUR_TRIES = 8
 
 
-def list_runs(system, body=CULPRIT):
-    return [seen for eng in system.engines.values() for seen in eng.seen if seen.body == body]
-
-
-def count_crashes(system):
-    return sum(eng.crashes for eng in system.engines.values())
-
-
-def make_engines_crash(system, **how):
-    for eng in system.engines.values():
-        eng.faults = stream_engine.Faults(crash_on=CULPRIT, **how)
-
-
 def count_late_runs_since(before, system):
     """Return the culprit's runs since there were ``before``; none if it was stopped earlier."""
-    assert count_crashes(system)
-    return 0 if before is None else len(list_runs(system)) - before
+    assert culprits.count_crashes(system)
+    return 0 if before is None else len(culprits.list_runs(system)) - before
 
 
 class Callers:
@@ -73,22 +54,22 @@
             statuses = await self.ask_until_served(f"unrelated {number}".encode())
             assert statuses[-1] == 200, statuses
 
-    async def crash_engines(self, crashes=CRASHES):
+    async def crash_engines(self, crashes=culprits.CRASHES):
         """Send the culprit until it has crashed so many engines or is stopped before."""
-        for _ in range(LATE_SENDS):
-            if count_crashes(self.system) < crashes:
-                await self.send(CULPRIT)
+        for _ in range(culprits.LATE_SENDS):
+            if culprits.count_crashes(self.system) < crashes:
+                await self.send(culprits.CULPRIT)
                 await trio.sleep(LATE_SEND_PAUSE_S)
-        assert count_crashes(self.system)
+        assert culprits.count_crashes(self.system)
 
     async def count_late_runs(self):
         """Return how often the culprit reaches engines if callers go on sending it."""
-        await trio.sleep(SPREAD_S)
-        before = len(list_runs(self.system))
-        for _ in range(LATE_SENDS):
-            await self.send(CULPRIT)
+        await trio.sleep(culprits.SPREAD_S)
+        before = len(culprits.list_runs(self.system))
+        for _ in range(culprits.LATE_SENDS):
+            await self.send(culprits.CULPRIT)
             await trio.sleep(LATE_SEND_PAUSE_S)
-        return len(list_runs(self.system)) - before
+        return len(culprits.list_runs(self.system)) - before
 
 
 # Guards against a text that was served, and is immune to blame when it then crashes upstreams.
@@ -99,10 +80,10 @@
 ):
     async with edge_system.run_system(gateways=gateways, engines=8) as system:
         callers = Callers(system, path)
-        assert set(await callers.send_each_gateway(CULPRIT)) == {200}
-        make_engines_crash(system)
+        assert set(await callers.send_each_gateway(culprits.CULPRIT)) == {200}
+        culprits.make_engines_crash(system)
         await callers.crash_engines()
-        assert await callers.count_late_runs() <= MAX_LATE_RUNS
+        assert await callers.count_late_runs() <= culprits.MAX_LATE_RUNS
         assert (await callers.ask_until_served(b"innocent"))[-1] == 200
 
 
@@ -110,24 +91,24 @@
 async def test_text_that_was_served_is_stopped_beside_new_requests_that_are_served():
     async with edge_system.run_system(gateways=3, engines=8, events=20) as system:
         callers = Callers(system)
-        await callers.send_each_gateway(CULPRIT)
-        make_engines_crash(system)
+        await callers.send_each_gateway(culprits.CULPRIT)
+        culprits.make_engines_crash(system)
         async with trio.open_nursery() as nursery:
             for number in range(6):
                 nursery.start_soon(Callers(system).send_unrelated, 12 + number)
             await callers.crash_engines()
             late = await callers.count_late_runs()
-    assert late <= MAX_LATE_RUNS
+    assert late <= culprits.MAX_LATE_RUNS
 
 
 # Guards against the same in a stream that is cut off after events and taken up at other upstreams.
 async def test_text_that_was_served_and_now_crashes_within_its_stream_is_stopped():
     async with edge_system.run_system(gateways=3, engines=8) as system:
         callers = Callers(system)
-        await callers.send_each_gateway(CULPRIT)
-        make_engines_crash(system, crash_after=2)
+        await callers.send_each_gateway(culprits.CULPRIT)
+        culprits.make_engines_crash(system, crash_after=2)
         await callers.crash_engines()
-        assert await callers.count_late_runs() <= MAX_LATE_RUNS
+        assert await callers.count_late_runs() <= culprits.MAX_LATE_RUNS
 
 
 # Guards against taking an upstream's own failure for a completion, which clears a crashing text.
@@ -136,30 +117,30 @@
     async with edge_system.run_system(gateways=3, engines=8) as system:
         callers = Callers(system, path)
         for round_number in range(6):
-            make_engines_crash(system)
-            await callers.send(CULPRIT)
-            if round_number == CRASHES:
-                await trio.sleep(SPREAD_S)
-                before = len(list_runs(system))
+            culprits.make_engines_crash(system)
+            await callers.send(culprits.CULPRIT)
+            if round_number == culprits.CRASHES:
+                await trio.sleep(culprits.SPREAD_S)
+                before = len(culprits.list_runs(system))
             for eng in system.engines.values():
                 eng.faults = stream_engine.Faults(fail=500)
             await trio.sleep(0.7)
-            await callers.send(CULPRIT)
-        late = len(list_runs(system)) - before
-        make_engines_crash(system)
+            await callers.send(culprits.CULPRIT)
+        late = len(culprits.list_runs(system)) - before
+        culprits.make_engines_crash(system)
         late += await callers.count_late_runs()
-    assert late <= MAX_LATE_RUNS
+    assert late <= culprits.MAX_LATE_RUNS
 
 
 # Guards against processes that forget crashes when all of them restart before the text is stopped.
 async def test_crashes_before_a_restart_of_all_gateways_count_after_it():
     async with edge_system.run_system(gateways=2, engines=10) as system:
-        make_engines_crash(system)
+        culprits.make_engines_crash(system)
         callers = Callers(system, edge_system.ONCE_PREFIX)
         before = None
         for number in range(2, 2 + 2 * 8, 2):
-            crashes = count_crashes(system)
-            await callers.send(CULPRIT)
+            crashes = culprits.count_crashes(system)
+            await callers.send(culprits.CULPRIT)
             await trio.sleep(0.3)
             for name in [name for name in system.nodes if name.startswith("gateway")]:
                 system.nodes.pop(name).scope.cancel()
@@ -168,25 +149,25 @@
             for name in (f"gateway-{number}", f"gateway-{number + 1}"):
                 await system.wait_until_ready(name)
             await system.wait_until_peers_known()
-            if count_crashes(system) >= CRASHES > crashes:
-                await trio.sleep(SPREAD_S)
-                before = len(list_runs(system))
-        assert count_late_runs_since(before, system) <= MAX_LATE_RUNS
+            if culprits.count_crashes(system) >= culprits.CRASHES > crashes:
+                await trio.sleep(culprits.SPREAD_S)
+                before = len(culprits.list_runs(system))
+        assert count_late_runs_since(before, system) <= culprits.MAX_LATE_RUNS
 
 
 # Guards against a text of many callers whose copies hide it beside other requests.
 async def test_text_of_many_callers_is_stopped_beside_others_that_are_served():
     async with edge_system.run_system(gateways=3, engines=8, events=20) as system:
-        make_engines_crash(system)
+        culprits.make_engines_crash(system)
         callers = Callers(system)
         async with trio.open_nursery() as nursery:
             for _ in range(6):
                 nursery.start_soon(Callers(system).send_unrelated, 14)
-            async with trio.open_nursery() as culprits:
+            async with trio.open_nursery() as senders:
                 for _ in range(6):
-                    culprits.start_soon(Callers(system).crash_engines)
+                    senders.start_soon(Callers(system).crash_engines)
             late = await callers.count_late_runs()
-    assert late <= MAX_LATE_RUNS
+    assert late <= culprits.MAX_LATE_RUNS
 
 
 # Guards against blaming a text of many callers, in flight at every crash, for another's crashes.
@@ -196,8 +177,8 @@
         callers = Callers(system)
         if served_before:
             await callers.send_each_gateway(POPULAR)
-            await callers.send_each_gateway(CULPRIT)
-        make_engines_crash(system)
+            await callers.send_each_gateway(culprits.CULPRIT)
+        culprits.make_engines_crash(system)
         statuses = []
 
         async def ask(number):
@@ -210,7 +191,7 @@
             await trio.sleep(0.1)
             await callers.crash_engines()
             late = await callers.count_late_runs()
-    assert late <= MAX_LATE_RUNS
+    assert late <= culprits.MAX_LATE_RUNS
     assert {tries[-1] for tries in statuses} == {200}
 
 
@@ -237,7 +218,7 @@
 
 async def submit_served_item(system):
     """Run the culprit's text as an item to its end, before it crashes engines."""
-    await system.submit("gateway-0", "before", {"culprit": CULPRIT})
+    await system.submit("gateway-0", "before", {"culprit": culprits.CULPRIT})
     with trio.fail_after(10):
         while not await system.results("gateway-0", "before", 0):
             await trio.sleep(0.05)
@@ -248,17 +229,17 @@
 async def test_item_whose_text_was_served_is_stopped_once_it_crashes_upstreams(workers):
     async with edge_system.run_system(workers=workers, engines=8) as system:
         await submit_served_item(system)
-        make_engines_crash(system)
-        before = len(list_runs(system))
-        items = {"culprit": CULPRIT, **{f"item-{number}": b"note" for number in range(4)}}
+        culprits.make_engines_crash(system)
+        before = len(culprits.list_runs(system))
+        items = {"culprit": culprits.CULPRIT, **{f"item-{number}": b"note" for number in range(4)}}
         await system.submit("gateway-0", "job", items)
         with trio.fail_after(20):
-            while count_crashes(system) < CRASHES:
+            while culprits.count_crashes(system) < culprits.CRASHES:
                 await trio.sleep(0.05)
-        await trio.sleep(SPREAD_S)
-        before = len(list_runs(system))
-        await trio.sleep(LATE_SENDS * LATE_SEND_PAUSE_S + SPREAD_S)
-        assert len(list_runs(system)) - before <= MAX_LATE_RUNS
+        await trio.sleep(culprits.SPREAD_S)
+        before = len(culprits.list_runs(system))
+        await trio.sleep(culprits.LATE_SENDS * LATE_SEND_PAUSE_S + culprits.SPREAD_S)
+        assert len(culprits.list_runs(system)) - before <= culprits.MAX_LATE_RUNS
         target = formats.job_target("job", 0)
         got = await system.send("gateway-0", "GET", target, formats.wait_headers(1.0))
         ends = {item for item, _, _ in formats.decode_results(got.body)}
@@ -276,17 +257,17 @@
 # Guards against workers that all restart and forget the crashes of an item.
 async def test_crashes_of_an_item_count_after_all_workers_restarted():
     async with edge_system.run_system(workers=2, engines=10) as system:
-        make_engines_crash(system)
-        await system.submit("gateway-0", "job", {"culprit": CULPRIT})
+        culprits.make_engines_crash(system)
+        await system.submit("gateway-0", "job", {"culprit": culprits.CULPRIT})
         before = None
         for number in range(2, 22, 2):
-            crashes = count_crashes(system)
-            with trio.move_on_after(SPREAD_S):
-                while count_crashes(system) == crashes:
+            crashes = culprits.count_crashes(system)
+            with trio.move_on_after(culprits.SPREAD_S):
+                while culprits.count_crashes(system) == crashes:
                     await trio.sleep(0.02)
             await trio.sleep(0.1)
-            if before is None and count_crashes(system) >= CRASHES:
-                await trio.sleep(SPREAD_S)
-                before = len(list_runs(system))
+            if before is None and culprits.count_crashes(system) >= culprits.CRASHES:
+                await trio.sleep(culprits.SPREAD_S)
+                before = len(culprits.list_runs(system))
             await restart_all_workers(system, number)
-        assert count_late_runs_since(before, system) <= MAX_LATE_RUNS
+        assert count_late_runs_since(before, system) <= culprits.MAX_LATE_RUNS
