Let only new crashes move the time of a request's last crash

Cause: since reports carry sightings, a report that came again differed from the known one by milliseconds of age and so counted as news; each second it moved the last crash and was told on, without end. Change: a process's newer list replaces its older one, and only more crashes are news. Evidence: test_report_that_comes_again_does_not_move_the_time_of_the_last_crash failed before (3.5 s for 1.0 s) and passes.

--- a/src/cornelgrade/policy/crash_sightings.py
+++ b/src/cornelgrade/policy/crash_sightings.py
@@ -62,11 +62,3 @@
             weak=known.weak and sighting.weak,
         )
     return tuple(merged)
-
-
-def update_sightings(
-    known: tuple[Sighting, ...], newer: tuple[Sighting, ...]
-) -> tuple[Sighting, ...]:
-    """Return one process's newer sightings, followed by earlier ones of other crashes."""
-    others = (s for s in known if not any(s.is_same_crash(update) for update in newer))
-    return (*newer, *others)
--- a/src/cornelgrade/policy/quarantine.py
+++ b/src/cornelgrade/policy/quarantine.py
@@ -242,22 +242,29 @@
 def merge_peer_count(
     entry: Entry | None, peer_count: PeerCount, expires_at_s: float, now_s: float
 ) -> Entry:
-    """Store another process's counts, which never decrease."""
+    """Store another process's counts, which never decrease.
+
+    The same counts come again and again; only new crashes move the time of the last one.
+    """
     entry = entry or Entry()
     counts = {count.source: count for count in entry.peer_counts}
     known = counts.get(peer_count.source, PeerCount(peer_count.source, 0))
-    merged = PeerCount(
+    counts[peer_count.source] = PeerCount(
         peer_count.source,
         max(peer_count.crashes, known.crashes),
         max(peer_count.seen, known.seen),
-        crash_sightings.update_sightings(known.sightings, peer_count.sightings)[:MAX_EVIDENCE],
+        max(peer_count.sightings, known.sightings, key=len),
+    )
+    grew = (
+        peer_count.crashes > known.crashes
+        or peer_count.seen > known.seen
+        or len(peer_count.sightings) > len(known.sightings)
     )
-    counts[peer_count.source] = merged
     return dataclasses.replace(
         entry,
         peer_counts=tuple(counts.values())[-MAX_PEER_COUNTS:],
         expires_at_s=max(entry.expires_at_s, expires_at_s),
-        last_crash_s=entry.last_crash_s if merged == known else now_s,
+        last_crash_s=now_s if grew else entry.last_crash_s,
     )
 
 
--- a/tests/policy/test_crash_sightings.py
+++ b/tests/policy/test_crash_sightings.py
@@ -27,9 +27,24 @@
     assert not crash_sightings.merge_sightings((weak,), (sighting(attributed=True),))[0].weak
 
 
+# Guards against adding up what one process tells of a crash at different times.
 def test_newer_word_of_a_process_replaces_its_earlier_one():
-    older, newer = sighting(), sighting(at_s=0.1, weak=True)
-    assert crash_sightings.update_sightings((older, sighting(2)), (newer,)) == (newer, sighting(2))
+    entry = quarantine.Entry()
+    for told in (sighting(), sighting(at_s=9.0, weak=True)):
+        count = quarantine.PeerCount("p", 0, 1, (told,))
+        entry = quarantine.merge_peer_count(entry, count, 10.0, 0.0)
+    assert entry.peer_counts[0].sightings == (sighting(at_s=9.0, weak=True),)
+
+
+# Guards against reports that come again, slightly late, and count as news: a quarantined item would
+# never run again, and processes would go on telling each other.
+def test_report_that_comes_again_does_not_move_the_time_of_the_last_crash():
+    entry = quarantine.Entry()
+    for now_s in (1.0, 2.0, 3.5):
+        told = tuple(sighting(crash, at_s=crash + now_s / 10) for crash in (1, 2))
+        count = quarantine.PeerCount("p", 1, 2, told)
+        entry = quarantine.merge_peer_count(entry, count, 10.0, now_s)
+    assert entry.last_crash_s == 1.0
 
 
 # Guards against counting a crash once for each of many processes that saw a request at it.
