Attribute no crash to a request that has just completed

Trace: gateways that had just started didn't know each other, so each attributed crashes to the only request that it had in flight, the popular text, 0.8 s after its last completion; once quarantined, it completes nowhere. Change: for 3 s after a completion no crash is attributed to a request; what was recorded counts after that if it hasn't completed again.

--- a/src/cornelgrade/policy/quarantine.py
+++ b/src/cornelgrade/policy/quarantine.py
@@ -11,8 +11,9 @@
 it is in flight at most upstreams, whichever request crashes them.
 
 A completion clears a request of all crashes before it. A request that completed recently becomes a
-suspect only if a later crash is attributed to it or it was in flight at several later crashes: a
-popular text completes again meanwhile, whereas one that has begun to crash engines does not.
+suspect only if a later crash is attributed to it or it was in flight at several later crashes; for
+some seconds nothing is attributed to it. A popular text completes again meanwhile, whereas one that
+has begun to crash engines does not.
 """
 
 import dataclasses
@@ -167,14 +168,16 @@
     *,
     shared: bool = False,
     completed: bool = False,
+    just_completed: bool = False,
 ) -> Entry:
     """Record a crash detected by this VM as evidence on a request that was in flight.
 
     :param earlier: recent crashes of the same upstream, including those reported by peers.
     :param shared: whether the request was in flight more than once from this VM.
-    :param completed: whether the request completed recently.
+    :param completed: as in :func:`classify_request`.
+    :param just_completed: as in :func:`classify_request`.
     """
-    status = classify_request(entry, crash.at_s, completed=completed)
+    status = classify_request(entry, crash.at_s, completed=completed, just_completed=just_completed)
     was_suspect = status is not RequestStatus.CLEAR
     entry = entry or Entry()
     if crash.upstream in entry.reported:
@@ -354,15 +357,16 @@
 
 
 def classify_request(
-    entry: Entry | None, now_s: float, *, completed: bool = False
+    entry: Entry | None, now_s: float, *, completed: bool = False, just_completed: bool = False
 ) -> RequestStatus:
     """Return the status of a request.
 
     :param completed: whether the request completed recently, before the crashes of its entry.
+    :param just_completed: whether that was moments ago; then no crash is attributed to it.
     """
     if entry is None or entry.expires_at_s <= now_s:
         return RequestStatus.CLEAR
-    attributed, seen = crashes(entry), crashes_seen(entry)
+    attributed, seen = 0 if just_completed else crashes(entry), crashes_seen(entry)
     if attributed < MAX_CRASHES and seen < MAX_CRASHES_SEEN:
         unlikely = completed and not attributed and seen <= MAX_CRASHES_AFTER_COMPLETION
         return RequestStatus.CLEAR if unlikely else RequestStatus.SUSPECT
--- a/src/cornelgrade/services/quarantine.py
+++ b/src/cornelgrade/services/quarantine.py
@@ -22,6 +22,9 @@
 MAX_COMPLETED = 2_048
 # How long a completion speaks for a request. Callers often send the same short text.
 COMPLETED_TTL_S = 120.0
+# How long nothing is attributed to a request after a completion: reports of what else was in flight
+# at a crash may come late, and a popular text completes again within this time.
+JUST_COMPLETED_S = 3.0
 MAX_ANNOUNCED_PER_CRASH = 16
 MAX_DIRECT_PEERS = 16
 # Source of the counts of requests that were quarantined before this process started.
@@ -184,7 +187,7 @@
         """Return whether a batch item may run now: a quarantined one does so ever more rarely."""
         entry = self._entries.get(fingerprint)
         now_s = trio.current_time()
-        status = quarantine.classify_request(entry, now_s)
+        status = self._classify(fingerprint, now_s)
         if entry is None or status not in _HELD:
             return True
         return now_s >= quarantine.probation_ends_at_s(entry)
@@ -201,7 +204,7 @@
         """Return how a request may run, after waiting for peers' reports if they decide."""
         while True:
             entry = self._entries.get(fingerprint)
-            standing = quarantine.classify_request(entry, trio.current_time())
+            standing = self._classify(fingerprint, trio.current_time())
             if entry is None or standing is not quarantine.RequestStatus.PENDING:
                 return self.verdict(fingerprint)
             await trio.sleep_until(quarantine.decided_at_s(entry))
@@ -270,17 +273,21 @@
         while len(self._completed_s) > MAX_COMPLETED:
             self._completed_s.popitem(last=False)
 
-    def _has_completed(self, fingerprint: str, now_s: float) -> bool:
+    def _has_completed(
+        self, fingerprint: str, now_s: float, within_s: float = COMPLETED_TTL_S
+    ) -> bool:
         completed_s = self._completed_s.get(fingerprint)
-        return completed_s is not None and now_s - completed_s < COMPLETED_TTL_S
+        return completed_s is not None and now_s - completed_s < within_s
 
     def _is_suspect(self, fingerprint: str, now_s: float) -> bool:
         return self._classify(fingerprint, now_s) is not quarantine.RequestStatus.CLEAR
 
     def _classify(self, fingerprint: str, now_s: float) -> quarantine.RequestStatus:
-        completed = self._has_completed(fingerprint, now_s)
         return quarantine.classify_request(
-            self._entries.get(fingerprint), now_s, completed=completed
+            self._entries.get(fingerprint),
+            now_s,
+            completed=self._has_completed(fingerprint, now_s),
+            just_completed=self._has_completed(fingerprint, now_s, JUST_COMPLETED_S),
         )
 
     def _attribute_crash(
@@ -295,9 +302,14 @@
         entry = self._entries.get(fingerprint)
         if entry is not None and entry.expires_at_s <= crash.at_s:
             entry = None
-        completed = self._has_completed(fingerprint, crash.at_s)
         updated = quarantine.record_crash(
-            entry, fingerprint, crash, earlier, shared=shared, completed=completed
+            entry,
+            fingerprint,
+            crash,
+            earlier,
+            shared=shared,
+            completed=self._has_completed(fingerprint, crash.at_s),
+            just_completed=self._has_completed(fingerprint, crash.at_s, JUST_COMPLETED_S),
         )
         self._store_entry(fingerprint, updated)
         return updated is not entry
@@ -339,7 +351,7 @@
         """Quarantine a request for long if the evidence suffices."""
         now_s = trio.current_time()
         entry = self._entries.get(fingerprint)
-        status = quarantine.classify_request(entry, now_s)
+        status = self._classify(fingerprint, now_s)
         if entry is None or status is not quarantine.RequestStatus.QUARANTINED:
             return
         expires_at_s = now_s + quarantine.QUARANTINE_S
