Refuse a stream of unknown origin if another version may have left before a restart

Trace: both gateways had been restarted, knew one version since, and took it for the origin; the other had left before. The check for upstreams that started lately passed, since they told no start. Change: an upstream that doesn't tell its start counts as young; in return a history is complete after the route's time limit, not after 60 s. Evidence: test_stream_is_refused_if_another_version_may_have_left_before_a_restart failed on (200 for 503) and passes with the others of tests/edge/test_stream_versions.py. The case of a single version gives its upstreams a start now, which it needs.

--- a/src/cornelgrade/policy/software_versions.py
+++ b/src/cornelgrade/policy/software_versions.py
@@ -60,12 +60,18 @@
             and (origin in self._registered or now_s - last_seen_s <= STREAM_LIFETIME_S)
         )
 
-    def is_complete(self, now_s: float) -> bool:
-        """Return whether no version can have left before this process began to look."""
-        return now_s - self._since_s >= STREAM_LIFETIME_S
+    def is_complete(self, now_s: float, timeout_s: float) -> bool:
+        """Return whether no version can have left before this process began to look.
+
+        :param timeout_s: time limit of the stream, after which nobody takes it up.
+        """
+        return now_s - self._since_s >= min(STREAM_LIFETIME_S, timeout_s)
 
 
 def has_recent_start(upstreams: Iterable[routes.Upstream], service: str, unix_s: float) -> bool:
-    """Return whether an upstream of a service started so recently that it may replace others."""
+    """Return whether an upstream of a service may have started so recently that it replaces others.
+
+    One that doesn't tell its start may have.
+    """
     earliest_ms = (unix_s - STREAM_LIFETIME_S) * _MS_PER_S
-    return any(up.service == service and up.started_ms > earliest_ms for up in upstreams)
+    return any(up.service == service and not 0 < up.started_ms <= earliest_ms for up in upstreams)
--- a/src/cornelgrade/services/edge/relay.py
+++ b/src/cornelgrade/services/edge/relay.py
@@ -147,7 +147,7 @@
         """
         if not req.route.resumable:
             return None
-        origin = await self._origins.find(req.caller.resumed_request, req.route.targets)
+        origin = await self._origins.find(req.caller.resumed_request, req.route)
         if origin is not None and any(t.service == origin.service for t in req.route.targets):
             return origin
         message = "its service left the route" if origin else "what began the stream is unknown"
--- a/src/cornelgrade/services/edge/stream_origins.py
+++ b/src/cornelgrade/services/edge/stream_origins.py
@@ -81,12 +81,12 @@
             self._tell_holders((key,))
 
     async def find(
-        self, request_id: str, targets: tuple[routes.Target, ...]
+        self, request_id: str, route: routes.Route
     ) -> software_versions.StreamOrigin | None:
         """Return what began a stream, or ``None`` if that can't be known.
 
         :param request_id: id of the attempt that brought its first event; empty if not given.
-        :param targets: the services that may have begun it.
+        :param route: the route that it takes; its services may have begun it.
         """
         key = hash_request_id(request_id)
         if key in self._known:
@@ -95,10 +95,10 @@
         self._history.observe(self._fleet.upstreams(), now_s)
         possible = [
             origin
-            for target in targets
+            for target in route.targets
             for origin in self._history.list_origins(target.service, now_s)
         ]
-        if len(possible) == 1 and self._history.is_complete(now_s):
+        if len(possible) == 1 and self._history.is_complete(now_s, route.timeout_s):
             return possible[0]
         found = await self._ask(key)
         if found is None and len(possible) == 1 and not self._may_replace_others(possible[0]):
--- a/tests/edge/test_stream_versions.py
+++ b/tests/edge/test_stream_versions.py
@@ -238,12 +238,29 @@
 # Guards against refusing streams where there is only one version that can have begun them.
 async def test_stream_of_unknown_origin_goes_on_if_only_one_version_serves(start_fleet):
     fleet = await start_fleet(OLD, OLD, OLD, gateways=2)
+    for eng in fleet.engines(OLD):
+        eng.started_ms = 1
+        await fleet.system.register(eng.upstream(edge_system.SERVICE, "north"))
     await fleet.begin("gateway-0", "first")
     await restart_gateways(fleet.system, "gateway-2", "gateway-3")
     got = await fleet.take_up("gateway-2", "again", "first")
     assert (got.status, got.body) == (200, rest_of_stream("again"))
 
 
+# Guards against taking the only version that a gateway has seen since its start for the one that
+# began a stream: another may have left just before. Found by seed 93 of the soak.
+async def test_stream_is_refused_if_another_version_may_have_left_before_a_restart(start_fleet):
+    fleet = await start_fleet(OLD, OLD, NEW, NEW, gateways=2)
+    await fleet.begin("gateway-0", "first")
+    for eng in fleet.engines(OLD):
+        found = await fleet.system.store.get(edge_system.Directory.upstream_kind, eng.name)
+        await fleet.system.store.delete(found.kind, found.name, found.version)
+    await restart_gateways(fleet.system, "gateway-2", "gateway-3")
+    got = await fleet.take_up("gateway-2", "again", "first")
+    assert got.status == 503
+    assert fleet.ran("again") == []
+
+
 # Guards against refusing streams that are taken up while their version serves.
 async def test_streams_taken_up_together_go_on_beside_new_ones(start_fleet):
     fleet = await start_fleet(OLD, OLD, NEW, NEW, gateways=3)
