--- a/tests/policy/test_quarantine_rules.py
+++ b/tests/policy/test_quarantine_rules.py
@@ -168,3 +168,10 @@
     assert quarantine.sightings_to_keep(entry, 0.0) == ()
     kept = quarantine.sightings_to_keep(entry, quarantine.REPORT_WAIT_S)
     assert [sighting.attributed for sighting in kept] == [True]
+
+
+# Guards against excusing a crash with nothing else in flight by an earlier completion.
+def test_crash_with_only_a_request_that_completed_in_flight_makes_it_a_suspect():
+    entry = quarantine.record_crash(None, X, crash(0.0), (), completed=True)
+    status = quarantine.classify_request(entry, 1.0, completed=True)
+    assert status is quarantine.RequestStatus.SUSPECT
