Test: show that late starters miss which upstreams are leaving

Cause by the logs of the same test: processes start side by side; a worker whose join request comes before its gateway's socket is open repeats it after 2 s, and knows no manifest until then (vm-1-worker: started 12.506, manifest in force 14.629). If that is the engine's owner, the engine is polled after the bound of 2 s. The first test shows it.

The second shows the same class: a gateway that starts after a notice waits up to 5 s for the next.

--- a/tests/fleet/test_membership_service.py
+++ b/tests/fleet/test_membership_service.py
@@ -116,6 +116,19 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_worker_that_starts_before_its_gateway_gets_the_view_at_once(autojump_clock):
+    async with trio.open_nursery() as nursery:
+        cfgs = fleet_helpers.make_settings(2)
+        fleet = fleet_helpers.Fleet(nursery, cfgs)
+        worker = worker_membership.WorkerMembership(cfgs[0], fleet_helpers.KEY)
+        await nursery.start(lambda task_status: worker.run(task_status.started))
+        await trio.sleep(0.3)
+        await fleet.start_all()
+        await fleet_helpers.until(lambda: len(fleet.states("vm0")) == 2, 1.0)
+        await fleet_helpers.until(lambda: len(worker.view().usable()) == 2, 0.5)
+        nursery.cancel_scope.cancel()
+
+
 async def test_wrong_key_replay_and_garbage_are_dropped_and_counted(autojump_clock):
     async with trio.open_nursery() as nursery:
         fleet = fleet_helpers.Fleet(nursery, fleet_helpers.make_settings(2))
--- a/tests/process/harness.py
+++ b/tests/process/harness.py
@@ -107,11 +107,14 @@
         """Return the output of the process."""
         return self.log.read_text()
 
-    def wait_for(self, words: str) -> str:
-        """Wait for an output line that contains ``words`` and return it."""
+    def wait_for(self, words: str, after: int = 0) -> str:
+        """Wait for an output line that contains ``words`` and return it.
+
+        :param after: the number of characters of the output to skip.
+        """
         end_s = time.monotonic() + START_TIMEOUT_S
         while time.monotonic() < end_s:
-            for line in self.text().splitlines():
+            for line in self.text()[after:].splitlines():
                 if words in line:
                     return line
             if not self.running:
--- a/tests/process/test_leaving.py
+++ b/tests/process/test_leaving.py
@@ -48,6 +48,13 @@
             self.results.append(load.stream(self._fleet, prompt, TOKENS, index % 3))
 
 
+def list_as_leaving(fleet: harness.Fleet, name: str) -> None:
+    """Make the platform list an upstream of the first failure domain as leaving."""
+    listed = [{"name": name, "state": "leaving", "failure_domain": harness.DOMAINS[0]}]
+    url = f"http://{fleet.controls['platform']}/v1/vms"
+    httpx.put(url, json=listed, trust_env=False).raise_for_status()
+
+
 def count_calls(fleet: harness.Fleet, name: str) -> int:
     return fleet.counters(name)["calls"]
 
@@ -79,12 +86,25 @@
     assert count_calls(fleet, "engine-0") == 0
 
 
+def test_gateway_that_starts_later_learns_which_upstreams_are_leaving(fleet):
+    fleet.switch("platform", vm_lag_s=0.0)
+    list_as_leaving(fleet, "engine-0")
+    late = fleet.vms[0].gateway
+    late.wait_for("event=upstream_leaving")
+    late.kill()
+    earlier_output = len(late.text())
+    late.restart()
+    late.wait_for("event=upstreams_updated", after=earlier_output)
+    time.sleep(DRAIN_BOUND_S)
+    for number in range(20):
+        assert load.stream(fleet, f"question {number}", TOKENS, 0).ended
+    assert count_calls(fleet, "engine-0") == 0
+
+
 def test_upstream_that_the_platform_lists_gets_no_new_work(fleet):
     fleet.switch("platform", vm_lag_s=0.0)
-    listed = [{"name": "engine-0", "state": "leaving", "failure_domain": harness.DOMAINS[0]}]
     with ContinuousCallers(fleet, 6) as traffic:
         time.sleep(1.0)
-        url = f"http://{fleet.controls['platform']}/v1/vms"
-        httpx.put(url, json=listed, trust_env=False).raise_for_status()
+        list_as_leaving(fleet, "engine-0")
         assert_no_new_work(fleet, "engine-0")
     assert all(result.ended for result in traffic.results)
