Repeat a worker's join request every 0.1 s while its gateway is silent

Cause: a worker asks its gateway for the view every 2 s. Change: while nothing has come from the gateway for 1 s, ask every 0.1 s.

--- a/src/cornelgrade/services/worker_membership.py
+++ b/src/cornelgrade/services/worker_membership.py
@@ -3,6 +3,7 @@
 It owns the VM's worker socket, which also receives load and yield messages from gateways.
 """
 
+import math
 from collections.abc import Callable
 from typing import TypeVar
 
@@ -15,6 +16,8 @@
 
 T = TypeVar("T")
 JOIN_INTERVAL_S = 2.0
+_JOIN_RETRY_S = 0.1
+_GATEWAY_SILENCE_S = 1.0
 _MEMBER_EXPIRY_S = 120.0
 _UPDATE_GAP_S = 5.0
 
@@ -42,7 +45,7 @@
         self._members: dict[str, ports.Member] = {}
         self._received_at: dict[str, float] = {}
         self._view = ports.View(cfg.vm, ())
-        self._updated_at = 0.0
+        self._updated_at = -math.inf
         self._highest_version = 0
         self._rumor_count = 0
 
@@ -92,7 +95,8 @@
     async def _join(self, worker_socket: datagrams.Socket) -> None:
         while True:
             worker_socket.send(self._cfg.peer_address, messages.Join())
-            await trio.sleep(JOIN_INTERVAL_S)
+            silent = trio.current_time() - self._updated_at > _GATEWAY_SILENCE_S
+            await trio.sleep(_JOIN_RETRY_S if silent else JOIN_INTERVAL_S)
 
     def _handle_datagram(self, datagram: messages.Datagram) -> None:
         message = membership.to_peer_message(datagram)
