--- a/src/cornelgrade/services/leaving.py
+++ b/src/cornelgrade/services/leaving.py
@@ -2,10 +2,12 @@
 
 It runs in the worker. The owner of an engine polls the engine itself. One VM of each failure domain
 reads the platform's list of VMs, which lags. Gateways also announce an engine whose responses say
-that it is leaving. The first announcement takes the upstream out of use. Announcements expire, and
-are repeated while the upstream is leaving, so that an upstream that stays after all is used again.
+that it is leaving. The first announcement takes the upstream out of use. Announcements are repeated
+while the upstream is leaving, for gateways that started later, and expire, so that an upstream that
+stays after all is used again.
 """
 
+import math
 from collections.abc import Callable
 
 import trio
@@ -17,7 +19,8 @@
 
 STATE_INTERVAL_S = 0.5
 LIST_INTERVAL_S = 1.0
-REPEAT_INTERVAL_S = 5.0
+REPEAT_INTERVAL_S = 1.0
+_LOG_AGAIN_AFTER_S = 10.0
 _LIST_READER_KEY = "platform-vm-list"
 
 
@@ -78,10 +81,12 @@
 
     def _announce(self, upstream: str, sign: str) -> None:
         now_s = trio.current_time()
-        if now_s - self._announced_at_s.get(upstream, -REPEAT_INTERVAL_S) < REPEAT_INTERVAL_S:
+        since_announced_s = now_s - self._announced_at_s.get(upstream, -math.inf)
+        if since_announced_s < REPEAT_INTERVAL_S:
             return
+        if since_announced_s > _LOG_AGAIN_AFTER_S:
+            self._log.info("upstream_leaving", peer=upstream, sign=sign)
         self._announced_at_s[upstream] = now_s
-        self._log.info("upstream_leaving", peer=upstream, sign=sign)
         self._kern.find("membership", ports.Membership).broadcast(ports.Leaving(upstream))
 
     def _owned_engines(self) -> frozenset[str]:
