Choose ports of cornelgrade dev that are free for TCP and UDP

The new test can't run on the old code, whose probe chose no port at random; that a UDP port can be bound while its TCP number is in use was shown by a script.

--- a/src/cornelgrade/devserver.py
+++ b/src/cornelgrade/devserver.py
@@ -5,11 +5,12 @@
 import hashlib
 import importlib
 import pathlib
+import random
 import secrets
 import signal
 import socket
 import tempfile
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncIterator, Collection, Iterator
 from typing import Protocol
 
 import httpx
@@ -30,6 +31,8 @@
 OPERATOR_KEY = "dev-operator-key"
 SUBMIT_TIMEOUT_S = 10.0
 SUBMIT_RETRY_INTERVAL_S = 0.1
+# Below the range from which systems choose the ports of outgoing connections.
+_PORTS = range(10_000, 32_000)
 _STOP_SIGNALS = (signal.SIGINT, signal.SIGTERM)
 _INSTRUCTIONS = """\
 Listening on {url}  (Ctrl-C drains it)
@@ -187,14 +190,16 @@
     with tempfile.TemporaryDirectory() as folder:
         key_file = pathlib.Path(folder) / "peer.key"
         key_file.write_text(secrets.token_hex(32))
-        peer_port = _find_free_port(socket.SOCK_DGRAM)
+        public_port = _find_free_port(gateway_port)
+        peer_port = _find_free_port(avoid={public_port})
+        worker_port = _find_free_port(avoid={public_port, peer_port})
         peer = f"{HOST}:{peer_port}"
         yield settings.Settings(
             vm="dev-1",
             failure_domain=FAILURE_DOMAINS[0],
-            gateway_address=f"{HOST}:{_find_free_port(socket.SOCK_STREAM, gateway_port)}",
+            gateway_address=f"{HOST}:{public_port}",
             peer_address=peer,
-            worker_address=f"{HOST}:{_find_free_port(socket.SOCK_DGRAM, avoid=peer_port)}",
+            worker_address=f"{HOST}:{worker_port}",
             seeds=(peer,),
             platform_url=stand_ins.platform_url,
             peer_key_file=str(key_file),
@@ -230,17 +235,22 @@
     return hashlib.sha256(key.encode()).hexdigest()
 
 
-def _find_free_port(kind: socket.SocketKind, preferred: int = 0, avoid: int = 0) -> int:
-    """Return the preferred port if it is free, else another free port."""
-    while True:
+def _find_free_port(preferred: int = 0, avoid: Collection[int] = ()) -> int:
+    """Return the preferred port if it is free for TCP and UDP, else another such port."""
+    port = preferred or random.choice(_PORTS)
+    while port in avoid or not _is_free(port):
+        port = random.choice(_PORTS)
+    return port
+
+
+def _is_free(port: int) -> bool:
+    """Return whether a port is free for both TCP and UDP, since a worker listens on both."""
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
         with socket.socket(socket.AF_INET, kind) as sock:
             if kind is socket.SOCK_STREAM:
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             try:
-                sock.bind((HOST, preferred))
+                sock.bind((HOST, port))
             except OSError:
-                preferred = 0
-                continue
-            port = sock.getsockname()[1]
-        if port != avoid:
-            return port
+                return False
+    return True
--- a/tests/test_devserver.py
+++ b/tests/test_devserver.py
@@ -1,4 +1,6 @@
+import itertools
 import json
+import socket
 
 import httpx
 import msgspec
@@ -48,6 +50,19 @@
     assert events == ["drained"]
 
 
+async def test_dev_leaves_out_a_port_that_is_free_for_udp_only(monkeypatch):
+    with socket.socket() as listener:
+        listener.bind((devserver.HOST, 0))
+        listener.listen()
+        taken = listener.getsockname()[1]
+        choices = itertools.count(taken)
+        monkeypatch.setattr(devserver.random, "choice", lambda ports: next(choices))
+        stand_ins = devserver.StandIns(None, "http://127.0.0.1:1", devserver._build_manifest(()))
+        with devserver._make_settings(stand_ins, 0) as cfg:
+            addresses = (cfg.peer_address, cfg.gateway_address, cfg.worker_address)
+            assert f"{devserver.HOST}:{taken}" not in addresses
+
+
 async def test_dev_serves_online_requests_jobs_and_keyed_requests():
     completion = {
         "model": devserver.MODEL,
