--- a/src/cornelgrade/log_explain.py
+++ b/src/cornelgrade/log_explain.py
@@ -21,21 +21,24 @@
         "store_regained",
         "history_lost",
         "plan_in_force",
+        "versions_mixed",
     )
 )
-_UPSTREAM_EVENTS = frozenset(
-    (
-        "upstream",
-        "upstream_checked",
-        "upstream_missing",
-        "upstream_suspect",
-        "upstream_trusted",
-        "entry_unusable",
-    )
-)
+# Events that take an upstream out of use; any of them may have left a request without one.
+_LOSS_EVENTS = frozenset(("upstream_missing", "upstream_says_leaving", "upstream_told_leaving"))
+_UPSTREAM_EVENTS = _LOSS_EVENTS | {
+    "upstream",
+    "upstream_checked",
+    "upstream_suspect",
+    "upstream_trusted",
+    "entry_unusable",
+}
 _CAUSE_BY_OUTCOME = {
     "answered": "the complete response was sent to the caller",
-    "unavailable": "the process knew no upstream: see upstream_missing and store_lost",
+    "unavailable": (
+        "the process knew no upstream that could run it: see upstream_missing, store_lost, "
+        "upstream_says_leaving and, for a stream that was taken up, stream_origin"
+    ),
     "overloaded": "every upstream was full or declined: see own, others and batch",
     "upstream_failed": "an upstream may have run it but did not respond: see attempt_failed",
     "broken_off": "the response began but could not be completed: see attempt_failed",
@@ -104,10 +107,12 @@
     upstreams = {e.pairs["upstream"] for e in own if e.pairs.get("upstream")}
     fingerprints = {e.pairs["fingerprint"] for e in own if e.pairs.get("fingerprint")}
     before = [e for e in entries if e.at_s <= end_s and e not in own]
+    taken_up = _find_taken_up(before, own)
     around = [
         e
         for e in before
         if _names_fingerprint(e, fingerprints)
+        or e.pairs.get("request") in taken_up
         or (e.at_s >= begin_s and e.vm in vms and _is_relevant(e, upstreams))
     ]
     elsewhere = sum(
@@ -125,15 +130,26 @@
     return not fingerprints.isdisjoint(named)
 
 
+def _find_taken_up(entries: list[Entry], own: list[Entry]) -> set[str]:
+    """Return the ids of the earlier attempts whose stream the subject goes on with."""
+    resumed_by_id = {
+        e.pairs["request"]: e.pairs["resumes"]
+        for e in entries
+        if e.pairs.get("request") and e.pairs.get("resumes")
+    }
+    pending = {e.pairs["resumes"] for e in own if e.pairs.get("resumes")}
+    found: set[str] = set()
+    while pending:
+        found |= pending
+        pending = {resumed_by_id[id_] for id_ in pending if id_ in resumed_by_id} - found
+    return found
+
+
 def _is_relevant(entry: Entry, upstreams: set[str]) -> bool:
     event = entry.pairs.get("event", "")
     concerns_upstream = event in _UPSTREAM_EVENTS and entry.pairs.get("upstream") in upstreams
-    # If the subject had no upstream, any that went missing may be the cause.
-    return (
-        event in _PROCESS_EVENTS
-        or concerns_upstream
-        or (event == "upstream_missing" and not upstreams)
-    )
+    may_have_left_none = event in _LOSS_EVENTS and not upstreams
+    return event in _PROCESS_EVENTS or concerns_upstream or may_have_left_none
 
 
 def _unquote(value: str) -> str:
--- a/tests/test_log_explain.py
+++ b/tests/test_log_explain.py
@@ -47,6 +47,34 @@
     assert "upstream_crashed" in explanation.cause
 
 
+def test_request_that_met_a_leaving_upstream_shows_what_said_so():
+    says = line(8, "g1", event="upstream_says_leaving", upstream="e1", started_ms="5")
+    other = line(8, "g1", event="upstream_says_leaving", upstream="e2", started_ms="5")
+    end = line(11, "g1", event="request", request="r1", upstream="e1", outcome="answered")
+    explanation = log_explain.explain_subject([says, other, end], "r1")
+    assert [entry.text for entry in explanation.around] == [says]
+
+
+def test_request_without_an_upstream_shows_all_that_were_leaving():
+    told = line(8, "g1", event="upstream_told_leaving", upstream="e2", started_ms="5")
+    explanation = log_explain.explain_subject([told, REFUSED], "r1")
+    assert [entry.text for entry in explanation.around] == [told]
+    assert "upstream_says_leaving" in explanation.cause
+
+
+def test_stream_that_was_taken_up_shows_the_attempts_before_it_at_all_vms():
+    first = line(1, "g1", event="request", request="r1", upstream="e1", version="v1", resumes='""')
+    second = line(3, "g2", event="request", request="r2", upstream="e2", version="v1", resumes="r1")
+    mixed = line(18, "g3", event="versions_mixed", services="lishe-llm")
+    origin = line(20, "g3", event="stream_origin", request="r3", version="v1", possible="1")
+    end = line(20, "g3", event="request", request="r3", resumes="r2", outcome="unavailable")
+    unrelated = line(2, "g1", event="request", request="r9", upstream="e1", version="v1")
+    lines = [first, second, unrelated, mixed, origin, end]
+    explanation = log_explain.explain_subject(lines, "r3")
+    assert [entry.text for entry in explanation.own] == [origin, end]
+    assert [entry.text for entry in explanation.around] == [first, second, mixed]
+
+
 @pytest.mark.parametrize("text", ["", "no structure", "time=yesterday event=x", "\xff=\x00"])
 def test_unstructured_lines_are_skipped(text):
     assert log_explain.parse_line(text) is None
