Go on with a stream only at its software version on the product's own interface

The manifest named no software version, so the gateway resumed a broken stream, and a worker an item that gave way, at any upstream of the service. Change: a manifest's upstream may have a software_version; routing allows a stream that has begun only there and refuses it at once if no such upstream is up; items start anew at another version. The field is left out if unset, since earlier builds reject unknown fields. The stand-ins generate other text for each version, and the soak of jobs runs two.

--- a/bench/soak/own.py
+++ b/bench/soak/own.py
@@ -26,6 +26,8 @@
 TICK_S = 0.1
 ONCE_SHARE = 0.1
 TOKENS = (3, 8)
+# An item whose text mixes the two has the text of neither.
+VERSIONS = ("v1", "v2")
 ENGINE = {"step_s": 0.004, "sequence_step_s": 0.0002}
 BATCH = {"chunk_items": 50, "lease_s": LEASE_S, "lean": 1.0, "max_attempts": 4}
 
@@ -290,11 +292,16 @@
 
 def _right(item: Item, line: dict) -> bool:
     text = line["response"]["choices"][0]["text"]
-    return text == engine_wire.output(item.prompt, item.tokens)
+    return text in {
+        engine_wire.output(item.prompt, item.tokens, software_version=version)
+        for version in VERSIONS
+    }
 
 
 def run(seed: int, jobs: int, items: int, *, vms: int = 3, timeout_s: float = 300.0) -> Report:
     """Run one seeded soak."""
     drawn = make_jobs(random.Random(seed), jobs, items)
-    with harness.Fleet(vms=vms, engines=3, engine=ENGINE, manifest={"batch": BATCH}) as fleet:
+    with harness.Fleet(
+        vms=vms, engines=3, engine=ENGINE, versions=VERSIONS, manifest={"batch": BATCH}
+    ) as fleet:
         return Soak(fleet, drawn, seed).run(timeout_s)
--- a/src/cornelgrade/manifest.py
+++ b/src/cornelgrade/manifest.py
@@ -63,6 +63,8 @@
     """A model engine or a plain service at one address.
 
     ``checks_fencing``: whether the engine rejects an order with an outdated fencing number.
+    ``software_version``: the engine's own version; a stream goes on only at the version that began
+    it. It is left out of the encoding if unset, since earlier builds reject fields they don't know.
     """
 
     name: settings.Name
@@ -72,6 +74,9 @@
     slots: Annotated[int, msgspec.Meta(ge=1, le=4096)] = 8
     checks_fencing: bool = False
     role: Literal["mixed", "prefill", "decode"] = "mixed"
+    software_version: Annotated[str, msgspec.Meta(max_length=64)] | msgspec.UnsetType = (
+        msgspec.UNSET
+    )
 
 
 class BatchPolicy(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/src/cornelgrade/policy/routing.py
+++ b/src/cornelgrade/policy/routing.py
@@ -19,6 +19,7 @@
     :param cap: maximum number of requests that this gateway may have outstanding there.
     :param outstanding: requests that this gateway has outstanding there.
     :param usable: it is neither leaving nor down.
+    :param software_version: its own version, empty if the manifest names none.
     """
 
     name: str
@@ -27,6 +28,7 @@
     cap: int
     outstanding: int = 0
     usable: bool = True
+    software_version: str = ""
 
     @property
     def has_room(self) -> bool:
@@ -51,11 +53,18 @@
     :param prefix: hash of the beginning of the prompt, 0 if there is no prompt.
     :param exclude: upstreams that already failed this request, used only if no other is usable.
     :param alone: the request must run alone; see :func:`choose_for_exclusive_run`.
+    :param software_version: the only version that may go on with the request's stream; ``None`` if
+        the stream has not begun.
     """
 
     prefix: int = 0
     exclude: frozenset[str] = frozenset()
     alone: bool = False
+    software_version: str | None = None
+
+    def allow(self, software_version: str) -> bool:
+        """Return whether the request may go to an upstream of a software version."""
+        return self.software_version in (None, software_version)
 
 
 class Choice(Protocol):
@@ -77,20 +86,23 @@
     return xxhash.xxh3_64_intdigest(name.encode(), seed=prefix)
 
 
+def _list_usable(candidates: tuple[Candidate, ...], requirements: Requirements) -> list[Candidate]:
+    """Return the upstreams that may serve a request, only untried ones if there are any."""
+    usable = [c for c in candidates if c.usable and requirements.allow(c.software_version)]
+    return [c for c in usable if c.name not in requirements.exclude] or usable
+
+
 def _list_with_room(
     candidates: tuple[Candidate, ...], requirements: Requirements
 ) -> list[Candidate]:
-    untried = [c for c in candidates if c.usable and c.name not in requirements.exclude]
-    considered = untried or [c for c in candidates if c.usable]
-    return [c for c in considered if c.has_room]
+    return [c for c in _list_usable(candidates, requirements) if c.has_room]
 
 
 def choose_for_exclusive_run(
     candidates: tuple[Candidate, ...], fingerprint: str, requirements: Requirements
 ) -> Candidate | None:
     """Return the upstream to drain for a request that must run alone, even if it has no room."""
-    untried = [c for c in candidates if c.usable and c.name not in requirements.exclude]
-    usable = untried or [c for c in candidates if c.usable]
+    usable = _list_usable(candidates, requirements)
     if not usable:
         return None
     seed = xxhash.xxh3_64_intdigest(fingerprint.encode())
--- a/src/cornelgrade/services/_engine_run.py
+++ b/src/cornelgrade/services/_engine_run.py
@@ -29,6 +29,7 @@
     """Runs batch items on one engine.
 
     :param slots: number of requests that the engine runs concurrently.
+    :param software_version: the engine's own version.
     :param lean: returns the trade-off between tail latency (0) and throughput (1).
     :param quarantine: the ``quarantine`` service, if the process has one.
     """
@@ -40,6 +41,7 @@
         queue: _item_queue.ItemQueue,
         lean: Callable[[], float],
         quarantine: ports.Quarantine | None = None,
+        software_version: str = "",
     ) -> None:
         self.upstream = upstream
         self.window = window.Window()
@@ -48,6 +50,7 @@
         self._queue = queue
         self._lean = lean
         self._quarantine = quarantine
+        self._software_version = software_version
         self._log = logs.Logger("batch")
         self._calls: list[_item_call.ItemCall] = []
         self._loads: dict[str, tuple[ports.Load, float]] = {}
@@ -171,7 +174,9 @@
         if alone and self._calls:
             work.run.requeue(work)
             return False
-        call = _item_call.ItemCall(self.upstream, work, alone=alone)
+        call = _item_call.ItemCall(
+            self.upstream, work, alone=alone, software_version=self._software_version
+        )
         call.shared = bool(self._calls) or bool(self._observe().online)
         for other in self._calls:
             other.shared = True
--- a/src/cornelgrade/services/_item_call.py
+++ b/src/cornelgrade/services/_item_call.py
@@ -46,20 +46,31 @@
     if the tokens of a cancelled call were lost, and ``crash_reported`` once the quarantine has
     received the crash that ended the call.
 
+    An item whose text another software version generated starts anew.
+
     :param alone: no other item may be started on the engine while the call runs.
+    :param software_version: the engine's own version.
     """
 
     def __init__(
-        self, upstream: engine.Upstream, work: _chunk_run.Work, *, alone: bool = False
+        self,
+        upstream: engine.Upstream,
+        work: _chunk_run.Work,
+        *,
+        alone: bool = False,
+        software_version: str = "",
     ) -> None:
         self.work = work
         self.alone = alone
         self.crash_reported = False
         self.shared = False
-        self.resume = work.resume
+        goes_on = work.resume.software_version == software_version
+        self._earlier = work.resume if goes_on else _chunk_run.Resume()
+        self.resume = self._earlier
         self.cancelling = False
         self.wasted = False
         self._upstream = upstream
+        self._software_version = software_version
         self._scope = trio.CancelScope()
         self._stream_id = f"{work.name}.{secrets.token_hex(4)}"
 
@@ -80,7 +91,7 @@
             path=item.path,
             body=item.body,
             headers=_JSON,
-            resume_from=self.resume.tokens,
+            resume_from=self._earlier.tokens,
             first_byte_timeout_s=RESPONSE_TIMEOUT_S,
             gap_timeout_s=RESPONSE_TIMEOUT_S,
         )
@@ -95,7 +106,7 @@
             return self._report(batch.Event.PREEMPTED)
         event = batch.classify_status(status)
         if event is batch.Event.ANSWERED:
-            body = prepend_text(body, self.work.resume.text)
+            body = prepend_text(body, self._earlier.text)
         return self._report(event, status, body)
 
     def _report_failure(self, exc: engine.CallError) -> _chunk_run.Report:
@@ -121,6 +132,6 @@
             except engine.CallError:
                 self.wasted = True
         if cancelled.found:
-            text = self.work.resume.text + cancelled.text
-            self.resume = _chunk_run.Resume(cancelled.tokens, text)
+            text = self._earlier.text + cancelled.text
+            self.resume = _chunk_run.Resume(cancelled.tokens, text, self._software_version)
         self._scope.cancel()
--- a/src/cornelgrade/services/_router_state.py
+++ b/src/cornelgrade/services/_router_state.py
@@ -18,6 +18,7 @@
 class UpstreamState:
     """One upstream's state in this gateway.
 
+    :param software_version: its own version, empty if the manifest names none.
     :param cap: number of requests that this gateway may have outstanding there.
     :param cap_granted_until_s: end of the share that the upstream's owner granted.
     :param demand_since_s: when this gateway first had demand that no grant answered.
@@ -37,6 +38,7 @@
     health: health_rules.Health = health_rules.HEALTHY
     leaving_until_s: float = -math.inf
     crash_reported: bool = False
+    software_version: str = ""
 
     def is_leaving(self, now_s: float) -> bool:
         """Return whether the last notice that the upstream is leaving is still valid."""
@@ -101,6 +103,7 @@
             state.service = up.service
             state.failure_domain = up.failure_domain
             state.slots = up.slots
+            state.software_version = up.software_version or ""
             self.upstreams[up.name] = state
             self.queues.setdefault(up.service, Queue())
 
@@ -143,6 +146,7 @@
                 usable=not state.is_leaving(now_s)
                 and state.reserved_for is None
                 and health_rules.is_usable(state.health, now_s),
+                software_version=state.software_version,
             )
             for state in self.upstreams_of(service)
         )
--- a/src/cornelgrade/services/batch.py
+++ b/src/cornelgrade/services/batch.py
@@ -181,7 +181,12 @@
         except errors.Refusal:
             return
         run = _engine_run.EngineRun(
-            client, upstream.slots, self._item_queue_for(upstream.service), self._lean, quarantine
+            client,
+            upstream.slots,
+            self._item_queue_for(upstream.service),
+            self._lean,
+            quarantine,
+            upstream.software_version or "",
         )
         self._owned[upstream.name] = _OwnedEngine(upstream, run)
         self._log.info("engine_owned", upstream=upstream.name)
--- a/src/cornelgrade/services/online.py
+++ b/src/cornelgrade/services/online.py
@@ -44,6 +44,7 @@
 
     :param ran: whether the request may have run.
     :param tokens: tokens that were relayed to the caller.
+    :param software_version: version of the upstream that generated them.
     """
 
     attempts: int = 0
@@ -51,11 +52,21 @@
     ran: errors.Ran = errors.Ran.NO
     tokens: int = 0
     head_sent: bool = False
+    software_version: str = ""
 
     def add_tokens(self, tokens: int) -> None:
         """Count tokens that were relayed to the caller."""
         self.tokens += tokens
 
+    def make_requirements(self, prefix: int, *, alone: bool) -> routing.Requirements:
+        """Return where the next attempt may go."""
+        return routing.Requirements(
+            prefix=prefix,
+            exclude=self.excluded,
+            alone=alone,
+            software_version=self.software_version if self.tokens else None,
+        )
+
 
 class Online:
     """The service ``online``; the HTTP front end calls :meth:`serve`."""
@@ -201,6 +212,8 @@
         place = admission.Place(req.rank, req.deadline_s, router_service.next_arrival_number())
         with tracing.start_span(tracing.Hop.ROUTE, req.span, service=req.service):
             name = await self._acquire_permit(router_service, req, place, progress)
+        if not progress.tokens:
+            progress.software_version = router_service.software_version(name)
         started_at_s = trio.current_time()
         outcome = router_messages.Outcome.OTHER
         try:
@@ -229,11 +242,7 @@
                 step="route",
                 ran=retry.combine_ran(progress.ran, errors.Ran.NO),
             )
-        requirements = routing.Requirements(
-            prefix=req.prefix,
-            exclude=progress.excluded,
-            alone=verdict is ports.Verdict.ALONE,
-        )
+        requirements = progress.make_requirements(req.prefix, alone=verdict is ports.Verdict.ALONE)
         send, receive = trio.open_memory_channel[router_messages.Reply](1)
         router_service.post(
             router_messages.Acquire(place, req.service, requirements, req.fingerprint, send)
--- a/src/cornelgrade/services/router.py
+++ b/src/cornelgrade/services/router.py
@@ -116,6 +116,11 @@
         state = self._table.upstreams.get(upstream)
         return len(state.running) if state else 0
 
+    def software_version(self, upstream: str) -> str:
+        """Return an upstream's own version, empty if the manifest names none."""
+        state = self._table.upstreams.get(upstream)
+        return state.software_version if state else ""
+
     def queued(self, service: str) -> int:
         """Return the number of a service's waiting requests."""
         return self._table.queue_length(service)
@@ -301,27 +306,33 @@
                 state.reserved_for = None
 
     def _refuse_during_outage(self, service: str, queue: _router_state.Queue) -> None:
-        """Refuse the waiting requests if no upstream will be retried soon."""
-        now_s = trio.current_time()
-        backoffs_s = [
-            state.health.retry_at_s - now_s
-            for state in self._table.upstreams.values()
-            if state.service == service and not state.is_leaving(now_s)
-        ]
-        outage_s = min(backoffs_s, default=math.inf)
-        if outage_s <= MAX_OUTAGE_WAIT_S:
-            return
-        retry_after_s = 1.0 if outage_s == math.inf else round(outage_s, 3)
-        for place in tuple(queue.places):
-            request = queue.remove(place)
+        """Refuse the waiting requests whose upstreams are all down for longer than they wait."""
+        outages_s: dict[str | None, float] = {}
+        for place, request in tuple(queue.requests.items()):
+            version = request.requirements.software_version
+            if version not in outages_s:
+                outages_s[version] = self._measure_outage(service, request.requirements)
+            outage_s = outages_s[version]
+            if outage_s <= MAX_OUTAGE_WAIT_S:
+                continue
+            queue.remove(place)
             refusal = errors.Refusal(
                 errors.Code.UNAVAILABLE,
-                f"no upstream of {service} is up",
+                _describe_outage(service, request.requirements),
                 step="route",
-                retry_after_s=retry_after_s,
+                retry_after_s=1.0 if outage_s == math.inf else round(outage_s, 3),
             )
-            if request is not None:
-                request.reply.send_nowait(result.Err(refusal))
+            request.reply.send_nowait(result.Err(refusal))
+
+    def _measure_outage(self, service: str, requirements: routing.Requirements) -> float:
+        """Return in how many seconds the first upstream for a request is tried again."""
+        now_s = trio.current_time()
+        backoffs_s = (
+            state.health.retry_at_s - now_s
+            for state in self._table.upstreams_of(service)
+            if not state.is_leaving(now_s) and requirements.allow(state.software_version)
+        )
+        return min(backoffs_s, default=math.inf)
 
     def _refuse_late(self, service: str, queue: _router_state.Queue) -> None:
         """Refuse requests that can no longer finish in time, so that their callers don't wait."""
@@ -358,3 +369,9 @@
         if not self._kern.has("membership"):
             return None
         return self._kern.find("membership", ports.Membership).view()
+
+
+def _describe_outage(service: str, requirements: routing.Requirements) -> str:
+    if requirements.software_version is None:
+        return f"no upstream of {service} is up"
+    return f"no upstream of {service} is up that has the software version which began the stream"
--- a/src/cornelgrade/standins/engine.py
+++ b/src/cornelgrade/standins/engine.py
@@ -139,7 +139,9 @@
         self._check_accepted(completion)
         self._totals["calls"] += 1
         self._totals["calls_while_leaving"] += self.switches.leaving
-        sequence = engine_model.Sequence(stream_id, completion, resume_from)
+        sequence = engine_model.Sequence(
+            stream_id, completion, resume_from, self._model.cfg.software_version
+        )
         sequence.truncate_after = self.switches.truncate_after
         for run_counts in self._get_run_counts(sequence):
             run_counts.calls += 1
--- a/src/cornelgrade/standins/engine_model.py
+++ b/src/cornelgrade/standins/engine_model.py
@@ -28,6 +28,7 @@
     :param order_s: time that an order to load takes.
     :param checks_fencing: whether orders with a stale fencing number are refused.
     :param models: models loaded at the start; without any, the engine serves every name.
+    :param software_version: what two versions generate for a prompt doesn't fit together.
     """
 
     slots: int = 8
@@ -41,6 +42,7 @@
     checks_fencing: bool = False
     role: str = "mixed"
     models: tuple[engine.Loaded, ...] = ()
+    software_version: str = ""
 
 
 class State(enum.Enum):
@@ -66,13 +68,17 @@
     )  # fmt: skip
 
     def __init__(
-        self, stream_id: str, completion: engine_wire.Completion, resume_from: int
+        self,
+        stream_id: str,
+        completion: engine_wire.Completion,
+        resume_from: int,
+        software_version: str = "",
     ) -> None:
         self.stream_id = stream_id
         self.completion = completion
         self.resume_from = resume_from
         self.prompt = completion.text
-        self.seed = engine_wire.hash_prompt(self.prompt)
+        self.seed = engine_wire.hash_prompt(self.prompt, software_version)
         self.end = max(completion.max_tokens - resume_from, 0)
         self.prompt_tokens = 0
         self.cached_tokens = 0
--- a/src/cornelgrade/standins/engine_wire.py
+++ b/src/cornelgrade/standins/engine_wire.py
@@ -58,14 +58,14 @@
     return _WORDS[number % len(_WORDS)]
 
 
-def hash_prompt(prompt: str) -> int:
-    """Return the seed of a prompt's output."""
-    return xxhash.xxh32_intdigest(prompt.encode())
+def hash_prompt(prompt: str, software_version: str = "") -> int:
+    """Return the seed of a prompt's output, which differs between software versions."""
+    return xxhash.xxh32_intdigest((software_version + prompt).encode())
 
 
-def output(prompt: str, tokens: int, start: int = 0) -> str:
+def output(prompt: str, tokens: int, start: int = 0, software_version: str = "") -> str:
     """Return output tokens ``start`` to ``tokens`` of a prompt as text, for checks in tests."""
-    seed = hash_prompt(prompt)
+    seed = hash_prompt(prompt, software_version)
     return "".join(get_token(seed, index) for index in range(start, tokens))
 
 
--- a/tests/batch_kit.py
+++ b/tests/batch_kit.py
@@ -4,6 +4,7 @@
 import dataclasses
 import json
 
+import msgspec
 import trio
 
 from cornelgrade import kernel, manifest
@@ -86,14 +87,24 @@
 
 
 def make_manifest(
-    engines: int = 2, slots: int = 8, policy: manifest.BatchPolicy | None = None
+    engines: int = 2,
+    slots: int = 8,
+    policy: manifest.BatchPolicy | None = None,
+    versions: tuple[str, ...] = ("",),
 ) -> manifest.Manifest:
     return manifest.Manifest(
         services=(manifest.Service("llm", non_idempotent_routes=("/v1/once",)),),
         priorities=(manifest.Priority("bulk", 10, price=1.0),),
         teams=(manifest.Team("afya", ("0" * 64,), ("bulk",)),),
         upstreams=tuple(
-            manifest.Upstream(f"e{number}", "llm", "fd1", "127.0.0.1:1", slots=slots)
+            manifest.Upstream(
+                f"e{number}",
+                "llm",
+                "fd1",
+                "127.0.0.1:1",
+                slots=slots,
+                software_version=versions[number % len(versions)],
+            )
             for number in range(engines)
         ),
         batch=policy or manifest.BatchPolicy(chunk_items=50, lease_s=5.0, lean=1.0),
@@ -111,7 +122,10 @@
         )
         self.engines = {}
         for upstream in fleet_manifest.upstreams:
-            engine_config = cfg or engine_model.Config(slots=upstream.slots)
+            engine_config = msgspec.structs.replace(
+                cfg or engine_model.Config(slots=upstream.slots),
+                software_version=upstream.software_version,
+            )
             standin = engine_standin.Engine(upstream.name, engine_config)
             self.engines[upstream.name] = memory_engine.MemoryEngine(standin)
             nursery.start_soon(standin.run)
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -13,8 +13,13 @@
 KEY = "key-of-clinic"
 
 
-def make_manifest(upstreams: int = 3, slots: int = 2, **changes) -> manifest.Manifest:
-    """Return a manifest with one model service, one plain service and one team."""
+def make_manifest(
+    upstreams: int = 3, slots: int = 2, versions: tuple[str, ...] = ("",), **changes
+) -> manifest.Manifest:
+    """Return a manifest with one model service, one plain service and one team.
+
+    :param versions: software versions of the engines, assigned in turn.
+    """
     domains = ("dar-kariakoo", "dar-msasani", "dar-ubungo")
     base = manifest.Manifest(
         services=(
@@ -41,6 +46,7 @@
                     failure_domain=domains[i % 3],
                     address=f"127.0.0.1:{9000 + i}",
                     slots=slots,
+                    software_version=versions[i % len(versions)],
                 )
                 for i in range(upstreams)
             ),
--- a/tests/process/harness.py
+++ b/tests/process/harness.py
@@ -140,6 +140,7 @@
     :param vms: number of entry VMs, assigned to the failure domains in turn.
     :param engines: number of model engines, assigned likewise.
     :param engine: the engine stand-in's configuration.
+    :param versions: software versions of the engines, assigned in turn.
     :param proxied: put a fault proxy in front of each upstream and the platform.
     :param manifest: manifest fields to override.
     """
@@ -151,6 +152,7 @@
         *,
         workers: bool = True,
         engine: dict | None = None,
+        versions: tuple[str, ...] = (),
         proxied: bool = False,
         manifest: dict | None = None,
         settings: dict | None = None,
@@ -158,6 +160,7 @@
         self._process_counts = (vms, engines)
         self._workers = workers
         self._engine_config = engine or {}
+        self._versions = versions
         self._proxied = proxied
         self._manifest_changes = manifest or {}
         self._settings_changes = settings or {}
@@ -241,9 +244,9 @@
     def _start(self) -> None:
         vms, engines = self._process_counts
         self._platform = self._start_standin("platform", "platform")
-        config = json.dumps(self._engine_config)
         for index in range(engines):
             name = f"engine-{index}"
+            config = json.dumps(self._engine_config | self._version_of(index))
             self.upstreams[name] = self._start_standin(
                 name, "engine", "--name", name, "--config", config
             )
@@ -301,6 +304,12 @@
                 else:
                     raise AssertionError(f"vm-{index} has no manifest: {response.text}")
 
+    def _version_of(self, index: int) -> dict[str, str]:
+        """Return an engine's version as a field, of its configuration and of the manifest."""
+        if not self._versions:
+            return {}
+        return {"software_version": self._versions[index % len(self._versions)]}
+
     def wanted(self) -> dict:
         """Return the fleet's manifest."""
         upstreams = [
@@ -310,6 +319,7 @@
                 "failure_domain": DOMAINS[int(name.rsplit("-", 1)[1]) % 3],
                 "address": address,
                 "slots": self._engine_config.get("slots", 8),
+                **(self._version_of(int(name.rsplit("-", 1)[1])) if "engine" in name else {}),
             }
             for name, address in self.upstreams.items()
         ]
--- a/tests/process/load.py
+++ b/tests/process/load.py
@@ -73,6 +73,6 @@
         return [future.result() for future in futures]
 
 
-def expected_text(prompt: str, tokens: int) -> str:
-    """Return the complete text that every engine stand-in generates for a prompt."""
-    return engine_wire.output(prompt, tokens)
+def expected_text(prompt: str, tokens: int, software_version: str = "") -> str:
+    """Return the complete text that engine stand-ins of a version generate for a prompt."""
+    return engine_wire.output(prompt, tokens, software_version=software_version)
--- a/tests/process/test_whole_answers.py
+++ b/tests/process/test_whole_answers.py
@@ -65,6 +65,22 @@
     assert max(result.longest_gap_s for result in results) < GAP_TIMEOUT_S + 1.0
 
 
+# Guards against a stream of which two software versions wrote a part each.
+def test_broken_streams_go_on_at_the_software_version_that_began_them():
+    versions = ("v1", "v1", "v2", "v2", "v2", "v1")
+    with harness.Fleet(
+        engines=6, workers=False, engine=ENGINE_CONFIG, versions=versions
+    ) as running_fleet:
+        results = stream_with_fault(
+            running_fleet, lambda fleet: fleet.switch("engine-0", crash=True, restart_s=60)
+        )
+        assert "event=attempt_failed" in running_fleet.vms[0].gateway.text()
+    for result in results:
+        assert result.ended, result
+        whole = [load.expected_text(result.prompt, TOKENS, version) for version in ("v1", "v2")]
+        assert "".join(result.tokens) in whole
+
+
 def test_idle_connection_that_went_silent_does_not_hold_a_later_question(fleet):
     load.stream_many(fleet, CALLERS, 2)
     for engine in range(3):
--- a/tests/services/test_online.py
+++ b/tests/services/test_online.py
@@ -9,6 +9,7 @@
 from cornelgrade.adapters import engine
 from cornelgrade.services import exchange, online, router
 
+DOWN = engine.Progress.NOT_SENT
 BROKEN_STREAM = fakes.Script(break_after=2)
 COMPLETE_STREAM = [b"data: %d\n\n" % i for i in range(4)] + [engine.END_MARKER]
 
@@ -69,6 +70,50 @@
     assert sorted(call.resume_from for up in ups for call in up.calls) == [0, 2]
 
 
+async def test_aborted_stream_goes_on_at_its_software_version(autojump_clock):
+    ups = [fakes.ScriptedUpstream(f"engine-{i}") for i in range(6)]
+    scripts = [BROKEN_STREAM, fakes.Script()]
+    for up in ups:
+        up.scripts = scripts
+    versions = ("v1", "v2") * 3
+    async with run_online(*ups, versions=versions) as service:
+        for number in range(8):
+            scripts[:] = [BROKEN_STREAM, fakes.Script()]
+            status, parts = await collect_response(service, request(number))
+            assert (status, b"".join(parts)) == (200, b"".join(COMPLETE_STREAM))
+    for number in range(8):
+        served = {
+            version
+            for up, version in zip(ups, versions, strict=True)
+            if any(call.stream_id.startswith(f"r{number}.") for call in up.calls)
+        }
+        assert len(served) == 1
+
+
+async def test_aborted_stream_is_refused_at_once_if_its_software_version_is_gone(autojump_clock):
+    ups = [
+        fakes.ScriptedUpstream("engine-0", BROKEN_STREAM, fakes.Script(fail=DOWN)),
+        fakes.ScriptedUpstream("engine-1"),
+    ]
+    async with run_online(*ups, versions=("v1", "v2")) as service:
+        began_at_s = trio.current_time()
+        with pytest.raises(errors.Refusal) as caught:
+            await collect_response(service, request())
+    assert trio.current_time() - began_at_s < 2.0
+    assert caught.value.retry_after_s > 0
+    assert ups[1].calls == []
+
+
+async def test_request_whose_stream_has_not_begun_goes_to_any_software_version(autojump_clock):
+    ups = [
+        fakes.ScriptedUpstream("engine-0", fakes.Script(fail=DOWN)),
+        fakes.ScriptedUpstream("engine-1"),
+    ]
+    async with run_online(*ups, versions=("v1", "v2")) as service:
+        status, parts = await collect_response(service, request())
+    assert (status, b"".join(parts)) == (200, b"".join(COMPLETE_STREAM))
+
+
 async def test_aborted_stream_of_a_non_idempotent_request_has_an_unknown_outcome(autojump_clock):
     ups = [fakes.ScriptedUpstream(f"engine-{i}", BROKEN_STREAM) for i in range(3)]
     async with run_online(*ups) as service:
