Don't take a stream without an id for another one without an id

Cause: origins of streams were remembered under the id of their attempt also if it was empty, so that a stream whose caller names no attempt went on at the version of the last stream without an id. Change: a stream without an id is not remembered, and one that names no attempt has an unknown origin unless a single version can have begun it. Result: the test failed for both versions and passes.

--- a/src/cornelgrade/services/edge/stream_origins.py
+++ b/src/cornelgrade/services/edge/stream_origins.py
@@ -73,8 +73,10 @@
     def record(self, request_id: str, up: routes.Upstream) -> None:
         """Record that a stream begins at an upstream; call it before its first event is sent.
 
-        :param request_id: id of the caller's attempt.
+        :param request_id: id of the caller's attempt; a stream without one can't be found again.
         """
+        if not request_id:
+            return
         key = hash_request_id(request_id)
         self._remember(key, software_versions.origin_at(up), own=True)
         if up.service in self._mixed:
@@ -88,8 +90,8 @@
         :param request_id: id of the attempt that brought its first event; empty if not given.
         :param route: the route that it takes; its services may have begun it.
         """
-        key = hash_request_id(request_id)
-        if key in self._known:
+        key = hash_request_id(request_id) if request_id else None
+        if key is not None and key in self._known:
             return self._known[key].origin
         now_s = trio.current_time()
         self._history.observe(self._fleet.upstreams(), now_s)
@@ -100,7 +102,7 @@
         ]
         if len(possible) == 1 and self._history.is_complete(now_s, route.timeout_s):
             return possible[0]
-        found = await self._ask(key)
+        found = await self._ask(key) if key is not None else None
         if found is None and len(possible) == 1 and not self._may_replace_others(possible[0]):
             found = possible[0]
         _log.info(
--- a/tests/edge/test_stream_versions.py
+++ b/tests/edge/test_stream_versions.py
@@ -235,6 +235,21 @@
     assert fleet.ran("again") == []
 
 
+# Guards against taking a stream without an id for another one without an id.
+@pytest.mark.parametrize("began_at", [OLD, NEW])
+async def test_stream_that_is_taken_up_without_an_id_is_refused(start_fleet, began_at):
+    fleet = await start_fleet(OLD, OLD, NEW, NEW)
+    other = NEW if began_at == OLD else OLD
+    for eng in fleet.engines(other):
+        eng.faults = stream_engine.Faults(decline=True)
+    whole = await fleet.send("gateway-0", "")
+    assert (whole.status, whole.complete) == (200, True)
+    fleet.mend()
+    got = await fleet.take_up("gateway-0", "again", "")
+    assert got.status == 503
+    assert fleet.ran("again") == []
+
+
 # Guards against refusing streams where there is only one version that can have begun them.
 async def test_stream_of_unknown_origin_goes_on_if_only_one_version_serves(start_fleet):
     fleet = await start_fleet(OLD, OLD, OLD, gateways=2)
