Name a field that only one of two manifests has in their difference

Cause: differences went by the fields of the manifest in force, so that a software_version that the submission adds was left out, and a refused operator read "none". Change: compare the fields of both; one that is missing reads "unset". Result: the test failed ("none") and passes.

--- a/src/cornelgrade/policy/manifest_rules.py
+++ b/src/cornelgrade/policy/manifest_rules.py
@@ -13,6 +13,7 @@
 _SECTIONS_USED_BY_JOBS = ("services", "models", "teams", "priorities")
 _SINGLE_SECTIONS = ("batch", "online")
 _MAX_DIFFERENCES = 12
+_UNSET = "unset"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -163,10 +164,11 @@
 
 
 def _compare_fields(path: str, old: dict[str, Any], new: dict[str, Any]) -> Iterable[str]:
-    for field, value in old.items():
-        if new.get(field) == value:
+    for field in old | new:
+        theirs, yours = old.get(field, _UNSET), new.get(field, _UNSET)
+        if theirs == yours:
             continue
-        if isinstance(value, list | tuple):
+        if isinstance(theirs, list | tuple):
             yield f"{path}.{field} differs"
         else:
-            yield f"{path}.{field} {value} in theirs, {new.get(field)} in yours"
+            yield f"{path}.{field} {theirs} in theirs, {yours} in yours"
--- a/tests/fleet/test_manifest_rules.py
+++ b/tests/fleet/test_manifest_rules.py
@@ -116,6 +116,15 @@
     assert manifest_rules.describe_differences(SAMPLE, SAMPLE) == "none"
 
 
+# Guards against a manifest that VMs with an earlier build reject during a rolling update.
+def test_software_version_is_encoded_only_if_the_operator_names_one():
+    assert b"software_version" not in manifest_rules.encode(SAMPLE)
+    named = sample(upstreams=(msgspec.structs.replace(E1, software_version="v2"), E2, P1))
+    assert manifest_rules.decode(manifest_rules.encode(named)) == named
+    difference = manifest_rules.describe_differences(SAMPLE, named)
+    assert difference == "upstreams.e1.software_version unset in theirs, v2 in yours"
+
+
 def kept(*entries):
     made = tuple(acceptance.Acceptance(digest, base, 0.0, "vm") for digest, base in entries)
     return acceptance.StoredManifest(msgspec.Raw(b"{}"), made)
