Log what marks the end of an upstream's answer

A stream that was cut off inside an event left only "outcome=answered" in the logs. Whether its end was a length, the last chunk or merely the end of its connection tells the hypotheses of the incident apart: a reset, an end that is taken for complete, or an end of whole events.

--- a/src/cornelgrade/adapters/http1.py
+++ b/src/cornelgrade/adapters/http1.py
@@ -7,6 +7,7 @@
 
 import contextlib
 import dataclasses
+import enum
 import socket
 from types import TracebackType
 
@@ -29,6 +30,7 @@
 # each second; the second unanswered probe fails the connection.
 KEEPALIVE_OPTIONS = ((socket.TCP_KEEPIDLE, 1), (socket.TCP_KEEPINTVL, 1), (socket.TCP_KEEPCNT, 2))
 Headers = tuple[tuple[bytes, bytes], ...]
+_NO_BODY_STATUSES = frozenset((204, 304))
 # Headers that must not be forwarded (RFC 9110, section 7.6.1).
 HOP_BY_HOP = frozenset(
     (
@@ -60,6 +62,17 @@
     return tuple((k, v) for k, v in headers if k not in HOP_BY_HOP and k not in connection_headers)
 
 
+class Framing(enum.Enum):
+    """What marks the end of a response's body.
+
+    ``CONNECTION``: only the end of the connection, which an upstream that fails closes too.
+    """
+
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    CONNECTION = "connection"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ResponseHead:
     """Status and headers of a response; header names are in lower case."""
@@ -71,6 +84,15 @@
         """Return the first value of a header, ``None`` if it is missing."""
         return next((v for k, v in self.headers if k == name), None)
 
+    @property
+    def framing(self) -> Framing:
+        """What marks the end of the body."""
+        if self.get(b"transfer-encoding") is not None:
+            return Framing.CHUNKS
+        if self.get(b"content-length") is not None or self.status in _NO_BODY_STATUSES:
+            return Framing.LENGTH
+        return Framing.CONNECTION
+
 
 class Channel:
     """A connection that carries one call; a context manager that closes it.
--- a/src/cornelgrade/services/edge/_relay_state.py
+++ b/src/cornelgrade/services/edge/_relay_state.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from cornelgrade import errors, logs, routes
-from cornelgrade.adapters import http1_server
+from cornelgrade.adapters import http1, http1_server
 from cornelgrade.policy import event_stream, software_versions
 from cornelgrade.services.edge import ports, slot_permits
 
@@ -18,6 +18,7 @@
     :ivar last_event_s: when it arrived or, before the first one of an attempt, the head.
     :ivar response_bytes: bytes of response bodies received.
     :ivar origin: what began the stream, once it has begun, here or in an earlier attempt.
+    :ivar framing: what marks the end of the last response.
     """
 
     upstreams_tried: int = 0
@@ -27,6 +28,7 @@
     last_event_s: float = 0.0
     response_bytes: int = 0
     origin: software_versions.StreamOrigin | None = None
+    framing: http1.Framing | None = None
     first_byte_s: float | None = None
     upstream: str = ""
     permit: slot_permits.SlotPermit | None = None
--- a/src/cornelgrade/services/edge/relay.py
+++ b/src/cornelgrade/services/edge/relay.py
@@ -186,6 +186,7 @@
             upstream=progress.upstream,
             version=progress.origin.version if progress.origin else "",
             progress=exc.progress.value,
+            framing=progress.framing.value if progress.framing else "",
             then=decision.then.value,
             runs=progress.runs,
             offers=progress.upstreams_tried,
@@ -244,6 +245,7 @@
         """Send a request and relay the response; return its head."""
         await self._send_request(channel, req, progress, up)
         head = await self._read_head(channel, req, progress, up)
+        progress.framing = head.framing
         if progress.started:
             await self._resume_stream(channel, req, progress, head)
         else:
@@ -463,5 +465,6 @@
             plan=table.plan.version if table else 0,
             version=progress.origin.version if progress.origin else "",
             resumes=req.caller.resumed_request,
+            framing=progress.framing.value if progress.framing else "",
             **_relay_state.placement_fields(progress.permit),
         )
