--- a/src/cornelgrade/adapters/http1_server.py
+++ b/src/cornelgrade/adapters/http1_server.py
@@ -99,6 +99,10 @@
         """Send the last chunk and end the response."""
         await self._send([_data_event(last), h11.EndOfMessage()])
 
+    def omit_framing(self) -> None:
+        """Give the response neither a length nor chunks, so that it ends with its connection."""
+        self._conn.omit_framing()
+
     async def send_truncated(self, status: int, body: bytes) -> None:
         """Send a body that is shorter than its length; closes when the handler returns."""
         length = (("content-length", str(len(body) + 1)),)
@@ -269,6 +273,10 @@
         with contextlib.suppress(OSError):
             self._stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
 
+    def omit_framing(self) -> None:
+        """Frame the next response by the end of the connection, as for an HTTP/1.0 client."""
+        self._h11.their_http_version = b"1.0"
+
     def close_if_idle(self) -> None:
         """Stop waiting if no byte of the next request has arrived."""
         self._idle_scope.cancel()
--- a/src/cornelgrade/platform/standins/stream_engine.py
+++ b/src/cornelgrade/platform/standins/stream_engine.py
@@ -24,6 +24,11 @@
     :param decline: reject requests as not executed.
     :param fail: run requests for the time of one event and respond with this status.
     :param cut_after: abort the connection after this many events, within the next one.
+    :param end_after: end responses after this many events, within the next one.
+    :param end_before_events: end responses before the first event.
+    :param end_before_events_if_resumed: the same for requests that resume a stream.
+    :param unframed: responses have neither a length nor chunks; each event begins as soon as the
+        one before has ended, and a crash closes connections instead of resetting them.
     :param silent_after: stop sending after this many events, but keep the connection open.
     :param foreign: respond with the response to another request.
     :param unsigned: omit the signature of responses.
@@ -37,6 +42,10 @@
     decline: bool = False
     fail: int = 0
     cut_after: int | None = None
+    end_after: int | None = None
+    end_before_events: bool = False
+    end_before_events_if_resumed: bool = False
+    unframed: bool = False
     silent_after: int | None = None
     foreign: bool = False
     unsigned: bool = False
@@ -124,9 +133,9 @@
         )
 
     def crash(self, down_s: float) -> None:
-        """Reset every connection and refuse new ones for a while."""
+        """Break off every connection and refuse new ones for a while."""
         self.crashes += 1
-        self._server.crash(down_s)
+        self._server.crash(down_s, resets=not self.faults.unframed)
 
     def _go_dark(self, down_s: float) -> None:
         """Lose the requests that are running, and respond to nothing for a while."""
@@ -192,15 +201,29 @@
             await trio.sleep(self.event_s)
             await req.respond(self.faults.fail, b"failed", head)
             return
-        first = (seen.resumed_after or 0) + 1
+        if self.faults.unframed:
+            req.omit_framing()
         await req.start_response(200, (*head, ("content-type", "text/event-stream")), b"")
-        for number in range(first, self.events + 1):
+        resumed = seen.resumed_after is not None
+        empty = self.faults.end_before_events_if_resumed if resumed else False
+        if not (empty or self.faults.end_before_events):
+            await self._send_events(req, seen)
+        await req.end_response()
+
+    async def _send_events(self, req: _http_server.Exchange, seen: ReceivedRequest) -> None:
+        for number in range((seen.resumed_after or 0) + 1, self.events + 1):
+            version = self.version if self.tells_version else ""
+            event = encode_event(seen.request, number, version)
+            begun = event[: event.index(b"\n")] if self.faults.unframed else b""
+            if begun:
+                await req.send_chunk(begun)
             self._crash_if_due(seen, number - 1)
             await self._inject_faults(req, number - 1)
+            if self.faults.end_after == number - 1:
+                await req.send_chunk(event[len(begun) : -1])
+                return
             await trio.sleep(self.event_s)
-            version = self.version if self.tells_version else ""
-            await req.send_chunk(encode_event(seen.request, number, version))
-        await req.end_response()
+            await req.send_chunk(event[len(begun) :])
 
     def _notice(self) -> tuple[tuple[str, str], ...]:
         return (("server-leaving", "1"),) if self.faults.leaving else ()
--- a/src/cornelgrade/standins/_http_server.py
+++ b/src/cornelgrade/standins/_http_server.py
@@ -44,10 +44,10 @@
         with trio.CancelScope() as self._serve_scope:
             await super().serve(address, task_status)
 
-    def crash(self, down_s: float) -> None:
-        """Reset every connection and refuse new ones for ``down_s`` seconds."""
+    def crash(self, down_s: float, *, resets: bool = True) -> None:
+        """Reset or close every connection and refuse new ones for ``down_s`` seconds."""
         self._down_s = down_s
-        for conn in self._connections:
+        for conn in self._connections if resets else ():
             conn.reset_on_close()
         self._serve_scope.cancel()
         self._up_scope.cancel()
