Take a stream that ends inside an event for one that was broken off

Callers saw: 200 with the upstream's signature and a complete body that lacks the rest of the stream.

Cause: the transport declared a response complete where its framing ended. A response with neither a length nor chunks is framed by its connection, which an upstream that crashes closes too. On routes that aren't resumable nothing looked at the events. On resumable ones and for items the relay did, but after the channel had said "answered": the call then counted as answered, so it went on nowhere, and the upstream wasn't checked for a crash. Elsewhere the cut stream was reported as a completion, which cleared the text that had crashed the upstream.

Change: the channel judges the end of a body by its type (policy/response_end.py) and raises the same error as for a connection that is lost within it. The relay and the item caller have no rule of their own any more. An event may also end with CR CR now, since streams of all routes are judged.

--- a/src/cornelgrade/adapters/http1.py
+++ b/src/cornelgrade/adapters/http1.py
@@ -16,6 +16,7 @@
 
 from cornelgrade import addresses
 from cornelgrade.adapters import engine
+from cornelgrade.policy import response_end
 
 READ_BYTES = 65_536
 # What is skipped before a response: interim ones (1xx), and those to other requests with the bytes
@@ -109,6 +110,7 @@
         self._stream = stream
         self._h11 = h11.Connection(h11.CLIENT)
         self._request: h11.Request | None = None
+        self._body_end: response_end.BodyEnd = response_end.AnyEnd()
         self._skipped_responses = 0
 
     def __enter__(self) -> "Channel":
@@ -147,21 +149,38 @@
             event = await self._next_event("head")
             if isinstance(event, h11.Response):
                 headers = tuple((bytes(k), bytes(v)) for k, v in event.headers)
-                return ResponseHead(event.status_code, headers)
+                head = ResponseHead(event.status_code, headers)
+                self._body_end = self._follow_body(head)
+                return head
             if not isinstance(event, h11.InformationalResponse):
                 raise self.call_error("connection closed before a response", "head")
         raise self.call_error("too many interim responses", "head")
 
+    def _follow_body(self, head: ResponseHead) -> response_end.BodyEnd:
+        """Return what judges the end of a body; a failure has no events to wait for."""
+        if self._request is not None and self._request.method == b"HEAD":
+            return response_end.AnyEnd()
+        content_type = (head.get(b"content-type") or b"").decode("latin-1")
+        framed = head.framing is not Framing.CONNECTION or head.status >= 300
+        return response_end.follow_body(content_type, framed=framed)
+
     async def read_chunk(self) -> bytes:
-        """Return the next chunk of the body, ``b""`` once it is complete."""
+        """Return the next chunk of the body, ``b""`` once it is complete.
+
+        :raises CallError: with ``PART_ANSWERED`` if it was broken off, also if its framing ended.
+        """
         self.progress = engine.Progress.PART_ANSWERED
         while True:
             event = await self._next_event("body")
             if isinstance(event, h11.EndOfMessage):
+                if reason := self._body_end.find_break():
+                    raise self.call_error(reason, "body")
                 self.progress = engine.Progress.ANSWERED
                 return b""
             if isinstance(event, h11.Data) and event.data:
-                return bytes(event.data)
+                part = bytes(event.data)
+                self._body_end.feed(part)
+                return part
             if isinstance(event, h11.ConnectionClosed):
                 raise self.call_error("connection closed within the response", "body")
 
@@ -187,6 +206,7 @@
         self._skipped_responses += 1
         if self._skipped_responses > MAX_SKIPPED_RESPONSES:
             raise self.call_error("too many responses to other requests", "head")
+        self._body_end = response_end.AnyEnd()
         await self.read_body(MAX_SKIPPED_BYTES)
         trailing, _ = self._h11.trailing_data
         assert self._request is not None
--- a/src/cornelgrade/policy/event_stream.py
+++ b/src/cornelgrade/policy/event_stream.py
@@ -1,11 +1,16 @@
 """Splits a stream of server-sent events into events, wherever the chunks of bytes end."""
 
 import dataclasses
+import re
 
 # Enough for the ids of any stream; longer numbers are slow to parse.
 MAX_ID_DIGITS = 15
 # An event carries a few tokens; what is longer than this is no event.
 MAX_EVENT_BYTES = 262_144
+# A line ends with CR, LF or both.
+MAX_LINE_END_BYTES = 2
+_LINE_END_BYTES = b"\r\n"
+_BLANK_LINE = re.compile(rb"(?>\r\n|\r|\n){2}")
 _ID = b"id:"
 _DATA = b"data:"
 
@@ -55,10 +60,20 @@
         return tuple(events)
 
 
+def find_last_event_end(buffer: bytes) -> int:
+    """Return the offset after the last event in a part of a stream, 0 if no event ends there."""
+    return max((found.end() for found in _BLANK_LINE.finditer(buffer)), default=0)
+
+
+def is_blank(part: bytes) -> bool:
+    """Return whether a part of a stream has nothing but line ends."""
+    return not part.strip(_LINE_END_BYTES)
+
+
 def _find_event_end(buffer: bytes) -> int | None:
     """Return the offset after the first blank line."""
-    ends = [at + len(blank) for blank in (b"\n\n", b"\r\n\r\n") if (at := buffer.find(blank)) >= 0]
-    return min(ends, default=None)
+    found = _BLANK_LINE.search(buffer)
+    return found.end() if found else None
 
 
 def _parse_id(raw: bytes) -> int | None:
--- /dev/null
+++ b/src/cornelgrade/policy/response_end.py
@@ -0,0 +1,73 @@
+"""Whether a response is complete where its body ends.
+
+The framing of a body may end although the upstream broke the response off: a body with neither a
+length nor chunks ends with its connection, which an upstream that crashes closes too.
+"""
+
+from typing import Protocol
+
+from cornelgrade.policy import event_stream
+
+_EVENT_STREAM = "text/event-stream"
+
+
+class BodyEnd(Protocol):
+    """Follows a body and judges its end."""
+
+    def feed(self, part: bytes) -> None:
+        """Take the next part of the body."""
+
+    def find_break(self) -> str:
+        """Return why a body that ends here was broken off; empty if it may be complete."""
+
+
+class _EventStreamEnd:
+    """The end of a stream of events.
+
+    :param framed: whether more than the end of the connection marks the end of the body.
+    """
+
+    def __init__(self, *, framed: bool) -> None:
+        self._framed = framed
+        self._has_event = False
+        self._in_event = False
+        self._tail = b""
+
+    def feed(self, part: bytes) -> None:
+        """Take the next part of the stream."""
+        buffer = self._tail + part
+        after_event = event_stream.find_last_event_end(buffer)
+        if after_event:
+            self._has_event, self._in_event = True, False
+        rest = buffer[after_event:]
+        self._in_event = self._in_event or not event_stream.is_blank(rest)
+        self._tail = rest[-event_stream.MAX_LINE_END_BYTES :]
+
+    def find_break(self) -> str:
+        """Return why the stream was broken off."""
+        if self._in_event:
+            return "stream ended in the middle of an event"
+        if not self._framed and not self._has_event:
+            return "stream ended before its first event"
+        return ""
+
+
+class AnyEnd:
+    """The end of a body of which only the framing tells whether it is complete."""
+
+    def feed(self, part: bytes) -> None:
+        """Ignore the part."""
+
+    def find_break(self) -> str:
+        """Return that the body may be complete."""
+        return ""
+
+
+def follow_body(content_type: str, *, framed: bool) -> BodyEnd:
+    """Return what judges the end of a body of this type.
+
+    :param framed: whether more than the end of the connection marks the end of the body.
+    """
+    if content_type.startswith(_EVENT_STREAM):
+        return _EventStreamEnd(framed=framed)
+    return AnyEnd()
--- a/src/cornelgrade/services/edge/item_call.py
+++ b/src/cornelgrade/services/edge/item_call.py
@@ -122,8 +122,6 @@
             if partial.text_bytes > self._max_text_bytes:
                 partial.clear()
                 raise channel.call_error("result exceeds the size limit", _STEP)
-        if splitter.remainder:
-            raise channel.call_error("stream ended in the middle of an event", _STEP)
 
     @staticmethod
     async def _read_part(channel: http1.Channel, last_event_s: float) -> bytes:
--- a/src/cornelgrade/services/edge/relay.py
+++ b/src/cornelgrade/services/edge/relay.py
@@ -398,8 +398,6 @@
                     progress.last_event = (
                         event.event_id if event.event_id is not None else progress.last_event
                     )
-        if splitter.remainder:
-            raise channel.call_error("stream ended in the middle of an event", _STEP)
         if not progress.started and head is not None:
             await self._write_part(req, progress, head, b"")
         await req.exchange.end_response()
--- /dev/null
+++ b/tests/policy/test_response_end.py
@@ -0,0 +1,65 @@
+"""Ends of response bodies, wherever the parts of the body end."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cornelgrade.policy import event_stream, response_end
+
+EVENT_STREAM = "text/event-stream; charset=utf-8"
+LINE_ENDS = ("\n", "\r\n", "\r")
+
+
+def judge(parts, content_type=EVENT_STREAM, *, framed=False):
+    end = response_end.follow_body(content_type, framed=framed)
+    for part in parts:
+        end.feed(part)
+    return end.find_break()
+
+
+@pytest.mark.parametrize("line_end", LINE_ENDS)
+@pytest.mark.parametrize(
+    ("stream", "complete"),
+    [
+        ("id: 1", False),
+        ("id: 1\n", False),
+        ("id: 1\ndata: a\n", False),
+        ("id: 1\ndata: a\n\n", True),
+        ("id: 1\ndata: a\n\n\n", True),
+        ("id: 1\ndata: a\n\ni", False),
+        ("id: 1\ndata: a\n\n: comment\n", False),
+        ("id: 1\ndata: a\n\nid: 2\n\n", True),
+    ],
+)
+def test_stream_is_complete_only_between_events(stream, complete, line_end):
+    assert (judge([stream.replace("\n", line_end).encode()]) == "") is complete
+
+
+# Guards against judging by where the network happened to split the stream.
+@given(st.text(alphabet="ab\r\n", max_size=24), st.data())
+def test_verdict_does_not_depend_on_how_a_stream_is_split(text, data):
+    stream = text.encode()
+    cuts = sorted(data.draw(st.lists(st.integers(0, len(stream)), max_size=4)))
+    parts = [stream[a:b] for a, b in zip([0, *cuts], [*cuts, len(stream)], strict=True)]
+    whole = [stream[i : i + 1] for i in range(len(stream))]
+    assert judge(parts) == judge([stream]) == judge(whole)
+
+
+# Guards against two rules for where an event ends: one that relays events, one that judges the end.
+@given(st.lists(st.text(alphabet="ab\n", max_size=8), max_size=6))
+def test_relayed_events_and_verdict_agree(texts):
+    splitter = event_stream.EventSplitter()
+    parts = [text.encode() for text in texts]
+    events = [event for part in parts for event in splitter.feed(part)]
+    rest_is_blank = event_stream.is_blank(splitter.remainder)
+    assert (judge(parts, framed=True) == "") == rest_is_blank
+    assert (judge(parts) == "") == (rest_is_blank and bool(events))
+
+
+def test_stream_without_an_event_is_complete_only_if_it_is_framed():
+    assert judge([]) == "stream ended before its first event"
+    assert judge([], framed=True) == ""
+
+
+def test_body_that_is_no_stream_is_judged_by_its_framing():
+    assert judge([b"data: a"], "text/plain") == ""
