Run an item anew if an unframed stream brings no further event

An item whose stream is cut right after its last event asks for what follows. With the rule before this commit an unframed response without an event is broken off, so such an item asked again without end.

Its test fails on the commit before (no result within 10 s) and passes.

--- a/src/cornelgrade/platform/standins/stream_engine.py
+++ b/src/cornelgrade/platform/standins/stream_engine.py
@@ -23,7 +23,7 @@
 
     :param decline: reject requests as not executed.
     :param fail: run requests for the time of one event and respond with this status.
-    :param cut_after: abort the connection after this many events, within the next one.
+    :param cut_after: abort the connection after this many events, within the next one if any.
     :param end_after: end responses after this many events, within the next one.
     :param end_before_events: end responses before the first event.
     :param end_before_events_if_resumed: the same for requests that resume a stream.
@@ -224,13 +224,14 @@
                 return
             await trio.sleep(self.event_s)
             await req.send_chunk(event[len(begun) :])
+        await self._inject_faults(req, self.events)
 
     def _notice(self) -> tuple[tuple[str, str], ...]:
         return (("server-leaving", "1"),) if self.faults.leaving else ()
 
     async def _inject_faults(self, req: _http_server.Exchange, sent_events: int) -> None:
         if self.faults.cut_after == sent_events:
-            await req.send_chunk(b"id: 99\nda")
+            await req.send_chunk(b"id: 99\nda" if sent_events < self.events else b"")
             raise _http_server.AbortConnectionError
         if self.faults.silent_after == sent_events:
             await trio.sleep_forever()
--- a/src/cornelgrade/services/edge/item_call.py
+++ b/src/cornelgrade/services/edge/item_call.py
@@ -83,7 +83,16 @@
                 return None
             if head.status >= 300:
                 raise channel.call_error(f"upstream responded with status {head.status}", _STEP)
-            await self._read_events(channel, partial, up)
+            events_before = partial.events
+            try:
+                await self._read_events(channel, partial, up)
+            except engine.CallError as exc:
+                unframed = head.framing is http1.Framing.CONNECTION
+                if unframed and partial.events == events_before and not exc.timed_out:
+                    # The earlier runs may have brought all events: whether more are due can't be
+                    # told from an unframed stream without any, so the next run starts anew.
+                    partial.clear()
+                raise
         return ports.ItemResult(item.name, ports.ItemEnd.COMPLETED, "\n".join(partial.texts))
 
     async def _read_head(
--- a/tests/edge/test_unframed_responses.py
+++ b/tests/edge/test_unframed_responses.py
@@ -176,3 +176,20 @@
                 results = formats.decode_results(got.body)
     texts = {item: text for item, _, text in results}
     assert texts == {name: stream_engine.result_text(name, EVENTS) for name in names}
+
+
+# Guards against an item that has all its events and asks for more without end.
+async def test_item_whose_stream_was_cut_after_its_last_event_completes():
+    async with edge_system.run_system(workers=1, engines=2) as system:
+        set_faults(system, unframed=True, cut_after=EVENTS)
+        await system.submit("gateway-0", "job", {"item": b"note"})
+        with trio.fail_after(5):
+            while not any(eng.seen for eng in system.engines.values()):
+                await trio.sleep(0.02)
+        await trio.sleep(0.2)
+        set_faults(system, unframed=True)
+        results = []
+        with trio.fail_after(10):
+            while not results:
+                results = await system.results("gateway-0", "job", 0)
+    assert results == [("item", stream_engine.result_text("item", EVENTS))]
