Take an unframed JSON answer for one only if it is a whole document

Callers saw half a JSON body with 200, a keyed request recorded it for its resends, and an item stored it as its result. Streams of engines end with a marker and were not affected.

The adapter judges the end of each body by policy/response_end.py, as the channel of the other interface does, so that online requests and items share the rule. JSON is one document in this protocol; on the users' platform payloads are not decoded.

--- a/src/cornelgrade/adapters/http1.py
+++ b/src/cornelgrade/adapters/http1.py
@@ -31,6 +31,7 @@
 # each second; the second unanswered probe fails the connection.
 KEEPALIVE_OPTIONS = ((socket.TCP_KEEPIDLE, 1), (socket.TCP_KEEPINTVL, 1), (socket.TCP_KEEPCNT, 2))
 Headers = tuple[tuple[bytes, bytes], ...]
+_MIN_NOT_SUCCESS_STATUS = 300
 _NO_BODY_STATUSES = frozenset((204, 304))
 # Headers that must not be forwarded (RFC 9110, section 7.6.1).
 HOP_BY_HOP = frozenset(
@@ -161,7 +162,7 @@
         if self._request is not None and self._request.method == b"HEAD":
             return response_end.AnyEnd()
         content_type = (head.get(b"content-type") or b"").decode("latin-1")
-        framed = head.framing is not Framing.CONNECTION or head.status >= 300
+        framed = head.framing is not Framing.CONNECTION or head.status >= _MIN_NOT_SUCCESS_STATUS
         return response_end.follow_body(content_type, framed=framed)
 
     async def read_chunk(self) -> bytes:
--- a/src/cornelgrade/adapters/upstream_http.py
+++ b/src/cornelgrade/adapters/upstream_http.py
@@ -10,6 +10,7 @@
 import trio
 
 from cornelgrade.adapters import engine
+from cornelgrade.policy import response_end
 
 T = TypeVar("T")
 
@@ -32,6 +33,7 @@
         "server",
     )
 )
+_MIN_NOT_SUCCESS_STATUS = 300
 _NOT_SENT_ERRORS = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
 
 
@@ -39,6 +41,16 @@
     return tuple((k, v) for k, v in headers.items() if k not in _HOP_BY_HOP)
 
 
+def _follow_body(response: httpx.Response) -> response_end.BodyEnd:
+    """Return what judges the end of a body; a failure may end anywhere."""
+    headers = response.headers
+    framed = "content-length" in headers or "transfer-encoding" in headers
+    content_type = headers.get("content-type", "")
+    return response_end.follow_json_body(
+        content_type, framed=framed or response.status_code >= _MIN_NOT_SUCCESS_STATUS
+    )
+
+
 class _ConnectionPool:
     """A connection pool that can be closed once its last call has ended."""
 
@@ -89,6 +101,7 @@
         self.status = response.status_code
         self.headers = _drop_hop_by_hop_headers(response.headers)
         self.timed_out = False
+        self._body_end = _follow_body(response)
         self._response = response
         self._peer = peer
         self._first_byte_deadline_s = first_byte_deadline_s
@@ -106,12 +119,15 @@
                 with trio.fail_at(chunk_deadline_s):
                     chunk = await raw.__anext__()
             except StopAsyncIteration:
+                if reason := self._body_end.find_break():
+                    raise self._body_error(reason, timed_out=False) from None
                 return
             except trio.TooSlowError as exc:
                 self.timed_out = True
                 raise self._body_error("silent between chunks", timed_out=True) from exc
             except httpx.HTTPError as exc:
                 raise self._body_error(repr(exc), timed_out=False) from exc
+            self._body_end.feed(chunk)
             yield chunk
             chunk_deadline_s = trio.current_time() + self._gap_timeout_s
 
--- a/src/cornelgrade/policy/response_end.py
+++ b/src/cornelgrade/policy/response_end.py
@@ -6,9 +6,12 @@
 
 from typing import Protocol
 
+import msgspec
+
 from cornelgrade.policy import event_stream
 
 _EVENT_STREAM = "text/event-stream"
+_JSON = "application/json"
 
 
 class BodyEnd(Protocol):
@@ -52,6 +55,25 @@
         return ""
 
 
+class _JsonEnd:
+    """The end of a JSON document that only the end of the connection marks."""
+
+    def __init__(self) -> None:
+        self._body = bytearray()
+
+    def feed(self, part: bytes) -> None:
+        """Take the next part of the document."""
+        self._body += part
+
+    def find_break(self) -> str:
+        """Return why the document was broken off."""
+        try:
+            msgspec.json.decode(self._body)
+        except (msgspec.DecodeError, UnicodeDecodeError):
+            return "JSON document ended early"
+        return ""
+
+
 class AnyEnd:
     """The end of a body of which only the framing tells whether it is complete."""
 
@@ -71,3 +93,10 @@
     if content_type.startswith(_EVENT_STREAM):
         return _EventStreamEnd(framed=framed)
     return AnyEnd()
+
+
+def follow_json_body(content_type: str, *, framed: bool) -> BodyEnd:
+    """As :func:`follow_body`, where the protocol says that JSON responses are one document."""
+    if content_type.startswith(_JSON) and not framed:
+        return _JsonEnd()
+    return follow_body(content_type, framed=framed)
