Name the prompt parts that were in flight at a crash

upstream_crashed named texts only, so that the logs couldn't tell whether requests of different texts crashed upstreams by something they share. A request's fingerprint now carries the parts of its prompt: the ids of X-Prompt-Prefix without the last one, and on the product's own interface the messages of a chat without the last one. No decision changes.

--- a/src/cornelgrade/adapters/engine.py
+++ b/src/cornelgrade/adapters/engine.py
@@ -145,6 +145,20 @@
     stored: bool
 
 
+class _Messages(msgspec.Struct, frozen=True):
+    messages: tuple[msgspec.Raw, ...] = ()
+
+
+def list_shared_messages(body: bytes) -> tuple[bytes, ...]:
+    """Return the messages of a chat completion that other requests may share: all but the last."""
+    try:
+        messages = msgspec.json.decode(body, type=_Messages).messages
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        # Not a chat; the engine judges the body.
+        return ()
+    return tuple(bytes(message) for message in messages[:-1])
+
+
 class Upstream(Protocol):
     """One upstream at one address."""
 
--- a/src/cornelgrade/platform/calls.py
+++ b/src/cornelgrade/platform/calls.py
@@ -18,6 +18,7 @@
 _LEAVING = b"1"
 _LAST_EVENT_ID = b"last-event-id"
 _RESUMES = b"resumes"
+_PROMPT_PREFIX = b"x-prompt-prefix"
 _RETRY_AFTER = "Retry-After"
 _STATUS_WRONG_INSTANCE = 421
 _MS_PER_S = 1000.0
@@ -57,8 +58,15 @@
             timeout_s=_parse_milliseconds(deadline),
             resume_after=int(resume) if is_unsigned_integer(resume) else None,
             resumed_request=values.get(_RESUMES, b"").decode("latin-1"),
+            prompt_parts=self.parse_prompt_parts(headers),
         )
 
+    def parse_prompt_parts(self, headers: http1.Headers) -> tuple[bytes, ...]:
+        """Return the ids in a list of ``id:tokens``; the last part is the request's own."""
+        listed = dict(headers).get(_PROMPT_PREFIX, b"")
+        parts = [part.strip().partition(b":")[0].lower() for part in listed.split(b",")]
+        return tuple(part for part in parts[:-1] if part)
+
     def upstream_headers(
         self, headers: http1.Headers, upstream: str, left_s: float, resume_after: int | None
     ) -> http1.Headers:
--- a/src/cornelgrade/policy/quarantine.py
+++ b/src/cornelgrade/policy/quarantine.py
@@ -18,7 +18,6 @@
 
 import dataclasses
 import enum
-import hashlib
 
 from cornelgrade.policy import crash_sightings
 
@@ -45,11 +44,6 @@
 UNSTABLE_WINDOW_S = 60.0
 
 
-def fingerprint(path: str, body: bytes) -> str:
-    """Return a hash that identifies a request, online or in batch, across repeated calls."""
-    return hashlib.blake2b(path.encode() + b"\0" + body, digest_size=16).hexdigest()
-
-
 class RequestStatus(enum.Enum):
     """Status of a request.
 
--- a/src/cornelgrade/services/_item_call.py
+++ b/src/cornelgrade/services/_item_call.py
@@ -6,7 +6,7 @@
 import trio
 
 from cornelgrade.adapters import engine
-from cornelgrade.policy import batch, quarantine
+from cornelgrade.policy import batch, request_traits
 from cornelgrade.services import _chunk_run, job_records
 
 RESPONSE_TIMEOUT_S = 120.0
@@ -23,9 +23,9 @@
 }
 
 
-def fingerprint(item: job_records.Item) -> str:
+def fingerprint(item: job_records.Item) -> request_traits.Fingerprint:
     """Return the fingerprint that the quarantine uses for an item's call."""
-    return quarantine.fingerprint(item.path, item.body)
+    return request_traits.fingerprint(item.path, item.body, engine.list_shared_messages(item.body))
 
 
 def prepend_text(body: bytes, earlier: str) -> bytes:
--- a/src/cornelgrade/services/edge/ports.py
+++ b/src/cornelgrade/services/edge/ports.py
@@ -6,7 +6,6 @@
 
 from cornelgrade import routes
 from cornelgrade.adapters import http1, http1_server
-from cornelgrade.policy import quarantine
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -16,6 +15,7 @@
     :param timeout_s: how long it waits for the complete response, ``None`` if not given.
     :param resume_after: number of the last event that it received from a broken stream.
     :param resumed_request: id of its attempt that brought the first event of that stream.
+    :param prompt_parts: ids of the parts of its prompt that other requests may share.
     """
 
     request_id: str
@@ -23,6 +23,7 @@
     timeout_s: float | None = None
     resume_after: int | None = None
     resumed_request: str = ""
+    prompt_parts: tuple[bytes, ...] = ()
 
 
 class Verdict(enum.Enum):
@@ -64,6 +65,9 @@
     def parse_caller(self, headers: http1.Headers) -> Caller:
         """Parse the request parameters that a caller sets in headers."""
 
+    def parse_prompt_parts(self, headers: http1.Headers) -> tuple[bytes, ...]:
+        """Return the ids of the parts of a prompt that other requests may share."""
+
     def upstream_headers(
         self, headers: http1.Headers, upstream: str, left_s: float, resume_after: int | None
     ) -> http1.Headers:
@@ -138,11 +142,6 @@
     body: bytes
     tokens: int
 
-    @property
-    def fingerprint(self) -> str:
-        """The hash by which the quarantine identifies its runs."""
-        return quarantine.fingerprint(self.target, self.body)
-
 
 class ItemEnd(enum.StrEnum):
     """How an item ended."""
--- a/src/cornelgrade/services/edge/relay.py
+++ b/src/cornelgrade/services/edge/relay.py
@@ -6,7 +6,7 @@
 from cornelgrade.adapters import engine, http1, http1_server
 from cornelgrade.policy import (
     event_stream,
-    quarantine,
+    request_traits,
     retry,
     route_table,
     software_versions,
@@ -77,7 +77,9 @@
         """
         timeout_s = caller.timeout_s if caller.timeout_s is not None else route.timeout_s
         limit_s = min(route.timeout_s, timeout_s - DEADLINE_MARGIN_S)
-        fingerprint = quarantine.fingerprint(exchange.target.decode("latin-1"), exchange.body)
+        fingerprint = request_traits.fingerprint(
+            exchange.target.decode("latin-1"), exchange.body, caller.prompt_parts
+        )
         req = _relay_state.Request(
             exchange, caller, route, exchange.arrived_s + limit_s, fingerprint
         )
--- a/src/cornelgrade/services/edge/runner.py
+++ b/src/cornelgrade/services/edge/runner.py
@@ -16,6 +16,7 @@
     batch_capacity,
     health,
     registrations,
+    request_traits,
     route_table,
     software_versions,
 )
@@ -84,6 +85,7 @@
         self._availability = availability
         self._sweeper = job_sweeper.JobSweeper(self._repository, self._peers, cfg)
         self._item_caller = item_caller
+        self._call_format = call_format
         self._jobs: dict[str, open_job.OpenJob] = {}
         self._claims = claim_exchange.ClaimExchange(self._peers, self._jobs)
         self._health: dict[str, health.Health] = {}
@@ -220,7 +222,7 @@
                     job.done |= sum(1 << entry.index for entry in listed)
                     job.merge_failures(await self._repository.read_failures(job.header.job))
                 job.items = await self._repository.read_items(job.header)
-                job.fingerprints = tuple(item.fingerprint for item in job.items)
+                job.fingerprints = tuple(map(self._fingerprint_item, job.items))
                 _log.info("job_loaded", job=job.header.job, items=job.header.total, done=job.done)
                 self._wake.notify_all()
                 return
@@ -228,6 +230,11 @@
                 _log.warning("job_not_loaded", job=job.header.job, error=exc.format_message())
                 await trio.sleep(open_job.RETRY_PAUSE_S)
 
+    def _fingerprint_item(self, item: ports.Item) -> request_traits.Fingerprint:
+        headers = tuple((k.encode(), v.encode("latin-1")) for k, v in item.headers)
+        parts = self._call_format.parse_prompt_parts(headers)
+        return request_traits.fingerprint(item.target, item.body, parts)
+
     # Slots
 
     def _schedule(self) -> None:
--- a/src/cornelgrade/services/quarantine.py
+++ b/src/cornelgrade/services/quarantine.py
@@ -13,7 +13,7 @@
 import trio
 
 from cornelgrade import kernel, logs
-from cornelgrade.policy import crash_sightings, quarantine
+from cornelgrade.policy import crash_sightings, quarantine, request_traits
 from cornelgrade.services import _subscriptions, ports
 
 NAME = "quarantine"
@@ -244,6 +244,7 @@
             in_flight=len(fingerprints),
             suspects=len(suspects),
             fingerprints=",".join(attributed[:MAX_ANNOUNCED_PER_CRASH]),
+            parts=",".join(_list_parts(fingerprints)[:MAX_ANNOUNCED_PER_CRASH]),
         )
         self._send_crash(crash)
         for fingerprint in attributed[:MAX_ANNOUNCED_PER_CRASH]:
@@ -438,6 +439,12 @@
                 self._entries[fingerprint] = quarantine.add_peer_crash(entry, fingerprint, crash)
 
 
+def _list_parts(fingerprints: tuple[str, ...]) -> tuple[str, ...]:
+    """Return the prompt parts of requests, each once."""
+    parts = (part for f in fingerprints for part in request_traits.list_parts(f))
+    return tuple(dict.fromkeys(parts))
+
+
 def _encode_sightings(
     sightings: tuple[crash_sightings.Sighting, ...], now_s: float
 ) -> tuple[ports.CrashSighting, ...]:
--- a/src/cornelgrade/services/web/online.py
+++ b/src/cornelgrade/services/web/online.py
@@ -10,7 +10,7 @@
 
 from cornelgrade import errors, kernel, manifest, tracing
 from cornelgrade.adapters import engine
-from cornelgrade.policy import quarantine, routing
+from cornelgrade.policy import request_traits, routing
 from cornelgrade.services import drain, exchange, online
 from cornelgrade.services.web import access
 
@@ -183,7 +183,9 @@
         deadline_s=trio.current_time() + _parse_deadline_s(headers, policy.default_deadline_s),
         stream=prompt.stream if prompt else False,
         idempotent=idempotent,
-        fingerprint=quarantine.fingerprint(path, body),
+        fingerprint=request_traits.fingerprint(
+            path, body, engine.list_shared_messages(body) if prompt else ()
+        ),
         prefix=routing.prefix_hash(bytes(prompt.messages or prompt.prompt)) if prompt else 0,
         max_tokens=prompt.max_tokens if prompt else 0,
         key=key,
