--- a/src/cornelgrade/platform/standins/edge_system.py
+++ b/src/cornelgrade/platform/standins/edge_system.py
@@ -265,10 +265,14 @@
         return await call(address, method, path.encode(), {"host": HOST, **headers}, body)
 
     async def submit(
-        self, gateway_name: str, job: str, items: dict[str, bytes]
+        self,
+        gateway_name: str,
+        job: str,
+        items: dict[str, bytes],
+        headers: dict[str, str] | None = None,
     ) -> ReceivedResponse:
-        """Submit a job; ``items`` maps item ids to request bodies."""
-        raw = formats.encode_job(NOTES_PREFIX, items)
+        """Submit a job; ``items`` maps item ids to request bodies, ``headers`` go with each."""
+        raw = formats.encode_job(NOTES_PREFIX, items, headers=headers)
         return await self.send(
             gateway_name, "POST", f"{NOTES_PREFIX}{job}", formats.request_headers(job), raw
         )
--- a/src/cornelgrade/platform/standins/formats.py
+++ b/src/cornelgrade/platform/standins/formats.py
@@ -64,6 +64,11 @@
     return {**request_headers(request), "x-deadline-ms": str(int(timeout_s * _MS_PER_S))}
 
 
+def prompt_headers(*parts: str) -> dict[str, str]:
+    """Return the header that lists the parts of a prompt, the request's own one last."""
+    return {"x-prompt-prefix": ",".join(f"{part}:100" for part in parts)}
+
+
 def take_up_headers(first_request: str, last_event: int) -> dict[str, str]:
     """Return the headers by which a caller takes a stream up.
 
@@ -77,12 +82,21 @@
     return {"x-request-id": request}
 
 
-def encode_job(prefix: str, items: dict[str, bytes], tokens: int = 100) -> bytes:
-    """Encode a job; ``items`` maps ids, which are appended to the path prefix, to bodies."""
+def encode_job(
+    prefix: str,
+    items: dict[str, bytes],
+    tokens: int = 100,
+    headers: dict[str, str] | None = None,
+) -> bytes:
+    """Encode a job; ``items`` maps ids, which are appended to the path prefix, to bodies.
+
+    :param headers: of each item.
+    """
     listed = [
         {
             "id": name,
             "path": f"{prefix}{name}",
+            "headers": headers or {},
             "body": base64.b64encode(body).decode(),
             "tokens": tokens,
         }
--- a/src/cornelgrade/platform/standins/stream_engine.py
+++ b/src/cornelgrade/platform/standins/stream_engine.py
@@ -33,6 +33,7 @@
     :param foreign: respond with the response to another request.
     :param unsigned: omit the signature of responses.
     :param crash_on: crash under each request whose body contains this.
+    :param crash_on_part: crash also under each request with this part in its prompt.
     :param crash_after: number of events sent before such a crash; ``None`` for not even a head.
     :param down_s: how long the engine is down after such a crash.
     :param dark: such a crash closes no connection; the engine only falls silent.
@@ -50,6 +51,7 @@
     foreign: bool = False
     unsigned: bool = False
     crash_on: bytes = b""
+    crash_on_part: str = ""
     crash_after: int | None = None
     down_s: float = 0.5
     dark: bool = False
@@ -145,7 +147,9 @@
 
     def _crash_if_due(self, seen: ReceivedRequest, sent_events: int | None) -> None:
         faults = self.faults
-        if faults.crash_on and faults.crash_on in seen.body and faults.crash_after == sent_events:
+        crashing = bool(faults.crash_on) and faults.crash_on in seen.body
+        crashing = crashing or faults.crash_on_part in list_prompt_parts(seen)
+        if crashing and faults.crash_after == sent_events:
             crash = self._go_dark if faults.dark else self.crash
             crash(faults.down_s)
             self.on_crash(faults.down_s)
@@ -237,6 +241,12 @@
             await trio.sleep_forever()
 
 
+def list_prompt_parts(seen: ReceivedRequest) -> tuple[str, ...]:
+    """Return the parts of a request's prompt without the last one, which is its own."""
+    listed = seen.headers.get("x-prompt-prefix", "").split(",")
+    return tuple(part.partition(":")[0] for part in listed[:-1])
+
+
 def encode_event(request: str, number: int, version: str = "") -> bytes:
     """Encode one event of the response to a request, with a comment line for the version."""
     comment = f": {version}\n" if version else ""
