Blame what requests share when it crashes upstreams

Cause: the quarantine knew a request by its path and body only.

Change: the evidence is kept for each trait of a request, its text and the parts of its prompt, by the one rule there was: crashes with it in flight against completions. A crash counts against the narrowest suspect of a request, so a repeated text is blamed before its parts and a later part before the one that more requests share. What completes stays clear. Once a part is quarantined, the crashes that it explains no longer count against other traits. Items that share a quarantined part run one at a time.

--- a/src/cornelgrade/policy/quarantine.py
+++ b/src/cornelgrade/policy/quarantine.py
@@ -1,14 +1,25 @@
 """Detection of requests that crash engines.
 
+The evidence on a request is that on its traits: its text, and the parts of its prompt that other
+requests share (:mod:`cornelgrade.policy.request_traits`). One rule judges each trait by the crashes
+with it in flight and the completions of requests that have it; below, "request" stands for any
+trait.
+
 A request in flight on an engine that crashes becomes a suspect and runs alone from then on. A crash
 counts against a request if, over all VMs, it was the only request in flight there or the only
 suspect among them. The next response clears a request that did not cause the crash, whereas the one
 that did is in flight at every crash. A request that was in flight at several crashes in a row is
 quarantined even if no crash counts against it, because suspects of several VMs may have met.
 
+Of the traits of one request, a crash counts against the narrowest suspect only: its text, else the
+part with the most crashes, else the later part. So a part is blamed if requests of different texts
+crash engines, and what they share with requests that complete stays clear. Crashes that a
+quarantined part explains no longer count against other traits.
+
 Callers may send the same text, so that their requests can't be told apart. If several of them were
 in flight at a crash beside other requests, the crash says little about the text: with many callers,
-it is in flight at most upstreams, whichever request crashes them.
+it is in flight at most upstreams, whichever request crashes them. The same goes for a part of
+several requests.
 
 A completion clears a request of all crashes before it. A request that completed recently becomes a
 suspect only if a later crash is attributed to it or it was in flight at several later crashes; for
@@ -18,10 +29,14 @@
 
 import dataclasses
 import enum
+from collections.abc import Container, Mapping
 
-from cornelgrade.policy import crash_sightings
+from cornelgrade.policy import crash_sightings, request_traits
 
 MAX_CRASHES = 2
+# The same for a part of prompts, with which many requests are refused. Operators allow it five
+# crashes.
+MAX_PART_CRASHES = 3
 # Crashes with a request in flight, counted or not. Operators allow a request three crashes and
 # three retries after them.
 MAX_CRASHES_SEEN = 6
@@ -87,7 +102,8 @@
     :param others: other requests in flight there, from all VMs.
     :param other_suspects: suspects among the others.
     :param unstable: the upstream had crashed without this request shortly before.
-    :param shared: the request was in flight there more than once.
+    :param shared: the request was in flight there more than once; or it is a part, and a narrower
+        suspect part was in flight with it.
     :param started_ms: Unix time of the upstream's start in milliseconds; 0 if unknown.
     """
 
@@ -160,19 +176,24 @@
     crash: Crash,
     earlier: tuple[Crash, ...],
     *,
+    others: int | None = None,
     shared: bool = False,
+    narrowest: bool = True,
     completed: bool = False,
     just_completed: bool = False,
 ) -> Entry:
     """Record a crash detected by this VM as evidence on a request that was in flight.
 
+    :param others: other requests in flight from this VM, by default all but one.
+    :param narrowest: whether no narrower trait of the same request is a suspect.
+
     :param earlier: recent crashes of the same upstream, including those reported by peers.
     :param shared: whether the request was in flight more than once from this VM.
     :param completed: as in :func:`classify_request`.
     :param just_completed: as in :func:`classify_request`.
     """
     status = classify_request(entry, crash.at_s, completed=completed, just_completed=just_completed)
-    was_suspect = status is not RequestStatus.CLEAR
+    was_suspect = narrowest and status is not RequestStatus.CLEAR
     entry = entry or Entry()
     if crash.upstream in entry.reported:
         return entry
@@ -180,7 +201,7 @@
         upstream=crash.upstream,
         at_s=crash.at_s,
         was_suspect=was_suspect,
-        others=crash.in_flight - 1,
+        others=crash.in_flight - 1 if others is None else others,
         other_suspects=crash.suspects - was_suspect,
         unstable=_crashed_without_request(entry, crash, earlier),
         shared=shared,
@@ -350,23 +371,58 @@
     return tuple(dataclasses.replace(s, attributed=False) for s in sightings)
 
 
+def pick_suspect(fingerprint: str, entries: Mapping[str, Entry], suspects: Container[str]) -> str:
+    """Return the narrowest suspect among a request's traits, empty if none is a suspect."""
+    if fingerprint in suspects:
+        return str(fingerprint)
+    return pick_suspect_part(fingerprint, entries, suspects)
+
+
+def pick_suspect_part(
+    fingerprint: str, entries: Mapping[str, Entry], suspects: Container[str]
+) -> str:
+    """Return the narrowest suspect among the parts of a request, empty if none is a suspect."""
+    parts = [part for part in request_traits.list_parts(fingerprint) if part in suspects]
+    # Later parts are shared by fewer requests; of several maxima, max() returns the first.
+    return max(reversed(parts), key=lambda part: crashes_seen(entries[part]), default="")
+
+
+def max_crashes(trait: str) -> int:
+    """Return how many attributed crashes quarantine a request or part."""
+    return MAX_PART_CRASHES if request_traits.is_part(trait) else MAX_CRASHES
+
+
 def classify_request(
-    entry: Entry | None, now_s: float, *, completed: bool = False, just_completed: bool = False
+    entry: Entry | None,
+    now_s: float,
+    *,
+    limit: int = MAX_CRASHES,
+    completed: bool = False,
+    just_completed: bool = False,
 ) -> RequestStatus:
     """Return the status of a request.
 
+    :param limit: attributed crashes that quarantine it, see :func:`max_crashes`.
     :param completed: whether the request completed recently, before the crashes of its entry.
     :param just_completed: whether that was moments ago; then no crash is attributed to it.
     """
     if entry is None or entry.expires_at_s <= now_s:
         return RequestStatus.CLEAR
     attributed, seen = 0 if just_completed else crashes(entry), crashes_seen(entry)
-    if attributed < MAX_CRASHES and seen < MAX_CRASHES_SEEN:
+    if attributed < limit and seen < MAX_CRASHES_SEEN:
         unlikely = completed and not attributed and seen <= MAX_CRASHES_AFTER_COMPLETION
         return RequestStatus.CLEAR if unlikely else RequestStatus.SUSPECT
     return RequestStatus.PENDING if decided_at_s(entry) > now_s else RequestStatus.QUARANTINED
 
 
+def is_explained(entry: Entry, by: Entry) -> bool:
+    """Return whether a trait was in flight only at crashes that another trait explains better."""
+    known = _all_sightings(by)
+    return crashes(entry) < crashes(by) and all(
+        any(sighting.is_same_crash(other) for other in known) for sighting in _all_sightings(entry)
+    )
+
+
 def decided_at_s(entry: Entry) -> float:
     """Return the time by which peers' reports of the last crash should have arrived."""
     return max((e.at_s + REPORT_WAIT_S for e in entry.evidence), default=0.0)
--- a/src/cornelgrade/policy/request_traits.py
+++ b/src/cornelgrade/policy/request_traits.py
@@ -8,6 +8,8 @@
 
 # Prompts have a few parts; more would only crowd out the evidence on others.
 MAX_PARTS = 32
+# Tells parts from texts in logs, in the store and between processes.
+_PART_PREFIX = "part-"
 _DIGEST_BYTES = 16
 
 
@@ -32,7 +34,7 @@
 
     :param parts: what identifies each part of its prompt that other requests may share.
     """
-    hashed = dict.fromkeys(_hash(b"part\0" + part) for part in parts)
+    hashed = dict.fromkeys(_PART_PREFIX + _hash(part) for part in parts)
     return Fingerprint(_hash(path.encode() + b"\0" + body), tuple(hashed)[:MAX_PARTS])
 
 
@@ -46,5 +48,10 @@
     return (str(fingerprint), *list_parts(fingerprint))
 
 
+def is_part(trait: str) -> bool:
+    """Return whether a trait is a part of prompts rather than a text."""
+    return trait.startswith(_PART_PREFIX)
+
+
 def _hash(data: bytes) -> str:
     return hashlib.blake2b(data, digest_size=_DIGEST_BYTES).hexdigest()
--- a/src/cornelgrade/services/edge/runner.py
+++ b/src/cornelgrade/services/edge/runner.py
@@ -289,7 +289,11 @@
             if started >= free:
                 break
             job = self._jobs[entry.job]
-            if self._would_join_suspect(job.fingerprints[entry.index], up):
+            fingerprint = job.fingerprints[entry.index]
+            if not self._quarantine.item_may_run(fingerprint):
+                # Another item that shares a quarantined part has just started.
+                continue
+            if self._would_join_suspect(fingerprint, up):
                 continue
             if not job.may_run_at(entry.index, up, available, now_s):
                 continue
@@ -366,8 +370,7 @@
         run = open_job.ItemRun(up.name, trio.current_time(), trio.CancelScope())
         job.partial_for_run(index, up)
         job.runs[index] = run
-        # A crash that is reported after this counts as another one.
-        self._quarantine.verdict(job.fingerprints[index])
+        self._quarantine.start_item(job.fingerprints[index])
         self._nursery.start_soon(self._run_item, job, index, up, run)
 
     # Items
--- a/src/cornelgrade/services/ports.py
+++ b/src/cornelgrade/services/ports.py
@@ -462,5 +462,8 @@
     def report_completion(self, fingerprint: str) -> None:
         """Report that a request completed."""
 
+    def start_item(self, fingerprint: str) -> None:
+        """Record that a batch item starts to run: a crash reported after it is a new one."""
+
     def item_may_run(self, fingerprint: str) -> bool:
         """Return whether a batch item may run now: a quarantined one does so ever more rarely."""
--- a/src/cornelgrade/services/quarantine.py
+++ b/src/cornelgrade/services/quarantine.py
@@ -7,7 +7,7 @@
 import collections
 import dataclasses
 import secrets
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import TypeVar
 
 import trio
@@ -34,12 +34,14 @@
 _NOT_RESENT = frozenset((RESTORED_SOURCE, STORED_SOURCE))
 T = TypeVar("T")
 
-_VERDICTS = {
-    quarantine.RequestStatus.CLEAR: ports.Verdict.CLEAR,
-    quarantine.RequestStatus.SUSPECT: ports.Verdict.ALONE,
-    quarantine.RequestStatus.PENDING: ports.Verdict.ALONE,
-    quarantine.RequestStatus.QUARANTINED: ports.Verdict.CONDEMNED,
-}
+_CLEAR = ports.Verdict.CLEAR
+# The first status that one of a request's traits has decides.
+_VERDICTS = (
+    (quarantine.RequestStatus.QUARANTINED, ports.Verdict.CONDEMNED),
+    (quarantine.RequestStatus.PENDING, ports.Verdict.ALONE),
+    (quarantine.RequestStatus.SUSPECT, ports.Verdict.ALONE),
+    (quarantine.RequestStatus.CLEAR, _CLEAR),
+)
 _HELD = (quarantine.RequestStatus.PENDING, quarantine.RequestStatus.QUARANTINED)
 # How long after its last crash an entry is sent again, by status. A quarantined one should outlast
 # a short partition; a suspect matters only while its caller may repeat it.
@@ -159,7 +161,7 @@
     def _list_reports(
         self, fingerprint: str, entry: quarantine.Entry, now_s: float
     ) -> list[ports.Quarantined]:
-        status = quarantine.classify_request(entry, now_s)
+        status = self._classify(fingerprint, now_s)
         if now_s - entry.last_crash_s > _RESEND_S.get(status, 0.0):
             return []
         own = [self._make_report(fingerprint, entry, now_s)] if entry.evidence else []
@@ -181,33 +183,55 @@
 
     def is_suspect(self, fingerprint: str) -> bool:
         """Return whether a request may have crashed an engine."""
-        return self._is_suspect(fingerprint, trio.current_time())
+        now_s = trio.current_time()
+        return any(self._is_suspect(t, now_s) for t in request_traits.list_traits(fingerprint))
 
     def item_may_run(self, fingerprint: str) -> bool:
         """Return whether a batch item may run now: a quarantined one does so ever more rarely."""
-        entry = self._entries.get(fingerprint)
         now_s = trio.current_time()
-        status = self._classify(fingerprint, now_s)
-        if entry is None or status not in _HELD:
-            return True
-        return now_s >= quarantine.probation_ends_at_s(entry)
+        return all(
+            self._classify(trait, now_s) not in _HELD
+            or now_s >= quarantine.probation_ends_at_s(entry)
+            for trait, entry in self._find_entries(fingerprint)
+        )
+
+    def start_item(self, fingerprint: str) -> None:
+        """Record that a batch item starts to run, which begins another pause if it is quarantined.
+
+        So the items that share a quarantined part run one at a time.
+        """
+        now_s = trio.current_time()
+        for trait, entry in self._find_entries(fingerprint):
+            held = self._classify(trait, now_s) in _HELD
+            started = dataclasses.replace(entry, last_crash_s=now_s) if held else entry
+            self._store_entry(trait, quarantine.clear_reported(started))
 
     def verdict(self, fingerprint: str) -> ports.Verdict:
         """Return how a request may run, and record that it is allowed to run."""
-        entry = self._entries.get(fingerprint)
-        standing = self._classify(fingerprint, trio.current_time())
-        if entry is not None:
-            self._store_entry(fingerprint, quarantine.clear_reported(entry))
-        return _VERDICTS[standing]
+        now_s = trio.current_time()
+        entries = self._find_entries(fingerprint)
+        statuses = {self._classify(trait, now_s) for trait, _ in entries}
+        for trait, entry in entries:
+            self._store_entry(trait, quarantine.clear_reported(entry))
+        return next((verdict for status, verdict in _VERDICTS if status in statuses), _CLEAR)
 
     async def wait_verdict(self, fingerprint: str) -> ports.Verdict:
         """Return how a request may run, after waiting for peers' reports if they decide."""
         while True:
-            entry = self._entries.get(fingerprint)
-            standing = self._classify(fingerprint, trio.current_time())
-            if entry is None or standing is not quarantine.RequestStatus.PENDING:
+            now_s = trio.current_time()
+            pending = [
+                entry
+                for trait, entry in self._find_entries(fingerprint)
+                if self._classify(trait, now_s) is quarantine.RequestStatus.PENDING
+            ]
+            if not pending:
                 return self.verdict(fingerprint)
-            await trio.sleep_until(quarantine.decided_at_s(entry))
+            await trio.sleep_until(max(map(quarantine.decided_at_s, pending)))
+
+    def _find_entries(self, fingerprint: str) -> list[tuple[str, quarantine.Entry]]:
+        """Return the traits of a request on which there is evidence."""
+        traits = request_traits.list_traits(fingerprint)
+        return [(trait, self._entries[trait]) for trait in traits if trait in self._entries]
 
     def report_crash(self, upstream: str, in_flight: tuple[str, ...], started_ms: int = 0) -> None:
         """Record an engine's crash and attribute it to the requests in flight there.
@@ -218,8 +242,10 @@
         now_s = trio.current_time()
         copies = collections.Counter(in_flight)
         fingerprints = tuple(copies)
-        suspects = tuple(f for f in fingerprints if self._is_suspect(f, now_s))
-        sole = suspects if len(suspects) == 1 else fingerprints
+        suspected = self._list_suspects(fingerprints, now_s)
+        suspects = _pick(quarantine.pick_suspect, fingerprints, self._entries, suspected)
+        leading = _pick(quarantine.pick_suspect_part, fingerprints, self._entries, suspected)
+        sole = suspects if len(suspects) == 1 else tuple(map(str, fingerprints))
         crash = quarantine.Crash(
             upstream=upstream,
             at_s=now_s,
@@ -230,10 +256,22 @@
             started_ms=started_ms,
         )
         earlier = tuple(c for c in self._crashes if c.upstream == upstream)
+        parts = collections.Counter(p for f in fingerprints for p in request_traits.list_parts(f))
+        # Suspects first: they are the ones to announce if there are many.
+        traits = dict.fromkeys((*suspects, *map(str, fingerprints), *parts))
         attributed = [
-            f
-            for f in fingerprints
-            if self._attribute_crash(f, crash, earlier, shared=copies[f] > 1)
+            trait
+            for trait in traits
+            if self._attribute_crash(
+                trait,
+                crash,
+                earlier,
+                # The text of a request with a part may have caused the crash as well as the part.
+                others=len(fingerprints) - (parts[trait] - 1 if trait in parts else 1),
+                shared=max(copies[trait], parts[trait]) > 1
+                or (trait in parts and bool(leading) and trait not in leading),
+                narrowest=trait in suspects or trait not in parts,
+            )
         ]
         if not attributed:
             return
@@ -244,7 +282,7 @@
             in_flight=len(fingerprints),
             suspects=len(suspects),
             fingerprints=",".join(attributed[:MAX_ANNOUNCED_PER_CRASH]),
-            parts=",".join(_list_parts(fingerprints)[:MAX_ANNOUNCED_PER_CRASH]),
+            parts=",".join(list(parts)[:MAX_ANNOUNCED_PER_CRASH]),
         )
         self._send_crash(crash)
         for fingerprint in attributed[:MAX_ANNOUNCED_PER_CRASH]:
@@ -253,17 +291,33 @@
         if self._nursery is not None:
             self._nursery.start_soon(self._announce, tuple(attributed[:MAX_ANNOUNCED_PER_CRASH]))
 
+    def _list_suspects(self, fingerprints: tuple[str, ...], now_s: float) -> set[str]:
+        """Return the traits of requests that are suspects."""
+        traits = {t for f in fingerprints for t in request_traits.list_traits(f)}
+        return {trait for trait in traits if self._is_suspect(trait, now_s)}
+
     def report_completion(self, fingerprint: str) -> None:
-        """Record that a request completed, which clears it in all processes."""
+        """Record that a request completed, which clears its traits in all processes."""
+        for trait in request_traits.list_traits(fingerprint):
+            self._clear_trait(trait)
+
+    def _clear_trait(self, fingerprint: str) -> None:
         self._record_completed(fingerprint)
-        entry = self._entries.pop(fingerprint, None)
+        entry = self._entries.get(fingerprint)
         if entry is None:
             return
         if self._crash_reports is not None:
             self._crash_reports.publish(ports.Quarantined(fingerprint, 0, 0.0, self._source))
+        self._drop_entry(fingerprint, entry)
+
+    def _drop_entry(self, fingerprint: str, entry: quarantine.Entry) -> None:
+        """Drop the evidence on a trait, also what is stored of it."""
+        del self._entries[fingerprint]
         if quarantine.sightings_to_keep(entry, trio.current_time()):
             self._suspect_records.deliver(ports.SuspectRecord(fingerprint, 0.0))
-        status = quarantine.classify_request(entry, trio.current_time())
+        status = quarantine.classify_request(
+            entry, trio.current_time(), limit=quarantine.max_crashes(fingerprint)
+        )
         if status is quarantine.RequestStatus.QUARANTINED:
             self._log.warning("request_released", fingerprint=fingerprint)
             self._decisions.deliver(ports.QuarantineDecision(fingerprint, 0.0))
@@ -287,6 +341,7 @@
         return quarantine.classify_request(
             self._entries.get(fingerprint),
             now_s,
+            limit=quarantine.max_crashes(fingerprint),
             completed=self._has_completed(fingerprint, now_s),
             just_completed=self._has_completed(fingerprint, now_s, JUST_COMPLETED_S),
         )
@@ -297,7 +352,9 @@
         crash: quarantine.Crash,
         earlier: tuple[quarantine.Crash, ...],
         *,
+        others: int,
         shared: bool,
+        narrowest: bool,
     ) -> bool:
         """Attribute a crash to a request; return ``False`` if it was already recorded."""
         entry = self._entries.get(fingerprint)
@@ -308,7 +365,9 @@
             fingerprint,
             crash,
             earlier,
+            others=others,
             shared=shared,
+            narrowest=narrowest,
             completed=self._has_completed(fingerprint, crash.at_s),
             just_completed=self._has_completed(fingerprint, crash.at_s, JUST_COMPLETED_S),
         )
@@ -343,6 +402,9 @@
         now_s = trio.current_time()
         entry = self._entries.get(fingerprint)
         sightings = quarantine.sightings_to_keep(entry, now_s) if entry is not None else ()
+        if request_traits.is_part(fingerprint) and not self._is_suspect(fingerprint, now_s):
+            # A popular part is in flight at many crashes and completes again soon.
+            return
         if entry is not None and sightings:
             kept = _encode_sightings(sightings, now_s)
             record = ports.SuspectRecord(fingerprint, entry.expires_at_s - now_s, kept)
@@ -364,6 +426,16 @@
             seen=quarantine.crashes_seen(entry),
         )
         self._decisions.deliver(ports.QuarantineDecision(fingerprint, quarantine.QUARANTINE_S))
+        self._drop_explained(fingerprint)
+
+    def _drop_explained(self, fingerprint: str) -> None:
+        """Drop the evidence of crashes that a quarantined part explains."""
+        if not request_traits.is_part(fingerprint):
+            return
+        cause = self._entries[fingerprint]
+        for trait, entry in tuple(self._entries.items()):
+            if trait != fingerprint and quarantine.is_explained(entry, cause):
+                self._drop_entry(trait, entry)
 
     def _publish_entry(self, fingerprint: str) -> None:
         now_s = trio.current_time()
@@ -407,9 +479,11 @@
         )
         updated = quarantine.merge_peer_count(entry, received, expires_at_s, now_s)
         self._store_entry(message.fingerprint, updated)
-        before = quarantine.classify_request(entry, now_s)
-        status = quarantine.classify_request(updated, now_s)
+        limit = quarantine.max_crashes(message.fingerprint)
+        before = quarantine.classify_request(entry, now_s, limit=limit)
+        status = quarantine.classify_request(updated, now_s, limit=limit)
         if status is not before and status is quarantine.RequestStatus.QUARANTINED:
+            self._drop_explained(message.fingerprint)
             self._log.warning(
                 "request_quarantined_by_peers",
                 fingerprint=message.fingerprint,
@@ -439,10 +513,15 @@
                 self._entries[fingerprint] = quarantine.add_peer_crash(entry, fingerprint, crash)
 
 
-def _list_parts(fingerprints: tuple[str, ...]) -> tuple[str, ...]:
-    """Return the prompt parts of requests, each once."""
-    parts = (part for f in fingerprints for part in request_traits.list_parts(f))
-    return tuple(dict.fromkeys(parts))
+def _pick(
+    pick: Callable[[str, Mapping[str, quarantine.Entry], set[str]], str],
+    fingerprints: tuple[str, ...],
+    entries: Mapping[str, quarantine.Entry],
+    suspects: set[str],
+) -> tuple[str, ...]:
+    """Return what a rule picks from each request, each trait once."""
+    picked = (pick(fingerprint, entries, suspects) for fingerprint in fingerprints)
+    return tuple(dict.fromkeys(filter(None, picked)))
 
 
 def _encode_sightings(
