Run a quarantined batch item again after a constant pause

Callers saw: an item under which several upstreams had crashed was not placed again although all was calm and upstreams had room.

Cause: the pause of a quarantined item doubled with each further crash, up to 256 times 8 s, so that an item in flight at many crashes by chance waited for minutes. Items have no final error before their time to live ends, so each is owed.

Change: the pause is 8 s, whatever the number of crashes.

--- a/src/cornelgrade/policy/quarantine.py
+++ b/src/cornelgrade/policy/quarantine.py
@@ -44,10 +44,8 @@
 MAX_CRASHES_AFTER_COMPLETION = 3
 # Crashes with several copies of a request in flight beside others that weigh as much as one.
 SHARED_CRASHES_AS_ONE = 4
-# First pause before a quarantined batch item runs again; it doubles with each further crash.
-# Engines are back some seconds after a crash.
+# Pause before a quarantined batch item runs again. Engines are back some seconds after a crash.
 PROBATION_S = 8.0
-MAX_PROBATION_DOUBLINGS = 8
 MAX_EVIDENCE = MAX_CRASHES_SEEN * SHARED_CRASHES_AS_ONE
 MAX_PEER_COUNTS = 8
 # Sightings in a report, so that it fits into a datagram beside others.
@@ -431,7 +429,7 @@
 def probation_ends_at_s(entry: Entry) -> float:
     """Return when a quarantined batch item may run once more.
 
-    An item has no final error before its time to live ends, so it is retried ever more rarely.
+    An item has no final error before its time to live ends. The pause doesn't grow with the number
+    of crashes: an item in flight at many crashes by chance is as much owed as any other.
     """
-    further = max(crashes(entry) - MAX_CRASHES, crashes_seen(entry) - MAX_CRASHES_SEEN, 0)
-    return entry.last_crash_s + PROBATION_S * 2.0 ** min(further, MAX_PROBATION_DOUBLINGS)
+    return entry.last_crash_s + PROBATION_S
--- a/src/cornelgrade/services/ports.py
+++ b/src/cornelgrade/services/ports.py
@@ -466,4 +466,4 @@
         """Record that a batch item starts to run: a crash reported after it is a new one."""
 
     def item_may_run(self, fingerprint: str) -> bool:
-        """Return whether a batch item may run now: a quarantined one does so ever more rarely."""
+        """Return whether a batch item may run now: a quarantined one does so only now and then."""
--- a/src/cornelgrade/services/quarantine.py
+++ b/src/cornelgrade/services/quarantine.py
@@ -187,7 +187,7 @@
         return any(self._is_suspect(t, now_s) for t in request_traits.list_traits(fingerprint))
 
     def item_may_run(self, fingerprint: str) -> bool:
-        """Return whether a batch item may run now: a quarantined one does so ever more rarely."""
+        """Return whether a batch item may run now: a quarantined one does so only now and then."""
         now_s = trio.current_time()
         return all(
             self._classify(trait, now_s) not in _HELD
