Play unframed answers and crashing parts in the soak

Engines answer for a while with neither a length nor chunks, whole or cut off inside an event, before the first one or by a reset; whole ones excuse nothing. All online requests share a first part.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -7,7 +7,8 @@
 Options:
   --seeds=S    Seeds, as 1,2,5 or 1-50 [default: 1].
   --seconds=T  How long faults are injected [default: 20].
-  --crashing   Callers also repeat a request that crashes each engine that runs it.
+  --crashing   Callers also send requests that crash each engine that runs them: one text again and
+               again, and different texts with one part in their prompts.
   --keep=DIR   Where logs of seeds with problems stay; a temporary folder if not given.
   --jobs=J     Jobs [default: 14].
   --items=I    Items of each job [default: 800].
--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -167,7 +167,11 @@
     async def _ask(self, client: httpx.AsyncClient, req: Request) -> bool:
         """Send one request; ``False`` if its connection can't be used any more."""
         self.requests.append(req)
-        headers = {"host": edge_system.HOST, **formats.online_headers(req.id, PATIENCE_S)}
+        headers = {
+            "host": edge_system.HOST,
+            **formats.online_headers(req.id, PATIENCE_S),
+            **formats.prompt_headers(world.FIRST_PART, req.id),
+        }
         if req.first:
             headers |= formats.take_up_headers(req.first, req.after)
         try:
@@ -192,6 +196,19 @@
             await trio.sleep(CULPRIT_PAUSE_S)
             number += 1
 
+    async def send_culprit_parts(self) -> None:
+        """Send requests that share a part which crashes engines, no two alike."""
+        number = 0
+        path = self.rng.choice((world.ONCE, world.RESUMED))
+        while self.more:
+            request = f"part-{number}"
+            headers = formats.online_headers(request, PATIENCE_S) | formats.prompt_headers(
+                world.FIRST_PART, world.CULPRIT_PART, request
+            )
+            await self._call("POST", path, headers, request.encode())
+            await trio.sleep(CULPRIT_PAUSE_S)
+            number += 1
+
     async def _call(
         self, method: str, target: str, headers: dict[str, str], content: bytes = b""
     ) -> httpx.Response | None:
--- a/bench/soak/edge.py
+++ b/bench/soak/edge.py
@@ -33,7 +33,7 @@
 ) -> Report:
     """Run one seed; logs of the processes go to ``folder``.
 
-    :param crashing: whether callers also repeat a request that crashes engines.
+    :param crashing: whether callers also send requests that crash engines, by text and by part.
     """
     async with world.running(folder, GATEWAYS, WORKERS, ENGINES, crashing=crashing) as system:
         injected = faults.Faults(system, f"faults {seed}")
@@ -43,6 +43,7 @@
             nursery.start_soon(seen.run)
             if crashing:
                 nursery.start_soon(seen.repeat_culprit)
+                nursery.start_soon(seen.send_culprit_parts)
             await injected.run(seconds)
             seen.more = False
             with trio.move_on_after(FINISH_S):
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -18,6 +18,7 @@
 GAP_S = 0.7
 LATER_GAP_S = 4.0
 VERSIONS_GAP_S = 5.0
+UNFRAMED_GAP_S = 2.0
 SERIES_SHARE = 0.25
 SERIES = 3
 SERIES_GAP_S = 0.4
@@ -38,6 +39,13 @@
     stream_engine.Faults(silent_after=4),
     stream_engine.Faults(foreign=True),
 )
+# Of responses with neither a length nor chunks: whole ones, and those that are broken off.
+_UNFRAMED_FAULTS = (
+    stream_engine.Faults(unframed=True),
+    stream_engine.Faults(unframed=True, end_after=4),
+    stream_engine.Faults(unframed=True, end_before_events=True),
+    stream_engine.Faults(unframed=True, cut_after=4),
+)
 _PATH_FAULTS = (
     fault_proxy.Switches(cut=True, refuse=True),
     fault_proxy.Switches(cut=True),
@@ -69,6 +77,7 @@
     # Drawn apart, so that the seeds of earlier findings still give the faults that they gave.
     drawn += _draw(f"{seed} later", seconds, LATER_GAP_S, _LATER_ACTS)
     drawn += _draw(f"{seed} versions", seconds, VERSIONS_GAP_S, _VERSION_ACTS)
+    drawn += _draw(f"{seed} unframed", seconds, UNFRAMED_GAP_S, _UNFRAMED_ACTS)
     return sorted(drawn, key=lambda plan: plan.at_s)
 
 
@@ -107,7 +116,7 @@
         one = Injection(self.system, random.Random(plan.seed))
         for _ in range(plan.times):
             self.done[plan.name] += 1
-            await (_ACTS | _LATER_ACTS | _VERSION_ACTS)[plan.name](one)
+            await _ALL_ACTS[plan.name](one)
             await trio.sleep(SERIES_GAP_S)
 
 
@@ -260,12 +269,35 @@
     if (engine := faults.free_engine()) is None:
         return
     with faults.on_engine(engine, "misbehaves"):
-        usual = faults.system.engine_faults
-        engine.stand_in.faults = msgspec.structs.replace(
-            faults.rng.choice(_ENGINE_FAULTS), crash_on=usual.crash_on, down_s=usual.down_s
-        )
-        await trio.sleep(faults.between(ENGINE_FAULT_S))
-        engine.stand_in.faults = faults.system.engine_faults
+        await _misbehave(faults, engine, faults.rng.choice(_ENGINE_FAULTS))
+
+
+async def _misbehave(faults: Injection, engine: world.Engine, chosen: stream_engine.Faults) -> None:
+    usual = faults.system.engine_faults
+    engine.stand_in.faults = msgspec.structs.replace(
+        chosen,
+        crash_on=usual.crash_on,
+        crash_on_part=usual.crash_on_part,
+        down_s=usual.down_s,
+    )
+    await trio.sleep(faults.between(ENGINE_FAULT_S))
+    engine.stand_in.faults = usual
+
+
+async def _engine_unframed(faults: Injection) -> None:
+    """Let an engine answer without framing; whole answers are no excuse for a failure."""
+    if (engine := faults.free_engine()) is None:
+        return
+    chosen = faults.rng.choice(_UNFRAMED_FAULTS)
+    engine.held = True
+    try:
+        if chosen == _UNFRAMED_FAULTS[0]:
+            await _misbehave(faults, engine, chosen)
+            return
+        with faults.system.window(engine.stand_in.name, "unframed"):
+            await _misbehave(faults, engine, chosen)
+    finally:
+        engine.held = False
 
 
 async def _engine_crash(faults: Injection) -> None:
@@ -346,3 +378,5 @@
     "engine_says_leaving": _engine_says_leaving,
 }
 _VERSION_ACTS: dict[str, Act] = {"engine_upgraded": _engine_upgraded}
+_UNFRAMED_ACTS: dict[str, Act] = {"engine_unframed": _engine_unframed}
+_ALL_ACTS = _ACTS | _LATER_ACTS | _VERSION_ACTS | _UNFRAMED_ACTS
--- a/bench/soak/judge.py
+++ b/bench/soak/judge.py
@@ -21,6 +21,7 @@
 # How long news of a crash may take, and the runs of a request that crashes engines after that.
 SPREAD_S = 3.0
 CULPRIT_CRASHES = 3
+PART_CRASHES = 5
 MAX_LATE_RUNS = 3
 _REFUSED = frozenset((429, 503))
 _ATTEMPTS = {world.ONCE: 1, world.RESUMED: world.MAX_ATTEMPTS}
@@ -51,7 +52,7 @@
             self._says_leaving(engine)
         self._versions()
         self._plans()
-        self._culprit()
+        self._culprits()
         self._logs()
         return self.problems
 
@@ -192,20 +193,21 @@
         if not self.system.touched(parts, begin_s, look.end_s):
             self.problems.append(f"{look} is not what was in force")
 
-    def _culprit(self) -> None:
-        """Check how often the request that crashes engines was sent after its third crash."""
-        begun_s = sorted(
-            attempt.at_s
-            for engine in self.system.engines.values()
-            for attempt in engine.stand_in.seen
-            if attempt.body == world.CULPRIT and attempt.ran
-        )
-        if len(begun_s) < CULPRIT_CRASHES:
+    def _culprits(self) -> None:
+        """Check how often requests that crash engines, by text or by part, ran once known."""
+        seen = [a for engine in self.system.engines.values() for a in engine.stand_in.seen if a.ran]
+        texts = [a.at_s for a in seen if a.body == world.CULPRIT]
+        parts = [a.at_s for a in seen if world.CULPRIT_PART in stream_engine.list_prompt_parts(a)]
+        self._late_runs("the crashing request", sorted(texts), CULPRIT_CRASHES)
+        self._late_runs("requests with the crashing part", sorted(parts), PART_CRASHES)
+
+    def _late_runs(self, what: str, begun_s: list[float], crashes: int) -> None:
+        if len(begun_s) < crashes:
             return
-        settled_s = begun_s[CULPRIT_CRASHES - 1] + SPREAD_S
+        settled_s = begun_s[crashes - 1] + SPREAD_S
         late = [round(at_s - settled_s, 1) for at_s in begun_s if at_s > settled_s]
         if len(late) > MAX_LATE_RUNS:
-            self.problems.append(f"the crashing request ran {late} s after it was known")
+            self.problems.append(f"{what} ran {late} s after it was known")
 
     def _logs(self) -> None:
         for daemon in self.system.daemons.values():
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -52,6 +52,8 @@
 # Body of the request that crashes engines, and how long each is down then.
 CULPRIT = b"crashes the engine"
 CULPRIT_DOWN_S = 1.0
+# Parts of prompts: the first one of all requests, and one that crashes engines.
+FIRST_PART, CULPRIT_PART = "f125", "bad0"
 MAX_ATTEMPTS = 2
 ITEM_ATTEMPTS = 5
 
@@ -181,7 +183,7 @@
 class World:
     """Everything that runs; made by :func:`running`.
 
-    :param crashing: whether :data:`CULPRIT` crashes engines.
+    :param crashing: whether :data:`CULPRIT` and :data:`CULPRIT_PART` crash engines.
     :ivar plans: when each version of the plan was written, by version.
     :ivar engine_faults: the faults of an engine on which no other fault is at work.
     """
@@ -191,7 +193,9 @@
     ) -> None:
         self.nursery = nursery
         self.engine_faults = stream_engine.Faults(
-            crash_on=CULPRIT if crashing else b"", down_s=CULPRIT_DOWN_S
+            crash_on=CULPRIT if crashing else b"",
+            crash_on_part=CULPRIT_PART if crashing else "",
+            down_s=CULPRIT_DOWN_S,
         )
         self.folder = folder
         switches = edge_system.UNLIMITED
