Record a keyed request by a plain string

Since fingerprints carry prompt parts they are a type of their own, which msgpack doesn't encode: the first keyed request on the product's own interface ended the gateway.

--- a/src/cornelgrade/services/keyed_requests.py
+++ b/src/cornelgrade/services/keyed_requests.py
@@ -54,7 +54,8 @@
         team=req.team,
         key=req.key,
         request_id=req.request_id,
-        digest=req.fingerprint,
+        # The record stores a plain string.
+        digest=str(req.fingerprint),
         idempotent=req.idempotent,
         wait_s=max(0.0, req.deadline_s - trio.current_time()),
     )
