Explain a request that was refused for a part of its prompt

A refused request logs request_refused with the parts of its prompt, by which cornelgrade explain finds the crashes of other requests with them and the decision. Before, nothing in its lines named the part.

--- a/src/cornelgrade/log_explain.py
+++ b/src/cornelgrade/log_explain.py
@@ -11,6 +11,8 @@
 _PAIR = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S*)')
 _ESCAPE = re.compile(r"\\(.)")
 _SUBJECT_KEYS = ("request", "item", "job")
+# By which the quarantine identifies requests and what they share.
+_TRAIT_KEYS = ("fingerprint", "fingerprints", "parts")
 # Events about the state of the logging process, and about its view of an upstream.
 _PROCESS_EVENTS = frozenset(
     (
@@ -105,13 +107,13 @@
     nearby = [e for e in entries if begin_s <= e.at_s <= end_s and e not in own]
     vms = {e.vm for e in own}
     upstreams = {e.pairs["upstream"] for e in own if e.pairs.get("upstream")}
-    fingerprints = {e.pairs["fingerprint"] for e in own if e.pairs.get("fingerprint")}
+    traits = {trait for e in own for trait in _list_traits(e)}
     before = [e for e in entries if e.at_s <= end_s and e not in own]
     taken_up = _find_taken_up(before, own)
     around = [
         e
         for e in before
-        if _names_fingerprint(e, fingerprints)
+        if not traits.isdisjoint(_list_traits(e))
         or e.pairs.get("request") in taken_up
         or (e.at_s >= begin_s and e.vm in vms and _is_relevant(e, upstreams))
     ]
@@ -124,10 +126,9 @@
     return Explanation(tuple(own), tuple(around), elsewhere, cause)
 
 
-def _names_fingerprint(entry: Entry, fingerprints: set[str]) -> bool:
-    """Whether a line is about a request that the quarantine takes for the same one."""
-    named = {entry.pairs.get("fingerprint", ""), *entry.pairs.get("fingerprints", "").split(",")}
-    return not fingerprints.isdisjoint(named)
+def _list_traits(entry: Entry) -> set[str]:
+    """Return the texts and parts of prompts that a line names."""
+    return {trait for key in _TRAIT_KEYS for trait in entry.pairs.get(key, "").split(",")} - {""}
 
 
 def _find_taken_up(entries: list[Entry], own: list[Entry]) -> set[str]:
--- a/src/cornelgrade/services/edge/relay.py
+++ b/src/cornelgrade/services/edge/relay.py
@@ -167,9 +167,15 @@
         """
         verdict = await self._quarantine.wait_verdict(req.fingerprint)
         if verdict is shared_ports.Verdict.CONDEMNED:
+            _log.info(
+                "request_refused",
+                request=req.caller.request_id,
+                fingerprint=req.fingerprint,
+                parts=",".join(request_traits.list_parts(req.fingerprint)),
+            )
             raise errors.Refusal(
                 errors.Code.QUARANTINED,
-                "the request was in flight at crashes of its upstreams",
+                "it, or requests that share a part with it, were in flight at crashes of upstreams",
                 step="quarantine",
             )
         return verdict is shared_ports.Verdict.ALONE
--- a/tests/test_log_explain.py
+++ b/tests/test_log_explain.py
@@ -35,6 +35,17 @@
     assert (len(explanation.own), len(explanation.around), explanation.elsewhere) == (2, 1, 1)
 
 
+# Guards against a refusal whose cause lies in requests of other texts.
+def test_request_refused_for_a_shared_part_shows_the_crashes_of_requests_with_it():
+    crashed = line(1, "g2", event="upstream_crashed", fingerprints="aa", parts="part-1,part-2")
+    decision = line(2, "g3", event="request_quarantined", fingerprint="part-2")
+    other = line(2, "g3", event="upstream_crashed", fingerprints="bb", parts="part-3")
+    refused = line(20, "g1", event="request_refused", request="r2", parts="part-1,part-2")
+    own = line(20, "g1", event="request", request="r2", fingerprint="cc", outcome="quarantined")
+    found = log_explain.explain_subject([crashed, decision, other, refused, own], "r2")
+    assert [entry.text for entry in found.around] == [crashed, decision]
+
+
 # Guards against an explanation that leaves out earlier attempts, where the cause lies.
 def test_quarantined_request_shows_its_earlier_attempts_and_their_crashes_at_all_vms():
     attempt = line(1, "g2", event="attempt_failed", request="r1", fingerprint="aa", upstream="e1")
