--- a/tests/services/test_quarantine_parts.py
+++ b/tests/services/test_quarantine_parts.py
@@ -152,3 +152,35 @@
     assert _item_call.fingerprint(job_item).parts == online.parts
     assert engine.list_shared_messages(b'{"prompt": "x"}') == ()
     assert engine.list_shared_messages(b"no json") == ()
+
+
+# Guards against shared parts that hide a text which crashes engines, alone or beside a bad part.
+@pytest.mark.parametrize("bad_part", [False, True])
+@pytest.mark.parametrize("seed", range(20))
+async def test_crashing_text_is_stopped_beside_shared_parts(autojump_clock, fleet, seed, bad_part):
+    """One text comes each second and crashes engines, in some cases beside the crashing part."""
+    rng = random.Random(seed)
+    text = make_request("bad", FIRST, b"rare 0")
+    run_at = []
+    for second in range(20):
+        placed = {f"engine-{number}": [] for number in range(6)}
+        requests = [text] if second % 2 else [text, text]
+        requests += [make_request(f"p {second}", FIRST, PART)] if bad_part else []
+        requests += [make_request(f"{second} {n}", FIRST, b"rare %d" % n) for n in range(8)]
+        for request in requests:
+            vm = rng.choice(VMS)
+            if await fleet[vm].wait_verdict(request) is CONDEMNED:
+                continue
+            run_at += [second] if request == text else []
+            placed[rng.choice(sorted(placed))].append((vm, request))
+        for engine_name, running in placed.items():
+            bad = (text, make_request(f"p {second}", FIRST, PART))
+            crashed = any(request in bad for _, request in running)
+            for vm in VMS:
+                requests = tuple(request for at, request in running if at == vm)
+                if crashed and requests:
+                    fleet[vm].report_crash(f"{engine_name} {second}", requests)
+                for request in () if crashed else requests:
+                    fleet[vm].report_completion(request)
+        await trio.sleep(1.0)
+    assert sum(at > run_at[2] + SPREAD_S for at in run_at[3:]) <= MAX_LATE_RUNS
