Log the limits that upstreams name

The header is decoded once in platform/, every path that reads a response records it, and each change of what a VM knows is one line. Nothing acts on it yet.

--- a/src/cornelgrade/edge_daemons.py
+++ b/src/cornelgrade/edge_daemons.py
@@ -27,6 +27,7 @@
     slot_permits,
     store_monitor,
     stream_origins,
+    upstream_limits,
     vm_retirement,
 )
 
@@ -112,6 +113,7 @@
     kern.add(
         quarantine_sync.QuarantineSync(kern, dependencies.store, availability, cfg.vm), _RESTART
     )
+    kern.add(upstream_limits.UpstreamLimits())
     kern.add(crash_detector.CrashDetector(kern, dependencies.calls), _RESTART)
     if cfg.metrics_address is not None:
         kern.add(metrics_page.MetricsPage(cfg.metrics_address), _RESTART)
--- a/src/cornelgrade/platform/calls.py
+++ b/src/cornelgrade/platform/calls.py
@@ -6,7 +6,7 @@
 
 from cornelgrade import logs
 from cornelgrade.adapters import http1
-from cornelgrade.policy import event_stream
+from cornelgrade.policy import event_stream, upstream_limit
 from cornelgrade.services.edge import ports
 
 _REQUEST_ID = b"x-request-id"
@@ -16,6 +16,8 @@
 _NOT_EXECUTED = b"x-not-executed"
 _SERVER_LEAVING = b"server-leaving"
 _LEAVING = b"1"
+# Requests a second that the engine takes from all VMs together.
+_SERVER_LIMIT = b"server-limit"
 _LAST_EVENT_ID = b"last-event-id"
 _RESUMES = b"resumes"
 _PROMPT_PREFIX = b"x-prompt-prefix"
@@ -111,6 +113,11 @@
         """Return whether the engine that responded says that it is leaving."""
         return head.get(_SERVER_LEAVING) == _LEAVING
 
+    def read_limit(self, head: http1.ResponseHead) -> upstream_limit.Reading:
+        """Return what the engine that responded says about its rate limit."""
+        named = (v.decode("latin-1") for k, v in head.headers if k == _SERVER_LIMIT)
+        return upstream_limit.read_limit(tuple(named))
+
     def caller_headers(self, head: http1.ResponseHead) -> http1.Headers:
         """Return the headers of an upstream's response to the caller."""
         return http1.drop_hop_by_hop_headers(head.headers)
--- a/src/cornelgrade/services/edge/crash_detector.py
+++ b/src/cornelgrade/services/edge/crash_detector.py
@@ -15,7 +15,7 @@
 from cornelgrade import kernel, logs, routes
 from cornelgrade.adapters import engine
 from cornelgrade.services import ports as shared_ports
-from cornelgrade.services.edge import fleet, ports, upstream_loads
+from cornelgrade.services.edge import ports, upstream_loads, upstream_notices
 
 # How long a failed request waits for the check before its retry. A crashed process refuses
 # connections at once.
@@ -55,9 +55,9 @@
     name = "crash_detector"
 
     def __init__(self, kern: kernel.Kernel, call_format: ports.CallFormat) -> None:
-        self._fleet = kern.find("fleet", fleet.Fleet)
         self._quarantine = kern.find("quarantine", shared_ports.Quarantine)
         self._call_format = call_format
+        self._notices = upstream_notices.UpstreamNotices(kern, call_format)
         self._in_flight: dict[_Boot, dict[int, str]] = {}
         self._checks: dict[_Boot, _Check] = {}
         self._down: dict[_Boot, None] = {}
@@ -144,9 +144,7 @@
     async def _find_crash(self, up: routes.Upstream) -> str | None:
         """Return the sign of a crash, ``None`` if the upstream still runs."""
         try:
-            load = await upstream_loads.fetch_load(
-                self._call_format, up, self._fleet.record_leaving
-            )
+            load = await upstream_loads.fetch_load(self._call_format, up, self._notices.record)
         except engine.CallError as exc:
             return exc.format_message()
         if load is None or not (load.started_ms and up.started_ms):
--- a/src/cornelgrade/services/edge/item_call.py
+++ b/src/cornelgrade/services/edge/item_call.py
@@ -7,7 +7,7 @@
 from cornelgrade import kernel, routes, settings
 from cornelgrade.adapters import engine, http1
 from cornelgrade.policy import event_stream, software_versions
-from cornelgrade.services.edge import fleet, job_repository, ports
+from cornelgrade.services.edge import job_repository, ports, upstream_notices
 
 CONNECT_TIMEOUT_S = 0.3
 # An upstream with a free slot responds within a fraction of a second.
@@ -55,8 +55,8 @@
         self, kern: kernel.Kernel, cfg: settings.EdgeSettings, call_format: ports.CallFormat
     ) -> None:
         self._max_text_bytes = int(cfg.value_bytes * MAX_TEXT_RATIO)
-        self._fleet = kern.find("fleet", fleet.Fleet)
         self._call_format = call_format
+        self._notices = upstream_notices.UpstreamNotices(kern, call_format)
 
     async def run_item(
         self,
@@ -100,8 +100,7 @@
     ) -> http1.ResponseHead:
         with trio.move_on_after(RESPONSE_TIMEOUT_S):
             head = await channel.read_head()
-            if self._call_format.is_leaving(head):
-                self._fleet.record_leaving(up)
+            self._notices.record(up, head)
             verdict = self._call_format.verdict(head, item.name)
             if verdict is ports.Verdict.NOT_RUN:
                 channel.progress = engine.Progress.NOT_SENT
--- a/src/cornelgrade/services/edge/ports.py
+++ b/src/cornelgrade/services/edge/ports.py
@@ -6,6 +6,7 @@
 
 from cornelgrade import routes
 from cornelgrade.adapters import http1, http1_server
+from cornelgrade.policy import upstream_limit
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -84,6 +85,9 @@
     def is_leaving(self, head: http1.ResponseHead) -> bool:
         """Return whether an upstream says in a response, of any status, that it is leaving."""
 
+    def read_limit(self, head: http1.ResponseHead) -> upstream_limit.Reading:
+        """Return what an upstream says about its rate limit in a response, of any status."""
+
     def caller_headers(self, head: http1.ResponseHead) -> http1.Headers:
         """Return the headers of an upstream's response as sent to the caller."""
 
--- a/src/cornelgrade/services/edge/relay.py
+++ b/src/cornelgrade/services/edge/relay.py
@@ -19,6 +19,7 @@
     ports,
     slot_permits,
     stream_origins,
+    upstream_notices,
 )
 
 # A connection within a region takes a few milliseconds; an upstream that takes this long is down or
@@ -61,6 +62,7 @@
         self._quarantine = kern.find("quarantine", shared_ports.Quarantine)
         self._crash_detector = kern.find("crash_detector", crash_detector.CrashDetector)
         self._call_format = call_format
+        self._notices = upstream_notices.UpstreamNotices(kern, call_format)
         self._request_counter = metrics.counter(
             "cornelgrade_edge_requests_total", "Requests by route and outcome."
         )
@@ -286,8 +288,7 @@
         with trio.move_on_after(self._idle_timeout_s(req, progress, req.route.aim_s)):
             while True:
                 head = await channel.read_head()
-                if self._call_format.is_leaving(head):
-                    self._fleet.record_leaving(up)
+                self._notices.record(up, head)
                 verdict = self._call_format.verdict(head, req.caller.request_id)
                 if verdict is not ports.Verdict.FOREIGN:
                     break
--- a/src/cornelgrade/services/edge/runner.py
+++ b/src/cornelgrade/services/edge/runner.py
@@ -37,6 +37,7 @@
     outcome_writer,
     peers,
     ports,
+    upstream_notices,
     upstream_uses,
 )
 
@@ -104,7 +105,7 @@
             call_format,
             self._count_items_at,
             self._wake.notify_all,
-            self._fleet.record_leaving,
+            upstream_notices.UpstreamNotices(kern, call_format).record,
         )
         self._pace = batch_capacity.Pace()
         self._owned: tuple[registrations.Registration, ...] = ()
--- a/src/cornelgrade/services/edge/slot_permits.py
+++ b/src/cornelgrade/services/edge/slot_permits.py
@@ -18,7 +18,7 @@
 from cornelgrade.adapters import engine
 from cornelgrade.policy import placement, rendezvous, software_versions
 from cornelgrade.schema import messages
-from cornelgrade.services.edge import fleet, peers, ports, upstream_loads
+from cornelgrade.services.edge import fleet, peers, ports, upstream_loads, upstream_notices
 
 # Counts are resent this often because datagrams may be lost.
 USE_BROADCAST_INTERVAL_S = 0.25
@@ -101,6 +101,7 @@
         self._peers = kern.find("peers", peers.Peers)
         self._cfg = cfg
         self._call_format = call_format
+        self._notices = upstream_notices.UpstreamNotices(kern, call_format)
         self._rng = random.Random(cfg.vm)
         self._outstanding: dict[str, int] = {}
         self._isolated: collections.Counter[str] = collections.Counter()
@@ -189,9 +190,7 @@
         while any(reg.upstream == upstream for reg in self._fleet.usable_registrations()):
             await trio.sleep(PROBE_INTERVAL_S)
             try:
-                await upstream_loads.fetch_load(
-                    self._call_format, upstream, self._fleet.record_leaving
-                )
+                await upstream_loads.fetch_load(self._call_format, upstream, self._notices.record)
                 break
             except engine.CallError as exc:
                 _log.debug(
--- a/src/cornelgrade/services/edge/upstream_loads.py
+++ b/src/cornelgrade/services/edge/upstream_loads.py
@@ -16,7 +16,7 @@
 LOAD_TIMEOUT_S = 0.5
 REPORT_TTL_S = 0.8
 MAX_RESPONSE_BYTES = 1_000_000
-LeavingHandler = Callable[[routes.Upstream], None]
+ResponseHandler = Callable[[routes.Upstream, http1.ResponseHead], None]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -35,17 +35,17 @@
     """Keeps the latest report of each upstream.
 
     :param count_items_at: returns the number of batch items that run at an upstream.
-    :param on_leaving: called for an upstream that says that it is leaving.
+    :param on_response: called with the head of each response.
     """
 
     def __init__(
         self,
         call_format: ports.CallFormat,
         count_items_at: Callable[[str], int],
-        on_leaving: LeavingHandler,
+        on_response: ResponseHandler,
     ) -> None:
         self._call_format = call_format
-        self._on_leaving = on_leaving
+        self._on_response = on_response
         self._count_items_at = count_items_at
         self._reports: dict[str, LoadReport] = {}
 
@@ -80,7 +80,7 @@
     ) -> None:
         batch = self._count_items_at(up.name)
         try:
-            load = await fetch_load(self._call_format, up, self._on_leaving)
+            load = await fetch_load(self._call_format, up, self._on_response)
         except engine.CallError as exc:
             on_failure(up, exc)
             return
@@ -91,11 +91,11 @@
 
 
 async def fetch_load(
-    call_format: ports.CallFormat, up: routes.Upstream, on_leaving: LeavingHandler
+    call_format: ports.CallFormat, up: routes.Upstream, on_response: ResponseHandler
 ) -> ports.UpstreamLoad | None:
     """Request an upstream's load; return ``None`` for an unusable response.
 
-    :param on_leaving: called if the upstream says that it is leaving.
+    :param on_response: called with the head of the response.
     :raises CallError: if it does not respond in time.
     """
     with trio.move_on_after(LOAD_TIMEOUT_S):
@@ -103,8 +103,7 @@
             host = ((b"host", up.address.encode()),)
             await channel.send("GET", call_format.load_target, host, b"")
             head = await channel.read_head()
-            if call_format.is_leaving(head):
-                on_leaving(up)
+            on_response(up, head)
             body = await channel.read_body(MAX_RESPONSE_BYTES)
             return call_format.parse_load(body) if head.status == 200 else None
     raise engine.CallError(
--- /dev/null
+++ b/src/cornelgrade/services/edge/upstream_notices.py
@@ -0,0 +1,20 @@
+"""Records what upstreams say of themselves in responses: that they leave, and their rate limits."""
+
+from cornelgrade import kernel, routes
+from cornelgrade.adapters import http1
+from cornelgrade.services.edge import fleet, ports, upstream_limits
+
+
+class UpstreamNotices:
+    """Passes what responses say to the services that act on it."""
+
+    def __init__(self, kern: kernel.Kernel, call_format: ports.CallFormat) -> None:
+        self._fleet = kern.find("fleet", fleet.Fleet)
+        self._limits = kern.find("upstream_limits", upstream_limits.UpstreamLimits)
+        self._call_format = call_format
+
+    def record(self, up: routes.Upstream, head: http1.ResponseHead) -> None:
+        """Record what the head of a response says, of whatever status."""
+        if self._call_format.is_leaving(head):
+            self._fleet.record_leaving(up)
+        self._limits.record_reading(up, self._call_format.read_limit(head))
--- a/src/cornelgrade/services/edge/upstream_uses.py
+++ b/src/cornelgrade/services/edge/upstream_uses.py
@@ -18,7 +18,7 @@
 
     :param count_items_at: returns the number of batch items that run at an upstream.
     :param on_use: called after use counts were received.
-    :param on_leaving: called for an upstream that says that it is leaving.
+    :param on_response: called with the head of each response to a load poll.
     """
 
     def __init__(
@@ -27,9 +27,9 @@
         call_format: ports.CallFormat,
         count_items_at: Callable[[str], int],
         on_use: Callable[[], None],
-        on_leaving: upstream_loads.LeavingHandler,
+        on_response: upstream_loads.ResponseHandler,
     ) -> None:
-        self.loads = upstream_loads.UpstreamLoads(call_format, count_items_at, on_leaving)
+        self.loads = upstream_loads.UpstreamLoads(call_format, count_items_at, on_response)
         self._peers = peer_service
         self._count_items_at = count_items_at
         self._on_use = on_use
