Keep all VMs together to the rate limit that an upstream names

Change: the upstream's batch owner, which hears every gateway already, holds a token bucket with the upstream's rate and leases tokens to VMs that ask; gateways ask while a request is being placed, so an allowance never lies at a VM without callers. VMs that no owner responds to use a fixed part, and the owner keeps the parts of VMs that it doesn't hear out of its bucket. All paths take tokens: permits (first sends, retries, resumptions), items, load polls, probes of suspects, crash checks.

--- a/src/cornelgrade/edge_daemons.py
+++ b/src/cornelgrade/edge_daemons.py
@@ -113,7 +113,7 @@
     kern.add(
         quarantine_sync.QuarantineSync(kern, dependencies.store, availability, cfg.vm), _RESTART
     )
-    kern.add(upstream_limits.UpstreamLimits())
+    kern.add(upstream_limits.UpstreamLimits(kern))
     kern.add(crash_detector.CrashDetector(kern, dependencies.calls), _RESTART)
     if cfg.metrics_address is not None:
         kern.add(metrics_page.MetricsPage(cfg.metrics_address), _RESTART)
--- a/src/cornelgrade/platform/standins/stream_engine.py
+++ b/src/cornelgrade/platform/standins/stream_engine.py
@@ -38,6 +38,7 @@
     :param down_s: how long the engine is down after such a crash.
     :param dark: such a crash closes no connection; the engine only falls silent.
     :param leaving: say in each response that the engine is leaving.
+    :param limits: limits in requests a second to name in each response, each in a header.
     """
 
     decline: bool = False
@@ -56,6 +57,7 @@
     down_s: float = 0.5
     dark: bool = False
     leaving: bool = False
+    limits: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -85,6 +87,7 @@
     :param event_s: time between two events.
     :param version: version of its software.
     :ivar tells_version: whether each event has a comment line with the version.
+    :ivar arrivals_s: when requests arrived, those for its load included.
     :ivar on_crash: called with the time for which it is down after a request crashed it.
     """
 
@@ -105,6 +108,7 @@
         self.event_s = event_s
         self.faults = Faults()
         self.seen: list[ReceivedRequest] = []
+        self.arrivals_s: list[float] = []
         self.running = 0
         self.waiting = 0
         self.max_running = 0
@@ -156,6 +160,7 @@
 
     async def _handle(self, req: _http_server.Exchange) -> None:
         await trio.sleep_until(self._dark_until_s)
+        self.arrivals_s.append(trio.current_time())
         if req.raw_path == "/report":
             load = {"running": self.running, "waiting": self.waiting, "born": self.started_ms}
             await req.respond(200, msgspec.json.encode(load), self._notice())
@@ -231,7 +236,8 @@
         await self._inject_faults(req, self.events)
 
     def _notice(self) -> tuple[tuple[str, str], ...]:
-        return (("server-leaving", "1"),) if self.faults.leaving else ()
+        leaving = (("server-leaving", "1"),) if self.faults.leaving else ()
+        return leaving + tuple(("server-limit", limit) for limit in self.faults.limits)
 
     async def _inject_faults(self, req: _http_server.Exchange, sent_events: int) -> None:
         if self.faults.cut_after == sent_events:
--- a/src/cornelgrade/policy/placement.py
+++ b/src/cornelgrade/policy/placement.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import math
 import random
 
 # A request that waits at the upstream saves the round trip after a slot becomes free, for a wait of
@@ -26,6 +27,7 @@
     :param own: this gateway's requests there.
     :param others: other gateways' requests there, from the batch owner's last report.
     :param batch: batch items there, from the same report.
+    :param has_allowance: whether its rate limit, if it named one, allows a request now.
     :param suspect: its registration expired while the platform was unavailable.
     """
 
@@ -36,6 +38,7 @@
     others: int = 0
     batch: int = 0
     suspect: bool = False
+    has_allowance: bool = True
 
     @property
     def online(self) -> int:
@@ -45,6 +48,10 @@
 
 def has_room(candidate: Candidate) -> bool:
     """Return whether the upstream may be sent one more online request."""
+    return candidate.has_allowance and _has_free_place(candidate)
+
+
+def _has_free_place(candidate: Candidate) -> bool:
     return candidate.online < candidate.slots + MAX_WAITING_AT_UPSTREAM
 
 
@@ -65,3 +72,17 @@
     if not available:
         return None
     return min(available, key=lambda s: (placement_cost(s), rng.random()))
+
+
+def list_limited(
+    candidates: tuple[Candidate, ...], chosen: Candidate | None
+) -> tuple[Candidate, ...]:
+    """Return the upstreams that only their rate limits keep from being chosen, cheapest first."""
+    limited = [c for c in candidates if not c.has_allowance and _has_free_place(c)]
+    bound = placement_cost(chosen) if chosen else math.inf
+    return tuple(sorted((c for c in limited if placement_cost(c) < bound), key=placement_cost))
+
+
+def are_all_limited(candidates: tuple[Candidate, ...]) -> bool:
+    """Return whether rate limits keep all upstreams from being chosen."""
+    return bool(candidates) and not any(c.has_allowance for c in candidates)
--- a/src/cornelgrade/policy/upstream_limit.py
+++ b/src/cornelgrade/policy/upstream_limit.py
@@ -14,8 +14,11 @@
 MAX_RATE_PER_S = 1e6
 # What a bucket holds at most, as a time at its rate; at least one token, or it would never fill.
 BURST_S = 0.5
+# A VM leases tokens for so long at an equal part of the rate, so that high rates need few messages.
+LEASE_REFILL_S = 0.1
 # Share of a limit that load polls may take; the rest is for requests.
 POLL_SHARE = 0.1
+_ROUNDING = 1e-9
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -46,7 +49,12 @@
     rejected = tuple(text for text, rate in rates.items() if rate is None)
     if not valid:
         return Reading(None, rejected)
-    return Reading(min(max(min(valid), MIN_RATE_PER_S), MAX_RATE_PER_S), rejected)
+    return Reading(clamp_rate(min(valid)), rejected)
+
+
+def clamp_rate(per_s: float) -> float:
+    """Return a rate within the bounds that are kept to."""
+    return min(max(per_s, MIN_RATE_PER_S), MAX_RATE_PER_S)
 
 
 def _parse_rate(text: str) -> float | None:
@@ -55,3 +63,71 @@
     except ValueError:
         return None
     return rate if math.isfinite(rate) and rate >= 0 else None
+
+
+def burst(per_s: float) -> float:
+    """Return how many tokens a bucket holds at most."""
+    return max(1.0, BURST_S * per_s)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Bucket:
+    """A token bucket; its level may be negative, as a debt that is paid off first.
+
+    :param at_s: time for which ``level`` holds, on the process's clock.
+    """
+
+    per_s: float
+    at_s: float
+    level: float = 0.0
+
+    def refill(self, now_s: float, per_s: float) -> "Bucket":
+        """Return the bucket at a later time, with the rate that holds from then on."""
+        level = self.level + max(0.0, now_s - self.at_s) * self.per_s
+        return Bucket(per_s, now_s, min(level, burst(per_s)))
+
+    def drain(self, tokens: int) -> "Bucket":
+        """Return the bucket without some tokens."""
+        return dataclasses.replace(self, level=self.level - tokens)
+
+    @property
+    def whole_tokens(self) -> int:
+        """Number of tokens that may be taken now."""
+        return max(0, math.floor(self.level + _ROUNDING))
+
+    @property
+    def wait_s(self) -> float:
+        """Time until the next token may be taken."""
+        return max(0.0, 1.0 - self.level) / self.per_s
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Senders:
+    """The VMs that may send to an upstream, as one of them sees them.
+
+    :param heard: number of those that it hears, including itself.
+    :param expected: number of all that may be running.
+    """
+
+    heard: int
+    expected: int
+
+
+def owner_rate(per_s: float, senders: Senders) -> float:
+    """Return the rate that the batch owner leases out: all but the parts of VMs it doesn't hear."""
+    return per_s * senders.heard / max(1, senders.expected)
+
+
+def fixed_part(per_s: float, senders: Senders) -> float:
+    """Return the rate that a VM uses while no batch owner responds to it."""
+    return per_s / max(1, senders.expected)
+
+
+def lease_size(per_s: float, senders: Senders) -> int:
+    """Return how many tokens a VM asks for at once: one, or more where requests are frequent."""
+    return max(1, math.floor(LEASE_REFILL_S * fixed_part(per_s, senders)))
+
+
+def poll_interval_s(per_s: float) -> float:
+    """Return the time between two load polls of an upstream with a limit."""
+    return 1.0 / (POLL_SHARE * per_s)
--- a/src/cornelgrade/schema/codec.py
+++ b/src/cornelgrade/schema/codec.py
@@ -168,6 +168,29 @@
     setattr(out, field, body.request)
 
 
+def _write_upstream_limits(out: Any, field: str, body: messages.UpstreamLimits) -> None:
+    builder = out.init(field, len(body.limits))
+    for i, limit in enumerate(body.limits):
+        builder[i].upstream = limit.upstream
+        builder[i].startedMs = limit.started_ms
+        builder[i].perS = limit.per_s
+
+
+def _write_allowance_request(out: Any, field: str, body: messages.AllowanceRequest) -> None:
+    builder = out.init(field)
+    builder.upstream = body.upstream
+    builder.startedMs = body.started_ms
+    builder.wanted = body.wanted
+
+
+def _write_allowance_grant(out: Any, field: str, body: messages.AllowanceGrant) -> None:
+    builder = out.init(field)
+    builder.upstream = body.upstream
+    builder.startedMs = body.started_ms
+    builder.tokens = body.tokens
+    builder.waitS = body.wait_s
+
+
 def _encode_bitmap(number: int) -> bytes:
     return number.to_bytes((number.bit_length() + 7) // 8, "little")
 
@@ -204,6 +227,9 @@
     messages.StoreProgress: ("storeProgress", _write_store_progress),
     messages.StreamOrigins: ("streamOrigins", _write_stream_origins),
     messages.StreamOriginQuery: ("streamOriginQuery", _write_stream_origin_query),
+    messages.UpstreamLimits: ("upstreamLimits", _write_upstream_limits),
+    messages.AllowanceRequest: ("allowanceRequest", _write_allowance_request),
+    messages.AllowanceGrant: ("allowanceGrant", _write_allowance_grant),
     ports.Load: ("load", _write_load),
     ports.Yield: ("yield", _write_slots),
     ports.Share: ("share", _write_slots),
@@ -255,6 +281,15 @@
         tuple(messages.StreamOrigin(o.request, o.service, o.version) for o in raw)
     ),
     "streamOriginQuery": lambda raw: messages.StreamOriginQuery(raw),
+    "upstreamLimits": lambda raw: messages.UpstreamLimits(
+        tuple(messages.UpstreamLimit(entry.upstream, entry.startedMs, entry.perS) for entry in raw)
+    ),
+    "allowanceRequest": lambda raw: messages.AllowanceRequest(
+        raw.upstream, raw.startedMs, raw.wanted
+    ),
+    "allowanceGrant": lambda raw: messages.AllowanceGrant(
+        raw.upstream, raw.startedMs, raw.tokens, raw.waitS
+    ),
     **_MESSAGE_READERS,
 }
 
--- a/src/cornelgrade/schema/messages.py
+++ b/src/cornelgrade/schema/messages.py
@@ -144,6 +144,56 @@
     vm: str = ""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamLimit:
+    """A rate limit that one start of an upstream named.
+
+    :param per_s: requests a second from all VMs together, 0 if the limit has ended.
+    """
+
+    upstream: str
+    started_ms: int
+    per_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamLimits:
+    """Tells limits: a VM tells an upstream's batch owner, which tells all VMs.
+
+    :param vm: the sender, set on receipt.
+    """
+
+    limits: tuple[UpstreamLimit, ...]
+    vm: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AllowanceRequest:
+    """Asks an upstream's batch owner for tokens; with 0 it only tells that the sender lives.
+
+    :param vm: the sender, set on receipt.
+    """
+
+    upstream: str
+    started_ms: int
+    wanted: int
+    vm: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AllowanceGrant:
+    """Reply to :class:`AllowanceRequest`.
+
+    :param tokens: number of requests that the receiver may send within the lease.
+    :param wait_s: if there are none, the time after which one is expected.
+    """
+
+    upstream: str
+    started_ms: int
+    tokens: int
+    wait_s: float
+
+
 Body = (
     Ping
     | Ack
@@ -156,6 +206,9 @@
     | StoreProgress
     | StreamOrigins
     | StreamOriginQuery
+    | UpstreamLimits
+    | AllowanceRequest
+    | AllowanceGrant
     | ports.PeerMessage
 )
 
--- a/src/cornelgrade/schema/peer.capnp
+++ b/src/cornelgrade/schema/peer.capnp
@@ -104,6 +104,25 @@
   version @2 :Text;
 }
 
+struct UpstreamLimit {
+  upstream @0 :Text;
+  startedMs @1 :UInt64;
+  perS @2 :Float64;
+}
+
+struct AllowanceRequest {
+  upstream @0 :Text;
+  startedMs @1 :UInt64;
+  wanted @2 :UInt32;
+}
+
+struct AllowanceGrant {
+  upstream @0 :Text;
+  startedMs @1 :UInt64;
+  tokens @2 :UInt32;
+  waitS @3 :Float64;
+}
+
 struct Rumor {
   origin @0 :Text;
   number @1 :UInt64;
@@ -142,5 +161,8 @@
     storeProgress @20 :List(Followed);
     streamOrigins @21 :List(StreamOrigin);
     streamOriginQuery @22 :UInt64;
+    upstreamLimits @23 :List(UpstreamLimit);
+    allowanceRequest @24 :AllowanceRequest;
+    allowanceGrant @25 :AllowanceGrant;
   }
 }
--- a/src/cornelgrade/services/edge/crash_detector.py
+++ b/src/cornelgrade/services/edge/crash_detector.py
@@ -15,7 +15,7 @@
 from cornelgrade import kernel, logs, routes
 from cornelgrade.adapters import engine
 from cornelgrade.services import ports as shared_ports
-from cornelgrade.services.edge import ports, upstream_loads, upstream_notices
+from cornelgrade.services.edge import ports, upstream_limits, upstream_loads, upstream_notices
 
 # How long a failed request waits for the check before its retry. A crashed process refuses
 # connections at once.
@@ -57,6 +57,7 @@
     def __init__(self, kern: kernel.Kernel, call_format: ports.CallFormat) -> None:
         self._quarantine = kern.find("quarantine", shared_ports.Quarantine)
         self._call_format = call_format
+        self._limits = kern.find("upstream_limits", upstream_limits.UpstreamLimits)
         self._notices = upstream_notices.UpstreamNotices(kern, call_format)
         self._in_flight: dict[_Boot, dict[int, str]] = {}
         self._checks: dict[_Boot, _Check] = {}
@@ -143,6 +144,7 @@
 
     async def _find_crash(self, up: routes.Upstream) -> str | None:
         """Return the sign of a crash, ``None`` if the upstream still runs."""
+        self._limits.take(up)
         try:
             load = await upstream_loads.fetch_load(self._call_format, up, self._notices.record)
         except engine.CallError as exc:
--- a/src/cornelgrade/services/edge/peers.py
+++ b/src/cornelgrade/services/edge/peers.py
@@ -16,7 +16,7 @@
 
 from cornelgrade import logs, settings
 from cornelgrade.adapters import datagrams, peer_key, platform
-from cornelgrade.policy import rendezvous
+from cornelgrade.policy import rendezvous, upstream_limit
 from cornelgrade.schema import messages
 from cornelgrade.services import _subscriptions
 from cornelgrade.services.edge import _object_watch, _store_availability
@@ -38,7 +38,16 @@
 # Processes that start together register within this time, so that one response lists them all.
 REGISTRATION_SETTLE_S = 0.5
 RETRY_PAUSE_S = 0.3
+# A VM that was not heard for this long is taken as gone; a longer network partition looks the same.
+GONE_AFTER_S = 60.0
 T = TypeVar("T")
+_WITH_SENDER = (
+    messages.Uses,
+    messages.JobClaims,
+    messages.StreamOriginQuery,
+    messages.UpstreamLimits,
+    messages.AllowanceRequest,
+)
 _log = logs.Logger("peers")
 
 
@@ -60,6 +69,7 @@
 @dataclasses.dataclass(slots=True)
 class _Peer:
     entry: PeerEntry
+    registered_s: float
     last_received_s: float = -1e9
     last_retry_s: float = -1e9
 
@@ -77,6 +87,7 @@
         availability: _store_availability.StoreAvailability,
     ) -> None:
         self.vm = cfg.vm
+        self.is_worker = role is Role.WORKER
         self._own_entry = PeerEntry(cfg.peer_address, role, cfg.failure_domain)
         self._store = store
         self._availability = availability
@@ -145,6 +156,16 @@
             vm for vm, peer in self._peers.items() if peer.entry.failure_domain == failure_domain
         )
 
+    def count_senders(self) -> upstream_limit.Senders:
+        """Count the processes that may send to upstreams, which are all but those that are gone."""
+        now_s = trio.current_time()
+        present = [
+            vm
+            for vm, peer in self._peers.items()
+            if now_s - max(peer.last_received_s, peer.registered_s) < GONE_AFTER_S
+        ]
+        return upstream_limit.Senders(1 + sum(map(self._is_live, present)), 1 + len(present))
+
     def batch_owner(self, upstream: str, failure_domain: str) -> str | None:
         """Return the worker that runs batch items on an upstream; local ones are preferred."""
         return next(iter(self.batch_owners(upstream, failure_domain)), None)
@@ -247,7 +268,7 @@
         peer = self._peers.get(stored.name)
         if stored.name == self.vm or (peer and peer.entry == entry):
             return
-        self._peers[stored.name] = _Peer(entry)
+        self._peers[stored.name] = _Peer(entry, trio.current_time())
         _log.info("peer", peer=stored.name, role=entry.role, address=entry.address)
 
     async def _receive_datagrams(self, sock: datagrams.Socket) -> None:
@@ -266,6 +287,6 @@
 
 def _with_sender(datagram: messages.Datagram) -> messages.Body:
     """Set the sender in messages that have a field for it."""
-    if isinstance(datagram.body, messages.Uses | messages.JobClaims | messages.StreamOriginQuery):
+    if isinstance(datagram.body, _WITH_SENDER):
         return dataclasses.replace(datagram.body, vm=datagram.sender)
     return datagram.body
--- a/src/cornelgrade/services/edge/runner.py
+++ b/src/cornelgrade/services/edge/runner.py
@@ -37,6 +37,7 @@
     outcome_writer,
     peers,
     ports,
+    upstream_limits,
     upstream_notices,
     upstream_uses,
 )
@@ -78,6 +79,7 @@
     ) -> None:
         self._fleet = kern.find("fleet", fleet.Fleet)
         self._peers = kern.find("peers", peers.Peers)
+        self._limits = kern.find("upstream_limits", upstream_limits.UpstreamLimits)
         self._quarantine = kern.find("quarantine", shared_ports.Quarantine)
         self._crash_detector = kern.find("crash_detector", crash_detector.CrashDetector)
         self._cfg = cfg
@@ -126,7 +128,7 @@
             nursery.start_soon(self._sweeper.run)
             nursery.start_soon(
                 self._uses.loads.poll,
-                self._owned_upstreams,
+                self._upstreams_to_poll,
                 self._record_upstream_failure,
                 self._record_upstream_success,
             )
@@ -264,6 +266,9 @@
     def _owned_upstreams(self) -> list[routes.Upstream]:
         return [reg.upstream for reg in self._owned_registrations()]
 
+    def _upstreams_to_poll(self) -> list[routes.Upstream]:
+        return [up for up in self._owned_upstreams() if self._limits.try_take_for_poll(up)]
+
     def _owned_registrations(self) -> tuple[registrations.Registration, ...]:
         """Return the usable registrations of which this worker is the batch owner."""
         now_s = trio.current_time()
@@ -287,7 +292,7 @@
         started, now_s = 0, trio.current_time()
         available = frozenset(map(software_versions.origin_at, self._owned_upstreams()))
         for entry in tuple(waiting):
-            if started >= free:
+            if started >= free or not self._limits.may_send_item(up):
                 break
             job = self._jobs[entry.job]
             fingerprint = job.fingerprints[entry.index]
@@ -369,6 +374,7 @@
     def _start_item(self, job: open_job.OpenJob, index: int, up: routes.Upstream) -> None:
         assert self._nursery is not None
         run = open_job.ItemRun(up.name, trio.current_time(), trio.CancelScope())
+        self._limits.take(up)
         job.partial_for_run(index, up)
         job.runs[index] = run
         self._quarantine.start_item(job.fingerprints[index])
--- a/src/cornelgrade/services/edge/slot_permits.py
+++ b/src/cornelgrade/services/edge/slot_permits.py
@@ -18,7 +18,15 @@
 from cornelgrade.adapters import engine
 from cornelgrade.policy import placement, rendezvous, software_versions
 from cornelgrade.schema import messages
-from cornelgrade.services.edge import fleet, peers, ports, upstream_loads, upstream_notices
+from cornelgrade.services.edge import (
+    _notifier,
+    fleet,
+    peers,
+    ports,
+    upstream_limits,
+    upstream_loads,
+    upstream_notices,
+)
 
 # Counts are resent this often because datagrams may be lost.
 USE_BROADCAST_INTERVAL_S = 0.25
@@ -79,13 +87,20 @@
 
 @dataclasses.dataclass(slots=True)
 class _Waiter:
+    """A request that waits for a permit.
+
+    :ivar retry_after_s: set if it is refused, because no rate limit allows it before its deadline.
+    """
+
     service: str
     rank: int
     arrival: int
     exclude: frozenset[str]
+    deadline_s: float
     isolated: bool = False
     origin: software_versions.StreamOrigin | None = None
     assignment: _Assignment | None = None
+    retry_after_s: float | None = None
     wake: trio.Event = dataclasses.field(default_factory=trio.Event)
 
 
@@ -98,6 +113,7 @@
         self, kern: kernel.Kernel, cfg: settings.EdgeSettings, call_format: ports.CallFormat
     ) -> None:
         self._fleet = kern.find("fleet", fleet.Fleet)
+        self._limits = kern.find("upstream_limits", upstream_limits.UpstreamLimits)
         self._peers = kern.find("peers", peers.Peers)
         self._cfg = cfg
         self._call_format = call_format
@@ -118,7 +134,8 @@
             nursery = self._nursery
             nursery.start_soon(self._receive_uses, received)
             nursery.start_soon(self._broadcast_uses)
-            nursery.start_soon(self._dispatch_on_change)
+            nursery.start_soon(self._dispatch_on_change, self._fleet.changed)
+            nursery.start_soon(self._dispatch_on_change, self._limits.changed)
             started()
 
     async def acquire(
@@ -141,7 +158,15 @@
             upstream at all.
         """
         started_s = trio.current_time()
-        waiter = _Waiter(service, rank, next(self._arrival_numbers), exclude, isolated, origin)
+        waiter = _Waiter(
+            service,
+            rank,
+            next(self._arrival_numbers),
+            exclude,
+            started_s + max_wait_s,
+            isolated,
+            origin,
+        )
         if not self._list_candidates(service, exclude, origin):
             version = f" version {origin.version}" if origin else ""
             raise self._refusal(
@@ -156,15 +181,18 @@
         except trio.Cancelled:
             self._abandon_wait(waiter)
             raise
+        if waiter.retry_after_s is not None:
+            message = f"all upstreams of {service} are at their rate limits"
+            raise self._refusal(errors.Code.OVERLOADED, message, waiter.retry_after_s)
         if waiter.assignment is None:
             self._waiting.remove(waiter)
             raise self._refusal(errors.Code.OVERLOADED, f"all upstreams of {service} are full")
         return SlotPermit(self, waiter.assignment, trio.current_time() - started_s)
 
     def _abandon_wait(self, waiter: _Waiter) -> None:
-        if waiter.assignment is None:
+        if waiter in self._waiting:
             self._waiting.remove(waiter)
-        else:
+        elif waiter.assignment is not None:
             self.release(waiter.assignment.upstream, isolated=waiter.isolated)
 
     def release(self, upstream: routes.Upstream, *, isolated: bool) -> None:
@@ -189,6 +217,8 @@
         since_s = trio.current_time()
         while any(reg.upstream == upstream for reg in self._fleet.usable_registrations()):
             await trio.sleep(PROBE_INTERVAL_S)
+            if not self._limits.try_take_for_poll(upstream):
+                continue
             try:
                 await upstream_loads.fetch_load(self._call_format, upstream, self._notices.record)
                 break
@@ -244,28 +274,59 @@
             others=report.others if report else 0,
             batch=report.batch if report else 0,
             suspect=suspect,
+            has_allowance=self._limits.has_allowance(up),
         )
 
     def _dispatch(self) -> None:
+        asked: set[str] = set()
         for waiter in tuple(self._waiting):
             exclude = waiter.exclude | (set(self._isolated) if waiter.isolated else set())
-            candidates = self._list_candidates(waiter.service, exclude, waiter.origin)
-            chosen = placement.choose_upstream(tuple(candidates), self._rng)
+            candidates = tuple(self._list_candidates(waiter.service, exclude, waiter.origin))
+            chosen = placement.choose_upstream(candidates, self._rng)
+            self._request_allowance(placement.list_limited(candidates, chosen), asked)
             if chosen is None:
+                self._refuse_if_limited(waiter, candidates)
                 continue
             waiter.assignment = self._assign(chosen, waiter.isolated)
             self._waiting.remove(waiter)
             if waiter.isolated:
                 self._isolated[chosen.name] += 1
+            self._limits.take(waiter.assignment.upstream)
             self._change_outstanding(waiter.assignment.upstream, 1)
             waiter.wake.set()
 
-    def _assign(self, candidate: placement.Candidate, isolated: bool) -> _Assignment:
+    def _request_allowance(self, limited: tuple[placement.Candidate, ...], asked: set[str]) -> None:
+        """Ask for a token of the best upstream that may have one.
+
+        :param asked: upstreams of which a token is due to another waiting request; extended.
+        """
+        for candidate in limited:
+            if candidate.name in asked:
+                continue
+            if self._limits.request_allowance(self._find_upstream(candidate)):
+                asked.add(candidate.name)
+                return
+
+    def _refuse_if_limited(
+        self, waiter: _Waiter, candidates: tuple[placement.Candidate, ...]
+    ) -> None:
+        """Refuse a request at once if rate limits leave no room for it before its deadline."""
+        if not placement.are_all_limited(candidates):
+            return
+        wait_s = min(self._limits.expected_wait_s(self._find_upstream(c)) for c in candidates)
+        if trio.current_time() + wait_s > waiter.deadline_s:
+            waiter.retry_after_s = max(wait_s, RETRY_AFTER_S)
+            self._waiting.remove(waiter)
+            waiter.wake.set()
+
+    def _find_upstream(self, candidate: placement.Candidate) -> routes.Upstream:
         registered = (reg.upstream for reg in self._fleet.usable_registrations())
-        upstream = next(up for up in registered if up.name == candidate.name)
+        return next(up for up in registered if up.name == candidate.name)
+
+    def _assign(self, candidate: placement.Candidate, isolated: bool) -> _Assignment:
         report = self._reports.get(candidate.name)
         age_s = trio.current_time() - report.at_s if report else None
-        return _Assignment(upstream, candidate, age_s, isolated)
+        return _Assignment(self._find_upstream(candidate), candidate, age_s, isolated)
 
     def _change_outstanding(self, upstream: routes.Upstream, change: int) -> None:
         count = self._outstanding.get(upstream.name, 0) + change
@@ -305,11 +366,13 @@
                 self._reports[use.upstream] = _Report(use.online, use.batch, now_s)
             self._dispatch()
 
-    async def _dispatch_on_change(self) -> None:
+    async def _dispatch_on_change(self, changed: _notifier.Notifier) -> None:
         while True:
-            await self._fleet.changed.wait()
+            await changed.wait()
             self._dispatch()
 
     @staticmethod
-    def _refusal(code: errors.Code, message: str) -> errors.Refusal:
-        return errors.Refusal(code, message, step="choose", retry_after_s=RETRY_AFTER_S)
+    def _refusal(
+        code: errors.Code, message: str, retry_after_s: float = RETRY_AFTER_S
+    ) -> errors.Refusal:
+        return errors.Refusal(code, message, step="choose", retry_after_s=retry_after_s)
--- /dev/null
+++ b/tests/policy/test_upstream_limit.py
@@ -0,0 +1,75 @@
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cornelgrade.policy import placement, upstream_limit
+
+
+# Guards against a response with a nonsense limit that stops a process or shuts an upstream out.
+@pytest.mark.parametrize(
+    ("texts", "per_s", "rejected"),
+    [
+        ((), None, ()),
+        (("2.5",), 2.5, ()),
+        (("2.5", "1.5"), 1.5, ()),
+        (("soon", "4"), 4.0, ("soon",)),
+        (("0",), upstream_limit.MIN_RATE_PER_S, ()),
+        (("1e300",), upstream_limit.MAX_RATE_PER_S, ()),
+        (("",), None, ("",)),
+        (("-1",), None, ("-1",)),
+        (("nan",), None, ("nan",)),
+        (("inf",), None, ("inf",)),
+        (("2,5",), None, ("2,5",)),
+    ],
+)
+def test_limit_is_the_lowest_number_that_can_be_read(texts, per_s, rejected):
+    assert upstream_limit.read_limit(texts) == upstream_limit.Reading(per_s, rejected)
+
+
+def test_only_a_response_without_any_text_says_that_there_is_no_limit():
+    assert upstream_limit.read_limit(()).is_readable
+    assert not upstream_limit.read_limit(("soon",)).is_readable
+
+
+@given(
+    rates=st.lists(st.floats(0.1, 50.0), min_size=1, max_size=20),
+    steps=st.lists(st.floats(0.0, 0.7), min_size=1, max_size=60),
+)
+def test_bucket_gives_no_more_than_its_rate_and_one_burst(rates, steps):
+    highest = max(rates)
+    bucket, taken, now_s = upstream_limit.Bucket(rates[0], 0.0), 0, 0.0
+    for number, step_s in enumerate(steps):
+        now_s += step_s
+        bucket = bucket.refill(now_s, rates[number % len(rates)])
+        tokens = bucket.whole_tokens
+        bucket = bucket.drain(tokens)
+        taken += tokens
+    assert taken <= highest * now_s + upstream_limit.burst(highest) + 1e-6
+
+
+# Guards against two sides of a network partition that both lease out the whole rate.
+@given(heard=st.integers(1, 40), unheard=st.integers(0, 40))
+def test_parts_of_vms_that_do_not_hear_each_other_add_up_to_the_rate(heard, unheard):
+    expected = heard + unheard
+    one = upstream_limit.owner_rate(6.0, upstream_limit.Senders(heard, expected))
+    other = upstream_limit.owner_rate(6.0, upstream_limit.Senders(unheard, expected))
+    alone = upstream_limit.fixed_part(6.0, upstream_limit.Senders(1, expected))
+    assert one + other == pytest.approx(6.0)
+    assert one + unheard * alone == pytest.approx(6.0)
+
+
+def test_debt_is_paid_off_before_the_next_token():
+    bucket = upstream_limit.Bucket(2.0, 0.0).drain(2).refill(1.0, 2.0)
+    assert bucket.whole_tokens == 0
+    assert bucket.wait_s == pytest.approx(0.5)
+    assert bucket.refill(1.5, 2.0).whole_tokens == 1
+
+
+# Guards against a limited upstream that lies idle because the others are never full.
+def test_cheaper_upstream_without_allowance_is_asked_for():
+    idle = placement.Candidate("idle", 8, local=True, has_allowance=False)
+    busy = placement.Candidate("busy", 8, local=True, own=3)
+    full = placement.Candidate("full", 8, local=True, own=9, has_allowance=False)
+    assert placement.list_limited((idle, busy, full), busy) == (idle,)
+    assert not placement.are_all_limited((idle, busy, full))
+    assert placement.are_all_limited((idle, full))
