Lease the whole rate of a limited upstream under scarcity

Cause: a VM that was refused a token came back only after the estimated queue had passed, and the bucket held half a second's worth meanwhile. A VM now asks again when the next token is due to anyone; the estimate only sets Retry-After. The bucket holds what the upstream takes in one second.

--- a/src/cornelgrade/policy/upstream_limit.py
+++ b/src/cornelgrade/policy/upstream_limit.py
@@ -13,7 +13,7 @@
 MIN_RATE_PER_S = 0.1
 MAX_RATE_PER_S = 1e6
 # What a bucket holds at most, as a time at its rate; at least one token, or it would never fill.
-BURST_S = 0.5
+BURST_S = 1.0
 # A VM leases tokens for so long at an equal part of the rate, so that high rates need few messages.
 LEASE_REFILL_S = 0.1
 # Share of a limit that load polls may take; the rest is for requests.
--- a/src/cornelgrade/schema/codec.py
+++ b/src/cornelgrade/schema/codec.py
@@ -189,6 +189,7 @@
     builder.startedMs = body.started_ms
     builder.tokens = body.tokens
     builder.waitS = body.wait_s
+    builder.expectedS = body.expected_s
 
 
 def _encode_bitmap(number: int) -> bytes:
@@ -288,7 +289,7 @@
         raw.upstream, raw.startedMs, raw.wanted
     ),
     "allowanceGrant": lambda raw: messages.AllowanceGrant(
-        raw.upstream, raw.startedMs, raw.tokens, raw.waitS
+        raw.upstream, raw.startedMs, raw.tokens, raw.waitS, raw.expectedS
     ),
     **_MESSAGE_READERS,
 }
--- a/src/cornelgrade/schema/messages.py
+++ b/src/cornelgrade/schema/messages.py
@@ -185,13 +185,15 @@
     """Reply to :class:`AllowanceRequest`.
 
     :param tokens: number of requests that the receiver may send within the lease.
-    :param wait_s: if there are none, the time after which one is expected.
+    :param wait_s: if there are none, the time after which the owner has the next one.
+    :param expected_s: the same after the VMs that are waiting for one have got theirs.
     """
 
     upstream: str
     started_ms: int
     tokens: int
     wait_s: float
+    expected_s: float
 
 
 Body = (
--- a/src/cornelgrade/schema/peer.capnp
+++ b/src/cornelgrade/schema/peer.capnp
@@ -121,6 +121,7 @@
   startedMs @1 :UInt64;
   tokens @2 :UInt32;
   waitS @3 :Float64;
+  expectedS @4 :Float64;
 }
 
 struct Rumor {
--- a/src/cornelgrade/services/edge/slot_permits.py
+++ b/src/cornelgrade/services/edge/slot_permits.py
@@ -313,9 +313,11 @@
         """Refuse a request at once if rate limits leave no room for it before its deadline."""
         if not placement.are_all_limited(candidates):
             return
-        wait_s = min(self._limits.expected_wait_s(self._find_upstream(c)) for c in candidates)
+        upstreams = [self._find_upstream(candidate) for candidate in candidates]
+        wait_s = min(map(self._limits.shortest_wait_s, upstreams))
         if trio.current_time() + wait_s > waiter.deadline_s:
-            waiter.retry_after_s = max(wait_s, RETRY_AFTER_S)
+            expected_s = min(map(self._limits.expected_wait_s, upstreams))
+            waiter.retry_after_s = max(expected_s, RETRY_AFTER_S)
             self._waiting.remove(waiter)
             waiter.wake.set()
 
--- a/src/cornelgrade/services/edge/upstream_limits.py
+++ b/src/cornelgrade/services/edge/upstream_limits.py
@@ -43,6 +43,7 @@
     :ivar leases: when the tokens leased from the owner lapse.
     :ivar asked_s: when the owner was first asked since its last reply, ``None`` if it replied.
     :ivar repeat_s: when the owner may be asked again.
+    :ivar expected_s: when it is expected to have a token for this VM.
     :ivar denied: VMs that were refused tokens, and when.
     :ivar confirmed_s: when a peer last confirmed it; ``None`` if a response named it here.
     """
@@ -53,6 +54,7 @@
     leases: list[float] = dataclasses.field(default_factory=list)
     asked_s: float | None = None
     repeat_s: float = 0.0
+    expected_s: float = 0.0
     denied: dict[str, float] = dataclasses.field(default_factory=dict)
     polled_s: float = -1e9
     confirmed_s: float | None = None
@@ -159,8 +161,8 @@
             self._peers.send(owner, messages.AllowanceRequest(up.name, up.started_ms, wanted))
         return True
 
-    def expected_wait_s(self, up: routes.Upstream) -> float:
-        """Return the time until a token is expected, 0 if it is not known."""
+    def shortest_wait_s(self, up: routes.Upstream) -> float:
+        """Return the time within which no token can be had, 0 if that is not known."""
         limit = self._limits.get(_key(up))
         if limit is None or self._count_tokens(limit) >= 1:
             return 0.0
@@ -168,6 +170,13 @@
             return limit.bucket.wait_s
         return max(0.0, limit.repeat_s - trio.current_time()) if limit.asked_s is None else 0.0
 
+    def expected_wait_s(self, up: routes.Upstream) -> float:
+        """Return the time until this VM is expected to get a token."""
+        limit = self._limits.get(_key(up))
+        if limit is None:
+            return 0.0
+        return max(self.shortest_wait_s(up), limit.expected_s - trio.current_time())
+
     def _count_tokens(self, limit: _Limit) -> int:
         self._refill(limit)
         leased = 0 if self._owns(limit) else len(limit.leases)
@@ -318,12 +327,15 @@
         limit.bucket = limit.bucket.drain(tokens)
         limit.denied = {v: at for v, at in limit.denied.items() if now_s - at < DENIAL_TTL_S}
         limit.denied.pop(request.vm, None)
-        wait_s = 0.0
+        wait_s = expected_s = 0.0
         if not tokens:
-            wait_s = limit.bucket.wait_s + len(limit.denied) / limit.bucket.per_s
+            wait_s = limit.bucket.wait_s
+            expected_s = wait_s + len(limit.denied) / limit.bucket.per_s
             limit.denied[request.vm] = now_s
         self._counter.inc({"outcome": "granted" if tokens else "denied"})
-        grant = messages.AllowanceGrant(request.upstream, request.started_ms, tokens, wait_s)
+        grant = messages.AllowanceGrant(
+            request.upstream, request.started_ms, tokens, wait_s, expected_s
+        )
         self._peers.send(request.vm, grant)
 
     async def _receive_grants(
@@ -337,6 +349,7 @@
             now_s = trio.current_time()
             limit.asked_s = None
             limit.repeat_s = now_s + max(0.0, grant.wait_s)
+            limit.expected_s = now_s + max(0.0, grant.expected_s)
             owed = min(grant.tokens, max(0, -int(limit.bucket.level // 1)))
             limit.bucket = limit.bucket.drain(-owed)
             limit.leases += [now_s + LEASE_S] * (grant.tokens - owed)
--- a/tests/fleet/test_datagrams.py
+++ b/tests/fleet/test_datagrams.py
@@ -33,7 +33,7 @@
     ports.Leaving("e1"),
     messages.UpstreamLimits((messages.UpstreamLimit("e1", 17, 2.5),)),
     messages.AllowanceRequest("e1", 17, 2),
-    messages.AllowanceGrant("e1", 17, 0, 0.25),
+    messages.AllowanceGrant("e1", 17, 0, 0.25, 1.5),
     messages.StreamOrigins((messages.StreamOrigin(2**64 - 1, "llm", "v1.2"),)),
     messages.StreamOriginQuery(2**64 - 1),
 ]
