--- a/src/cornelgrade/edge_daemons.py
+++ b/src/cornelgrade/edge_daemons.py
@@ -28,6 +28,7 @@
     store_monitor,
     stream_origins,
     upstream_limits,
+    upstream_reach,
     vm_retirement,
 )
 
@@ -65,7 +66,8 @@
 ) -> Drain:
     """Add a gateway's services in start order and return its drain function."""
     availability = _add_common_services(kern, cfg, dependencies, peers.Role.GATEWAY)
-    kern.add(slot_permits.SlotPermits(kern, cfg, dependencies.calls))
+    kern.add(upstream_reach.UpstreamReach(kern, dependencies.calls))
+    kern.add(slot_permits.SlotPermits(kern, cfg))
     kern.add(stream_origins.StreamOrigins(kern, cfg.vm), _RESTART)
     repository = job_repository.JobRepository(dependencies.store, cfg.value_bytes)
     results = result_reader.ResultReader(repository, availability)
--- a/src/cornelgrade/services/edge/relay.py
+++ b/src/cornelgrade/services/edge/relay.py
@@ -20,6 +20,7 @@
     slot_permits,
     stream_origins,
     upstream_notices,
+    upstream_reach,
 )
 
 # A connection within a region takes a few milliseconds; an upstream that takes this long is down or
@@ -57,6 +58,7 @@
     ) -> None:
         self._max_response_bytes = cfg.response_bytes
         self._permits = kern.find("seats", slot_permits.SlotPermits)
+        self._reach = kern.find("upstream_reach", upstream_reach.UpstreamReach)
         self._fleet = kern.find("fleet", fleet.Fleet)
         self._origins = kern.find("stream_origins", stream_origins.StreamOrigins)
         self._quarantine = kern.find("quarantine", shared_ports.Quarantine)
@@ -232,7 +234,7 @@
         try:
             channel = await http1.connect(up.address, CONNECT_TIMEOUT_S)
         except engine.CallError as exc:
-            self._permits.mark_suspect(up, exc.message)
+            self._reach.mark_suspect(up, exc.message)
             raise
         with self._crash_detector.track_call(up, req.fingerprint):
             try:
@@ -296,7 +298,7 @@
                 await channel.skip_response()
             self._crash_detector.record_response(up)
             return self._check_verdict(channel, head, verdict)
-        self._permits.mark_suspect(up, "silent")
+        self._reach.mark_suspect(up, "silent")
         raise channel.call_error("no response within the timeout", _STEP, timed_out=True)
 
     @staticmethod
--- a/src/cornelgrade/services/edge/slot_permits.py
+++ b/src/cornelgrade/services/edge/slot_permits.py
@@ -15,17 +15,14 @@
 import trio
 
 from cornelgrade import errors, kernel, logs, routes, settings
-from cornelgrade.adapters import engine
 from cornelgrade.policy import placement, rendezvous, software_versions
 from cornelgrade.schema import messages
 from cornelgrade.services.edge import (
     _notifier,
     fleet,
     peers,
-    ports,
     upstream_limits,
-    upstream_loads,
-    upstream_notices,
+    upstream_reach,
 )
 
 # Counts are resent this often because datagrams may be lost.
@@ -35,8 +32,6 @@
 # Limits on the upstreams that a gateway tracks, so that its messages stay bounded in a large fleet.
 MAX_LOCAL_UPSTREAMS = 16
 MAX_REMOTE_UPSTREAMS = 8
-# Pause between probes of a suspect upstream, so that a short outage costs little capacity.
-PROBE_INTERVAL_S = 0.25
 # Retry-After of a refusal: about the time in which an upstream completes a request.
 RETRY_AFTER_S = 0.4
 _log = logs.Logger("seats")
@@ -109,33 +104,28 @@
 
     name = "seats"
 
-    def __init__(
-        self, kern: kernel.Kernel, cfg: settings.EdgeSettings, call_format: ports.CallFormat
-    ) -> None:
+    def __init__(self, kern: kernel.Kernel, cfg: settings.EdgeSettings) -> None:
         self._fleet = kern.find("fleet", fleet.Fleet)
+        self._reach = kern.find("upstream_reach", upstream_reach.UpstreamReach)
         self._limits = kern.find("upstream_limits", upstream_limits.UpstreamLimits)
         self._peers = kern.find("peers", peers.Peers)
         self._cfg = cfg
-        self._call_format = call_format
-        self._notices = upstream_notices.UpstreamNotices(kern, call_format)
         self._rng = random.Random(cfg.vm)
         self._outstanding: dict[str, int] = {}
         self._isolated: collections.Counter[str] = collections.Counter()
         self._reports: dict[str, _Report] = {}
-        self._suspects: set[str] = set()
-        self._nursery: trio.Nursery | None = None
         self._waiting: list[_Waiter] = []
         self._arrival_numbers = itertools.count()
 
     async def run(self, started: Callable[[], None]) -> None:
         """Send and receive use counts until cancelled."""
         received = self._peers.subscribe(messages.Uses)
-        async with trio.open_nursery() as self._nursery:
-            nursery = self._nursery
+        async with trio.open_nursery() as nursery:
             nursery.start_soon(self._receive_uses, received)
             nursery.start_soon(self._broadcast_uses)
             nursery.start_soon(self._dispatch_on_change, self._fleet.changed)
             nursery.start_soon(self._dispatch_on_change, self._limits.changed)
+            nursery.start_soon(self._dispatch_on_change, self._reach.changed)
             started()
 
     async def acquire(
@@ -202,35 +192,6 @@
         self._change_outstanding(upstream, -1)
         self._dispatch()
 
-    def mark_suspect(self, upstream: routes.Upstream, reason: str) -> None:
-        """Stop sending requests to an upstream that was unreachable or timed out.
-
-        It is probed until it reports its load, so that no request has to try it first.
-        """
-        if upstream.name in self._suspects or self._nursery is None:
-            return
-        self._suspects.add(upstream.name)
-        _log.warning("upstream_suspect", upstream=upstream.name, reason=reason)
-        self._nursery.start_soon(self._probe_suspect, upstream)
-
-    async def _probe_suspect(self, upstream: routes.Upstream) -> None:
-        since_s = trio.current_time()
-        while any(reg.upstream == upstream for reg in self._fleet.usable_registrations()):
-            await trio.sleep(PROBE_INTERVAL_S)
-            if not self._limits.try_take_for_poll(upstream):
-                continue
-            try:
-                await upstream_loads.fetch_load(self._call_format, upstream, self._notices.record)
-                break
-            except engine.CallError as exc:
-                _log.debug(
-                    "upstream_unresponsive", upstream=upstream.name, error=exc.format_message()
-                )
-        self._suspects.discard(upstream.name)
-        suspect_s = trio.current_time() - since_s
-        _log.info("upstream_trusted", upstream=upstream.name, suspect_s=suspect_s)
-        self._dispatch()
-
     def can_go_on_elsewhere(
         self, origin: software_versions.StreamOrigin, exclude: frozenset[str]
     ) -> bool:
@@ -253,7 +214,7 @@
             if reg.upstream.service == service
             and origin in (None, software_versions.origin_at(reg.upstream))
         ]
-        healthy = [reg for reg in registered if reg.upstream.name not in self._suspects]
+        healthy = [reg for reg in registered if not self._reach.is_suspect(reg.upstream.name)]
         untried = [reg for reg in healthy if reg.upstream.name not in exclude]
         return [
             self._make_candidate(reg.upstream, bool(reg.suspect_until_s), now_s)
