Serve callers of a gateway without upstreams through one that reaches them

Cause: the view from one VM was taken for the state of the upstreams (gray failure). All upstreams were suspects there, so they were tried all the same, one after the other, and nothing else was.

The hop is signed with the fleet's key and carries deadline, request id, resumption and earlier runs; the peer does all the rest as for a caller of its own. If none reaches an upstream, the refusal comes at once. Gateways that reach their upstreams ask nothing.

Stand-ins choose ports free for TCP and UDP below the range of outgoing connections: once, a gateway's TCP port for peers was taken.

--- a/src/cornelgrade/edge_daemons.py
+++ b/src/cornelgrade/edge_daemons.py
@@ -19,6 +19,7 @@
     job_handler,
     job_repository,
     metrics_page,
+    peer_reach,
     peers,
     ports,
     quarantine_sync,
@@ -68,6 +69,7 @@
     availability = _add_common_services(kern, cfg, dependencies, peers.Role.GATEWAY)
     kern.add(upstream_reach.UpstreamReach(kern, dependencies.calls))
     kern.add(slot_permits.SlotPermits(kern, cfg))
+    kern.add(peer_reach.PeerReach(kern, cfg))
     kern.add(stream_origins.StreamOrigins(kern, cfg.vm), _RESTART)
     repository = job_repository.JobRepository(dependencies.store, cfg.value_bytes)
     results = result_reader.ResultReader(repository, availability)
--- a/src/cornelgrade/platform/calls.py
+++ b/src/cornelgrade/platform/calls.py
@@ -82,6 +82,25 @@
         left_ms = str(max(1, math.floor(left_s * _MS_PER_S))).encode()
         return (*kept, (_DEADLINE, left_ms), (_EXPECT_INSTANCE, upstream.encode()))
 
+    def forwarded_headers(
+        self, headers: http1.Headers, left_s: float, resume_after: int | None, resumes: str
+    ) -> http1.Headers:
+        """Return the headers of a caller's request as forwarded to a peer."""
+        replaced = _REPLACED_HEADERS
+        added: http1.Headers = ((_DEADLINE, str(max(1, math.floor(left_s * _MS_PER_S))).encode()),)
+        if resume_after is not None:
+            replaced = replaced | {_LAST_EVENT_ID, _RESUMES}
+            added += ((_LAST_EVENT_ID, str(resume_after).encode()),)
+            added += ((_RESUMES, resumes.encode("latin-1")),) if resumes else ()
+        end_to_end = http1.drop_hop_by_hop_headers(headers)
+        return tuple((k, v) for k, v in end_to_end if k not in replaced) + added
+
+    def parse_retry_after(self, head: http1.ResponseHead) -> float | None:
+        """Return the value of ``Retry-After`` in seconds, which may have a fraction."""
+        text = (head.get(_RETRY_AFTER.lower().encode()) or b"").decode("latin-1")
+        milliseconds = _parse_milliseconds(text)
+        return milliseconds * _MS_PER_S if milliseconds is not None else None
+
     def item_headers(
         self, host: str, item_id: str, headers: http1.Headers, upstream: str, after: int | None
     ) -> http1.Headers:
--- a/src/cornelgrade/platform/standins/edge_system.py
+++ b/src/cornelgrade/platform/standins/edge_system.py
@@ -1,7 +1,9 @@
 """Gateways, workers, engines and a store in one process on loopback, for tests and benchmarks."""
 
 import contextlib
+import contextvars
 import dataclasses
+import random
 import socket
 import sys
 
@@ -24,6 +26,9 @@
 NOTES_PREFIX = "/notes/"
 REQUEST_TIMEOUT_S = 5.0
 RESULTS_WAIT_S = 1.0
+# The node whose task is running, for tests that cut single nodes off.
+CURRENT_NODE: contextvars.ContextVar[str] = contextvars.ContextVar("node", default="")
+_PORTS = range(10_000, 30_000)
 UNLIMITED = platform_store.Switches(writes_per_s=0, reads_per_s=0)
 
 
@@ -124,11 +129,22 @@
     )
 
 
-def free_port(kind: int = socket.SOCK_STREAM) -> int:
-    """Return a port that is currently free."""
-    with socket.socket(socket.AF_INET, kind) as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+def free_port() -> int:
+    """Return a port that is free for both TCP and UDP, which a gateway listens on for peers.
+
+    It lies below the range of outgoing connections, so that none of them takes it meanwhile.
+    """
+    return next(port for port in iter(lambda: random.choice(_PORTS), 0) if _is_free(port))
+
+
+def _is_free(port: int) -> bool:
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(socket.AF_INET, kind) as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                return False
+    return True
 
 
 @dataclasses.dataclass(frozen=True)
@@ -207,7 +223,7 @@
             failure_domain=domain,
             caller_address=f"127.0.0.1:{free_port()}",
             ready_address=f"127.0.0.1:{free_port()}",
-            peer_address=f"127.0.0.1:{free_port(socket.SOCK_DGRAM)}",
+            peer_address=f"127.0.0.1:{free_port()}",
             store_address="127.0.0.1:1",
         )
         store = VmStore(self.store)
@@ -223,6 +239,7 @@
 
     @staticmethod
     async def _run_node(node: Node, task_status: trio.TaskStatus[None]) -> None:
+        CURRENT_NODE.set(node.cfg.vm)
         with node.scope:
             await node.kern.run(task_status)
 
--- a/src/cornelgrade/schema/codec.py
+++ b/src/cornelgrade/schema/codec.py
@@ -192,6 +192,12 @@
     builder.expectedS = body.expected_s
 
 
+def _write_reach_report(out: Any, field: str, body: messages.ReachReport) -> None:
+    builder = out.init(field)
+    builder.services = list(body.services)
+    builder.active = body.active
+
+
 def _encode_bitmap(number: int) -> bytes:
     return number.to_bytes((number.bit_length() + 7) // 8, "little")
 
@@ -231,6 +237,8 @@
     messages.UpstreamLimits: ("upstreamLimits", _write_upstream_limits),
     messages.AllowanceRequest: ("allowanceRequest", _write_allowance_request),
     messages.AllowanceGrant: ("allowanceGrant", _write_allowance_grant),
+    messages.ReachQuery: ("reachQuery", _write_void),
+    messages.ReachReport: ("reachReport", _write_reach_report),
     ports.Load: ("load", _write_load),
     ports.Yield: ("yield", _write_slots),
     ports.Share: ("share", _write_slots),
@@ -291,6 +299,8 @@
     "allowanceGrant": lambda raw: messages.AllowanceGrant(
         raw.upstream, raw.startedMs, raw.tokens, raw.waitS, raw.expectedS
     ),
+    "reachQuery": lambda raw: messages.ReachQuery(),
+    "reachReport": lambda raw: messages.ReachReport(tuple(raw.services), raw.active),
     **_MESSAGE_READERS,
 }
 
--- a/src/cornelgrade/schema/messages.py
+++ b/src/cornelgrade/schema/messages.py
@@ -196,6 +196,30 @@
     expected_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReachQuery:
+    """Asks which services' upstreams the receiver reaches.
+
+    :param vm: the sender, set on receipt.
+    """
+
+    vm: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReachReport:
+    """Reply to :class:`ReachQuery`.
+
+    :param services: those of which the sender reaches upstreams and takes requests.
+    :param active: requests in progress there.
+    :param vm: the sender, set on receipt.
+    """
+
+    services: tuple[str, ...]
+    active: int
+    vm: str = ""
+
+
 Body = (
     Ping
     | Ack
@@ -211,6 +235,8 @@
     | UpstreamLimits
     | AllowanceRequest
     | AllowanceGrant
+    | ReachQuery
+    | ReachReport
     | ports.PeerMessage
 )
 
--- a/src/cornelgrade/schema/peer.capnp
+++ b/src/cornelgrade/schema/peer.capnp
@@ -124,6 +124,11 @@
   expectedS @4 :Float64;
 }
 
+struct ReachReport {
+  services @0 :List(Text);
+  active @1 :UInt32;
+}
+
 struct Rumor {
   origin @0 :Text;
   number @1 :UInt64;
@@ -165,5 +170,7 @@
     upstreamLimits @23 :List(UpstreamLimit);
     allowanceRequest @24 :AllowanceRequest;
     allowanceGrant @25 :AllowanceGrant;
+    reachQuery @26 :Void;
+    reachReport @27 :ReachReport;
   }
 }
--- a/src/cornelgrade/services/edge/_relay_state.py
+++ b/src/cornelgrade/services/edge/_relay_state.py
@@ -5,7 +5,7 @@
 from cornelgrade import errors, logs, routes
 from cornelgrade.adapters import http1, http1_server
 from cornelgrade.policy import event_stream, software_versions
-from cornelgrade.services.edge import ports, slot_permits
+from cornelgrade.services.edge import forwarding, ports, slot_permits
 
 
 @dataclasses.dataclass(slots=True)
@@ -14,15 +14,19 @@
 
     :ivar upstreams_tried: number of upstreams that it was assigned to.
     :ivar runs: number of upstreams that may have run it.
+    :ivar earlier_runs: the same at the gateway that forwarded it here.
     :ivar last_event: number of the last event sent to the caller.
     :ivar last_event_s: when it arrived or, before the first one of an attempt, the head.
     :ivar response_bytes: bytes of response bodies received.
     :ivar origin: what began the stream, once it has begun, here or in an earlier attempt.
     :ivar framing: what marks the end of the last response.
+    :ivar peer: the gateway to which it was forwarded last.
+    :ivar failed_peers: gateways that failed to serve it.
     """
 
     upstreams_tried: int = 0
     runs: int = 0
+    earlier_runs: int = 0
     started: bool = False
     last_event: int | None = None
     last_event_s: float = 0.0
@@ -33,12 +37,15 @@
     upstream: str = ""
     permit: slot_permits.SlotPermit | None = None
     failed_upstreams: frozenset[str] = frozenset()
+    peer: str = ""
+    failed_peers: frozenset[str] = frozenset()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Request:
     """A request with its caller, route and deadline.
 
+    :param hop: where it came from, if another gateway forwarded it.
     :param fingerprint: identifies the request across callers' repeats, which have ids of their own.
     """
 
@@ -47,6 +54,7 @@
     route: routes.Route
     deadline_s: float
     fingerprint: str
+    hop: forwarding.Hop | None = None
 
 
 def placement_fields(permit: slot_permits.SlotPermit | None) -> dict[str, logs.Value]:
--- a/src/cornelgrade/services/edge/frontend.py
+++ b/src/cornelgrade/services/edge/frontend.py
@@ -6,7 +6,7 @@
 
 from cornelgrade import errors, kernel, logs, routes, settings
 from cornelgrade.adapters import http1_server
-from cornelgrade.services.edge import fleet, job_handler, ports, relay
+from cornelgrade.services.edge import fleet, forwarding, job_handler, peer_reach, ports, relay
 
 # Retry-After of a gateway that has just started and has no plan yet.
 RETRY_AFTER_S = 0.5
@@ -33,11 +33,14 @@
         handler: job_handler.JobHandler,
     ) -> None:
         self._fleet = kern.find("fleet", fleet.Fleet)
+        self._peer_reach = kern.find("peer_reach", peer_reach.PeerReach)
+        self._forwarding = forwarding.Forwarding(kern, call_format)
         self._relay = relay.Relay(kern, cfg, call_format)
         self._job_handler = handler
         self._cfg = cfg
         self._call_format = call_format
         self._caller_server = http1_server.Server(self._handle_request, self._current_limits)
+        self._peer_server = http1_server.Server(self._handle_forwarded, self._current_limits)
         self._readiness_server = http1_server.Server(self._send_readiness)
         self._stopping = False
 
@@ -46,20 +49,27 @@
         assert self._cfg.caller_address and self._cfg.ready_address
         async with trio.open_nursery() as nursery:
             await nursery.start(self._caller_server.serve, self._cfg.caller_address)
+            await nursery.start(self._peer_server.serve, self._cfg.peer_address)
             await nursery.start(self._readiness_server.serve, self._cfg.ready_address)
             started()
 
     async def drain(self) -> None:
         """Leave the load balancer's rotation, then return once all requests are answered."""
         self._stopping = True
+        self._peer_reach.stop()
         self._caller_server.drain()
-        _log.info("draining", busy=self._caller_server.active_requests)
+        _log.info("draining", busy=self._count_active())
         with trio.move_on_after(self._cfg.stop_grace_s - SHUTDOWN_MARGIN_S):
             await trio.sleep(LISTEN_AFTER_SIGNAL_S)
             self._caller_server.stop_listening()
-            while self._caller_server.active_requests:
+            self._peer_server.stop_listening()
+            while self._count_active():
                 await trio.sleep(BUSY_POLL_INTERVAL_S)
-        _log.info("drained", busy=self._caller_server.active_requests)
+        _log.info("drained", busy=self._count_active())
+
+    def _count_active(self) -> int:
+        """Count the requests in progress, those that other gateways forwarded included."""
+        return self._caller_server.active_requests + self._peer_server.active_requests
 
     def _current_limits(self) -> http1_server.Limits:
         """Return the limits of the plan in force."""
@@ -94,6 +104,25 @@
             return
         await self._relay.relay_request(exchange, caller, route)
 
+    async def _handle_forwarded(self, exchange: http1_server.Exchange) -> None:
+        """Serve a request that another gateway forwarded."""
+        try:
+            hop = self._forwarding.accept(exchange, self._cfg.peer_address)
+        except errors.Refusal as exc:
+            _log.warning("forwarded_request_rejected", error=exc.format_message())
+            await exchange.respond(exc.status, b"", ())
+            return
+        caller = self._call_format.parse_caller(exchange.raw_headers)
+        table = self._fleet.table()
+        route = table.find(caller.host, exchange.raw_path) if table else None
+        if route is None or not route.targets or route.kind is routes.RouteKind.BATCH:
+            # The sender may have a newer plan, so this is no reason to tell its caller 404.
+            await self._refuse_request(
+                exchange, caller, errors.Code.UNAVAILABLE, "no route here", RETRY_AFTER_S
+            )
+            return
+        await self._relay.relay_request(exchange, caller, route, hop)
+
     async def _refuse_request(
         self,
         exchange: http1_server.Exchange,
--- a/src/cornelgrade/services/edge/peers.py
+++ b/src/cornelgrade/services/edge/peers.py
@@ -47,6 +47,8 @@
     messages.StreamOriginQuery,
     messages.UpstreamLimits,
     messages.AllowanceRequest,
+    messages.ReachQuery,
+    messages.ReachReport,
 )
 _log = logs.Logger("peers")
 
@@ -75,7 +77,10 @@
 
 
 class Peers:
-    """Owns the process's datagram socket and tracks which peers are live."""
+    """Owns the process's datagram socket and tracks which peers are live.
+
+    :ivar key: the fleet's key, ``None`` until it was read from the store.
+    """
 
     name = "peers"
 
@@ -96,12 +101,13 @@
         self._vm_cache_filled_s = 0.0
         self._subscribers = _subscriptions.Subscriptions()
         self._socket: datagrams.Socket | None = None
+        self.key: peer_key.PeerKey | None = None
 
     async def run(self, started: Callable[[], None]) -> None:
         """Register, then watch registrations and receive datagrams until cancelled."""
         started()
-        key = await self._load_key()
-        with datagrams.Socket(self._own_entry.address, key, self.vm) as self._socket:
+        self.key = await self._load_key()
+        with datagrams.Socket(self._own_entry.address, self.key, self.vm) as self._socket:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._receive_datagrams, self._socket)
                 await self._register()
@@ -123,6 +129,11 @@
         if peer is not None and self._socket is not None:
             self._socket.send(peer.entry.address, body)
 
+    def address_of(self, vm: str) -> str | None:
+        """Return the address of a peer, for datagrams and for forwarded requests."""
+        peer = self._peers.get(vm)
+        return peer.entry.address if peer else None
+
     def live_vms(self, role: Role, failure_domain: str | None = None) -> tuple[str, ...]:
         """Return the live processes of a role, including this one."""
         return self._get_cached(
--- a/src/cornelgrade/services/edge/ports.py
+++ b/src/cornelgrade/services/edge/ports.py
@@ -74,6 +74,17 @@
     ) -> http1.Headers:
         """Return the headers of a request to an upstream."""
 
+    def forwarded_headers(
+        self, headers: http1.Headers, left_s: float, resume_after: int | None, resumes: str
+    ) -> http1.Headers:
+        """Return the headers of a caller's request as forwarded to a peer.
+
+        :param resumes: id of the attempt that began the stream, if it goes on after an event.
+        """
+
+    def parse_retry_after(self, head: http1.ResponseHead) -> float | None:
+        """Return after how many seconds a response asks to retry, ``None`` if it doesn't say."""
+
     def item_headers(
         self, host: str, item_id: str, headers: http1.Headers, upstream: str, after: int | None
     ) -> http1.Headers:
--- a/src/cornelgrade/services/edge/relay.py
+++ b/src/cornelgrade/services/edge/relay.py
@@ -16,6 +16,8 @@
     _relay_state,
     crash_detector,
     fleet,
+    forwarding,
+    peer_reach,
     ports,
     slot_permits,
     stream_origins,
@@ -38,6 +40,10 @@
 # The retry comes within the 2 s after which callers give up a silent stream.
 IDLE_TIMEOUT_RATIO = 2.0
 MIN_IDLE_TIMEOUT_S = 0.6
+# A peer goes on elsewhere by itself after a shorter silence of its upstream.
+PEER_IDLE_TIMEOUT_S = 1.5
+# Gateways that may refuse a forwarded request before it is refused.
+MAX_PEERS_TRIED = 3
 # Reserved from the caller's timeout for sending the response.
 DEADLINE_MARGIN_S = 0.02
 _STEP = "answer"
@@ -65,6 +71,11 @@
         self._crash_detector = kern.find("crash_detector", crash_detector.CrashDetector)
         self._call_format = call_format
         self._notices = upstream_notices.UpstreamNotices(kern, call_format)
+        self._peer_reach = kern.find("peer_reach", peer_reach.PeerReach)
+        self._forwarding = forwarding.Forwarding(kern, call_format)
+        self._forward_counter = metrics.counter(
+            "cornelgrade_edge_forwarded_total", "Requests forwarded to other gateways by outcome."
+        )
         self._request_counter = metrics.counter(
             "cornelgrade_edge_requests_total", "Requests by route and outcome."
         )
@@ -73,10 +84,15 @@
         )
 
     async def relay_request(
-        self, exchange: http1_server.Exchange, caller: ports.Caller, route: routes.Route
+        self,
+        exchange: http1_server.Exchange,
+        caller: ports.Caller,
+        route: routes.Route,
+        hop: forwarding.Hop | None = None,
     ) -> None:
         """Respond to a request before its deadline and log its outcome once.
 
+        :param hop: where it came from, if another gateway forwarded it; it goes no further.
         :raises AbortConnectionError: if a response that was started can't be completed.
         """
         timeout_s = caller.timeout_s if caller.timeout_s is not None else route.timeout_s
@@ -85,9 +101,11 @@
             exchange.target.decode("latin-1"), exchange.body, caller.prompt_parts
         )
         req = _relay_state.Request(
-            exchange, caller, route, exchange.arrived_s + limit_s, fingerprint
+            exchange, caller, route, exchange.arrived_s + limit_s, fingerprint, hop
+        )
+        progress = _relay_state.Progress(
+            last_event=caller.resume_after, earlier_runs=hop.runs if hop else 0
         )
-        progress = _relay_state.Progress(last_event=caller.resume_after)
         outcome = "caller_left"
         try:
             with trio.CancelScope(deadline=req.deadline_s) as scope:
@@ -103,6 +121,11 @@
 
     async def _forward(self, req: _relay_state.Request, progress: _relay_state.Progress) -> str:
         while True:
+            if self._reach.has_lost(self._pick_service(req, progress)):
+                outcome = await self._forward_to_peers(req, progress)
+                if outcome is not None:
+                    return outcome
+            progress.peer = ""
             try:
                 if progress.origin is None and progress.last_event is not None:
                     progress.origin = await self._find_origin(req)
@@ -125,18 +148,81 @@
             if refusal is not None:
                 return await self._send_refusal(req, progress, refusal)
 
+    def _pick_service(self, req: _relay_state.Request, progress: _relay_state.Progress) -> str:
+        if progress.origin is not None:
+            return progress.origin.service
+        return route_table.pick_service(req.route, req.caller.request_id)
+
+    async def _forward_to_peers(
+        self, req: _relay_state.Request, progress: _relay_state.Progress
+    ) -> str | None:
+        """Serve a request through gateways that reach upstreams.
+
+        :returns: its outcome, ``None`` if it should be tried here.
+        """
+        service = self._pick_service(req, progress)
+        refusal = errors.Refusal(
+            errors.Code.UNAVAILABLE,
+            f"no upstream of {service} can be reached",
+            step="forward",
+            retry_after_s=slot_permits.RETRY_AFTER_S,
+        )
+        for _ in range(MAX_PEERS_TRIED if req.hop is None else 0):
+            peer = await self._peer_reach.find_peer(service, progress.failed_peers)
+            if peer is None:
+                break
+            progress.peer = peer.vm
+            try:
+                return await self._call_peer(req, progress, peer.vm)
+            except errors.Refusal as exc:
+                refusal = exc
+            except engine.CallError as exc:
+                failure = self._refusal_after_failure(req, progress, exc)
+                if failure is not None:
+                    self._forward_counter.inc({"outcome": "failed"})
+                    return await self._send_refusal(req, progress, failure)
+            progress.failed_peers |= {peer.vm}
+            self._peer_reach.drop(peer.vm)
+        if self._reach.reaches(service):
+            return None
+        self._forward_counter.inc({"outcome": "refused"})
+        return await self._send_refusal(
+            req, progress, _relay_state.final_refusal(progress, refusal)
+        )
+
+    async def _call_peer(
+        self, req: _relay_state.Request, progress: _relay_state.Progress, vm: str
+    ) -> str:
+        """Relay the response of a peer; return the request's outcome.
+
+        :raises Refusal: if the peer refused it, so that it has not run there.
+        """
+        exchange, caller = req.exchange, req.caller
+        timeout_s = caller.timeout_s or req.route.timeout_s
+        with await self._forwarding.connect(vm) as channel:
+            headers = self._call_format.forwarded_headers(
+                exchange.raw_headers,
+                exchange.arrived_s + timeout_s - trio.current_time(),
+                progress.last_event,
+                caller.resumed_request or (caller.request_id if progress.started else ""),
+            )
+            await self._forwarding.send(channel, exchange, headers, progress.runs)
+            with trio.move_on_after(
+                self._idle_timeout_s(req, progress, req.route.aim_s)
+            ) as head_scope:
+                head = await channel.read_head()
+            if head_scope.cancelled_caught:
+                raise channel.call_error("no response within the timeout", _STEP, timed_out=True)
+            return await self._relay_peer_response(channel, req, progress, head)
+
     async def _acquire_permit(
         self, req: _relay_state.Request, progress: _relay_state.Progress
     ) -> slot_permits.SlotPermit:
         isolated = await self._is_suspect(req)
         origin = progress.origin
-        if origin is not None:
-            service, wait_s = origin.service, RESUME_PERMIT_WAIT_S
-        else:
-            service = route_table.pick_service(req.route, req.caller.request_id)
-            wait_s = PERMIT_WAIT_RATIO * req.route.aim_s
+        wait_s = RESUME_PERMIT_WAIT_S if origin else PERMIT_WAIT_RATIO * req.route.aim_s
         return await self._permits.acquire(
-            service,
+            self._pick_service(req, progress),
             req.route.rank,
             progress.failed_upstreams,
             wait_s,
@@ -153,7 +239,8 @@
         """
         if not req.route.resumable:
             return None
-        origin = await self._origins.find(req.caller.resumed_request, req.route)
+        began = req.caller.resumed_request or req.caller.request_id
+        origin = await self._origins.find(began, req.route)
         if origin is not None and any(t.service == origin.service for t in req.route.targets):
             return origin
         message = "its service left the route" if origin else "what began the stream is unknown"
@@ -196,6 +283,7 @@
             request=req.caller.request_id,
             fingerprint=req.fingerprint,
             upstream=progress.upstream,
+            via=progress.peer,
             version=progress.origin.version if progress.origin else "",
             progress=exc.progress.value,
             framing=progress.framing.value if progress.framing else "",
@@ -205,7 +293,7 @@
             error=exc.format_message(),
         )
         attempts_exhausted = (
-            progress.runs >= req.route.max_attempts
+            progress.earlier_runs + progress.runs >= req.route.max_attempts
             or progress.upstreams_tried >= MAX_UPSTREAMS_TRIED
         )
         if (
@@ -236,6 +324,7 @@
         except engine.CallError as exc:
             self._reach.mark_suspect(up, exc.message)
             raise
+        self._reach.record_contact()
         with self._crash_detector.track_call(up, req.fingerprint):
             try:
                 with channel:
@@ -319,6 +408,8 @@
         self, req: _relay_state.Request, progress: _relay_state.Progress, target_s: float
     ) -> float:
         """Return how long an upstream may be silent: unlimited if no other may be tried."""
+        if progress.peer and req.route.repeatable:
+            return PEER_IDLE_TIMEOUT_S
         if self._is_last_attempt(req, progress) or not req.route.repeatable:
             return float("inf")
         tried = progress.failed_upstreams | {progress.upstream}
@@ -334,18 +425,61 @@
         head: http1.ResponseHead,
     ) -> None:
         """Relay a response whose head was received."""
-        headers = self._call_format.caller_headers(head)
-        streamed = (head.get(b"content-type") or b"").startswith(_EVENT_STREAM)
         if head.status >= 500 and req.route.repeatable and not self._is_last_attempt(req, progress):
             raise channel.call_error(f"upstream failed with status {head.status}", _STEP)
+        await self._relay_head_and_body(channel, req, progress, head)
+
+    async def _relay_head_and_body(
+        self,
+        channel: http1.Channel,
+        req: _relay_state.Request,
+        progress: _relay_state.Progress,
+        head: http1.ResponseHead,
+    ) -> None:
+        headers = self._call_format.caller_headers(head)
+        if progress.permit is not None and req.hop is not None:
+            headers += forwarding.origin_headers(progress.permit.upstream)
+        streamed = (head.get(b"content-type") or b"").startswith(_EVENT_STREAM)
         if streamed and req.route.resumable and head.status < 300:
             await self._relay_events(channel, req, progress, (head.status, headers))
             return
         await self._relay_body(channel, req, progress, (head.status, headers))
 
+    async def _relay_peer_response(
+        self,
+        channel: http1.Channel,
+        req: _relay_state.Request,
+        progress: _relay_state.Progress,
+        head: http1.ResponseHead,
+    ) -> str:
+        """Relay what a peer responded, which is an upstream's response or a refusal.
+
+        :raises Refusal: if the peer refused the request.
+        """
+        if self._call_format.verdict(head, req.caller.request_id) is not ports.Verdict.RESPONSE:
+            if head.status not in _NOT_RUN_STATUSES:
+                raise channel.call_error(f"peer failed with status {head.status}", _STEP)
+            retry_after_s = self._call_format.parse_retry_after(head)
+            raise errors.Refusal(
+                errors.Code.OVERLOADED,
+                f"{progress.peer} refused with status {head.status}",
+                step="forward",
+                retry_after_s=retry_after_s or slot_permits.RETRY_AFTER_S,
+            )
+        progress.framing = head.framing
+        origin, head = forwarding.take_origin(head)
+        if req.route.resumable and origin is not None and not progress.started:
+            self._origins.record(req.caller.request_id, origin)
+        if progress.started:
+            await self._resume_stream(channel, req, progress, head)
+        else:
+            await self._relay_head_and_body(channel, req, progress, head)
+        self._forward_counter.inc({"outcome": "answered"})
+        return "answered"
+
     @staticmethod
     def _is_last_attempt(req: _relay_state.Request, progress: _relay_state.Progress) -> bool:
-        return progress.runs + 1 >= req.route.max_attempts
+        return progress.earlier_runs + progress.runs + 1 >= req.route.max_attempts
 
     async def _relay_body(
         self,
@@ -418,7 +552,7 @@
         if progress.origin is None and progress.permit is not None:
             up = progress.permit.upstream
             progress.origin = software_versions.origin_at(up)
-            self._origins.record(req.caller.request_id, up)
+            self._origins.record(req.caller.request_id, progress.origin)
 
     async def _read_part(
         self, channel: http1.Channel, req: _relay_state.Request, progress: _relay_state.Progress
@@ -474,6 +608,8 @@
             plan=table.plan.version if table else 0,
             version=progress.origin.version if progress.origin else "",
             resumes=req.caller.resumed_request,
+            via=progress.peer,
+            forwarded_by=req.hop.sender if req.hop else "",
             framing=progress.framing.value if progress.framing else "",
             **_relay_state.placement_fields(progress.permit),
         )
--- a/src/cornelgrade/services/edge/slot_permits.py
+++ b/src/cornelgrade/services/edge/slot_permits.py
@@ -192,6 +192,10 @@
         self._change_outstanding(upstream, -1)
         self._dispatch()
 
+    def count_outstanding(self) -> int:
+        """Return the number of requests that this VM has at upstreams."""
+        return sum(self._outstanding.values())
+
     def can_go_on_elsewhere(
         self, origin: software_versions.StreamOrigin, exclude: frozenset[str]
     ) -> bool:
--- a/src/cornelgrade/services/edge/stream_origins.py
+++ b/src/cornelgrade/services/edge/stream_origins.py
@@ -70,16 +70,16 @@
             nursery.start_soon(self._observe_changes)
             started()
 
-    def record(self, request_id: str, up: routes.Upstream) -> None:
-        """Record that a stream begins at an upstream; call it before its first event is sent.
+    def record(self, request_id: str, origin: software_versions.StreamOrigin) -> None:
+        """Record what begins a stream; call it before its first event is sent.
 
         :param request_id: id of the caller's attempt; a stream without one can't be found again.
         """
         if not request_id:
             return
         key = hash_request_id(request_id)
-        self._remember(key, software_versions.origin_at(up), own=True)
-        if up.service in self._mixed:
+        self._remember(key, origin, own=True)
+        if origin.service in self._mixed:
             self._tell_holders((key,))
 
     async def find(
--- a/tests/fleet/test_datagrams.py
+++ b/tests/fleet/test_datagrams.py
@@ -31,6 +31,8 @@
     ports.Quarantined("f", 2, 1.5, "ab12", 3, (ports.CrashSighting(2**64 - 1, 1.5, True, False),)),
     ports.UpstreamCrashed("ab12", "e1", 9, 1, "f" * 64),
     ports.Leaving("e1"),
+    messages.ReachQuery(),
+    messages.ReachReport(("llm", "embed"), 3),
     messages.UpstreamLimits((messages.UpstreamLimit("e1", 17, 2.5),)),
     messages.AllowanceRequest("e1", 17, 2),
     messages.AllowanceGrant("e1", 17, 0, 0.25, 1.5),
