Guard the token owner against a rate of zero, and the hop against header limits

An upstream's ownership may move on while a request for a token is handled; the rate is then zero, and the division would have ended the process. A forwarded request at the plan's limit on headers would have been rejected for the hop's own ones: the test of that passes now, its failure before is by reading only. Retry-After is bounded to a minute.

--- a/src/cornelgrade/policy/upstream_limit.py
+++ b/src/cornelgrade/policy/upstream_limit.py
@@ -97,8 +97,13 @@
 
     @property
     def wait_s(self) -> float:
-        """Time until the next token may be taken."""
-        return max(0.0, 1.0 - self.level) / self.per_s
+        """Time until the next token may be taken, infinite without a rate."""
+        missing = max(0.0, 1.0 - self.level)
+        return missing / self.per_s if self.per_s else math.inf
+
+    def wait_behind_s(self, waiting: int) -> float:
+        """Return the time until a token is left after some other VMs have taken one each."""
+        return self.wait_s + waiting / self.per_s if self.per_s else math.inf
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/cornelgrade/services/edge/forwarding.py
+++ b/src/cornelgrade/services/edge/forwarding.py
@@ -13,6 +13,8 @@
 from cornelgrade.services.edge import peers, ports
 
 CONNECT_TIMEOUT_S = 0.25
+# What the headers that mark a forwarded request add to those of the caller.
+MAX_OWN_HEADER_BYTES = 2048
 _RUNS = b"cornelgrade-runs"
 _SENDER = b"cornelgrade-sender"
 _SERVICE = b"cornelgrade-service"
--- a/src/cornelgrade/services/edge/frontend.py
+++ b/src/cornelgrade/services/edge/frontend.py
@@ -1,5 +1,6 @@
 """The service ``front``: accepts requests and dispatches them to the relay or job handler."""
 
+import dataclasses
 from collections.abc import Callable
 
 import trio
@@ -40,7 +41,7 @@
         self._cfg = cfg
         self._call_format = call_format
         self._caller_server = http1_server.Server(self._handle_request, self._current_limits)
-        self._peer_server = http1_server.Server(self._handle_forwarded, self._current_limits)
+        self._peer_server = http1_server.Server(self._handle_forwarded, self._peer_limits)
         self._readiness_server = http1_server.Server(self._send_readiness)
         self._stopping = False
 
@@ -84,6 +85,12 @@
             idle_timeout_s=configured.idle_timeout_s or defaults.idle_timeout_s,
         )
 
+    def _peer_limits(self) -> http1_server.Limits:
+        """Return the limits of forwarded requests, which have some headers of the sender's own."""
+        limits = self._current_limits()
+        header_bytes = limits.header_bytes + forwarding.MAX_OWN_HEADER_BYTES
+        return dataclasses.replace(limits, header_bytes=header_bytes)
+
     async def _send_readiness(self, exchange: http1_server.Exchange) -> None:
         serving = not self._stopping and self._fleet.table() is not None
         await exchange.respond(200 if serving else 503, b"", ())
--- a/src/cornelgrade/services/edge/slot_permits.py
+++ b/src/cornelgrade/services/edge/slot_permits.py
@@ -34,6 +34,8 @@
 MAX_REMOTE_UPSTREAMS = 8
 # Retry-After of a refusal: about the time in which an upstream completes a request.
 RETRY_AFTER_S = 0.4
+# Limits change, so no caller is told to stay away for longer.
+MAX_RETRY_AFTER_S = 60.0
 _log = logs.Logger("seats")
 
 
@@ -282,7 +284,7 @@
         wait_s = min(map(self._limits.shortest_wait_s, upstreams))
         if trio.current_time() + wait_s > waiter.deadline_s:
             expected_s = min(map(self._limits.expected_wait_s, upstreams))
-            waiter.retry_after_s = max(expected_s, RETRY_AFTER_S)
+            waiter.retry_after_s = min(max(expected_s, RETRY_AFTER_S), MAX_RETRY_AFTER_S)
             self._waiting.remove(waiter)
             waiter.wake.set()
 
--- a/src/cornelgrade/services/edge/upstream_limits.py
+++ b/src/cornelgrade/services/edge/upstream_limits.py
@@ -323,6 +323,9 @@
     def _reply(self, limit: _Limit, request: messages.AllowanceRequest) -> None:
         now_s = trio.current_time()
         self._refill(limit)
+        if not limit.bucket.per_s:
+            # Ownership has just moved on; the next request goes to the new owner.
+            return
         tokens = min(request.wanted, limit.bucket.whole_tokens)
         limit.bucket = limit.bucket.drain(tokens)
         limit.denied = {v: at for v, at in limit.denied.items() if now_s - at < DENIAL_TTL_S}
@@ -330,7 +333,7 @@
         wait_s = expected_s = 0.0
         if not tokens:
             wait_s = limit.bucket.wait_s
-            expected_s = wait_s + len(limit.denied) / limit.bucket.per_s
+            expected_s = limit.bucket.wait_behind_s(len(limit.denied))
             limit.denied[request.vm] = now_s
         self._counter.inc({"outcome": "granted" if tokens else "denied"})
         grant = messages.AllowanceGrant(
--- a/tests/edge/test_stranded_vms.py
+++ b/tests/edge/test_stranded_vms.py
@@ -1,5 +1,6 @@
 """Gateways that lost their links to all upstreams, which others still reach."""
 
+import dataclasses
 import time
 
 import pytest
@@ -208,3 +209,17 @@
                 await peer.drain()
                 peer.kern.stop()
     assert got[0].complete
+
+
+# Guards against a request at the limit on headers that is rejected because of the hop's own ones.
+async def test_forwarded_request_may_have_as_many_headers_as_a_direct_one(monkeypatch):
+    async with edge_system.run_system(gateways=2, workers=1, engines=3) as system:
+        plan = edge_system.make_plan(version=2)
+        limits = dataclasses.replace(plan.limits, header_bytes=1500)
+        await system.plan(dataclasses.replace(plan, limits=limits))
+        with stranded.cut_vms(system, monkeypatch, "gateway-0", refuses=True):
+            await notice(system, "gateway-0")
+            got = await system.send_online(
+                "gateway-0", edge_system.ONCE_PREFIX, "r1", x_note="n" * 1200
+            )
+    assert got.status == 200
--- a/tests/policy/test_upstream_limit.py
+++ b/tests/policy/test_upstream_limit.py
@@ -73,3 +73,10 @@
     assert placement.list_limited((idle, busy, full), busy) == (idle,)
     assert not placement.are_all_limited((idle, busy, full))
     assert placement.are_all_limited((idle, full))
+
+
+# Guards against a process that stops because an upstream's ownership moves on under a request.
+def test_bucket_without_a_rate_never_has_a_token():
+    bucket = upstream_limit.Bucket(0.0, 0.0).refill(5.0, 0.0)
+    assert bucket.whole_tokens == 0
+    assert bucket.wait_s == bucket.wait_behind_s(3) == float("inf")
