Keep the ports of the edge stand-ins apart from those of the process tests

Two parts of the suite beside each other met: a stand-in of tests/process found its port in use (Errno 98), and calls reached another run's server.

--- a/src/cornelgrade/platform/standins/edge_system.py
+++ b/src/cornelgrade/platform/standins/edge_system.py
@@ -28,7 +28,8 @@
 RESULTS_WAIT_S = 1.0
 # The node whose task is running, for tests that cut single nodes off.
 CURRENT_NODE: contextvars.ContextVar[str] = contextvars.ContextVar("node", default="")
-_PORTS = range(10_000, 30_000)
+# Below the ports of the process tests, which may run at the same time.
+_PORTS = range(5_000, 10_000)
 UNLIMITED = platform_store.Switches(writes_per_s=0, reads_per_s=0)
 
 
