--- a/src/cornelgrade/platform/standins/edge_system.py
+++ b/src/cornelgrade/platform/standins/edge_system.py
@@ -3,6 +3,7 @@
 import contextlib
 import contextvars
 import dataclasses
+import itertools
 import random
 import socket
 import sys
@@ -30,6 +31,7 @@
 CURRENT_NODE: contextvars.ContextVar[str] = contextvars.ContextVar("node", default="")
 # Below the ports of the process tests, which may run at the same time.
 _PORTS = range(5_000, 10_000)
+_drawn_ports = itertools.cycle(random.sample(_PORTS, len(_PORTS)))
 UNLIMITED = platform_store.Switches(writes_per_s=0, reads_per_s=0)
 
 
@@ -133,9 +135,10 @@
 def free_port() -> int:
     """Return a port that is free for both TCP and UDP, which a gateway listens on for peers.
 
-    It lies below the range of outgoing connections, so that none of them takes it meanwhile.
+    It lies below the range of outgoing connections, so that none of them takes it meanwhile, and
+    isn't returned again until all others were: a node draws its ports before it listens on them.
     """
-    return next(port for port in iter(lambda: random.choice(_PORTS), 0) if _is_free(port))
+    return next(port for port in _drawn_ports if _is_free(port))
 
 
 def _is_free(port: int) -> bool:
