Let connections outlive a link that is silent for a second

Cause: TCP_USER_TIMEOUT (1.5 s) decides when keep-alive probes give up, whatever TCP_KEEPCNT says, so that a connection that had been idle for 1 s failed with its first lost probe; the comment there said the second. A request that may run once only was lost to a silence of a sound upstream's link.

Change: 3.5 s, so that three probes have to be lost; TCP_KEEPCNT, which had no effect, is gone. Repeatable requests are not affected: they go on elsewhere after a shorter silence of their own limits. A host that is gone is noticed after 4 s instead of 2.

--- a/src/cornelgrade/adapters/http1.py
+++ b/src/cornelgrade/adapters/http1.py
@@ -24,12 +24,13 @@
 MAX_INTERIM_RESPONSES = 16
 MAX_SKIPPED_RESPONSES = 16
 MAX_SKIPPED_BYTES = 1_000_000
-# The connection fails once sent data stays unacknowledged for this long. Shorter than the 2 s after
-# which callers abandon an idle stream.
-USER_TIMEOUT_MS = 1500
-# Detects a peer that disappeared without closing: the first probe after 1 s of idleness, then one
-# each second; the second unanswered probe fails the connection.
-KEEPALIVE_OPTIONS = ((socket.TCP_KEEPIDLE, 1), (socket.TCP_KEEPINTVL, 1), (socket.TCP_KEEPCNT, 2))
+# Probes detect a host that disappeared without closing: the first after 1 s of idleness, then one
+# each second.
+KEEPALIVE_OPTIONS = ((socket.TCP_KEEPIDLE, 1), (socket.TCP_KEEPINTVL, 1))
+# The connection fails once sent data stays unacknowledged for this long, or once probes do and
+# nothing arrived for this long. TCP_KEEPCNT has no effect beside it. Three probes have to be lost,
+# so that a link that is silent for a second costs no call.
+USER_TIMEOUT_MS = 3500
 Headers = tuple[tuple[bytes, bytes], ...]
 _MIN_NOT_SUCCESS_STATUS = 300
 _NO_BODY_STATUSES = frozenset((204, 304))
