Test that a pause of a sound upstream strands nobody

An engine that sends nothing for 1.2 s costs no request, also of those that may run once only, and its gateway doesn't take its links for lost.

--- a/src/cornelgrade/platform/standins/stream_engine.py
+++ b/src/cornelgrade/platform/standins/stream_engine.py
@@ -115,7 +115,7 @@
         self.crashes = 0
         self.on_crash: Callable[[float], None] = lambda down_s: None
         self.started_ms = 0
-        self._dark_until_s = -1e9
+        self._silent_until_s = -1e9
         self.address = ""
         self._slot_limiter = trio.CapacityLimiter(slots)
         self._server = _http_server.Server(self._handle)
@@ -143,11 +143,15 @@
         self.crashes += 1
         self._server.crash(down_s, resets=not self.faults.unframed)
 
+    def pause(self, for_s: float) -> None:
+        """Send nothing for a while, then go on."""
+        self._silent_until_s = trio.current_time() + for_s
+
     def _go_dark(self, down_s: float) -> None:
         """Lose the requests that are running, and respond to nothing for a while."""
         self.crashes += 1
         self._server.silence()
-        self._dark_until_s = trio.current_time() + down_s
+        self.pause(down_s)
 
     def _crash_if_due(self, seen: ReceivedRequest, sent_events: int | None) -> None:
         faults = self.faults
@@ -159,7 +163,7 @@
             self.on_crash(faults.down_s)
 
     async def _handle(self, req: _http_server.Exchange) -> None:
-        await trio.sleep_until(self._dark_until_s)
+        await trio.sleep_until(self._silent_until_s)
         self.arrivals_s.append(trio.current_time())
         if req.raw_path == "/report":
             load = {"running": self.running, "waiting": self.waiting, "born": self.started_ms}
@@ -232,6 +236,7 @@
                 await req.send_chunk(event[len(begun) : -1])
                 return
             await trio.sleep(self.event_s)
+            await trio.sleep_until(self._silent_until_s)
             await req.send_chunk(event[len(begun) :])
         await self._inject_faults(req, self.events)
 
--- a/tests/edge/test_stranded_vms.py
+++ b/tests/edge/test_stranded_vms.py
@@ -16,6 +16,7 @@
 REQUESTS = 20
 # Within this time a gateway must have noticed that it lost its upstreams.
 NOTICE_S = 1.5
+PAUSE_S = 1.2
 
 
 async def send_all(system, gateway, first, path=edge_system.RESUMABLE_PREFIX, count=REQUESTS):
@@ -174,6 +175,26 @@
     assert [got.status for _, got in responses] == [200] * REQUESTS
 
 
+# Guards against sound upstreams that are silent for a moment and are taken for lost links, and
+# against a request that is given up although it may run once only.
+async def test_pause_of_a_sound_upstream_is_no_disturbance():
+    async with edge_system.run_system(gateways=2, workers=1, engines=3, events=30) as system:
+        reach = system.nodes["gateway-0"].kern.find("upstream_reach", upstream_reach.UpstreamReach)
+        responses = []
+
+        async def send():
+            responses.extend(await send_all(system, "gateway-0", 0, edge_system.ONCE_PREFIX))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(send)
+            await trio.sleep(0.3)
+            system.engines["engine-0"].pause(PAUSE_S)
+            await trio.sleep(PAUSE_S)
+            assert not reach.has_lost(edge_system.SERVICE)
+    assert [got.status for _, got in responses] == [200] * REQUESTS
+    assert all(got.complete for _, got in responses)
+
+
 # Guards against calm days that pay for the questions of stranded gateways.
 async def test_gateways_that_reach_their_upstreams_ask_nothing(monkeypatch):
     sent = []
