Don't call a request not run when a peer may have run it

Cause: when the deadline passed while a peer held a forwarded request, the gateway judged by the upstreams that it had tried itself, which were none, and answered 503 with Retry-After. Found by reading. Ruled out: a peer that refuses or fails in time, whose outcome counts as a run.

Change: a request that was given to a peer may have run, like one that was given to an upstream.

Measured: the new test got 503 where 504 without Retry-After is due; it passes now, as does the rest of tests/edge/test_stranded_vms.py.

--- a/src/cornelgrade/services/edge/_relay_state.py
+++ b/src/cornelgrade/services/edge/_relay_state.py
@@ -20,7 +20,7 @@
     :ivar response_bytes: bytes of response bodies received.
     :ivar origin: what began the stream, once it has begun, here or in an earlier attempt.
     :ivar framing: what marks the end of the last response.
-    :ivar peer: the gateway to which it was forwarded last.
+    :ivar peer: the gateway to which it was forwarded last; empty once it is tried here.
     :ivar failed_peers: gateways that failed to serve it.
     """
 
@@ -91,8 +91,8 @@
 
 
 def timeout_refusal(progress: Progress) -> errors.Refusal:
-    """Return the refusal after a timeout; once an upstream was tried, it may have run."""
-    if progress.upstreams_tried == 0:
+    """Return the refusal after a timeout; once an upstream or peer was tried, it may have run."""
+    if not (progress.upstreams_tried or progress.runs or progress.peer):
         return errors.Refusal(
             errors.Code.OVERLOADED,
             "no permit before the deadline",
--- a/tests/edge/test_stranded_vms.py
+++ b/tests/edge/test_stranded_vms.py
@@ -11,7 +11,7 @@
 from cornelgrade.adapters import peer_auth
 from cornelgrade.platform.standins import edge_system, formats, stream_engine
 from cornelgrade.schema import messages
-from cornelgrade.services.edge import peers, upstream_reach
+from cornelgrade.services.edge import frontend, peers, upstream_reach
 
 REQUESTS = 20
 # Within this time a gateway must have noticed that it lost its upstreams.
@@ -151,6 +151,21 @@
     assert len(runs_of(system, "once")) == 1
 
 
+# Guards against "not run" for a request that a peer may have run when its deadline passed.
+async def test_request_that_a_peer_never_answers_may_have_run(monkeypatch):
+    async def hold(self, exchange):
+        await trio.sleep_forever()
+
+    monkeypatch.setattr(frontend.Frontend, "_handle_forwarded", hold)
+    async with edge_system.run_system(gateways=2, workers=1, engines=3) as system:
+        with stranded.cut_vms(system, monkeypatch, "gateway-0", refuses=True):
+            await notice(system, "gateway-0")
+            headers = formats.online_headers("held", 0.5)
+            got = await system.send("gateway-0", "POST", edge_system.ONCE_PREFIX, headers)
+    assert got.status == 504
+    assert "retry-after" not in got.headers
+
+
 # Guards against callers that use the peers' address to get past admission.
 @pytest.mark.parametrize("forged", [{}, {peer_auth.AUTH_HEADER: f"gateway-1 {0} 00 00"}])
 async def test_requests_that_no_peer_signed_are_rejected(forged):
