--- a/src/cornelgrade/services/edge/_relay_state.py
+++ b/src/cornelgrade/services/edge/_relay_state.py
@@ -7,6 +7,11 @@
 from cornelgrade.policy import event_stream, software_versions
 from cornelgrade.services.edge import forwarding, ports, slot_permits
 
+# Statuses that say that the request has not run.
+NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+# The step of failures after the request was sent.
+STEP = "answer"
+
 
 @dataclasses.dataclass(slots=True)
 class Progress:
@@ -57,6 +62,11 @@
     hop: forwarding.Hop | None = None
 
 
+def is_last_attempt(req: Request, progress: Progress) -> bool:
+    """Whether no other upstream may run the request after the next one."""
+    return progress.earlier_runs + progress.runs + 1 >= req.route.max_attempts
+
+
 def placement_fields(permit: slot_permits.SlotPermit | None) -> dict[str, logs.Value]:
     """Return the log fields of the load by which the last upstream was chosen."""
     if permit is None:
@@ -102,6 +112,6 @@
     return errors.Refusal(
         errors.Code.DEADLINE,
         "no complete response before the deadline",
-        step="answer",
+        step=STEP,
         ran=errors.Ran.UNKNOWN,
     )
--- /dev/null
+++ b/src/cornelgrade/services/edge/_response_relay.py
@@ -0,0 +1,173 @@
+"""Relays one response, of an upstream or a peer, to the caller as it arrives."""
+
+import trio
+
+from cornelgrade import kernel
+from cornelgrade.adapters import http1
+from cornelgrade.policy import event_stream, software_versions
+from cornelgrade.services.edge import (
+    _relay_state,
+    forwarding,
+    ports,
+    slot_permits,
+    stream_origins,
+)
+
+# A repeatable request is retried at another upstream after a silence of this many times the target.
+# The retry comes within the 2 s after which callers give up a silent stream.
+IDLE_TIMEOUT_RATIO = 2.0
+MIN_IDLE_TIMEOUT_S = 0.6
+# A peer goes on elsewhere by itself after a shorter silence of its upstream.
+PEER_IDLE_TIMEOUT_S = 1.5
+_EVENT_STREAM = b"text/event-stream"
+
+
+class ResponseRelay:
+    """Relays responses whose head was received; raises ``CallError`` if another may be tried."""
+
+    def __init__(
+        self, kern: kernel.Kernel, max_response_bytes: int, call_format: ports.CallFormat
+    ) -> None:
+        self._max_response_bytes = max_response_bytes
+        self._call_format = call_format
+        self._permits = kern.find("seats", slot_permits.SlotPermits)
+        self._origins = kern.find("stream_origins", stream_origins.StreamOrigins)
+
+    def idle_timeout_s(
+        self, req: _relay_state.Request, progress: _relay_state.Progress, target_s: float
+    ) -> float:
+        """Return how long an upstream may be silent: unlimited if no other may be tried."""
+        if progress.peer and req.route.repeatable:
+            return PEER_IDLE_TIMEOUT_S
+        if _relay_state.is_last_attempt(req, progress) or not req.route.repeatable:
+            return float("inf")
+        tried = progress.failed_upstreams | {progress.upstream}
+        if progress.origin and not self._permits.can_go_on_elsewhere(progress.origin, tried):
+            return float("inf")
+        return max(MIN_IDLE_TIMEOUT_S, IDLE_TIMEOUT_RATIO * target_s)
+
+    async def relay(
+        self,
+        channel: http1.Channel,
+        req: _relay_state.Request,
+        progress: _relay_state.Progress,
+        head: http1.ResponseHead,
+    ) -> None:
+        """Relay a response whose head was received, or go on with a stream that has begun."""
+        if progress.started:
+            await self._resume_stream(channel, req, progress, head)
+        else:
+            await self._relay_head_and_body(channel, req, progress, head)
+
+    async def _relay_head_and_body(
+        self,
+        channel: http1.Channel,
+        req: _relay_state.Request,
+        progress: _relay_state.Progress,
+        head: http1.ResponseHead,
+    ) -> None:
+        headers = self._call_format.caller_headers(head)
+        if progress.permit is not None and req.hop is not None:
+            headers += forwarding.origin_headers(progress.permit.upstream)
+        streamed = (head.get(b"content-type") or b"").startswith(_EVENT_STREAM)
+        if streamed and req.route.resumable and head.status < 300:
+            await self._relay_events(channel, req, progress, (head.status, headers))
+            return
+        await self._relay_body(channel, req, progress, (head.status, headers))
+
+    async def _relay_body(
+        self,
+        channel: http1.Channel,
+        req: _relay_state.Request,
+        progress: _relay_state.Progress,
+        head: tuple[int, http1.Headers],
+    ) -> None:
+        """Relay the body as it arrives."""
+        while part := await channel.read_chunk():
+            self._check_size(channel, progress, part)
+            await self._write_part(req, progress, head, part)
+        if not progress.started:
+            await self._write_part(req, progress, head, b"")
+        await req.exchange.end_response()
+
+    def _check_size(
+        self, channel: http1.Channel, progress: _relay_state.Progress, part: bytes
+    ) -> None:
+        progress.response_bytes += len(part)
+        if progress.response_bytes > self._max_response_bytes:
+            raise channel.call_error("response exceeds the size limit", _relay_state.STEP)
+
+    async def _resume_stream(
+        self,
+        channel: http1.Channel,
+        req: _relay_state.Request,
+        progress: _relay_state.Progress,
+        head: http1.ResponseHead,
+    ) -> None:
+        """Continue a stream that the caller has received in part."""
+        if head.status >= 300:
+            raise channel.call_error(f"resume request got status {head.status}", _relay_state.STEP)
+        await self._relay_events(channel, req, progress, None)
+
+    async def _relay_events(
+        self,
+        channel: http1.Channel,
+        req: _relay_state.Request,
+        progress: _relay_state.Progress,
+        head: tuple[int, http1.Headers] | None,
+    ) -> None:
+        """Relay complete events only, so that another upstream can resume after the last one."""
+        splitter = event_stream.EventSplitter()
+        progress.last_event_s = trio.current_time()
+        while part := await self._read_part(channel, req, progress):
+            self._check_size(channel, progress, part)
+            try:
+                events = splitter.feed(part)
+            except event_stream.EventTooLongError as exc:
+                raise channel.call_error(str(exc), _relay_state.STEP) from exc
+            for event in events:
+                if _relay_state.has_gap(event, progress.last_event):
+                    raise channel.call_error(
+                        f"events missing between {progress.last_event} and {event.event_id}",
+                        _relay_state.STEP,
+                    )
+                if _relay_state.is_new_event(event, progress.last_event):
+                    self._record_origin(req, progress)
+                    await self._write_part(req, progress, head, event.raw)
+                    progress.last_event_s = trio.current_time()
+                    progress.last_event = (
+                        event.event_id if event.event_id is not None else progress.last_event
+                    )
+        if not progress.started and head is not None:
+            await self._write_part(req, progress, head, b"")
+        await req.exchange.end_response()
+
+    def _record_origin(self, req: _relay_state.Request, progress: _relay_state.Progress) -> None:
+        """Record what began a stream, before its first event is sent."""
+        if progress.origin is None and progress.permit is not None:
+            up = progress.permit.upstream
+            progress.origin = software_versions.origin_at(up)
+            self._origins.record(req.caller.request_id, progress.origin)
+
+    async def _read_part(
+        self, channel: http1.Channel, req: _relay_state.Request, progress: _relay_state.Progress
+    ) -> bytes:
+        """Read on; bytes that complete no event don't extend the time until the next one."""
+        idle_s = self.idle_timeout_s(req, progress, req.route.gap_aim_s)
+        with trio.move_on_at(progress.last_event_s + idle_s):
+            return await channel.read_chunk()
+        raise channel.call_error("no event within the timeout", _relay_state.STEP, timed_out=True)
+
+    @staticmethod
+    async def _write_part(
+        req: _relay_state.Request,
+        progress: _relay_state.Progress,
+        head: tuple[int, http1.Headers] | None,
+        part: bytes,
+    ) -> None:
+        if progress.started or head is None:
+            await req.exchange.send_chunk(part)
+            return
+        progress.started = True
+        progress.first_byte_s = trio.current_time() - req.exchange.arrived_s
+        await req.exchange.start_response(*head, part)
--- a/src/cornelgrade/services/edge/relay.py
+++ b/src/cornelgrade/services/edge/relay.py
@@ -5,7 +5,6 @@
 from cornelgrade import errors, kernel, logs, metrics, routes, settings
 from cornelgrade.adapters import engine, http1, http1_server
 from cornelgrade.policy import (
-    event_stream,
     request_traits,
     retry,
     route_table,
@@ -13,7 +12,9 @@
 )
 from cornelgrade.services import ports as shared_ports
 from cornelgrade.services.edge import (
+    _peer_relay,
     _relay_state,
+    _response_relay,
     crash_detector,
     fleet,
     forwarding,
@@ -36,19 +37,10 @@
 RESUME_PERMIT_WAIT_S = 1.0
 # Upstreams that may decline a request before it is refused.
 MAX_UPSTREAMS_TRIED = 4
-# A repeatable request is retried at another upstream after a silence of this many times the target.
-# The retry comes within the 2 s after which callers give up a silent stream.
-IDLE_TIMEOUT_RATIO = 2.0
-MIN_IDLE_TIMEOUT_S = 0.6
-# A peer goes on elsewhere by itself after a shorter silence of its upstream.
-PEER_IDLE_TIMEOUT_S = 1.5
 # Gateways that may refuse a forwarded request before it is refused.
 MAX_PEERS_TRIED = 3
 # Reserved from the caller's timeout for sending the response.
 DEADLINE_MARGIN_S = 0.02
-_STEP = "answer"
-_EVENT_STREAM = b"text/event-stream"
-_NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 # The quarantine judges by circumstances, so a caller must not be told that its request is invalid.
 _STATUS_BY_CODE = errors.STATUS | {
     errors.Code.QUARANTINED: errors.STATUS[errors.Code.UPSTREAM_FAILED],
@@ -62,7 +54,6 @@
     def __init__(
         self, kern: kernel.Kernel, cfg: settings.EdgeSettings, call_format: ports.CallFormat
     ) -> None:
-        self._max_response_bytes = cfg.response_bytes
         self._permits = kern.find("seats", slot_permits.SlotPermits)
         self._reach = kern.find("upstream_reach", upstream_reach.UpstreamReach)
         self._fleet = kern.find("fleet", fleet.Fleet)
@@ -72,7 +63,8 @@
         self._call_format = call_format
         self._notices = upstream_notices.UpstreamNotices(kern, call_format)
         self._peer_reach = kern.find("peer_reach", peer_reach.PeerReach)
-        self._forwarding = forwarding.Forwarding(kern, call_format)
+        self._response_relay = _response_relay.ResponseRelay(kern, cfg.response_bytes, call_format)
+        self._peer_relay = _peer_relay.PeerRelay(kern, call_format, self._response_relay)
         self._forward_counter = metrics.counter(
             "cornelgrade_edge_forwarded_total", "Requests forwarded to other gateways by outcome."
         )
@@ -173,7 +165,9 @@
                 break
             progress.peer = peer.vm
             try:
-                return await self._call_peer(req, progress, peer.vm)
+                await self._peer_relay.call(req, progress, peer.vm)
+                self._forward_counter.inc({"outcome": "answered"})
+                return "answered"
             except errors.Refusal as exc:
                 refusal = exc
             except engine.CallError as exc:
@@ -190,31 +184,6 @@
             req, progress, _relay_state.final_refusal(progress, refusal)
         )
 
-    async def _call_peer(
-        self, req: _relay_state.Request, progress: _relay_state.Progress, vm: str
-    ) -> str:
-        """Relay the response of a peer; return the request's outcome.
-
-        :raises Refusal: if the peer refused it, so that it has not run there.
-        """
-        exchange, caller = req.exchange, req.caller
-        timeout_s = caller.timeout_s or req.route.timeout_s
-        with await self._forwarding.connect(vm) as channel:
-            headers = self._call_format.forwarded_headers(
-                exchange.raw_headers,
-                exchange.arrived_s + timeout_s - trio.current_time(),
-                progress.last_event,
-                caller.resumed_request or (caller.request_id if progress.started else ""),
-            )
-            await self._forwarding.send(channel, exchange, headers, progress.runs)
-            with trio.move_on_after(
-                self._idle_timeout_s(req, progress, req.route.aim_s)
-            ) as head_scope:
-                head = await channel.read_head()
-            if head_scope.cancelled_caught:
-                raise channel.call_error("no response within the timeout", _STEP, timed_out=True)
-            return await self._relay_peer_response(channel, req, progress, head)
-
     async def _acquire_permit(
         self, req: _relay_state.Request, progress: _relay_state.Progress
     ) -> slot_permits.SlotPermit:
@@ -347,10 +316,12 @@
         await self._send_request(channel, req, progress, up)
         head = await self._read_head(channel, req, progress, up)
         progress.framing = head.framing
-        if progress.started:
-            await self._resume_stream(channel, req, progress, head)
-        else:
-            await self._relay_response(channel, req, progress, head)
+        retryable = req.route.repeatable and not _relay_state.is_last_attempt(req, progress)
+        if head.status >= 500 and retryable and not progress.started:
+            raise channel.call_error(
+                f"upstream failed with status {head.status}", _relay_state.STEP
+            )
+        await self._response_relay.relay(channel, req, progress, head)
         return head
 
     async def _send_request(
@@ -376,7 +347,9 @@
         up: routes.Upstream,
     ) -> http1.ResponseHead:
         """Wait for the head of this request's response."""
-        with trio.move_on_after(self._idle_timeout_s(req, progress, req.route.aim_s)):
+        with trio.move_on_after(
+            self._response_relay.idle_timeout_s(req, progress, req.route.aim_s)
+        ):
             while True:
                 head = await channel.read_head()
                 self._notices.record(up, head)
@@ -388,7 +361,9 @@
             self._crash_detector.record_response(up)
             return self._check_verdict(channel, head, verdict)
         self._reach.mark_suspect(up, "silent")
-        raise channel.call_error("no response within the timeout", _STEP, timed_out=True)
+        raise channel.call_error(
+            "no response within the timeout", _relay_state.STEP, timed_out=True
+        )
 
     @staticmethod
     def _check_verdict(
@@ -397,185 +372,16 @@
         """Raise for heads that must not be passed on to the caller."""
         if verdict is ports.Verdict.NOT_RUN:
             channel.progress = engine.Progress.NOT_SENT
-            raise channel.call_error(f"upstream declined with status {head.status}", _STEP)
+            raise channel.call_error(
+                f"upstream declined with status {head.status}", _relay_state.STEP
+            )
         if verdict is ports.Verdict.UNSIGNED and (
-            head.status < 400 or head.status in _NOT_RUN_STATUSES
+            head.status < 400 or head.status in _relay_state.NOT_RUN_STATUSES
         ):
-            raise channel.call_error(f"unsigned response with status {head.status}", _STEP)
-        return head
-
-    def _idle_timeout_s(
-        self, req: _relay_state.Request, progress: _relay_state.Progress, target_s: float
-    ) -> float:
-        """Return how long an upstream may be silent: unlimited if no other may be tried."""
-        if progress.peer and req.route.repeatable:
-            return PEER_IDLE_TIMEOUT_S
-        if self._is_last_attempt(req, progress) or not req.route.repeatable:
-            return float("inf")
-        tried = progress.failed_upstreams | {progress.upstream}
-        if progress.origin and not self._permits.can_go_on_elsewhere(progress.origin, tried):
-            return float("inf")
-        return max(MIN_IDLE_TIMEOUT_S, IDLE_TIMEOUT_RATIO * target_s)
-
-    async def _relay_response(
-        self,
-        channel: http1.Channel,
-        req: _relay_state.Request,
-        progress: _relay_state.Progress,
-        head: http1.ResponseHead,
-    ) -> None:
-        """Relay a response whose head was received."""
-        if head.status >= 500 and req.route.repeatable and not self._is_last_attempt(req, progress):
-            raise channel.call_error(f"upstream failed with status {head.status}", _STEP)
-        await self._relay_head_and_body(channel, req, progress, head)
-
-    async def _relay_head_and_body(
-        self,
-        channel: http1.Channel,
-        req: _relay_state.Request,
-        progress: _relay_state.Progress,
-        head: http1.ResponseHead,
-    ) -> None:
-        headers = self._call_format.caller_headers(head)
-        if progress.permit is not None and req.hop is not None:
-            headers += forwarding.origin_headers(progress.permit.upstream)
-        streamed = (head.get(b"content-type") or b"").startswith(_EVENT_STREAM)
-        if streamed and req.route.resumable and head.status < 300:
-            await self._relay_events(channel, req, progress, (head.status, headers))
-            return
-        await self._relay_body(channel, req, progress, (head.status, headers))
-
-    async def _relay_peer_response(
-        self,
-        channel: http1.Channel,
-        req: _relay_state.Request,
-        progress: _relay_state.Progress,
-        head: http1.ResponseHead,
-    ) -> str:
-        """Relay what a peer responded, which is an upstream's response or a refusal.
-
-        :raises Refusal: if the peer refused the request.
-        """
-        if self._call_format.verdict(head, req.caller.request_id) is not ports.Verdict.RESPONSE:
-            if head.status not in _NOT_RUN_STATUSES:
-                raise channel.call_error(f"peer failed with status {head.status}", _STEP)
-            retry_after_s = self._call_format.parse_retry_after(head)
-            raise errors.Refusal(
-                errors.Code.OVERLOADED,
-                f"{progress.peer} refused with status {head.status}",
-                step="forward",
-                retry_after_s=retry_after_s or slot_permits.RETRY_AFTER_S,
+            raise channel.call_error(
+                f"unsigned response with status {head.status}", _relay_state.STEP
             )
-        progress.framing = head.framing
-        origin, head = forwarding.take_origin(head)
-        if req.route.resumable and origin is not None and not progress.started:
-            self._origins.record(req.caller.request_id, origin)
-        if progress.started:
-            await self._resume_stream(channel, req, progress, head)
-        else:
-            await self._relay_head_and_body(channel, req, progress, head)
-        self._forward_counter.inc({"outcome": "answered"})
-        return "answered"
-
-    @staticmethod
-    def _is_last_attempt(req: _relay_state.Request, progress: _relay_state.Progress) -> bool:
-        return progress.earlier_runs + progress.runs + 1 >= req.route.max_attempts
-
-    async def _relay_body(
-        self,
-        channel: http1.Channel,
-        req: _relay_state.Request,
-        progress: _relay_state.Progress,
-        head: tuple[int, http1.Headers],
-    ) -> None:
-        """Relay the body as it arrives."""
-        while part := await channel.read_chunk():
-            self._check_size(channel, progress, part)
-            await self._write_part(req, progress, head, part)
-        if not progress.started:
-            await self._write_part(req, progress, head, b"")
-        await req.exchange.end_response()
-
-    def _check_size(
-        self, channel: http1.Channel, progress: _relay_state.Progress, part: bytes
-    ) -> None:
-        progress.response_bytes += len(part)
-        if progress.response_bytes > self._max_response_bytes:
-            raise channel.call_error("response exceeds the size limit", _STEP)
-
-    async def _resume_stream(
-        self,
-        channel: http1.Channel,
-        req: _relay_state.Request,
-        progress: _relay_state.Progress,
-        head: http1.ResponseHead,
-    ) -> None:
-        """Continue a stream that the caller has received in part."""
-        if head.status >= 300:
-            raise channel.call_error(f"resume request got status {head.status}", _STEP)
-        await self._relay_events(channel, req, progress, None)
-
-    async def _relay_events(
-        self,
-        channel: http1.Channel,
-        req: _relay_state.Request,
-        progress: _relay_state.Progress,
-        head: tuple[int, http1.Headers] | None,
-    ) -> None:
-        """Relay complete events only, so that another upstream can resume after the last one."""
-        splitter = event_stream.EventSplitter()
-        progress.last_event_s = trio.current_time()
-        while part := await self._read_part(channel, req, progress):
-            self._check_size(channel, progress, part)
-            try:
-                events = splitter.feed(part)
-            except event_stream.EventTooLongError as exc:
-                raise channel.call_error(str(exc), _STEP) from exc
-            for event in events:
-                if _relay_state.has_gap(event, progress.last_event):
-                    raise channel.call_error(
-                        f"events missing between {progress.last_event} and {event.event_id}", _STEP
-                    )
-                if _relay_state.is_new_event(event, progress.last_event):
-                    self._record_origin(req, progress)
-                    await self._write_part(req, progress, head, event.raw)
-                    progress.last_event_s = trio.current_time()
-                    progress.last_event = (
-                        event.event_id if event.event_id is not None else progress.last_event
-                    )
-        if not progress.started and head is not None:
-            await self._write_part(req, progress, head, b"")
-        await req.exchange.end_response()
-
-    def _record_origin(self, req: _relay_state.Request, progress: _relay_state.Progress) -> None:
-        """Record what began a stream, before its first event is sent."""
-        if progress.origin is None and progress.permit is not None:
-            up = progress.permit.upstream
-            progress.origin = software_versions.origin_at(up)
-            self._origins.record(req.caller.request_id, progress.origin)
-
-    async def _read_part(
-        self, channel: http1.Channel, req: _relay_state.Request, progress: _relay_state.Progress
-    ) -> bytes:
-        """Read on; bytes that complete no event don't extend the time until the next one."""
-        idle_s = self._idle_timeout_s(req, progress, req.route.gap_aim_s)
-        with trio.move_on_at(progress.last_event_s + idle_s):
-            return await channel.read_chunk()
-        raise channel.call_error("no event within the timeout", _STEP, timed_out=True)
-
-    @staticmethod
-    async def _write_part(
-        req: _relay_state.Request,
-        progress: _relay_state.Progress,
-        head: tuple[int, http1.Headers] | None,
-        part: bytes,
-    ) -> None:
-        if progress.started or head is None:
-            await req.exchange.send_chunk(part)
-            return
-        progress.started = True
-        progress.first_byte_s = trio.current_time() - req.exchange.arrived_s
-        await req.exchange.start_response(*head, part)
+        return head
 
     async def _send_refusal(
         self, req: _relay_state.Request, progress: _relay_state.Progress, refusal: errors.Refusal
