Soak: engines that name rate limits, a kind of its own

The soak drew no engine with a rate limit. The judge counts what came to such an engine in each 4 s from 3 s after it named its limit; a kill, freeze or stop excuses only the VM that it touched, and a named limit excuses no failure.

--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -19,6 +19,7 @@
 LATER_GAP_S = 4.0
 VERSIONS_GAP_S = 5.0
 UNFRAMED_GAP_S = 2.0
+LIMITS_GAP_S = 6.0
 SERIES_SHARE = 0.25
 SERIES = 3
 SERIES_GAP_S = 0.4
@@ -28,6 +29,9 @@
 SLOW_S = (0.05, 0.5)
 ENGINE_FAULT_S = (0.5, 3.0)
 DELAY_S = (0.02, 0.3)
+# Requests a second that an engine takes, and for how long it says so.
+LIMIT_PER_S = (1.0, 3.0)
+LIMITED_S = (5.0, 10.0)
 # How long an engine that leaves goes on serving what it has.
 LEAVE_S = 4.0
 HERD_SHARE = 0.5
@@ -78,6 +82,7 @@
     drawn += _draw(f"{seed} later", seconds, LATER_GAP_S, _LATER_ACTS)
     drawn += _draw(f"{seed} versions", seconds, VERSIONS_GAP_S, _VERSION_ACTS)
     drawn += _draw(f"{seed} unframed", seconds, UNFRAMED_GAP_S, _UNFRAMED_ACTS)
+    drawn += _draw(f"{seed} limits", seconds, LIMITS_GAP_S, _LIMIT_ACTS)
     return sorted(drawn, key=lambda plan: plan.at_s)
 
 
@@ -352,6 +357,21 @@
     engine.left_s = trio.current_time()
 
 
+async def _engine_limited(faults: Injection) -> None:
+    """Let an engine name a rate limit, which is no excuse for a failure."""
+    if (engine := faults.free_engine()) is None:
+        return
+    engine.held = True
+    limit = world.NamedLimit(faults.between(LIMIT_PER_S), trio.current_time())
+    engine.limits.append(limit)
+    named = msgspec.structs.replace(faults.system.engine_faults, limits=(f"{limit.per_s:.3f}",))
+    engine.stand_in.faults = named
+    await trio.sleep(faults.between(LIMITED_S))
+    engine.stand_in.faults = faults.system.engine_faults
+    limit.end_s = trio.current_time()
+    engine.held = False
+
+
 async def _change(faults: Injection) -> None:
     await faults.system.change()
 
@@ -379,4 +399,5 @@
 }
 _VERSION_ACTS: dict[str, Act] = {"engine_upgraded": _engine_upgraded}
 _UNFRAMED_ACTS: dict[str, Act] = {"engine_unframed": _engine_unframed}
-_ALL_ACTS = _ACTS | _LATER_ACTS | _VERSION_ACTS | _UNFRAMED_ACTS
+_LIMIT_ACTS: dict[str, Act] = {"engine_limited": _engine_limited}
+_ALL_ACTS = _ACTS | _LATER_ACTS | _VERSION_ACTS | _UNFRAMED_ACTS | _LIMIT_ACTS
--- a/bench/soak/judge.py
+++ b/bench/soak/judge.py
@@ -23,6 +23,9 @@
 CULPRIT_CRASHES = 3
 PART_CRASHES = 5
 MAX_LATE_RUNS = 3
+# From the moment at which an engine first names a rate limit until all VMs keep to it together.
+LIMIT_KNOWN_S = 3.0
+LIMIT_WINDOW_S = 4.0
 _REFUSED = frozenset((429, 503))
 _ATTEMPTS = {world.ONCE: 1, world.RESUMED: world.MAX_ATTEMPTS}
 
@@ -50,6 +53,7 @@
         for engine in self.system.engines.values():
             self._leaving(engine)
             self._says_leaving(engine)
+            self._limits(engine)
         self._versions()
         self._plans()
         self._culprits()
@@ -171,6 +175,36 @@
             if late and not self.system.touched({req.gateway}, since_s, req.begin_s):
                 self._problem(req, f"came to {engine.stand_in.name}, which had said it leaves")
 
+    def _limits(self, engine: world.Engine) -> None:
+        """Check that an engine got no more than the rate limits that it named allow."""
+        for limit in engine.limits:
+            allowed = 1.5 * limit.per_s * LIMIT_WINDOW_S + 5
+            for begin_s in engine.stand_in.arrivals_s:
+                end_s = begin_s + LIMIT_WINDOW_S
+                if not limit.begin_s + LIMIT_KNOWN_S <= begin_s <= limit.end_s - LIMIT_WINDOW_S:
+                    continue
+                got = self._count_arrivals(engine, limit.begin_s, begin_s, end_s)
+                if got > allowed:
+                    name = engine.stand_in.name
+                    self.problems.append(f"{name} got {got} in 4 s at a limit of {limit.per_s:.1f}")
+                    break
+
+    def _count_arrivals(
+        self, engine: world.Engine, known_s: float, begin_s: float, end_s: float
+    ) -> int:
+        """Count what came to an engine in a span, without that of VMs that had a fault.
+
+        :param known_s: faults since then excuse a VM.
+        """
+        if self.system.touched({world.OWN}, begin_s, end_s):
+            return 0
+        gateway_of = {req.id: req.gateway for req in self.seen.requests}
+        seen = [a for a in engine.stand_in.seen if begin_s <= a.at_s < end_s]
+        if not self.system.touched(set(self.system.daemons), known_s, end_s):
+            return sum(begin_s <= at_s < end_s for at_s in engine.stand_in.arrivals_s)
+        senders = [gateway_of[a.request] for a in seen if a.request in gateway_of]
+        return sum(not self.system.touched({vm}, known_s, end_s) for vm in senders)
+
     def _plans(self) -> None:
         latest: dict[str, int] = collections.defaultdict(int)
         for look in sorted(self.seen.marks, key=lambda m: m.begin_s):
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -157,10 +157,20 @@
         return self._process
 
 
+@dataclasses.dataclass(slots=True)
+class NamedLimit:
+    """A rate limit in requests a second that an engine named for a time."""
+
+    per_s: float
+    begin_s: float
+    end_s: float = math.inf
+
+
 @dataclasses.dataclass(slots=True)
 class Engine:
     """An engine behind a proxy, and the registration that names the proxy.
 
+    :ivar limits: the rate limits that its answers named.
     :ivar left_s: when its registration said that it leaves.
     :ivar said_leaving_s: when its answers began to say so.
     """
@@ -173,6 +183,7 @@
     held: bool = False
     left_s: float | None = None
     said_leaving_s: float | None = None
+    limits: list[NamedLimit] = dataclasses.field(default_factory=list)
 
     async def wait_until_up(self) -> None:
         """Wait until the engine accepts connections again after a crash."""
