Notice lost links that accept connections and then reset them

Cause: only a refused connection, a silent head or a failed probe made an upstream suspect, and a mere connection counted as contact. With links that accept and then reset, as some middleboxes do, each request failed with 502 and its gateway never took its upstreams for lost. Found by a soak with such gateways. Ruled out: the forwarding itself, which wasn't tried.

Change: an upstream that the check after a failed call finds down is suspect, and contact is a response. The check was there; it returns now what it found.

Measured: both cases of the new test got 502 throughout before; all requests are served now.

--- a/src/cornelgrade/services/edge/crash_detector.py
+++ b/src/cornelgrade/services/edge/crash_detector.py
@@ -89,16 +89,17 @@
         """Record that an upstream responded."""
         self._down.pop(_get_boot(up), None)
 
-    async def check_after(self, up: routes.Upstream, exc: engine.CallError) -> None:
-        """Check an upstream after a call failed there, if it may have been running the call.
+    async def check_after(self, up: routes.Upstream, exc: engine.CallError) -> bool:
+        """Check an upstream that may have been running a failed call; return whether it is down.
 
-        Returns once the check is done or has taken long; it then ends in the background.
+        A check that takes long ends in the background; the upstream then doesn't count as down.
         """
         if exc.progress not in _MAY_HAVE_RUN:
-            return
+            return False
         check = self._start_check(up)
         with trio.move_on_after(CHECK_WAIT_S):
             await check.done.wait()
+        return _get_boot(up) in self._down
 
     def check_abandoned(self, up: routes.Upstream, last_received_s: float) -> None:
         """Check an upstream in the background if a caller gave up because it was silent.
@@ -149,9 +150,8 @@
             load = await upstream_loads.fetch_load(self._call_format, up, self._notices.record)
         except engine.CallError as exc:
             return exc.format_message()
-        if load is None or not (load.started_ms and up.started_ms):
-            return None
-        return "restarted" if load.started_ms != up.started_ms else None
+        restarted = load and up.started_ms and load.started_ms not in (0, up.started_ms)
+        return "restarted" if restarted else None
 
 
 def _get_boot(up: routes.Upstream) -> _Boot:
--- a/src/cornelgrade/services/edge/relay.py
+++ b/src/cornelgrade/services/edge/relay.py
@@ -293,13 +293,13 @@
         except engine.CallError as exc:
             self._reach.mark_suspect(up, exc.message)
             raise
-        self._reach.record_contact()
         with self._crash_detector.track_call(up, req.fingerprint):
             try:
                 with channel:
                     return await self._call_upstream(channel, req, progress, up)
             except engine.CallError as exc:
-                await self._crash_detector.check_after(up, exc)
+                if await self._crash_detector.check_after(up, exc):
+                    self._reach.mark_suspect(up, exc.message)
                 raise
             except trio.Cancelled:
                 self._crash_detector.check_abandoned(up, channel.last_received_s)
@@ -359,6 +359,7 @@
                 _log.warning("foreign_response", request=req.caller.request_id, upstream=up.name)
                 await channel.skip_response()
             self._crash_detector.record_response(up)
+            self._reach.record_contact()
             return self._check_verdict(channel, head, verdict)
         self._reach.mark_suspect(up, "silent")
         raise channel.call_error(
--- a/src/cornelgrade/services/edge/upstream_reach.py
+++ b/src/cornelgrade/services/edge/upstream_reach.py
@@ -66,7 +66,7 @@
         return tuple(sorted(s for s in services if self.reaches(s) and not self.has_lost(s)))
 
     def record_contact(self) -> None:
-        """Record that an upstream accepted a connection."""
+        """Record that an upstream responded."""
         self._failures = 0
 
     def _count_reached(self, service: str) -> tuple[int, int]:
--- a/tests/edge/test_stranded_vms.py
+++ b/tests/edge/test_stranded_vms.py
@@ -70,6 +70,16 @@
         assert stream_engine.response_body(f"{cut[-1]}-3", engine.events) in bodies
 
 
+# Guards against links that accept connections and then reset them, and look alive.
+@pytest.mark.parametrize("path", [edge_system.ONCE_PREFIX, edge_system.RESUMABLE_PREFIX])
+async def test_gateway_whose_connections_are_reset_serves_through_another(monkeypatch, path):
+    async with edge_system.run_system(gateways=2, workers=1, engines=3) as system:
+        with stranded.cut_vms(system, monkeypatch, "gateway-0", resets=True):
+            await notice(system, "gateway-0")
+            responses = await send_all(system, "gateway-0", 0, path)
+    assert [got.status for _, got in responses] == [200] * REQUESTS
+
+
 # Guards against requests that are held, or passed round, when no gateway reaches an upstream.
 @pytest.mark.parametrize("refuses", [False, True])
 async def test_all_stranded_gateways_refuse_at_once(monkeypatch, refuses):
