Don't take lost links for crashes of upstreams

Cause: after a failed call the upstream is asked for its load, and if it doesn't respond, the texts in flight count as suspects of a crash. A VM that has lost its links finds all upstreams down, so that one text, or a part that prompts share, is in flight at "crashes" of several upstreams and is refused by the whole fleet. Ruled out: the faults of the links themselves, as those refusals came at once and said "quarantined".

Change: a crash counts only if another upstream of the service responds to this VM, or none of a few peers reaches the upstream, which they check themselves, as in the indirect probes of SWIM (outage_checks.py). A restarted upstream counts as before. Nothing is sent unless a call has failed.

--- a/src/cornelgrade/edge_daemons.py
+++ b/src/cornelgrade/edge_daemons.py
@@ -19,6 +19,7 @@
     job_handler,
     job_repository,
     metrics_page,
+    outage_checks,
     peer_reach,
     peers,
     ports,
@@ -118,7 +119,8 @@
         quarantine_sync.QuarantineSync(kern, dependencies.store, availability, cfg.vm), _RESTART
     )
     kern.add(upstream_limits.UpstreamLimits(kern))
-    kern.add(crash_detector.CrashDetector(kern, dependencies.calls), _RESTART)
+    kern.add(outage_checks.OutageChecks(kern, cfg, dependencies.calls), _RESTART)
+    kern.add(crash_detector.CrashDetector(kern), _RESTART)
     if cfg.metrics_address is not None:
         kern.add(metrics_page.MetricsPage(cfg.metrics_address), _RESTART)
     return availability
--- a/src/cornelgrade/schema/codec.py
+++ b/src/cornelgrade/schema/codec.py
@@ -198,6 +198,16 @@
     builder.active = body.active
 
 
+def _write_upstream_query(out: Any, field: str, body: messages.UpstreamQuery) -> None:
+    builder = out.init(field)
+    builder.upstream = body.upstream
+    builder.startedMs = body.started_ms
+
+
+def _write_upstream_responds(out: Any, field: str, body: messages.UpstreamResponds) -> None:
+    setattr(out, field, body.upstream)
+
+
 def _encode_bitmap(number: int) -> bytes:
     return number.to_bytes((number.bit_length() + 7) // 8, "little")
 
@@ -239,6 +249,8 @@
     messages.AllowanceGrant: ("allowanceGrant", _write_allowance_grant),
     messages.ReachQuery: ("reachQuery", _write_void),
     messages.ReachReport: ("reachReport", _write_reach_report),
+    messages.UpstreamQuery: ("upstreamQuery", _write_upstream_query),
+    messages.UpstreamResponds: ("upstreamResponds", _write_upstream_responds),
     ports.Load: ("load", _write_load),
     ports.Yield: ("yield", _write_slots),
     ports.Share: ("share", _write_slots),
@@ -301,6 +313,8 @@
     ),
     "reachQuery": lambda raw: messages.ReachQuery(),
     "reachReport": lambda raw: messages.ReachReport(tuple(raw.services), raw.active),
+    "upstreamQuery": lambda raw: messages.UpstreamQuery(raw.upstream, raw.startedMs),
+    "upstreamResponds": lambda raw: messages.UpstreamResponds(raw),
     **_MESSAGE_READERS,
 }
 
--- a/src/cornelgrade/schema/messages.py
+++ b/src/cornelgrade/schema/messages.py
@@ -220,6 +220,26 @@
     vm: str = ""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamQuery:
+    """Asks whether an upstream that doesn't respond to the sender responds to the receiver.
+
+    :param started_ms: Unix time of the upstream's start in milliseconds, 0 if not known.
+    :param vm: the sender, set on receipt.
+    """
+
+    upstream: str
+    started_ms: int
+    vm: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamResponds:
+    """Reply to :class:`UpstreamQuery`; there is none if the upstream doesn't respond."""
+
+    upstream: str
+
+
 Body = (
     Ping
     | Ack
@@ -237,6 +257,8 @@
     | AllowanceGrant
     | ReachQuery
     | ReachReport
+    | UpstreamQuery
+    | UpstreamResponds
     | ports.PeerMessage
 )
 
--- a/src/cornelgrade/schema/peer.capnp
+++ b/src/cornelgrade/schema/peer.capnp
@@ -129,6 +129,11 @@
   active @1 :UInt32;
 }
 
+struct UpstreamQuery {
+  upstream @0 :Text;
+  startedMs @1 :UInt64;
+}
+
 struct Rumor {
   origin @0 :Text;
   number @1 :UInt64;
@@ -172,5 +177,7 @@
     allowanceGrant @25 :AllowanceGrant;
     reachQuery @26 :Void;
     reachReport @27 :ReachReport;
+    upstreamQuery @28 :UpstreamQuery;
+    upstreamResponds @29 :Text;
   }
 }
--- a/src/cornelgrade/services/edge/crash_detector.py
+++ b/src/cornelgrade/services/edge/crash_detector.py
@@ -15,7 +15,7 @@
 from cornelgrade import kernel, logs, routes
 from cornelgrade.adapters import engine
 from cornelgrade.services import ports as shared_ports
-from cornelgrade.services.edge import ports, upstream_limits, upstream_loads, upstream_notices
+from cornelgrade.services.edge import outage_checks
 
 # How long a failed request waits for the check before its retry. A crashed process refuses
 # connections at once.
@@ -54,11 +54,9 @@
 
     name = "crash_detector"
 
-    def __init__(self, kern: kernel.Kernel, call_format: ports.CallFormat) -> None:
+    def __init__(self, kern: kernel.Kernel) -> None:
         self._quarantine = kern.find("quarantine", shared_ports.Quarantine)
-        self._call_format = call_format
-        self._limits = kern.find("upstream_limits", upstream_limits.UpstreamLimits)
-        self._notices = upstream_notices.UpstreamNotices(kern, call_format)
+        self._outage_checks = kern.find("outage_checks", outage_checks.OutageChecks)
         self._in_flight: dict[_Boot, dict[int, str]] = {}
         self._checks: dict[_Boot, _Check] = {}
         self._down: dict[_Boot, None] = {}
@@ -120,7 +118,7 @@
 
     async def _run_check(self, up: routes.Upstream, boot: _Boot, check: _Check) -> None:
         try:
-            reason = await self._find_crash(up)
+            reason = await self._outage_checks.find_outage(up)
         finally:
             self._checks.pop(boot, None)
         _log.info(
@@ -134,8 +132,9 @@
             self.record_response(up)
         elif boot not in self._down:
             self._record_crash(boot)
-            in_flight = tuple(check.fingerprints.values())
-            self._quarantine.report_crash(up.name, in_flight, up.started_ms)
+            if reason == outage_checks.RESTARTED or not await self._outage_checks.is_cut_off(up):
+                in_flight = tuple(check.fingerprints.values())
+                self._quarantine.report_crash(up.name, in_flight, up.started_ms)
         check.done.set()
 
     def _record_crash(self, boot: _Boot) -> None:
@@ -143,16 +142,6 @@
         while len(self._down) > MAX_DOWN:
             del self._down[next(iter(self._down))]
 
-    async def _find_crash(self, up: routes.Upstream) -> str | None:
-        """Return the sign of a crash, ``None`` if the upstream still runs."""
-        self._limits.take(up)
-        try:
-            load = await upstream_loads.fetch_load(self._call_format, up, self._notices.record)
-        except engine.CallError as exc:
-            return exc.format_message()
-        restarted = load and up.started_ms and load.started_ms not in (0, up.started_ms)
-        return "restarted" if restarted else None
-
 
 def _get_boot(up: routes.Upstream) -> _Boot:
     return _Boot(up.name, up.started_ms)
--- /dev/null
+++ b/src/cornelgrade/services/edge/outage_checks.py
@@ -0,0 +1,154 @@
+"""The service ``outage_checks``: whether an upstream is down, or only this VM's links to it are.
+
+A VM that has lost its links sees all its upstreams fail. Before one counts as crashed, another one
+has to respond to this VM, or none of some peers may reach it, as in the indirect probes of SWIM.
+"""
+
+import random
+from collections.abc import Callable
+
+import trio
+
+from cornelgrade import kernel, logs, routes, settings
+from cornelgrade.adapters import engine
+from cornelgrade.schema import messages
+from cornelgrade.services.edge import (
+    _notifier,
+    fleet,
+    peers,
+    ports,
+    upstream_limits,
+    upstream_loads,
+    upstream_notices,
+)
+
+# Other upstreams that are checked for one that doesn't respond.
+CHECKED_UPSTREAMS = 2
+# Peers that are asked, and how long for: they check the upstream themselves.
+QUERIED_PEERS = 6
+QUERY_WAIT_S = 0.4
+# After a peer has reached an upstream that this VM doesn't, others are not asked about for so long.
+CUT_OFF_S = 1.0
+# A peer checks an upstream once for all that ask within this time.
+REPLY_INTERVAL_S = 0.25
+# The sign of an outage that is over.
+RESTARTED = "restarted"
+_log = logs.Logger("outage_checks")
+
+
+class OutageChecks:
+    """Checks upstreams after a failed call, and for peers that ask."""
+
+    name = "outage_checks"
+
+    def __init__(
+        self, kern: kernel.Kernel, cfg: settings.EdgeSettings, call_format: ports.CallFormat
+    ) -> None:
+        self._fleet = kern.find("fleet", fleet.Fleet)
+        self._peers = kern.find("peers", peers.Peers)
+        self._limits = kern.find("upstream_limits", upstream_limits.UpstreamLimits)
+        self._notices = upstream_notices.UpstreamNotices(kern, call_format)
+        self._call_format = call_format
+        self._rng = random.Random(cfg.vm)
+        self._asking = trio.Lock()
+        self._cut_off_until_s = -1.0
+        self._responding: dict[str, float] = {}
+        self._replied = _notifier.Notifier()
+        self._checked_s: dict[str, float] = {}
+
+    async def run(self, started: Callable[[], None]) -> None:
+        """Reply to peers and receive their replies until cancelled."""
+        queries = self._peers.subscribe(messages.UpstreamQuery)
+        replies = self._peers.subscribe(messages.UpstreamResponds)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._receive_queries, nursery, queries)
+            nursery.start_soon(self._receive_replies, replies)
+            started()
+
+    async def find_outage(self, up: routes.Upstream) -> str | None:
+        """Return the sign that an upstream is down or was restarted, ``None`` if it still runs."""
+        self._limits.take(up)
+        try:
+            load = await upstream_loads.fetch_load(self._call_format, up, self._notices.record)
+        except engine.CallError as exc:
+            return exc.format_message()
+        restarted = load and up.started_ms and load.started_ms not in (0, up.started_ms)
+        return RESTARTED if restarted else None
+
+    async def is_cut_off(self, up: routes.Upstream) -> bool:
+        """Return whether an upstream seems down only because this VM has lost its links."""
+        async with self._asking:
+            if await self._reaches_another(up):
+                self._cut_off_until_s = -1.0
+                return False
+            if trio.current_time() < self._cut_off_until_s:
+                return True
+            if not await self._responds_to_peer(up):
+                return False
+            self._cut_off_until_s = trio.current_time() + CUT_OFF_S
+            _log.warning("cut_off", upstream=up.name)
+            return True
+
+    async def _reaches_another(self, up: routes.Upstream) -> bool:
+        """Return whether one of a few other upstreams of the service responds."""
+        others = [
+            reg.upstream
+            for reg in self._fleet.usable_registrations()
+            if reg.upstream.service == up.service and reg.upstream.name != up.name
+        ]
+        reached = False
+
+        async def check(other: routes.Upstream) -> None:
+            nonlocal reached
+            if await self.find_outage(other) is None:
+                reached = True
+                nursery.cancel_scope.cancel()
+
+        async with trio.open_nursery() as nursery:
+            for other in self._rng.sample(others, min(CHECKED_UPSTREAMS, len(others))):
+                nursery.start_soon(check, other)
+        return reached
+
+    async def _responds_to_peer(self, up: routes.Upstream) -> bool:
+        """Ask peers whether an upstream responds to them."""
+        vms = [vm for role in peers.Role for vm in self._peers.live_vms(role)]
+        others = [vm for vm in vms if vm != self._peers.vm]
+        asked_s = trio.current_time()
+        for vm in self._rng.sample(others, min(QUERIED_PEERS, len(others))):
+            self._peers.send(vm, messages.UpstreamQuery(up.name, up.started_ms))
+        with trio.move_on_after(QUERY_WAIT_S):
+            while self._responding.get(up.name, -1.0) < asked_s:
+                await self._replied.wait()
+            return True
+        return False
+
+    async def _receive_queries(
+        self,
+        nursery: trio.Nursery,
+        received: trio.MemoryReceiveChannel[messages.UpstreamQuery],
+    ) -> None:
+        async for query in received:
+            nursery.start_soon(self._reply, query)
+
+    async def _reply(self, query: messages.UpstreamQuery) -> None:
+        """Tell a peer that an upstream responds, if it does and was not started anew."""
+        registered = [reg.upstream for reg in self._fleet.usable_registrations()]
+        up = next((up for up in registered if up.name == query.upstream), None)
+        if up is None or up.started_ms != query.started_ms:
+            return
+        now_s = trio.current_time()
+        if now_s - self._checked_s.get(up.name, -REPLY_INTERVAL_S) >= REPLY_INTERVAL_S:
+            if not self._limits.try_take_for_poll(up) or await self.find_outage(up) is not None:
+                return
+            self._checked_s = {n: s for n, s in self._checked_s.items() if now_s - s < CUT_OFF_S}
+            self._checked_s[up.name] = now_s
+        self._peers.send(query.vm, messages.UpstreamResponds(up.name))
+
+    async def _receive_replies(
+        self, received: trio.MemoryReceiveChannel[messages.UpstreamResponds]
+    ) -> None:
+        async for reply in received:
+            now_s = trio.current_time()
+            self._responding = {n: s for n, s in self._responding.items() if now_s - s < CUT_OFF_S}
+            self._responding[reply.upstream] = now_s
+            self._replied.notify_all()
--- a/src/cornelgrade/services/edge/peers.py
+++ b/src/cornelgrade/services/edge/peers.py
@@ -49,6 +49,7 @@
     messages.AllowanceRequest,
     messages.ReachQuery,
     messages.ReachReport,
+    messages.UpstreamQuery,
 )
 _log = logs.Logger("peers")
 
--- a/tests/edge/test_stranded_vms.py
+++ b/tests/edge/test_stranded_vms.py
@@ -11,6 +11,7 @@
 from cornelgrade.adapters import peer_auth
 from cornelgrade.platform.standins import edge_system, formats, stream_engine
 from cornelgrade.schema import messages
+from cornelgrade.services import quarantine
 from cornelgrade.services.edge import frontend, peers, upstream_reach
 
 REQUESTS = 20
@@ -80,6 +81,24 @@
     assert [got.status for _, got in responses] == [200] * REQUESTS
 
 
+# Guards against texts that are refused everywhere as the cause of crashes which only a gateway
+# without links has seen.
+async def test_gateway_without_links_reports_no_crashes(monkeypatch):
+    reported = []
+    monkeypatch.setattr(
+        quarantine.Quarantine, "report_crash", lambda self, name, *more: reported.append(name)
+    )
+    async with edge_system.run_system(gateways=3, workers=1, engines=3) as system:
+        with stranded.cut_vms(system, monkeypatch, "gateway-0", resets=True):
+            await send_all(system, "gateway-0", 0, count=4)
+            await trio.sleep(NOTICE_S)
+        assert not reported
+        system.engines["engine-0"].faults = stream_engine.Faults(crash_on=b"crashing")
+        await system.send_online("gateway-1", edge_system.RESUMABLE_PREFIX, "r1", b"crashing")
+        await trio.sleep(NOTICE_S)
+        assert reported == ["engine-0"] * system.engines["engine-0"].crashes
+
+
 # Guards against requests that are held, or passed round, when no gateway reaches an upstream.
 @pytest.mark.parametrize("refuses", [False, True])
 async def test_all_stranded_gateways_refuse_at_once(monkeypatch, refuses):
--- a/tests/fleet/test_datagrams.py
+++ b/tests/fleet/test_datagrams.py
@@ -33,6 +33,8 @@
     ports.Leaving("e1"),
     messages.ReachQuery(),
     messages.ReachReport(("llm", "embed"), 3),
+    messages.UpstreamQuery("e1", 17),
+    messages.UpstreamResponds("e1"),
     messages.UpstreamLimits((messages.UpstreamLimit("e1", 17, 2.5),)),
     messages.AllowanceRequest("e1", 17, 2),
     messages.AllowanceGrant("e1", 17, 0, 0.25, 1.5),
