Count an upstream that was registered during a cut only once it responds

Cause: a gateway that has lost its links counted each upstream that isn't suspect as reached, also one that was registered meanwhile and never called. After a second it sent to it directly, and those requests failed.

Change: while a service is lost, its upstreams are suspect, and so probed, until they have responded.

--- a/src/cornelgrade/services/edge/upstream_reach.py
+++ b/src/cornelgrade/services/edge/upstream_reach.py
@@ -41,6 +41,7 @@
         self._suspects: set[str] = set()
         self._failures = 0
         self._lost: dict[str, float | None] = {}
+        self._returned: set[str] = set()
         self._nursery: trio.Nursery | None = None
 
     async def run(self, started: Callable[[], None]) -> None:
@@ -82,6 +83,8 @@
     def _update_lost(self, service: str) -> None:
         """Enter or leave the state in which the upstreams of a service are lost."""
         now_s = trio.current_time()
+        if service in self._lost:
+            self._suspect_unheard(service)
         reached, unreached = self._count_reached(service)
         if service not in self._lost:
             if stranding.has_lost_upstreams(reached, unreached):
@@ -95,10 +98,18 @@
             self._lost[service] = now_s
         elif reached >= unreached or (since_s is not None and now_s - since_s >= RETURN_AFTER_S):
             del self._lost[service]
+            self._returned.clear()
             _log.info(
                 "upstreams_reached_again", service=service, reached=reached, unreached=unreached
             )
 
+    def _suspect_unheard(self, service: str) -> None:
+        """Suspect upstreams that were registered since a service was lost, until they respond."""
+        for reg in self._fleet.usable_registrations():
+            up = reg.upstream
+            if up.service == service and up.name not in self._returned:
+                self.mark_suspect(up, "registered while links are lost")
+
     def is_suspect(self, upstream: str) -> bool:
         """Return whether an upstream was unreachable when it was last called."""
         return upstream in self._suspects
@@ -111,6 +122,7 @@
         if upstream.name in self._suspects or self._nursery is None:
             return
         self._suspects.add(upstream.name)
+        self._returned.discard(upstream.name)
         _log.warning("upstream_suspect", upstream=upstream.name, reason=reason)
         self._nursery.start_soon(self._probe_suspect, upstream)
         self._failures += 1
@@ -137,6 +149,7 @@
         while any(reg.upstream == upstream for reg in self._fleet.usable_registrations()):
             await trio.sleep(PROBE_INTERVAL_S)
             if self._limits.try_take_for_poll(upstream) and await self._responds(upstream):
+                self._returned.add(upstream.name)
                 break
         self._suspects.discard(upstream.name)
         self.record_contact()
--- a/tests/edge/test_stranded_vms.py
+++ b/tests/edge/test_stranded_vms.py
@@ -113,6 +113,23 @@
     assert all(float(got.headers["retry-after"]) > 0 for _, got in responses)
 
 
+# Guards against a gateway that takes an upstream which it never reached for the end of the cut.
+async def test_upstream_registered_during_a_cut_is_used_only_once_it_responds(monkeypatch):
+    async with edge_system.run_system(gateways=2, workers=1, engines=3) as system:
+        reach = system.nodes["gateway-0"].kern.find("upstream_reach", upstream_reach.UpstreamReach)
+        with stranded.cut_vms(system, monkeypatch, "gateway-0", resets=True) as cuts:
+            await notice(system, "gateway-0")
+            await system.start_engine("engine-9")
+            responses = []
+            for first in (0, REQUESTS, 2 * REQUESTS):
+                responses += await send_all(system, "gateway-0", first, edge_system.ONCE_PREFIX)
+            assert [got.status for _, got in responses] == [200] * 3 * REQUESTS
+            assert reach.has_lost(edge_system.SERVICE)
+            cuts.vms.clear()
+            await trio.sleep(2.0)
+            assert not reach.has_lost(edge_system.SERVICE)
+
+
 # Guards against a gateway that goes on using its peers after its links are back.
 async def test_gateway_sends_directly_again_soon_after_the_cut(monkeypatch):
     async with edge_system.run_system(gateways=2, workers=1, engines=3) as system:
