--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -1,7 +1,7 @@
 """Randomized soaks of the real programs as processes; run ``python -m bench.soak``.
 
 Usage:
-  soak edge [--seeds=S] [--seconds=T] [--keep=DIR] [--crashing]
+  soak edge [--seeds=S] [--seconds=T] [--keep=DIR] [--crashing] [--stranding]
   soak own [--seeds=S] [--jobs=J] [--items=I] [--timeout=T]
 
 Options:
@@ -9,6 +9,7 @@
   --seconds=T  How long faults are injected [default: 20].
   --crashing   Callers also send requests that crash each engine that runs them: one text again and
                again, and different texts with one part in their prompts.
+  --stranding  Gateways also lose their ways to all engines, while others reach them.
   --keep=DIR   Where logs of seeds with problems stay; a temporary folder if not given.
   --jobs=J     Jobs [default: 14].
   --items=I    Items of each job [default: 800].
@@ -40,10 +41,10 @@
     return found
 
 
-def _edge(seed: int, seconds: float, folder: pathlib.Path, crashing: bool) -> list[str]:
+def _edge(seed: int, seconds: float, folder: pathlib.Path, **kinds: bool) -> list[str]:
     shutil.rmtree(folder, ignore_errors=True)
     folder.mkdir(parents=True)
-    report = trio.run(functools.partial(edge.soak, seed, seconds, folder, crashing=crashing))
+    report = trio.run(functools.partial(edge.soak, seed, seconds, folder, **kinds))
     counts = f"{report.requests} requests, {report.items} items, {report.stalled_s:.1f} s stalled"
     print(f"seed {seed}: {counts}", flush=True)
     print(f"  faults {report.faults}\n  outcomes {report.outcomes}", flush=True)
@@ -64,7 +65,8 @@
     bad = 0
     for seed in seeds(args["--seeds"]):
         if args["edge"]:
-            problems = _edge(seed, float(args["--seconds"]), folder / str(seed), args["--crashing"])
+            kinds = {"crashing": args["--crashing"], "stranding": args["--stranding"]}
+            problems = _edge(seed, float(args["--seconds"]), folder / str(seed), **kinds)
         else:
             sizes = int(args["--jobs"]), int(args["--items"])
             problems = _own(seed, *sizes, float(args["--timeout"]))
--- a/bench/soak/edge.py
+++ b/bench/soak/edge.py
@@ -29,14 +29,20 @@
 
 
 async def soak(
-    seed: int, seconds: float, folder: pathlib.Path, *, crashing: bool = False
+    seed: int,
+    seconds: float,
+    folder: pathlib.Path,
+    *,
+    crashing: bool = False,
+    stranding: bool = False,
 ) -> Report:
     """Run one seed; logs of the processes go to ``folder``.
 
     :param crashing: whether callers also send requests that crash engines, by text and by part.
+    :param stranding: whether gateways lose their ways to all engines.
     """
     async with world.running(folder, GATEWAYS, WORKERS, ENGINES, crashing=crashing) as system:
-        injected = faults.Faults(system, f"faults {seed}")
+        injected = faults.Faults(system, f"faults {seed}", stranding=stranding)
         seen = callers.Callers(system, random.Random(f"callers {seed}"))
         again: list[str] = []
         async with trio.open_nursery() as nursery:
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -20,6 +20,7 @@
 VERSIONS_GAP_S = 5.0
 UNFRAMED_GAP_S = 2.0
 LIMITS_GAP_S = 6.0
+STRANDING_GAP_S = 8.0
 SERIES_SHARE = 0.25
 SERIES = 3
 SERIES_GAP_S = 0.4
@@ -32,6 +33,10 @@
 # Requests a second that an engine takes, and for how long it says so.
 LIMIT_PER_S = (1.0, 3.0)
 LIMITED_S = (5.0, 10.0)
+STRANDED_S = (4.0, 9.0)
+# Gateways that lose their ways to all engines at a time, and how often also those in use.
+MAX_STRANDED = 2
+RESET_SHARE = 0.5
 # How long an engine that leaves goes on serving what it has.
 LEAVE_S = 4.0
 HERD_SHARE = 0.5
@@ -75,14 +80,19 @@
     seed: str
 
 
-def plans(seed: str, seconds: float) -> list[Plan]:
-    """Draw which faults are injected when; a seed always gives the same."""
+def plans(seed: str, seconds: float, *, stranding: bool = False) -> list[Plan]:
+    """Draw which faults are injected when; a seed always gives the same.
+
+    :param stranding: whether gateways lose their ways to all engines.
+    """
     drawn = _draw(seed, seconds, GAP_S, _ACTS)
     # Drawn apart, so that the seeds of earlier findings still give the faults that they gave.
     drawn += _draw(f"{seed} later", seconds, LATER_GAP_S, _LATER_ACTS)
     drawn += _draw(f"{seed} versions", seconds, VERSIONS_GAP_S, _VERSION_ACTS)
     drawn += _draw(f"{seed} unframed", seconds, UNFRAMED_GAP_S, _UNFRAMED_ACTS)
     drawn += _draw(f"{seed} limits", seconds, LIMITS_GAP_S, _LIMIT_ACTS)
+    if stranding:
+        drawn += _draw(f"{seed} stranding", seconds, STRANDING_GAP_S, _STRANDING_ACTS)
     return sorted(drawn, key=lambda plan: plan.at_s)
 
 
@@ -104,16 +114,17 @@
     :ivar done: how often each was injected.
     """
 
-    def __init__(self, system: world.World, seed: str) -> None:
+    def __init__(self, system: world.World, seed: str, *, stranding: bool = False) -> None:
         self.system = system
         self.seed = seed
+        self.stranding = stranding
         self.done: collections.Counter[str] = collections.Counter()
 
     async def run(self, seconds: float) -> None:
         """Inject faults for a time, then wait until the last is over."""
         begin_s = trio.current_time()
         async with trio.open_nursery() as nursery:
-            for plan in plans(self.seed, seconds):
+            for plan in plans(self.seed, seconds, stranding=self.stranding):
                 await trio.sleep_until(begin_s + plan.at_s)
                 nursery.start_soon(self._series, plan)
 
@@ -372,6 +383,24 @@
     engine.held = False
 
 
+async def _gateways_stranded(faults: Injection) -> None:
+    """Cut gateways off from all engines, at times with the connections that are in use."""
+    if faults.system.stranded:
+        # One gateway at least keeps its ways.
+        return
+    free = faults.free_daemons(world.GATEWAY)
+    cut = faults.rng.sample(free, min(faults.rng.randint(1, MAX_STRANDED), len(free)))
+    with contextlib.ExitStack() as stack:
+        for daemon in cut:
+            stack.enter_context(faults.on(daemon, world.STRANDED))
+        faults.system.stranded.update(cut)
+        if faults.rng.random() < RESET_SHARE:
+            for engine in faults.system.engines.values():
+                engine.proxy.reset_refused()
+        await trio.sleep(faults.between(STRANDED_S))
+        faults.system.stranded.difference_update(cut)
+
+
 async def _change(faults: Injection) -> None:
     await faults.system.change()
 
@@ -400,4 +429,5 @@
 _VERSION_ACTS: dict[str, Act] = {"engine_upgraded": _engine_upgraded}
 _UNFRAMED_ACTS: dict[str, Act] = {"engine_unframed": _engine_unframed}
 _LIMIT_ACTS: dict[str, Act] = {"engine_limited": _engine_limited}
-_ALL_ACTS = _ACTS | _LATER_ACTS | _VERSION_ACTS | _UNFRAMED_ACTS | _LIMIT_ACTS
+_STRANDING_ACTS: dict[str, Act] = {"gateways_stranded": _gateways_stranded}
+_ALL_ACTS = _ACTS | _LATER_ACTS | _VERSION_ACTS | _UNFRAMED_ACTS | _LIMIT_ACTS | _STRANDING_ACTS
--- a/bench/soak/judge.py
+++ b/bench/soak/judge.py
@@ -26,6 +26,8 @@
 # From the moment at which an engine first names a rate limit until all VMs keep to it together.
 LIMIT_KNOWN_S = 3.0
 LIMIT_WINDOW_S = 4.0
+# From a cut off all engines until a gateway has its callers served through others.
+STRANDING_KNOWN_S = 3.0
 _REFUSED = frozenset((429, 503))
 _ATTEMPTS = {world.ONCE: 1, world.RESUMED: world.MAX_ATTEMPTS}
 
@@ -54,6 +56,7 @@
             self._leaving(engine)
             self._says_leaving(engine)
             self._limits(engine)
+        self._stranded()
         self._versions()
         self._plans()
         self._culprits()
@@ -85,6 +88,8 @@
         faults = {w.fault for w in windows if w.part == req.gateway}
         if faults & _BREAKING:
             return True
+        if self._lost_its_way(req):
+            return True
         if req.status == 0 and not engines:
             # A connection that closes as a request is sent on it carries nothing to an engine.
             return "stop" in faults
@@ -92,6 +97,41 @@
         unseen = len(engines) < _ATTEMPTS[req.path]
         return unseen and any(w.part in self.system.engines for w in windows)
 
+    def _lost_its_way(self, req: callers.Request) -> bool:
+        """Whether its gateway had just lost its engines, or served it through one that broke."""
+        gateways = {daemon.name for daemon in self.system.gateways}
+        for cut in self.system.windows:
+            if (cut.part, cut.fault) != (req.gateway, world.STRANDED):
+                continue
+            if cut.touches(req.begin_s, req.end_s):
+                known_s = cut.begin_s + STRANDING_KNOWN_S
+                return req.begin_s < known_s or any(
+                    w.part in gateways and w.fault in _BREAKING
+                    for w in self.system.windows
+                    if w.touches(req.begin_s, req.end_s)
+                )
+        return False
+
+    def _stranded(self) -> None:
+        """Check that callers of gateways without engines are served nearly as often as others."""
+        cuts = [w for w in self.system.windows if w.fault == world.STRANDED]
+        spans = {(w.begin_s + STRANDING_KNOWN_S, w.end_s) for w in cuts}
+        for begin_s, end_s in sorted(spans):
+            at = {w.part for w in cuts if w.touches(begin_s, end_s)}
+            sound = {daemon.name for daemon in self.system.gateways} - at
+            sound -= {vm for vm in sound if self.system.touched({vm}, begin_s, end_s)}
+            if not sound:
+                continue
+            during = [r for r in self.seen.requests if begin_s <= r.begin_s < end_s]
+            there = [req for req in during if req.gateway in at]
+            elsewhere = [req for req in during if req.gateway in sound]
+            failed = sum(not _is_served(req) for req in there)
+            served = (len(there) - failed) * len(elsewhere)
+            if failed > 10 + len(during) / 50 and served < sum(map(_is_served, elsewhere)) * len(
+                there
+            ) * (2 / 3):
+                self.problems.append(f"{failed} of {len(there)} failed at {sorted(at)}")
+
     def _versions(self) -> None:
         """Check that no stream has events of two versions, over all attempts of its caller."""
         versions: dict[str, set[str]] = collections.defaultdict(set)
@@ -256,5 +296,9 @@
         self.problems.append(f"{req.id} at {req.gateway} on {req.path}, {took_s:.2f} s: {what}")
 
 
+def _is_served(req: callers.Request) -> bool:
+    return req.status == 200 and req.whole
+
+
 def _store_paths(system: world.World) -> list[str]:
     return [f"{name} to store" for name in system.daemons]
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -14,6 +14,7 @@
 import msgspec
 import trio
 
+from bench.soak import sockets
 from cornelgrade import addresses, routes
 from cornelgrade.adapters import platform
 from cornelgrade.platform import directory
@@ -23,6 +24,8 @@
 SOURCE = pathlib.Path(__file__).resolve().parents[2] / "src"
 LOOPBACK = "127.0.0.1:0"
 GATEWAY, WORKER = "gateway", "worker"
+# The fault of a gateway that reaches no engine.
+STRANDED = "stranded"
 # Names this process among the parts that faults touch.
 OWN = "soak"
 # Changes that the store's watches can look back on: few, so that an outage outlasts them.
@@ -196,6 +199,7 @@
 
     :param crashing: whether :data:`CULPRIT` and :data:`CULPRIT_PART` crash engines.
     :ivar plans: when each version of the plan was written, by version.
+    :ivar stranded: the processes that reach no engine.
     :ivar engine_faults: the faults of an engine on which no other fault is at work.
     """
 
@@ -213,6 +217,7 @@
         self.store = platform_store.MemoryPlatform(switches, history_limit=HISTORY)
         self.daemons: dict[str, Daemon] = {}
         self.engines: dict[str, Engine] = {}
+        self.stranded: set[Daemon] = set()
         self.store_paths: dict[str, fault_proxy.FaultProxy] = {}
         self.windows: list[Window] = []
         self.problems: list[str] = []
@@ -292,13 +297,17 @@
         made.tells_version = True
         made.faults = self.engine_faults
         made.on_crash = functools.partial(self._record_crash, name)
-        proxy = fault_proxy.FaultProxy(await self.nursery.start(made.run))
+        proxy = fault_proxy.FaultProxy(await self.nursery.start(made.run), self._is_stranded)
         address = await self.nursery.start(proxy.serve, LOOPBACK)
         engine = Engine(made, proxy, address, domain)
         self.engines[name] = engine
         await self.register(engine)
         return engine
 
+    def _is_stranded(self, port: int) -> bool:
+        """Whether a connection comes from a process that reaches no engine."""
+        return any(sockets.owns_port(daemon.pid, port) for daemon in self.stranded)
+
     def _record_crash(self, engine: str, down_s: float) -> None:
         now_s = trio.current_time()
         self.windows.append(Window(engine, "crash", now_s, now_s + down_s))
--- a/src/cornelgrade/standins/fault_proxy.py
+++ b/src/cornelgrade/standins/fault_proxy.py
@@ -3,6 +3,7 @@
 import collections
 import socket
 import struct
+from collections.abc import Callable
 from typing import Literal
 
 import msgspec
@@ -39,10 +40,12 @@
     """Relays TCP connections to one target address.
 
     :param target: ``IP:port``.
+    :param refuses: whether new connections from a port are reset at once.
     """
 
-    def __init__(self, target: str) -> None:
+    def __init__(self, target: str, refuses: Callable[[int], bool] = lambda port: False) -> None:
         self.target = target
+        self._refuses = refuses
         self.switches = Switches()
         self.counters: collections.Counter[str] = collections.Counter()
         self._connections: set[_RelayedConnection] = set()
@@ -57,6 +60,12 @@
             if switches.cut:
                 connection.reset()
 
+    def reset_refused(self) -> None:
+        """Reset the open connections that would be refused if they were new."""
+        for connection in tuple(self._connections):
+            if self._refuses(connection.caller_port):
+                connection.reset()
+
     async def serve(
         self, address: str, task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED
     ) -> None:
@@ -75,7 +84,8 @@
 
     async def _relay_connection(self, caller_stream: trio.SocketStream) -> None:
         self.counters["connections"] += 1
-        if self.switches.refuse:
+        caller_port = caller_stream.socket.getpeername()[1]
+        if self.switches.refuse or self._refuses(caller_port):
             _enable_reset_on_close(caller_stream)
             return
         try:
@@ -84,7 +94,7 @@
             _enable_reset_on_close(caller_stream)
             return
         async with target_stream:
-            connection = _RelayedConnection(self, caller_stream, target_stream)
+            connection = _RelayedConnection(self, caller_port, caller_stream, target_stream)
             self._connections.add(connection)
             try:
                 await connection.run()
@@ -113,9 +123,14 @@
     """One relayed connection."""
 
     def __init__(
-        self, proxy: FaultProxy, caller_stream: trio.SocketStream, target_stream: trio.SocketStream
+        self,
+        proxy: FaultProxy,
+        caller_port: int,
+        caller_stream: trio.SocketStream,
+        target_stream: trio.SocketStream,
     ) -> None:
         self.frozen = False
+        self.caller_port = caller_port
         self._proxy = proxy
         self._caller_stream = caller_stream
         self._target_stream = target_stream
