Bound the attempts of a forwarded request as those of a direct one

Cause: a peer made as many attempts as the route allows, and when it broke off, failed or was slow, the gateway that has the caller counted one, and went on at another peer. Ruled out: a peer that declines, which has run nothing.

Change: a peer makes one run; the gateway that has the caller decides on the next one, with the limits on silence of a direct call. A peer whose upstream failed may be asked again.

--- a/src/cornelgrade/services/edge/_peer_relay.py
+++ b/src/cornelgrade/services/edge/_peer_relay.py
@@ -45,7 +45,9 @@
                 progress.last_event,
                 caller.resumed_request or (caller.request_id if progress.started else ""),
             )
-            await self._forwarding.send(channel, exchange, headers, progress.runs)
+            # The peer makes one run, so that runs are counted here whatever becomes of it.
+            earlier_runs = max(progress.runs, req.route.max_attempts - 1)
+            await self._forwarding.send(channel, exchange, headers, earlier_runs)
             head = await self._read_head(channel, req, progress)
             origin, head = forwarding.take_origin(head)
             if req.route.resumable and origin is not None and not progress.started:
--- a/src/cornelgrade/services/edge/_response_relay.py
+++ b/src/cornelgrade/services/edge/_response_relay.py
@@ -17,8 +17,6 @@
 # The retry comes within the 2 s after which callers give up a silent stream.
 IDLE_TIMEOUT_RATIO = 2.0
 MIN_IDLE_TIMEOUT_S = 0.6
-# A peer goes on elsewhere by itself after a shorter silence of its upstream.
-PEER_IDLE_TIMEOUT_S = 1.5
 _EVENT_STREAM = b"text/event-stream"
 
 
@@ -37,8 +35,6 @@
         self, req: _relay_state.Request, progress: _relay_state.Progress, target_s: float
     ) -> float:
         """Return how long an upstream may be silent: unlimited if no other may be tried."""
-        if progress.peer and req.route.repeatable:
-            return PEER_IDLE_TIMEOUT_S
         if _relay_state.is_last_attempt(req, progress) or not req.route.repeatable:
             return float("inf")
         tried = progress.failed_upstreams | {progress.upstream}
@@ -56,8 +52,13 @@
         """Relay a response whose head was received, or go on with a stream that has begun."""
         if progress.started:
             await self._resume_stream(channel, req, progress, head)
-        else:
-            await self._relay_head_and_body(channel, req, progress, head)
+            return
+        retryable = req.route.repeatable and not _relay_state.is_last_attempt(req, progress)
+        if head.status >= 500 and retryable:
+            raise channel.call_error(
+                f"upstream failed with status {head.status}", _relay_state.STEP
+            )
+        await self._relay_head_and_body(channel, req, progress, head)
 
     async def _relay_head_and_body(
         self,
--- a/src/cornelgrade/services/edge/relay.py
+++ b/src/cornelgrade/services/edge/relay.py
@@ -164,6 +164,7 @@
             if peer is None:
                 break
             progress.peer = peer.vm
+            answered = False
             try:
                 await self._peer_relay.call(req, progress, peer.vm)
                 self._forward_counter.inc({"outcome": "answered"})
@@ -171,12 +172,15 @@
             except errors.Refusal as exc:
                 refusal = exc
             except engine.CallError as exc:
+                # The upstream failed, or the peer did, which then can't be connected to.
+                answered = exc.progress is not engine.Progress.NOT_SENT and not exc.timed_out
                 failure = self._refusal_after_failure(req, progress, exc)
                 if failure is not None:
                     self._forward_counter.inc({"outcome": "failed"})
                     return await self._send_refusal(req, progress, failure)
-            progress.failed_peers |= {peer.vm}
-            self._peer_reach.drop(peer.vm)
+            if not answered:
+                progress.failed_peers |= {peer.vm}
+                self._peer_reach.drop(peer.vm)
         if self._reach.reaches(service):
             return None
         self._forward_counter.inc({"outcome": "refused"})
@@ -316,11 +320,6 @@
         await self._send_request(channel, req, progress, up)
         head = await self._read_head(channel, req, progress, up)
         progress.framing = head.framing
-        retryable = req.route.repeatable and not _relay_state.is_last_attempt(req, progress)
-        if head.status >= 500 and retryable and not progress.started:
-            raise channel.call_error(
-                f"upstream failed with status {head.status}", _relay_state.STEP
-            )
         await self._response_relay.relay(channel, req, progress, head)
         return head
 
--- a/tests/edge/test_stranded_vms.py
+++ b/tests/edge/test_stranded_vms.py
@@ -197,6 +197,34 @@
     assert len(runs_of(system, "once")) == 1
 
 
+# Guards against more attempts than the route allows, as the peer makes some of its own.
+@pytest.mark.parametrize("faults", [{"cut_after": 3}, {"end_before_events": True}, {"fail": 500}])
+async def test_attempts_over_the_hop_are_bounded_as_direct_ones_are(monkeypatch, faults):
+    async with edge_system.run_system(gateways=3, workers=1, engines=4) as system:
+        with stranded.cut_vms(system, monkeypatch, "gateway-0", refuses=True):
+            await notice(system, "gateway-0")
+            for engine in system.engines.values():
+                engine.faults = stream_engine.Faults(**faults)
+            await system.send_online("gateway-0", edge_system.RESUMABLE_PREFIX, "r1")
+    (route,) = (r for r in edge_system.make_plan().routes if r.name == "resumed")
+    assert 0 < len(runs_of(system, "r1")) <= route.max_attempts
+
+
+# Guards against a stream that ends with the first upstream that fails over the hop.
+async def test_stream_over_the_hop_goes_on_at_another_upstream(monkeypatch):
+    async with edge_system.run_system(gateways=2, workers=1, engines=2, events=20) as system:
+        with stranded.cut_vms(system, monkeypatch, "gateway-0", refuses=True):
+            await notice(system, "gateway-0")
+            system.engines["engine-0"].faults = stream_engine.Faults(cut_after=3)
+            for number in range(REQUESTS):
+                name = f"r{number}"
+                got = await system.send_online("gateway-0", edge_system.RESUMABLE_PREFIX, name)
+                if len(runs_of(system, name)) > 1:
+                    break
+    assert got.complete
+    assert got.body == stream_engine.response_body(name, 20)
+
+
 # Guards against "not run" for a request that a peer may have run when its deadline passed.
 async def test_request_that_a_peer_never_answers_may_have_run(monkeypatch):
     async def hold(self, exchange):
