--- a/src/cornelgrade/services/edge/outage_checks.py
+++ b/src/cornelgrade/services/edge/outage_checks.py
@@ -111,8 +111,8 @@
 
     async def _responds_to_peer(self, up: routes.Upstream) -> bool:
         """Ask peers whether an upstream responds to them."""
-        vms = [vm for role in peers.Role for vm in self._peers.live_vms(role)]
-        others = [vm for vm in vms if vm != self._peers.vm]
+        # A process that has just started has heard none of them yet.
+        others = self._peers.other_vms()
         asked_s = trio.current_time()
         for vm in self._rng.sample(others, min(QUERIED_PEERS, len(others))):
             self._peers.send(vm, messages.UpstreamQuery(up.name, up.started_ms))
