Authenticate teams by key on the platform path

Cause: a configuration's tenants were not decoded. The caller's key went to upstreams, X-Tenant came from the caller, and a key that had been taken away was served.

A request without exactly one known key gets 401, unless its route needs none; the key is dropped before a request goes to an upstream or a peer, and X-Tenant is set from the team, for retries, resumed streams, forwarded calls and batch items. Jobs keep their team, and other teams can't read or end them.

--- a/src/cornelgrade/platform/jobs.py
+++ b/src/cornelgrade/platform/jobs.py
@@ -20,12 +20,9 @@
     ports.ItemEnd.COMPLETED: "completed",
     ports.ItemEnd.GIVEN_UP: "dead_letter",
 }
-# Characters that are valid in a request head (RFC 9110, sections 5.1 and 5.5; RFC 3986). Items are
+# Characters that are valid in a request head (RFC 9110, section 5.1; RFC 3986). Items are
 # checked when the job is accepted, because an item with other characters could not be sent.
 _TOKEN = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
-_FIELD_VALUE = re.compile(
-    r"(?:[\x21-\x7e\x80-\xff](?:[ \t\x21-\x7e\x80-\xff]*[\x21-\x7e\x80-\xff])?)?"
-)
 _PATH = re.compile(r"/[\x21-\x7e]*")
 # Calls for an accepted job, by method and first path segment.
 _ACTIONS = {
@@ -107,7 +104,7 @@
     if not _TOKEN.fullmatch(item.id):
         raise ValueError(f"item {item.id!r}: invalid id")
     for name, value in headers:
-        if not _TOKEN.fullmatch(name) or not _FIELD_VALUE.fullmatch(value):
+        if not _TOKEN.fullmatch(name) or not calls.is_field_value(value):
             raise ValueError(f"item {item.id}: invalid header {name!r}")
     return ports.Item(item.id, item.path, headers, body, item.tokens)
 
--- a/src/cornelgrade/platform/plans.py
+++ b/src/cornelgrade/platform/plans.py
@@ -1,8 +1,12 @@
 """Decodes the operator's configuration to :class:`routes.Plan`."""
 
+import math
+
 import msgspec
 
 from cornelgrade import logs, routes
+from cornelgrade.platform import calls
+from cornelgrade.policy import teams, token_bucket
 
 KIND = "config"
 NAME = "main"
@@ -42,6 +46,8 @@
     item_ttl_s: float = 3_600.0
     # The maximum number of tokens queued on a batch route.
     cap: float = 0.0
+    # Whether requests need no tenant's key.
+    allow_anonymous: bool = False
 
 
 class _Engine(msgspec.Struct, frozen=True):
@@ -61,11 +67,22 @@
     idle_timeout_ms: float = 0.0
 
 
+class _Tenant(msgspec.Struct, rename="camel"):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+    # Requests a second at all nodes together, 0 for no limit.
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+
+
 class _Config(msgspec.Struct):
     version: int
     routes: list[_Route] = []
     services: list[_Service] = []
     limits: _Limits = _Limits()
+    # Decoded one by one, so that an invalid one doesn't keep the others from being served.
+    tenants: list[msgspec.Raw] | None = None
 
 
 def decode(value: bytes) -> routes.Plan | None:
@@ -87,9 +104,48 @@
             header_timeout_s=config.limits.header_timeout_ms / _MS_PER_S,
             idle_timeout_s=config.limits.idle_timeout_ms / _MS_PER_S,
         ),
+        teams=_decode_teams(config.tenants),
+    )
+
+
+def _decode_teams(tenants: list[msgspec.Raw] | None) -> tuple[routes.Team, ...] | None:
+    """Decode the tenants; those that can't be served are logged and left out."""
+    if tenants is None:
+        return None
+    by_name: dict[str, routes.Team] = {}
+    for raw in tenants:
+        try:
+            tenant = msgspec.json.decode(raw, type=_Tenant)
+        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+            _log.error("team_invalid", error=repr(exc))
+            continue
+        if not tenant.name or not calls.is_field_value(tenant.name) or tenant.name in by_name:
+            _log.error("team_invalid", team=tenant.name, error="its name is not unique or invalid")
+            continue
+        by_name[tenant.name] = _convert_tenant(tenant)
+    return tuple(by_name.values())
+
+
+def _convert_tenant(tenant: _Tenant) -> routes.Team:
+    return routes.Team(
+        name=tenant.name,
+        key_digests=tuple(teams.digest_key(key.encode()) for key in tenant.api_keys if key),
+        rank=tenant.priority,
+        rate_limit=_convert_rate_limit(tenant),
     )
 
 
+def _convert_rate_limit(tenant: _Tenant) -> token_bucket.RateLimit | None:
+    """Return a tenant's rate limit; a burst without a rate can't be kept to."""
+    rate_per_s, burst = tenant.rate_per_s, tenant.burst
+    if not (math.isfinite(rate_per_s) and math.isfinite(burst)) or min(rate_per_s, burst) < 0:
+        _log.error("team_limit_invalid", team=tenant.name, rate_per_s=rate_per_s, burst=burst)
+        return None
+    if not rate_per_s:
+        return None
+    return token_bucket.RateLimit(rate_per_s, burst)
+
+
 def _convert_route(route: _Route) -> routes.Route:
     if route.kind not in _ROUTE_KINDS:
         _log.warning("route_kind_unknown", route=route.name, kind=route.kind)
@@ -110,6 +166,7 @@
             item_ttl_s=route.item_ttl_s,
             waiting_tokens=int(route.cap),
         ),
+        needs_key=not route.allow_anonymous,
     )
 
 
--- a/src/cornelgrade/policy/admission.py
+++ b/src/cornelgrade/policy/admission.py
@@ -1,4 +1,4 @@
-"""Admission control: token buckets for teams, and a bounded queue by priority, then deadline."""
+"""Admission control: a bounded queue by priority, then deadline."""
 
 import dataclasses
 import math
@@ -16,39 +16,6 @@
 MIN_TOP_RANK_SHARE = 0.0005
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RateLimit:
-    """Rate limit of a team, in requests."""
-
-    rate_per_s: float
-    burst: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class TokenBucket:
-    """State of a token bucket at ``at_s``."""
-
-    tokens: float
-    at_s: float
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class TakeResult:
-    """The bucket after an attempt to take a token, and the time to wait: 0 if one was taken."""
-
-    bucket: TokenBucket
-    wait_s: float
-
-
-def take_token(bucket: TokenBucket, limit: RateLimit, now_s: float) -> TakeResult:
-    """Take a token if one is available."""
-    elapsed_s = max(0.0, now_s - bucket.at_s)
-    tokens = min(limit.burst, bucket.tokens + elapsed_s * limit.rate_per_s)
-    if tokens >= 1.0:
-        return TakeResult(TokenBucket(tokens - 1.0, now_s), 0.0)
-    return TakeResult(TokenBucket(tokens, now_s), (1.0 - tokens) / limit.rate_per_s)
-
-
 @dataclasses.dataclass(frozen=True, slots=True, order=True)
 class Place:
     """Sort key of a request in the queue; the smallest is served first.
--- a/src/cornelgrade/policy/route_table.py
+++ b/src/cornelgrade/policy/route_table.py
@@ -5,6 +5,7 @@
 import xxhash
 
 from cornelgrade import routes
+from cornelgrade.policy import teams
 
 _HASH_RANGE = float(1 << 64)
 
@@ -16,7 +17,7 @@
 
 
 class RouteTable:
-    """Finds routes by host and longest path prefix.
+    """Finds routes by host and longest path prefix, and teams by key.
 
     A host's routes are sorted by descending prefix length, so a search ends at its first match.
     """
@@ -27,6 +28,8 @@
         for route in sorted(plan.routes, key=lambda r: len(r.path_prefix), reverse=True):
             self._by_host[route.host].append(route)
         self._services = {service.name: service for service in plan.services}
+        self._teams = {team.name: team for team in plan.teams or ()}
+        self.keys = teams.KeyTable((team, team.key_digests) for team in plan.teams or ())
 
     def find(self, host: str, path: str) -> routes.Route | None:
         """Return the route of a request, ``None`` if there is none."""
@@ -44,6 +47,22 @@
         """Return the route called ``name``."""
         return next((route for route in self.plan.routes if route.name == name), None)
 
+    def authenticate(
+        self, key_digests: tuple[bytes, ...], *, key_required: bool
+    ) -> routes.Team | None:
+        """Return the team whose key a request carries, ``None`` if requests need no keys.
+
+        :param key_required: whether the request's route needs a key if there are teams.
+        :raises Refusal: ``UNAUTHORIZED`` if there are teams and it has no valid key of one.
+        """
+        if self.plan.teams is None:
+            return None
+        return self.keys.authenticate(key_digests, key_required=key_required)
+
+    def team(self, name: str) -> routes.Team | None:
+        """Return the team called ``name``."""
+        return self._teams.get(name)
+
     def service(self, name: str) -> routes.Service | None:
         """Return the service called ``name``."""
         return self._services.get(name)
--- a/src/cornelgrade/policy/upstream_limit.py
+++ b/src/cornelgrade/policy/upstream_limit.py
@@ -9,6 +9,8 @@
 import dataclasses
 import math
 
+from cornelgrade.policy import token_bucket
+
 # Lowest rate that is kept to. A lower one would never let a request find out that it has ended.
 MIN_RATE_PER_S = 0.1
 MAX_RATE_PER_S = 1e6
@@ -18,7 +20,6 @@
 LEASE_REFILL_S = 0.1
 # Share of a limit that load polls may take; the rest is for requests.
 POLL_SHARE = 0.1
-_ROUNDING = 1e-9
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -65,45 +66,9 @@
     return rate if math.isfinite(rate) and rate >= 0 else None
 
 
-def burst(per_s: float) -> float:
-    """Return how many tokens a bucket holds at most."""
-    return max(1.0, BURST_S * per_s)
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Bucket:
-    """A token bucket; its level may be negative, as a debt that is paid off first.
-
-    :param at_s: time for which ``level`` holds, on the process's clock.
-    """
-
-    per_s: float
-    at_s: float
-    level: float = 0.0
-
-    def refill(self, now_s: float, per_s: float) -> "Bucket":
-        """Return the bucket at a later time, with the rate that holds from then on."""
-        level = self.level + max(0.0, now_s - self.at_s) * self.per_s
-        return Bucket(per_s, now_s, min(level, burst(per_s)))
-
-    def drain(self, tokens: int) -> "Bucket":
-        """Return the bucket without some tokens."""
-        return dataclasses.replace(self, level=self.level - tokens)
-
-    @property
-    def whole_tokens(self) -> int:
-        """Number of tokens that may be taken now."""
-        return max(0, math.floor(self.level + _ROUNDING))
-
-    @property
-    def wait_s(self) -> float:
-        """Time until the next token may be taken, infinite without a rate."""
-        missing = max(0.0, 1.0 - self.level)
-        return missing / self.per_s if self.per_s else math.inf
-
-    def wait_behind_s(self, waiting: int) -> float:
-        """Return the time until a token is left after some other VMs have taken one each."""
-        return self.wait_s + waiting / self.per_s if self.per_s else math.inf
+def rate_limit(per_s: float) -> token_bucket.RateLimit:
+    """Return the limit of a bucket with a rate."""
+    return token_bucket.RateLimit(per_s, BURST_S * per_s)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/cornelgrade/routes.py
+++ b/src/cornelgrade/routes.py
@@ -3,6 +3,8 @@
 import dataclasses
 import enum
 
+from cornelgrade.policy import token_bucket
+
 
 class RouteKind(enum.Enum):
     """How requests of a route may be retried.
@@ -51,6 +53,7 @@
     :param rank: priority; 0 is the most urgent.
     :param max_attempts: maximum number of upstreams that one request may run on.
     :param resumable: whether an interrupted stream may resume at another upstream.
+    :param needs_key: whether a request has to carry a team's key, if the plan has teams.
     """
 
     name: str
@@ -65,6 +68,7 @@
     max_attempts: int = 1
     resumable: bool = False
     job_policy: JobPolicy = JobPolicy()
+    needs_key: bool = True
 
     @property
     def repeatable(self) -> bool:
@@ -97,14 +101,34 @@
     idle_timeout_s: float = 0.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Team:
+    """A group of callers that shares keys and limits.
+
+    :param key_digests: SHA-256 digests of its keys.
+    :param rank: priority of its requests, which goes before that of their routes; ``None`` for
+        the routes' own.
+    :param rate_limit: of its requests at all VMs together, ``None`` for no limit.
+    """
+
+    name: str
+    key_digests: tuple[bytes, ...] = ()
+    rank: int | None = None
+    rate_limit: token_bucket.RateLimit | None = None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Plan:
-    """One accepted version of all routes, services and limits."""
+    """One accepted version of all routes, services, limits and teams.
+
+    :param teams: ``None`` if requests need no keys.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services: tuple[Service, ...]
     limits: CallerLimits = CallerLimits()
+    teams: tuple[Team, ...] | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/cornelgrade/services/edge/_peer_relay.py
+++ b/src/cornelgrade/services/edge/_peer_relay.py
@@ -47,7 +47,7 @@
             )
             # The peer makes one run, so that runs are counted here whatever becomes of it.
             earlier_runs = max(progress.runs, req.route.max_attempts - 1)
-            await self._forwarding.send(channel, exchange, headers, earlier_runs)
+            await self._forwarding.send(channel, exchange, headers, earlier_runs, req.team)
             head = await self._read_head(channel, req, progress)
             origin, head = forwarding.take_origin(head)
             if req.route.resumable and origin is not None and not progress.started:
--- a/src/cornelgrade/services/edge/_relay_state.py
+++ b/src/cornelgrade/services/edge/_relay_state.py
@@ -51,6 +51,8 @@
     """A request with its caller, route and deadline.
 
     :param hop: where it came from, if another gateway forwarded it.
+    :param team: the team that it belongs to, if any.
+    :param rank: its priority; 0 is the most urgent.
     :param fingerprint: identifies the request across callers' repeats, which have ids of their own.
     """
 
@@ -60,6 +62,8 @@
     deadline_s: float
     fingerprint: str
     hop: forwarding.Hop | None = None
+    team: str = ""
+    rank: int = 0
 
 
 def is_last_attempt(req: Request, progress: Progress) -> bool:
--- a/src/cornelgrade/services/edge/forwarding.py
+++ b/src/cornelgrade/services/edge/forwarding.py
@@ -19,8 +19,9 @@
 _SENDER = b"cornelgrade-sender"
 _SERVICE = b"cornelgrade-service"
 _VERSION = b"cornelgrade-version"
+_TEAM = b"cornelgrade-team"
 _AUTH = peer_auth.AUTH_HEADER.encode()
-_OWN_HEADERS = frozenset((_RUNS, _SENDER, _AUTH))
+_OWN_HEADERS = frozenset((_RUNS, _SENDER, _TEAM, _AUTH))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -29,10 +30,12 @@
 
     :param sender: the gateway that forwarded it.
     :param runs: upstreams that may have run it before.
+    :param team: the team that it belongs to, if any; the sender has checked its key.
     """
 
     sender: str
     runs: int
+    team: str = ""
 
 
 class Forwarding:
@@ -63,17 +66,19 @@
         exchange: http1_server.Exchange,
         headers: http1.Headers,
         runs: int,
+        team: str,
     ) -> None:
         """Send a request with the headers that mark it as forwarded."""
         assert self._peers.key is not None
         kept = tuple((k, v) for k, v in headers if k not in _OWN_HEADERS)
-        signed = _signed_text(exchange, self._peers.vm, str(runs))
+        signed = _signed_text(exchange, self._peers.vm, str(runs), team)
         auth, _ = peer_auth.make_auth_header(
             self._peers.key, self._peers.vm, channel.peer, signed, time.time()
         )
         marks = (
             (_SENDER, self._peers.vm.encode()),
             (_RUNS, str(runs).encode()),
+            *(((_TEAM, team.encode("latin-1")),) if team else ()),
             (_AUTH, auth.encode()),
         )
         await channel.send(exchange.method, exchange.target, kept + marks, exchange.body)
@@ -87,17 +92,18 @@
             raise errors.Refusal(errors.Code.UNAVAILABLE, "no key yet", step="authenticate peer")
         sender = exchange.headers.get(_SENDER.decode(), "")
         runs = exchange.headers.get(_RUNS.decode(), "")
+        team = exchange.headers.get(_TEAM.decode(), "")
         peer_auth.verify_auth_header(
             self._peers.key,
             exchange.headers.get(peer_auth.AUTH_HEADER),
             own_address,
-            _signed_text(exchange, sender, runs),
+            _signed_text(exchange, sender, runs, team),
             time.time(),
         )
         exchange.raw_headers = tuple(
             (k, v) for k, v in exchange.raw_headers if k not in _OWN_HEADERS
         )
-        return Hop(sender, int(runs))
+        return Hop(sender, int(runs), team)
 
 
 def origin_headers(up: routes.Upstream) -> http1.Headers:
@@ -118,5 +124,6 @@
     return origin, http1.ResponseHead(head.status, kept)
 
 
-def _signed_text(exchange: http1_server.Exchange, sender: str, runs: str) -> str:
-    return f"{exchange.method} {exchange.target.decode('latin-1')} {sender} {runs}"
+def _signed_text(exchange: http1_server.Exchange, sender: str, runs: str, team: str) -> str:
+    text = f"{exchange.method} {exchange.target.decode('latin-1')} {sender} {runs}"
+    return f"{text} {team}" if team else text
--- a/src/cornelgrade/services/edge/frontend.py
+++ b/src/cornelgrade/services/edge/frontend.py
@@ -109,7 +109,12 @@
         if route is None or not route.targets or route.kind is routes.RouteKind.BATCH:
             await self._refuse_request(exchange, caller, errors.Code.NOT_FOUND, "no route", None)
             return
-        await self._relay.relay_request(exchange, caller, route)
+        try:
+            team = table.authenticate(caller.key_digests, key_required=route.needs_key)
+        except errors.Refusal as exc:
+            await self._refuse_request(exchange, caller, exc.code, exc.message, None)
+            return
+        await self._relay.relay_request(exchange, caller, route, team)
 
     async def _handle_forwarded(self, exchange: http1_server.Exchange) -> None:
         """Serve a request that another gateway forwarded."""
@@ -128,7 +133,8 @@
                 exchange, caller, errors.Code.UNAVAILABLE, "no route here", RETRY_AFTER_S
             )
             return
-        await self._relay.relay_request(exchange, caller, route, hop)
+        team = (table.team(hop.team) or routes.Team(hop.team)) if table and hop.team else None
+        await self._relay.relay_request(exchange, caller, route, team, hop)
 
     async def _refuse_request(
         self,
--- a/src/cornelgrade/services/edge/item_call.py
+++ b/src/cornelgrade/services/edge/item_call.py
@@ -72,7 +72,7 @@
         """
         headers = tuple((k.encode(), v.encode("latin-1")) for k, v in item.headers)
         request_headers = self._call_format.item_headers(
-            header.host, item.name, headers, up.name, partial.last_event
+            header.host, item.name, headers, up.name, partial.last_event, header.team
         )
         with await http1.connect(up.address, CONNECT_TIMEOUT_S) as channel:
             await channel.send("POST", item.target.encode("latin-1"), request_headers, item.body)
--- a/src/cornelgrade/services/edge/job_handler.py
+++ b/src/cornelgrade/services/edge/job_handler.py
@@ -41,7 +41,8 @@
             "cornelgrade_edge_job_calls_total", "Calls about jobs by act and outcome."
         )
         self._operations: dict[
-            ports.JobOperation, Callable[[http1_server.Exchange, ports.JobCall], Awaitable[str]]
+            ports.JobOperation,
+            Callable[[http1_server.Exchange, ports.JobCall, str | None], Awaitable[str]],
         ] = {
             ports.JobOperation.READ: self._send_results,
             ports.JobOperation.BODY: self._send_item_body,
@@ -61,15 +62,18 @@
             return False
         started_s = trio.current_time()
         operation = "submit"
+        team: str | None = None
         try:
             if route is not None:
-                outcome = await self._submit_job(exchange, caller, route)
+                team = _authenticate(table, caller, (route,))
+                outcome = await self._submit_job(exchange, caller, route, team or "")
             else:
                 call = self._job_call_format.parse_job_call(exchange)
                 if call is None:
                     return False
                 operation = call.operation.value
-                outcome = await self._operations[call.operation](exchange, call)
+                team = _authenticate(table, caller, table.find_batch(caller.host))
+                outcome = await self._operations[call.operation](exchange, call, team)
         except errors.CornelgradeError as exc:
             outcome = await self._send_error(exchange, caller, exc)
         self._call_counter.inc({"act": operation, "outcome": outcome.split(" ")[0]})
@@ -77,6 +81,7 @@
             "job_call",
             act=operation,
             request=caller.request_id or exchange.path,
+            team=team or "",
             outcome=outcome,
             total_s=trio.current_time() - started_s,
             plan=table.plan.version,
@@ -93,7 +98,7 @@
         return f"{status} {exc.format_message()}"
 
     async def _submit_job(
-        self, exchange: http1_server.Exchange, caller: ports.Caller, route: routes.Route
+        self, exchange: http1_server.Exchange, caller: ports.Caller, route: routes.Route, team: str
     ) -> str:
         if exchange.method != "POST":
             raise errors.Refusal(errors.Code.NOT_FOUND, "jobs are submitted by POST", step="submit")
@@ -109,6 +114,7 @@
             total=len(items),
             tokens=sum(item.tokens for item in items),
             pieces=0,
+            team=team,
         )
         with trio.CancelScope(shield=True):
             await self._accept_job(route, header, items)
@@ -123,25 +129,34 @@
         Close to the limit, the job is reserved first and accepted after counting all jobs stored
         before it, so that concurrent submissions at several gateways cannot exceed the limit.
 
-        :raises Refusal: ``RATE_LIMITED`` if it does not fit.
+        :raises Refusal: ``RATE_LIMITED`` if it does not fit, ``CONFLICT`` if another team has
+            submitted a job of this name.
         """
         token_limit = route.job_policy.waiting_tokens
         if not token_limit:
-            await self._repository.accept_job(await self._repository.create_job(header, items))
+            stored_header = await self._repository.create_job(header, items)
+            _check_owner(stored_header.header, header.team)
+            await self._repository.accept_job(stored_header)
             return
         headers = await self._repository.list_headers()
-        if any(f.header.job == header.job and f.header.accepted for f in headers):
-            return
+        for found in headers:
+            if found.header.job == header.job:
+                _check_owner(found.header, header.team)
+                if found.header.accepted:
+                    return
         waiting = _count_waiting_tokens(headers, header)
         if waiting + header.tokens > token_limit:
             raise _token_limit_refusal(waiting, header.tokens, token_limit)
         if waiting + DIRECT_ACCEPT_JOBS * header.tokens <= token_limit:
             # The stored job may be from an earlier submission that was declined.
-            await self._repository.accept_job(await self._repository.create_job(header, items))
+            stored_header = await self._repository.create_job(header, items)
+            _check_owner(stored_header.header, header.team)
+            await self._repository.accept_job(stored_header)
             return
         stored_header = await self._repository.create_job(
             msgspec.structs.replace(header, state="reserved"), items
         )
+        _check_owner(stored_header.header, header.team)
         headers = await self._repository.list_headers()
         # Concurrent reservations count in the order of creation. One left by an earlier submission
         # has lost its position, so every other job counts before it.
@@ -154,19 +169,24 @@
             raise _token_limit_refusal(waiting, header.tokens, token_limit)
         await self._repository.accept_job(stored_header)
 
-    async def _send_results(self, exchange: http1_server.Exchange, call: ports.JobCall) -> str:
-        total, results = await self._results.read(call.job, call.after, call.wait_s)
+    async def _send_results(
+        self, exchange: http1_server.Exchange, call: ports.JobCall, team: str | None
+    ) -> str:
+        total, results = await self._results.read(call.job, call.after, call.wait_s, team)
         page = tuple(_limit_page(results))
         body = self._job_call_format.encode_page(total, call.after, page)
         await exchange.respond(200, body)
         return f"{len(page)} results from {call.after}"
 
-    async def _send_item_body(self, exchange: http1_server.Exchange, call: ports.JobCall) -> str:
+    async def _send_item_body(
+        self, exchange: http1_server.Exchange, call: ports.JobCall, team: str | None
+    ) -> str:
         stored_header = await self._repository.find_job(call.job)
         if (
             stored_header is None
             or stored_header.header.state == "ended"
             or not stored_header.header.accepted
+            or not stored_header.header.is_visible_to(team)
         ):
             raise errors.Refusal(errors.Code.NOT_FOUND, f"no job {call.job}", step="read")
         for item in await self._repository.read_items(stored_header.header):
@@ -176,9 +196,15 @@
                 return f"{len(item.body)} bytes"
         raise errors.Refusal(errors.Code.NOT_FOUND, f"no item {call.item}", step="read")
 
-    async def _end_job(self, exchange: http1_server.Exchange, call: ports.JobCall) -> str:
+    async def _end_job(
+        self, exchange: http1_server.Exchange, call: ports.JobCall, team: str | None
+    ) -> str:
         stored_header = await self._repository.find_job(call.job)
-        if stored_header is None or not stored_header.header.accepted:
+        if (
+            stored_header is None
+            or not stored_header.header.accepted
+            or not stored_header.header.is_visible_to(team)
+        ):
             raise errors.Refusal(errors.Code.NOT_FOUND, f"no job {call.job}", step="end")
         with trio.CancelScope(shield=True):
             header = await self._repository.close_job(stored_header, "ended")
@@ -186,6 +212,29 @@
         return header.state
 
 
+def _authenticate(
+    table: route_table.RouteTable, caller: ports.Caller, batch_routes: tuple[routes.Route, ...]
+) -> str | None:
+    """Return the name of the caller's team: empty if it has none, ``None`` if there are no teams.
+
+    :param batch_routes: the routes that its call may concern; one without keys needs none.
+    :raises Refusal: ``UNAUTHORIZED`` without a valid key.
+    """
+    if table.plan.teams is None:
+        return None
+    key_required = all(route.needs_key for route in batch_routes)
+    team = table.authenticate(caller.key_digests, key_required=key_required)
+    return team.name if team else ""
+
+
+def _check_owner(header: job_repository.JobHeader, team: str) -> None:
+    """Raise ``CONFLICT`` if a stored job belongs to another team."""
+    if header.team and header.team != team:
+        raise errors.Refusal(
+            errors.Code.CONFLICT, f"job {header.job} belongs to another team", step="submit"
+        )
+
+
 def _count_waiting_tokens(
     headers: Iterable[job_repository.StoredHeader], new: job_repository.JobHeader
 ) -> int:
--- a/src/cornelgrade/services/edge/job_repository.py
+++ b/src/cornelgrade/services/edge/job_repository.py
@@ -28,6 +28,7 @@
 
     :param received_ms: Unix milliseconds of its acceptance; its deadlines count from then.
     :param pieces: number of objects that hold its input.
+    :param team: the team that submitted it, empty if requests need no keys.
     :param state: ``reserved`` until it is accepted or ``declined`` for lack of room, then ``open``
         until all results are stored (``done``) or its caller ends it (``ended``). A reserved or
         declined job is not accepted; submitting it again may succeed.
@@ -43,12 +44,20 @@
     tokens: int
     pieces: int
     state: Literal["reserved", "declined", "open", "done", "ended"] = "open"
+    team: str = ""
 
     @property
     def accepted(self) -> bool:
         """Whether the job was ever accepted."""
         return self.state not in ("reserved", "declined")
 
+    def is_visible_to(self, team: str | None) -> bool:
+        """Whether callers of a team may use the job.
+
+        :param team: empty for callers without one; ``None`` if requests need no keys.
+        """
+        return team is None or self.team in ("", team)
+
 
 class _Result(msgspec.Struct, frozen=True):
     item: str
--- a/src/cornelgrade/services/edge/ports.py
+++ b/src/cornelgrade/services/edge/ports.py
@@ -17,6 +17,7 @@
     :param resume_after: number of the last event that it received from a broken stream.
     :param resumed_request: id of its attempt that brought the first event of that stream.
     :param prompt_parts: ids of the parts of its prompt that other requests may share.
+    :param key_digests: digests of the keys that it carries; one, if it is valid.
     """
 
     request_id: str
@@ -25,6 +26,7 @@
     resume_after: int | None = None
     resumed_request: str = ""
     prompt_parts: tuple[bytes, ...] = ()
+    key_digests: tuple[bytes, ...] = ()
 
 
 class Verdict(enum.Enum):
@@ -70,14 +72,22 @@
         """Return the ids of the parts of a prompt that other requests may share."""
 
     def upstream_headers(
-        self, headers: http1.Headers, upstream: str, left_s: float, resume_after: int | None
+        self,
+        headers: http1.Headers,
+        upstream: str,
+        left_s: float,
+        resume_after: int | None,
+        team: str = "",
     ) -> http1.Headers:
-        """Return the headers of a request to an upstream."""
+        """Return the headers of a request to an upstream, without the caller's key.
+
+        :param team: the team that it belongs to, if any.
+        """
 
     def forwarded_headers(
         self, headers: http1.Headers, left_s: float, resume_after: int | None, resumes: str
     ) -> http1.Headers:
-        """Return the headers of a caller's request as forwarded to a peer.
+        """Return the headers of a caller's request as forwarded to a peer, without its key.
 
         :param resumes: id of the attempt that began the stream, if it goes on after an event.
         """
@@ -86,9 +96,18 @@
         """Return after how many seconds a response asks to retry, ``None`` if it doesn't say."""
 
     def item_headers(
-        self, host: str, item_id: str, headers: http1.Headers, upstream: str, after: int | None
+        self,
+        host: str,
+        item_id: str,
+        headers: http1.Headers,
+        upstream: str,
+        after: int | None,
+        team: str = "",
     ) -> http1.Headers:
-        """Return the headers of a batch item's request to an upstream."""
+        """Return the headers of a batch item's request to an upstream.
+
+        :param team: the team whose job it is part of, if any.
+        """
 
     def verdict(self, head: http1.ResponseHead, request_id: str) -> Verdict:
         """Classify the head of an upstream's response to a request."""
--- a/src/cornelgrade/services/edge/relay.py
+++ b/src/cornelgrade/services/edge/relay.py
@@ -80,10 +80,12 @@
         exchange: http1_server.Exchange,
         caller: ports.Caller,
         route: routes.Route,
+        team: routes.Team | None,
         hop: forwarding.Hop | None = None,
     ) -> None:
         """Respond to a request before its deadline and log its outcome once.
 
+        :param team: the team that it belongs to, if any; its priority goes before the route's.
         :param hop: where it came from, if another gateway forwarded it; it goes no further.
         :raises AbortConnectionError: if a response that was started can't be completed.
         """
@@ -93,7 +95,14 @@
             exchange.target.decode("latin-1"), exchange.body, caller.prompt_parts
         )
         req = _relay_state.Request(
-            exchange, caller, route, exchange.arrived_s + limit_s, fingerprint, hop
+            exchange,
+            caller,
+            route,
+            exchange.arrived_s + limit_s,
+            fingerprint,
+            hop,
+            team=team.name if team else "",
+            rank=route.rank if team is None or team.rank is None else team.rank,
         )
         progress = _relay_state.Progress(
             last_event=caller.resume_after, earlier_runs=hop.runs if hop else 0
@@ -196,7 +205,7 @@
         wait_s = RESUME_PERMIT_WAIT_S if origin else PERMIT_WAIT_RATIO * req.route.aim_s
         return await self._permits.acquire(
             self._pick_service(req, progress),
-            req.route.rank,
+            req.rank,
             progress.failed_upstreams,
             wait_s,
             isolated=isolated,
@@ -334,7 +343,7 @@
         timeout_s = req.caller.timeout_s or req.route.timeout_s
         remaining_s = exchange.arrived_s + timeout_s - trio.current_time()
         headers = self._call_format.upstream_headers(
-            exchange.raw_headers, up.name, remaining_s, progress.last_event
+            exchange.raw_headers, up.name, remaining_s, progress.last_event, req.team
         )
         await channel.send(exchange.method, exchange.target, headers, exchange.body)
 
@@ -405,6 +414,7 @@
             request=req.caller.request_id,
             fingerprint=req.fingerprint,
             route=req.route.name,
+            team=req.team,
             outcome=outcome,
             upstream=progress.upstream,
             offers=progress.upstreams_tried,
--- a/src/cornelgrade/services/edge/result_reader.py
+++ b/src/cornelgrade/services/edge/result_reader.py
@@ -77,15 +77,18 @@
             await trio.sleep_forever()
 
     async def read(
-        self, job: str, after: int, wait_s: float
+        self, job: str, after: int, wait_s: float, team: str | None = None
     ) -> tuple[int, tuple[ports.ItemResult, ...]]:
         """Return the number of a job's items, and its results from position ``after`` on.
 
         :param wait_s: how long to wait for a result if there is none.
-        :raises Refusal: ``NOT_FOUND`` if there is no such job.
+        :param team: the caller's team, ``None`` if requests need no keys.
+        :raises Refusal: ``NOT_FOUND`` if there is no such job of the caller's team.
         :raises UnavailableError: if there may be results that can't be read now.
         """
         cached = await self._load(job)
+        if not cached.header.is_visible_to(team):
+            raise errors.Refusal(errors.Code.NOT_FOUND, f"no job {job}", step="read")
         if not cached.has_news(after) and not (cached.revision and wait_s):
             asked = cached.revision
             async with cached.lock:
--- a/src/cornelgrade/services/edge/upstream_limits.py
+++ b/src/cornelgrade/services/edge/upstream_limits.py
@@ -11,7 +11,7 @@
 import trio
 
 from cornelgrade import kernel, logs, metrics, routes
-from cornelgrade.policy import upstream_limit
+from cornelgrade.policy import token_bucket, upstream_limit
 from cornelgrade.schema import messages
 from cornelgrade.services.edge import _notifier, fleet, peers
 
@@ -50,7 +50,7 @@
 
     up: routes.Upstream
     per_s: float
-    bucket: upstream_limit.Bucket
+    bucket: token_bucket.Bucket
     leases: list[float] = dataclasses.field(default_factory=list)
     asked_s: float | None = None
     repeat_s: float = 0.0
@@ -186,7 +186,8 @@
     def _refill(self, limit: _Limit) -> None:
         now_s = trio.current_time()
         limit.leases = [expires_s for expires_s in limit.leases if expires_s > now_s]
-        limit.bucket = limit.bucket.refill(now_s, self._refill_rate(limit))
+        rate_limit = upstream_limit.rate_limit(self._refill_rate(limit))
+        limit.bucket = limit.bucket.refill(now_s, rate_limit)
 
     def _refill_rate(self, limit: _Limit) -> float:
         """Return the rate of a VM's own bucket: none while an owner leases it tokens."""
@@ -247,7 +248,7 @@
             known.per_s = per_s
         else:
             self._ended.pop(key, None)
-            bucket = upstream_limit.Bucket(0.0, now_s)
+            bucket = token_bucket.Bucket(upstream_limit.rate_limit(0.0), now_s)
             self._limits[key] = _Limit(up, per_s, bucket)
         _log.info(
             "upstream_limit",
@@ -323,7 +324,7 @@
     def _reply(self, limit: _Limit, request: messages.AllowanceRequest) -> None:
         now_s = trio.current_time()
         self._refill(limit)
-        if not limit.bucket.per_s:
+        if not limit.bucket.limit.rate_per_s:
             # Ownership has just moved on; the next request goes to the new owner.
             return
         tokens = min(request.wanted, limit.bucket.whole_tokens)
--- a/src/cornelgrade/services/online.py
+++ b/src/cornelgrade/services/online.py
@@ -13,7 +13,7 @@
 
 from cornelgrade import errors, kernel, logs, manifest, metrics, tracing
 from cornelgrade.adapters import engine
-from cornelgrade.policy import admission, retry, routing
+from cornelgrade.policy import admission, retry, routing, token_bucket
 from cornelgrade.services import (
     _coalescing,
     _relay,
@@ -76,7 +76,7 @@
     def __init__(self, kern: kernel.Kernel) -> None:
         self._kern = kern
         self._log = logs.Logger("online")
-        self._buckets: dict[str, admission.TokenBucket] = {}
+        self._buckets: dict[str, token_bucket.Bucket] = {}
         self._retry_budget = retry.Budget()
         self._leaving_announced_at_s: dict[str, float] = {}
 
@@ -92,16 +92,16 @@
         :raises Refusal: ``RATE_LIMITED`` with the time after which a token is available.
         """
         now_s = trio.current_time()
-        limit = admission.RateLimit(team.rate_per_s, team.burst)
-        bucket = self._buckets.get(team.name, admission.TokenBucket(team.burst, now_s))
-        taken = admission.take_token(bucket, limit, now_s)
-        self._buckets[team.name] = taken.bucket
-        if taken.wait_s > 0:
+        limit = token_bucket.RateLimit(team.rate_per_s, team.burst)
+        bucket = self._buckets.get(team.name) or token_bucket.Bucket.full(limit, now_s)
+        bucket = bucket.refill(now_s, limit)
+        self._buckets[team.name] = bucket.drain(1) if bucket.whole_tokens else bucket
+        if not bucket.whole_tokens:
             raise errors.Refusal(
                 errors.Code.RATE_LIMITED,
                 f"team {team.name} is over {team.rate_per_s:g} requests/s",
                 step="admit",
-                retry_after_s=round(taken.wait_s, 3),
+                retry_after_s=round(bucket.wait_s, 3),
             )
 
     async def serve(self, req: exchange.Request) -> exchange.ResponseParts:
