Keep teams to their rate limits at all VMs together

Cause: the platform path knew no rate limits of teams, and the product's own path had a token bucket of its own beside that of upstreams' limits.

The leasing of tokens moves from upstream_limits to the service allowances, which serves both the limits that upstreams name and those of teams: a worker owns each limit and leases tokens to the VMs that ask. A request for tokens tells how many its sender used lately, so that a new owner neither allows a second burst nor refuses a team that keeps to its rate. A request over its team's limit gets 429 with the time after which a token is expected.

--- a/src/cornelgrade/edge_daemons.py
+++ b/src/cornelgrade/edge_daemons.py
@@ -12,6 +12,7 @@
 from cornelgrade.services import quarantine
 from cornelgrade.services.edge import (
     _store_availability,
+    allowances,
     crash_detector,
     fleet,
     frontend,
@@ -29,6 +30,7 @@
     slot_permits,
     store_monitor,
     stream_origins,
+    team_limits,
     upstream_limits,
     upstream_reach,
     vm_retirement,
@@ -118,7 +120,9 @@
     kern.add(
         quarantine_sync.QuarantineSync(kern, dependencies.store, availability, cfg.vm), _RESTART
     )
+    kern.add(allowances.Allowances(kern))
     kern.add(upstream_limits.UpstreamLimits(kern))
+    kern.add(team_limits.TeamLimits(kern))
     kern.add(outage_checks.OutageChecks(kern, cfg, dependencies.calls), _RESTART)
     kern.add(crash_detector.CrashDetector(kern), _RESTART)
     if cfg.metrics_address is not None:
--- a/src/cornelgrade/policy/upstream_limit.py
+++ b/src/cornelgrade/policy/upstream_limit.py
@@ -1,10 +1,4 @@
-"""Rate limits that upstreams name: their parsing, and the division of a rate among senders.
-
-One VM, the upstream's batch owner, holds a token bucket with the upstream's rate and leases single
-tokens to the VMs that ask for them, so that no part of the rate lies unused at a VM without
-callers. Those that can't hear each other each use a fixed part of the rate: the owner keeps the
-parts of the VMs that it doesn't hear out of its bucket.
-"""
+"""Rate limits that upstreams name: their parsing, and what they allow."""
 
 import dataclasses
 import math
@@ -16,8 +10,6 @@
 MAX_RATE_PER_S = 1e6
 # What a bucket holds at most, as a time at its rate; at least one token, or it would never fill.
 BURST_S = 1.0
-# A VM leases tokens for so long at an equal part of the rate, so that high rates need few messages.
-LEASE_REFILL_S = 0.1
 # Share of a limit that load polls may take; the rest is for requests.
 POLL_SHARE = 0.1
 
@@ -71,33 +63,6 @@
     return token_bucket.RateLimit(per_s, BURST_S * per_s)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Senders:
-    """The VMs that may send to an upstream, as one of them sees them.
-
-    :param heard: number of those that it hears, including itself.
-    :param expected: number of all that may be running.
-    """
-
-    heard: int
-    expected: int
-
-
-def owner_rate(per_s: float, senders: Senders) -> float:
-    """Return the rate that the batch owner leases out: all but the parts of VMs it doesn't hear."""
-    return per_s * senders.heard / max(1, senders.expected)
-
-
-def fixed_part(per_s: float, senders: Senders) -> float:
-    """Return the rate that a VM uses while no batch owner responds to it."""
-    return per_s / max(1, senders.expected)
-
-
-def lease_size(per_s: float, senders: Senders) -> int:
-    """Return how many tokens a VM asks for at once: one, or more where requests are frequent."""
-    return max(1, math.floor(LEASE_REFILL_S * fixed_part(per_s, senders)))
-
-
 def poll_interval_s(per_s: float) -> float:
     """Return the time between two load polls of an upstream with a limit."""
     return 1.0 / (POLL_SHARE * per_s)
--- a/src/cornelgrade/schema/codec.py
+++ b/src/cornelgrade/schema/codec.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from cornelgrade.policy import shared_allowance
 from cornelgrade.schema import messages, peer
 from cornelgrade.services import ports
 
@@ -178,20 +179,29 @@
 
 def _write_allowance_request(out: Any, field: str, body: messages.AllowanceRequest) -> None:
     builder = out.init(field)
-    builder.upstream = body.upstream
-    builder.startedMs = body.started_ms
+    _write_limit_key(builder, body.key)
     builder.wanted = body.wanted
+    builder.used = body.used
 
 
 def _write_allowance_grant(out: Any, field: str, body: messages.AllowanceGrant) -> None:
     builder = out.init(field)
-    builder.upstream = body.upstream
-    builder.startedMs = body.started_ms
+    _write_limit_key(builder, body.key)
     builder.tokens = body.tokens
     builder.waitS = body.wait_s
     builder.expectedS = body.expected_s
 
 
+def _write_limit_key(builder: Any, key: shared_allowance.LimitKey) -> None:
+    builder.upstream = key.name
+    builder.startedMs = key.started_ms
+    builder.isTeam = key.is_team
+
+
+def _read_limit_key(raw: Any) -> shared_allowance.LimitKey:
+    return shared_allowance.LimitKey(raw.upstream, raw.startedMs, raw.isTeam)
+
+
 def _write_reach_report(out: Any, field: str, body: messages.ReachReport) -> None:
     builder = out.init(field)
     builder.services = list(body.services)
@@ -306,10 +316,10 @@
         tuple(messages.UpstreamLimit(entry.upstream, entry.startedMs, entry.perS) for entry in raw)
     ),
     "allowanceRequest": lambda raw: messages.AllowanceRequest(
-        raw.upstream, raw.startedMs, raw.wanted
+        _read_limit_key(raw), raw.wanted, raw.used
     ),
     "allowanceGrant": lambda raw: messages.AllowanceGrant(
-        raw.upstream, raw.startedMs, raw.tokens, raw.waitS, raw.expectedS
+        _read_limit_key(raw), raw.tokens, raw.waitS, raw.expectedS
     ),
     "reachQuery": lambda raw: messages.ReachQuery(),
     "reachReport": lambda raw: messages.ReachReport(tuple(raw.services), raw.active),
--- a/src/cornelgrade/schema/messages.py
+++ b/src/cornelgrade/schema/messages.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from cornelgrade.policy import shared_allowance
 from cornelgrade.services import ports
 
 
@@ -169,14 +170,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AllowanceRequest:
-    """Asks an upstream's batch owner for tokens; with 0 it only tells that the sender lives.
+    """Asks the owner of a limit for tokens; with 0 it only tells that the sender lives.
 
+    :param used: tokens of this limit that the sender used recently, whoever granted them.
     :param vm: the sender, set on receipt.
     """
 
-    upstream: str
-    started_ms: int
+    key: shared_allowance.LimitKey
     wanted: int
+    used: int = 0
     vm: str = ""
 
 
@@ -189,8 +191,7 @@
     :param expected_s: the same after the VMs that are waiting for one have got theirs.
     """
 
-    upstream: str
-    started_ms: int
+    key: shared_allowance.LimitKey
     tokens: int
     wait_s: float
     expected_s: float
--- a/src/cornelgrade/schema/peer.capnp
+++ b/src/cornelgrade/schema/peer.capnp
@@ -114,6 +114,8 @@
   upstream @0 :Text;
   startedMs @1 :UInt64;
   wanted @2 :UInt32;
+  isTeam @3 :Bool;
+  used @4 :UInt32;
 }
 
 struct AllowanceGrant {
@@ -122,6 +124,7 @@
   tokens @2 :UInt32;
   waitS @3 :Float64;
   expectedS @4 :Float64;
+  isTeam @5 :Bool;
 }
 
 struct ReachReport {
--- a/src/cornelgrade/services/edge/frontend.py
+++ b/src/cornelgrade/services/edge/frontend.py
@@ -7,7 +7,15 @@
 
 from cornelgrade import errors, kernel, logs, routes, settings
 from cornelgrade.adapters import http1_server
-from cornelgrade.services.edge import fleet, forwarding, job_handler, peer_reach, ports, relay
+from cornelgrade.services.edge import (
+    fleet,
+    forwarding,
+    job_handler,
+    peer_reach,
+    ports,
+    relay,
+    team_limits,
+)
 
 # Retry-After of a gateway that has just started and has no plan yet.
 RETRY_AFTER_S = 0.5
@@ -35,6 +43,7 @@
     ) -> None:
         self._fleet = kern.find("fleet", fleet.Fleet)
         self._peer_reach = kern.find("peer_reach", peer_reach.PeerReach)
+        self._team_limits = kern.find("team_limits", team_limits.TeamLimits)
         self._forwarding = forwarding.Forwarding(kern, call_format)
         self._relay = relay.Relay(kern, cfg, call_format)
         self._job_handler = handler
@@ -111,10 +120,14 @@
             return
         try:
             team = table.authenticate(caller.key_digests, key_required=route.needs_key)
+            if team is not None:
+                await self._team_limits.admit(team)
         except errors.Refusal as exc:
-            await self._refuse_request(exchange, caller, exc.code, exc.message, None)
+            await self._refuse_request(exchange, caller, exc.code, exc.message, exc.retry_after_s)
             return
-        await self._relay.relay_request(exchange, caller, route, team)
+        offered = await self._relay.relay_request(exchange, caller, route, team)
+        if team is not None and not offered:
+            self._team_limits.give_back(team)
 
     async def _handle_forwarded(self, exchange: http1_server.Exchange) -> None:
         """Serve a request that another gateway forwarded."""
--- a/src/cornelgrade/services/edge/peers.py
+++ b/src/cornelgrade/services/edge/peers.py
@@ -9,14 +9,14 @@
 import functools
 import secrets
 from collections.abc import Callable
-from typing import TypeVar
+from typing import Any, TypeVar
 
 import msgspec
 import trio
 
 from cornelgrade import logs, settings
 from cornelgrade.adapters import datagrams, peer_key, platform
-from cornelgrade.policy import rendezvous, upstream_limit
+from cornelgrade.policy import rendezvous, shared_allowance
 from cornelgrade.schema import messages
 from cornelgrade.services import _subscriptions
 from cornelgrade.services.edge import _object_watch, _store_availability
@@ -81,6 +81,7 @@
     """Owns the process's datagram socket and tracks which peers are live.
 
     :ivar key: the fleet's key, ``None`` until it was read from the store.
+    :ivar knows_others: whether the registrations of the other processes were read.
     """
 
     name = "peers"
@@ -98,11 +99,12 @@
         self._store = store
         self._availability = availability
         self._peers: dict[str, _Peer] = {}
-        self._vm_cache: dict[tuple, tuple[str, ...]] = {}
+        self._vm_cache: dict[tuple, Any] = {}
         self._vm_cache_filled_s = 0.0
         self._subscribers = _subscriptions.Subscriptions()
         self._socket: datagrams.Socket | None = None
         self.key: peer_key.PeerKey | None = None
+        self.knows_others = False
 
     async def run(self, started: Callable[[], None]) -> None:
         """Register, then watch registrations and receive datagrams until cancelled."""
@@ -168,15 +170,18 @@
             vm for vm, peer in self._peers.items() if peer.entry.failure_domain == failure_domain
         )
 
-    def count_senders(self) -> upstream_limit.Senders:
+    def count_senders(self) -> shared_allowance.Senders:
         """Count the processes that may send to upstreams, which are all but those that are gone."""
+        return self._get_cached(("senders",), self._count_senders)
+
+    def _count_senders(self) -> shared_allowance.Senders:
         now_s = trio.current_time()
         present = [
             vm
             for vm, peer in self._peers.items()
             if now_s - max(peer.last_received_s, peer.registered_s) < GONE_AFTER_S
         ]
-        return upstream_limit.Senders(1 + sum(map(self._is_live, present)), 1 + len(present))
+        return shared_allowance.Senders(1 + sum(map(self._is_live, present)), 1 + len(present))
 
     def batch_owner(self, upstream: str, failure_domain: str) -> str | None:
         """Return the worker that runs batch items on an upstream; local ones are preferred."""
@@ -187,8 +192,16 @@
         workers = self.live_vms(Role.WORKER, failure_domain) or self.live_vms(Role.WORKER)
         return _pick_owners(upstream, workers)
 
-    def _get_cached(self, key: tuple, compute: Callable[[], tuple[str, ...]]) -> tuple[str, ...]:
-        """Return a list from the cache, which is cleared every :data:`VM_CACHE_TTL_S`."""
+    def limit_owner(self, team: str) -> str | None:
+        """Return the worker that owns a team's rate limit, ``None`` if no worker is known.
+
+        Before any worker was heard, as after a start, one of those registered is asked.
+        """
+        workers = self.live_vms(Role.WORKER) or self.registered_vms(Role.WORKER)
+        return next(iter(_pick_owners(team, workers)), None)
+
+    def _get_cached(self, key: tuple, compute: Callable[[], T]) -> T:
+        """Return a value from the cache, which is cleared every :data:`VM_CACHE_TTL_S`."""
         now_s = trio.current_time()
         if now_s - self._vm_cache_filled_s >= VM_CACHE_TTL_S:
             self._vm_cache.clear()
@@ -264,6 +277,7 @@
         for name in changes.deleted:
             self._peers.pop(name, None)
         self._vm_cache.clear()
+        self.knows_others = self.knows_others or is_snapshot
 
     def _record_receipt(self, peer: _Peer) -> None:
         now_s = trio.current_time()
--- a/src/cornelgrade/services/edge/relay.py
+++ b/src/cornelgrade/services/edge/relay.py
@@ -82,11 +82,12 @@
         route: routes.Route,
         team: routes.Team | None,
         hop: forwarding.Hop | None = None,
-    ) -> None:
+    ) -> bool:
         """Respond to a request before its deadline and log its outcome once.
 
         :param team: the team that it belongs to, if any; its priority goes before the route's.
         :param hop: where it came from, if another gateway forwarded it; it goes no further.
+        :returns: whether an upstream may have run it.
         :raises AbortConnectionError: if a response that was started can't be completed.
         """
         timeout_s = caller.timeout_s if caller.timeout_s is not None else route.timeout_s
@@ -119,6 +120,7 @@
             raise
         finally:
             self._record_request(req, progress, outcome)
+        return bool(progress.started or progress.runs or progress.first_byte_s is not None)
 
     async def _forward(self, req: _relay_state.Request, progress: _relay_state.Progress) -> str:
         while True:
--- a/src/cornelgrade/services/edge/upstream_limits.py
+++ b/src/cornelgrade/services/edge/upstream_limits.py
@@ -1,8 +1,7 @@
 """The service ``upstream_limits``: keeps the rate limits that upstreams name in their responses.
 
-Whatever is sent to an upstream with a limit takes a token first. The upstream's batch owner leases
-tokens to the VMs that ask for them (:mod:`cornelgrade.policy.upstream_limit`). Upstreams without a
-limit cost nothing: nothing is counted, asked or told for them.
+Whatever is sent to an upstream with a limit takes a token first, which the upstream's batch owner
+leases (:mod:`cornelgrade.services.edge.allowances`). Upstreams without a limit cost nothing.
 """
 
 import dataclasses
@@ -10,19 +9,11 @@
 
 import trio
 
-from cornelgrade import kernel, logs, metrics, routes
-from cornelgrade.policy import token_bucket, upstream_limit
+from cornelgrade import kernel, logs, routes
+from cornelgrade.policy import shared_allowance, upstream_limit
 from cornelgrade.schema import messages
-from cornelgrade.services.edge import _notifier, fleet, peers
-
-# Time after which a leased token lapses. Its VM asked because a request was waiting for it.
-LEASE_S = 0.5
-# A request for tokens is repeated after this long, because datagrams may be lost.
-REPLY_TIMEOUT_S = 0.1
-# A VM to which no batch owner has replied for this long uses its fixed part of the rate.
-FIXED_PART_AFTER_S = 0.5
-# How long a VM that was refused tokens goes before batch items.
-DENIAL_TTL_S = 1.0
+from cornelgrade.services.edge import _notifier, allowances, fleet, peers
+
 TICK_S = 0.05
 ANNOUNCEMENT_INTERVAL_S = 1.0
 # A limit that was learned from a peer lapses after so long without confirmation.
@@ -31,7 +22,6 @@
 END_ANNOUNCED_S = 3.0
 # Limits in one datagram, which must stay below the largest size of a datagram.
 MAX_LIMITS_PER_MESSAGE = 12
-_Key = tuple[str, int]
 _log = logs.Logger("upstream_limits")
 
 
@@ -39,23 +29,12 @@
 class _Limit:
     """The limit of one start of an upstream.
 
-    :ivar bucket: the owner's tokens, or those of a VM's fixed part.
-    :ivar leases: when the tokens leased from the owner lapse.
-    :ivar asked_s: when the owner was first asked since its last reply, ``None`` if it replied.
-    :ivar repeat_s: when the owner may be asked again.
-    :ivar expected_s: when it is expected to have a token for this VM.
-    :ivar denied: VMs that were refused tokens, and when.
+    :ivar polled_s: when its load was last polled.
     :ivar confirmed_s: when a peer last confirmed it; ``None`` if a response named it here.
     """
 
     up: routes.Upstream
     per_s: float
-    bucket: token_bucket.Bucket
-    leases: list[float] = dataclasses.field(default_factory=list)
-    asked_s: float | None = None
-    repeat_s: float = 0.0
-    expected_s: float = 0.0
-    denied: dict[str, float] = dataclasses.field(default_factory=dict)
     polled_s: float = -1e9
     confirmed_s: float | None = None
 
@@ -71,25 +50,18 @@
     def __init__(self, kern: kernel.Kernel) -> None:
         self._fleet = kern.find("fleet", fleet.Fleet)
         self._peers = kern.find("peers", peers.Peers)
-        self.changed = _notifier.Notifier()
-        self._limits: dict[_Key, _Limit] = {}
-        self._ended: dict[_Key, float] = {}
+        self._allowances = kern.find("allowances", allowances.Allowances)
+        self.changed: _notifier.Notifier = self._allowances.changed
+        self._limits: dict[shared_allowance.LimitKey, _Limit] = {}
+        self._ended: dict[shared_allowance.LimitKey, float] = {}
         self._announced_s = 0.0
         self._active = trio.Event()
-        self._counter = metrics.counter(
-            "cornelgrade_edge_allowances_total",
-            "Requests for permission to send to upstreams with a rate limit, by outcome.",
-        )
 
     async def run(self, started: Callable[[], None]) -> None:
-        """Exchange limits and tokens with peers until cancelled."""
+        """Exchange limits with peers until cancelled."""
         limits = self._peers.subscribe(messages.UpstreamLimits)
-        requests = self._peers.subscribe(messages.AllowanceRequest)
-        grants = self._peers.subscribe(messages.AllowanceGrant)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._receive_limits, limits)
-            nursery.start_soon(self._receive_requests, requests)
-            nursery.start_soon(self._receive_grants, grants)
             started()
             while True:
                 if not self._limits and not self._ended:
@@ -104,32 +76,20 @@
 
     def has_allowance(self, up: routes.Upstream) -> bool:
         """Return whether a request may be sent to an upstream now."""
-        limit = self._limits.get(_key(up))
-        return limit is None or self._count_tokens(limit) >= 1
+        return self._allowances.has_token(_key(up))
 
     def may_send_item(self, up: routes.Upstream) -> bool:
         """Return whether a batch item may be sent: online requests go first."""
-        limit = self._limits.get(_key(up))
-        return limit is None or (self._count_tokens(limit) >= 1 and not self._is_scarce(limit))
+        key = _key(up)
+        return self._allowances.has_token(key) and not self._allowances.is_scarce(key)
 
     def take(self, up: routes.Upstream) -> None:
         """Take a token for what is sent now; without one it is owed and paid for later."""
-        limit = self._limits.get(_key(up))
-        if limit is None:
-            return
-        self._refill(limit)
-        if limit.leases and not self._owns(limit):
-            limit.leases.pop(0)
-        else:
-            limit.bucket = limit.bucket.drain(1)
+        self._allowances.take(_key(up))
 
     def try_take(self, up: routes.Upstream) -> bool:
         """Take a token if there is one; else ask for one and return ``False``."""
-        if not self.has_allowance(up):
-            self.request_allowance(up)
-            return False
-        self.take(up)
-        return True
+        return self._allowances.try_take(_key(up))
 
     def try_take_for_poll(self, up: routes.Upstream) -> bool:
         """Take a token for a load poll; these are rarer at an upstream with a limit."""
@@ -146,71 +106,18 @@
 
     def request_allowance(self, up: routes.Upstream) -> bool:
         """Ask the batch owner for tokens; return whether a reply is due."""
-        limit = self._limits.get(_key(up))
-        if limit is None or self._owns(limit):
-            return False
-        now_s = trio.current_time()
-        if now_s < limit.repeat_s:
-            return limit.asked_s is not None
-        owner = self._peers.batch_owner(up.name, up.failure_domain)
-        if limit.asked_s is None:
-            limit.asked_s = now_s
-        limit.repeat_s = now_s + REPLY_TIMEOUT_S
-        if owner is not None:
-            wanted = upstream_limit.lease_size(limit.per_s, self._peers.count_senders())
-            self._peers.send(owner, messages.AllowanceRequest(up.name, up.started_ms, wanted))
-        return True
+        return self._allowances.request(_key(up))
 
     def shortest_wait_s(self, up: routes.Upstream) -> float:
         """Return the time within which no token can be had, 0 if that is not known."""
-        limit = self._limits.get(_key(up))
-        if limit is None or self._count_tokens(limit) >= 1:
-            return 0.0
-        if self._owns(limit) or self._uses_fixed_part(limit):
-            return limit.bucket.wait_s
-        return max(0.0, limit.repeat_s - trio.current_time()) if limit.asked_s is None else 0.0
+        return self._allowances.shortest_wait_s(_key(up))
 
     def expected_wait_s(self, up: routes.Upstream) -> float:
         """Return the time until this VM is expected to get a token."""
-        limit = self._limits.get(_key(up))
-        if limit is None:
-            return 0.0
-        return max(self.shortest_wait_s(up), limit.expected_s - trio.current_time())
+        return self._allowances.expected_wait_s(_key(up))
 
-    def _count_tokens(self, limit: _Limit) -> int:
-        self._refill(limit)
-        leased = 0 if self._owns(limit) else len(limit.leases)
-        usable = self._owns(limit) or self._uses_fixed_part(limit)
-        return leased + (limit.bucket.whole_tokens if usable else 0)
-
-    def _refill(self, limit: _Limit) -> None:
-        now_s = trio.current_time()
-        limit.leases = [expires_s for expires_s in limit.leases if expires_s > now_s]
-        rate_limit = upstream_limit.rate_limit(self._refill_rate(limit))
-        limit.bucket = limit.bucket.refill(now_s, rate_limit)
-
-    def _refill_rate(self, limit: _Limit) -> float:
-        """Return the rate of a VM's own bucket: none while an owner leases it tokens."""
-        senders = self._peers.count_senders()
-        if self._owns(limit):
-            return upstream_limit.owner_rate(limit.per_s, senders)
-        if self._uses_fixed_part(limit):
-            return upstream_limit.fixed_part(limit.per_s, senders)
-        return 0.0
-
-    def _uses_fixed_part(self, limit: _Limit) -> bool:
-        asked_s = limit.asked_s
-        return asked_s is not None and trio.current_time() - asked_s >= FIXED_PART_AFTER_S
-
-    def _owns(self, limit: _Limit) -> bool:
-        up = limit.up
-        return self._peers.batch_owner(up.name, up.failure_domain) == self._peers.vm
-
-    @staticmethod
-    def _is_scarce(limit: _Limit) -> bool:
-        """Whether a VM was refused a token lately."""
-        now_s = trio.current_time()
-        return any(now_s - at_s < DENIAL_TTL_S for at_s in limit.denied.values())
+    def _owns(self, key: shared_allowance.LimitKey) -> bool:
+        return self._allowances.owns(key)
 
     # Limits
 
@@ -239,17 +146,17 @@
         key, known = _key(up), self._limits.get(_key(up))
         if per_s == (known.per_s if known else None):
             return False
-        now_s = trio.current_time()
         if per_s is None:
             del self._limits[key]
-            self._ended[key] = now_s
-        elif known is not None:
-            self._refill(known)
-            known.per_s = per_s
+            self._allowances.discard(key)
+            self._ended[key] = trio.current_time()
         else:
             self._ended.pop(key, None)
-            bucket = token_bucket.Bucket(upstream_limit.rate_limit(0.0), now_s)
-            self._limits[key] = _Limit(up, per_s, bucket)
+            if known is None:
+                self._limits[key] = _Limit(up, per_s)
+            else:
+                known.per_s = per_s
+            self._allowances.set_terms(key, self._make_terms(up, per_s))
         _log.info(
             "upstream_limit",
             upstream=up.name,
@@ -261,13 +168,19 @@
         self.changed.notify_all()
         return True
 
+    def _make_terms(self, up: routes.Upstream, per_s: float) -> allowances.Terms:
+        return allowances.Terms(
+            upstream_limit.rate_limit(per_s),
+            lambda: self._peers.batch_owner(up.name, up.failure_domain),
+        )
+
     async def _receive_limits(
         self, received: trio.MemoryReceiveChannel[messages.UpstreamLimits]
     ) -> None:
         async for message in received:
             by_key = {_key(up): up for up in self._fleet.upstreams()}
             for told in message.limits:
-                up = by_key.get((told.upstream, told.started_ms))
+                up = by_key.get(shared_allowance.LimitKey(told.upstream, told.started_ms))
                 if up is not None:
                     self._apply_told_limit(up, told, message.vm)
 
@@ -276,13 +189,14 @@
     ) -> None:
         reading = upstream_limit.clamp_rate(told.per_s) if told.per_s > 0 else None
         is_new = self._set_limit(up, reading, sender)
-        limit = self._limits.get(_key(up))
-        if limit is None or self._owns(limit):
+        key = _key(up)
+        limit = self._limits.get(key)
+        if limit is None or self._owns(key):
             return
         if is_new or limit.confirmed_s is not None:
             limit.confirmed_s = trio.current_time()
         # The owner counts only VMs that it hears among those to which it leases the whole rate.
-        self._peers.send(sender, messages.AllowanceRequest(up.name, up.started_ms, 0))
+        self._allowances.report_alive(key, sender)
 
     def _drop_stale(self) -> None:
         now_s = trio.current_time()
@@ -290,10 +204,11 @@
         for key, limit in tuple(self._limits.items()):
             confirmed_s = limit.confirmed_s
             lapsed = confirmed_s is not None and now_s - confirmed_s > PEER_LIMIT_TTL_S
-            if key not in registered or (lapsed and not self._owns(limit)):
+            if key not in registered or (lapsed and not self._owns(key)):
                 del self._limits[key]
+                self._allowances.discard(key)
                 reason = "lapsed" if lapsed else "upstream gone"
-                _log.info("upstream_limit", upstream=key[0], per_s="", source=reason)
+                _log.info("upstream_limit", upstream=key.name, per_s="", source=reason)
         self._ended = {k: at_s for k, at_s in self._ended.items() if now_s - at_s < END_ANNOUNCED_S}
 
     def _announce(self) -> None:
@@ -302,7 +217,7 @@
         if now_s - self._announced_s < ANNOUNCEMENT_INTERVAL_S:
             return
         self._announced_s = now_s
-        owned = [(key, li.per_s) for key, li in self._limits.items() if self._owns(li)]
+        owned = [(key, li.per_s) for key, li in self._limits.items() if self._owns(key)]
         if self._peers.is_worker:
             owned += [(key, 0.0) for key in self._ended]
         told = [_make_message(key, per_s) for key, per_s in owned]
@@ -311,58 +226,10 @@
             for vm in self._peers.other_vms():
                 self._peers.send(vm, messages.UpstreamLimits(part))
 
-    # Tokens
 
-    async def _receive_requests(
-        self, received: trio.MemoryReceiveChannel[messages.AllowanceRequest]
-    ) -> None:
-        async for request in received:
-            limit = self._limits.get((request.upstream, request.started_ms))
-            if limit is not None and request.wanted and self._owns(limit):
-                self._reply(limit, request)
+def _key(up: routes.Upstream) -> shared_allowance.LimitKey:
+    return shared_allowance.LimitKey(up.name, up.started_ms)
 
-    def _reply(self, limit: _Limit, request: messages.AllowanceRequest) -> None:
-        now_s = trio.current_time()
-        self._refill(limit)
-        if not limit.bucket.limit.rate_per_s:
-            # Ownership has just moved on; the next request goes to the new owner.
-            return
-        tokens = min(request.wanted, limit.bucket.whole_tokens)
-        limit.bucket = limit.bucket.drain(tokens)
-        limit.denied = {v: at for v, at in limit.denied.items() if now_s - at < DENIAL_TTL_S}
-        limit.denied.pop(request.vm, None)
-        wait_s = expected_s = 0.0
-        if not tokens:
-            wait_s = limit.bucket.wait_s
-            expected_s = limit.bucket.wait_behind_s(len(limit.denied))
-            limit.denied[request.vm] = now_s
-        self._counter.inc({"outcome": "granted" if tokens else "denied"})
-        grant = messages.AllowanceGrant(
-            request.upstream, request.started_ms, tokens, wait_s, expected_s
-        )
-        self._peers.send(request.vm, grant)
 
-    async def _receive_grants(
-        self, received: trio.MemoryReceiveChannel[messages.AllowanceGrant]
-    ) -> None:
-        async for grant in received:
-            limit = self._limits.get((grant.upstream, grant.started_ms))
-            if limit is None:
-                continue
-            self._refill(limit)
-            now_s = trio.current_time()
-            limit.asked_s = None
-            limit.repeat_s = now_s + max(0.0, grant.wait_s)
-            limit.expected_s = now_s + max(0.0, grant.expected_s)
-            owed = min(grant.tokens, max(0, -int(limit.bucket.level // 1)))
-            limit.bucket = limit.bucket.drain(-owed)
-            limit.leases += [now_s + LEASE_S] * (grant.tokens - owed)
-            self.changed.notify_all()
-
-
-def _key(up: routes.Upstream) -> _Key:
-    return (up.name, up.started_ms)
-
-
-def _make_message(key: _Key, per_s: float) -> messages.UpstreamLimit:
-    return messages.UpstreamLimit(key[0], key[1], per_s)
+def _make_message(key: shared_allowance.LimitKey, per_s: float) -> messages.UpstreamLimit:
+    return messages.UpstreamLimit(key.name, key.started_ms, per_s)
