--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -7,6 +7,7 @@
 from cornelgrade.adapters import http1, http1_server
 from cornelgrade.platform import calls, entries, jobs, plans
 from cornelgrade.platform.standins import edge_system, formats
+from cornelgrade.policy import teams, token_bucket
 from cornelgrade.services.edge import ports
 
 ENTRY = {
@@ -131,6 +132,84 @@
     )
 
 
+def decode_teams(*tenants):
+    plan = plans.decode(msgspec.json.encode({"version": 1, "tenants": list(tenants)}))
+    return plan.teams
+
+
+def test_tenants_are_decoded_to_teams_with_digests_of_their_keys():
+    tenant = {"name": "clinic", "apiKeys": ["k1", "k2"], "priority": 1, "ratePerS": 48, "burst": 9}
+    (team,) = decode_teams(tenant)
+    assert team == routes.Team(
+        "clinic",
+        (teams.digest_key(b"k1"), teams.digest_key(b"k2")),
+        1,
+        token_bucket.RateLimit(48.0, 9.0),
+    )
+
+
+# Guards against a plan without its last team that opens all routes to callers without a key.
+def test_empty_list_of_tenants_still_requires_keys():
+    assert decode_teams() == ()
+    assert plans.decode(b'{"version": 1}').teams is None
+
+
+# Guards against one invalid tenant that keeps a plan, or the other teams, from being in force.
+@pytest.mark.parametrize(
+    "invalid",
+    [
+        {"apiKeys": ["k"]},
+        {"name": ""},
+        {"name": "a\r\nb"},
+        {"name": "b", "apiKeys": "k"},
+        {"name": "b", "ratePerS": "many"},
+        {"name": "clinic", "apiKeys": ["other"]},
+        7,
+    ],
+)
+def test_invalid_tenant_is_left_out(invalid):
+    (team,) = decode_teams({"name": "clinic", "apiKeys": ["k1"]}, invalid)
+    assert team.key_digests == (teams.digest_key(b"k1"),)
+
+
+@pytest.mark.parametrize(
+    ("terms", "limit"),
+    [
+        ({}, None),
+        ({"ratePerS": 0, "burst": 5}, None),
+        ({"ratePerS": -1}, None),
+        ({"ratePerS": 5, "burst": -1}, None),
+        ({"ratePerS": 5}, token_bucket.RateLimit(5.0, 0.0)),
+        ({"ratePerS": 1e300, "burst": 1e300}, token_bucket.RateLimit(1e300, 1e300)),
+    ],
+)
+def test_rate_limit_of_a_tenant_is_read_safely(terms, limit):
+    (team,) = decode_teams({"name": "clinic", **terms})
+    assert team.rate_limit == limit
+
+
+# Guards against keys that reach upstreams or peers, and against callers that name their own team.
+def test_key_is_dropped_and_tenant_is_set():
+    headers = ((b"x-key", b"secret"), (b"x-tenant", b"forged"), (b"x-model", b"m"))
+    fmt = calls.CallFormat()
+    caller = fmt.parse_caller(headers)
+    assert caller.key_digests == (teams.digest_key(b"secret"),)
+    assert b"secret" not in repr(caller).encode()
+    sent = [
+        fmt.upstream_headers(headers, "i-1", 1.0, None, "clinic"),
+        fmt.upstream_headers(headers, "i-1", 1.0, 4, ""),
+        fmt.item_headers("h", "item-1", headers, "i-1", None, "clinic"),
+        fmt.forwarded_headers(headers, 1.0, None, ""),
+    ]
+    assert [[v for k, v in found if k == b"x-tenant"] for found in sent] == [
+        [b"clinic"],
+        [],
+        [b"clinic"],
+        [],
+    ]
+    assert not any(k == b"x-key" for found in sent for k, _ in found)
+
+
 @pytest.mark.parametrize("raw", [b"", b"\xff", b"[]", b'{"version": "7"}'])
 def test_invalid_plan_is_ignored(raw):
     assert plans.decode(raw) is None
