Authenticate on both interfaces by the same key table

The product's own interface compared each key with those of all teams; it now looks the digest up in the table that the platform path uses.

Result: tests/web, tests/policy/test_teams.py pass.

--- a/src/cornelgrade/policy/route_table.py
+++ b/src/cornelgrade/policy/route_table.py
@@ -57,7 +57,9 @@
         """
         if self.plan.teams is None:
             return None
-        return self.keys.authenticate(key_digests, key_required=key_required)
+        if not key_required:
+            return self.keys.find(key_digests)
+        return self.keys.authenticate(key_digests)
 
     def team(self, name: str) -> routes.Team | None:
         """Return the team called ``name``."""
--- a/src/cornelgrade/policy/teams.py
+++ b/src/cornelgrade/policy/teams.py
@@ -33,16 +33,20 @@
                 if self._by_digest.setdefault(digest, holder) is not holder:
                     self.shared.add(digest)
 
-    def authenticate(self, digests: tuple[bytes, ...], *, key_required: bool = True) -> T | None:
-        """Return the team whose key a request carries.
+    def find(self, digests: tuple[bytes, ...]) -> T | None:
+        """Return the team whose key a request carries, ``None`` without exactly one known key.
 
         :param digests: digests of all keys that the request carries.
-        :param key_required: whether the request needs a key; if not, it may have none or an
-            unknown one, and belongs to no team then.
+        """
+        return self._by_digest.get(digests[0]) if len(digests) == 1 else None
+
+    def authenticate(self, digests: tuple[bytes, ...]) -> T:
+        """Return the team whose key a request carries.
+
         :raises Refusal: ``UNAUTHORIZED`` unless the request carries exactly one known key.
         """
-        team = self._by_digest.get(digests[0]) if len(digests) == 1 else None
-        if team is None and key_required:
+        team = self.find(digests)
+        if team is None:
             raise errors.Refusal(
                 errors.Code.UNAUTHORIZED, _describe_problem(len(digests)), step="authenticate"
             )
--- a/src/cornelgrade/services/ports.py
+++ b/src/cornelgrade/services/ports.py
@@ -8,6 +8,7 @@
 
 from cornelgrade import errors, manifest, reports
 from cornelgrade.adapters import engine
+from cornelgrade.policy import teams
 
 T = TypeVar("T")
 
@@ -173,17 +174,26 @@
 PeerMessage = Load | Yield | Share | Quarantined | UpstreamCrashed | Leaving
 
 
+TeamKeys = teams.KeyTable[manifest.Team]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AcceptedManifest:
     """The manifest in force.
 
     :param version: the platform's version; 0 before the first manifest.
     :param confirmed: read from the platform, not only received from a peer.
+    :ivar keys: finds the team that holds a key.
     """
 
     manifest: manifest.Manifest
     version: int
     confirmed: bool = True
+    keys: TeamKeys = dataclasses.field(init=False, repr=False, compare=False)
+
+    def __post_init__(self) -> None:
+        holders = ((team, map(bytes.fromhex, team.key_hashes)) for team in self.manifest.teams)
+        object.__setattr__(self, "keys", teams.KeyTable(holders))
 
 
 class Membership(Protocol):
--- a/src/cornelgrade/services/web/access.py
+++ b/src/cornelgrade/services/web/access.py
@@ -1,11 +1,11 @@
 """Authentication: maps bearer keys to teams by the current manifest."""
 
 import dataclasses
-import hashlib
 
 import quart
 
 from cornelgrade import errors, kernel, manifest
+from cornelgrade.policy import teams
 from cornelgrade.services import ports
 
 _BEARER_PREFIX = "Bearer "
@@ -21,7 +21,7 @@
 
 def hash_key(key: str) -> str:
     """Return the hash of a key, in the form that the manifest and the settings store."""
-    return hashlib.sha256(key.encode()).hexdigest()
+    return teams.digest_key(key.encode()).hex()
 
 
 def hash_bearer_key(header: str | None) -> str:
@@ -48,10 +48,7 @@
             errors.Code.UNAVAILABLE, "no manifest yet", step="authenticate", retry_after_s=2.0
         )
     hashed_key = hash_bearer_key(req.headers.get("Authorization"))
-    for team in accepted.manifest.teams:
-        if hashed_key in team.key_hashes:
-            return Caller(team=team, accepted=accepted)
-    raise errors.Refusal(errors.Code.UNAUTHORIZED, "unknown key", step="authenticate")
+    return Caller(accepted.keys.authenticate((bytes.fromhex(hashed_key),)), accepted)
 
 
 def require_operator(req: quart.Request, operator_key_hashes: tuple[str, ...]) -> None:
