Finish interrupted batch items before new ones are begun

The time that an item needs didn't include interruptions, so that items were begun that ended late.

Change: interrupted items that can still end in time come first, the item with the least progress is preempted, and the estimate of the remaining time includes interruptions.

--- a/src/cornelgrade/policy/batch_capacity.py
+++ b/src/cornelgrade/policy/batch_capacity.py
@@ -15,10 +15,9 @@
 # Items are started only beside the highest online load of this window: an item cancelled right
 # after its start wastes the processing of its prompt.
 PEAK_WINDOW_S = 0.5
-
-
 # Weight of the last completed item in the moving averages, which span about ten items.
 ESTIMATE_WEIGHT = 0.1
+_MIN_RUN_S = 1e-3
 
 
 class RecentPeak:
@@ -106,12 +105,16 @@
     """Choose the item to cancel.
 
     An item that can resume from its last event is preferred to one that would start over and have
-    its prompt processed again. Among these, one past its due time comes first, then the most
-    recently started.
+    its prompt processed again. Among these, one past its due time comes first, then the one with
+    the least progress, so that an item that is nearly finished isn't cancelled.
 
     :param now_s: Unix time.
     """
-    return max(running, key=lambda r: (r.events > 0, r.due_s < now_s, r.started_s), default=None)
+    return max(
+        running,
+        key=lambda r: (r.events > 0, r.due_s < now_s, -r.events, r.started_s),
+        default=None,
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -134,7 +137,8 @@
     """Sort items in the order in which this VM starts them, earliest due first.
 
     Items that can no longer be completed in time come last: run first, they would make each of the
-    others late too. VMs start with different items of a job, so two rarely start the same one.
+    others late too. Items that were interrupted come first, since what was done for them is lost if
+    they end late. VMs start with different items of a job, so two rarely start the same one.
 
     :param now_s: Unix time.
     """
@@ -142,9 +146,9 @@
         waiting,
         key=lambda w: (
             now_s + w.remaining_s > w.due_s,
+            not w.has_progress,
             w.due_s,
             w.job,
-            not w.has_progress,
             -rendezvous.score(f"{w.job}/{w.index}", vm),
         ),
     )
@@ -155,26 +159,34 @@
     """Moving averages over completed items, used to estimate how long an item takes.
 
     :param events: events of a complete item.
-    :param event_s: time between two events.
+    :param event_s: time between two events of a run.
+    :param stretch: ratio of the time from an item's first start to its end, interruptions
+        included, to the time for which it ran.
     """
 
     events: float = 0.0
     event_s: float = 0.0
+    stretch: float = 1.0
 
     def remaining_s(self, events: int) -> float:
         """Estimate the time to complete an item that has produced ``events`` so far."""
-        return max(0.0, self.events - events) * self.event_s
+        return max(0.0, self.events - events) * self.event_s * self.stretch
 
-    def update(self, events: int, received_events: int, took_s: float) -> "Pace":
+    def update(
+        self, events: int, received_events: int, took_s: float, interrupted_s: float = 0.0
+    ) -> "Pace":
         """Return the averages updated with a run that completed an item.
 
         :param events: events of the complete item.
         :param received_events: events that this run produced in ``took_s``.
+        :param interrupted_s: time since the item's first start for which it didn't run.
         """
         event_s = took_s / max(1, received_events)
+        stretch = 1.0 + max(0.0, interrupted_s) / max(_MIN_RUN_S, events * event_s)
         if not self.events:
-            return Pace(events, event_s)
+            return Pace(events, event_s, stretch)
         return Pace(
             self.events + ESTIMATE_WEIGHT * (events - self.events),
             self.event_s + ESTIMATE_WEIGHT * (event_s - self.event_s),
+            self.stretch + ESTIMATE_WEIGHT * (stretch - self.stretch),
         )
--- a/src/cornelgrade/services/edge/open_job.py
+++ b/src/cornelgrade/services/edge/open_job.py
@@ -53,6 +53,7 @@
     :ivar not_before_s: when failed items may be retried, on the process's clock.
     :ivar claims: items that each other worker runs, as a bit set, and when it reported them.
     :ivar interrupted_s: when runs that had received events ended here, on the process's clock.
+    :ivar ran_s: when items were first started here, and the time for which they have run.
     :ivar claimed_s: when other workers last claimed items.
     :ivar known_s: when this worker learned of it.
     :ivar loading: whether its input was read or is being read.
@@ -74,6 +75,7 @@
     claims: dict[str, tuple[int, float]] = dataclasses.field(default_factory=dict)
     interrupted_s: dict[int, float] = dataclasses.field(default_factory=dict)
     claimed_s: dict[int, float] = dataclasses.field(default_factory=dict)
+    ran_s: dict[int, tuple[float, float]] = dataclasses.field(default_factory=dict)
     known_s: float = 0.0
     loading: bool = False
     closing: bool = False
@@ -188,6 +190,15 @@
             partial = self.partial[index] = item_call.PartialResult()
         return partial
 
+    def record_run(self, index: int, started_s: float, took_s: float) -> float:
+        """Record a run of an item; return the time since its first start for which it didn't run.
+
+        :param started_s: when the run started, on the process's clock.
+        """
+        first_s, ran_s = self.ran_s.get(index, (started_s, 0.0))
+        self.ran_s[index] = (first_s, ran_s + took_s)
+        return max(0.0, started_s + took_s - first_s - ran_s - took_s)
+
     def runs_at(self, upstream: str) -> Iterator[tuple[int, ItemRun]]:
         """Return the items that run at an upstream, with their runs."""
         return ((index, run) for index, run in self.runs.items() if run.upstream == upstream)
--- a/src/cornelgrade/services/edge/runner.py
+++ b/src/cornelgrade/services/edge/runner.py
@@ -400,7 +400,10 @@
                     self._quarantine.report_completion(fingerprint)
                     took_s = trio.current_time() - run.started_s
                     new_events = partial.events - events_before
-                    self._pace = self._pace.update(partial.events, new_events, took_s)
+                    interrupted_s = job.record_run(index, run.started_s, took_s)
+                    self._pace = self._pace.update(
+                        partial.events, new_events, took_s, interrupted_s
+                    )
                 self._handle_result(job, index, result)
         except engine.CallError as exc:
             outcome = exc.format_message()
@@ -411,6 +414,8 @@
             job.runs.pop(index, None)
             if partial.events:
                 job.interrupted_s[index] = trio.current_time()
+            if outcome != ports.ItemEnd.COMPLETED.value:
+                job.record_run(index, run.started_s, trio.current_time() - run.started_s)
             self._wake.notify_all()
             took_s = trio.current_time() - run.started_s
             preempted = run.preempted and run.scope.cancelled_caught
--- a/tests/policy/test_batch_under_bursts.py
+++ b/tests/policy/test_batch_under_bursts.py
@@ -86,6 +86,33 @@
     assert [w.job for w in ordered] == ["soon", "next", "late"]
 
 
+# Guards against events that are lost because items begun in a valley of the load wait, after a peak
+# interrupted them, behind items of earlier jobs.
+def test_interrupted_items_come_first_unless_they_would_be_late():
+    waiting = [
+        batch_capacity.WaitingItem("early", 0, due_s=20.0, remaining_s=5.0),
+        batch_capacity.WaitingItem("begun", 0, due_s=25.0, remaining_s=2.0, has_progress=True),
+        batch_capacity.WaitingItem("hopeless", 0, due_s=11.0, remaining_s=2.0, has_progress=True),
+    ]
+    ordered = batch_capacity.sort_waiting(waiting, "vm", now_s=10.0)
+    assert [w.job for w in ordered] == ["begun", "early", "hopeless"]
+
+
+# Guards against peaks of online load that cancel the items that are nearly finished.
+def test_item_with_the_least_progress_is_preempted():
+    resumed = batch_capacity.RunningItem("j", 1, started_s=9.0, events=120, due_s=50.0)
+    begun = batch_capacity.RunningItem("j", 2, started_s=5.0, events=10, due_s=50.0)
+    assert batch_capacity.choose_preempted([resumed, begun], 10.0) == begun
+
+
+# Guards against items that are begun although interruptions will make them late.
+def test_remaining_time_includes_interruptions():
+    pace = batch_capacity.Pace()
+    for _ in range(100):
+        pace = pace.update(events=100, received_events=100, took_s=4.0, interrupted_s=4.0)
+    assert pace.remaining_s(50) == pytest.approx(4.0, rel=0.01)
+
+
 def test_workers_start_with_different_items_of_a_job():
     waiting = [batch_capacity.WaitingItem("j", n, 20.0) for n in range(12)]
     firsts = {batch_capacity.sort_waiting(waiting, f"vm-{n}", 10.0)[0].index for n in range(4)}
