Show operators each team's requests, refusals and share

Result: tests/docs, tests/test_log_explain.py, tests/services/test_team_usage.py, tests/cli, tests/web and tests/edge/test_team_limits.py pass.

--- a/src/cornelgrade/commands/operate.py
+++ b/src/cornelgrade/commands/operate.py
@@ -73,6 +73,11 @@
         _output.write_table(
             ("VM", "FAILURE DOMAIN", "STATE", "MANIFEST"), [*map(_member_row, report.members)]
         )
+    if report.teams:
+        _output.write()
+        _output.write_table(
+            ("TEAM", "ADMITTED", "SHARE", "REFUSED"), [*map(_team_row, report.teams)]
+        )
     if report.upstreams:
         _output.write()
         header = ("UPSTREAM", "FAILURE DOMAIN", "STATE", "OUTSTANDING", "NOTE")
@@ -94,6 +99,11 @@
     return (member.vm, member.failure_domain, member.state, version)
 
 
+def _team_row(team: reports.TeamReport) -> tuple[str, ...]:
+    refused = ", ".join(f"{reason} {count}" for reason, count in sorted(team.refused.items()))
+    return (team.name, str(team.admitted), f"{team.share:.1%}", refused)
+
+
 def _upstream_row(upstream: reports.UpstreamReport) -> tuple[str, ...]:
     outstanding = str(upstream.outstanding)
     return (upstream.name, upstream.failure_domain, upstream.state, outstanding, upstream.note)
--- a/src/cornelgrade/log_explain.py
+++ b/src/cornelgrade/log_explain.py
@@ -49,6 +49,12 @@
     "caller_left": "the caller closed its connection",
     "quarantined": "upstreams crashed while it was in flight: see upstream_crashed",
     "completed": "the item's result is stored",
+    "unauthorized": (
+        "it carried no key, several, or one that no team of the plan in force holds: see why, plan "
+        "and, if the key was added or taken away, plan_in_force"
+    ),
+    "rate_limited": "its team is over its rate limit at all VMs together: see team and why",
+    "not_found": "no route of the plan in force matches its host and path: see host, path and plan",
 }
 
 
--- a/src/cornelgrade/reports.py
+++ b/src/cornelgrade/reports.py
@@ -33,6 +33,20 @@
     note: str = ""
 
 
+class TeamReport(msgspec.Struct, frozen=True):
+    """What a team asked of this VM since it started.
+
+    :param admitted: requests within its rate limit.
+    :param share: its share of the requests that all teams had admitted.
+    :param refused: refused requests by reason, as codes of refusals.
+    """
+
+    name: str
+    admitted: int
+    share: float
+    refused: dict[str, int] = {}
+
+
 class MemberReport(msgspec.Struct, frozen=True):
     """A VM in the reporting VM's membership view."""
 
@@ -65,6 +79,7 @@
     upstreams: tuple[UpstreamReport, ...] = ()
     jobs_at_risk: tuple[JobAtRisk, ...] = ()
     facts: tuple[Fact, ...] = ()
+    teams: tuple[TeamReport, ...] = ()
 
 
 class ServiceReport(msgspec.Struct, frozen=True):
@@ -90,6 +105,7 @@
     degraded: tuple[Degraded, ...] = ()
     jobs_at_risk: tuple[JobAtRisk, ...] = ()
     services: tuple[ServiceReport, ...] = ()
+    teams: tuple[TeamReport, ...] = ()
 
 
 class HistoryStep(msgspec.Struct, frozen=True):
--- a/src/cornelgrade/services/conditions.py
+++ b/src/cornelgrade/services/conditions.py
@@ -68,6 +68,7 @@
             ),
             jobs_at_risk=tuple(job for _, report in collected for job in report.jobs_at_risk),
             services=tuple(reports.ServiceReport(name, report.facts) for name, report in collected),
+            teams=tuple(team for _, report in collected for team in report.teams),
         )
 
     def ready(self) -> bool:
--- a/src/cornelgrade/services/edge/frontend.py
+++ b/src/cornelgrade/services/edge/frontend.py
@@ -118,12 +118,15 @@
         if route is None or not route.targets or route.kind is routes.RouteKind.BATCH:
             await self._refuse_request(exchange, caller, errors.Code.NOT_FOUND, "no route", None)
             return
+        team = None
         try:
             team = table.authenticate(caller.key_digests, key_required=route.needs_key)
             if team is not None:
                 await self._team_limits.admit(team)
         except errors.Refusal as exc:
-            await self._refuse_request(exchange, caller, exc.code, exc.message, exc.retry_after_s)
+            await self._refuse_request(
+                exchange, caller, exc.code, exc.message, exc.retry_after_s, team
+            )
             return
         offered = await self._relay.relay_request(exchange, caller, route, team)
         if team is not None and not offered:
@@ -156,12 +159,15 @@
         code: errors.Code,
         why: str,
         retry_after_s: float | None,
+        team: routes.Team | None = None,
     ) -> None:
         table = self._fleet.table()
         _log.info(
             "refused",
             request=caller.request_id,
+            outcome=code.value,
             code=code.value,
+            team=team.name if team else "",
             why=why,
             host=caller.host,
             path=exchange.path,
--- a/src/cornelgrade/services/edge/relay.py
+++ b/src/cornelgrade/services/edge/relay.py
@@ -22,6 +22,7 @@
     ports,
     slot_permits,
     stream_origins,
+    team_limits,
     upstream_notices,
     upstream_reach,
 )
@@ -59,6 +60,7 @@
         self._fleet = kern.find("fleet", fleet.Fleet)
         self._origins = kern.find("stream_origins", stream_origins.StreamOrigins)
         self._quarantine = kern.find("quarantine", shared_ports.Quarantine)
+        self._team_usage = kern.find("team_limits", team_limits.TeamLimits).usage
         self._crash_detector = kern.find("crash_detector", crash_detector.CrashDetector)
         self._call_format = call_format
         self._notices = upstream_notices.UpstreamNotices(kern, call_format)
@@ -400,6 +402,8 @@
         """Send the refusal, or abort a response that was started."""
         if progress.started:
             raise http1_server.AbortConnectionError
+        if req.team:
+            self._team_usage.record_refusal(req.team, refusal.code)
         headers = self._call_format.refusal_headers(req.caller.request_id, refusal.retry_after_s)
         await req.exchange.respond(_STATUS_BY_CODE[refusal.code], b"", headers)
         return refusal.code.value
--- a/src/cornelgrade/services/edge/team_limits.py
+++ b/src/cornelgrade/services/edge/team_limits.py
@@ -8,6 +8,7 @@
 
 from cornelgrade import errors, kernel, logs, metrics, routes
 from cornelgrade.policy import shared_allowance
+from cornelgrade.services import team_usage
 from cornelgrade.services.edge import allowances, fleet, peers
 
 # How long a request may wait until its team has a token again. A longer wait would make it late,
@@ -23,7 +24,10 @@
 
 
 class TeamLimits:
-    """Admits requests of teams with a rate limit; other teams cost nothing."""
+    """Admits requests of teams; those of teams without a rate limit cost no message.
+
+    :ivar usage: counts the requests of each team.
+    """
 
     name = "team_limits"
 
@@ -33,8 +37,10 @@
         self._allowances = kern.find("allowances", allowances.Allowances)
         self._allowances.set_source(self._find_terms)
         self._waiting: collections.Counter[str] = collections.Counter()
-        self._counter = metrics.counter(
-            "cornelgrade_edge_team_requests_total", "Requests of teams by rate-limit decision."
+        self.usage = team_usage.TeamUsage(
+            metrics.counter(
+                "cornelgrade_edge_team_requests_total", "Requests of teams by team and outcome."
+            )
         )
 
     async def run(self, started: Callable[[], None]) -> None:
@@ -49,9 +55,11 @@
 
         :raises Refusal: ``RATE_LIMITED`` if the team is over its limit.
         """
-        if team.rate_limit is None:
-            return
-        key = _make_key(team.name)
+        if team.rate_limit is not None:
+            await self._wait_for_token(_make_key(team.name), team)
+        self.usage.record_admission(team.name)
+
+    async def _wait_for_token(self, key: shared_allowance.LimitKey, team: routes.Team) -> None:
         self._set_terms(key, team)
         self._waiting[team.name] += 1
         try:
@@ -60,7 +68,6 @@
             self._waiting[team.name] -= 1
             if not self._waiting[team.name]:
                 del self._waiting[team.name]
-        self._counter.inc({"team": team.name, "outcome": "admitted"})
 
     def give_back(self, team: routes.Team) -> None:
         """Return the token of a request that was not sent to any upstream."""
@@ -79,7 +86,7 @@
 
     def _refuse(self, key: shared_allowance.LimitKey, team: routes.Team) -> errors.Refusal:
         assert team.rate_limit is not None
-        self._counter.inc({"team": team.name, "outcome": "refused"})
+        self.usage.record_refusal(team.name, errors.Code.RATE_LIMITED)
         wait_s = self._allowances.expected_wait_s(key)
         if not math.isfinite(wait_s):
             wait_s = MAX_RETRY_AFTER_S
--- a/src/cornelgrade/services/online.py
+++ b/src/cornelgrade/services/online.py
@@ -11,7 +11,7 @@
 import result
 import trio
 
-from cornelgrade import errors, kernel, logs, manifest, metrics, tracing
+from cornelgrade import errors, kernel, logs, manifest, metrics, reports, tracing
 from cornelgrade.adapters import engine
 from cornelgrade.policy import admission, retry, routing, token_bucket
 from cornelgrade.services import (
@@ -23,6 +23,7 @@
     request_history,
     router,
     router_messages,
+    team_usage,
     upstreams,
 )
 
@@ -77,6 +78,11 @@
         self._kern = kern
         self._log = logs.Logger("online")
         self._buckets: dict[str, token_bucket.Bucket] = {}
+        self._usage = team_usage.TeamUsage(
+            metrics.counter(
+                "cornelgrade_team_requests_total", "Requests of teams by team and outcome."
+            )
+        )
         self._retry_budget = retry.Budget()
         self._leaving_announced_at_s: dict[str, float] = {}
 
@@ -86,6 +92,10 @@
             started()
             await trio.sleep_forever()
 
+    def report(self) -> reports.Report:
+        """Return what each team asked of this process."""
+        return reports.Report(teams=self._usage.report())
+
     def admit(self, team: manifest.Team) -> None:
         """Take a token from the team's bucket.
 
@@ -96,7 +106,10 @@
         bucket = self._buckets.get(team.name) or token_bucket.Bucket.full(limit, now_s)
         bucket = bucket.refill(now_s, limit)
         self._buckets[team.name] = bucket.drain(1) if bucket.whole_tokens else bucket
-        if not bucket.whole_tokens:
+        if bucket.whole_tokens:
+            self._usage.record_admission(team.name)
+        else:
+            self._usage.record_refusal(team.name, errors.Code.RATE_LIMITED)
             raise errors.Refusal(
                 errors.Code.RATE_LIMITED,
                 f"team {team.name} is over {team.rate_per_s:g} requests/s",
--- a/tests/test_log_explain.py
+++ b/tests/test_log_explain.py
@@ -99,3 +99,10 @@
     assert cli.run(["explain", f"--logs={logs}", subject]) == code
     output = capsys.readouterr().out
     assert ("* " + REFUSED in output) == (code == 0)
+
+
+# Guards against refusals of teams' requests that an operator can't explain from the logs.
+@pytest.mark.parametrize(("outcome", "word"), [("unauthorized", "key"), ("rate_limited", "limit")])
+def test_refusals_of_teams_are_explained(outcome, word):
+    line = f"time=2026-12-05T00:00:01Z event=refused request=r1 outcome={outcome} team=clinic"
+    assert word in log_explain.explain_subject([line], "r1").cause
