Get plans from peers when the store does not deliver them

Cause: a VM that the store rejects kept its plan, so keys that were revoked meanwhile stayed valid there, and one that started then had no plan.

Change: each datagram tells the version of the plan in force at its sender (2 or 3 bytes). A process that hears of a higher one and does not receive it within 0.3 s fetches it from a peer over a signed call (peer_calls), compressed and with digests in place of keys. One without plan or store asks two peers each 0.5 s. Workers listen for such calls at their peer address; gateways take them beside forwarded requests.

--- a/src/cornelgrade/adapters/datagrams.py
+++ b/src/cornelgrade/adapters/datagrams.py
@@ -119,6 +119,7 @@
     :param cut: returns whether to drop a datagram to this address instead of sending it (for
         tests).
     :param clock: Unix time in seconds.
+    :ivar plan_version: the version of the plan in force, which each datagram tells.
     """
 
     def __init__(
@@ -136,6 +137,7 @@
         self._cut = cut
         self._clock = clock
         self.session = time.time_ns() // _NS_PER_US
+        self.plan_version = 0
         self._sequence = 0
         self._guard = ReplayGuard()
         self.dropped: collections.Counter[DropReason] = collections.Counter()
@@ -208,6 +210,7 @@
                     body=body,
                     members=members,
                     rumors=rumors,
+                    plan_version=self.plan_version,
                 )
             )
             if len(payload) + peer_key.TAG_BYTES <= codec.MAX_DATAGRAM_BYTES:
--- a/src/cornelgrade/edge_daemons.py
+++ b/src/cornelgrade/edge_daemons.py
@@ -21,8 +21,10 @@
     job_repository,
     metrics_page,
     outage_checks,
+    peer_calls,
     peer_reach,
     peers,
+    plan_exchange,
     ports,
     quarantine_sync,
     result_reader,
@@ -116,6 +118,8 @@
         )
     )
     kern.add(fleet.Fleet(kern, dependencies.store, dependencies.directory, availability))
+    kern.add(peer_calls.PeerCalls(kern, cfg, listens=role is peers.Role.WORKER), _RESTART)
+    kern.add(plan_exchange.PlanExchange(kern, availability, cfg.vm), _RESTART)
     kern.add(quarantine.Quarantine(kern, quarantine_sync.PeerReports(peer_service)))
     kern.add(
         quarantine_sync.QuarantineSync(kern, dependencies.store, availability, cfg.vm), _RESTART
--- a/src/cornelgrade/schema/codec.py
+++ b/src/cornelgrade/schema/codec.py
@@ -336,6 +336,7 @@
     out.session = datagram.session
     out.sequence = datagram.sequence
     out.sentMs = int(datagram.sent_s * _MS_PER_S)
+    out.planVersion = datagram.plan_version
     field, write = _WRITERS[type(datagram.body)]
     write(out, field, datagram.body)
     if datagram.members:
@@ -377,6 +378,7 @@
             body=_READERS[kind](getattr(datagram, kind)),
             members=tuple(_read_member(m) for m in datagram.members),
             rumors=tuple(_read_rumor(r) for r in datagram.rumors),
+            plan_version=datagram.planVersion,
         )
     except (*peer.DecodeError, KeyError) as exc:
         raise MalformedError(str(exc)) from exc
--- a/src/cornelgrade/schema/messages.py
+++ b/src/cornelgrade/schema/messages.py
@@ -40,9 +40,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Version:
-    """Announces the sender's active manifest version."""
+    """Announces the version of the configuration that is in force at the sender.
+
+    :param vm: the sender, set on receipt.
+    """
 
     version: int
+    vm: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -282,6 +286,7 @@
     :param sequence: increases by one with each datagram of a session.
     :param sent_s: Unix time in seconds.
     :param members: piggybacked membership records, the sender's own first.
+    :param plan_version: version of the plan in force at the sender, 0 if it has or tells none.
     """
 
     sender: str
@@ -291,3 +296,4 @@
     body: Body
     members: tuple[ports.Member, ...] = ()
     rumors: tuple[Rumor, ...] = ()
+    plan_version: int = 0
--- a/src/cornelgrade/schema/peer.capnp
+++ b/src/cornelgrade/schema/peer.capnp
@@ -183,4 +183,5 @@
     upstreamQuery @28 :UpstreamQuery;
     upstreamResponds @29 :Text;
   }
+  planVersion @30 :UInt64;
 }
--- a/src/cornelgrade/services/edge/fleet.py
+++ b/src/cornelgrade/services/edge/fleet.py
@@ -1,6 +1,7 @@
 """The service ``fleet``: the plan in force and the registered upstreams."""
 
 import collections
+import time
 from collections.abc import Callable
 
 import trio
@@ -130,15 +131,37 @@
     async def _apply_plans(self, changes: platform.Changes, is_snapshot: bool) -> None:
         for stored in changes.items:
             if stored.name == self._directory.plan_name:
-                self._accept_plan(self._directory.plan(stored.value), stored.version)
+                plan = self._directory.plan(stored.value)
+                if plan is not None:
+                    self.accept_plan(plan, source="store", revision=stored.version)
 
-    def _accept_plan(self, plan: routes.Plan | None, revision: int) -> None:
-        before = self._table.plan.version if self._table else 0
-        if plan is None or plan.version <= before:
-            return
+    def plan_version(self) -> int:
+        """Return the version of the plan in force, 0 before the first one is known."""
+        return self._table.plan.version if self._table else 0
+
+    def accept_plan(self, plan: routes.Plan, *, source: str, revision: int = 0) -> bool:
+        """Put a plan in force unless its version is lower or the same; return whether it is now.
+
+        :param source: where it came from, for the log.
+        :param revision: of its object in the store, 0 if a peer sent it.
+        """
+        before = self.plan_version()
+        if plan.version <= before:
+            return False
+        started_s = time.perf_counter()
         self._table = route_table.RouteTable(plan)
-        _log.info("plan_in_force", version=plan.version, before=before, revision=revision)
+        self._peers.announce_plan(plan.version)
+        _log.info(
+            "plan_in_force",
+            version=plan.version,
+            before=before,
+            revision=revision,
+            source=source,
+            routes=len(plan.routes),
+            table_s=time.perf_counter() - started_s,
+        )
         self.changed.notify_all()
+        return True
 
     async def _apply_registrations(self, changes: platform.Changes, is_snapshot: bool) -> None:
         decoded = {s.name: self._directory.upstream(s.name, s.value) for s in changes.items}
--- a/src/cornelgrade/services/edge/forwarding.py
+++ b/src/cornelgrade/services/edge/forwarding.py
@@ -10,7 +10,7 @@
 from cornelgrade import errors, kernel, routes
 from cornelgrade.adapters import engine, http1, http1_server, peer_auth
 from cornelgrade.policy import software_versions
-from cornelgrade.services.edge import peers, ports
+from cornelgrade.services.edge import peer_calls, peers, ports
 
 CONNECT_TIMEOUT_S = 0.25
 # What the headers that mark a forwarded request add to those of the caller.
@@ -21,7 +21,7 @@
 _VERSION = b"cornelgrade-version"
 _TEAM = b"cornelgrade-team"
 _AUTH = peer_auth.AUTH_HEADER.encode()
-_OWN_HEADERS = frozenset((_RUNS, _SENDER, _TEAM, _AUTH))
+_OWN_HEADERS = frozenset((_RUNS, _SENDER, _TEAM, _AUTH, peer_calls.MARK.encode()))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/cornelgrade/services/edge/frontend.py
+++ b/src/cornelgrade/services/edge/frontend.py
@@ -11,6 +11,7 @@
     fleet,
     forwarding,
     job_handler,
+    peer_calls,
     peer_reach,
     ports,
     relay,
@@ -43,6 +44,7 @@
     ) -> None:
         self._fleet = kern.find("fleet", fleet.Fleet)
         self._peer_reach = kern.find("peer_reach", peer_reach.PeerReach)
+        self._peer_calls = kern.find("peer_calls", peer_calls.PeerCalls)
         self._team_limits = kern.find("team_limits", team_limits.TeamLimits)
         self._forwarding = forwarding.Forwarding(kern, call_format)
         self._relay = relay.Relay(kern, cfg, call_format)
@@ -50,7 +52,7 @@
         self._cfg = cfg
         self._call_format = call_format
         self._caller_server = http1_server.Server(self._handle_request, self._current_limits)
-        self._peer_server = http1_server.Server(self._handle_forwarded, self._peer_limits)
+        self._peer_server = http1_server.Server(self._handle_peer, self._peer_limits)
         self._readiness_server = http1_server.Server(self._send_readiness)
         self._stopping = False
 
@@ -129,6 +131,11 @@
         if team is not None and not offered:
             self._team_limits.give_back(team)
 
+    async def _handle_peer(self, exchange: http1_server.Exchange) -> None:
+        """Respond to a call of a peer, or serve a request that it forwarded."""
+        if not await self._peer_calls.handle(exchange):
+            await self._handle_forwarded(exchange)
+
     async def _handle_forwarded(self, exchange: http1_server.Exchange) -> None:
         """Serve a request that another gateway forwarded."""
         try:
--- a/src/cornelgrade/services/edge/peers.py
+++ b/src/cornelgrade/services/edge/peers.py
@@ -50,6 +50,7 @@
     messages.ReachQuery,
     messages.ReachReport,
     messages.UpstreamQuery,
+    messages.Version,
 )
 _log = logs.Logger("peers")
 
@@ -103,6 +104,7 @@
         self._vm_cache_filled_s = 0.0
         self._subscribers = _subscriptions.Subscriptions()
         self._socket: datagrams.Socket | None = None
+        self._plan_version = 0
         self.key: peer_key.PeerKey | None = None
         self.knows_others = False
 
@@ -111,6 +113,7 @@
         started()
         self.key = await self._load_key()
         with datagrams.Socket(self._own_entry.address, self.key, self.vm) as self._socket:
+            self._socket.plan_version = self._plan_version
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._receive_datagrams, self._socket)
                 await self._register()
@@ -132,6 +135,15 @@
         if peer is not None and self._socket is not None:
             self._socket.send(peer.entry.address, body)
 
+    def announce_plan(self, version: int) -> None:
+        """Tell the version of the plan in force with each datagram from now on.
+
+        Datagrams of peers that tell a higher one are delivered as :class:`messages.Version` too.
+        """
+        self._plan_version = version
+        if self._socket is not None:
+            self._socket.plan_version = version
+
     def address_of(self, vm: str) -> str | None:
         """Return the address of a peer, for datagrams and for forwarded requests."""
         peer = self._peers.get(vm)
@@ -303,6 +315,9 @@
                 peer = self._peers.get(datagram.sender)
                 if peer is not None:
                     self._record_receipt(peer)
+                if datagram.plan_version > self._plan_version:
+                    version = messages.Version(datagram.plan_version, datagram.sender)
+                    self._subscribers.deliver(version)
                 self._subscribers.deliver(_with_sender(datagram))
 
 
