--- a/src/cornelgrade/validation.py
+++ b/src/cornelgrade/validation.py
@@ -20,14 +20,14 @@
     """Decode one JSON document.
 
     :param raw: the document.
-    :param kind: the struct class to decode into; unknown fields are rejected.
+    :param kind: the struct class to decode into; unknown fields are rejected if it forbids them.
     :param step: the step recorded in the error.
     :raises BadInputError: with one entry per problem, such as
         ``$.upstreams[3].slots: Expected `int` >= 1``.
     """
     try:
         value = msgspec.json.decode(raw)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as exc:
         raise errors.BadInputError((f"$: not JSON: {exc}",), step=step) from exc
     problems = tuple(_find_struct_problems(value, kind, "$"))
     if problems:
@@ -70,21 +70,23 @@
     plain_type = _strip_metadata(annotation)
     if isinstance(plain_type, type) and issubclass(plain_type, msgspec.Struct):
         yield from _find_struct_problems(value, plain_type, path)
-    elif typing.get_origin(plain_type) is tuple and isinstance(value, list):
-        yield from _find_tuple_problems(value, annotation, path)
+    elif typing.get_origin(plain_type) in (tuple, list) and isinstance(value, list):
+        yield from _find_array_problems(value, annotation, path)
     elif typing.get_origin(plain_type) in _UNIONS:
         yield from _find_union_problems(value, plain_type, path)
     else:
         yield from _find_value_problems(value, annotation, path)
 
 
-def _find_struct_problems(value: Any, kind: type, path: str) -> collections.abc.Iterator[str]:
+def _find_struct_problems(
+    value: Any, kind: type[msgspec.Struct], path: str
+) -> collections.abc.Iterator[str]:
     """Yield the problems of an object and its fields."""
     if not isinstance(value, dict):
         yield f"{path}: Expected `object`, got `{_get_json_type_name(value)}`"
         return
     fields = {field.encode_name: field for field in msgspec.structs.fields(kind)}
-    for name in value:
+    for name in value if kind.__struct_config__.forbid_unknown_fields else ():
         if name not in fields:
             yield f"{path}.{name}: unknown field"
     for name, field in fields.items():
@@ -94,8 +96,8 @@
             yield f"{path}.{name}: {_REQUIRED_SUFFIX}"
 
 
-def _find_tuple_problems(value: list, annotation: Any, path: str) -> collections.abc.Iterator[str]:
-    """Yield the problems of an array (``tuple[X, ...]``): its length and its elements."""
+def _find_array_problems(value: list, annotation: Any, path: str) -> collections.abc.Iterator[str]:
+    """Yield the problems of an array (``tuple[X, ...]`` or ``list[X]``): length and elements."""
     element = typing.get_args(_strip_metadata(annotation))[0]
     if typing.get_origin(annotation) is typing.Annotated:
         length_annotation = typing.Annotated[(tuple[Any, ...], *annotation.__metadata__)]
