Decode the platform's desired state for review

Cause: decode() leaves out what most needs a finding: targets of weight 0, teams with equal names, rate limits that can't be kept.

--- a/src/cornelgrade/platform/plans.py
+++ b/src/cornelgrade/platform/plans.py
@@ -1,10 +1,13 @@
 """Decodes the operator's configuration to :class:`routes.Plan`."""
 
+import dataclasses
 import math
+from collections.abc import Callable
+from typing import Any
 
 import msgspec
 
-from cornelgrade import logs, routes
+from cornelgrade import logs, routes, validation
 from cornelgrade.platform import calls
 from cornelgrade.policy import teams, token_bucket
 
@@ -76,15 +79,36 @@
     burst: float = 0.0
 
 
-class _Config(msgspec.Struct):
+class _Base(msgspec.Struct):
     version: int
     routes: list[_Route] = []
     services: list[_Service] = []
     limits: _Limits = _Limits()
+
+
+class _Config(_Base):
     # Decoded one by one, so that an invalid one doesn't keep the others from being served.
     tenants: list[msgspec.Raw] | None = None
 
 
+class _Draft(_Base):
+    tenants: list[_Tenant] | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Draft:
+    """A configuration that may be sent, for review.
+
+    :param plan: has everything that :func:`decode` leaves out: targets without weight, tenants
+        whose names repeat, and rate limits that can't be kept.
+    :param document: the configuration with defaults, as JSON values and without keys: ``apiKeys``
+        is their number.
+    """
+
+    plan: routes.Plan
+    document: dict[str, Any]
+
+
 def decode(value: bytes) -> routes.Plan | None:
     """Decode a configuration, ``None`` if it is invalid."""
     try:
@@ -92,9 +116,35 @@
     except (msgspec.DecodeError, UnicodeDecodeError) as exc:
         _log.error("plan_invalid", error=repr(exc))
         return None
+    return _convert(config, _decode_teams(config.tenants), _convert_targets)
+
+
+def decode_draft(value: bytes) -> Draft:
+    """Decode a configuration for review.
+
+    :raises BadInputError: if it is invalid, with one entry per problem.
+    """
+    config = validation.decode(value, _Draft, step="desired state")
+    found = None if config.tenants is None else tuple(map(_convert_draft_tenant, config.tenants))
+    document = msgspec.to_builtins(config)
+    for tenant in document["tenants"] or ():
+        tenant["apiKeys"] = len(tenant["apiKeys"])
+    return Draft(_convert(config, found, _convert_draft_targets), document)
+
+
+def is_known_kind(kind: str) -> bool:
+    """Return whether a route's kind is known; others are treated as ``unsafe``."""
+    return kind in _ROUTE_KINDS
+
+
+def _convert(
+    config: _Base,
+    found: tuple[routes.Team, ...] | None,
+    convert_targets: Callable[[_Route], tuple[routes.Target, ...]],
+) -> routes.Plan:
     return routes.Plan(
         version=config.version,
-        routes=tuple(_convert_route(route) for route in config.routes),
+        routes=tuple(_convert_route(route, convert_targets(route)) for route in config.routes),
         services=tuple(
             routes.Service(s.name, s.engine.slots, s.max_connections) for s in config.services
         ),
@@ -104,7 +154,7 @@
             header_timeout_s=config.limits.header_timeout_ms / _MS_PER_S,
             idle_timeout_s=config.limits.idle_timeout_ms / _MS_PER_S,
         ),
-        teams=_decode_teams(config.tenants),
+        teams=found,
     )
 
 
@@ -122,19 +172,25 @@
         if not tenant.name or not calls.is_field_value(tenant.name) or tenant.name in by_name:
             _log.error("team_invalid", team=tenant.name, error="its name is not unique or invalid")
             continue
-        by_name[tenant.name] = _convert_tenant(tenant)
+        by_name[tenant.name] = _convert_tenant(tenant, _convert_rate_limit(tenant))
     return tuple(by_name.values())
 
 
-def _convert_tenant(tenant: _Tenant) -> routes.Team:
+def _convert_tenant(tenant: _Tenant, limit: token_bucket.RateLimit | None) -> routes.Team:
     return routes.Team(
         name=tenant.name,
         key_digests=tuple(teams.digest_key(key.encode()) for key in tenant.api_keys if key),
         rank=tenant.priority,
-        rate_limit=_convert_rate_limit(tenant),
+        rate_limit=limit,
     )
 
 
+def _convert_draft_tenant(tenant: _Tenant) -> routes.Team:
+    rate_per_s, burst = tenant.rate_per_s, tenant.burst
+    limit = token_bucket.RateLimit(rate_per_s, burst) if rate_per_s or burst else None
+    return _convert_tenant(tenant, limit)
+
+
 def _convert_rate_limit(tenant: _Tenant) -> token_bucket.RateLimit | None:
     """Return a tenant's rate limit; a burst without a rate can't be kept to."""
     rate_per_s, burst = tenant.rate_per_s, tenant.burst
@@ -146,7 +202,7 @@
     return token_bucket.RateLimit(rate_per_s, burst)
 
 
-def _convert_route(route: _Route) -> routes.Route:
+def _convert_route(route: _Route, targets: tuple[routes.Target, ...]) -> routes.Route:
     if route.kind not in _ROUTE_KINDS:
         _log.warning("route_kind_unknown", route=route.name, kind=route.kind)
     return routes.Route(
@@ -154,7 +210,7 @@
         host=route.host.lower(),
         path_prefix=route.path_prefix,
         kind=_ROUTE_KINDS.get(route.kind, routes.RouteKind.ONCE),
-        targets=_convert_targets(route),
+        targets=targets,
         timeout_s=route.timeout_ms / _MS_PER_S,
         aim_s=route.target_latency_ms / _MS_PER_S,
         gap_aim_s=route.gap_aim_ms / _MS_PER_S,
@@ -173,3 +229,10 @@
 def _convert_targets(route: _Route) -> tuple[routes.Target, ...]:
     split = tuple(routes.Target(s.service, s.weight) for s in route.traffic_split if s.weight > 0)
     return split or ((routes.Target(route.service),) if route.service else ())
+
+
+def _convert_draft_targets(route: _Route) -> tuple[routes.Target, ...]:
+    """Return all targets of a route's split, then its ``service`` if no part of it is used."""
+    split = tuple(routes.Target(s.service, s.weight) for s in route.traffic_split)
+    is_used = any(target.weight > 0 for target in split)
+    return split if is_used or not route.service else (*split, routes.Target(route.service))
