check: review, compare and locate findings

Cause: check reported the first kind of errors only, without lines, warnings, differences or the platform's desired state.

The expectation of test_invalid_file_exits_with_bad_input_and_prints_each_problem now has file, line and severity before path and message, since lines are required; it still compares the whole output.

--- a/src/cornelgrade/cli.py
+++ b/src/cornelgrade/cli.py
@@ -13,7 +13,7 @@
   cornelgrade gateway SETTINGS
   cornelgrade worker SETTINGS
   cornelgrade dev
-  cornelgrade check FILE [options]
+  cornelgrade check FILE [--against=VERSION] [--format=NAME] [--strict] [options]
   cornelgrade manifest get [options]
   cornelgrade manifest put FILE [--if-match=VERSION] [options]
   cornelgrade manifest diff FILE [options]
@@ -34,7 +34,8 @@
   dev                 Run everything with stand-ins on loopback in one process.
 
 Commands:
-  check               Check a settings file or a manifest; nothing is sent.
+  check               Check settings, a manifest or the platform's desired state before it is sent,
+                      and show how it differs from another version.
   manifest            Read, replace or compare the manifest in force.
   job                 Submit a file of JSON lines as a batch job, and follow it.
   request get         Read the stored response to a keyed request.
@@ -46,6 +47,10 @@
   --url=URL           A gateway's address [env: CORNELGRADE_URL].
   --key=KEY           The team's or operator's key [env: CORNELGRADE_KEY].
   --json              Write JSON instead of text.
+  --against=VERSION   The version to compare with: a file, or "current" for the one in force.
+  --format=NAME       The file's format: settings, manifest or desired-state; told by its content
+                      if not given.
+  --strict            Fail on warnings, too.
   --if-match=VERSION  Replace the manifest only if this version is in force.
   --job-key=KEY       Name the job; the default is a digest of its file, so resubmitting is safe.
   --service=NAME      The model service to run on; needed where there are several.
--- a/src/cornelgrade/commands/_diff.py
+++ b/src/cornelgrade/commands/_diff.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from cornelgrade.policy import config_files
+
 
 class ChangeKind(enum.StrEnum):
     """How a value differs between two documents."""
@@ -38,6 +40,27 @@
     return tuple(_compare_values(old, new, "$"))
 
 
+def compare_readings(old: config_files.Reading, new: config_files.Reading) -> tuple[Change, ...]:
+    """Return the changes between two configurations; keys are counted, not shown."""
+    keys = tuple(_compare_keys(old, new))
+    paths = {change.path for change in keys}
+    found = find_changes(old.document, new.document)
+    return (*(change for change in found if change.path not in paths), *keys)
+
+
+def _compare_keys(old: config_files.Reading, new: config_files.Reading) -> Iterator[Change]:
+    for team, before in old.keys.items():
+        after = new.keys.get(team, before)
+        if after != before:
+            counts = {"added": len(after - before), "removed": len(before - after)}
+            yield Change(
+                ChangeKind.CHANGED,
+                new.keys_path.format(team=team),
+                json.dumps({"count": len(before)}),
+                json.dumps({"count": len(after), **counts}),
+            )
+
+
 def _compare_values(old: Any, new: Any, path: str) -> Iterator[Change]:
     if old == new:
         return
--- a/src/cornelgrade/commands/_output.py
+++ b/src/cornelgrade/commands/_output.py
@@ -13,6 +13,11 @@
     print(text)
 
 
+def write_error(text: str) -> None:
+    """Write one line to standard error."""
+    print(text, file=sys.stderr)
+
+
 def write_json(value: Any) -> None:
     """Write a value as indented JSON."""
     print(json.dumps(msgspec.to_builtins(value), indent=2, ensure_ascii=False))
--- a/src/cornelgrade/commands/manifests.py
+++ b/src/cornelgrade/commands/manifests.py
@@ -8,13 +8,13 @@
 from cornelgrade import errors, validation
 from cornelgrade.commands import _client, _diff, _files, _output
 
-_PATH = "/v1/manifest"
+PATH = "/v1/manifest"
 
 
 def get(args: dict[str, Any]) -> errors.ExitCode:
     """Write the manifest in force; ``--json`` adds its version."""
     with _client.Client(args) as client:
-        response = client.call("GET", _PATH)
+        response = client.call("GET", PATH)
     document = json.loads(response.content)
     if args["--json"]:
         _output.write_json({"version": _parse_version(response.headers), "manifest": document})
@@ -30,7 +30,7 @@
     if args["--if-match"]:
         headers["If-Match"] = f'"{args["--if-match"]}"'
     with _client.Client(args) as client:
-        response = client.call("PUT", _PATH, content=raw, headers=headers)
+        response = client.call("PUT", PATH, content=raw, headers=headers)
     version = _parse_version(response.headers)
     if args["--json"]:
         _output.write_json({"version": version})
@@ -43,7 +43,7 @@
     """Compare a file with the manifest in force; the exit code is 1 if they differ."""
     _, proposed = _files.read_manifest(args["FILE"])
     with _client.Client(args) as client:
-        response = client.call("GET", _PATH)
+        response = client.call("GET", PATH)
     in_force = validation.load_manifest(response.content)
     changes = _diff.find_changes(msgspec.to_builtins(in_force), msgspec.to_builtins(proposed))
     if args["--json"]:
--- a/tests/cli/test_cli.py
+++ b/tests/cli/test_cli.py
@@ -64,11 +64,11 @@
 
 def test_invalid_file_exits_with_bad_input_and_prints_each_problem(tmp_path, capsys):
     path = tmp_path / "manifest.json"
-    path.write_text('{"services": [], "teams": 3, "priorities": []}')
+    path.write_text('{"services": [],\n"teams": 3, "priorities": []}')
     assert cli.run(["check", str(path)]) == errors.ExitCode.BAD_INPUT
     assert capsys.readouterr().err.splitlines() == [
-        "$.teams: Expected `array`, got `int`",
-        "$.upstreams: required field is missing",
+        f"{path}:1: error: $.upstreams: required field is missing",
+        f"{path}:2: error: $.teams: Expected `array`, got `int`",
     ]
 
 
