check: clearer messages, formats imported on use

Cause: reading of the new messages; and all commands started later, because the platform's formats were imported with them.

--- a/src/cornelgrade/cli.py
+++ b/src/cornelgrade/cli.py
@@ -48,7 +48,7 @@
   --key=KEY           The team's or operator's key [env: CORNELGRADE_KEY].
   --json              Write JSON instead of text.
   --against=VERSION   The version to compare with: a file, or "current" for the one in force.
-  --format=NAME       The file's format: settings, manifest or desired-state; told by its content
+  --format=NAME       The file's format: settings, manifest or desired-state; detected by content
                       if not given.
   --strict            Fail on warnings, too.
   --if-match=VERSION  Replace the manifest only if this version is in force.
--- a/src/cornelgrade/commands/_formats.py
+++ b/src/cornelgrade/commands/_formats.py
@@ -5,7 +5,6 @@
 import msgspec
 
 from cornelgrade import errors, settings, validation
-from cornelgrade.platform import desired_state
 from cornelgrade.policy import config_files, manifest_review
 
 SETTINGS = "settings"
@@ -56,30 +55,31 @@
         )
 
 
-# The first format that recognizes a file is the file's.
-_FORMATS: tuple[config_files.Format, ...] = (
-    _Settings(),
-    desired_state.DesiredState(),
-    _Manifest(),
-)
-
-
 def choose_format(raw: bytes, name: str | None) -> config_files.Format:
     """Return the format of a file.
 
     :param name: the format's name, ``None`` to tell it by the file's content.
     :raises BadInputError: if there is no format of this name.
     """
+    formats = _list_formats()
     if name is None:
         document = _decode(raw)
-        return next(fmt for fmt in _FORMATS if fmt.recognizes(document))
-    by_kind = {fmt.kind: fmt for fmt in _FORMATS}
+        return next(fmt for fmt in formats if fmt.recognizes(document))
+    by_kind = {fmt.kind: fmt for fmt in formats}
     if name not in by_kind:
         problem = f"--format: {name} is none of {', '.join(by_kind)}"
         raise errors.BadInputError((problem,), step="check")
     return by_kind[name]
 
 
+def _list_formats() -> tuple[config_files.Format, ...]:
+    """Return all formats; the first one that recognizes a file is the file's."""
+    # Imported on use, so that the other commands start fast.
+    from cornelgrade.platform import desired_state
+
+    return _Settings(), desired_state.DesiredState(), _Manifest()
+
+
 def _decode(raw: bytes) -> Any:
     try:
         return msgspec.json.decode(raw)
--- a/src/cornelgrade/platform/plans.py
+++ b/src/cornelgrade/platform/plans.py
@@ -100,7 +100,7 @@
     """A configuration that may be sent, for review.
 
     :param plan: has everything that :func:`decode` leaves out: targets without weight, tenants
-        whose names repeat, and rate limits that can't be kept.
+        whose names repeat, and rate limits that can't be enforced.
     :param document: the configuration with defaults, as JSON values and without keys: ``apiKeys``
         is their number.
     """
@@ -186,6 +186,7 @@
 
 
 def _convert_draft_tenant(tenant: _Tenant) -> routes.Team:
+    """Convert a tenant with its rate limit, also if that is invalid."""
     rate_per_s, burst = tenant.rate_per_s, tenant.burst
     limit = token_bucket.RateLimit(rate_per_s, burst) if rate_per_s or burst else None
     return _convert_tenant(tenant, limit)
--- a/src/cornelgrade/policy/manifest_review.py
+++ b/src/cornelgrade/policy/manifest_review.py
@@ -28,7 +28,7 @@
     for i, team in enumerate(submitted.teams):
         path = f"$.teams[{i}]"
         if not team.key_hashes:
-            message = f"team {team.name} has no keys, so no request can be its"
+            message = f"team {team.name} has no keys, so no request can belong to it"
             yield findings.make_warning(f"{path}.key_hashes", message)
         limit = token_bucket.RateLimit(team.rate_per_s, team.burst)
         yield from plan_review.review_rate_limit(limit, path)
@@ -75,8 +75,8 @@
     slots = sum(upstream.slots for upstream in submitted.upstreams)
     if rate_per_s * SLOT_TIME_S > slots:
         message = (
-            f"the teams' rates add up to {rate_per_s:g} requests/s; {slots} slots bear that only "
-            f"while a request takes under {slots / rate_per_s:.2g} s"
+            f"the teams' rates add up to {rate_per_s:g} requests/s; {slots} slots serve that only "
+            f"if a request takes under {slots / rate_per_s:.2g} s"
         )
         yield findings.make_warning("$.teams", message)
 
--- a/src/cornelgrade/policy/plan_review.py
+++ b/src/cornelgrade/policy/plan_review.py
@@ -1,7 +1,7 @@
 """Review of a plan before it is sent: what can't be served, and limits that contradict.
 
 Paths name the fields of :class:`routes.Plan`; the plan is a draft that still has targets without
-weight, teams with equal names and limits that can't be kept.
+weight, teams with equal names and limits that can't be enforced.
 """
 
 import dataclasses
@@ -136,7 +136,7 @@
     for i, team in enumerate(teams):
         path = f"$.teams[{i}].key_digests"
         if not team.key_digests:
-            message = f"team {team.name} has no keys, so no request can be its"
+            message = f"team {team.name} has no keys, so no request can belong to it"
             yield findings.make_warning(path, message)
         for j, digest in enumerate(team.key_digests):
             owner = owners.setdefault(digest, i)
@@ -163,9 +163,9 @@
     """
     rate_per_s, burst = limit.rate_per_s, limit.burst
     if not (math.isfinite(rate_per_s) and math.isfinite(burst)) or min(rate_per_s, burst) < 0:
-        yield findings.make_error(f"{path}.rate_per_s", "the limit is invalid and not kept")
+        yield findings.make_error(f"{path}.rate_per_s", "the limit is invalid and not enforced")
     elif not rate_per_s:
-        yield findings.make_warning(f"{path}.burst", "a burst without a rate is not kept")
+        yield findings.make_warning(f"{path}.burst", "a burst without a rate is not enforced")
     elif burst < rate_per_s:
         message = f"the burst of {burst:g} is under one second of the rate of {rate_per_s:g}/s"
         yield findings.make_warning(f"{path}.burst", message)
--- a/tests/policy/test_config_review.py
+++ b/tests/policy/test_config_review.py
@@ -111,7 +111,7 @@
     models=(manifest.Model("m"),),
 )
 ONCE = "$.services[0].non_idempotent_routes"
-EXCESS = "the teams' rates add up to 32 requests/s; 16 slots bear that only while a request takes"
+EXCESS = "the teams' rates add up to 32 requests/s; 16 slots serve that only if a request takes"
 MANIFEST_FAULTS = [
     ("services", {"name": "idle"}, "error $.services[0]: no upstream serves idle"),
     ("services", {"non_idempotent_routes": ("/a/b", "/a")}, f"warning {ONCE}[0]: has no effect"),
--- a/tests/process/test_command_line.py
+++ b/tests/process/test_command_line.py
@@ -58,6 +58,8 @@
     path = tmp_path / "manifest.json"
     path.write_text(json.dumps(got["manifest"]))
     assert run("manifest", "diff", str(path), operator) == ""
+    compared = run("check", str(path), operator, "--against=current", "--json")
+    assert json.loads(compared)["differences"] == []
     got["manifest"]["batch"]["max_attempts"] = 3
     path.write_text(json.dumps(got["manifest"]))
     shown = run("manifest", "diff", str(path), operator, code=errors.ExitCode.FAILED)
