--- a/src/cornelgrade/platform/plans.py
+++ b/src/cornelgrade/platform/plans.py
@@ -1,11 +1,13 @@
 """Decodes the operator's configuration to :class:`routes.Plan`."""
 
+import dataclasses
 import math
+from typing import Any
 
 import msgspec
 import xxhash
 
-from cornelgrade import logs, routes
+from cornelgrade import logs, routes, validation
 from cornelgrade.platform import calls
 from cornelgrade.policy import teams, token_bucket
 
@@ -90,6 +92,28 @@
     tenants: list[msgspec.Raw] | None = None
 
 
+class _Draft(msgspec.Struct):
+    version: int
+    routes: list[_Route] = []
+    services: list[_Service] = []
+    limits: _Limits = _Limits()
+    tenants: list[_Tenant] | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Draft:
+    """A configuration that may be sent, for review.
+
+    :param plan: has everything that :func:`decode` leaves out: targets without weight, tenants
+        whose names repeat, and rate limits that can't be enforced.
+    :param document: the configuration with defaults, as JSON values and without keys: ``apiKeys``
+        is their number.
+    """
+
+    plan: routes.Plan
+    document: dict[str, Any]
+
+
 class Decoder:
     """Decodes the versions of a configuration; routes that have not changed are reused.
 
@@ -105,18 +129,17 @@
         try:
             config = msgspec.json.decode(value, type=_Config)
             decoded = self._decode_routes(config.routes)
-        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as exc:
             _log.error("plan_invalid", error=repr(exc))
             return None
-        return _make_plan(config, decoded)
+        return _convert(config, decoded, _decode_teams(config.tenants))
 
     def _decode_routes(self, raws: list[msgspec.Raw]) -> tuple[routes.Route, ...]:
         by_digest: dict[bytes, routes.Route] = {}
         digests = [xxhash.xxh3_128_digest(bytes(raw)) for raw in raws]
         for digest, raw in zip(digests, raws, strict=True):
             if digest not in by_digest:
-                known = self._routes.get(digest)
-                by_digest[digest] = known or _convert_route(_ROUTE_DECODER.decode(raw))
+                by_digest[digest] = self._routes.get(digest) or _decode_route(raw)
         self._routes = by_digest
         return tuple(by_digest[digest] for digest in digests)
 
@@ -126,10 +149,40 @@
     return Decoder().decode(value)
 
 
-def _make_plan(config: _Config, decoded: tuple[routes.Route, ...]) -> routes.Plan:
+def _decode_route(raw: msgspec.Raw) -> routes.Route:
+    route = _ROUTE_DECODER.decode(raw)
+    return _convert_route(route, _convert_targets(route))
+
+
+def decode_draft(value: bytes) -> Draft:
+    """Decode a configuration for review.
+
+    :raises BadInputError: if it is invalid, with one entry per problem.
+    """
+    config = validation.decode(value, _Draft, step="desired state")
+    found = None if config.tenants is None else tuple(map(_convert_draft_tenant, config.tenants))
+    document = msgspec.to_builtins(config)
+    for tenant in document["tenants"] or ():
+        tenant["apiKeys"] = len(tenant["apiKeys"])
+    converted = tuple(
+        _convert_route(route, _convert_draft_targets(route)) for route in config.routes
+    )
+    return Draft(_convert(config, converted, found), document)
+
+
+def is_known_kind(kind: str) -> bool:
+    """Return whether a route's kind is known; others are treated as ``unsafe``."""
+    return kind in _ROUTE_KINDS
+
+
+def _convert(
+    config: _Config | _Draft,
+    converted: tuple[routes.Route, ...],
+    found: tuple[routes.Team, ...] | None,
+) -> routes.Plan:
     return routes.Plan(
         version=config.version,
-        routes=decoded,
+        routes=converted,
         services=tuple(
             routes.Service(s.name, s.engine.slots, s.max_connections) for s in config.services
         ),
@@ -139,7 +192,7 @@
             header_timeout_s=config.limits.header_timeout_ms / _MS_PER_S,
             idle_timeout_s=config.limits.idle_timeout_ms / _MS_PER_S,
         ),
-        teams=_decode_teams(config.tenants),
+        teams=found,
     )
 
 
@@ -151,25 +204,32 @@
     for raw in tenants:
         try:
             tenant = msgspec.json.decode(raw, type=_Tenant)
-        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as exc:
             _log.error("team_invalid", error=repr(exc))
             continue
         if not tenant.name or not calls.is_field_value(tenant.name) or tenant.name in by_name:
             _log.error("team_invalid", team=tenant.name, error="its name is not unique or invalid")
             continue
-        by_name[tenant.name] = _convert_tenant(tenant)
+        by_name[tenant.name] = _convert_tenant(tenant, _convert_rate_limit(tenant))
     return tuple(by_name.values())
 
 
-def _convert_tenant(tenant: _Tenant) -> routes.Team:
+def _convert_tenant(tenant: _Tenant, limit: token_bucket.RateLimit | None) -> routes.Team:
     return routes.Team(
         name=tenant.name,
         key_digests=tuple(teams.digest_key(key.encode()) for key in tenant.api_keys if key),
         rank=tenant.priority,
-        rate_limit=_convert_rate_limit(tenant),
+        rate_limit=limit,
     )
 
 
+def _convert_draft_tenant(tenant: _Tenant) -> routes.Team:
+    """Convert a tenant with its rate limit, also if that is invalid."""
+    rate_per_s, burst = tenant.rate_per_s, tenant.burst
+    limit = token_bucket.RateLimit(rate_per_s, burst) if rate_per_s or burst else None
+    return _convert_tenant(tenant, limit)
+
+
 def _convert_rate_limit(tenant: _Tenant) -> token_bucket.RateLimit | None:
     """Return a tenant's rate limit; a burst without a rate can't be kept to."""
     rate_per_s, burst = tenant.rate_per_s, tenant.burst
@@ -181,7 +241,7 @@
     return token_bucket.RateLimit(rate_per_s, burst)
 
 
-def _convert_route(route: _Route) -> routes.Route:
+def _convert_route(route: _Route, targets: tuple[routes.Target, ...]) -> routes.Route:
     if route.kind not in _ROUTE_KINDS:
         _log.warning("route_kind_unknown", route=route.name, kind=route.kind)
     return routes.Route(
@@ -189,7 +249,7 @@
         host=route.host.lower(),
         path_prefix=route.path_prefix,
         kind=_ROUTE_KINDS.get(route.kind, routes.RouteKind.ONCE),
-        targets=_convert_targets(route),
+        targets=targets,
         timeout_s=route.timeout_ms / _MS_PER_S,
         aim_s=route.target_latency_ms / _MS_PER_S,
         gap_aim_s=route.gap_aim_ms / _MS_PER_S,
@@ -208,3 +268,10 @@
 def _convert_targets(route: _Route) -> tuple[routes.Target, ...]:
     split = tuple(routes.Target(s.service, s.weight) for s in route.traffic_split if s.weight > 0)
     return split or ((routes.Target(route.service),) if route.service else ())
+
+
+def _convert_draft_targets(route: _Route) -> tuple[routes.Target, ...]:
+    """Return all targets of a route's split, then its ``service`` if no part of it is used."""
+    split = tuple(routes.Target(s.service, s.weight) for s in route.traffic_split)
+    is_used = any(target.weight > 0 for target in split)
+    return split if is_used or not route.service else (*split, routes.Target(route.service))
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -212,7 +212,14 @@
     assert not any(k == b"x-key" for found in sent for k, _ in found)
 
 
-@pytest.mark.parametrize("raw", [b"", b"\xff", b"[]", b'{"version": "7"}'])
+NESTED = b"[" * 100_000 + b"]" * 100_000
+
+
+# Guards against a process that stops because a configuration is nested too deeply.
+@pytest.mark.parametrize(
+    "raw",
+    [b"", b"\xff", b"[]", b'{"version": "7"}', b'{"version": 1, "tenants": [%b]}' % NESTED],
+)
 def test_invalid_plan_is_ignored(raw):
     assert plans.decode(raw) is None
 
