Wait for the last refusals before a stopping gateway closes its connections

Cause: on the product's own interface the connections were closed as soon as the last request had ended, also those on which a request was on its way, whose callers got no response.

Change: the process goes on to refuse requests until none came for 0.5 s, for 3 s at most.

--- a/src/cornelgrade/services/drain.py
+++ b/src/cornelgrade/services/drain.py
@@ -8,6 +8,12 @@
 
 from cornelgrade import errors, logs
 
+# The process ends once no request was refused for QUIET_S, since a connection on which a request is
+# on its way would be closed without a response. Callers that don't stop to send are waited for no
+# longer than LAST_REFUSALS_S.
+QUIET_S = 0.5
+LAST_REFUSALS_S = 3.0
+
 
 class Phase(enum.Enum):
     """Phase of a process's shutdown."""
@@ -31,6 +37,7 @@
         self._grace_s = grace_s
         self._log = logs.Logger("drain")
         self._active: dict[str, float] = {}
+        self._refused_at_s = -QUIET_S
         self._requested = trio.Event()
         self._idle = trio.Event()
         self._drained = trio.Event()
@@ -57,6 +64,7 @@
         :raises Refusal: ``DRAINING`` if new work is refused.
         """
         if self.phase in (Phase.REFUSING, Phase.DRAINED):
+            self._refused_at_s = trio.current_time()
             raise errors.Refusal(
                 errors.Code.DRAINING, "this VM is shutting down", step="admit", retry_after_s=0.5
             )
@@ -95,10 +103,17 @@
         self._enter_phase(Phase.REFUSING)
         if self._active:
             await self._idle.wait()
+        await self._refuse_until_quiet()
         self._enter_phase(Phase.DRAINED)
         self._drained.set()
         await trio.sleep_forever()
 
+    async def _refuse_until_quiet(self) -> None:
+        """Return once the last refusal is a while ago."""
+        with trio.move_on_after(LAST_REFUSALS_S):
+            while trio.current_time() < self._refused_at_s + QUIET_S:
+                await trio.sleep_until(self._refused_at_s + QUIET_S)
+
     def _enter_phase(self, phase: Phase) -> None:
         self.phase = phase
         self._log.info("drain", phase=phase.value, active=len(self._active))
