Don't pass on a refusal of the last upstream after an earlier one may have run the request

Cause: the status 408, 429 or 503 of the last upstream was relayed as it came, also if the response of an earlier upstream had been lost. To the caller it says that the request has not run.

Change: after a run such a status counts as a failure, so that the caller gets 502.

--- a/src/cornelgrade/services/edge/_response_relay.py
+++ b/src/cornelgrade/services/edge/_response_relay.py
@@ -58,6 +58,11 @@
             raise channel.call_error(
                 f"upstream failed with status {head.status}", _relay_state.STEP
             )
+        if progress.runs and head.status in _relay_state.NOT_RUN_STATUSES:
+            # It says so of this upstream only; an earlier one may have run the request.
+            raise channel.call_error(
+                f"status {head.status} after an earlier run", _relay_state.STEP
+            )
         await self._relay_head_and_body(channel, req, progress, head)
 
     async def _relay_head_and_body(
