Bound socket buffers and end the requests of clients that read nothing

Cause: the kernel buffered up to 4 MB for each client that reads slowly, and up to 6 MB of the response that an upstream sends to it. A client that read nothing kept its request, and the upstream's slot, until the deadline; a job call had none.

Change: send and receive buffers of 64 KB each, and a connection whose client takes no byte for 4 s is reset. Bytes that the client acknowledged count, so that one that reads little isn't cut off.

--- a/src/cornelgrade/adapters/http1.py
+++ b/src/cornelgrade/adapters/http1.py
@@ -31,6 +31,9 @@
 # nothing arrived for this long. TCP_KEEPCNT has no effect beside it. Three probes have to be lost,
 # so that a link that is silent for a second costs no call.
 USER_TIMEOUT_MS = 3500
+# The kernel doubles it. Without a limit, it buffers up to 6 MB of each response that is read slowly
+# because its recipient reads slowly.
+RECEIVE_BUFFER_BYTES = 65_536
 Headers = tuple[tuple[bytes, bytes], ...]
 _MIN_NOT_SUCCESS_STATUS = 300
 _NO_BODY_STATUSES = frozenset((204, 304))
@@ -277,6 +280,7 @@
 def _set_socket_options(sock: trio.socket.SocketType) -> None:
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     for option, value in KEEPALIVE_OPTIONS:
         sock.setsockopt(socket.IPPROTO_TCP, option, value)
--- a/src/cornelgrade/adapters/http1_connection.py
+++ b/src/cornelgrade/adapters/http1_connection.py
@@ -2,8 +2,11 @@
 
 import contextlib
 import dataclasses
+import fcntl
 import socket
 import struct
+import sys
+import termios
 from types import TracebackType
 
 import h11
@@ -20,6 +23,10 @@
 FIRST_REQUEST_WAIT_S = 1.0
 # A request may have reached the socket although its connection was about to be closed.
 ARRIVED_WAIT_S = 0.01
+# The kernel doubles it. Without a limit, it buffers up to 4 MB for each client that reads slowly.
+SEND_BUFFER_BYTES = 65_536
+# A client that reads nothing for this long has its request ended. Clients give up after 5 s.
+SEND_STALL_TIMEOUT_S = 4.0
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 _log = logs.Logger("http1_server")
 
@@ -54,6 +61,10 @@
     """A request body exceeds the limit."""
 
 
+class StalledClientError(trio.BrokenResourceError):
+    """The client reads nothing, so that the connection is given up."""
+
+
 class Connection:
     """Owns one socket and its protocol state.
 
@@ -72,6 +83,7 @@
         self._idle_scope = trio.CancelScope()
         with contextlib.suppress(OSError):
             stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            stream.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
 
     def __enter__(self) -> "Connection":
         return self
@@ -208,7 +220,36 @@
         if self.stalled:
             await trio.sleep_forever()
         data = b"".join(self._h11.send(event) or b"" for event in events)
-        await self._stream.send_all(data)
+        await self._send_bytes(data)
+
+    async def _send_bytes(self, data: bytes) -> None:
+        """Send bytes as fast as the client reads them.
+
+        :raises StalledClientError: if it reads nothing for :data:`SEND_STALL_TIMEOUT_S`.
+        """
+        rest = memoryview(data)
+        try:
+            while rest:
+                rest = rest[await self._send_some(rest) :]
+        except OSError as exc:
+            raise trio.BrokenResourceError from exc
+
+    async def _send_some(self, data: memoryview) -> int:
+        """Send what the socket takes; a client that reads anything is waited for."""
+        while True:
+            unread_bytes = self._count_unread_bytes()
+            with trio.move_on_after(SEND_STALL_TIMEOUT_S):
+                return await self._stream.socket.send(data)
+            if self._count_unread_bytes() >= unread_bytes:
+                _log.info("client_stalled", peer=self.peer, unread=unread_bytes)
+                self.reset_on_close()
+                raise StalledClientError
+
+    def _count_unread_bytes(self) -> int:
+        """Return the bytes that the kernel holds because the client has not taken them."""
+        counted = bytearray(4)
+        fcntl.ioctl(self._stream.socket.fileno(), termios.TIOCOUTQ, counted)
+        return int.from_bytes(counted, sys.byteorder)
 
     async def reject(self, status: int, reason: str) -> None:
         """Send an error response to an invalid request if the protocol state still allows one."""
