--- a/src/cornelgrade/services/edge/_response_relay.py
+++ b/src/cornelgrade/services/edge/_response_relay.py
@@ -58,6 +58,11 @@
             raise channel.call_error(
                 f"upstream failed with status {head.status}", _relay_state.STEP
             )
+        if progress.runs and head.status in _relay_state.NOT_RUN_STATUSES:
+            # It says so of this upstream only; an earlier one may have run the request.
+            raise channel.call_error(
+                f"status {head.status} after an earlier run", _relay_state.STEP
+            )
         await self._relay_head_and_body(channel, req, progress, head)
 
     async def _relay_head_and_body(
@@ -132,7 +137,11 @@
                         f"events missing between {progress.last_event} and {event.event_id}",
                         _relay_state.STEP,
                     )
-                if _relay_state.is_new_event(event, progress.last_event):
+                if event.empty:
+                    # A comment neither begins a response nor extends the time until an event.
+                    if progress.started:
+                        await req.exchange.send_chunk(event.raw)
+                elif _relay_state.is_new_event(event, progress.last_event):
                     self._record_origin(req, progress)
                     await self._write_part(req, progress, head, event.raw)
                     progress.last_event_s = trio.current_time()
