Eject upstreams that fail fast, by the failures that all VMs report

Cause: an upstream that fails requests at once, while its health and load look good, seems idle and draws most requests.

Change: VMs report failed responses to a worker that owns the service. It judges the reports of all VMs (policy/outlier.py), tells all VMs which upstreams are ejected and hands out trials (policy/ejections.py); without an owner a VM judges its own failures. Online requests and batch items keep off ejected upstreams, except for trials, which are repeatable requests until one has succeeded.

--- a/src/cornelgrade/edge_daemons.py
+++ b/src/cornelgrade/edge_daemons.py
@@ -32,6 +32,7 @@
     stream_origins,
     team_limits,
     upstream_limits,
+    upstream_outliers,
     upstream_reach,
     vm_retirement,
 )
@@ -123,6 +124,7 @@
     kern.add(allowances.Allowances(kern))
     kern.add(upstream_limits.UpstreamLimits(kern))
     kern.add(team_limits.TeamLimits(kern))
+    kern.add(upstream_outliers.UpstreamOutliers(kern, cfg))
     kern.add(outage_checks.OutageChecks(kern, cfg, dependencies.calls), _RESTART)
     kern.add(crash_detector.CrashDetector(kern), _RESTART)
     if cfg.metrics_address is not None:
--- a/src/cornelgrade/policy/placement.py
+++ b/src/cornelgrade/policy/placement.py
@@ -9,6 +9,8 @@
 import math
 import random
 
+from cornelgrade.policy import outlier
+
 # A request that waits at the upstream saves the round trip after a slot becomes free, for a wait of
 # a fraction of a request's duration.
 MAX_WAITING_AT_UPSTREAM = 1
@@ -29,6 +31,7 @@
     :param batch: batch items there, from the same report.
     :param has_allowance: whether its rate limit, if it named one, allows a request now.
     :param suspect: its registration expired while the platform was unavailable.
+    :param standing: whether it is ejected, or due for a trial.
     """
 
     name: str
@@ -39,6 +42,7 @@
     batch: int = 0
     suspect: bool = False
     has_allowance: bool = True
+    standing: outlier.Standing = outlier.Standing.IN_USE
 
     @property
     def online(self) -> int:
@@ -55,6 +59,12 @@
     return candidate.online < candidate.slots + MAX_WAITING_AT_UPSTREAM
 
 
+def list_offered(candidates: list[Candidate]) -> list[Candidate]:
+    """Return the upstreams due for a trial, else those that aren't ejected, if there are any."""
+    due = [c for c in candidates if c.standing is outlier.Standing.TRIAL and has_room(c)]
+    return due or [c for c in candidates if c.standing is outlier.Standing.IN_USE] or candidates
+
+
 def placement_cost(candidate: Candidate) -> float:
     """Return the cost of one more request there, in outstanding requests."""
     full = candidate.online + candidate.batch >= candidate.slots
--- a/src/cornelgrade/schema/messages.py
+++ b/src/cornelgrade/schema/messages.py
@@ -241,6 +241,59 @@
     upstream: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamOutcome:
+    """Tells who judges a service's upstreams that a response failed, or how a trial ended.
+
+    :param request: hash of what the request shares with its repeats.
+    :param successes: the sender's recent successes at the upstream.
+    :param served: whether the sender saw the same request succeed lately.
+    :param broken: the connection broke, rather than that a response reported the failure.
+    :param vm: the sender, set on receipt.
+    """
+
+    upstream: str
+    started_ms: int
+    request: int = 0
+    successes: int = 0
+    failed: bool = True
+    is_trial: bool = False
+    served: bool = False
+    broken: bool = False
+    vm: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ejection:
+    """An upstream that is to get no requests but trials.
+
+    :param failure_share: share of its requests that failed.
+    :param failed_trials: rounds of trials that failed.
+    :param trials: number of trials that the receiver may send now.
+    :param takes_any: whether a trial may be a request that can't be repeated.
+    :param ended: whether the upstream has been readmitted.
+    """
+
+    upstream: str
+    started_ms: int
+    failure_share: float = 0.0
+    failed_trials: int = 0
+    trials: int = 0
+    takes_any: bool = False
+    ended: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ejections:
+    """Tells all VMs which upstreams are ejected, when that changes and each second.
+
+    :param vm: the sender, set on receipt.
+    """
+
+    ejections: tuple[Ejection, ...]
+    vm: str = ""
+
+
 Body = (
     Ping
     | Ack
@@ -260,6 +313,8 @@
     | ReachReport
     | UpstreamQuery
     | UpstreamResponds
+    | UpstreamOutcome
+    | Ejections
     | ports.PeerMessage
 )
 
--- a/src/cornelgrade/schema/peer.capnp
+++ b/src/cornelgrade/schema/peer.capnp
@@ -137,6 +137,27 @@
   startedMs @1 :UInt64;
 }
 
+struct UpstreamOutcome {
+  upstream @0 :Text;
+  startedMs @1 :UInt64;
+  request @2 :UInt64;
+  successes @3 :UInt32;
+  failed @4 :Bool;
+  isTrial @5 :Bool;
+  served @6 :Bool;
+  broken @7 :Bool;
+}
+
+struct Ejection {
+  upstream @0 :Text;
+  startedMs @1 :UInt64;
+  failureShare @2 :Float64;
+  failedTrials @3 :UInt32;
+  trials @4 :UInt32;
+  takesAny @5 :Bool;
+  ended @6 :Bool;
+}
+
 struct Rumor {
   origin @0 :Text;
   number @1 :UInt64;
@@ -182,5 +203,7 @@
     reachReport @27 :ReachReport;
     upstreamQuery @28 :UpstreamQuery;
     upstreamResponds @29 :Text;
+    upstreamOutcome @30 :UpstreamOutcome;
+    ejections @31 :List(Ejection);
   }
 }
--- a/src/cornelgrade/services/edge/item_call.py
+++ b/src/cornelgrade/services/edge/item_call.py
@@ -7,7 +7,7 @@
 from cornelgrade import kernel, routes, settings
 from cornelgrade.adapters import engine, http1
 from cornelgrade.policy import event_stream, software_versions
-from cornelgrade.services.edge import job_repository, ports, upstream_notices
+from cornelgrade.services.edge import _upstream_attempts, job_repository, ports, upstream_notices
 
 CONNECT_TIMEOUT_S = 0.3
 # An upstream with a free slot responds within a fraction of a second.
@@ -64,9 +64,11 @@
         item: ports.Item,
         up: routes.Upstream,
         partial: PartialResult,
+        attempt: _upstream_attempts.Attempt,
     ) -> ports.ItemResult | None:
         """Run an item, adding events to ``partial`` as they arrive.
 
+        :param attempt: records its status and completion, but no errors.
         :returns: the final result, or ``None`` if the upstream reports that this run failed.
         :raises CallError: if the run did not finish.
         """
@@ -77,6 +79,7 @@
         with await http1.connect(up.address, CONNECT_TIMEOUT_S) as channel:
             await channel.send("POST", item.target.encode("latin-1"), request_headers, item.body)
             head = await self._read_head(channel, item, up)
+            attempt.record_status(head.status)
             if head.status == _UNPROCESSABLE_STATUS:
                 return ports.ItemResult(item.name, ports.ItemEnd.GIVEN_UP, "")
             if head.status == _RUN_FAILED_STATUS:
@@ -93,6 +96,7 @@
                     # told from an unframed stream without any, so the next run starts anew.
                     partial.clear()
                 raise
+        attempt.record_completion(head.status)
         return ports.ItemResult(item.name, ports.ItemEnd.COMPLETED, "\n".join(partial.texts))
 
     async def _read_head(
--- a/src/cornelgrade/services/edge/peers.py
+++ b/src/cornelgrade/services/edge/peers.py
@@ -50,6 +50,8 @@
     messages.ReachQuery,
     messages.ReachReport,
     messages.UpstreamQuery,
+    messages.UpstreamOutcome,
+    messages.Ejections,
 )
 _log = logs.Logger("peers")
 
@@ -193,12 +195,16 @@
         return _pick_owners(upstream, workers)
 
     def limit_owner(self, team: str) -> str | None:
-        """Return the worker that owns a team's rate limit, ``None`` if no worker is known.
+        """Return the worker that owns a team's rate limit, ``None`` if no worker is known."""
+        return next(iter(self.owners_of(team)), None)
+
+    def owners_of(self, name: str) -> tuple[str, ...]:
+        """Return the worker that owns what has a name, followed by the next candidate.
 
         Before any worker was heard, as after a start, one of those registered is asked.
         """
         workers = self.live_vms(Role.WORKER) or self.registered_vms(Role.WORKER)
-        return next(iter(_pick_owners(team, workers)), None)
+        return _pick_owners(name, workers)
 
     def _get_cached(self, key: tuple, compute: Callable[[], T]) -> T:
         """Return a value from the cache, which is cleared every :data:`VM_CACHE_TTL_S`."""
--- a/src/cornelgrade/services/edge/relay.py
+++ b/src/cornelgrade/services/edge/relay.py
@@ -15,6 +15,7 @@
     _peer_relay,
     _relay_state,
     _response_relay,
+    _upstream_attempts,
     crash_detector,
     fleet,
     forwarding,
@@ -23,6 +24,7 @@
     slot_permits,
     stream_origins,
     upstream_notices,
+    upstream_outliers,
     upstream_reach,
 )
 
@@ -56,6 +58,7 @@
     ) -> None:
         self._permits = kern.find("seats", slot_permits.SlotPermits)
         self._reach = kern.find("upstream_reach", upstream_reach.UpstreamReach)
+        self._outliers = kern.find("upstream_outliers", upstream_outliers.UpstreamOutliers)
         self._fleet = kern.find("fleet", fleet.Fleet)
         self._origins = kern.find("stream_origins", stream_origins.StreamOrigins)
         self._quarantine = kern.find("quarantine", shared_ports.Quarantine)
@@ -212,6 +215,7 @@
             wait_s,
             isolated=isolated,
             origin=origin,
+            repeatable=req.route.repeatable and not _relay_state.is_last_attempt(req, progress),
         )
 
     async def _find_origin(
@@ -303,6 +307,7 @@
         self, req: _relay_state.Request, progress: _relay_state.Progress, up: routes.Upstream
     ) -> http1.ResponseHead:
         """Relay the response of one upstream; return its head."""
+        attempt = self._outliers.start_attempt(up, req.fingerprint)
         try:
             channel = await http1.connect(up.address, CONNECT_TIMEOUT_S)
         except engine.CallError as exc:
@@ -311,10 +316,12 @@
         with self._crash_detector.track_call(up, req.fingerprint):
             try:
                 with channel:
-                    return await self._call_upstream(channel, req, progress, up)
+                    return await self._call_upstream(channel, req, progress, up, attempt)
             except engine.CallError as exc:
                 if await self._crash_detector.check_after(up, exc):
                     self._reach.mark_suspect(up, exc.message)
+                else:
+                    attempt.record_error(exc)
                 raise
             except trio.Cancelled:
                 self._crash_detector.check_abandoned(up, channel.last_received_s)
@@ -326,12 +333,15 @@
         req: _relay_state.Request,
         progress: _relay_state.Progress,
         up: routes.Upstream,
+        attempt: _upstream_attempts.Attempt,
     ) -> http1.ResponseHead:
         """Send a request and relay the response; return its head."""
         await self._send_request(channel, req, progress, up)
         head = await self._read_head(channel, req, progress, up)
+        attempt.record_status(head.status)
         progress.framing = head.framing
         await self._response_relay.relay(channel, req, progress, head)
+        attempt.record_completion(head.status)
         return head
 
     async def _send_request(
--- a/src/cornelgrade/services/edge/runner.py
+++ b/src/cornelgrade/services/edge/runner.py
@@ -39,6 +39,7 @@
     ports,
     upstream_limits,
     upstream_notices,
+    upstream_outliers,
     upstream_uses,
 )
 
@@ -80,6 +81,7 @@
         self._fleet = kern.find("fleet", fleet.Fleet)
         self._peers = kern.find("peers", peers.Peers)
         self._limits = kern.find("upstream_limits", upstream_limits.UpstreamLimits)
+        self._outliers = kern.find("upstream_outliers", upstream_outliers.UpstreamOutliers)
         self._quarantine = kern.find("quarantine", shared_ports.Quarantine)
         self._crash_detector = kern.find("crash_detector", crash_detector.CrashDetector)
         self._cfg = cfg
@@ -255,6 +257,7 @@
             healthy = health.is_usable(self._health.get(up.name, health.HEALTHY), now_s)
             if healthy and not reg.suspect_until_s:
                 change = batch_capacity.items_to_start(self._uses.current_use(up, now_s))
+                change = self._outliers.limit_items(up, change)
                 free_slots += [(up, change)] if change > 0 else []
                 for _ in range(-change):
                     self._preempt_item(up.name)
@@ -375,6 +378,7 @@
         assert self._nursery is not None
         run = open_job.ItemRun(up.name, trio.current_time(), trio.CancelScope())
         self._limits.take(up)
+        self._outliers.take_trial(up)
         job.partial_for_run(index, up)
         job.runs[index] = run
         self._quarantine.start_item(job.fingerprints[index])
@@ -435,10 +439,13 @@
         partial: item_call.PartialResult,
     ) -> ports.ItemResult | None:
         """Run an item at an upstream, and check the upstream if that fails."""
+        # The items of a job are alike, so one that can't succeed is rarely alone.
+        attempt = self._outliers.start_attempt(up, job.header.job)
         try:
-            return await self._item_caller.run_item(job.header, item, up, partial)
+            return await self._item_caller.run_item(job.header, item, up, partial, attempt)
         except engine.CallError as exc:
-            await self._crash_detector.check_after(up, exc)
+            if not await self._crash_detector.check_after(up, exc):
+                attempt.record_error(exc)
             raise
 
     def _record_upstream_failure(self, up: routes.Upstream, exc: engine.CallError) -> None:
--- a/src/cornelgrade/services/edge/slot_permits.py
+++ b/src/cornelgrade/services/edge/slot_permits.py
@@ -22,6 +22,7 @@
     fleet,
     peers,
     upstream_limits,
+    upstream_outliers,
     upstream_reach,
 )
 
@@ -96,6 +97,7 @@
     deadline_s: float
     isolated: bool = False
     origin: software_versions.StreamOrigin | None = None
+    repeatable: bool = False
     assignment: _Assignment | None = None
     retry_after_s: float | None = None
     wake: trio.Event = dataclasses.field(default_factory=trio.Event)
@@ -110,6 +112,7 @@
         self._fleet = kern.find("fleet", fleet.Fleet)
         self._reach = kern.find("upstream_reach", upstream_reach.UpstreamReach)
         self._limits = kern.find("upstream_limits", upstream_limits.UpstreamLimits)
+        self._outliers = kern.find("upstream_outliers", upstream_outliers.UpstreamOutliers)
         self._peers = kern.find("peers", peers.Peers)
         self._cfg = cfg
         self._rng = random.Random(cfg.vm)
@@ -128,6 +131,7 @@
             nursery.start_soon(self._dispatch_on_change, self._fleet.changed)
             nursery.start_soon(self._dispatch_on_change, self._limits.changed)
             nursery.start_soon(self._dispatch_on_change, self._reach.changed)
+            nursery.start_soon(self._dispatch_on_change, self._outliers.changed)
             started()
 
     async def acquire(
@@ -139,6 +143,7 @@
         *,
         isolated: bool = False,
         origin: software_versions.StreamOrigin | None = None,
+        repeatable: bool = False,
     ) -> SlotPermit:
         """Return a permit, waiting for one if necessary.
 
@@ -146,6 +151,7 @@
         :param isolated: avoid upstreams at which another isolated request has a permit.
         :param origin: what began a stream that goes on; others don't count as upstreams. Such a
             request goes before new ones of its rank, because few upstreams can serve it.
+        :param repeatable: whether the request may run at another upstream if it fails.
         :raises Refusal: ``OVERLOADED`` if none is free in time, ``UNAVAILABLE`` if there is no
             upstream at all.
         """
@@ -158,8 +164,9 @@
             started_s + max_wait_s,
             isolated,
             origin,
+            repeatable,
         )
-        if not self._list_candidates(service, exclude, origin):
+        if not self._list_candidates(service, exclude, origin, repeatable):
             version = f" version {origin.version}" if origin else ""
             raise self._refusal(
                 errors.Code.UNAVAILABLE, f"no upstream of {service}{version} is registered"
@@ -212,6 +219,7 @@
         service: str,
         exclude: frozenset[str],
         origin: software_versions.StreamOrigin | None,
+        repeatable: bool,
     ) -> list[placement.Candidate]:
         now_s = trio.current_time()
         registered = [
@@ -222,13 +230,14 @@
         ]
         healthy = [reg for reg in registered if not self._reach.is_suspect(reg.upstream.name)]
         untried = [reg for reg in healthy if reg.upstream.name not in exclude]
-        return [
-            self._make_candidate(reg.upstream, bool(reg.suspect_until_s), now_s)
+        candidates = [
+            self._make_candidate(reg.upstream, bool(reg.suspect_until_s), now_s, repeatable)
             for reg in untried or healthy or registered
         ]
+        return placement.list_offered(candidates)
 
     def _make_candidate(
-        self, up: routes.Upstream, suspect: bool, now_s: float
+        self, up: routes.Upstream, suspect: bool, now_s: float, repeatable: bool
     ) -> placement.Candidate:
         report = self._reports.get(up.name)
         if report is not None and now_s - report.at_s > REPORT_TTL_S:
@@ -242,13 +251,16 @@
             batch=report.batch if report else 0,
             suspect=suspect,
             has_allowance=self._limits.has_allowance(up),
+            standing=self._outliers.standing(up, repeatable=repeatable),
         )
 
     def _dispatch(self) -> None:
         asked: set[str] = set()
         for waiter in tuple(self._waiting):
             exclude = waiter.exclude | (set(self._isolated) if waiter.isolated else set())
-            candidates = tuple(self._list_candidates(waiter.service, exclude, waiter.origin))
+            candidates = tuple(
+                self._list_candidates(waiter.service, exclude, waiter.origin, waiter.repeatable)
+            )
             chosen = placement.choose_upstream(candidates, self._rng)
             self._request_allowance(placement.list_limited(candidates, chosen), asked)
             if chosen is None:
@@ -259,6 +271,7 @@
             if waiter.isolated:
                 self._isolated[chosen.name] += 1
             self._limits.take(waiter.assignment.upstream)
+            self._outliers.take_trial(waiter.assignment.upstream)
             self._change_outstanding(waiter.assignment.upstream, 1)
             waiter.wake.set()
 
--- a/tests/fleet/test_datagrams.py
+++ b/tests/fleet/test_datagrams.py
@@ -37,6 +37,8 @@
     messages.UpstreamQuery("e1", 17),
     messages.UpstreamResponds("e1"),
     messages.UpstreamLimits((messages.UpstreamLimit("e1", 17, 2.5),)),
+    messages.UpstreamOutcome("e1", 17, 2**64 - 1, 3, served=True, broken=True),
+    messages.Ejections((messages.Ejection("e1", 17, 0.5, 2, 1, takes_any=True, ended=True),)),
     messages.AllowanceRequest(shared_allowance.LimitKey("e1", 17), 2),
     messages.AllowanceRequest(shared_allowance.LimitKey("clinic", is_team=True), 2, used=7),
     messages.AllowanceGrant(shared_allowance.LimitKey("e1", 17), 0, 0.25, 1.5),
