--- a/src/cornelgrade/services/edge/peers.py
+++ b/src/cornelgrade/services/edge/peers.py
@@ -54,6 +54,8 @@
     messages.ReachReport,
     messages.UpstreamQuery,
     messages.Version,
+    messages.UpstreamOutcome,
+    messages.Ejections,
 )
 _log = logs.Logger("peers")
 
@@ -208,12 +210,16 @@
         return _pick_owners(upstream, workers)
 
     def limit_owner(self, team: str) -> str | None:
-        """Return the worker that owns a team's rate limit, ``None`` if no worker is known.
+        """Return the worker that owns a team's rate limit, ``None`` if no worker is known."""
+        return next(iter(self.owners_of(team)), None)
+
+    def owners_of(self, name: str) -> tuple[str, ...]:
+        """Return the worker that owns what has a name, followed by the next candidate.
 
         Before any worker was heard, as after a start, one of those registered is asked.
         """
         workers = self._get_cached(("limit owners",), self._list_limit_owners)
-        return next(iter(_pick_owners(team, workers)), None)
+        return _pick_owners(name, workers)
 
     def _list_limit_owners(self) -> tuple[str, ...]:
         registered = sorted(self._vms_of(Role.WORKER, None))
