Bound what a gateway buffers for its callers, and end those who read nothing first

Cause: requests and unsent responses of all callers together had no bound. Pages of results of up to 900 KB for 200 callers that read slowly took the memory of a small gateway.

Change: the bodies of requests and the unsent bytes of responses are counted (adapters/ client_buffers.py, setting buffer_bytes, 32 MB). Beyond it the connections end whose clients have read nothing for the longest time (policy/slow_readers.py); a body that still doesn't fit gets 503. A page of results has 128 KB of text.

--- a/src/cornelgrade/adapters/http1_connection.py
+++ b/src/cornelgrade/adapters/http1_connection.py
@@ -13,6 +13,8 @@
 import trio
 
 from cornelgrade import addresses, logs
+from cornelgrade.adapters import client_buffers
+from cornelgrade.policy import slow_readers
 
 READ_BYTES = 65_536
 # Bytes buffered while a request is handled; beyond them the server stops reading.
@@ -72,7 +74,7 @@
     :ivar stalled: whether it sends and receives nothing more, for stand-ins.
     """
 
-    def __init__(self, stream: trio.SocketStream) -> None:
+    def __init__(self, stream: trio.SocketStream, buffers: client_buffers.ClientBuffers) -> None:
         self.closing = False
         self.stalled = False
         self._stream = stream
@@ -81,11 +83,16 @@
         self._waiting = False
         self._served = False
         self._idle_scope = trio.CancelScope()
+        self._handler_scope = trio.CancelScope()
+        self._buffers = buffers
+        self._held_bytes = 0
+        self._blocked_since_s: float | None = None
         with contextlib.suppress(OSError):
             stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             stream.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
 
     def __enter__(self) -> "Connection":
+        self._buffers.add(self)
         return self
 
     def __exit__(
@@ -94,6 +101,8 @@
         exc: BaseException | None,
         traceback: TracebackType | None,
     ) -> None:
+        self._buffers.remove(self)
+        self._release(self._held_bytes)
         self._stream.socket.close()
 
     @property
@@ -109,6 +118,23 @@
         """Whether a request is received or handled, or may be on its way while the server stops."""
         return not self._waiting or (self.closing and not self._served)
 
+    def to_reader(self) -> slow_readers.Reader:
+        """Return what decides whether to end the connection."""
+        since_s = self._blocked_since_s
+        blocked_s = trio.current_time() - since_s if since_s is not None else 0.0
+        return slow_readers.Reader(self._held_bytes, blocked_s)
+
+    def abort(self) -> None:
+        """Reset the connection and cancel the handler of its request."""
+        self.reset_on_close()
+        self._release(self._held_bytes)
+        self._handler_scope.cancel()
+
+    def _release(self, size: int) -> None:
+        size = min(size, self._held_bytes)
+        self._held_bytes -= size
+        self._buffers.release(size)
+
     def reset_on_close(self) -> None:
         """Make closing the socket send a connection reset."""
         with contextlib.suppress(OSError):
@@ -131,12 +157,14 @@
         if self._h11.our_state is not h11.DONE or self._h11.their_state is not h11.DONE:
             return False
         self._h11.start_next_cycle()
+        self._release(self._held_bytes)
         return True
 
     async def read_request(self, limits: Limits) -> ReceivedRequest | None:
         """Read a request with its body; return ``None`` at the end of the connection.
 
         :raises trio.TooSlowError: if its headers take longer than the limit.
+        :raises BuffersFullError: if the process buffers too much already.
         """
         self._h11._max_incomplete_event_size = limits.header_bytes
         if not await self._wait_for_request(limits.idle_timeout_s):
@@ -182,6 +210,8 @@
             if isinstance(event, h11.Data):
                 parts.append(bytes(event.data))
                 size += len(event.data)
+                self._held_bytes += len(event.data)
+                self._buffers.hold_request(len(event.data), held=self._held_bytes)
             if size > limit_bytes:
                 raise BodyTooLargeError
 
@@ -203,6 +233,7 @@
 
     async def watch_for_close(self, scope: trio.CancelScope) -> None:
         """Cancel the handler once the client disconnects; buffers data of later requests."""
+        self._handler_scope = scope
         while sum(map(len, self._early_data)) < MAX_EARLY_BYTES:
             try:
                 data = await self._stream.receive_some(READ_BYTES)
@@ -228,11 +259,19 @@
         :raises StalledClientError: if it reads nothing for :data:`SEND_STALL_TIMEOUT_S`.
         """
         rest = memoryview(data)
+        self._held_bytes += len(data)
+        self._buffers.hold(len(data))
         try:
             while rest:
-                rest = rest[await self._send_some(rest) :]
+                self._blocked_since_s = trio.current_time()
+                sent_bytes = await self._send_some(rest)
+                self._release(sent_bytes)
+                rest = rest[sent_bytes:]
         except OSError as exc:
             raise trio.BrokenResourceError from exc
+        finally:
+            self._blocked_since_s = None
+            self._release(len(rest))
 
     async def _send_some(self, data: memoryview) -> int:
         """Send what the socket takes; a client that reads anything is waited for."""
@@ -240,7 +279,9 @@
             unread_bytes = self._count_unread_bytes()
             with trio.move_on_after(SEND_STALL_TIMEOUT_S):
                 return await self._stream.socket.send(data)
-            if self._count_unread_bytes() >= unread_bytes:
+            if self._count_unread_bytes() < unread_bytes:
+                self._blocked_since_s = trio.current_time()
+            else:
                 _log.info("client_stalled", peer=self.peer, unread=unread_bytes)
                 self.reset_on_close()
                 raise StalledClientError
@@ -251,12 +292,14 @@
         fcntl.ioctl(self._stream.socket.fileno(), termios.TIOCOUTQ, counted)
         return int.from_bytes(counted, sys.byteorder)
 
-    async def reject(self, status: int, reason: str) -> None:
+    async def reject(self, status: int, reason: str, retry_after_s: int | None = None) -> None:
         """Send an error response to an invalid request if the protocol state still allows one."""
         _log.info("request_rejected", peer=self.peer, status=status, reason=reason)
+        self._release(self._held_bytes)
         if self._h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
         headers = [("content-length", "0"), ("connection", "close")]
+        headers += [("retry-after", str(retry_after_s))] if retry_after_s is not None else []
         with trio.move_on_after(REJECTION_LINGER_S):
             response = h11.Response(status_code=status, headers=headers)
             await self.send([response, h11.EndOfMessage()])
--- a/src/cornelgrade/adapters/http1_server.py
+++ b/src/cornelgrade/adapters/http1_server.py
@@ -6,6 +6,7 @@
 """
 
 import contextlib
+import sys
 import traceback
 import urllib.parse
 from collections.abc import Awaitable, Callable
@@ -14,12 +15,14 @@
 import trio
 
 from cornelgrade import addresses, logs
-from cornelgrade.adapters import http1_connection
+from cornelgrade.adapters import client_buffers, http1_connection
 
 BACKLOG = 1024
 # After a restart, connections of the previous process may still occupy the port.
 MAX_BIND_ATTEMPTS = 50
 BIND_RETRY_DELAY_S = 0.1
+# Retry-After of a request that does not fit into the process's buffers.
+RETRY_AFTER_S = 1
 # When the server stops, connections that are still being opened are accepted until none came for
 # this long, and for LAST_ACCEPT_S at most.
 ACCEPT_GAP_S = 0.01
@@ -118,9 +121,16 @@
     The handler is cancelled when the client closes the connection.
 
     :param limits: called before each request, since limits may change while the server runs.
+    :param buffers: counts what is buffered for clients, of all servers of the process.
     """
 
-    def __init__(self, handler: Handler, limits: Callable[[], Limits] = Limits) -> None:
+    def __init__(
+        self,
+        handler: Handler,
+        limits: Callable[[], Limits] = Limits,
+        buffers: client_buffers.ClientBuffers | None = None,
+    ) -> None:
+        self._buffers = buffers or client_buffers.ClientBuffers(sys.maxsize)
         self._handler = handler
         self._limits = limits
         self._scope = trio.CancelScope()
@@ -166,7 +176,7 @@
         return sum(conn.active for conn in self._connections)
 
     async def _serve_connection(self, stream: trio.SocketStream) -> None:
-        with http1_connection.Connection(stream) as conn:
+        with http1_connection.Connection(stream, self._buffers) as conn:
             conn.closing = self._draining
             self._connections.add(conn)
             try:
@@ -218,6 +228,8 @@
             await conn.reject(exc.error_status_hint, str(exc))
         except http1_connection.BodyTooLargeError:
             await conn.reject(413, "request body exceeds the limit")
+        except client_buffers.BuffersFullError:
+            await conn.reject(503, "too much is buffered for clients", retry_after_s=RETRY_AFTER_S)
         except trio.TooSlowError:
             await conn.reject(408, "request timed out")
         return None
--- a/src/cornelgrade/services/edge/frontend.py
+++ b/src/cornelgrade/services/edge/frontend.py
@@ -6,7 +6,7 @@
 import trio
 
 from cornelgrade import errors, kernel, logs, routes, settings
-from cornelgrade.adapters import http1_server
+from cornelgrade.adapters import client_buffers, http1_server
 from cornelgrade.services.edge import (
     fleet,
     forwarding,
@@ -49,8 +49,11 @@
         self._job_handler = handler
         self._cfg = cfg
         self._call_format = call_format
-        self._caller_server = http1_server.Server(self._handle_request, self._current_limits)
-        self._peer_server = http1_server.Server(self._handle_forwarded, self._peer_limits)
+        buffers = client_buffers.ClientBuffers(cfg.buffer_bytes)
+        self._caller_server = http1_server.Server(
+            self._handle_request, self._current_limits, buffers
+        )
+        self._peer_server = http1_server.Server(self._handle_forwarded, self._peer_limits, buffers)
         self._readiness_server = http1_server.Server(self._send_readiness)
         self._stopping = False
 
--- a/src/cornelgrade/services/edge/job_handler.py
+++ b/src/cornelgrade/services/edge/job_handler.py
@@ -11,8 +11,9 @@
 from cornelgrade.policy import route_table
 from cornelgrade.services.edge import job_repository, ports, result_reader
 
-# Text bytes in one response, below the 1 MB that callers accept.
-MAX_PAGE_BYTES = 900_000
+# Text bytes in one response, below the 1 MB that callers accept: 200 callers that read slowly fit
+# into the buffers of a gateway.
+MAX_PAGE_BYTES = 131_072
 RETRY_AFTER_S = 0.5
 # Skip the reservation if this many jobs of the same size would still fit: fewer arrive during the
 # milliseconds that an acceptance takes.
--- a/src/cornelgrade/settings.py
+++ b/src/cornelgrade/settings.py
@@ -66,6 +66,8 @@
     :param value_bytes: maximum size of an object in the store.
     :param response_bytes: maximum size of the body of an upstream's response; one that is longer is
         broken off, because it may never end.
+    :param buffer_bytes: maximum size of what is buffered of callers' requests and for callers that
+        read slowly, all together.
     :param metrics_address: serves metrics; if unset, none are served.
     :param stop_grace_s: time between the signal to stop and the kill.
     :param retention_s: how long a job can be read after its submission.
@@ -81,6 +83,7 @@
     store_deadline_s: Seconds = 2.0
     value_bytes: Annotated[int, msgspec.Meta(ge=65_536)] = 1_000_000
     response_bytes: Annotated[int, msgspec.Meta(ge=65_536)] = 64 * 1024 * 1024
+    buffer_bytes: Annotated[int, msgspec.Meta(ge=65_536)] = 32 * 1024 * 1024
     stop_grace_s: Seconds = 8.0
     retention_s: Seconds = 120.0
     log_level: Literal["debug", "info", "notice", "warning", "error"] = "info"
--- a/tests/adapters/test_slow_readers.py
+++ b/tests/adapters/test_client_buffers.py
@@ -6,7 +6,7 @@
 import trio
 
 from cornelgrade import addresses
-from cornelgrade.adapters import http1_connection, http1_server
+from cornelgrade.adapters import client_buffers, http1_connection, http1_server
 
 REQUEST = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n"
 CHUNK_BYTES = 16_384
@@ -46,13 +46,13 @@
         nursery.cancel_scope.cancel()
 
 
-async def open_reader(address):
+async def open_reader(address, request=REQUEST):
     """Return a client's connection with a small receive buffer, after it sent its request."""
     sock = trio.socket.socket()
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
     await sock.connect(addresses.split_host_port(address))
     stream = trio.SocketStream(sock)
-    await stream.send_all(REQUEST)
+    await stream.send_all(request)
     return stream
 
 
@@ -83,3 +83,41 @@
         assert await slow.receive_some(2_048)
         await trio.sleep(STALL_S / 4)
     assert blocks.ended == 0
+
+
+# Guards against buffers that grow with the number of clients, and against refusing one that reads
+# while bytes are kept for others that read nothing.
+async def test_full_buffers_end_clients_that_read_nothing_and_refuse_what_does_not_fit():
+    body_bytes, limit_bytes = 300_000, 1_000_000
+    raw = b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: %d\r\n\r\n" % body_bytes
+    buffers = client_buffers.ClientBuffers(limit_bytes)
+    release = trio.Event()
+
+    async def respond(exchange):
+        if exchange.path == "/":
+            await release.wait()
+        await exchange.respond(200, b"x" * body_bytes)
+
+    async with trio.open_nursery() as nursery:
+        server = http1_server.Server(respond, buffers=buffers)
+        address = await nursery.start(server.serve, "127.0.0.1:0")
+        stalled = [await open_reader(address, REQUEST.replace(b"/", b"/now", 1)) for _ in range(3)]
+        await trio.sleep(1.0)
+        assert buffers.held_bytes > limit_bytes / 3
+        uploads = [await open_reader(address, raw + b"x" * body_bytes) for _ in range(4)]
+        await trio.sleep(0.5)
+        assert buffers.held_bytes <= limit_bytes
+        for stream in stalled:
+            with pytest.raises(trio.BrokenResourceError):
+                while True:
+                    await stream.receive_some(CHUNK_BYTES)
+        release.set()
+        statuses = []
+        for stream in uploads:
+            statuses.append((await stream.receive_some(CHUNK_BYTES))[9:12])
+            while await stream.receive_some(CHUNK_BYTES):
+                pass
+            await stream.aclose()
+        nursery.cancel_scope.cancel()
+    assert sorted(statuses) == [b"200", b"200", b"200", b"503"]
+    assert buffers.held_bytes == 0
