Soak test with teams, keys and rate limits

Cause: the soak test's callers had no keys, so nothing checked keys, team names and rate limits under kills, outages and restarts.

Keys are replaced by new plan versions, alone and during other faults, and one team sends seven times its rate. team_judge checks from outside that no key reaches an engine, X-Tenant is the caller's team, rate limits hold in any 5 s, valid keys get no 401, keys that were taken away stop working, and other teams can neither read nor cancel a job.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -2,6 +2,7 @@
 
 Usage:
   soak edge [--seeds=S] [--seconds=T] [--keep=DIR] [--crashing] [--stranding]
+            [--teams]
   soak own [--seeds=S] [--jobs=J] [--items=I] [--timeout=T]
 
 Options:
@@ -10,6 +11,8 @@
   --crashing   Callers also send requests that crash each engine that runs them: one text again and
                again, and different texts with one part in their prompts.
   --stranding  Gateways also lose their ways to all engines, while others reach them.
+  --teams      Callers belong to teams with keys and rate limits; keys are replaced, also during
+               other faults, and one team sends seven times its rate.
   --keep=DIR   Where logs of seeds with problems stay; a temporary folder if not given.
   --jobs=J     Jobs [default: 14].
   --items=I    Items of each job [default: 800].
@@ -65,7 +68,7 @@
     bad = 0
     for seed in seeds(args["--seeds"]):
         if args["edge"]:
-            kinds = {"crashing": args["--crashing"], "stranding": args["--stranding"]}
+            kinds = {kind: args[f"--{kind}"] for kind in ("crashing", "stranding", "teams")}
             problems = _edge(seed, float(args["--seconds"]), folder / str(seed), **kinds)
         else:
             sizes = int(args["--jobs"]), int(args["--items"])
--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -7,7 +7,7 @@
 import httpx
 import trio
 
-from bench.soak import world
+from bench.soak import teams, world
 from cornelgrade.platform.standins import edge_system, formats
 from cornelgrade.policy import event_stream
 
@@ -25,6 +25,7 @@
 CULPRIT_PAUSE_S = 0.7
 WAIT_S = 0.5
 MARK_PAUSE_S = 0.25
+FOREIGN_PAUSE_S = 0.5
 # An answer that takes longer says nothing of the moment at which it was asked for.
 MARK_LIMIT_S = 1.0
 
@@ -38,6 +39,7 @@
     :ivar error: how it broke.
     :ivar first: the attempt that brought the stream's first event, if this one takes it up.
     :ivar after: number of the last event that the caller had before.
+    :ivar key: of the caller's team, empty for none.
     """
 
     id: str
@@ -51,6 +53,7 @@
     end_s: float = 0.0
     first: str = ""
     after: int = 0
+    key: str = ""
 
     @property
     def last_event(self) -> int:
@@ -66,6 +69,8 @@
 
     :ivar accepted_s: when its acceptance was seen.
     :ivar ended_s: when its cancellation was acknowledged.
+    :ivar team: whose job it is, empty without teams.
+    :ivar foreign: calls about it that were allowed to another team.
     """
 
     id: str
@@ -74,6 +79,8 @@
     ended_s: float | None = None
     results: list[tuple[str, str, str]] = dataclasses.field(default_factory=list)
     done: bool = False
+    team: str = ""
+    foreign: list[str] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -93,12 +100,17 @@
 class Callers:
     """Everyone who calls the system.
 
+    :param keys_rng: draws teams and keys, so that the draws of older seeds stay as they were.
     :ivar more: whether new requests and jobs are sent.
+    :ivar denied: calls of all kinds that got 401.
     """
 
-    def __init__(self, system: world.World, rng: random.Random) -> None:
+    def __init__(self, system: world.World, rng: random.Random, keys_rng: random.Random) -> None:
         self.system = system
         self.rng = rng
+        self.keyring = system.keyring
+        self.keys_rng = keys_rng
+        self.denied: list[Request] = []
         self.requests: list[Request] = []
         self.jobs: list[Job] = []
         self.marks: list[Mark] = []
@@ -114,7 +126,9 @@
                 nursery.start_soon(self._look, daemon)
             while self.more:
                 job = f"job-{len(self.jobs)}"
-                self.jobs.append(Job(job, tuple(f"{job}-item-{n}" for n in range(ITEMS))))
+                team = self.keys_rng.choice(self.keyring.names)
+                items = tuple(f"{job}-item-{n}" for n in range(ITEMS))
+                self.jobs.append(Job(job, items, team=team))
                 nursery.start_soon(self._job, self.jobs[-1])
                 await trio.sleep(self.rng.expovariate(JOBS_PER_S))
 
@@ -128,14 +142,14 @@
         while self.more:
             gateway = self._gateway()
             limits = httpx.Limits(max_connections=1)
-            url = f"http://{gateway.caller_address}"
             timeout = httpx.Timeout(HELD_S, connect=CONNECT_S)
-            async with httpx.AsyncClient(base_url=url, limits=limits, timeout=timeout) as client:
+            async with httpx.AsyncClient(limits=limits, timeout=timeout) as client:
                 broken = False
                 while self.more and not broken:
                     path = world.RESUMED if self.rng.random() < RESUMED_SHARE else world.ONCE
                     name = f"r{len(self.requests)}"
-                    req = Request(name, path, gateway.name, trio.current_time())
+                    key = self.keyring.draw(self.keys_rng)
+                    req = Request(name, path, gateway.name, trio.current_time(), key=key)
                     broken = not await self._ask(client, req)
                     if broken:
                         await self._take_up(req)
@@ -153,10 +167,10 @@
                 trio.current_time(),
                 first=req.first or req.id,
                 after=req.last_event,
+                key=req.key,
             )
             timeout = httpx.Timeout(HELD_S, connect=CONNECT_S)
-            url = f"http://{gateway.caller_address}"
-            async with httpx.AsyncClient(base_url=url, timeout=timeout) as client:
+            async with httpx.AsyncClient(timeout=timeout) as client:
                 await self._ask(client, again)
             self.outcomes[f"taken up {again.status} {'whole' if again.whole else 'broken'}"] += 1
             if again.status == 200 and again.whole:
@@ -171,18 +185,20 @@
             "host": edge_system.HOST,
             **formats.online_headers(req.id, PATIENCE_S),
             **formats.prompt_headers(world.FIRST_PART, req.id),
+            **self._team_headers(req.key),
         }
         if req.first:
             headers |= formats.take_up_headers(req.first, req.after)
         try:
-            async with client.stream("POST", req.path, headers=headers, content=b"question") as got:
+            url = f"http://{self.system.daemons[req.gateway].caller_address}{req.path}"
+            async with client.stream("POST", url, headers=headers, content=b"question") as got:
                 req.status = got.status_code
                 async for part in got.aiter_raw():
                     req.body += part
             req.whole = True
         except httpx.HTTPError as exc:
             req.error = repr(exc)
-        req.end_s = trio.current_time()
+        self._end(req, req.status)
         self.outcomes[f"{req.status} {'whole' if req.whole else 'broken'}"] += 1
         return req.whole
 
@@ -210,32 +226,41 @@
             number += 1
 
     async def _call(
-        self, method: str, target: str, headers: dict[str, str], content: bytes = b""
+        self, method: str, target: str, headers: dict[str, str], content: bytes = b"", key: str = ""
     ) -> httpx.Response | None:
-        """Make a call about a job at any gateway; ``None`` if no whole answer came."""
-        address = self._gateway().caller_address
-        sent = {"host": edge_system.HOST, **headers}
+        """Make a call about a job at any gateway; ``None`` if no whole answer came.
+
+        :param key: of the caller's team, empty for a team without a limit.
+        """
+        gateway = self._gateway()
+        key = key or self.keyring.lasting(teams.FREE_TEAM)
+        req = Request(f"{method} {target}", target, gateway.name, trio.current_time(), key=key)
+        sent = {"host": edge_system.HOST, **headers, **formats.key_headers(key)}
         try:
             async with httpx.AsyncClient(
                 timeout=httpx.Timeout(HELD_S, connect=CONNECT_S)
             ) as client:
-                url = f"http://{address}{target}"
-                return await client.request(method, url, headers=sent, content=content)
+                url = f"http://{gateway.caller_address}{target}"
+                got = await client.request(method, url, headers=sent, content=content)
         except httpx.HTTPError:
             return None
+        self._end(req, got.status_code)
+        return got
 
     async def _job(self, job: Job) -> None:
         """Send a job until it is accepted, read its results, or cancel it on the way."""
         cancelled = self.rng.random() < CANCEL_SHARE
-        body = formats.encode_job(world.NOTES, {name: name.encode() for name in job.items})
+        key = self.keyring.lasting(job.team)
+        bodies = {name: name.encode() for name in job.items}
+        body = formats.encode_job(world.NOTES, bodies, headers=self._team_headers(key))
         while job.accepted_s is None:
             target = f"{world.NOTES}{job.id}"
-            got = await self._call("POST", target, formats.request_headers(job.id), body)
+            got = await self._call("POST", target, formats.request_headers(job.id), body, key)
             if got is not None and got.status_code == 202:
                 job.accepted_s = trio.current_time()
             await trio.sleep(RETRY_S)
         while cancelled and job.ended_s is None:
-            got = await self._call("DELETE", formats.job_target(job.id), {})
+            got = await self._call("DELETE", formats.job_target(job.id), {}, key=key)
             if got is not None and got.status_code < 300:
                 job.ended_s = trio.current_time()
             await trio.sleep(RETRY_S)
@@ -244,9 +269,10 @@
         job.done = True
 
     async def read(self, job: Job, after: int) -> list[tuple[str, str, str]]:
-        """Read results from a position on."""
+        """Read results from a position on, with another key than the job was sent with."""
         target = formats.job_target(job.id, after)
-        got = await self._call("GET", target, formats.wait_headers(WAIT_S))
+        key = self.keyring.lasting(job.team, 1)
+        got = await self._call("GET", target, formats.wait_headers(WAIT_S), key=key)
         if got is None or got.status_code != 200:
             await trio.sleep(RETRY_S)
             return []
@@ -264,12 +290,50 @@
     async def _look_for(self, daemon: world.Daemon, version: int) -> None:
         begin_s = trio.current_time()
         request = f"mark-{len(self.marks)}"
+        key = self.keyring.lasting(teams.FREE_TEAM)
         headers = {"host": edge_system.HOST, **formats.request_headers(request)}
+        headers |= formats.key_headers(key)
         try:
             async with httpx.AsyncClient(timeout=MARK_LIMIT_S) as client:
                 url = f"http://{daemon.caller_address}{world.mark(version)}"
                 got = await client.post(url, headers=headers)
         except httpx.HTTPError:
             return
+        self._end(Request(request, "", daemon.name, begin_s, key=key), got.status_code)
         served = got.status_code != 404
         self.marks.append(Mark(daemon.name, version, begin_s, trio.current_time(), served))
+
+    def _team_headers(self, key: str) -> dict[str, str]:
+        """Return the headers of a caller that names another team as its own."""
+        other = self.keyring.other_team(self.keyring.team_of[key])
+        return {**formats.key_headers(key), "x-tenant": other} if key else {}
+
+    def _end(self, req: Request, status: int) -> None:
+        req.end_s = trio.current_time()
+        if status == 401:
+            self.denied.append(req)
+
+    async def heat(self) -> None:
+        """Send far more requests of one team than it may, while it is hot."""
+        number = 0
+        timeout = httpx.Timeout(HELD_S, connect=CONNECT_S)
+        async with httpx.AsyncClient(timeout=timeout) as client, trio.open_nursery() as nursery:
+            while self.more:
+                await trio.sleep(1 / (teams.HOT_FACTOR * teams.HOT_LIMIT.rate_per_s))
+                if (now_s := trio.current_time()) < self.system.hot_until_s:
+                    key = self.keyring.draw(self.keys_rng, teams.HOT_TEAM)
+                    number += 1
+                    req = Request(f"hot-{number}", world.ONCE, self._gateway().name, now_s, key=key)
+                    nursery.start_soon(self._ask, client, req)
+
+    async def try_foreign_keys(self) -> None:
+        """Try to read and to cancel jobs with a key of another team."""
+        while self.more:
+            await trio.sleep(FOREIGN_PAUSE_S)
+            job = self.keys_rng.choice(self.jobs)
+            key = self.keyring.lasting(self.keyring.other_team(job.team))
+            for method, after in (("GET", 0), ("DELETE", None)):
+                target = formats.job_target(job.id, after)
+                got = await self._call(method, target, formats.wait_headers(0), key=key)
+                if got is not None and got.status_code < 300:
+                    job.foreign.append(f"{method} {target}")
--- a/bench/soak/edge.py
+++ b/bench/soak/edge.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from bench.soak import callers, faults, judge, world
+from bench.soak import callers, faults, judge, team_faults, team_judge, world
 
 GATEWAYS, WORKERS, ENGINES = 3, 3, 4
 # From the last fault until every accepted job must have been read whole.
@@ -35,22 +35,31 @@
     *,
     crashing: bool = False,
     stranding: bool = False,
+    teams: bool = False,
 ) -> Report:
     """Run one seed; logs of the processes go to ``folder``.
 
     :param crashing: whether callers also send requests that crash engines, by text and by part.
     :param stranding: whether gateways lose their ways to all engines.
+    :param teams: whether callers belong to teams, whose keys change and one of which is hot.
     """
-    async with world.running(folder, GATEWAYS, WORKERS, ENGINES, crashing=crashing) as system:
-        injected = faults.Faults(system, f"faults {seed}", stranding=stranding)
-        seen = callers.Callers(system, random.Random(f"callers {seed}"))
+    kinds = {"crashing": crashing, "with_teams": teams}
+    more = team_faults.KINDS if teams else ()
+    drawn = faults.plans(f"faults {seed}", seconds, stranding=stranding, more=more)
+    async with world.running(folder, GATEWAYS, WORKERS, ENGINES, **kinds) as system:
+        injected = faults.Faults(system, drawn)
+        draws = random.Random(f"callers {seed}"), random.Random(f"keys {seed}")
+        seen = callers.Callers(system, *draws)
         again: list[str] = []
         async with trio.open_nursery() as nursery:
             nursery.start_soon(seen.run)
             if crashing:
                 nursery.start_soon(seen.repeat_culprit)
                 nursery.start_soon(seen.send_culprit_parts)
-            await injected.run(seconds)
+            if teams:
+                nursery.start_soon(seen.heat)
+                nursery.start_soon(seen.try_foreign_keys)
+            await injected.run()
             seen.more = False
             with trio.move_on_after(FINISH_S):
                 while not all(job.done for job in seen.jobs):
@@ -59,6 +68,7 @@
             await trio.sleep(callers.HELD_S + callers.CONNECT_S)
             nursery.cancel_scope.cancel()
         problems = [*judge.Judge(system, seen).all(), *again]
+        problems += team_judge.TeamJudge(system, seen).all()
         items = sum(len(job.results) for job in seen.jobs)
         stalled_s = sum(w.end_s - w.begin_s for w in system.windows if w.part == world.OWN)
         faulted, outcomes = dict(injected.done), dict(seen.outcomes)
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -5,7 +5,7 @@
 import dataclasses
 import random
 import signal
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 
 import msgspec
 import trio
@@ -41,6 +41,8 @@
 LEAVE_S = 4.0
 HERD_SHARE = 0.5
 Act = Callable[["Injection"], Awaitable[None]]
+# A further kind of faults: its name, the mean pause between two in seconds, and what they do.
+Kind = tuple[str, float, dict[str, Act]]
 _ENGINE_FAULTS = (
     stream_engine.Faults(decline=True),
     stream_engine.Faults(fail=500),
@@ -78,21 +80,26 @@
     name: str
     times: int
     seed: str
+    act: Act
 
 
-def plans(seed: str, seconds: float, *, stranding: bool = False) -> list[Plan]:
+def plans(
+    seed: str, seconds: float, *, stranding: bool = False, more: Sequence[Kind] = ()
+) -> list[Plan]:
     """Draw which faults are injected when; a seed always gives the same.
 
     :param stranding: whether gateways lose their ways to all engines.
     """
-    drawn = _draw(seed, seconds, GAP_S, _ACTS)
+    drawn = _draw(seed, seconds, GAP_S, ACTS)
     # Drawn apart, so that the seeds of earlier findings still give the faults that they gave.
-    drawn += _draw(f"{seed} later", seconds, LATER_GAP_S, _LATER_ACTS)
+    drawn += _draw(f"{seed} later", seconds, LATER_GAP_S, LATER_ACTS)
     drawn += _draw(f"{seed} versions", seconds, VERSIONS_GAP_S, _VERSION_ACTS)
     drawn += _draw(f"{seed} unframed", seconds, UNFRAMED_GAP_S, _UNFRAMED_ACTS)
     drawn += _draw(f"{seed} limits", seconds, LIMITS_GAP_S, _LIMIT_ACTS)
     if stranding:
         drawn += _draw(f"{seed} stranding", seconds, STRANDING_GAP_S, _STRANDING_ACTS)
+    for kind, gap_s, acts in more:
+        drawn += _draw(f"{seed} {kind}", seconds, gap_s, acts)
     return sorted(drawn, key=lambda plan: plan.at_s)
 
 
@@ -103,7 +110,7 @@
     while at_s < seconds:
         name = rng.choice(sorted(acts))
         times = SERIES if rng.random() < SERIES_SHARE else 1
-        drawn.append(Plan(at_s, name, times, f"{seed} {len(drawn)}"))
+        drawn.append(Plan(at_s, name, times, f"{seed} {len(drawn)}", acts[name]))
         at_s += rng.expovariate(1 / gap_s)
     return drawn
 
@@ -114,17 +121,16 @@
     :ivar done: how often each was injected.
     """
 
-    def __init__(self, system: world.World, seed: str, *, stranding: bool = False) -> None:
+    def __init__(self, system: world.World, drawn: list[Plan]) -> None:
         self.system = system
-        self.seed = seed
-        self.stranding = stranding
+        self.drawn = drawn
         self.done: collections.Counter[str] = collections.Counter()
 
-    async def run(self, seconds: float) -> None:
-        """Inject faults for a time, then wait until the last is over."""
+    async def run(self) -> None:
+        """Inject all faults, then wait until the last is over."""
         begin_s = trio.current_time()
         async with trio.open_nursery() as nursery:
-            for plan in plans(self.seed, seconds, stranding=self.stranding):
+            for plan in self.drawn:
                 await trio.sleep_until(begin_s + plan.at_s)
                 nursery.start_soon(self._series, plan)
 
@@ -132,7 +138,7 @@
         one = Injection(self.system, random.Random(plan.seed))
         for _ in range(plan.times):
             self.done[plan.name] += 1
-            await _ALL_ACTS[plan.name](one)
+            await plan.act(one)
             await trio.sleep(SERIES_GAP_S)
 
 
@@ -256,7 +262,11 @@
 
 
 async def _cut_from_store(faults: Injection) -> None:
-    name = faults.rng.choice(sorted(faults.system.daemons))
+    await cut_from_store(faults, faults.rng.choice(sorted(faults.system.daemons)))
+
+
+async def cut_from_store(faults: Injection, name: str) -> None:
+    """Disturb the connections of one process to the store for a while."""
     proxy = faults.system.store_paths[name]
     with faults.system.window(f"{name} to store", "cut"):
         proxy.switch(faults.rng.choice(_PATH_FAULTS))
@@ -405,7 +415,7 @@
     await faults.system.change()
 
 
-_ACTS: dict[str, Act] = {
+ACTS: dict[str, Act] = {
     "kill": _kill,
     "herd": _herd,
     "freeze": _freeze,
@@ -422,7 +432,7 @@
     "engine_leaves": _engine_leaves,
     "change": _change,
 }
-_LATER_ACTS: dict[str, Act] = {
+LATER_ACTS: dict[str, Act] = {
     "store_silent": _store_silent,
     "engine_says_leaving": _engine_says_leaving,
 }
@@ -430,4 +440,3 @@
 _UNFRAMED_ACTS: dict[str, Act] = {"engine_unframed": _engine_unframed}
 _LIMIT_ACTS: dict[str, Act] = {"engine_limited": _engine_limited}
 _STRANDING_ACTS: dict[str, Act] = {"gateways_stranded": _gateways_stranded}
-_ALL_ACTS = _ACTS | _LATER_ACTS | _VERSION_ACTS | _UNFRAMED_ACTS | _LIMIT_ACTS | _STRANDING_ACTS
--- a/bench/soak/judge.py
+++ b/bench/soak/judge.py
@@ -31,6 +31,7 @@
 # From the end of such a cut until the gateway sends to its engines directly again.
 RETURN_S = 3.0
 _REFUSED = frozenset((429, 503))
+_UNAUTHORIZED = 401
 _ATTEMPTS = {world.ONCE: 1, world.RESUMED: world.MAX_ATTEMPTS}
 
 
@@ -41,6 +42,8 @@
         self.system = system
         self.seen = seen
         self.problems: list[str] = list(system.problems)
+        # Which requests may get 401 is for :mod:`team_judge` to check.
+        self._refused = _REFUSED | ({_UNAUTHORIZED} if system.keyring.teams else set())
         self._attempts: dict[str, list[tuple[str, stream_engine.ReceivedRequest]]] = (
             collections.defaultdict(list)
         )
@@ -72,13 +75,13 @@
             self._problem(req, f"ran {len(ran)} times")
         if len(ran) > world.MAX_ATTEMPTS:
             self._problem(req, f"was sent to {len(ran)} engines")
-        if req.status in _REFUSED and ran:
+        if req.status in self._refused and ran:
             self._problem(req, f"refused with {req.status} as not run, but ran on {ran}")
         if req.status == 200 and req.whole:
             body, _ = stream_engine.split_versions(req.body)
             if body != stream_engine.response_body(req.id, world.EVENTS, req.after):
                 self._problem(req, f"got another answer: {req.body[:80]!r}")
-        elif req.status not in _REFUSED and not self._excused(req):
+        elif req.status not in self._refused and not self._excused(req):
             self._problem(req, f"status {req.status} without a fault on its way: {req.error}")
 
     def _excused(self, req: callers.Request) -> bool:
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -6,6 +6,7 @@
 import math
 import os
 import pathlib
+import random
 import signal
 import subprocess
 import sys
@@ -14,7 +15,7 @@
 import msgspec
 import trio
 
-from bench.soak import sockets
+from bench.soak import sockets, teams
 from cornelgrade import addresses, routes
 from cornelgrade.adapters import platform
 from cornelgrade.platform import directory
@@ -198,15 +199,24 @@
     """Everything that runs; made by :func:`running`.
 
     :param crashing: whether :data:`CULPRIT` and :data:`CULPRIT_PART` crash engines.
+    :param with_teams: whether the plan has teams, so that callers need keys.
+    :ivar hot_until_s: until when one team sends far more than it may, on trio's clock.
     :ivar plans: when each version of the plan was written, by version.
     :ivar stranded: the processes that reach no engine.
     :ivar engine_faults: the faults of an engine on which no other fault is at work.
     """
 
     def __init__(
-        self, nursery: trio.Nursery, folder: pathlib.Path, *, crashing: bool = False
+        self,
+        nursery: trio.Nursery,
+        folder: pathlib.Path,
+        *,
+        crashing: bool = False,
+        with_teams: bool = False,
     ) -> None:
         self.nursery = nursery
+        self.keyring = teams.Keyring(teams.TEAMS if with_teams else None)
+        self.hot_until_s = -math.inf
         self.engine_faults = stream_engine.Faults(
             crash_on=CULPRIT if crashing else b"",
             crash_on_part=CULPRIT_PART if crashing else "",
@@ -269,15 +279,20 @@
         """All gateways."""
         return [d for d in self.daemons.values() if d.role == GATEWAY]
 
-    async def change(self) -> None:
-        """Write the next version of the plan."""
+    async def change(self, keys: random.Random | None = None) -> None:
+        """Write the next version of the plan.
+
+        :param keys: draws which team's key is replaced; ``None`` for no change of keys.
+        """
         async with self._planning:
+            if keys is not None:
+                self.keyring.rotate(keys)
             await self._plan(max(self.plans, default=0) + 1)
 
     async def _plan(self, version: int) -> None:
         """Write a version of the plan; its number is also the path of a route of its own."""
         own = edge_system.make_route("mark", mark(version), routes.RouteKind.STREAM, gap_aim_s=0.2)
-        base = edge_system.make_plan(version)
+        base = edge_system.make_plan(version, teams=self.keyring.teams)
         listed = tuple(
             (
                 dataclasses.replace(route, max_attempts=ITEM_ATTEMPTS)
@@ -288,7 +303,9 @@
         )
         plan = dataclasses.replace(base, routes=(*listed, own))
         kinds = directory.Directory
-        await self._put(kinds.plan_kind, kinds.plan_name, formats.encode_plan(plan))
+        self.keyring.record_version(version, trio.current_time())
+        raw = formats.encode_plan(plan, self.keyring.current)
+        await self._put(kinds.plan_kind, kinds.plan_name, raw)
         self.plans[version] = trio.current_time()
 
     async def add_engine(self, name: str, domain: str, version: str = "v1") -> Engine:
@@ -410,11 +427,14 @@
 
 @contextlib.asynccontextmanager
 async def running(
-    folder: pathlib.Path, gateways: int, workers: int, engines: int, *, crashing: bool = False
+    folder: pathlib.Path, gateways: int, workers: int, engines: int, **kinds: bool
 ) -> AsyncIterator[World]:
-    """Run a system until the block ends."""
+    """Run a system until the block ends.
+
+    :param kinds: of faults and callers, see :class:`World`.
+    """
     async with trio.open_nursery() as nursery:
-        world = World(nursery, folder, crashing=crashing)
+        world = World(nursery, folder, **kinds)
         try:
             await world.open(gateways, workers, engines)
             yield world
--- a/tests/process/test_edge_soak.py
+++ b/tests/process/test_edge_soak.py
@@ -1,8 +1,15 @@
 """A short soak of the edge processes; ``python -m bench.soak edge`` runs longer soaks."""
 
+import functools
+import random
+import re
+import types
+
 import pytest
 import trio
-from bench.soak import edge, faults
+from bench.soak import callers, edge, faults, team_judge, teams, world
+
+from cornelgrade.platform.standins import stream_engine
 
 SECONDS = 5.0
 
@@ -21,3 +28,77 @@
 def test_seed_always_gives_the_same_faults():
     assert faults.plans("seed 1", 60.0) == faults.plans("seed 1", 60.0)
     assert faults.plans("seed 1", 60.0) != faults.plans("seed 2", 60.0)
+
+
+# Guards against keys or false team names at engines, requests over a limit and refused valid keys
+# while keys change and one team is hot.
+def test_promises_to_teams_hold_while_keys_change(tmp_path):
+    report = trio.run(functools.partial(edge.soak, 1, SECONDS, tmp_path, teams=True))
+    assert report.problems == []
+    assert report.faults["hot_team"] and any(name.startswith("keys") for name in report.faults)
+
+
+@pytest.fixture
+def run_with_teams(tmp_path):
+    """A run in which no key was replaced, its callers, and an engine that got nothing yet."""
+    system = world.World(None, tmp_path, with_teams=True)
+    engine = stream_engine.StreamEngine("engine-0")
+    system.engines["engine-0"] = types.SimpleNamespace(stand_in=engine)
+    system.keyring.record_version(1, 0.0)
+    system.plans[1] = 0.0
+    return system, callers.Callers(system, random.Random(1), random.Random(1)), engine
+
+
+def _receive(seen, engine, at_s, key, **headers):
+    req = callers.Request(f"r{len(seen.requests)}", world.ONCE, "gateway-0", at_s, key=key)
+    seen.requests.append(req)
+    sent = {"x-tenant": seen.keyring.team_of[key], **headers}
+    engine.seen.append(stream_engine.ReceivedRequest(req.id, b"/", sent, b"", None, at_s))
+    return req
+
+
+# Guards against a judge that lets a key, a false team or a burst at an engine pass.
+def test_judge_finds_keys_false_teams_and_bursts(run_with_teams):
+    system, seen, engine = run_with_teams
+    key = system.keyring.lasting(teams.HOT_TEAM)
+    for number in range(39):
+        _receive(seen, engine, number / 10, key)
+    assert list(team_judge.TeamJudge(system, seen).all()) == []
+    _receive(seen, engine, 4.0, key)
+    _receive(seen, engine, 20.0, key, cookie=key)
+    _receive(seen, engine, 30.0, key, **{"x-tenant": teams.FREE_TEAM})
+    seen.jobs.append(callers.Job("job", (), team="low", foreign=["GET /lots/job"]))
+    found = list(team_judge.TeamJudge(system, seen).all())
+    expected = ["r40 .* with a key", "r41 .* as of 'free'", "40 requests of low", "GET .* allowed"]
+    assert len(found) == len(expected)
+    assert all(map(re.match, expected, found))
+
+
+# Guards against a judge that lets a withdrawn key or a refused valid one pass, or that blames a
+# gateway which had lost the store.
+@pytest.mark.parametrize(
+    ("cut", "expected"),
+    [
+        (False, ["r2", "9.0 kept", "9.0 old", "13.0 kept", "15.0 kept", "15.0 new"]),
+        (True, ["9.0 kept", "9.0 old", "13.0 kept", "15.0 kept"]),
+    ],
+)
+def test_judge_knows_which_keys_are_valid_where(run_with_teams, cut, expected):
+    system, seen, engine = run_with_teams
+    held = system.keyring.current["bounded"]
+    keys = {"kept": held[0], "old": held[2]}
+    rng = random.Random(1)
+    while held[2] == keys["old"]:
+        system.keyring.rotate(rng)
+    keys["new"] = held[2]
+    system.keyring.record_version(2, 10.0)
+    system.plans[2] = 11.0
+    if cut:
+        system.windows.append(world.Window("gateway-0 to store", "cut", 10.0, 15.0))
+    for at_s in (9.0, 13.0, 15.0):
+        _receive(seen, engine, at_s, keys["old"])
+        for name, key in sorted(keys.items()):
+            req = callers.Request(f"{at_s} {name}", "", "gateway-0", at_s, end_s=at_s, key=key)
+            seen.denied.append(req)
+    found = list(team_judge.TeamJudge(system, seen).all())
+    assert [re.split(" (?:at|came)", problem)[0] for problem in found] == expected
