Never give two engines of the soak one name

Cause: a fault named a new engine by the number of engines and then awaited its start, so two faults that began at once made two engines of one name; the judge saw the requests of the later one only.

Change: the world counts the engines that it starts.

--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -344,7 +344,7 @@
     if (engine := faults.free_engine()) is None:
         return
     engine.left_s = trio.current_time()
-    await faults.system.add_engine(f"engine-{len(faults.system.engines)}", engine.domain)
+    await faults.system.add_engine(engine.domain)
     await faults.system.register(engine, leaving=True)
     engine.left_s = trio.current_time()
     await trio.sleep(LEAVE_S)
@@ -357,8 +357,7 @@
         return
     engine.left_s = trio.current_time()
     version = "v2" if engine.stand_in.version == "v1" else "v1"
-    name = f"engine-{len(faults.system.engines)}"
-    await faults.system.add_engine(name, engine.domain, version)
+    await faults.system.add_engine(engine.domain, version)
     await faults.system.register(engine, leaving=True)
     engine.left_s = trio.current_time()
     await trio.sleep(LEAVE_S)
@@ -372,7 +371,7 @@
     engine.held = True
     engine.stand_in.faults = msgspec.structs.replace(faults.system.engine_faults, leaving=True)
     engine.said_leaving_s = trio.current_time()
-    await faults.system.add_engine(f"engine-{len(faults.system.engines)}", engine.domain)
+    await faults.system.add_engine(engine.domain)
     await trio.sleep(2 * LEAVE_S)
     await faults.system.unregister(engine)
     engine.left_s = trio.current_time()
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -3,6 +3,7 @@
 import contextlib
 import dataclasses
 import functools
+import itertools
 import math
 import os
 import pathlib
@@ -229,6 +230,7 @@
         self.store = platform_store.MemoryPlatform(switches, history_limit=HISTORY)
         self.daemons: dict[str, Daemon] = {}
         self.engines: dict[str, Engine] = {}
+        self._engine_numbers = itertools.count()
         self.stranded: set[Daemon] = set()
         self.store_paths: dict[str, fault_proxy.FaultProxy] = {}
         self.windows: list[Window] = []
@@ -266,7 +268,7 @@
         self._store_address = await self.nursery.start(self._server.serve, LOOPBACK)
         await self.change()
         for number in range(engines):
-            await self.add_engine(f"engine-{number}", edge_system.DOMAINS[number % 3])
+            await self.add_engine(edge_system.DOMAINS[number % 3])
         for role, count in ((WORKER, workers), (GATEWAY, gateways)):
             for number in range(count):
                 await self._add_daemon(f"{role}-{number}", role, edge_system.DOMAINS[number % 3])
@@ -310,8 +312,10 @@
         await self._put(kinds.plan_kind, kinds.plan_name, raw)
         self.plans[version] = trio.current_time()
 
-    async def add_engine(self, name: str, domain: str, version: str = "v1") -> Engine:
+    async def add_engine(self, domain: str, version: str = "v1") -> Engine:
         """Start an engine behind its proxy and register it."""
+        # Counted before anything is awaited: of two engines of one name, one would go unseen.
+        name = f"engine-{next(self._engine_numbers)}"
         made = stream_engine.StreamEngine(name, events=EVENTS, event_s=EVENT_S, version=version)
         made.tells_version = True
         made.faults = self.engine_faults
