Stand-ins: teams in plans, keys in calls and jobs

Cause: the stand-ins had no teams, so no test on them could send a key.

Change: make_plan and encode_plan take teams, with key_headers and team_key for their keys; submit, results and send_online carry a key. A received request names its team. Faults.fail_on fails only the requests whose body contains it.

--- a/src/cornelgrade/platform/standins/edge_system.py
+++ b/src/cornelgrade/platform/standins/edge_system.py
@@ -16,6 +16,7 @@
 from cornelgrade.adapters import http1, platform
 from cornelgrade.platform import calls, jobs
 from cornelgrade.platform.standins import formats, stream_engine
+from cornelgrade.policy import teams as team_keys
 from cornelgrade.services.edge import peers, ports
 from cornelgrade.standins import platform_store
 
@@ -111,9 +112,22 @@
     return dataclasses.replace(route, **{"timeout_s": 5.0, "aim_s": 0.3, **overrides})
 
 
-def make_plan(version: int = 1, **terms) -> routes.Plan:
+def team_key(name: str) -> str:
+    """Return the key of a team made by :func:`make_team`."""
+    return f"key-of-{name}"
+
+
+def make_team(name: str, **overrides) -> routes.Team:
+    """Return a team with the key :func:`team_key`."""
+    return routes.Team(name, (team_keys.digest_key(team_key(name).encode()),), **overrides)
+
+
+def make_plan(
+    version: int = 1, *, teams: tuple[routes.Team, ...] | None = None, **terms
+) -> routes.Plan:
     """Return a plan with a non-resumable stream route, a resumable one and a batch route.
 
+    :param teams: ``None`` if requests need no keys.
     :param terms: the :class:`routes.JobPolicy` of the batch route.
     """
     stream, batch = routes.RouteKind.STREAM, routes.RouteKind.BATCH
@@ -129,6 +143,7 @@
             ),
         ),
         (routes.Service(SERVICE),),
+        teams=teams,
     )
 
 
@@ -273,7 +288,10 @@
     async def send_online(
         self, gateway_name: str, path: str, request: str, body: bytes = b"question", **headers: str
     ) -> ReceivedResponse:
-        """Send an online request."""
+        """Send an online request.
+
+        :param headers: more of its headers, such as ``x_key`` with a team's key.
+        """
         sent = {**formats.online_headers(request, REQUEST_TIMEOUT_S), **_header_names(headers)}
         return await self.send(gateway_name, "POST", path, sent, body)
 
@@ -291,20 +309,30 @@
         job: str,
         items: dict[str, bytes],
         headers: dict[str, str] | None = None,
+        *,
+        key: str = "",
+        tokens: int = 100,
     ) -> ReceivedResponse:
-        """Submit a job; ``items`` maps item ids to request bodies, ``headers`` go with each."""
-        raw = formats.encode_job(NOTES_PREFIX, items, headers=headers)
-        return await self.send(
-            gateway_name, "POST", f"{NOTES_PREFIX}{job}", formats.request_headers(job), raw
-        )
+        """Submit a job; ``items`` maps item ids to request bodies, ``headers`` go with each.
+
+        :param key: of the caller's team, empty for none.
+        :param tokens: of each item.
+        """
+        raw = formats.encode_job(NOTES_PREFIX, items, tokens, headers)
+        sent = formats.request_headers(job) | formats.key_headers(key)
+        return await self.send(gateway_name, "POST", f"{NOTES_PREFIX}{job}", sent, raw)
 
-    async def results(self, gateway_name: str, job: str, after: int) -> list[tuple[str, str]]:
+    async def results(
+        self, gateway_name: str, job: str, after: int, *, key: str = ""
+    ) -> list[tuple[str, str]]:
         """Wait up to :data:`RESULTS_WAIT_S` for results from position ``after`` on.
 
+        :param key: of the caller's team, empty for none.
         :returns: item ids with their texts.
         """
         target = formats.job_target(job, after)
-        got = await self.send(gateway_name, "GET", target, formats.wait_headers(RESULTS_WAIT_S))
+        headers = formats.wait_headers(RESULTS_WAIT_S) | formats.key_headers(key)
+        got = await self.send(gateway_name, "GET", target, headers)
         return [(item, text) for item, _, text in formats.decode_results(got.body)]
 
 
--- a/src/cornelgrade/platform/standins/formats.py
+++ b/src/cornelgrade/platform/standins/formats.py
@@ -1,6 +1,7 @@
 """Encoders of the platform's formats on the side of operators, engines and callers."""
 
 import base64
+from collections.abc import Mapping
 
 import msgspec
 
@@ -15,14 +16,31 @@
 }
 
 
-def encode_plan(value: routes.Plan) -> bytes:
-    """Encode a plan as an operator's configuration."""
+def encode_plan(value: routes.Plan, keys: Mapping[str, tuple[str, ...]] | None = None) -> bytes:
+    """Encode a plan as an operator's configuration.
+
+    :param keys: the keys of each team, of which the plan has only the digests.
+    """
     services = [
         {"name": s.name, "engine": {"slots": s.slots}, "maxConnections": s.max_connections}
         for s in value.services
     ]
     listed = [_encode_route(route) for route in value.routes]
-    return msgspec.json.encode({"version": value.version, "routes": listed, "services": services})
+    config = {"version": value.version, "routes": listed, "services": services}
+    if value.teams is not None:
+        config["tenants"] = [_encode_team(t, (keys or {}).get(t.name, ())) for t in value.teams]
+    return msgspec.json.encode(config)
+
+
+def _encode_team(team: routes.Team, keys: tuple[str, ...]) -> dict[str, object]:
+    limit = team.rate_limit
+    return {
+        "name": team.name,
+        "apiKeys": keys,
+        "priority": team.rank,
+        "ratePerS": limit.rate_per_s if limit else 0,
+        "burst": limit.burst if limit else 0,
+    }
 
 
 def _encode_route(route: routes.Route) -> dict[str, object]:
@@ -41,6 +59,7 @@
         "completionTargetMs": route.job_policy.completion_aim_s * _MS_PER_S,
         "itemTtlS": route.job_policy.item_ttl_s,
         "cap": route.job_policy.waiting_tokens,
+        "allowAnonymous": not route.needs_key,
     }
 
 
@@ -82,6 +101,11 @@
     return {"x-request-id": request}
 
 
+def key_headers(key: str) -> dict[str, str]:
+    """Return the header that carries a team's key; none without a key."""
+    return {"x-key": key} if key else {}
+
+
 def encode_job(
     prefix: str,
     items: dict[str, bytes],
--- a/src/cornelgrade/platform/standins/stream_engine.py
+++ b/src/cornelgrade/platform/standins/stream_engine.py
@@ -23,6 +23,7 @@
 
     :param decline: reject requests as not executed.
     :param fail: run requests for the time of one event and respond with this status.
+    :param fail_on: fail only requests whose body contains this.
     :param cut_after: abort the connection after this many events, within the next one if any.
     :param end_after: end responses after this many events, within the next one.
     :param end_before_events: end responses before the first event.
@@ -43,6 +44,7 @@
 
     decline: bool = False
     fail: int = 0
+    fail_on: bytes = b""
     cut_after: int | None = None
     end_after: int | None = None
     end_before_events: bool = False
@@ -79,6 +81,11 @@
     cancelled: bool = False
     ended: bool = False
 
+    @property
+    def team(self) -> str:
+        """The team for which it was sent, empty if none was named."""
+        return self.headers.get("x-tenant", "")
+
 
 class StreamEngine:
     """A test double for one upstream.
@@ -210,7 +217,7 @@
             foreign = (("x-request-id", "someone-else"), *self._notice())
             await req.respond(200, b"not yours", foreign)
             return
-        if self.faults.fail:
+        if self.faults.fail and self.faults.fail_on in seen.body:
             await trio.sleep(self.event_s)
             await req.respond(self.faults.fail, b"failed", head)
             return
