Queue online requests fairly among teams

Cause: requests that wait for a permit were served in order of arrival, so that a team with many requests had the others refused.

Change: policy/fair_queue.py has start-time fair queueing and max-min shares over slot time. Waiting requests of equal rank are ordered by the slot time of their teams. One VM sees few requests of a team, so gateways name the teams of their requests in Uses, and an upstream's batch owner replies with the teams that are over their share of its upstreams. These don't get the waiting place of an upstream, and are refused at once with a probability that grows with the load. Without teams the order is the same as before, and Uses are encoded as before.

--- a/src/cornelgrade/schema/codec.py
+++ b/src/cornelgrade/schema/codec.py
@@ -136,6 +136,13 @@
         builder[i].upstream = use.upstream
         builder[i].online = use.online
         builder[i].batch = use.batch
+        if use.teams:
+            teams = builder[i].init("teams", len(use.teams))
+            for number, entry in enumerate(use.teams):
+                teams[number].team = entry.team
+                teams[number].online = entry.online
+        if use.over_share:
+            builder[i].overShare = list(use.over_share)
 
 
 def _write_job_claims(out: Any, field: str, body: messages.JobClaims) -> None:
@@ -224,7 +231,16 @@
 
 def _read_uses(raw: Any) -> messages.Uses:
     return messages.Uses(
-        tuple(messages.UpstreamUse(use.upstream, use.online, use.batch) for use in raw)
+        tuple(
+            messages.UpstreamUse(
+                use.upstream,
+                use.online,
+                use.batch,
+                tuple(messages.TeamUse(entry.team, entry.online) for entry in use.teams),
+                tuple(use.overShare),
+            )
+            for use in raw
+        )
     )
 
 
--- a/src/cornelgrade/schema/messages.py
+++ b/src/cornelgrade/schema/messages.py
@@ -45,6 +45,17 @@
     version: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TeamUse:
+    """Number of a team's online requests outstanding at one upstream.
+
+    :param team: :func:`fair_queue.team_id` of the team.
+    """
+
+    team: int
+    online: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class UpstreamUse:
     """Numbers of requests outstanding at one upstream.
@@ -52,11 +63,16 @@
     :param online: online requests: a gateway sends its own, the upstream's batch owner those of all
         gateways but the receiver.
     :param batch: batch items, sent by the upstream's batch owner only.
+    :param teams: the teams of a gateway's online requests; those without a team aren't listed.
+    :param over_share: ids of the teams that are over their fair share of the upstreams of this
+        service that the batch owner has. It lists them with one upstream of each service.
     """
 
     upstream: str
     online: int
     batch: int = 0
+    teams: tuple[TeamUse, ...] = ()
+    over_share: tuple[int, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/cornelgrade/schema/peer.capnp
+++ b/src/cornelgrade/schema/peer.capnp
@@ -75,10 +75,17 @@
   vm @1 :Text;
 }
 
+struct TeamUse {
+  team @0 :UInt32;
+  online @1 :UInt32;
+}
+
 struct UpstreamUse {
   upstream @0 :Text;
   online @1 :UInt32;
   batch @2 :UInt32;
+  teams @3 :List(TeamUse);
+  overShare @4 :List(UInt32);
 }
 
 struct ItemFailures {
--- a/src/cornelgrade/services/edge/relay.py
+++ b/src/cornelgrade/services/edge/relay.py
@@ -212,6 +212,7 @@
             wait_s,
             isolated=isolated,
             origin=origin,
+            team=req.team,
         )
 
     async def _find_origin(
--- a/src/cornelgrade/services/edge/slot_permits.py
+++ b/src/cornelgrade/services/edge/slot_permits.py
@@ -21,6 +21,7 @@
     _notifier,
     fleet,
     peers,
+    team_shares,
     upstream_limits,
     upstream_reach,
 )
@@ -60,7 +61,7 @@
         self.load_age_s = assignment.load_age_s
         self.waited_s = waited_s
         self._owner = owner
-        self._isolated = assignment.isolated
+        self._assignment = assignment
 
     def __enter__(self) -> "SlotPermit":
         return self
@@ -71,7 +72,7 @@
         exc: BaseException | None,
         traceback: TracebackType | None,
     ) -> None:
-        self._owner.release(self.upstream, isolated=self._isolated)
+        self._owner.release(self._assignment)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -80,6 +81,8 @@
     candidate: placement.Candidate
     load_age_s: float | None
     isolated: bool
+    queue_entry: team_shares.QueueEntry
+    granted_s: float
 
 
 @dataclasses.dataclass(slots=True)
@@ -91,6 +94,7 @@
 
     service: str
     rank: int
+    queue_entry: team_shares.QueueEntry
     arrival: int
     exclude: frozenset[str]
     deadline_s: float
@@ -117,6 +121,8 @@
         self._isolated: collections.Counter[str] = collections.Counter()
         self._reports: dict[str, _Report] = {}
         self._waiting: list[_Waiter] = []
+        self._teams = team_shares.TeamShares(self._rng)
+        self._services: dict[str, str] = {}
         self._arrival_numbers = itertools.count()
 
     async def run(self, started: Callable[[], None]) -> None:
@@ -139,33 +145,43 @@
         *,
         isolated: bool = False,
         origin: software_versions.StreamOrigin | None = None,
+        team: str = "",
     ) -> SlotPermit:
         """Return a permit, waiting for one if necessary.
 
+        Among waiting requests of equal rank, the team that has used the least slot time goes first.
+
         :param exclude: upstreams that already failed this request; used only as a last resort.
         :param isolated: avoid upstreams at which another isolated request has a permit.
         :param origin: what began a stream that goes on; others don't count as upstreams. Such a
             request goes before new ones of its rank, because few upstreams can serve it.
-        :raises Refusal: ``OVERLOADED`` if none is free in time, ``UNAVAILABLE`` if there is no
+        :param team: the team that it belongs to, empty if none.
+        :raises Refusal: ``OVERLOADED`` if none is free in time, or at once if capacity is short and
+            the team is over its fair share; ``UNAVAILABLE`` if there is no
             upstream at all.
         """
         started_s = trio.current_time()
+        candidates = self._list_candidates(service, exclude, origin)
+        if not candidates:
+            version = f" version {origin.version}" if origin else ""
+            raise self._refusal(
+                errors.Code.UNAVAILABLE, f"no upstream of {service}{version} is registered"
+            )
+        is_first_try = not exclude and origin is None
+        if is_first_try and self._teams.should_refuse(service, team, self._occupancy(candidates)):
+            raise self._refusal(errors.Code.OVERLOADED, f"team {team} is over its fair share")
         waiter = _Waiter(
             service,
             rank,
+            self._teams.enqueue(service, team),
             next(self._arrival_numbers),
             exclude,
             started_s + max_wait_s,
             isolated,
             origin,
         )
-        if not self._list_candidates(service, exclude, origin):
-            version = f" version {origin.version}" if origin else ""
-            raise self._refusal(
-                errors.Code.UNAVAILABLE, f"no upstream of {service}{version} is registered"
-            )
         self._waiting.append(waiter)
-        self._waiting.sort(key=lambda w: (w.rank, w.origin is None, w.arrival))
+        self._waiting.sort(key=lambda w: (w.rank, w.origin is None, w.queue_entry.order, w.arrival))
         self._dispatch()
         try:
             with trio.move_on_after(max_wait_s):
@@ -173,6 +189,8 @@
         except trio.Cancelled:
             self._abandon_wait(waiter)
             raise
+        if waiter.assignment is None:
+            self._teams.leave(waiter.queue_entry)
         if waiter.retry_after_s is not None:
             message = f"all upstreams of {service} are at their rate limits"
             raise self._refusal(errors.Code.OVERLOADED, message, waiter.retry_after_s)
@@ -184,13 +202,18 @@
     def _abandon_wait(self, waiter: _Waiter) -> None:
         if waiter in self._waiting:
             self._waiting.remove(waiter)
-        elif waiter.assignment is not None:
-            self.release(waiter.assignment.upstream, isolated=waiter.isolated)
+        if waiter.assignment is not None:
+            self.release(waiter.assignment)
+        else:
+            self._teams.leave(waiter.queue_entry)
 
-    def release(self, upstream: routes.Upstream, *, isolated: bool) -> None:
+    def release(self, assignment: _Assignment) -> None:
         """Release a permit."""
-        if isolated:
+        upstream = assignment.upstream
+        if assignment.isolated:
             self._isolated -= collections.Counter((upstream.name,))
+        used_s = trio.current_time() - assignment.granted_s
+        self._teams.end(assignment.queue_entry, upstream.name, used_s)
         self._change_outstanding(upstream, -1)
         self._dispatch()
 
@@ -244,18 +267,28 @@
             has_allowance=self._limits.has_allowance(up),
         )
 
+    def _occupancy(self, candidates: list[placement.Candidate]) -> float:
+        """Return the online requests at upstreams with a fresh report, per slot."""
+        fresh_s = trio.current_time() - REPORT_TTL_S
+        reported = [c for c in candidates if (r := self._reports.get(c.name)) and r.at_s >= fresh_s]
+        return sum(c.online for c in reported) / max(1, sum(c.slots for c in reported))
+
     def _dispatch(self) -> None:
         asked: set[str] = set()
         for waiter in tuple(self._waiting):
             exclude = waiter.exclude | (set(self._isolated) if waiter.isolated else set())
             candidates = tuple(self._list_candidates(waiter.service, exclude, waiter.origin))
+            if waiter.queue_entry.is_over_share:
+                # Places behind a running request are left to the other teams.
+                candidates = tuple(c for c in candidates if c.online < c.slots)
             chosen = placement.choose_upstream(candidates, self._rng)
             self._request_allowance(placement.list_limited(candidates, chosen), asked)
             if chosen is None:
                 self._refuse_if_limited(waiter, candidates)
                 continue
-            waiter.assignment = self._assign(chosen, waiter.isolated)
+            waiter.assignment = self._assign(chosen, waiter)
             self._waiting.remove(waiter)
+            self._teams.start(waiter.queue_entry, chosen.name)
             if waiter.isolated:
                 self._isolated[chosen.name] += 1
             self._limits.take(waiter.assignment.upstream)
@@ -292,10 +325,17 @@
         registered = (reg.upstream for reg in self._fleet.usable_registrations())
         return next(up for up in registered if up.name == candidate.name)
 
-    def _assign(self, candidate: placement.Candidate, isolated: bool) -> _Assignment:
+    def _assign(self, candidate: placement.Candidate, waiter: _Waiter) -> _Assignment:
         report = self._reports.get(candidate.name)
-        age_s = trio.current_time() - report.at_s if report else None
-        return _Assignment(self._find_upstream(candidate), candidate, age_s, isolated)
+        now_s = trio.current_time()
+        return _Assignment(
+            self._find_upstream(candidate),
+            candidate,
+            now_s - report.at_s if report else None,
+            waiter.isolated,
+            waiter.queue_entry,
+            now_s,
+        )
 
     def _change_outstanding(self, upstream: routes.Upstream, change: int) -> None:
         count = self._outstanding.get(upstream.name, 0) + change
@@ -303,7 +343,7 @@
             self._outstanding[upstream.name] = count
         else:
             self._outstanding.pop(upstream.name, None)
-        message = messages.Uses((messages.UpstreamUse(upstream.name, count),))
+        message = messages.Uses((self._teams.make_use(upstream.name, count),))
         for owner in self._peers.batch_owners(upstream.name, upstream.failure_domain):
             self._peers.send(owner, message)
 
@@ -321,20 +361,29 @@
             unresponsive -= set(self._peers.live_vms(peers.Role.WORKER))
             uses_by_vm: dict[str, list[messages.UpstreamUse]] = {vm: [] for vm in unresponsive}
             for up in self._tracked_upstreams():
-                use = messages.UpstreamUse(up.name, self._outstanding.get(up.name, 0))
+                use = self._teams.make_use(up.name, self._outstanding.get(up.name, 0))
                 for owner in self._peers.batch_owners(up.name, up.failure_domain):
                     uses_by_vm.setdefault(owner, []).append(use)
             for vm, uses in uses_by_vm.items():
-                self._peers.send(vm, messages.Uses(tuple(uses)))
+                for message in team_shares.split_uses(uses):
+                    self._peers.send(vm, message)
             await trio.sleep(USE_BROADCAST_INTERVAL_S)
 
     async def _receive_uses(self, received: trio.MemoryReceiveChannel[messages.Uses]) -> None:
         async for message in received:
             now_s = trio.current_time()
+            self._teams.apply_report(message, self._find_service)
             for use in message.uses:
                 self._reports[use.upstream] = _Report(use.online, use.batch, now_s)
             self._dispatch()
 
+    def _find_service(self, upstream: str) -> str | None:
+        """Return an upstream's service, which never changes, if it is registered."""
+        if upstream not in self._services:
+            registered = self._fleet.usable_registrations()
+            self._services = {reg.upstream.name: reg.upstream.service for reg in registered}
+        return self._services.get(upstream)
+
     async def _dispatch_on_change(self, changed: _notifier.Notifier) -> None:
         while True:
             await changed.wait()
--- a/src/cornelgrade/services/edge/upstream_uses.py
+++ b/src/cornelgrade/services/edge/upstream_uses.py
@@ -7,7 +7,7 @@
 from cornelgrade import routes
 from cornelgrade.policy import batch_capacity
 from cornelgrade.schema import messages
-from cornelgrade.services.edge import _broadcast, peers, ports, upstream_loads
+from cornelgrade.services.edge import _broadcast, peers, ports, team_usage, upstream_loads
 
 # A gateway's counts expire after six broadcasts.
 USE_TTL_S = 1.5
@@ -33,9 +33,10 @@
         self._peers = peer_service
         self._count_items_at = count_items_at
         self._on_use = on_use
-        self._online_by_gateway: dict[str, dict[str, tuple[int, float]]] = {}
+        self._online_by_gateway: dict[str, dict[str, tuple[messages.UpstreamUse, float]]] = {}
         self._gateway_seen_s: dict[str, float] = {}
         self._delta: _broadcast.BroadcastDelta[messages.Uses] = _broadcast.BroadcastDelta()
+        self._teams = team_usage.TeamUsage()
         self._peaks: dict[str, batch_capacity.RecentPeak] = {}
 
     async def receive_uses(self, received: trio.MemoryReceiveChannel[messages.Uses]) -> None:
@@ -44,20 +45,13 @@
             now_s = trio.current_time()
             self._gateway_seen_s[message.vm] = now_s
             for use in message.uses:
-                self._online_by_gateway.setdefault(use.upstream, {})[message.vm] = (
-                    use.online,
-                    now_s,
-                )
+                self._online_by_gateway.setdefault(use.upstream, {})[message.vm] = (use, now_s)
             self._on_use()
 
     def current_use(self, up: routes.Upstream, now_s: float) -> batch_capacity.UpstreamLoad:
         """Return what is known of an upstream's load."""
-        counts = [
-            count
-            for count, at_s in self._online_by_gateway.get(up.name, {}).values()
-            if now_s - at_s < USE_TTL_S
-        ]
-        online = sum(counts)
+        uses = self._list_uses(up.name, now_s)
+        online = sum(use.online for use in uses)
         report = self.loads.fresh_report(up.name, now_s)
         return batch_capacity.UpstreamLoad(
             slots=up.slots,
@@ -66,11 +60,15 @@
             online_peak=self._peaks.setdefault(up.name, batch_capacity.RecentPeak()).update(
                 online, now_s
             ),
-            heard=bool(counts),
+            heard=bool(uses),
             reported=report.others if report else None,
             reported_waiting=report.waiting if report else 0,
         )
 
+    def _list_uses(self, upstream: str, now_s: float) -> list[messages.UpstreamUse]:
+        received = self._online_by_gateway.get(upstream, {}).values()
+        return [use for use, at_s in received if now_s - at_s < USE_TTL_S]
+
     def send_to_gateways(self, owned_upstreams: list[routes.Upstream]) -> None:
         """Send each gateway the requests of the others at the upstreams that it uses.
 
@@ -82,11 +80,21 @@
         uses_by_gateway: dict[str, list[messages.UpstreamUse]] = {
             vm: [] for vm, at_s in self._gateway_seen_s.items() if now_s - at_s < USE_TTL_S
         }
+        received = {up.name: self._list_uses(up.name, now_s) for up in owned_upstreams}
+        self._teams.update(owned_upstreams, received, now_s)
+        listed: set[tuple[str, str]] = set()
         for up in owned_upstreams:
             use = self.current_use(up, now_s)
-            for vm, (count, at_s) in self._online_by_gateway.get(up.name, {}).items():
+            for vm, (own, at_s) in self._online_by_gateway.get(up.name, {}).items():
                 if now_s - at_s < USE_TTL_S:
-                    other = messages.UpstreamUse(up.name, use.online - count, use.batch)
+                    is_first = (vm, up.service) not in listed
+                    listed.add((vm, up.service))
+                    other = messages.UpstreamUse(
+                        up.name,
+                        use.online - own.online,
+                        use.batch,
+                        over_share=self._teams.over_share(up.service) if is_first else (),
+                    )
                     uses_by_gateway.setdefault(vm, []).append(other)
         changed, _ = self._delta.select_entries(
             {vm: messages.Uses(tuple(uses)) for vm, uses in uses_by_gateway.items()}
