--- a/src/cornelgrade/services/edge/relay.py
+++ b/src/cornelgrade/services/edge/relay.py
@@ -218,6 +218,7 @@
             isolated=isolated,
             origin=origin,
             repeatable=req.route.repeatable and not _relay_state.is_last_attempt(req, progress),
+            team=req.team,
         )
 
     async def _find_origin(
