Spread requests by age of the load reports, own counts and learned speed

Cause: gateways that know the same load reports, some 100 ms old, all chose the upstream with the fewest requests, so that upstreams were overloaded in turn while others idled. An upstream whose load a gateway doesn't follow counted as idle, and slow ones as fast as the others.

Change: as a report ages, it counts less and the mean over all upstreams more; the more may have changed since, the more a gateway's own requests and its order of preference decide (policy/preference.py: each upstream is the first choice of as many gateways as any other). Loads are relative to the speed that responses show (policy/upstream_speed.py); gateways add the duration of a response to the count that they send when it ends, and batch owners add the mean to the counts that they send anyway (a new last field of UpstreamUse, also read by old builds: checked by hand with the old schema). The setting remote_cost_requests is the cost of another failure domain.

Tests: tests/policy, tests/edge/test_relay.py, test_upstream_limits.py, test_stranded_vms.py, test_load_reports.py, tests/fleet/test_datagrams.py passed.

--- a/src/cornelgrade/policy/placement.py
+++ b/src/cornelgrade/policy/placement.py
@@ -1,8 +1,14 @@
-"""Placement of online requests: the upstream with the fewest requests, local ones preferred.
+"""Placement of online requests: the upstream with the lowest expected load, local ones preferred.
 
 An upstream admits requests in order of arrival, without priorities. It is therefore sent no more
 than its slots and one request that waits for the next free slot. Batch items there do not count,
 since they are preempted.
+
+A gateway knows its own requests exactly, and those of other gateways from a report of some age. As
+it ages, the report counts less and the mean over all upstreams counts more (as in M. Dahlin,
+"Interpreting stale load information", 1999). The more may have changed since, the more a gateway
+spreads its own requests, in its own order of preference, instead of following the reports: gateways
+that know the same reports would otherwise all choose the same upstream.
 """
 
 import dataclasses
@@ -14,10 +20,16 @@
 MAX_WAITING_AT_UPSTREAM = 1
 # Costs are in outstanding requests. This one: a slot whose batch item must be preempted first.
 PREEMPTION_COST = 0.5
-# Another failure domain: a round trip takes far less time than a request occupies a slot.
-REMOTE_DOMAIN_COST = 1.0
 # An upstream whose registration expired but may return.
 SUSPECT_COST = 4.0
+# Another failure domain: a round trip takes far less time than a request occupies a slot.
+REMOTE_COST = 1.0
+# What one more own request weighs, in standard deviations of what may have changed since a report.
+SPREAD = 16.0
+# A request sent to an upstream without a free slot waits there for a good part of its duration.
+FULL_COST = 4.0
+# Age, in durations of a request, from which a report says nothing.
+MAX_REPORT_AGE = 3.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -27,6 +39,9 @@
     :param own: this gateway's requests there.
     :param others: other gateways' requests there, from the batch owner's last report.
     :param batch: batch items there, from the same report.
+    :param report_age: age of the report in durations of a request, ``None`` without a report.
+    :param speed: how fast it completes requests, relative to the other upstreams.
+    :param preference: position in the gateway's order of preference, from 0 to below 1.
     :param has_allowance: whether its rate limit, if it named one, allows a request now.
     :param suspect: its registration expired while the platform was unavailable.
     """
@@ -39,12 +54,57 @@
     batch: int = 0
     suspect: bool = False
     has_allowance: bool = True
+    report_age: float | None = 0.0
+    speed: float = 1.0
+    preference: float = 0.0
 
     @property
     def online(self) -> int:
-        """All online requests there."""
+        """All online requests there that the gateway knows of."""
         return self.own + self.others
 
+    @property
+    def capacity(self) -> float:
+        """Requests that it completes in the time in which the others complete one in a slot."""
+        return self.slots * self.speed
+
+    @property
+    def report_weight(self) -> float:
+        """Share of the reported requests that are expected to be there still."""
+        return 0.0 if self.report_age is None else math.exp(-self.report_age)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Circumstances:
+    """What a choice between upstreams has in common.
+
+    :param capacity: mean capacity of an upstream.
+    :param utilization: other gateways' requests by capacity, from the reports.
+    :param own_cost: cost of one more own request, 1 if nothing has changed since the reports.
+    :param remote_cost: cost of another failure domain, in own requests.
+    """
+
+    capacity: float
+    utilization: float
+    own_cost: float
+    remote_cost: float
+
+
+def assess(candidates: tuple[Candidate, ...], remote_cost: float = REMOTE_COST) -> Circumstances:
+    """Return the circumstances of a choice; loads are means over candidates with a report."""
+    reported = [c for c in candidates if c.report_age is not None]
+    reported_capacity = sum(c.capacity for c in reported)
+    capacity = sum(c.capacity for c in candidates) / max(1, len(candidates))
+    utilization = sum(c.others for c in reported) / reported_capacity if reported else 0.0
+    ages = [min(c.report_age, MAX_REPORT_AGE) for c in reported if c.report_age is not None]
+    age = sum(ages) / max(1, len(ages))
+    return Circumstances(
+        capacity=capacity,
+        utilization=utilization,
+        own_cost=1.0 + SPREAD * math.sqrt(utilization * capacity * age),
+        remote_cost=remote_cost,
+    )
+
 
 def has_room(candidate: Candidate) -> bool:
     """Return whether the upstream may be sent one more online request."""
@@ -55,32 +115,47 @@
     return candidate.online < candidate.slots + MAX_WAITING_AT_UPSTREAM
 
 
-def placement_cost(candidate: Candidate) -> float:
+def placement_cost(candidate: Candidate, given: Circumstances) -> float:
     """Return the cost of one more request there, in outstanding requests."""
-    full = candidate.online + candidate.batch >= candidate.slots
+    weight = candidate.report_weight
+    usual = given.utilization * candidate.capacity
+    others = weight * candidate.others + (1.0 - weight) * usual
+    own = given.own_cost * candidate.own + (given.own_cost - 1.0) * candidate.preference
+    taken = candidate.online + candidate.batch
     return (
-        candidate.online * 1.0
-        + (PREEMPTION_COST if full else 0.0)
-        + (0.0 if candidate.local else REMOTE_DOMAIN_COST)
-        + (SUSPECT_COST if candidate.suspect else 0.0)
+        (own + others + 1.0) * given.capacity / candidate.capacity
+        + (PREEMPTION_COST if taken >= candidate.slots else 0.0)
+        + (FULL_COST * given.own_cost if candidate.online >= candidate.slots else 0.0)
+        + (0.0 if candidate.local else given.remote_cost * given.own_cost)
+        + (SUSPECT_COST * given.own_cost if candidate.suspect else 0.0)
     )
 
 
-def choose_upstream(candidates: tuple[Candidate, ...], rng: random.Random) -> Candidate | None:
-    """Return the cheapest upstream with room; ties are broken at random."""
+def choose_upstream(
+    candidates: tuple[Candidate, ...], rng: random.Random, remote_cost: float = REMOTE_COST
+) -> Candidate | None:
+    """Return the cheapest upstream with room; ties are broken at random.
+
+    :param remote_cost: cost of another failure domain, in own requests.
+    """
     available = [s for s in candidates if has_room(s)]
     if not available:
         return None
-    return min(available, key=lambda s: (placement_cost(s), rng.random()))
+    given = assess(candidates, remote_cost)
+    return min(available, key=lambda s: (placement_cost(s, given), rng.random()))
 
 
 def list_limited(
-    candidates: tuple[Candidate, ...], chosen: Candidate | None
+    candidates: tuple[Candidate, ...],
+    chosen: Candidate | None,
+    remote_cost: float = REMOTE_COST,
 ) -> tuple[Candidate, ...]:
     """Return the upstreams that only their rate limits keep from being chosen, cheapest first."""
     limited = [c for c in candidates if not c.has_allowance and _has_free_place(c)]
-    bound = placement_cost(chosen) if chosen else math.inf
-    return tuple(sorted((c for c in limited if placement_cost(c) < bound), key=placement_cost))
+    given = assess(candidates, remote_cost)
+    bound = placement_cost(chosen, given) if chosen else math.inf
+    cheaper = [c for c in limited if placement_cost(c, given) < bound]
+    return tuple(sorted(cheaper, key=lambda c: placement_cost(c, given)))
 
 
 def are_all_limited(candidates: tuple[Candidate, ...]) -> bool:
--- a/src/cornelgrade/schema/codec.py
+++ b/src/cornelgrade/schema/codec.py
@@ -136,6 +136,7 @@
         builder[i].upstream = use.upstream
         builder[i].online = use.online
         builder[i].batch = use.batch
+        builder[i].tookMs = use.took_ms
 
 
 def _write_job_claims(out: Any, field: str, body: messages.JobClaims) -> None:
@@ -224,7 +225,7 @@
 
 def _read_uses(raw: Any) -> messages.Uses:
     return messages.Uses(
-        tuple(messages.UpstreamUse(use.upstream, use.online, use.batch) for use in raw)
+        tuple(messages.UpstreamUse(use.upstream, use.online, use.batch, use.tookMs) for use in raw)
     )
 
 
--- a/src/cornelgrade/schema/messages.py
+++ b/src/cornelgrade/schema/messages.py
@@ -52,11 +52,14 @@
     :param online: online requests: a gateway sends its own, the upstream's batch owner those of all
         gateways but the receiver.
     :param batch: batch items, sent by the upstream's batch owner only.
+    :param took_ms: duration of a request: from a gateway that of the successful response that has
+        just ended, from the batch owner the mean of all gateways; 0 for none.
     """
 
     upstream: str
     online: int
     batch: int = 0
+    took_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/cornelgrade/schema/peer.capnp
+++ b/src/cornelgrade/schema/peer.capnp
@@ -79,6 +79,7 @@
   upstream @0 :Text;
   online @1 :UInt32;
   batch @2 :UInt32;
+  tookMs @3 :UInt32;
 }
 
 struct ItemFailures {
--- a/src/cornelgrade/services/edge/peers.py
+++ b/src/cornelgrade/services/edge/peers.py
@@ -152,9 +152,12 @@
             vm for vm in self._vms_of(role, None) if self._is_live(vm) or self._is_retry_due(vm)
         )
 
-    def registered_vms(self, role: Role) -> tuple[str, ...]:
-        """Return all registered processes of a role, including this one."""
-        return self._vms_of(role, None)
+    def registered_vms(self, role: Role, failure_domain: str | None = None) -> tuple[str, ...]:
+        """Return all registered processes of a role, including this one, sorted."""
+        return self._get_cached(
+            ("registered", role, failure_domain),
+            lambda: tuple(sorted(self._vms_of(role, failure_domain))),
+        )
 
     def other_vms(self) -> tuple[str, ...]:
         """Return all registered processes but this one, also unresponsive ones."""
--- a/src/cornelgrade/services/edge/relay.py
+++ b/src/cornelgrade/services/edge/relay.py
@@ -141,9 +141,12 @@
                 progress.upstreams_tried += 1
                 progress.upstream = permit.upstream.name
                 progress.permit = permit
+                goes_on = progress.started or progress.last_event is not None
                 try:
                     head = await self._try_upstream(req, progress, permit.upstream)
                     if head.status < 300:
+                        if not goes_on:
+                            permit.record_success()
                         self._quarantine.report_completion(req.fingerprint)
                     return "answered"
                 except engine.CallError as exc:
--- a/src/cornelgrade/services/edge/slot_permits.py
+++ b/src/cornelgrade/services/edge/slot_permits.py
@@ -23,6 +23,7 @@
     peers,
     upstream_limits,
     upstream_reach,
+    upstream_view,
 )
 
 # Counts are resent this often because datagrams may be lost.
@@ -36,6 +37,7 @@
 RETRY_AFTER_S = 0.4
 # Limits change, so no caller is told to stay away for longer.
 MAX_RETRY_AFTER_S = 60.0
+_MS_PER_S = 1000.0
 _log = logs.Logger("seats")
 
 
@@ -61,6 +63,8 @@
         self.waited_s = waited_s
         self._owner = owner
         self._isolated = assignment.isolated
+        self._granted_s = trio.current_time()
+        self._took_s: float | None = None
 
     def __enter__(self) -> "SlotPermit":
         return self
@@ -71,7 +75,11 @@
         exc: BaseException | None,
         traceback: TracebackType | None,
     ) -> None:
-        self._owner.release(self.upstream, isolated=self._isolated)
+        self._owner.release(self.upstream, isolated=self._isolated, took_s=self._took_s)
+
+    def record_success(self) -> None:
+        """Record that the upstream has completed a whole response, which shows its speed."""
+        self._took_s = trio.current_time() - self._granted_s
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -112,6 +120,7 @@
         self._limits = kern.find("upstream_limits", upstream_limits.UpstreamLimits)
         self._peers = kern.find("peers", peers.Peers)
         self._cfg = cfg
+        self._view = upstream_view.UpstreamView(self._peers, cfg)
         self._rng = random.Random(cfg.vm)
         self._outstanding: dict[str, int] = {}
         self._isolated: collections.Counter[str] = collections.Counter()
@@ -187,11 +196,18 @@
         elif waiter.assignment is not None:
             self.release(waiter.assignment.upstream, isolated=waiter.isolated)
 
-    def release(self, upstream: routes.Upstream, *, isolated: bool) -> None:
-        """Release a permit."""
+    def release(
+        self, upstream: routes.Upstream, *, isolated: bool, took_s: float | None = None
+    ) -> None:
+        """Release a permit.
+
+        :param took_s: duration of a complete, successful response, if there was one.
+        """
         if isolated:
             self._isolated -= collections.Counter((upstream.name,))
-        self._change_outstanding(upstream, -1)
+        if took_s is not None:
+            self._view.record_response(upstream.name, took_s)
+        self._change_outstanding(upstream, -1, took_s or 0.0)
         self._dispatch()
 
     def count_outstanding(self) -> int:
@@ -214,21 +230,22 @@
         origin: software_versions.StreamOrigin | None,
     ) -> list[placement.Candidate]:
         now_s = trio.current_time()
+        serving = [
+            reg for reg in self._fleet.usable_registrations() if reg.upstream.service == service
+        ]
+        view = self._view.of_service(service, tuple(reg.upstream for reg in serving))
         registered = [
-            reg
-            for reg in self._fleet.usable_registrations()
-            if reg.upstream.service == service
-            and origin in (None, software_versions.origin_at(reg.upstream))
+            reg for reg in serving if origin in (None, software_versions.origin_at(reg.upstream))
         ]
         healthy = [reg for reg in registered if not self._reach.is_suspect(reg.upstream.name)]
         untried = [reg for reg in healthy if reg.upstream.name not in exclude]
         return [
-            self._make_candidate(reg.upstream, bool(reg.suspect_until_s), now_s)
+            self._make_candidate(reg.upstream, bool(reg.suspect_until_s), now_s, view)
             for reg in untried or healthy or registered
         ]
 
     def _make_candidate(
-        self, up: routes.Upstream, suspect: bool, now_s: float
+        self, up: routes.Upstream, suspect: bool, now_s: float, view: upstream_view.View
     ) -> placement.Candidate:
         report = self._reports.get(up.name)
         if report is not None and now_s - report.at_s > REPORT_TTL_S:
@@ -242,6 +259,9 @@
             batch=report.batch if report else 0,
             suspect=suspect,
             has_allowance=self._limits.has_allowance(up),
+            report_age=view.report_age(now_s - report.at_s if report else None),
+            speed=view.speeds.relative[up.name],
+            preference=view.preferences[up.name],
         )
 
     def _dispatch(self) -> None:
@@ -249,8 +269,10 @@
         for waiter in tuple(self._waiting):
             exclude = waiter.exclude | (set(self._isolated) if waiter.isolated else set())
             candidates = tuple(self._list_candidates(waiter.service, exclude, waiter.origin))
-            chosen = placement.choose_upstream(candidates, self._rng)
-            self._request_allowance(placement.list_limited(candidates, chosen), asked)
+            remote_cost = self._cfg.remote_cost_requests
+            chosen = placement.choose_upstream(candidates, self._rng, remote_cost)
+            limited = placement.list_limited(candidates, chosen, remote_cost)
+            self._request_allowance(limited, asked)
             if chosen is None:
                 self._refuse_if_limited(waiter, candidates)
                 continue
@@ -297,13 +319,16 @@
         age_s = trio.current_time() - report.at_s if report else None
         return _Assignment(self._find_upstream(candidate), candidate, age_s, isolated)
 
-    def _change_outstanding(self, upstream: routes.Upstream, change: int) -> None:
+    def _change_outstanding(
+        self, upstream: routes.Upstream, change: int, took_s: float = 0.0
+    ) -> None:
         count = self._outstanding.get(upstream.name, 0) + change
         if count:
             self._outstanding[upstream.name] = count
         else:
             self._outstanding.pop(upstream.name, None)
-        message = messages.Uses((messages.UpstreamUse(upstream.name, count),))
+        took_ms = round(took_s * _MS_PER_S)
+        message = messages.Uses((messages.UpstreamUse(upstream.name, count, took_ms=took_ms),))
         for owner in self._peers.batch_owners(upstream.name, upstream.failure_domain):
             self._peers.send(owner, message)
 
@@ -333,6 +358,8 @@
             now_s = trio.current_time()
             for use in message.uses:
                 self._reports[use.upstream] = _Report(use.online, use.batch, now_s)
+                if use.took_ms:
+                    self._view.record_report(use.upstream, use.took_ms / _MS_PER_S)
             self._dispatch()
 
     async def _dispatch_on_change(self, changed: _notifier.Notifier) -> None:
--- a/src/cornelgrade/services/edge/upstream_uses.py
+++ b/src/cornelgrade/services/edge/upstream_uses.py
@@ -1,16 +1,20 @@
 """Tracks the load at the upstreams on which a worker runs batch items."""
 
+import dataclasses
 from collections.abc import Callable
 
 import trio
 
 from cornelgrade import routes
-from cornelgrade.policy import batch_capacity
+from cornelgrade.policy import batch_capacity, upstream_speed
 from cornelgrade.schema import messages
 from cornelgrade.services.edge import _broadcast, peers, ports, upstream_loads
 
 # A gateway's counts expire after six broadcasts.
 USE_TTL_S = 1.5
+# How often upstreams of which there is no recent evidence are forgotten.
+FORGET_INTERVAL_S = 30.0
+_MS_PER_S = 1000.0
 
 
 class UpstreamUses:
@@ -19,6 +23,7 @@
     :param count_items_at: returns the number of batch items that run at an upstream.
     :param on_use: called after use counts were received.
     :param on_response: called with the head of each response to a load poll.
+    :ivar speeds: durations of online requests, from all gateways.
     """
 
     def __init__(
@@ -37,6 +42,8 @@
         self._gateway_seen_s: dict[str, float] = {}
         self._delta: _broadcast.BroadcastDelta[messages.Uses] = _broadcast.BroadcastDelta()
         self._peaks: dict[str, batch_capacity.RecentPeak] = {}
+        self.speeds = upstream_speed.SpeedTable()
+        self._forgot_s = 0.0
 
     async def receive_uses(self, received: trio.MemoryReceiveChannel[messages.Uses]) -> None:
         """Apply use counts from gateways until cancelled."""
@@ -48,6 +55,8 @@
                     use.online,
                     now_s,
                 )
+                if use.took_ms:
+                    self.speeds.record(use.upstream, use.took_ms / _MS_PER_S, now_s)
             self._on_use()
 
     def current_use(self, up: routes.Upstream, now_s: float) -> batch_capacity.UpstreamLoad:
@@ -92,4 +101,16 @@
             {vm: messages.Uses(tuple(uses)) for vm, uses in uses_by_gateway.items()}
         )
         for vm, message in changed.items():
-            self._peers.send(vm, message)
+            self._peers.send(vm, self._add_durations(message, now_s))
+        if now_s - self._forgot_s >= FORGET_INTERVAL_S:
+            self._forgot_s = now_s
+            self.speeds.forget_old(now_s)
+
+    def _add_durations(self, message: messages.Uses, now_s: float) -> messages.Uses:
+        """Add the mean durations to a message; a change of these alone is no reason to send one."""
+        uses = []
+        for use in message.uses:
+            mean_s = self.speeds.mean_to_report_s(use.upstream, now_s)
+            took_ms = round((mean_s or 0.0) * _MS_PER_S)
+            uses.append(dataclasses.replace(use, took_ms=took_ms))
+        return messages.Uses(tuple(uses))
--- a/src/cornelgrade/settings.py
+++ b/src/cornelgrade/settings.py
@@ -69,6 +69,8 @@
     :param metrics_address: serves metrics; if unset, none are served.
     :param stop_grace_s: time between the signal to stop and the kill.
     :param retention_s: how long a job can be read after its submission.
+    :param remote_cost_requests: how many requests more a gateway sends to an upstream of its own
+        failure domain before it prefers one of another; 0 treats all alike.
     """
 
     vm: Name
@@ -83,4 +85,5 @@
     response_bytes: Annotated[int, msgspec.Meta(ge=65_536)] = 64 * 1024 * 1024
     stop_grace_s: Seconds = 8.0
     retention_s: Seconds = 120.0
+    remote_cost_requests: Annotated[float, msgspec.Meta(ge=0, le=1000)] = 1.0
     log_level: Literal["debug", "info", "notice", "warning", "error"] = "info"
