--- a/src/cornelgrade/schema/codec.py
+++ b/src/cornelgrade/schema/codec.py
@@ -143,6 +143,7 @@
                 teams[number].online = entry.online
         if use.over_share:
             builder[i].overShare = list(use.over_share)
+        builder[i].tookMs = use.took_ms
 
 
 def _write_job_claims(out: Any, field: str, body: messages.JobClaims) -> None:
@@ -292,6 +293,7 @@
                 use.batch,
                 tuple(messages.TeamUse(entry.team, entry.online) for entry in use.teams),
                 tuple(use.overShare),
+                use.tookMs,
             )
             for use in raw
         )
--- a/src/cornelgrade/schema/messages.py
+++ b/src/cornelgrade/schema/messages.py
@@ -70,6 +70,8 @@
     :param teams: the teams of a gateway's online requests; those without a team aren't listed.
     :param over_share: ids of the teams that are over their fair share of the upstreams of this
         service that the batch owner has. It lists them with one upstream of each service.
+    :param took_ms: duration of a request: from a gateway that of the successful response that has
+        just ended, from the batch owner the mean of all gateways; 0 for none.
     """
 
     upstream: str
@@ -77,6 +79,7 @@
     batch: int = 0
     teams: tuple[TeamUse, ...] = ()
     over_share: tuple[int, ...] = ()
+    took_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/cornelgrade/schema/peer.capnp
+++ b/src/cornelgrade/schema/peer.capnp
@@ -86,6 +86,7 @@
   batch @2 :UInt32;
   teams @3 :List(TeamUse);
   overShare @4 :List(UInt32);
+  tookMs @5 :UInt32;
 }
 
 struct ItemFailures {
--- a/src/cornelgrade/services/edge/slot_permits.py
+++ b/src/cornelgrade/services/edge/slot_permits.py
@@ -25,6 +25,7 @@
     upstream_limits,
     upstream_outliers,
     upstream_reach,
+    upstream_view,
 )
 
 # Counts are resent this often because datagrams may be lost.
@@ -38,6 +39,7 @@
 RETRY_AFTER_S = 0.4
 # Limits change, so no caller is told to stay away for longer.
 MAX_RETRY_AFTER_S = 60.0
+_MS_PER_S = 1000.0
 _log = logs.Logger("seats")
 
 
@@ -63,6 +65,7 @@
         self.waited_s = waited_s
         self._owner = owner
         self._assignment = assignment
+        self._took_s: float | None = None
 
     def __enter__(self) -> "SlotPermit":
         return self
@@ -73,7 +76,11 @@
         exc: BaseException | None,
         traceback: TracebackType | None,
     ) -> None:
-        self._owner.release(self._assignment)
+        self._owner.release(self._assignment, took_s=self._took_s)
+
+    def record_success(self) -> None:
+        """Record that the upstream has completed a whole response, which shows its speed."""
+        self._took_s = trio.current_time() - self._assignment.granted_s
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -119,6 +126,7 @@
         self._outliers = kern.find("upstream_outliers", upstream_outliers.UpstreamOutliers)
         self._peers = kern.find("peers", peers.Peers)
         self._cfg = cfg
+        self._view = upstream_view.UpstreamView(self._peers, cfg)
         self._rng = random.Random(cfg.vm)
         self._outstanding: dict[str, int] = {}
         self._isolated: collections.Counter[str] = collections.Counter()
@@ -214,14 +222,19 @@
         else:
             self._teams.leave(waiter.queue_entry)
 
-    def release(self, assignment: _Assignment) -> None:
-        """Release a permit."""
+    def release(self, assignment: _Assignment, took_s: float | None = None) -> None:
+        """Release a permit.
+
+        :param took_s: duration of a complete, successful response, if there was one.
+        """
         upstream = assignment.upstream
         if assignment.isolated:
             self._isolated -= collections.Counter((upstream.name,))
+        if took_s is not None:
+            self._view.record_response(upstream.name, took_s)
         used_s = trio.current_time() - assignment.granted_s
         self._teams.end(assignment.queue_entry, upstream.name, used_s)
-        self._change_outstanding(upstream, -1)
+        self._change_outstanding(upstream, -1, took_s or 0.0)
         self._dispatch()
 
     def count_outstanding(self) -> int:
@@ -245,22 +258,28 @@
         repeatable: bool,
     ) -> list[placement.Candidate]:
         now_s = trio.current_time()
+        serving = [
+            reg for reg in self._fleet.usable_registrations() if reg.upstream.service == service
+        ]
+        view = self._view.of_service(service, tuple(reg.upstream for reg in serving))
         registered = [
-            reg
-            for reg in self._fleet.usable_registrations()
-            if reg.upstream.service == service
-            and origin in (None, software_versions.origin_at(reg.upstream))
+            reg for reg in serving if origin in (None, software_versions.origin_at(reg.upstream))
         ]
         healthy = [reg for reg in registered if not self._reach.is_suspect(reg.upstream.name)]
         untried = [reg for reg in healthy if reg.upstream.name not in exclude]
         candidates = [
-            self._make_candidate(reg.upstream, bool(reg.suspect_until_s), now_s, repeatable)
+            self._make_candidate(reg.upstream, bool(reg.suspect_until_s), now_s, view, repeatable)
             for reg in untried or healthy or registered
         ]
         return placement.list_offered(candidates)
 
     def _make_candidate(
-        self, up: routes.Upstream, suspect: bool, now_s: float, repeatable: bool
+        self,
+        up: routes.Upstream,
+        suspect: bool,
+        now_s: float,
+        view: upstream_view.View,
+        repeatable: bool,
     ) -> placement.Candidate:
         report = self._reports.get(up.name)
         if report is not None and now_s - report.at_s > REPORT_TTL_S:
@@ -275,6 +294,9 @@
             suspect=suspect,
             has_allowance=self._limits.has_allowance(up),
             standing=self._outliers.standing(up, repeatable=repeatable),
+            report_age=view.report_age(now_s - report.at_s if report else None),
+            speed=view.speeds.relative[up.name],
+            preference=view.preferences[up.name],
         )
 
     def _occupancy(self, candidates: list[placement.Candidate]) -> float:
@@ -293,8 +315,10 @@
             if waiter.queue_entry.is_over_share:
                 # Places behind a running request are left to the other teams.
                 candidates = tuple(c for c in candidates if c.online < c.slots)
-            chosen = placement.choose_upstream(candidates, self._rng)
-            self._request_allowance(placement.list_limited(candidates, chosen), asked)
+            remote_cost = self._cfg.remote_cost_requests
+            chosen = placement.choose_upstream(candidates, self._rng, remote_cost)
+            limited = placement.list_limited(candidates, chosen, remote_cost)
+            self._request_allowance(limited, asked)
             if chosen is None:
                 self._refuse_if_limited(waiter, candidates)
                 continue
@@ -350,13 +374,16 @@
             now_s,
         )
 
-    def _change_outstanding(self, upstream: routes.Upstream, change: int) -> None:
+    def _change_outstanding(
+        self, upstream: routes.Upstream, change: int, took_s: float = 0.0
+    ) -> None:
         count = self._outstanding.get(upstream.name, 0) + change
         if count:
             self._outstanding[upstream.name] = count
         else:
             self._outstanding.pop(upstream.name, None)
-        message = messages.Uses((self._teams.make_use(upstream.name, count),))
+        took_ms = round(took_s * _MS_PER_S)
+        message = messages.Uses((self._teams.make_use(upstream.name, count, took_ms),))
         for owner in self._peers.batch_owners(upstream.name, upstream.failure_domain):
             self._peers.send(owner, message)
 
@@ -388,6 +415,8 @@
             self._teams.apply_report(message, self._find_service)
             for use in message.uses:
                 self._reports[use.upstream] = _Report(use.online, use.batch, now_s)
+                if use.took_ms:
+                    self._view.record_report(use.upstream, use.took_ms / _MS_PER_S)
             self._dispatch()
 
     def _find_service(self, upstream: str) -> str | None:
--- a/src/cornelgrade/services/edge/team_shares.py
+++ b/src/cornelgrade/services/edge/team_shares.py
@@ -94,15 +94,18 @@
             ),
         )
 
-    def make_use(self, upstream: str, online: int) -> messages.UpstreamUse:
-        """Return this gateway's requests at an upstream, with their teams."""
+    def make_use(self, upstream: str, online: int, took_ms: int = 0) -> messages.UpstreamUse:
+        """Return this gateway's requests at an upstream, with their teams.
+
+        :param took_ms: duration of the response that has just ended there, 0 for none.
+        """
         counts = self._at_upstreams.get(upstream, collections.Counter())
         teams = tuple(
             messages.TeamUse(team, count)
             for team, count in counts.most_common(MAX_TEAMS_PER_UPSTREAM)
             if team
         )
-        return messages.UpstreamUse(upstream, online, teams=teams)
+        return messages.UpstreamUse(upstream, online, teams=teams, took_ms=took_ms)
 
     def apply_report(
         self, message: messages.Uses, find_service: Callable[[str], str | None]
