--- a/tests/fleet/test_datagrams.py
+++ b/tests/fleet/test_datagrams.py
@@ -32,7 +32,7 @@
     ports.Quarantined("f", 2, 1.5, "ab12", 3, (ports.CrashSighting(2**64 - 1, 1.5, True, False),)),
     ports.UpstreamCrashed("ab12", "e1", 9, 1, "f" * 64),
     ports.Leaving("e1"),
-    messages.Uses((messages.UpstreamUse("e1", 3, 2, 900), messages.UpstreamUse("e2", 0))),
+    messages.Uses((messages.UpstreamUse("e1", 3, 2, took_ms=900), messages.UpstreamUse("e2", 0))),
     messages.ReachQuery(),
     messages.ReachReport(("llm", "embed"), 3),
     messages.UpstreamQuery("e1", 17),
