List the headers of jobs once and then read what changed

Cause: each submission to a route with a limit on waiting tokens listed all headers, a call for each page; jobs are kept for minutes.

Change: a gateway keeps what it listed and reads the changes since, in one call, as fresh as a list. After a reset it lists again.

--- a/src/cornelgrade/services/edge/job_repository.py
+++ b/src/cornelgrade/services/edge/job_repository.py
@@ -102,6 +102,8 @@
     def __init__(self, store: platform.Platform, value_bytes: int) -> None:
         self._store = store
         self._piece_bytes = int(value_bytes * PIECE_SIZE_RATIO)
+        self._headers: dict[str, platform.StoredObject] = {}
+        self._headers_revision = 0
 
     async def create_job(self, header: JobHeader, items: tuple[ports.Item, ...]) -> StoredHeader:
         """Store a job and return its header, or the existing one if it was stored before."""
@@ -149,9 +151,24 @@
         return None
 
     async def list_headers(self) -> tuple[StoredHeader, ...]:
-        """Return the headers of all jobs."""
-        changes = await self._store.watch(HEADER_KIND, after=0, wait_s=0.0)
-        return tuple(decode_header(stored) for stored in changes.items)
+        """Return the headers of all jobs.
+
+        Only the first call lists them, in several pages; the next ones read what changed since.
+        """
+        asked = self._headers_revision
+        changes = await self._store.watch(HEADER_KIND, after=asked, wait_s=0.0)
+        if asked and (changes.reset or not changes.version):
+            asked = 0
+            changes = await self._store.watch(HEADER_KIND, after=0, wait_s=0.0)
+        if not asked:
+            self._headers.clear()
+        # A later change may have been read meanwhile.
+        if not asked or changes.version > self._headers_revision:
+            self._headers.update((stored.name, stored) for stored in changes.items)
+            for name in changes.deleted:
+                self._headers.pop(name, None)
+            self._headers_revision = changes.version
+        return tuple(map(decode_header, self._headers.values()))
 
     async def accept_job(self, stored_header: StoredHeader) -> JobHeader:
         """Accept a reserved or declined job."""
