Read the results of a job from the worker that closes it

Change: gateways ask the worker that closes the job over a signed call; it follows the results with one watch, from the revision at which the job was created. It returns only what it read from the store, with the revision up to which it is complete, from which a gateway goes on in the store if the worker fails, is behind or is rejected by the store. A gateway that the store rejects serves results.

--- a/src/cornelgrade/edge_daemons.py
+++ b/src/cornelgrade/edge_daemons.py
@@ -28,6 +28,7 @@
     ports,
     quarantine_sync,
     result_reader,
+    result_sharing,
     runner,
     slot_permits,
     store_monitor,
@@ -77,7 +78,9 @@
     kern.add(peer_reach.PeerReach(kern, cfg))
     kern.add(stream_origins.StreamOrigins(kern, cfg.vm), _RESTART)
     repository = job_repository.JobRepository(dependencies.store, cfg.value_bytes)
-    results = result_reader.ResultReader(repository, availability)
+    results = result_reader.ResultReader(
+        repository, availability, client=result_sharing.ResultClient(kern)
+    )
     kern.add(results)
     handler = job_handler.JobHandler(
         repository, results, dependencies.calls, dependencies.job_calls
@@ -97,6 +100,12 @@
         kern, cfg, dependencies.store, availability, caller, dependencies.calls
     )
     kern.add(item_runner)
+    repository = job_repository.JobRepository(dependencies.store, cfg.value_bytes)
+    results = result_reader.ResultReader(
+        repository, availability, find_header=item_runner.find_header
+    )
+    kern.add(results)
+    result_sharing.ResultServer(kern, results)
     kern.add(
         vm_retirement.VmRetirement(
             kern, dependencies.store, availability, dependencies.retirements
--- a/src/cornelgrade/services/edge/job_sweeper.py
+++ b/src/cornelgrade/services/edge/job_sweeper.py
@@ -34,6 +34,10 @@
         """Track a job that has ended or is not open yet."""
         self._closed[stored_header.header.job] = stored_header
 
+    def find_header(self, job: str) -> job_repository.StoredHeader | None:
+        """Return the header of a job that is tracked."""
+        return self._closed.get(job)
+
     def untrack(self, job: str) -> None:
         """Stop tracking a job that is open now; open jobs are kept regardless of age."""
         self._closed.pop(job, None)
--- a/src/cornelgrade/services/edge/open_job.py
+++ b/src/cornelgrade/services/edge/open_job.py
@@ -44,9 +44,11 @@
     """An open job as known to this worker.
 
     :ivar version: version of its header in the store.
+    :ivar created: revision of the store at which its header was created, 0 if not known.
     :ivar fingerprints: by which the quarantine identifies the items.
     :ivar done: items whose results are stored, as a bit set.
-    :ivar storing: items whose results are being stored.
+    :ivar ended: results that wait for others, to be stored together.
+    :ivar storing: items whose results are being stored or wait for that.
     :ivar partial: events received in earlier runs, by item.
     :ivar failures: number of runs at any worker that an upstream reported as failed, by item.
     :ivar recording: items whose number of failed runs is being stored; they run again after that.
@@ -62,10 +64,12 @@
 
     header: job_repository.JobHeader
     version: int
+    created: int = 0
     items: tuple[ports.Item, ...] = ()
     fingerprints: tuple[str, ...] = ()
     done: int = 0
     runs: dict[int, ItemRun] = dataclasses.field(default_factory=dict)
+    ended: dict[int, ports.ItemResult] = dataclasses.field(default_factory=dict)
     storing: set[int] = dataclasses.field(default_factory=set)
     partial: dict[int, item_call.PartialResult] = dataclasses.field(default_factory=dict)
     failures: dict[int, int] = dataclasses.field(default_factory=dict)
--- a/src/cornelgrade/services/edge/peer_calls.py
+++ b/src/cornelgrade/services/edge/peer_calls.py
@@ -6,6 +6,7 @@
 """
 
 import time
+import urllib.parse
 from collections.abc import Awaitable, Callable
 
 import trio
@@ -19,6 +20,7 @@
 # Calls have no body.
 LIMITS = http1_server.Limits(header_bytes=8192, body_bytes=1)
 _METHOD = "GET"
+_NOTHING_STATUS = errors.STATUS[errors.Code.NOT_FOUND]
 _AUTH = peer_auth.AUTH_HEADER.encode()
 _TAG = peer_auth.TAG_HEADER.encode()
 _log = logs.Logger("peer_calls")
@@ -56,8 +58,8 @@
         """Pass calls of a path to a handler."""
         self._handlers[path] = handler
 
-    async def call(self, vm: str, target: str, timeout_s: float, limit_bytes: int) -> bytes:
-        """Call a peer and return the body of its response.
+    async def call(self, vm: str, target: str, timeout_s: float, limit_bytes: int) -> bytes | None:
+        """Call a peer; return the body of its response, ``None`` if it has none to give.
 
         :param target: a path and, after a question mark, a query.
         :param timeout_s: for the complete response.
@@ -83,6 +85,8 @@
                     body = await channel.read_body(limit_bytes)
         except (engine.CallError, trio.TooSlowError) as exc:
             raise errors.NotReachableError(repr(exc), step=target, peer=vm) from exc
+        if head.status == _NOTHING_STATUS:
+            return None
         if head.status != 200:
             raise errors.NotReachableError(f"status {head.status}", step=target, peer=vm)
         tag = (head.get(_TAG) or b"").decode("latin-1")
@@ -114,7 +118,7 @@
         handler = self._handlers.get(exchange.path)
         body = await handler(exchange.query) if handler else None
         if body is None:
-            await exchange.respond(errors.STATUS[errors.Code.NOT_FOUND], b"", ())
+            await exchange.respond(_NOTHING_STATUS, b"", ())
             return True
         tag = peer_auth.make_response_tag(key, nonce, body)
         await exchange.respond(200, body, ((peer_auth.TAG_HEADER, tag),))
@@ -122,7 +126,12 @@
 
     async def _handle_at_worker(self, exchange: http1_server.Exchange) -> None:
         if not await self.handle(exchange):
-            await exchange.respond(errors.STATUS[errors.Code.NOT_FOUND], b"", ())
+            await exchange.respond(_NOTHING_STATUS, b"", ())
+
+
+def encode_query(**values: object) -> str:
+    """Encode the query of a call's target."""
+    return urllib.parse.urlencode(values)
 
 
 def _signed_text(target: str) -> str:
--- a/src/cornelgrade/services/edge/plan_exchange.py
+++ b/src/cornelgrade/services/edge/plan_exchange.py
@@ -114,7 +114,7 @@
         offered = self._offers.pop(vm)
         try:
             body = await self._calls.call(vm, PATH, FETCH_TIMEOUT_S, MAX_PLAN_BYTES)
-            accepted = self._fleet.accept_plan(decode(body), source=vm)
+            accepted = body is not None and self._fleet.accept_plan(decode(body), source=vm)
         except (errors.CornelgradeError, ValueError) as exc:
             _log.warning("plan_not_fetched", peer=vm, version=offered, error=repr(exc))
             self._fetch_counter.inc({"outcome": "failed"})
--- a/src/cornelgrade/services/edge/result_reader.py
+++ b/src/cornelgrade/services/edge/result_reader.py
@@ -1,18 +1,25 @@
-"""The service ``results``: reads the results of jobs for a gateway's callers, from a cache.
+"""The service ``results``: reads the results of jobs, from a cache.
 
-A job whose callers wait for results is followed by one watch, which all of them share, until it is
-complete or nobody has asked for some seconds.
+A job whose readers wait for results is followed until it is complete or nobody has asked for some
+seconds. A worker follows it by one watch of the store, which all gateways share. A gateway asks
+that worker, and reads the store only if the worker fails or is behind.
 """
 
 import collections
 import dataclasses
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import trio
 
 from cornelgrade import errors, logs
 from cornelgrade.adapters import platform
-from cornelgrade.services.edge import _notifier, _store_availability, job_repository, ports
+from cornelgrade.services.edge import (
+    _notifier,
+    _store_availability,
+    job_repository,
+    ports,
+    result_sharing,
+)
 
 # Jobs whose results are cached; the least recently read job is evicted first.
 MAX_CACHED_JOBS = 64
@@ -24,6 +31,8 @@
 RESPONSE_TIMEOUT_S = 0.5
 # Pause after a change, so that one response covers results close together.
 SETTLE_S = 0.25
+# The worker has paused already.
+SETTLE_AFTER_WORKER_S = 0.02
 _log = logs.Logger("results")
 
 
@@ -31,15 +40,19 @@
 class _CachedJob:
     """The results of a job that this gateway has read so far.
 
+    :ivar indexes: the items with results; of several results of an item only the first counts.
     :ivar revision: store revision to continue reading from, 0 to read everything.
+    :ivar from_worker: whether a worker responded to the last read.
     :ivar following: while a watch is open for it, the scope that ends it.
     :ivar failure: why the last watch failed.
     :ivar lock: held while a caller that does not wait reads on.
     """
 
     header: job_repository.JobHeader
-    results: list[ports.ItemResult] = dataclasses.field(default_factory=list)
+    results: list[job_repository.StoredResult] = dataclasses.field(default_factory=list)
+    indexes: set[int] = dataclasses.field(default_factory=set)
     revision: int = 0
+    from_worker: bool = False
     following: trio.CancelScope | None = None
     failure: platform.UnavailableError | None = None
     lock: trio.Lock = dataclasses.field(default_factory=trio.Lock)
@@ -54,9 +67,29 @@
         """Whether there is something to tell a caller that has read up to ``after``."""
         return len(self.results) > after or self.complete
 
+    def add(self, entries: Iterable[job_repository.StoredResult]) -> None:
+        """Add the results that follow, in the store's order."""
+        for entry in entries:
+            if entry.index not in self.indexes:
+                self.indexes.add(entry.index)
+                self.results.append(entry)
+
+    def clear(self) -> None:
+        """Forget all results, before all are read again."""
+        self.results.clear()
+        self.indexes.clear()
+
+
+# Returns the header of a job without a call to the store, ``None`` if it is not known.
+HeaderLookup = Callable[[str], job_repository.StoredHeader | None]
+
 
 class ResultReader:
-    """Reads results from the store; holds only a cache."""
+    """Reads results; holds only a cache.
+
+    :param find_header: of accepted jobs, at a worker.
+    :param client: asks workers, at a gateway; a worker itself reads the store.
+    """
 
     name = "results"
 
@@ -64,7 +97,12 @@
         self,
         repository: job_repository.JobRepository,
         availability: _store_availability.StoreAvailability,
+        *,
+        find_header: HeaderLookup = lambda job: None,
+        client: result_sharing.ResultClient | None = None,
     ) -> None:
+        self._find_header = find_header
+        self._client = client
         self._repository = repository
         self._availability = availability
         self._cache: collections.OrderedDict[str, _CachedJob] = collections.OrderedDict()
@@ -90,22 +128,34 @@
         if not cached.header.is_visible_to(team):
             raise errors.Refusal(errors.Code.NOT_FOUND, f"no job {job}", step="read")
         if not cached.has_news(after) and not (cached.revision and wait_s):
-            asked = cached.revision
-            async with cached.lock:
-                if cached.revision == asked:
-                    await self._refresh(cached, 0.0)
+            await self._refresh_once(cached)
         if not cached.has_news(after) and wait_s:
             await self._wait_for_news(cached, after, wait_s)
-        return cached.header.total, tuple(cached.results[after:])
+        return cached.header.total, tuple(entry.result for entry in cached.results[after:])
+
+    async def read_page(self, job: str, after: int, wait_s: float) -> result_sharing.Page:
+        """Implements :class:`result_sharing.PageSource`, at a worker."""
+        cached = await self._load(job)
+        if not cached.has_news(after) and not wait_s and cached.following is None:
+            await self._refresh_once(cached)
+        if not cached.has_news(after) and wait_s:
+            await self._wait_for_news(cached, after, wait_s)
+        known = len(cached.results)
+        new = tuple(cached.results[after:])
+        return result_sharing.Page(cached.header, after, new, cached.revision, known)
+
+    async def _refresh_once(self, cached: _CachedJob) -> None:
+        """Read on without waiting; callers at the same time share the read."""
+        asked = cached.revision
+        async with cached.lock:
+            if cached.revision == asked:
+                await self._refresh(cached, 0.0)
 
     async def _load(self, job: str) -> _CachedJob:
-        """Return what is cached of a job; the first call reads its header from the store."""
+        """Return what is cached of a job; the first call reads its header."""
         cached = self._cache.get(job)
         if cached is None:
-            header = await self._repository.find_accepted(job)
-            if header is None:
-                raise errors.Refusal(errors.Code.NOT_FOUND, f"no job {job}", step="read")
-            cached = self._cache.setdefault(job, _CachedJob(header))
+            cached = self._cache.setdefault(job, await self._read_job(job))
         self._cache.move_to_end(job)
         while len(self._cache) > MAX_CACHED_JOBS:
             _, evicted = self._cache.popitem(last=False)
@@ -113,6 +163,22 @@
                 evicted.following.cancel()
         return cached
 
+    async def _read_job(self, job: str) -> _CachedJob:
+        """Return a job as the worker that follows it knows it, or its header from the store."""
+        known = self._find_header(job)
+        if known is not None:
+            # No result is older than its job, so a list of them isn't needed.
+            return _CachedJob(known.header, revision=known.created)
+        page = await self._client.fetch(job, 0, 0.0) if self._client else None
+        if page is not None:
+            cached = _CachedJob(page.header)
+            self._apply_page(cached, page)
+            return cached
+        header = await self._repository.find_accepted(job)
+        if header is None:
+            raise errors.Refusal(errors.Code.NOT_FOUND, f"no job {job}", step="read")
+        return _CachedJob(header)
+
     async def _wait_for_news(self, cached: _CachedJob, after: int, wait_s: float) -> None:
         assert self._nursery is not None
         deadline_s = trio.current_time() + wait_s + FOLLOW_AFTER_READ_S
@@ -128,7 +194,7 @@
             return
         if cached.failure is not None:
             raise cached.failure
-        if self._availability.unavailable:
+        if self._availability.unavailable and not cached.from_worker:
             raise platform.UnavailableError("the store does not respond", step="read")
 
     async def _follow(self, cached: _CachedJob, scope: trio.CancelScope) -> None:
@@ -141,7 +207,7 @@
                         trio.move_on_after(WATCH_TIMEOUT_S + RESPONSE_TIMEOUT_S),
                     ):
                         await self._refresh(cached, WATCH_TIMEOUT_S)
-                    await trio.sleep(SETTLE_S)
+                    await trio.sleep(SETTLE_AFTER_WORKER_S if cached.from_worker else SETTLE_S)
         except platform.UnavailableError as exc:
             cached.failure = exc
             if self._availability.record_failure():
@@ -153,8 +219,13 @@
 
     async def _refresh(self, cached: _CachedJob, wait_s: float) -> None:
         """Read the results after those cached, waiting for one up to ``wait_s``."""
-        asked = cached.revision
         job = cached.header.job
+        if self._client is not None:
+            page = await self._client.fetch(job, len(cached.results), wait_s)
+            cached.from_worker = page is not None and self._apply_page(cached, page)
+            if cached.from_worker:
+                return
+        asked = cached.revision
         listed, revision, reset = await self._repository.list_results(job, asked, wait_s)
         if reset:
             asked = cached.revision
@@ -163,7 +234,19 @@
             # Another call has read on meanwhile.
             return
         if reset:
-            cached.results.clear()
-        cached.results += [entry.result for entry in listed]
+            cached.clear()
+        cached.add(listed)
         cached.revision = revision
         cached.changed.notify_all()
+
+    @staticmethod
+    def _apply_page(cached: _CachedJob, page: result_sharing.Page) -> bool:
+        """Add the results of a page; return ``False`` if they don't follow those cached."""
+        new = tuple(entry for entry in page.results if entry.index not in cached.indexes)
+        if page.after > len(cached.results) or (new and page.revision < cached.revision):
+            _log.warning("page_rejected", job=cached.header.job, revision=page.revision)
+            return False
+        cached.add(new)
+        cached.revision = max(cached.revision, page.revision)
+        cached.changed.notify_all()
+        return True
--- a/src/cornelgrade/services/edge/runner.py
+++ b/src/cornelgrade/services/edge/runner.py
@@ -156,6 +156,14 @@
 
     # Jobs
 
+    def find_header(self, job: str) -> job_repository.StoredHeader | None:
+        """Return the header of an accepted job, perhaps in an earlier state."""
+        tracked = self._jobs.get(job)
+        if tracked is not None:
+            return job_repository.StoredHeader(tracked.header, tracked.version, tracked.created)
+        closed = self._sweeper.find_header(job)
+        return closed if closed is not None and closed.header.accepted else None
+
     async def _watch_headers(self) -> None:
         await _object_watch.watch_objects(
             self._store,
@@ -187,7 +195,13 @@
             tracked.version = stored_header.version
             return
         now_s = trio.current_time()
-        job = open_job.OpenJob(header, stored_header.version, known_s=now_s, route_seen_s=now_s)
+        job = open_job.OpenJob(
+            header,
+            stored_header.version,
+            created=stored_header.created,
+            known_s=now_s,
+            route_seen_s=now_s,
+        )
         self._jobs[header.job] = job
         if self._loads_at_once(job):
             self._start_loading(job, is_new=is_new)
