Store results that end together in one object

Change: results of a job that end at a worker within 0.2 s are written in one object, while other items of the job run there. The first result of an item in the store's order counts, at all readers. Objects of one result are written and read as before. As older builds can't read the new objects, they are written only while all registered processes say that they can.

Run: tests/edge/test_result_sharing.py, test_result_reader.py, test_jobs.py, test_failing_items.py, test_owed_items.py, test_plan_exchange.py, test_surroundings.py and tests/platform pass.

--- a/src/cornelgrade/services/edge/job_repository.py
+++ b/src/cornelgrade/services/edge/job_repository.py
@@ -1,13 +1,15 @@
 """Stores jobs in the platform's store, the only durable copy of them.
 
-A job is accepted by creating its header after its input. Each result is an object named by the
-index of its item and created once, so the first writer wins. The order in which results are
-created determines their positions. The number of failed runs of an item is an object too, so that
-workers that all restart go on counting.
+A job is accepted by creating its header after its input. A result is an object named by the index
+of its item, or one of several in an object. The order in which the objects are created, and that
+within an object, determine the positions of results; of several results of an item only the first
+counts. Neither positions nor contents ever change. The number of failed runs of an item is an
+object too, so that workers that all restart go on counting.
 """
 
 import base64
 import dataclasses
+import secrets
 from typing import Literal
 
 import msgspec
@@ -21,6 +23,8 @@
 FAILURE_KIND = "cornelgrade-failures"
 # Base64 grows data by a third; the remainder is for the object's envelope.
 PIECE_SIZE_RATIO = 0.7
+GROUP_MARK = "."
+GROUP_NAME_BYTES = 4
 
 
 class JobHeader(msgspec.Struct, frozen=True):
@@ -65,6 +69,14 @@
     text: str
 
 
+class _GroupedResult(_Result, frozen=True):
+    index: int
+
+
+# Results that one worker stores together, in an object whose name contains GROUP_MARK.
+_Group = tuple[_GroupedResult, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoredHeader:
     """A job header with its position and version in the store.
@@ -83,7 +95,7 @@
 class StoredResult:
     """A result in the store.
 
-    :param created: orders the results of a job.
+    :param created: orders the results of a job; those of one object share it.
     """
 
     index: int
@@ -248,6 +260,34 @@
         except platform.ConflictError:
             return
 
+    def group_results(
+        self, results: dict[int, ports.ItemResult]
+    ) -> tuple[dict[int, ports.ItemResult], ...]:
+        """Split results into groups that fit into one object each."""
+        groups: list[dict[int, ports.ItemResult]] = []
+        size = 0
+        for index, result in results.items():
+            size += len(msgspec.json.encode(result))
+            if not groups or size > self._piece_bytes:
+                groups.append({})
+                size = len(msgspec.json.encode(result))
+            groups[-1][index] = result
+        return tuple(groups)
+
+    async def add_group(self, job: str, name: str, results: dict[int, ports.ItemResult]) -> None:
+        """Store several results in one object.
+
+        Another VM may have stored results of these items; the first one of an item counts.
+
+        :param name: made by :func:`make_group_name`, the same when the call is repeated.
+        """
+        group = tuple(_GroupedResult(r.item, r.end, r.text, i) for i, r in results.items())
+        try:
+            await self._store.create(_result_kind(job), name, msgspec.json.encode(group))
+        except platform.ConflictError:
+            # An earlier attempt has stored it, though its response was lost.
+            return
+
     async def record_failures(self, job: str, index: int, failures: int) -> None:
         """Store the number of failed runs of an item, unless a higher one is stored."""
         kind, name, value = _failure_kind(job), _item_name(index), msgspec.json.encode(failures)
@@ -273,17 +313,17 @@
         """Return results newer than a revision, in order, and the revision to continue from.
 
         A list that spans several pages may include results created after the revision of its first
-        page, but not necessarily all of them. Those are left to the next call, so that each result
-        is returned exactly once.
+        page, but not necessarily all of them. Those are left to the next call, so that each object
+        is returned exactly once. An item may have several results; the first one counts.
 
         :param after: 0 for all results.
         :returns: results, revision, and whether the store has lost the history since ``after``.
         """
         changes = await self._store.watch(_result_kind(job), after=after, wait_s=wait_s)
         new = (s for s in changes.items if after < s.created <= changes.version)
-        results = [_decode_result(stored) for stored in new]
-        ordered = tuple(sorted(results, key=lambda entry: entry.created))
-        return ordered, changes.version, changes.reset
+        ordered = sorted(new, key=lambda stored: stored.created)
+        results = tuple(entry for stored in ordered for entry in _decode_results(stored))
+        return results, changes.version, changes.reset
 
 
 def decode_header(stored: platform.StoredObject) -> StoredHeader:
@@ -292,11 +332,21 @@
     return StoredHeader(header, stored.version, stored.created)
 
 
-def _decode_result(stored: platform.StoredObject) -> StoredResult:
-    decoded = msgspec.json.decode(stored.value, type=_Result)
-    return StoredResult(
-        int(stored.name), ports.ItemResult(decoded.item, decoded.end, decoded.text), stored.created
-    )
+def make_group_name(results: dict[int, ports.ItemResult]) -> str:
+    """Return a new name for an object with these results."""
+    return f"{_item_name(min(results))}{GROUP_MARK}{secrets.token_hex(GROUP_NAME_BYTES)}"
+
+
+def _decode_results(stored: platform.StoredObject) -> tuple[StoredResult, ...]:
+    if GROUP_MARK in stored.name:
+        group = msgspec.json.decode(stored.value, type=_Group)
+        return tuple(StoredResult(r.index, _make_result(r), stored.created) for r in group)
+    single = msgspec.json.decode(stored.value, type=_Result)
+    return (StoredResult(int(stored.name), _make_result(single), stored.created),)
+
+
+def _make_result(decoded: _Result) -> ports.ItemResult:
+    return ports.ItemResult(decoded.item, decoded.end, decoded.text)
 
 
 def _decode_failures(stored: platform.StoredObject) -> int:
--- a/src/cornelgrade/services/edge/outcome_writer.py
+++ b/src/cornelgrade/services/edge/outcome_writer.py
@@ -11,6 +11,9 @@
 # Pauses between attempts; each is twice the one before.
 MIN_RETRY_PAUSE_S = 0.2
 MAX_RETRY_PAUSE_S = 1.0
+# How long a result waits for others of its job, which is short beside the pauses of readers.
+GATHER_S = 0.2
+GATHER_CHECK_S = 0.02
 _log = logs.Logger("outcome_writer")
 
 
@@ -20,6 +23,7 @@
     :param jobs: the open jobs of this worker, owned by the caller; a job that is dropped needs no
         more writes.
     :param on_written: called after each write.
+    :param may_group: whether all processes can read several results in one object.
     """
 
     def __init__(
@@ -27,7 +31,9 @@
         repository: job_repository.JobRepository,
         jobs: dict[str, open_job.OpenJob],
         on_written: Callable[[], None],
+        may_group: Callable[[], bool],
     ) -> None:
+        self._may_group = may_group
         self._repository = repository
         self._jobs = jobs
         self._on_written = on_written
@@ -35,25 +41,49 @@
     def start_result(
         self, nursery: trio.Nursery, job: open_job.OpenJob, index: int, result: ports.ItemResult
     ) -> None:
-        """Write an item's result in the background."""
+        """Write an item's result in the background, with others of its job that end shortly after.
+
+        There is no delay if no other item of the job runs here.
+        """
         job.storing.add(index)
-        nursery.start_soon(self._write_result, job, index, result)
+        if not job.ended:
+            nursery.start_soon(self._write_results, job)
+        job.ended[index] = result
 
     def start_failures(self, nursery: trio.Nursery, job: open_job.OpenJob, index: int) -> None:
         """Write the number of an item's failed runs in the background; it runs again after that."""
         job.recording.add(index)
         nursery.start_soon(self._write_failures, job, index)
 
-    async def _write_result(
-        self, job: open_job.OpenJob, index: int, result: ports.ItemResult
-    ) -> None:
-        await self._retry(
-            job, index, lambda: self._repository.add_result(job.header.job, index, result)
-        )
-        job.done |= 1 << index
-        job.storing.discard(index)
-        job.partial.pop(index, None)
-        self._on_written()
+    async def _write_results(self, job: open_job.OpenJob) -> None:
+        with trio.move_on_after(GATHER_S):
+            while job.runs.keys() - job.ended.keys():
+                await trio.sleep(GATHER_CHECK_S)
+        results, job.ended = job.ended, {}
+        for group in self._group(results):
+            await self._retry(job, min(group), self._make_write(job.header.job, group))
+            for index in group:
+                job.done |= 1 << index
+                job.storing.discard(index)
+                job.partial.pop(index, None)
+            self._on_written()
+
+    def _group(
+        self, results: dict[int, ports.ItemResult]
+    ) -> tuple[dict[int, ports.ItemResult], ...]:
+        if self._may_group():
+            return self._repository.group_results(results)
+        return tuple({index: result} for index, result in results.items())
+
+    def _make_write(
+        self, job: str, group: dict[int, ports.ItemResult]
+    ) -> Callable[[], Awaitable[None]]:
+        """Return the write of one object, which may be repeated."""
+        if len(group) == 1:
+            ((index, result),) = group.items()
+            return lambda: self._repository.add_result(job, index, result)
+        name = job_repository.make_group_name(group)
+        return lambda: self._repository.add_group(job, name, group)
 
     async def _write_failures(self, job: open_job.OpenJob, index: int) -> None:
         failures = job.failures[index]
--- a/src/cornelgrade/services/edge/peers.py
+++ b/src/cornelgrade/services/edge/peers.py
@@ -63,11 +63,15 @@
 
 
 class PeerEntry(msgspec.Struct, frozen=True):
-    """Registration of a process in the store."""
+    """Registration of a process in the store.
+
+    :param reads_groups: whether it can read objects with several results; older builds can't.
+    """
 
     address: str
     role: Role
     failure_domain: str
+    reads_groups: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -96,7 +100,7 @@
     ) -> None:
         self.vm = cfg.vm
         self.is_worker = role is Role.WORKER
-        self._own_entry = PeerEntry(cfg.peer_address, role, cfg.failure_domain)
+        self._own_entry = PeerEntry(cfg.peer_address, role, cfg.failure_domain, reads_groups=True)
         self._store = store
         self._availability = availability
         self._peers: dict[str, _Peer] = {}
@@ -182,6 +186,10 @@
             vm for vm, peer in self._peers.items() if peer.entry.failure_domain == failure_domain
         )
 
+    def all_read_groups(self) -> bool:
+        """Return whether all registered processes can read objects with several results."""
+        return self.knows_others and all(p.entry.reads_groups for p in self._peers.values())
+
     def count_senders(self) -> shared_allowance.Senders:
         """Count the processes that may send to upstreams, which are all but those that are gone."""
         return self._get_cached(("senders",), self._count_senders)
--- a/src/cornelgrade/services/edge/runner.py
+++ b/src/cornelgrade/services/edge/runner.py
@@ -100,7 +100,7 @@
         )
         self._wake = _notifier.Notifier()
         self._outcomes = outcome_writer.OutcomeWriter(
-            self._repository, self._jobs, self._wake.notify_all
+            self._repository, self._jobs, self._wake.notify_all, self._peers.all_read_groups
         )
         self._uses = upstream_uses.UpstreamUses(
             self._peers,
