Name the counts of teams' requests apart from the owners' view of teams

services/edge/team_usage.py is what batch owners know of teams' slots.

Result: tests/services/test_team_counts.py, tests/edge/test_team_limits.py, tests/docs and tests/cli pass.

--- a/src/cornelgrade/services/edge/team_limits.py
+++ b/src/cornelgrade/services/edge/team_limits.py
@@ -8,7 +8,7 @@
 
 from cornelgrade import errors, kernel, logs, metrics, routes
 from cornelgrade.policy import shared_allowance
-from cornelgrade.services import team_usage
+from cornelgrade.services import team_counts
 from cornelgrade.services.edge import allowances, fleet, peers
 
 # How long a request may wait until its team has a token again. A longer wait would make it late,
@@ -37,7 +37,7 @@
         self._allowances = kern.find("allowances", allowances.Allowances)
         self._allowances.set_source(self._find_terms)
         self._waiting: collections.Counter[str] = collections.Counter()
-        self.usage = team_usage.TeamUsage(
+        self.usage = team_counts.TeamCounts(
             metrics.counter(
                 "cornelgrade_edge_team_requests_total", "Requests of teams by team and outcome."
             )
--- a/src/cornelgrade/services/online.py
+++ b/src/cornelgrade/services/online.py
@@ -23,7 +23,7 @@
     request_history,
     router,
     router_messages,
-    team_usage,
+    team_counts,
     upstreams,
 )
 
@@ -78,7 +78,7 @@
         self._kern = kern
         self._log = logs.Logger("online")
         self._buckets: dict[str, token_bucket.Bucket] = {}
-        self._usage = team_usage.TeamUsage(
+        self._usage = team_counts.TeamCounts(
             metrics.counter(
                 "cornelgrade_team_requests_total", "Requests of teams by team and outcome."
             )
--- a/src/cornelgrade/services/team_usage.py
+++ b/src/cornelgrade/services/team_counts.py
@@ -7,7 +7,7 @@
 from cornelgrade import reports
 
 
-class TeamUsage:
+class TeamCounts:
     """Counts requests of teams by outcome, in a metric and for the status report.
 
     :param counter: has the labels ``team`` and ``outcome``.
