Close a connection that was ended for its buffers

Cause: the protocol state counts a response as sent once it is passed to the socket, so that the connection of an ended request was kept, with a response cut short.

Change: an aborted connection takes no further request.

--- a/src/cornelgrade/adapters/http1_connection.py
+++ b/src/cornelgrade/adapters/http1_connection.py
@@ -87,6 +87,7 @@
         self._buffers = buffers
         self._held_bytes = 0
         self._blocked_since_s: float | None = None
+        self._aborted = False
         with contextlib.suppress(OSError):
             stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             stream.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
@@ -126,6 +127,7 @@
 
     def abort(self) -> None:
         """Reset the connection and cancel the handler of its request."""
+        self._aborted = True
         self.reset_on_close()
         self._release(self._held_bytes)
         self._handler_scope.cancel()
@@ -154,7 +156,8 @@
 
     def start_next_cycle(self) -> bool:
         """Prepare for the next request; return ``False`` if the connection must close."""
-        if self._h11.our_state is not h11.DONE or self._h11.their_state is not h11.DONE:
+        states = (self._h11.our_state, self._h11.their_state)
+        if self._aborted or states != (h11.DONE, h11.DONE):
             return False
         self._h11.start_next_cycle()
         self._release(self._held_bytes)
