Use each connection to an upstream for one call on the product's own interface

Cause: a late second copy of a response on a connection that was used again was read as the response to the next call, also one that arrived with the first copy.

Change: connections are closed after their call, as on the platform's interface.

Result: the new case of tests/adapters/test_upstream_http.py fails before for both times of arrival (2 of 2) and passes now.

--- a/src/cornelgrade/adapters/upstream_http.py
+++ b/src/cornelgrade/adapters/upstream_http.py
@@ -18,7 +18,6 @@
 CONTROL_TIMEOUT_S = 2.0
 # Reports and cache events are far shorter; a longer response may never end.
 MAX_CONTROL_BYTES = 4 * 1024 * 1024
-KEEPALIVE_EXPIRY_S = 15.0
 _NO_TIMEOUT = httpx.Timeout(None, connect=CONNECT_TIMEOUT_S)
 _HOP_BY_HOP = frozenset(
     (
@@ -55,9 +54,9 @@
     """A connection pool that can be closed once its last call has ended."""
 
     def __init__(self, base_url: str) -> None:
-        limits = httpx.Limits(
-            max_connections=None, max_keepalive_connections=64, keepalive_expiry=KEEPALIVE_EXPIRY_S
-        )
+        # Each connection carries one call: on one that is used again, a late second copy of a
+        # response would be taken for the response to the next call.
+        limits = httpx.Limits(max_connections=None, max_keepalive_connections=0)
         self.client = httpx.AsyncClient(
             base_url=base_url, timeout=_NO_TIMEOUT, limits=limits, trust_env=False
         )
