Count only complete events with data as progress on the product's own interface

Cause: any byte restarted the time until the next event, so that a stalled upstream that sent a comment or a part of an event now and then held its stream for ever. A comment counted as a token, so that a stream that went on elsewhere skipped one.

Change: the relay has a deadline for the next complete event with data, and counts only these.

--- a/src/cornelgrade/services/_relay.py
+++ b/src/cornelgrade/services/_relay.py
@@ -1,24 +1,48 @@
 """Relays responses and checks that they are complete."""
 
-from collections.abc import Callable
+import dataclasses
+import math
+from collections.abc import AsyncIterator, Callable
+
+import trio
 
 from cornelgrade.adapters import engine
 from cornelgrade.services import exchange
 
 MIN_SERVER_ERROR_STATUS = 500
+_DATA = b"data:"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EventTimeouts:
+    """Longest waits for a complete event with data: for the first one, and between two."""
+
+    first_s: float
+    gap_s: float
+
+
+NO_TIMEOUTS = EventTimeouts(math.inf, math.inf)
 
 
 async def relay_stream(
-    response: engine.Response, peer: str, on_events: Callable[[int], None]
+    response: engine.Response,
+    peer: str,
+    on_events: Callable[[int], None],
+    timeouts: EventTimeouts = NO_TIMEOUTS,
 ) -> exchange.ResponseParts:
     """Relay complete events only, and count them, so that a stream can be resumed after any event.
 
+    Comments are passed on, but neither counted nor taken for progress.
+
     :param on_events: called with the number of events relayed, excluding the end marker.
-    :raises CallError: ``PART_ANSWERED`` if the stream ends without the end marker.
+    :raises CallError: ``PART_ANSWERED`` if the stream ends without the end marker, or has no
+        complete event in time.
     """
     yield exchange.ResponseHead(response.status, response.headers)
     partial = b""
-    async for chunk in response.chunks():
+    chunks = response.chunks()
+    event_deadline_s = trio.current_time() + timeouts.first_s
+    while (chunk := await _read_chunk(chunks, event_deadline_s, peer)) is not None:
         data = partial + chunk if partial else chunk
         end = data.rfind(engine.EVENT_END) + len(engine.EVENT_END)
         if end < len(engine.EVENT_END):
@@ -27,13 +51,40 @@
         partial = data[end:]
         events = data[:end]
         ended = events.endswith(engine.END_MARKER)
-        on_events(events.count(engine.EVENT_END) - ended)
+        count = _count_events(events)
+        if count:
+            event_deadline_s = trio.current_time() + timeouts.gap_s
+        on_events(count - ended)
         yield events
         if ended:
             return
     raise _truncated_error(peer)
 
 
+def _count_events(events: bytes) -> int:
+    """Count the events with data in complete blocks."""
+    return sum(
+        any(line.startswith(_DATA) for line in block.split(b"\n"))
+        for block in events.split(engine.EVENT_END)
+    )
+
+
+async def _read_chunk(chunks: AsyncIterator[bytes], deadline_s: float, peer: str) -> bytes | None:
+    """Return the next chunk, ``None`` at the end.
+
+    :raises CallError: at the deadline, whatever bytes arrived before it.
+    """
+    with trio.move_on_at(deadline_s):
+        return await anext(chunks, None)
+    raise engine.CallError(
+        "no complete event in time",
+        step="relay",
+        peer=peer,
+        progress=engine.Progress.PART_ANSWERED,
+        timed_out=True,
+    )
+
+
 async def relay_whole(response: engine.Response) -> exchange.ResponseParts:
     """Yield a response after all of it has arrived."""
     body = b"".join([chunk async for chunk in response.chunks()])
--- a/src/cornelgrade/services/online.py
+++ b/src/cornelgrade/services/online.py
@@ -149,7 +149,9 @@
                     with tracing.start_span(tracing.Hop.CONNECT, req.span, peer=upstream.name):
                         response = await stack.enter_async_context(upstream.call(call))
                     self._announce_leaving(upstream.name, response)
-                    checked_parts = self._check_response(req, progress, upstream.name, response)
+                    checked_parts = self._check_response(
+                        req, progress, call, upstream.name, response
+                    )
                     parts = await stack.enter_async_context(contextlib.aclosing(checked_parts))
                     with tracing.start_span(tracing.Hop.FIRST_TOKEN, req.span, peer=upstream.name):
                         head = await anext(parts)
@@ -195,12 +197,18 @@
             self._kern.find("membership", ports.Membership).broadcast(leaving)
 
     def _check_response(
-        self, req: exchange.Request, progress: _Progress, peer: str, response: engine.Response
+        self,
+        req: exchange.Request,
+        progress: _Progress,
+        call: engine.Call,
+        peer: str,
+        response: engine.Response,
     ) -> exchange.ResponseParts:
         if response.status >= _relay.MIN_SERVER_ERROR_STATUS and req.idempotent:
             raise _relay.server_error(response, peer)
         if req.stream and response.status < 400:
-            return _relay.relay_stream(response, peer, progress.add_tokens)
+            timeouts = _relay.EventTimeouts(call.first_byte_timeout_s, call.gap_timeout_s)
+            return _relay.relay_stream(response, peer, progress.add_tokens, timeouts)
         return _relay.relay_whole(response)
 
     @contextlib.asynccontextmanager
@@ -385,8 +393,3 @@
         retry_after_s=refusal.retry_after_s,
         peer=refusal.peer,
     )
-
-
-async def _cancel_stream(upstream: engine.Upstream, stream_id: str) -> None:
-    with trio.CancelScope(shield=True), trio.move_on_after(1.0):
-        await upstream.cancel(stream_id)
