Leave a silent worker its batch items while there is time, and read on after a pause

Cause: a worker that was frozen for 2 to 5 s lost its items to others after 1.5 s although their upstream went on with them, and when it went on it abandoned them too: the time for the next event had passed before it read the events that had arrived. In its first pass it also took all claims of others for expired.

Change: the claims of a worker of which nothing is heard hold for 5.5 s if the item can still run from its beginning in time (policy/item_claims.py). A claim that a live worker no longer reports expires after 1.5 s as before, also that of a process that has been started again. A deadline that is noticed late shows a pause of the process, which then reads what arrived. After a pause of a second a worker waits for the broadcasts of the others.

--- a/src/cornelgrade/adapters/http1.py
+++ b/src/cornelgrade/adapters/http1.py
@@ -34,6 +34,8 @@
 # The kernel doubles it. Without a limit, it buffers up to 6 MB of each response that is read slowly
 # because its recipient reads slowly.
 RECEIVE_BUFFER_BYTES = 65_536
+# A deadline that is noticed this late shows that the process was paused.
+PAUSED_S = 0.25
 Headers = tuple[tuple[bytes, bytes], ...]
 _MIN_NOT_SUCCESS_STATUS = 300
 _NO_BODY_STATUSES = frozenset((204, 304))
@@ -189,6 +191,22 @@
             if isinstance(event, h11.ConnectionClosed):
                 raise self.call_error("connection closed within the response", "body")
 
+    async def read_chunk_by(self, deadline_s: float, step: str) -> bytes:
+        """Return the next chunk of the body as :meth:`read_chunk`, at a deadline at the latest.
+
+        A process that was paused beyond the deadline first reads what arrived meanwhile.
+
+        :param deadline_s: until when the next event has to be complete, on trio's clock.
+        :raises CallError: ``timed_out``.
+        """
+        while True:
+            with trio.move_on_at(deadline_s):
+                return await self.read_chunk()
+            now_s = trio.current_time()
+            if now_s - deadline_s < PAUSED_S:
+                raise self.call_error("no event within the timeout", step, timed_out=True)
+            deadline_s = now_s + PAUSED_S
+
     async def read_body(self, limit_bytes: int) -> bytes:
         """Read the rest of the body.
 
--- a/src/cornelgrade/services/edge/_response_relay.py
+++ b/src/cornelgrade/services/edge/_response_relay.py
@@ -164,9 +164,7 @@
     ) -> bytes:
         """Read on; bytes that complete no event don't extend the time until the next one."""
         idle_s = self.idle_timeout_s(req, progress, req.route.gap_aim_s)
-        with trio.move_on_at(progress.last_event_s + idle_s):
-            return await channel.read_chunk()
-        raise channel.call_error("no event within the timeout", _relay_state.STEP, timed_out=True)
+        return await channel.read_chunk_by(progress.last_event_s + idle_s, _relay_state.STEP)
 
     @staticmethod
     async def _write_part(
--- a/src/cornelgrade/services/edge/item_call.py
+++ b/src/cornelgrade/services/edge/item_call.py
@@ -116,7 +116,8 @@
     ) -> None:
         splitter = event_stream.EventSplitter()
         last_event_s = trio.current_time()
-        while part := await self._read_part(channel, last_event_s):
+        # Bytes that complete no event don't extend the time until the next one.
+        while part := await channel.read_chunk_by(last_event_s + EVENT_GAP_TIMEOUT_S, _STEP):
             try:
                 events = splitter.feed(part)
             except event_stream.EventTooLongError as exc:
@@ -133,13 +134,6 @@
                 partial.clear()
                 raise channel.call_error("result exceeds the size limit", _STEP)
 
-    @staticmethod
-    async def _read_part(channel: http1.Channel, last_event_s: float) -> bytes:
-        """Read on; bytes that complete no event don't extend the time until the next one."""
-        with trio.move_on_at(last_event_s + EVENT_GAP_TIMEOUT_S):
-            return await channel.read_chunk()
-        raise channel.call_error("no event within the timeout", _STEP, timed_out=True)
-
 
 def _append_event(
     channel: http1.Channel, partial: PartialResult, event: event_stream.Event
--- a/src/cornelgrade/services/edge/open_job.py
+++ b/src/cornelgrade/services/edge/open_job.py
@@ -7,12 +7,10 @@
 import trio
 
 from cornelgrade import routes
-from cornelgrade.policy import ownership, rendezvous, software_versions
+from cornelgrade.policy import item_claims, ownership, rendezvous, software_versions
 from cornelgrade.schema import messages
 from cornelgrade.services.edge import item_call, job_repository, ports
 
-# A claim of another worker expires after six missed broadcasts.
-CLAIM_TTL_S = 1.5
 # How long an interrupted item is reserved for the worker that has its events: busy and calm phases
 # alternate within seconds, and any other worker would have to restart the item.
 RESUME_HOLD_S = 6.0
@@ -52,6 +50,8 @@
     :ivar recording: items whose number of failed runs is being stored; they run again after that.
     :ivar not_before_s: when failed items may be retried, on the process's clock.
     :ivar claims: items that each other worker runs, as a bit set, and when it reported them.
+    :ivar heard_s: when something was last heard of each other worker.
+    :ivar slack_s: time until it is due, without that for a whole run of an item.
     :ivar interrupted_s: when runs that had received events ended here, on the process's clock.
     :ivar claimed_s: when other workers last claimed items.
     :ivar known_s: when this worker learned of it.
@@ -72,6 +72,8 @@
     recording: set[int] = dataclasses.field(default_factory=set)
     not_before_s: dict[int, float] = dataclasses.field(default_factory=dict)
     claims: dict[str, tuple[int, float]] = dataclasses.field(default_factory=dict)
+    heard_s: dict[str, float] = dataclasses.field(default_factory=dict)
+    slack_s: float = 0.0
     interrupted_s: dict[int, float] = dataclasses.field(default_factory=dict)
     claimed_s: dict[int, float] = dataclasses.field(default_factory=dict)
     known_s: float = 0.0
@@ -87,8 +89,10 @@
     def items_claimed_elsewhere(self, now_s: float) -> int:
         """Return the items that other workers run, as a bit set."""
         bits = 0
-        for running, at_s in self.claims.values():
-            bits |= running if now_s - at_s < CLAIM_TTL_S else 0
+        for vm, (running, at_s) in self.claims.items():
+            unreported_s = self.heard_s.get(vm, at_s) - at_s
+            if item_claims.holds(now_s - at_s, unreported_s=unreported_s, slack_s=self.slack_s):
+                bits |= running
         return bits
 
     def items_in_progress(self) -> int:
--- a/src/cornelgrade/services/edge/peers.py
+++ b/src/cornelgrade/services/edge/peers.py
@@ -146,6 +146,10 @@
             ),
         )
 
+    def last_received_s(self) -> dict[str, float]:
+        """Return when each peer was last heard, on trio's clock."""
+        return {vm: peer.last_received_s for vm, peer in self._peers.items()}
+
     def broadcast_targets(self, role: Role) -> tuple[str, ...]:
         """Return the VMs to broadcast to: live ones and, less often, unresponsive ones."""
         return tuple(
--- a/src/cornelgrade/services/edge/runner.py
+++ b/src/cornelgrade/services/edge/runner.py
@@ -4,6 +4,7 @@
 Workers exchange claims on the items that they run; the store keeps the first result of an item.
 """
 
+import math
 import time
 from collections.abc import Callable
 
@@ -15,6 +16,7 @@
 from cornelgrade.policy import (
     batch_capacity,
     health,
+    item_claims,
     registrations,
     request_traits,
     route_table,
@@ -113,6 +115,8 @@
         self._owned: tuple[registrations.Registration, ...] = ()
         self._owned_at_s = -OWNERSHIP_TTL_S
         self._advanced_s = -ADVANCE_INTERVAL_S
+        self._scheduled_s = math.inf
+        self._resumed_s = -item_claims.SETTLE_S
         self._stopping = False
         self._nursery: trio.Nursery | None = None
 
@@ -242,8 +246,15 @@
 
     def _schedule(self) -> None:
         now_s = trio.current_time()
+        if now_s - self._scheduled_s >= item_claims.MAX_PASS_GAP_S:
+            _log.info("resumed", paused_s=now_s - self._scheduled_s)
+            self._resumed_s = now_s
+        self._scheduled_s = now_s
+        if now_s - self._resumed_s < item_claims.SETTLE_S:
+            return
         if now_s - self._advanced_s >= ADVANCE_INTERVAL_S:
             self._advanced_s = now_s
+            self._update_claim_terms()
             for job in tuple(self._jobs.values()):
                 self._advance_job(job, now_s)
         table = self._fleet.table()
@@ -263,6 +274,14 @@
         if started < sum(free for _, free in free_slots):
             self._load_next_job(now_s)
 
+    def _update_claim_terms(self) -> None:
+        """Update by what the jobs judge whether the claims of silent workers still hold."""
+        heard_s = self._peers.last_received_s()
+        run_s = self._pace.remaining_s(0)
+        for job in self._jobs.values():
+            job.heard_s = heard_s
+            job.slack_s = job.header.due_ms / _MS_PER_S - time.time() - run_s
+
     def _owned_upstreams(self) -> list[routes.Upstream]:
         return [reg.upstream for reg in self._owned_registrations()]
 
--- a/tests/policy/test_item_claims.py
+++ b/tests/policy/test_item_claims.py
@@ -7,6 +7,7 @@
 import pytest
 
 from cornelgrade.adapters import peer_key
+from cornelgrade.policy import item_claims
 from cornelgrade.schema import codec, messages
 from cornelgrade.services.edge import claim_exchange, job_repository, open_job
 
@@ -113,3 +114,24 @@
     assert not job.may_load(WORKERS, "w1", 200.5)
     job.apply_claim("w2", messages.JobClaim("j", (1 << ITEMS) - 4, 1), 200.0)
     assert job.may_load(WORKERS, "w1", 200.5)
+
+
+# Guards against a second run of what a frozen worker's upstream goes on with, and against waiting
+# for a worker that has ended when its items would be late.
+@pytest.mark.parametrize(
+    ("age_s", "unreported_s", "slack_s", "holds"),
+    [
+        (1.0, 0.9, -1.0, True),
+        (2.0, 1.9, 9.0, False),
+        (5.0, 0.1, 9.0, True),
+        (5.0, 0.1, -0.1, False),
+        (6.0, 0.1, 9.0, False),
+    ],
+)
+def test_claim_of_a_silent_worker_holds_while_there_is_time(age_s, unreported_s, slack_s, holds):
+    assert item_claims.holds(age_s, unreported_s=unreported_s, slack_s=slack_s) is holds
+    job = make_job()
+    job.apply_claim("w2", messages.JobClaim("j", 1 << 3, 0), 200.0)
+    job.heard_s = {"w2": 200.0 + unreported_s}
+    job.slack_s = slack_s
+    assert bool(job.items_claimed_elsewhere(200.0 + age_s)) is holds
