Stand-in engine: begin faults of framing at the head of a response

Cause: the engine read its faults anew after it had sent the head, so a fault of unframed responses that began in between ended a framed response without events, and properly. The same answer comes each time if the fault is switched on right after the head is sent (script by hand); when it was switched on in the soak isn't logged.

Change: one look at the faults decides framing and end of a response.

Result: the script gets all ten events.

--- a/src/cornelgrade/platform/standins/stream_engine.py
+++ b/src/cornelgrade/platform/standins/stream_engine.py
@@ -221,25 +221,30 @@
             await trio.sleep(self.event_s)
             await req.respond(self.faults.fail, b"failed", head)
             return
-        if self.faults.unframed:
+        # One look for the whole response: a fault that begins later must not end a framed one.
+        faults = self.faults
+        if faults.unframed:
             req.omit_framing()
         await req.start_response(200, (*head, ("content-type", "text/event-stream")), b"")
         resumed = seen.resumed_after is not None
-        empty = self.faults.end_before_events_if_resumed if resumed else False
-        if not (empty or self.faults.end_before_events):
-            await self._send_events(req, seen)
+        empty = faults.end_before_events_if_resumed if resumed else False
+        if not (empty or faults.end_before_events):
+            await self._send_events(req, seen, faults)
         await req.end_response()
 
-    async def _send_events(self, req: _http_server.Exchange, seen: ReceivedRequest) -> None:
+    async def _send_events(
+        self, req: _http_server.Exchange, seen: ReceivedRequest, faults: Faults
+    ) -> None:
+        """Send the events; ``faults`` are those at the begin of the response."""
         for number in range((seen.resumed_after or 0) + 1, self.events + 1):
             version = self.version if self.tells_version else ""
             event = encode_event(seen.request, number, version)
-            begun = event[: event.index(b"\n")] if self.faults.unframed else b""
+            begun = event[: event.index(b"\n")] if faults.unframed else b""
             if begun:
                 await req.send_chunk(begun)
             self._crash_if_due(seen, number - 1)
             await self._inject_faults(req, number - 1)
-            if self.faults.end_after == number - 1:
+            if faults.end_after == number - 1:
                 await req.send_chunk(event[len(begun) : -1])
                 return
             await trio.sleep(self.event_s)
