--- a/tests/edge/test_stranded_vms.py
+++ b/tests/edge/test_stranded_vms.py
@@ -333,3 +333,20 @@
                 "gateway-0", edge_system.ONCE_PREFIX, "r1", x_note="n" * 1200
             )
     assert got.status == 200
+
+
+# Guards against an upstream that goes on for a caller who has left the gateway that forwarded it.
+async def test_forwarded_request_stops_when_its_caller_has_left(monkeypatch):
+    async with edge_system.run_system(gateways=2, workers=1, engines=3) as system:
+        with stranded.cut_vms(system, monkeypatch, "gateway-0"):
+            await notice(system, "gateway-0")
+            for engine in system.engines.values():
+                engine.events = 400
+            with trio.move_on_after(1.0) as scope:
+                await system.send_online("gateway-0", edge_system.RESUMABLE_PREFIX, "left")
+            assert scope.cancelled_caught
+            assert len(runs_of(system, "left")) == 1
+            with trio.fail_after(0.5):
+                while any(engine.running for engine in system.engines.values()):
+                    await trio.sleep(0.01)
+        assert runs_of(system, "left")[0].cancelled
