Count requests forwarded to a peer since its report as load there

Cause: a gateway without upstreams chose peers by the number of requests that they reported up to 1 s ago, so that all it forwarded in that time went to the peer that had reported the fewest of each two drawn.

Change: requests forwarded since a peer's last report count there. No message is added.

Tests: tests/policy/test_even_load.py passed on this commit.

--- a/src/cornelgrade/policy/stranding.py
+++ b/src/cornelgrade/policy/stranding.py
@@ -21,12 +21,14 @@
     """A VM that reported which upstreams it reaches.
 
     :param services: those whose upstreams it reaches.
-    :param active: requests in progress there.
+    :param active: requests in progress there when it reported.
+    :param sent: requests that this VM has forwarded there since.
     """
 
     vm: str
     services: frozenset[str]
     active: int
+    sent: int = 0
 
 
 def has_lost_upstreams(reached: int, unreached: int) -> bool:
@@ -42,4 +44,4 @@
     if not able:
         return None
     drawn = rng.sample(able, min(CHOICES, len(able)))
-    return min(drawn, key=lambda peer: peer.active)
+    return min(drawn, key=lambda peer: peer.active + peer.sent)
--- a/src/cornelgrade/services/edge/peer_reach.py
+++ b/src/cornelgrade/services/edge/peer_reach.py
@@ -4,6 +4,8 @@
 drawn anew each time, so that it finds one that reaches them also in a large fleet.
 """
 
+import collections
+import dataclasses
 import random
 from collections.abc import Callable
 
@@ -34,6 +36,7 @@
         self._permits = kern.find("seats", slot_permits.SlotPermits)
         self._rng = random.Random(cfg.vm)
         self._reports: dict[str, tuple[stranding.Peer, float]] = {}
+        self._sent_since_report: collections.Counter[str] = collections.Counter()
         self._reported = _notifier.Notifier()
         self._queried_s = -QUERY_INTERVAL_S
         self._stopping = False
@@ -52,22 +55,32 @@
         self._stopping = True
 
     async def find_peer(self, service: str, tried: frozenset[str]) -> stranding.Peer | None:
-        """Return a gateway that reaches upstreams of a service, ``None`` if none reports so."""
+        """Return a gateway that reaches upstreams of a service, ``None`` if none reports so.
+
+        The caller forwards a request there, which counts as load until the next report.
+        """
         self._query()
         peer = self._choose(service, tried)
         with trio.move_on_after(FIRST_REPORT_WAIT_S):
             while peer is None:
                 await self._reported.wait()
                 peer = self._choose(service, tried)
+        if peer is not None:
+            self._sent_since_report[peer.vm] += 1
         return peer
 
     def drop(self, vm: str) -> None:
         """Forget what a gateway reported, because it failed to serve a request."""
         self._reports.pop(vm, None)
+        del self._sent_since_report[vm]
 
     def _choose(self, service: str, tried: frozenset[str]) -> stranding.Peer | None:
         now_s = trio.current_time()
-        fresh = tuple(p for p, at_s in self._reports.values() if now_s - at_s < REPORT_TTL_S)
+        fresh = tuple(
+            dataclasses.replace(peer, sent=self._sent_since_report[peer.vm])
+            for peer, at_s in self._reports.values()
+            if now_s - at_s < REPORT_TTL_S
+        )
         return stranding.choose_peer(fresh, service, tried, self._rng)
 
     def _query(self) -> None:
@@ -95,4 +108,5 @@
         async for report in received:
             peer = stranding.Peer(report.vm, frozenset(report.services), report.active)
             self._reports[report.vm] = (peer, trio.current_time())
+            del self._sent_since_report[report.vm]
             self._reported.notify_all()
--- a/tests/policy/test_even_load.py
+++ b/tests/policy/test_even_load.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from cornelgrade.policy import placement, preference, upstream_speed
+from cornelgrade.policy import placement, preference, stranding, upstream_speed
 
 VMS = tuple(f"vm-{n:02d}" for n in range(70))
 UPS = tuple(f"up-{n:02d}" for n in range(30))
@@ -125,3 +125,13 @@
     for _ in range(6):
         table.record("slow", 0.5, 0.0)
     assert table.assess(("slow", "usual"), 0.0).relative["slow"] > 0.95
+
+
+# Guards against a gateway without upstreams that forwards everything to the peer which reported the
+# lowest load, until that peer's next report.
+def test_requests_forwarded_since_a_peer_reported_count_as_its_load():
+    peers = (
+        stranding.Peer("a", frozenset("s"), active=1, sent=4),
+        stranding.Peer("b", frozenset("s"), active=3),
+    )
+    assert stranding.choose_peer(peers, "s", frozenset(), random.Random(1)).vm == "b"
