Dispatch batch items by the priority and fair share of their teams

Cause: items were dispatched by due time alone, so that a team with many jobs had another team's only job wait until it was nearly late.

Change: with teams, items are sorted by rank, that of the team or else of the route, then by how far they exceed the max-min fair share of their team, then as before. Usage comes from the claims that workers exchange anyway. Without teams the order is the same as before.

--- a/src/cornelgrade/policy/batch_capacity.py
+++ b/src/cornelgrade/policy/batch_capacity.py
@@ -2,8 +2,9 @@
 
 import collections
 import dataclasses
+from collections.abc import Mapping
 
-from cornelgrade.policy import rendezvous
+from cornelgrade.policy import fair_queue, rendezvous
 
 # Slots kept free for the next online request above LOW_LOAD_SHARE. An upstream takes tens of
 # milliseconds to cancel an item, so an item is preempted as soon as the last free slot is taken
@@ -121,6 +122,8 @@
     :param due_s: Unix time at which its job is due.
     :param remaining_s: estimated time to complete it.
     :param has_progress: this VM holds part of its result from an earlier run.
+    :param team: whose job it is part of, empty if none.
+    :param rank: its team's priority or, without one, its route's; 0 is the most urgent.
     """
 
     job: str
@@ -128,16 +131,59 @@
     due_s: float
     remaining_s: float = 0.0
     has_progress: bool = False
+    team: str = ""
+    rank: int = 0
 
 
-def sort_waiting(waiting: list[WaitingItem], vm: str, now_s: float) -> list[WaitingItem]:
+@dataclasses.dataclass(frozen=True, slots=True)
+class TeamItems:
+    """Batch slots that teams use, at all workers.
+
+    :param usage: slots that each team uses, the larger of now and the average of the last seconds.
+    :param capacity: slots in use now and free ones.
+    """
+
+    usage: Mapping[str, float]
+    capacity: float
+
+
+NO_TEAMS = TeamItems({}, 0.0)
+
+
+def sort_waiting(
+    waiting: list[WaitingItem], vm: str, now_s: float, teams: TeamItems = NO_TEAMS
+) -> list[WaitingItem]:
     """Sort items in the order in which this VM starts them, earliest due first.
 
     Items that can no longer be completed in time come last: run first, they would make each of the
     others late too. VMs start with different items of a job, so two rarely start the same one.
 
+    With teams, the most urgent ranks come first. Among items of equal rank, those by which a team
+    would exceed its max-min fair share come after all others, in the order of what it uses then.
+
     :param now_s: Unix time.
     """
+    ordered = _sort_by_due_time(waiting, vm, now_s)
+    if len({(entry.team, entry.rank) for entry in waiting}) < 2 and len(teams.usage) < 2:
+        return ordered
+    return _sort_by_share(ordered, teams)
+
+
+def _sort_by_share(ordered: list[WaitingItem], teams: TeamItems) -> list[WaitingItem]:
+    """Sort items by rank, then by how far they exceed their team's share; ties keep the order."""
+    demands: dict[str, float] = dict(teams.usage)
+    for entry in ordered:
+        demands[entry.team] = demands.get(entry.team, 0.0) + 1
+    level = fair_queue.fair_level(demands.values(), teams.capacity)
+    used: dict[str, float] = dict(teams.usage)
+    keys: dict[tuple[str, int], tuple[int, float]] = {}
+    for entry in sorted(ordered, key=lambda e: e.rank):
+        used[entry.team] = used.get(entry.team, 0.0) + 1
+        keys[entry.job, entry.index] = (entry.rank, max(0.0, used[entry.team] - level))
+    return sorted(ordered, key=lambda e: keys[e.job, e.index])
+
+
+def _sort_by_due_time(waiting: list[WaitingItem], vm: str, now_s: float) -> list[WaitingItem]:
     return sorted(
         waiting,
         key=lambda w: (
--- a/src/cornelgrade/services/edge/open_job.py
+++ b/src/cornelgrade/services/edge/open_job.py
@@ -95,6 +95,11 @@
         """Return the items that run here or of which something is being stored, as a bit set."""
         return sum(1 << index for index in {*self.runs, *self.storing, *self.recording})
 
+    def count_in_progress(self, now_s: float) -> int:
+        """Return the number of items in progress at any worker."""
+        running = self.items_in_progress() | self.items_claimed_elsewhere(now_s)
+        return (running & ~self.done).bit_count()
+
     def _unavailable_to_others(self, now_s: float) -> int:
         """Return the items that other workers must leave alone: in progress or held here."""
         bits = self.items_in_progress()
--- a/src/cornelgrade/services/edge/runner.py
+++ b/src/cornelgrade/services/edge/runner.py
@@ -37,6 +37,7 @@
     outcome_writer,
     peers,
     ports,
+    team_items,
     upstream_limits,
     upstream_notices,
     upstream_uses,
@@ -91,6 +92,7 @@
         self._call_format = call_format
         self._jobs: dict[str, open_job.OpenJob] = {}
         self._claims = claim_exchange.ClaimExchange(self._peers, self._jobs)
+        self._team_items = team_items.TeamItems(self._jobs)
         self._health: dict[str, health.Health] = {}
         self._run_counter = metrics.counter(
             "cornelgrade_edge_item_runs_total", "Runs of batch items by outcome."
@@ -258,9 +260,10 @@
                 free_slots += [(up, change)] if change > 0 else []
                 for _ in range(-change):
                     self._preempt_item(up.name)
-        waiting = self._list_startable(now_s) if free_slots else []
+        free_total = sum(free for _, free in free_slots)
+        waiting = self._list_startable(table, free_total, now_s) if free_slots else []
         started = sum(self._start_items(up, free, table, waiting) for up, free in free_slots)
-        if started < sum(free for _, free in free_slots):
+        if started < free_total:
             self._load_next_job(now_s)
 
     def _owned_upstreams(self) -> list[routes.Upstream]:
@@ -324,7 +327,13 @@
         """Return the number of items that run at an upstream."""
         return sum(1 for job in self._jobs.values() for _ in job.runs_at(upstream))
 
-    def _list_startable(self, now_s: float) -> list[batch_capacity.WaitingItem]:
+    def _list_startable(
+        self, table: route_table.RouteTable, free: int, now_s: float
+    ) -> list[batch_capacity.WaitingItem]:
+        """Return the items that this worker may start, in order.
+
+        :param free: number of free slots.
+        """
         workers = self._peers.live_vms(peers.Role.WORKER)
         waiting = [
             batch_capacity.WaitingItem(
@@ -333,13 +342,15 @@
                 job.header.due_ms / _MS_PER_S,
                 self._pace.remaining_s(job.partial[index].events if index in job.partial else 0),
                 index in job.interrupted_s,
+                *self._team_items.identify(table, job),
             )
             for job in self._jobs.values()
             for index in job.startable_items(now_s)
             if job.may_start(index, workers, self._cfg.vm, now_s)
             and self._quarantine.item_may_run(job.fingerprints[index])
         ]
-        return batch_capacity.sort_waiting(waiting, self._cfg.vm, time.time())
+        teams = self._team_items.measure(table, free, now_s)
+        return batch_capacity.sort_waiting(waiting, self._cfg.vm, time.time(), teams)
 
     def _pick_service(
         self, table: route_table.RouteTable, job: open_job.OpenJob, index: int
