Sort items that will be late last, whatever their team

Cause: with teams the share of a team went before the question whether an item can still be completed in time, so that late items took slots under overload.

--- a/src/cornelgrade/policy/batch_capacity.py
+++ b/src/cornelgrade/policy/batch_capacity.py
@@ -162,7 +162,8 @@
     others late too. Items that were interrupted come first, since what was done for them is lost if
     they end late. VMs start with different items of a job, so two rarely start the same one.
 
-    With teams, the most urgent ranks come first. Among items of equal rank, those by which a team
+    With teams, the most urgent ranks come first among items that can be completed in time. Among
+    items of equal rank, those by which a team
     would exceed its max-min fair share come after all others, in the order of what it uses then.
 
     :param now_s: Unix time.
@@ -170,28 +171,33 @@
     ordered = _sort_by_due_time(waiting, vm, now_s)
     if len({(entry.team, entry.rank) for entry in waiting}) < 2 and len(teams.usage) < 2:
         return ordered
-    return _sort_by_share(ordered, teams)
+    return _sort_by_share(ordered, teams, now_s)
 
 
-def _sort_by_share(ordered: list[WaitingItem], teams: TeamItems) -> list[WaitingItem]:
+def _sort_by_share(ordered: list[WaitingItem], teams: TeamItems, now_s: float) -> list[WaitingItem]:
     """Sort items by rank, then by how far they exceed their team's share; ties keep the order."""
     demands: dict[str, float] = dict(teams.usage)
     for entry in ordered:
         demands[entry.team] = demands.get(entry.team, 0.0) + 1
     level = fair_queue.fair_level(demands.values(), teams.capacity)
     used: dict[str, float] = dict(teams.usage)
-    keys: dict[tuple[str, int], tuple[int, float]] = {}
+    keys: dict[tuple[str, int], tuple[bool, int, float]] = {}
     for entry in sorted(ordered, key=lambda e: e.rank):
         used[entry.team] = used.get(entry.team, 0.0) + 1
-        keys[entry.job, entry.index] = (entry.rank, max(0.0, used[entry.team] - level))
+        excess = max(0.0, used[entry.team] - level)
+        keys[entry.job, entry.index] = (_is_late(entry, now_s), entry.rank, excess)
     return sorted(ordered, key=lambda e: keys[e.job, e.index])
 
 
+def _is_late(entry: WaitingItem, now_s: float) -> bool:
+    return now_s + entry.remaining_s > entry.due_s
+
+
 def _sort_by_due_time(waiting: list[WaitingItem], vm: str, now_s: float) -> list[WaitingItem]:
     return sorted(
         waiting,
         key=lambda w: (
-            now_s + w.remaining_s > w.due_s,
+            _is_late(w, now_s),
             not w.has_progress,
             w.due_s,
             w.job,
--- a/tests/policy/test_batch_shares.py
+++ b/tests/policy/test_batch_shares.py
@@ -81,3 +81,16 @@
     teams = batch_capacity.TeamItems({"b": 6.0}, 8.0)
     jobs = [entry.job for entry in batch_capacity.sort_waiting(waiting, "vm", 0.0, teams)]
     assert jobs == ["late"] * 5 + ["early"]
+
+
+# Guards against overload in which items that will be late take the slots of those that can still be
+# in time, because their team has used little.
+def test_item_that_will_be_late_comes_last_whatever_its_team():
+    late = batch_capacity.WaitingItem("late", 0, due_s=11.0, remaining_s=5.0, team="idle")
+    in_time = [
+        batch_capacity.WaitingItem("in-time", n, due_s=30.0, remaining_s=5.0, team="busy")
+        for n in range(3)
+    ]
+    usage = batch_capacity.TeamItems({"busy": 8.0}, 8.0)
+    ordered = batch_capacity.sort_waiting([late, *in_time], "vm", 10.0, usage)
+    assert ordered[-1] == late
