Count waiting tokens per team and route, without finished items

Cause: the limit counted all teams together and a job as a whole until it closed. Two jobs that were submitted again after a refusal, or concurrently while the store was slow, could both be accepted: 30 concurrent jobs came to 1.2 and 1.5 times the limit with calls that take 0.2 s.

Change: tokens are counted per team if the plan has teams. Once a quarter of a limit waits, the worker that closes a job records its done tokens in its header, at most once a second. A reservation's position is the store's revision of it, so that a repeated submission takes a new one; accepted jobs count for each reservation; none is used later than 2.5 s. Jobs are reserved also when listing them took over 50 ms. A submission that another one of the same job overtakes reports that one's outcome.

--- a/src/cornelgrade/services/edge/job_handler.py
+++ b/src/cornelgrade/services/edge/job_handler.py
@@ -1,7 +1,7 @@
 """Handles requests to submit, read and end batch jobs at a gateway."""
 
 import time
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable
 
 import msgspec
 import trio
@@ -9,7 +9,7 @@
 from cornelgrade import errors, logs, metrics, routes
 from cornelgrade.adapters import http1_server, platform
 from cornelgrade.policy import route_table
-from cornelgrade.services.edge import job_repository, ports, result_reader
+from cornelgrade.services.edge import job_repository, ports, result_reader, waiting_tokens
 
 # Text bytes in one response, below the 1 MB that callers accept.
 MAX_PAGE_BYTES = 900_000
@@ -17,8 +17,8 @@
 # Skip the reservation if this many jobs of the same size would still fit: fewer arrive during the
 # milliseconds that an acceptance takes.
 DIRECT_ACCEPT_JOBS = 10
-# An older reservation was left by a gateway that died and no longer counts.
-RESERVATION_TTL_S = 5.0
+# Reserve if listing the jobs took longer: while the store is slow, more jobs arrive meanwhile.
+DIRECT_ACCEPT_LIST_S = 0.05
 _MS_PER_S = 1000
 _log = logs.Logger("job_desk")
 
@@ -66,7 +66,7 @@
         try:
             if route is not None:
                 team = _authenticate(table, caller, (route,))
-                outcome = await self._submit_job(exchange, caller, route, team or "")
+                outcome = await self._submit_job(exchange, caller, route, team)
             else:
                 call = self._job_call_format.parse_job_call(exchange)
                 if call is None:
@@ -98,12 +98,16 @@
         return f"{status} {exc.format_message()}"
 
     async def _submit_job(
-        self, exchange: http1_server.Exchange, caller: ports.Caller, route: routes.Route, team: str
+        self,
+        exchange: http1_server.Exchange,
+        caller: ports.Caller,
+        route: routes.Route,
+        team: str | None,
     ) -> str:
         if exchange.method != "POST":
             raise errors.Refusal(errors.Code.NOT_FOUND, "jobs are submitted by POST", step="submit")
         items = self._job_call_format.parse_submission(exchange.body)
-        now_ms = int(time.time() * _MS_PER_S)
+        now_ms = _unix_ms()
         header = job_repository.JobHeader(
             job=caller.request_id,
             route=route.name,
@@ -114,21 +118,27 @@
             total=len(items),
             tokens=sum(item.tokens for item in items),
             pieces=0,
-            team=team,
+            team=team or "",
         )
         with trio.CancelScope(shield=True):
-            await self._accept_job(route, header, items)
+            await self._accept_job(route, header, items, per_team=team is not None)
         await exchange.respond(202, b"", self._call_format.refusal_headers(caller.request_id, None))
         return "accepted"
 
     async def _accept_job(
-        self, route: routes.Route, header: job_repository.JobHeader, items: tuple[ports.Item, ...]
+        self,
+        route: routes.Route,
+        header: job_repository.JobHeader,
+        items: tuple[ports.Item, ...],
+        *,
+        per_team: bool,
     ) -> None:
         """Store a job if its tokens fit within the route's limit on waiting tokens.
 
-        Close to the limit, the job is reserved first and accepted after counting all jobs stored
+        Close to the limit, the job is reserved first and accepted after counting all jobs reserved
         before it, so that concurrent submissions at several gateways cannot exceed the limit.
 
+        :param per_team: whether the limit is one of each team.
         :raises Refusal: ``RATE_LIMITED`` if it does not fit, ``CONFLICT`` if another team has
             submitted a job of this name.
         """
@@ -138,36 +148,55 @@
             _check_owner(stored_header.header, header.team)
             await self._repository.accept_job(stored_header)
             return
+        started_s = trio.current_time()
         headers = await self._repository.list_headers()
+        list_s = trio.current_time() - started_s
         for found in headers:
             if found.header.job == header.job:
                 _check_owner(found.header, header.team)
                 if found.header.accepted:
                     return
-        waiting = _count_waiting_tokens(headers, header)
+        waiting = waiting_tokens.count_waiting(
+            headers, header, header.received_ms, per_team=per_team
+        )
         if waiting + header.tokens > token_limit:
             raise _token_limit_refusal(waiting, header.tokens, token_limit)
-        if waiting + DIRECT_ACCEPT_JOBS * header.tokens <= token_limit:
+        is_far = waiting + DIRECT_ACCEPT_JOBS * header.tokens <= token_limit
+        if is_far and list_s <= DIRECT_ACCEPT_LIST_S:
             # The stored job may be from an earlier submission that was declined.
             stored_header = await self._repository.create_job(header, items)
             _check_owner(stored_header.header, header.team)
             await self._repository.accept_job(stored_header)
             return
-        stored_header = await self._repository.create_job(
-            msgspec.structs.replace(header, state="reserved"), items
-        )
-        _check_owner(stored_header.header, header.team)
+        stored_header = await self._reserve_job(header, items)
+        if stored_header.header.accepted:
+            return
         headers = await self._repository.list_headers()
-        # Concurrent reservations count in the order of creation. One left by an earlier submission
-        # has lost its position, so every other job counts before it.
-        earlier = [
-            f for f in headers if not stored_header.is_new or f.created < stored_header.created
-        ]
-        waiting = _count_waiting_tokens(earlier, header)
-        if waiting + header.tokens > token_limit:
-            await self._repository.decline_job(stored_header)
+        now_ms = _unix_ms()
+        earlier = waiting_tokens.list_before(headers, stored_header)
+        waiting = waiting_tokens.count_waiting(earlier, header, now_ms, per_team=per_team)
+        in_time = waiting_tokens.is_reserved(
+            stored_header.header, now_ms, waiting_tokens.RESERVATION_USE_S
+        )
+        fits = waiting + header.tokens <= token_limit and in_time
+        decide = self._repository.accept_reserved if fits else self._repository.decline_job
+        # A concurrent submission of the same job may have decided first.
+        if not (await decide(stored_header)).accepted:
             raise _token_limit_refusal(waiting, header.tokens, token_limit)
-        await self._repository.accept_job(stored_header)
+
+    async def _reserve_job(
+        self, header: job_repository.JobHeader, items: tuple[ports.Item, ...]
+    ) -> job_repository.StoredHeader:
+        """Reserve a job, or join the reservation of a concurrent submission of it."""
+        reserved = msgspec.structs.replace(header, state="reserved", reserved_ms=_unix_ms())
+        stored_header = await self._repository.create_job(reserved, items)
+        _check_owner(stored_header.header, header.team)
+        now_ms = reserved.reserved_ms
+        if not stored_header.header.accepted and not waiting_tokens.is_reserved(
+            stored_header.header, now_ms, waiting_tokens.RESERVATION_USE_S
+        ):
+            stored_header = await self._repository.reserve_job(stored_header, _unix_ms())
+        return stored_header
 
     async def _send_results(
         self, exchange: http1_server.Exchange, call: ports.JobCall, team: str | None
@@ -235,21 +264,8 @@
         )
 
 
-def _count_waiting_tokens(
-    headers: Iterable[job_repository.StoredHeader], new: job_repository.JobHeader
-) -> int:
-    """Count the tokens of jobs on the new job's route that are open or recently reserved."""
-    reserved_after_ms = new.received_ms - RESERVATION_TTL_S * _MS_PER_S
-    return sum(
-        f.header.tokens
-        for f in headers
-        if f.header.route == new.route
-        and f.header.job != new.job
-        and (
-            f.header.state == "open"
-            or (f.header.state == "reserved" and f.header.received_ms > reserved_after_ms)
-        )
-    )
+def _unix_ms() -> int:
+    return int(time.time() * _MS_PER_S)
 
 
 def _token_limit_refusal(waiting: int, tokens: int, token_limit: int) -> errors.Refusal:
--- a/src/cornelgrade/services/edge/job_repository.py
+++ b/src/cornelgrade/services/edge/job_repository.py
@@ -29,6 +29,9 @@
     :param received_ms: Unix milliseconds of its acceptance; its deadlines count from then.
     :param pieces: number of objects that hold its input.
     :param team: the team that submitted it, empty if requests need no keys.
+    :param done_tokens: tokens of items whose results are stored, or fewer: it is recorded with a
+        delay, and only where the limit on waiting tokens is near.
+    :param reserved_ms: Unix milliseconds of its last reservation, 0 for that of ``received_ms``.
     :param state: ``reserved`` until it is accepted or ``declined`` for lack of room, then ``open``
         until all results are stored (``done``) or its caller ends it (``ended``). A reserved or
         declined job is not accepted; submitting it again may succeed.
@@ -45,6 +48,8 @@
     pieces: int
     state: Literal["reserved", "declined", "open", "done", "ended"] = "open"
     team: str = ""
+    done_tokens: int = 0
+    reserved_ms: int = 0
 
     @property
     def accepted(self) -> bool:
@@ -153,6 +158,46 @@
         changes = await self._store.watch(HEADER_KIND, after=0, wait_s=0.0)
         return tuple(decode_header(stored) for stored in changes.items)
 
+    async def reserve_job(self, stored_header: StoredHeader, reserved_ms: int) -> StoredHeader:
+        """Reserve a declined job, or one whose reservation has expired, at a new position.
+
+        :returns: its header, in whichever state it is now.
+        """
+        reserved = msgspec.structs.replace(
+            stored_header.header, state="reserved", reserved_ms=reserved_ms
+        )
+        return await self._replace(stored_header, reserved)
+
+    async def accept_reserved(self, stored_header: StoredHeader) -> JobHeader:
+        """Accept a reserved job unless its reservation has changed; return its present header."""
+        opened = msgspec.structs.replace(stored_header.header, state="open")
+        return (await self._replace(stored_header, opened)).header
+
+    async def record_done_tokens(self, stored_header: StoredHeader, tokens: int) -> StoredHeader:
+        """Store the tokens of an open job's finished items, unless a higher number is stored.
+
+        :returns: its header, in whichever state it is now.
+        """
+        while stored_header.header.state == "open" and stored_header.header.done_tokens < tokens:
+            updated = msgspec.structs.replace(stored_header.header, done_tokens=tokens)
+            stored_header = await self._replace(stored_header, updated)
+        return stored_header
+
+    async def _replace(self, stored_header: StoredHeader, updated: JobHeader) -> StoredHeader:
+        """Store a header unless it has changed; return the stored one."""
+        value = msgspec.json.encode(updated)
+        try:
+            stored = await self._store.update(
+                HEADER_KIND, updated.job, value, stored_header.version
+            )
+        except platform.ConflictError as exc:
+            if exc.current is None:
+                raise platform.UnavailableError(
+                    "job header was deleted", step="update job"
+                ) from exc
+            return decode_header(exc.current)
+        return StoredHeader(updated, stored.version, stored.created)
+
     async def accept_job(self, stored_header: StoredHeader) -> JobHeader:
         """Accept a reserved or declined job."""
         return await self._change_state(stored_header, "open", ("reserved", "declined"))
--- a/src/cornelgrade/services/edge/open_job.py
+++ b/src/cornelgrade/services/edge/open_job.py
@@ -58,6 +58,8 @@
     :ivar loading: whether its input was read or is being read.
     :ivar closing: whether its final state is being stored.
     :ivar route_seen_s: when its route was last in the plan.
+    :ivar recorded_done: items whose tokens were recorded as done, as a bit set.
+    :ivar recorded_s: when that was considered last.
     """
 
     header: job_repository.JobHeader
@@ -78,12 +80,19 @@
     loading: bool = False
     closing: bool = False
     route_seen_s: float = 0.0
+    recorded_done: int = 0
+    recorded_s: float = -1e9
 
     @property
     def complete(self) -> bool:
         """Whether all results are stored."""
         return self.done == (1 << self.header.total) - 1
 
+    def apply_header(self, stored: job_repository.StoredHeader) -> None:
+        """Take in a newer header of the open job."""
+        if stored.version > self.version:
+            self.header, self.version = stored.header, stored.version
+
     def items_claimed_elsewhere(self, now_s: float) -> int:
         """Return the items that other workers run, as a bit set."""
         bits = 0
--- a/src/cornelgrade/services/edge/runner.py
+++ b/src/cornelgrade/services/edge/runner.py
@@ -41,6 +41,7 @@
     upstream_limits,
     upstream_notices,
     upstream_uses,
+    waiting_tokens,
 )
 
 # Maximum time between two scheduling passes; load changes trigger one at once.
@@ -92,6 +93,7 @@
         self._call_format = call_format
         self._jobs: dict[str, open_job.OpenJob] = {}
         self._claims = claim_exchange.ClaimExchange(self._peers, self._jobs)
+        self._done_tokens = waiting_tokens.DoneTokens(self._repository, self._jobs)
         self._team_items = team_items.TeamItems(self._jobs)
         self._health: dict[str, health.Health] = {}
         self._run_counter = metrics.counter(
@@ -186,7 +188,7 @@
             return
         self._sweeper.untrack(header.job)
         if tracked is not None:
-            tracked.version = stored_header.version
+            tracked.apply_header(stored_header)
             return
         now_s = trio.current_time()
         job = open_job.OpenJob(header, stored_header.version, known_s=now_s, route_seen_s=now_s)
@@ -500,6 +502,8 @@
             for index in tuple(job.startable_items(now_s)):
                 result = _given_up_result(job.items[index])
                 self._outcomes.start_result(self._nursery, job, index, result)
+        if self._nursery is not None and not job.complete:
+            self._done_tokens.start_record(self._nursery, job, self._fleet.table())
 
     def _may_give_up(self, job: open_job.OpenJob, now_s: float) -> bool:
         """Whether a job's items may be given up: it has expired or its route was removed."""
