Run a failing item no more often than its route allows

Cause: an item that fails at each run was run up to 5 times where 3 are allowed. After a failure the worker that ran it waited 0.3 s, and the next one 0.3 s from the last claim that it had heard, so both started it at the same time and their failures counted as one. A claim of a run under 50 ms may never have been sent.

Change: after a failure all workers wait for the pause and then in the order of their ranks; a failure that another worker reports counts as a claim.

--- a/src/cornelgrade/services/edge/open_job.py
+++ b/src/cornelgrade/services/edge/open_job.py
@@ -141,6 +141,10 @@
         for index in range(self.header.total):
             if claim.running >> index & 1:
                 self.claimed_s[index] = now_s
+        for entry in claim.failed:
+            if entry.failures > self.failures.get(entry.item, 0):
+                # A run may end before its claim is sent; its failure shows that there was one.
+                self.claimed_s[entry.item] = now_s
         # One worker at a time runs an item and counts on from what it knows, so the highest count
         # is the number of failed runs.
         self.merge_failures({entry.item: entry.failures for entry in claim.failed})
@@ -154,7 +158,14 @@
         """Whether a worker may start an open item now."""
         if self._is_held_for_resume(index, now_s):
             return True
-        available_s = max(self.known_s, self.claimed_s.get(index, 0.0))
+        # After a failure all workers wait for the same pause and then in the order of their ranks,
+        # or the one that ran the item and the next one would start it at the same time.
+        pause_s = RETRY_PAUSE_S if self.failures.get(index) else 0.0
+        available_s = max(
+            self.known_s,
+            self.claimed_s.get(index, 0.0) + pause_s,
+            self.not_before_s.get(index, 0.0),
+        )
         rank = _rank_workers(self.header.job, index, workers).index(vm)
         return now_s - available_s >= rank * START_STAGGER_S
 
--- a/tests/edge/test_team_jobs.py
+++ b/tests/edge/test_team_jobs.py
@@ -6,9 +6,10 @@
 import pytest
 import trio
 
-from cornelgrade.platform.standins import edge_system, formats
+from cornelgrade.platform.standins import edge_system, formats, stream_engine
 from cornelgrade.services.edge import job_repository, waiting_tokens
 
+MAX_ATTEMPTS = 3  # of the batch route in edge_system.make_plan
 KEYS = {name: edge_system.team_key(name) for name in ("a", "b")}
 
 
@@ -127,3 +128,39 @@
         others = sum(seen.team == "a" for seen in done)
     # All 120 items of team a would run first in the order of due times.
     assert others < 80
+
+
+# Guards against an item that fails at each run and takes more runs than its route allows, or slots
+# from the other items of its job, from other jobs and teams, and from online requests.
+async def test_item_that_always_fails_costs_its_attempts_and_delays_nothing():
+    async with edge_system.run_system(workers=2, engines=2, event_s=0.05) as system:
+        await start_teams(system)
+        for eng in system.engines.values():
+            eng.faults = stream_engine.Faults(fail=500, fail_on=b"bad")
+        bad = {f"bad-{number}": b"bad" for number in range(6)}
+        good = {f"good-{number}": b"note" for number in range(6)}
+        started_s = trio.current_time()
+        await system.submit("gateway-0", "mixed", bad | good, key=KEYS["a"])
+        assert await submit(system, "a", "same-team", 6) == 202
+        assert await submit(system, "b", "other-team", 6) == 202
+        online = [
+            await system.send_online("gateway-0", edge_system.ONCE_PREFIX, f"r{n}", x_key=KEYS["b"])
+            for n in range(5)
+        ]
+        mixed = await read_ends(system, "a", "mixed", 12)
+        ends = {
+            **mixed,
+            **await read_ends(system, "a", "same-team", 6),
+            **await read_ends(system, "b", "other-team", 6),
+        }
+        ran = [req for eng in system.engines.values() for req in eng.seen if req.ran]
+        # An item that gives way to an online request has not failed.
+        seen = [req.request for req in ran if not req.cancelled]
+    assert {got.status for got in online} == {200}
+    assert [seen.count(name) for name in bad] == [MAX_ATTEMPTS] * 6
+    assert {ends[name][0] for name in bad} == {"dead_letter"}
+    assert {end for name, (end, _) in ends.items() if name not in bad} == {"completed"}
+    # A run takes 0.25 s; all 18 good items fit into the 16 slots within two of them.
+    good_s = max(mixed[name][1] for name in good) - started_s
+    bad_s = max(mixed[name][1] for name in bad) - started_s
+    assert good_s < bad_s and good_s < 4.0
