Start urgent batch items at the upstreams with the lowest cost

Cause: a worker dealt its most urgent items to its upstreams in the order of their registration, whatever their load and speed.

Change: it sorts the upstreams by placement.placement_cost, from the online requests and items there, which it knows exactly, and the learned speed. Each upstream is still filled before the next one: dealing items one by one left each alone at an upstream, where a crash by chance counts fully against it.

Tests: tests/edge/test_jobs.py passed.

--- a/src/cornelgrade/services/edge/runner.py
+++ b/src/cornelgrade/services/edge/runner.py
@@ -15,6 +15,7 @@
 from cornelgrade.policy import (
     batch_capacity,
     health,
+    placement,
     registrations,
     request_traits,
     route_table,
@@ -258,11 +259,36 @@
                 free_slots += [(up, change)] if change > 0 else []
                 for _ in range(-change):
                     self._preempt_item(up.name)
+        free_slots = self._sort_for_items(free_slots)
         waiting = self._list_startable(now_s) if free_slots else []
         started = sum(self._start_items(up, free, table, waiting) for up, free in free_slots)
         if started < sum(free for _, free in free_slots):
             self._load_next_job(now_s)
 
+    def _sort_for_items(
+        self, free_slots: list[tuple[routes.Upstream, int]]
+    ) -> list[tuple[routes.Upstream, int]]:
+        """Sort upstreams by the cost of one more request, so that urgent items start at the best.
+
+        The batch owner knows the load of its upstreams exactly.
+        """
+        if len(free_slots) < 2:
+            return free_slots
+        now_s = trio.current_time()
+        speeds = self._uses.speeds.assess((up.name for up, _ in free_slots), now_s)
+        candidates = []
+        for up, _ in free_slots:
+            use = self._uses.current_use(up, now_s)
+            speed = speeds.relative[up.name]
+            candidates.append(
+                placement.Candidate(
+                    up.name, up.slots, local=True, own=use.batch, others=use.online, speed=speed
+                )
+            )
+        given = placement.assess(tuple(candidates))
+        costs = {c.name: placement.placement_cost(c, given) for c in candidates}
+        return sorted(free_slots, key=lambda entry: costs[entry[0].name])
+
     def _owned_upstreams(self) -> list[routes.Upstream]:
         return [reg.upstream for reg in self._owned_registrations()]
 
