Add metrics of how evenly a gateway's requests are placed

Each gateway reports the age of the load report at placement, the variation of load over the upstreams that it knows, and its requests that wait while one of these has a free slot.

--- a/src/cornelgrade/policy/placement.py
+++ b/src/cornelgrade/policy/placement.py
@@ -14,6 +14,7 @@
 import dataclasses
 import math
 import random
+import statistics
 
 # A request that waits at the upstream saves the round trip after a slot becomes free, for a wait of
 # a fraction of a request's duration.
@@ -146,6 +147,24 @@
     return min(available, key=lambda s: (placement_cost(s, given), rng.random()))
 
 
+def load_variation(candidates: tuple[Candidate, ...]) -> float:
+    """Return the coefficient of variation of load by capacity, over candidates with a report."""
+    loads = [c.online / c.capacity for c in candidates if c.report_age is not None]
+    mean = statistics.fmean(loads) if loads else 0.0
+    return statistics.pstdev(loads) / mean if mean else 0.0
+
+
+def count_needless_waits(candidates: tuple[Candidate, ...], queued: int = 0) -> int:
+    """Return how many of this gateway's requests wait although an upstream has a free slot.
+
+    :param queued: requests that wait for a permit at the gateway.
+    """
+    reported = [c for c in candidates if c.report_age is not None]
+    if not any(c.online < c.slots for c in reported):
+        return 0
+    return queued + sum(max(0, min(c.own, c.online - c.slots)) for c in reported)
+
+
 def list_limited(
     candidates: tuple[Candidate, ...],
     chosen: Candidate | None,
--- a/src/cornelgrade/services/edge/slot_permits.py
+++ b/src/cornelgrade/services/edge/slot_permits.py
@@ -19,6 +19,7 @@
 from cornelgrade.schema import messages
 from cornelgrade.services.edge import (
     _notifier,
+    _placement_metrics,
     fleet,
     peers,
     upstream_limits,
@@ -120,6 +121,7 @@
         self._limits = kern.find("upstream_limits", upstream_limits.UpstreamLimits)
         self._peers = kern.find("peers", peers.Peers)
         self._cfg = cfg
+        self._metrics = _placement_metrics.PlacementMetrics()
         self._view = upstream_view.UpstreamView(self._peers, cfg)
         self._rng = random.Random(cfg.vm)
         self._outstanding: dict[str, int] = {}
@@ -317,6 +319,7 @@
     def _assign(self, candidate: placement.Candidate, isolated: bool) -> _Assignment:
         report = self._reports.get(candidate.name)
         age_s = trio.current_time() - report.at_s if report else None
+        self._metrics.record_choice(age_s)
         return _Assignment(self._find_upstream(candidate), candidate, age_s, isolated)
 
     def _change_outstanding(
@@ -351,8 +354,15 @@
                     uses_by_vm.setdefault(owner, []).append(use)
             for vm, uses in uses_by_vm.items():
                 self._peers.send(vm, messages.Uses(tuple(uses)))
+            self._record_loads()
             await trio.sleep(USE_BROADCAST_INTERVAL_S)
 
+    def _record_loads(self) -> None:
+        for service in {reg.upstream.service for reg in self._fleet.usable_registrations()}:
+            candidates = self._list_candidates(service, frozenset(), None)
+            queued = sum(1 for waiter in self._waiting if waiter.service == service)
+            self._metrics.record_loads(service, tuple(candidates), queued)
+
     async def _receive_uses(self, received: trio.MemoryReceiveChannel[messages.Uses]) -> None:
         async for message in received:
             now_s = trio.current_time()
--- a/tests/policy/test_even_load.py
+++ b/tests/policy/test_even_load.py
@@ -143,3 +143,12 @@
     before, now = (even_load.measure(even_load.A, rule, 0.4, 1) for rule in ("before", "now"))
     assert now.variation < 0.5 * before.variation
     assert now.needless < 0.15 * before.needless
+
+
+# Guards against metrics that call a request's wait needless when all slots were in use.
+def test_waits_are_needless_only_while_a_slot_is_free():
+    full, over = seen("full", others=8), seen("over", own=1, others=8)
+    assert placement.count_needless_waits((full, over), queued=2) == 0
+    assert placement.count_needless_waits((full, over, seen("free", others=7)), queued=2) == 3
+    assert placement.load_variation((seen("a", own=2), seen("b", others=2))) == 0.0
+    assert placement.load_variation((seen("a", own=4), seen("b"))) == 1.0
