--- a/src/cornelgrade/services/edge/runner.py
+++ b/src/cornelgrade/services/edge/runner.py
@@ -17,6 +17,7 @@
     batch_capacity,
     health,
     item_claims,
+    placement,
     registrations,
     request_traits,
     route_table,
@@ -292,6 +293,7 @@
                     self._preempt_item(up.name)
         free_total = sum(free for _, free in free_slots)
         waiting = self._list_startable(table, free_total, now_s) if free_slots else []
+        free_slots = self._sort_for_items(free_slots)
         started = sum(self._start_items(up, free, table, waiting) for up, free in free_slots)
         if started < free_total:
             self._load_next_job(now_s)
@@ -304,6 +306,30 @@
             job.heard_s = heard_s
             job.slack_s = job.header.due_ms / _MS_PER_S - time.time() - run_s
 
+    def _sort_for_items(
+        self, free_slots: list[tuple[routes.Upstream, int]]
+    ) -> list[tuple[routes.Upstream, int]]:
+        """Sort upstreams by the cost of one more request, so that urgent items start at the best.
+
+        The batch owner knows the load of its upstreams exactly.
+        """
+        if len(free_slots) < 2:
+            return free_slots
+        now_s = trio.current_time()
+        speeds = self._uses.speeds.assess((up.name for up, _ in free_slots), now_s)
+        candidates = []
+        for up, _ in free_slots:
+            use = self._uses.current_use(up, now_s)
+            speed = speeds.relative[up.name]
+            candidates.append(
+                placement.Candidate(
+                    up.name, up.slots, local=True, own=use.batch, others=use.online, speed=speed
+                )
+            )
+        given = placement.assess(tuple(candidates))
+        costs = {c.name: placement.placement_cost(c, given) for c in candidates}
+        return sorted(free_slots, key=lambda entry: costs[entry[0].name])
+
     def _owned_upstreams(self) -> list[routes.Upstream]:
         return [reg.upstream for reg in self._owned_registrations()]
 
--- a/src/cornelgrade/services/edge/slot_permits.py
+++ b/src/cornelgrade/services/edge/slot_permits.py
@@ -19,6 +19,7 @@
 from cornelgrade.schema import messages
 from cornelgrade.services.edge import (
     _notifier,
+    _placement_metrics,
     fleet,
     peers,
     team_shares,
@@ -126,6 +127,7 @@
         self._outliers = kern.find("upstream_outliers", upstream_outliers.UpstreamOutliers)
         self._peers = kern.find("peers", peers.Peers)
         self._cfg = cfg
+        self._metrics = _placement_metrics.PlacementMetrics()
         self._view = upstream_view.UpstreamView(self._peers, cfg)
         self._rng = random.Random(cfg.vm)
         self._outstanding: dict[str, int] = {}
@@ -365,10 +367,12 @@
     def _assign(self, candidate: placement.Candidate, waiter: _Waiter) -> _Assignment:
         report = self._reports.get(candidate.name)
         now_s = trio.current_time()
+        age_s = now_s - report.at_s if report else None
+        self._metrics.record_choice(age_s)
         return _Assignment(
             self._find_upstream(candidate),
             candidate,
-            now_s - report.at_s if report else None,
+            age_s,
             waiter.isolated,
             waiter.queue_entry,
             now_s,
@@ -407,8 +411,15 @@
             for vm, uses in uses_by_vm.items():
                 for message in team_shares.split_uses(uses):
                     self._peers.send(vm, message)
+            self._record_loads()
             await trio.sleep(USE_BROADCAST_INTERVAL_S)
 
+    def _record_loads(self) -> None:
+        for service in {reg.upstream.service for reg in self._fleet.usable_registrations()}:
+            candidates = self._list_candidates(service, frozenset(), None, repeatable=False)
+            queued = sum(1 for waiter in self._waiting if waiter.service == service)
+            self._metrics.record_loads(service, tuple(candidates), queued)
+
     async def _receive_uses(self, received: trio.MemoryReceiveChannel[messages.Uses]) -> None:
         async for message in received:
             now_s = trio.current_time()
--- a/tests/edge/test_load_reports.py
+++ b/tests/edge/test_load_reports.py
@@ -45,7 +45,7 @@
 # Guards against load reports that are dropped because a datagram is too large: a gateway follows 24
 # upstreams, which one worker may own.
 def test_durations_fit_in_a_datagram_with_all_counts():
-    uses = tuple(messages.UpstreamUse(f"engine-{n:017d}", 9, 8, 9_000) for n in range(24))
+    uses = tuple(messages.UpstreamUse(f"engine-{n:017d}", 9, 8, took_ms=9_000) for n in range(24))
     body = messages.Uses(uses)
     datagram = messages.Datagram("frontend-providencia-10", 2**60, 2**40, 1.8e9, body)
     assert len(codec.encode(datagram)) + peer_key.TAG_BYTES <= codec.MAX_DATAGRAM_BYTES
