Store at once that an item was given up, and skip results that others stored

Cause: an item that always fails would run again if its worker died while the result waited for others; an item that ran at two workers was written twice.

--- a/src/cornelgrade/services/edge/outcome_writer.py
+++ b/src/cornelgrade/services/edge/outcome_writer.py
@@ -1,6 +1,6 @@
 """Writes how runs of batch items ended to the store, again until it is available."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 
 import trio
 
@@ -43,7 +43,7 @@
     ) -> None:
         """Write an item's result in the background, with others of its job that end shortly after.
 
-        There is no delay if no other item of the job runs here.
+        There is no delay if no other item of the job runs here, or if an item was given up.
         """
         job.storing.add(index)
         if not job.ended:
@@ -57,16 +57,23 @@
 
     async def _write_results(self, job: open_job.OpenJob) -> None:
         with trio.move_on_after(GATHER_S):
-            while job.runs.keys() - job.ended.keys():
+            while _may_wait(job):
                 await trio.sleep(GATHER_CHECK_S)
         results, job.ended = job.ended, {}
+        stored_elsewhere = [index for index in results if job.done >> index & 1]
+        self._record_stored(job, stored_elsewhere)
+        for index in stored_elsewhere:
+            del results[index]
         for group in self._group(results):
             await self._retry(job, min(group), self._make_write(job.header.job, group))
-            for index in group:
-                job.done |= 1 << index
-                job.storing.discard(index)
-                job.partial.pop(index, None)
-            self._on_written()
+            self._record_stored(job, group)
+
+    def _record_stored(self, job: open_job.OpenJob, indexes: Iterable[int]) -> None:
+        for index in indexes:
+            job.done |= 1 << index
+            job.storing.discard(index)
+            job.partial.pop(index, None)
+        self._on_written()
 
     def _group(
         self, results: dict[int, ports.ItemResult]
@@ -106,3 +113,13 @@
                 _log.info("outcome_not_stored", item=item, error=exc.format_message())
                 await trio.sleep(pause_s)
                 pause_s = min(2 * pause_s, MAX_RETRY_PAUSE_S)
+
+
+def _may_wait(job: open_job.OpenJob) -> bool:
+    """Whether the results of a job may wait for others.
+
+    That an item was given up is stored at once: an item that always fails would run again if this
+    worker died meanwhile, beyond the runs that its route allows.
+    """
+    given_up = any(result.end is ports.ItemEnd.GIVEN_UP for result in job.ended.values())
+    return not given_up and bool(job.runs.keys() - job.ended.keys())
--- a/src/cornelgrade/services/edge/result_reader.py
+++ b/src/cornelgrade/services/edge/result_reader.py
@@ -172,7 +172,7 @@
         page = await self._client.fetch(job, 0, 0.0) if self._client else None
         if page is not None:
             cached = _CachedJob(page.header)
-            self._apply_page(cached, page)
+            cached.from_worker = self._apply_page(cached, page)
             return cached
         header = await self._repository.find_accepted(job)
         if header is None:
--- a/tests/edge/test_result_sharing.py
+++ b/tests/edge/test_result_sharing.py
@@ -11,7 +11,14 @@
 
 from cornelgrade.adapters import platform
 from cornelgrade.platform.standins import edge_system
-from cornelgrade.services.edge import job_repository, peers, ports, result_sharing
+from cornelgrade.services.edge import (
+    job_repository,
+    open_job,
+    outcome_writer,
+    peers,
+    ports,
+    result_sharing,
+)
 
 RESULTS_KIND = f"{job_repository.RESULT_KIND}-job"
 HEADER_KIND = job_repository.HEADER_KIND
@@ -79,7 +86,7 @@
         await system.submit("gateway-0", "job", ITEMS)
         first = await system.results("gateway-0", "job", 0)
         known = system.nodes["gateway-0"].kern.find("peers", peers.Peers)
-        worker = result_sharing.open_job.closing_worker("job", known.live_vms(peers.Role.WORKER))
+        worker = open_job.closing_worker("job", known.live_vms(peers.Role.WORKER))
         system.nodes[worker].scope.cancel()
         seen = await read_all(system, ["gateway-0", "gateway-1"], within_s=15.0)
     assert seen[: len(first)] == first
@@ -91,7 +98,7 @@
     async with edge_system.run_system(gateways=2, workers=2, engines=2, event_s=0.2) as system:
         await system.submit("gateway-0", "job", ITEMS)
         known = system.nodes["gateway-0"].kern.find("peers", peers.Peers)
-        worker = result_sharing.open_job.closing_worker("job", known.live_vms(peers.Role.WORKER))
+        worker = open_job.closing_worker("job", known.live_vms(peers.Role.WORKER))
         await system.results("gateway-0", "job", 0)
         reject_store(monkeypatch, worker)
         with trio.move_on_after(4.0):
@@ -146,6 +153,22 @@
     assert rest == in_order[2:]
 
 
+# Guards against a write for an item that ran at two workers, of which one has stored its result.
+async def test_result_that_another_worker_has_stored_is_not_written():
+    store = edge_system.Store(edge_system.UNLIMITED)
+    repository = job_repository.JobRepository(store, 100_000)
+    header = job_repository.JobHeader("job", "r", "h", 0, 0, 0, 3, 0, 0)
+    job = open_job.OpenJob(header, 1, done=0b010)
+    writer = outcome_writer.OutcomeWriter(repository, {"job": job}, lambda: None, lambda: True)
+    async with trio.open_nursery() as nursery:
+        for index in range(3):
+            writer.start_result(nursery, job, index, make_result(index))
+    entries, _, _ = await repository.list_results("job", 0, 0.0)
+    assert [entry.index for entry in entries] == [0, 2]
+    assert store.calls["create"] == 1
+    assert job.complete and not job.storing
+
+
 # Guards against an object over the store's limit, which is never stored.
 def test_large_results_are_split():
     repository = job_repository.JobRepository(platform.Platform, 10_000)
