Choose at random among upstreams whose costs differ little

Cause: learned speeds always differ a little, so that an idle fleet sent each request to the same upstream. Suspects of a crash met there, and a part of prompts that crashes upstreams ran 12 times after it was known where 3 are allowed.

--- a/src/cornelgrade/policy/placement.py
+++ b/src/cornelgrade/policy/placement.py
@@ -32,6 +32,9 @@
 # A request sent to an upstream without a free slot waits there. In own requests, and more than
 # REMOTE_COST, so that another failure domain takes what the own one has no slots for.
 FULL_COST = 2.0
+# Upstreams whose costs differ by less are equally good. Learned speeds always differ a little: an
+# idle fleet would otherwise send each request to the same upstream, where suspects of a crash meet.
+TIE_MARGIN = 0.3
 # Age, in durations of a request, from which a report says nothing.
 MAX_REPORT_AGE = 3.0
 
@@ -146,15 +149,16 @@
 def choose_upstream(
     candidates: tuple[Candidate, ...], rng: random.Random, remote_cost: float = REMOTE_COST
 ) -> Candidate | None:
-    """Return the cheapest upstream with room; ties are broken at random.
+    """Return one of the cheapest upstreams with room, at random within :data:`TIE_MARGIN`.
 
     :param remote_cost: cost of another failure domain, in own requests.
     """
-    available = [s for s in candidates if has_room(s)]
-    if not available:
-        return None
     given = assess(candidates, remote_cost)
-    return min(available, key=lambda s: (placement_cost(s, given), rng.random()))
+    costs = [(placement_cost(c, given), c) for c in candidates if has_room(c)]
+    if not costs:
+        return None
+    lowest = min(cost for cost, _ in costs)
+    return rng.choice([c for cost, c in costs if cost < lowest + TIE_MARGIN])
 
 
 def load_variation(candidates: tuple[Candidate, ...]) -> float:
--- a/tests/policy/test_even_load.py
+++ b/tests/policy/test_even_load.py
@@ -152,3 +152,14 @@
     assert placement.count_needless_waits((full, over, seen("free", others=7)), queued=2) == 3
     assert placement.load_variation((seen("a", own=2), seen("b", others=2))) == 0.0
     assert placement.load_variation((seen("a", own=4), seen("b"))) == 1.0
+
+
+# Guards against an idle fleet that sends each request to the upstream that seems a little faster, so
+# that all suspects of a crash meet there and none can be told from the others.
+def test_idle_upstreams_of_about_the_same_speed_share_requests():
+    rng = random.Random(1)
+    candidates = tuple(seen(up, report_age=None, speed=0.9 + 0.006 * n) for n, up in enumerate(UPS))
+    chosen = collections.Counter(
+        placement.choose_upstream(candidates, rng).name for _ in range(300)
+    )
+    assert max(chosen.values()) < 40
