--- a/tests/policy/test_even_load.py
+++ b/tests/policy/test_even_load.py
@@ -154,8 +154,8 @@
     assert placement.load_variation((seen("a", own=4), seen("b"))) == 1.0
 
 
-# Guards against an idle fleet that sends each request to the upstream that seems a little faster, so
-# that all suspects of a crash meet there and none can be told from the others.
+# Guards against an idle fleet that sends all requests to the upstream that seems a little faster:
+# all suspects of a crash meet there, and none can be told from the others.
 def test_idle_upstreams_of_about_the_same_speed_share_requests():
     rng = random.Random(1)
     candidates = tuple(seen(up, report_age=None, speed=0.9 + 0.006 * n) for n, up in enumerate(UPS))
