Count an item that has two stored results once

Cause: two workers may store a result of one item in different objects; a worker that loaded the job added the bits of both, so that other items counted as done or ran again: up to 33 runs of a failing item where 9 are allowed.

Result: tests/edge/test_result_sharing.py has a case that fails without the change; it and tests/edge/test_failing_items.py pass.

--- a/src/cornelgrade/services/edge/runner.py
+++ b/src/cornelgrade/services/edge/runner.py
@@ -247,7 +247,8 @@
             try:
                 if not is_new:
                     listed, _, _ = await self._repository.list_results(job.header.job, 0, 0.0)
-                    job.done |= sum(1 << entry.index for entry in listed)
+                    # An item that two workers ran may have two results.
+                    job.done |= sum(1 << index for index in {entry.index for entry in listed})
                     job.merge_failures(await self._repository.read_failures(job.header.job))
                 job.items = await self._repository.read_items(job.header)
                 job.fingerprints = tuple(map(self._fingerprint_item, job.items))
--- a/tests/edge/test_result_sharing.py
+++ b/tests/edge/test_result_sharing.py
@@ -169,6 +169,21 @@
     assert job.complete and not job.storing
 
 
+# Guards against a worker that takes an item with two results for another one that is done: items
+# that always fail ran again after each restart of the workers.
+async def test_worker_that_loads_a_job_counts_two_results_of_an_item_once():
+    async with edge_system.run_system(gateways=1) as system:
+        await system.submit("gateway-0", "job", ITEMS)
+        repository = job_repository.JobRepository(system.store, 1_000_000)
+        await repository.add_group("job", "00000.a", {0: make_result(0), 1: make_result(1)})
+        await repository.add_group("job", "00000.b", {0: make_result(0), 1: make_result(1)})
+        await system.start_worker("worker-0")
+        seen = await read_all(system, ["gateway-0"])
+        ran = [found.request for found in system.engines["engine-0"].seen]
+    assert sorted(names_of(seen)) == sorted(ITEMS)
+    assert sorted(ran) == sorted(ITEMS)[2:]
+
+
 # Guards against an object over the store's limit, which is never stored.
 def test_large_results_are_split():
     repository = job_repository.JobRepository(platform.Platform, 10_000)
