Wait longer before another worker runs an item that has failed

Cause: beside load two workers ran a failing item at the same time, whose failures counted as one, so that it ran four times where three are allowed.

Result: tests/edge/test_team_jobs.py's case failed in 2 of 2 runs of the suite in parts and in 1 of 10 alone; with the change 9 of 9 pass, three beside each other; tests/edge/test_failing_items.py and tests/policy/test_item_claims.py pass.

--- a/src/cornelgrade/services/edge/open_job.py
+++ b/src/cornelgrade/services/edge/open_job.py
@@ -17,6 +17,9 @@
 # Workers are ranked for each item. Each may start it after it was available for this long times its
 # rank, so that higher-ranked workers had time to start it and to broadcast their claim.
 START_STAGGER_S = 0.3
+# The same for an item that has failed. Workers count its runs by messages, and two that run it at the
+# same time count one failure, so the next worker waits until messages must have come.
+FAILED_START_STAGGER_S = 1.0
 # Workers that load a job's input at once. The others load it only when they have nothing else to
 # run, so that the calls for a job don't grow with the fleet.
 JOB_WORKERS = 4
@@ -170,14 +173,16 @@
             return True
         # After a failure all workers wait for the same pause and then in the order of their ranks,
         # or the one that ran the item and the next one would start it at the same time.
-        pause_s = RETRY_PAUSE_S if self.failures.get(index) else 0.0
+        failed = bool(self.failures.get(index))
+        pause_s = RETRY_PAUSE_S if failed else 0.0
         available_s = max(
             self.known_s,
             self.claimed_s.get(index, 0.0) + pause_s,
             self.not_before_s.get(index, 0.0),
         )
         rank = _rank_workers(self.header.job, index, workers).index(vm)
-        return now_s - available_s >= rank * START_STAGGER_S
+        stagger_s = FAILED_START_STAGGER_S if failed else START_STAGGER_S
+        return now_s - available_s >= rank * stagger_s
 
     def may_load(self, workers: tuple[str, ...], vm: str, now_s: float) -> bool:
         """Whether a worker that has nothing else to run may load an open job that waits."""
