--- a/src/cornelgrade/services/edge/open_job.py
+++ b/src/cornelgrade/services/edge/open_job.py
@@ -17,8 +17,8 @@
 # Workers are ranked for each item. Each may start it after it was available for this long times its
 # rank, so that higher-ranked workers had time to start it and to broadcast their claim.
 START_STAGGER_S = 0.3
-# The same for an item that has failed. Workers count its runs by messages, and two that run it at the
-# same time count one failure, so the next worker waits until messages must have come.
+# The same for an item that has failed. Workers count its runs by messages, and two that run it at
+# the same time count one failure, so the next worker waits until messages must have come.
 FAILED_START_STAGGER_S = 1.0
 # Workers that load a job's input at once. The others load it only when they have nothing else to
 # run, so that the calls for a job don't grow with the fleet.
