--- a/src/cornelgrade/policy/ejections.py
+++ b/src/cornelgrade/policy/ejections.py
@@ -229,7 +229,7 @@
         return None
 
     def expire(self, registered: Mapping[outlier.Start, object], now_s: float) -> list[Change]:
-        """Drop upstreams that are gone, and readmit those without trials for long."""
+        """Drop upstreams that left, and readmit those without trials for long."""
         self.ejections = {
             s: expire_trials(ej, now_s) for s, ej in self.ejections.items() if s in registered
         }
--- a/src/cornelgrade/services/edge/_upstream_attempts.py
+++ b/src/cornelgrade/services/edge/_upstream_attempts.py
@@ -73,5 +73,5 @@
         return request in self._served
 
     def keep_only(self, starts: Iterable[outlier.Start]) -> None:
-        """Drop the successes at upstreams that are gone."""
+        """Drop the successes at upstreams that left."""
         self._at_s = {start: self._at_s[start] for start in starts if start in self._at_s}
--- a/src/cornelgrade/services/edge/allowances.py
+++ b/src/cornelgrade/services/edge/allowances.py
@@ -2,7 +2,7 @@
 
 The owner of a limit is a worker: the batch owner of an upstream, or for a team any worker by the
 team's name. It leases tokens to the VMs that ask (:mod:`cornelgrade.policy.shared_allowance`).
-Limits under which nothing is sent cost nothing: nothing is counted, asked or told for them.
+Limits under which nothing is sent cost nothing: nothing is counted, requested or announced.
 """
 
 import dataclasses
@@ -207,7 +207,7 @@
         return True
 
     def report_alive(self, key: shared_allowance.LimitKey, owner: str) -> None:
-        """Tell an owner that this VM hears it, so that it keeps no part of the rate back."""
+        """Report this VM as live to an owner, so that it reserves no part of the rate."""
         known = self._by_key.get(key)
         if known is not None and not self._owns(known):
             self._send_request(owner, key, known, 0)
--- a/src/cornelgrade/services/edge/upstream_outliers.py
+++ b/src/cornelgrade/services/edge/upstream_outliers.py
@@ -249,7 +249,7 @@
             self.changed.notify_all()
 
     def _expire(self) -> None:
-        """Drop what is about upstreams that are gone, and what has lapsed."""
+        """Drop the state of upstreams that left, and what has expired."""
         now_s = trio.current_time()
         registered = {_start(up): up for up in self._fleet.upstreams()}
         changes = self._judge.expire(registered, now_s)
@@ -257,7 +257,7 @@
             if start not in registered or now_s - told.heard_s > TOLD_TTL_S:
                 del self._told[start]
             elif start not in self._judge.ejections and self._owns(registered[start].service):
-                # The owner that ejected it is gone.
+                # The owner that ejected it no longer responds.
                 adopted = ejections.eject(told.failure_share, now_s, told.failed_trials)
                 self._judge.ejections[start] = adopted
         self._ended_s = {
