Confirm in the store that there are no new results before saying so

Cause: gateways took an empty page of the worker that follows a job for the state of the store. A worker whose calls to the store get no response, or whose watch is lost, went on sending its cached page, at once to reads that don't wait, while gateways that got nothing from it read the store.

Change: an empty answer needs a confirmation by the store that is at most 0.6 s old, here or at the worker. A page carries when the store confirmed it, relative to the receipt of the call, on a clock that goes on while a machine is suspended, so that the age is right after a freeze of either side. Otherwise 503.

--- a/src/cornelgrade/services/edge/result_reader.py
+++ b/src/cornelgrade/services/edge/result_reader.py
@@ -2,16 +2,21 @@
 
 A job whose readers wait for results is followed until it is complete or nobody has asked for some
 seconds. A worker follows it by one watch of the store, which all gateways share. A gateway asks
-that worker, and reads the store only if the worker fails or is behind.
+that worker, and reads the store only if the worker fails, is behind, or can't tell whether it is.
+
+A position that one caller has read must not be empty for another one later. Callers may read at
+other gateways, which may have read the store. So there is no empty answer unless the store has
+confirmed it recently, here or at the worker.
 """
 
 import collections
 import dataclasses
+import math
 from collections.abc import Callable, Iterable
 
 import trio
 
-from cornelgrade import errors, logs
+from cornelgrade import clocks, errors, logs, metrics
 from cornelgrade.adapters import platform
 from cornelgrade.services.edge import (
     _notifier,
@@ -27,6 +32,12 @@
 FOLLOW_AFTER_READ_S = 1.0
 # A watch may be lost without a sign, so it is sent again this often.
 WATCH_TIMEOUT_S = 3.0
+# An empty answer needs a confirmation that is newer than this. A position that was read has to be
+# there for every caller after 1 s; the remainder is for the response to arrive.
+MAX_CONFIRMATION_AGE_S = 0.6
+# Timeout of a confirmation. A worker's ends first, so that the gateway learns of its failure.
+CONFIRM_TIMEOUT_S = 0.5
+WORKER_CONFIRM_TIMEOUT_S = 0.3
 # How long the response to a watch may take beyond its timeout.
 RESPONSE_TIMEOUT_S = 0.5
 # Pause after a change, so that one response covers results close together.
@@ -43,9 +54,11 @@
     :ivar indexes: the items with results; of several results of an item only the first counts.
     :ivar revision: store revision to continue reading from, 0 to read everything.
     :ivar from_worker: whether a worker responded to the last read.
+    :ivar confirmed_s: a time at which the store had no other results, by :mod:`clocks`.
     :ivar following: while a watch is open for it, the scope that ends it.
     :ivar failure: why the last watch failed.
     :ivar lock: held while a caller that does not wait reads on.
+    :ivar watch: the scope of the watch, cancelled to send it again.
     """
 
     header: job_repository.JobHeader
@@ -53,7 +66,9 @@
     indexes: set[int] = dataclasses.field(default_factory=set)
     revision: int = 0
     from_worker: bool = False
+    confirmed_s: float = -math.inf
     following: trio.CancelScope | None = None
+    watch: trio.CancelScope | None = None
     failure: platform.UnavailableError | None = None
     lock: trio.Lock = dataclasses.field(default_factory=trio.Lock)
     changed: _notifier.Notifier = dataclasses.field(default_factory=_notifier.Notifier)
@@ -67,6 +82,15 @@
         """Whether there is something to tell a caller that has read up to ``after``."""
         return len(self.results) > after or self.complete
 
+    def can_answer(self, after: int) -> bool:
+        """Whether a caller that has read up to ``after`` can be answered without another read."""
+        age_s = clocks.since_boot_s() - self.confirmed_s
+        return self.has_news(after) or age_s < MAX_CONFIRMATION_AGE_S
+
+    def confirm(self, confirmed_s: float) -> None:
+        """Record that the store had no other results at a time."""
+        self.confirmed_s = max(self.confirmed_s, confirmed_s)
+
     def add(self, entries: Iterable[job_repository.StoredResult]) -> None:
         """Add the results that follow, in the store's order."""
         for entry in entries:
@@ -107,6 +131,10 @@
         self._availability = availability
         self._cache: collections.OrderedDict[str, _CachedJob] = collections.OrderedDict()
         self._nursery: trio.Nursery | None = None
+        self._confirmations = metrics.counter(
+            "cornelgrade_result_confirmations_total",
+            "Reads that confirm that a job has no new results, by outcome.",
+        )
 
     async def run(self, started: Callable[[], None]) -> None:
         """Follow jobs until cancelled."""
@@ -127,29 +155,56 @@
         cached = await self._load(job)
         if not cached.header.is_visible_to(team):
             raise errors.Refusal(errors.Code.NOT_FOUND, f"no job {job}", step="read")
-        if not cached.has_news(after) and not (cached.revision and wait_s):
-            await self._refresh_once(cached)
-        if not cached.has_news(after) and wait_s:
-            await self._wait_for_news(cached, after, wait_s)
+        await self._read_on(cached, after, wait_s, CONFIRM_TIMEOUT_S)
         return cached.header.total, tuple(entry.result for entry in cached.results[after:])
 
     async def read_page(self, job: str, after: int, wait_s: float) -> result_sharing.Page:
         """Implements :class:`result_sharing.PageSource`, at a worker."""
+        received_s = clocks.since_boot_s()
         cached = await self._load(job)
-        if not cached.has_news(after) and not wait_s and cached.following is None:
-            await self._refresh_once(cached)
-        if not cached.has_news(after) and wait_s:
+        await self._read_on(cached, after, wait_s, WORKER_CONFIRM_TIMEOUT_S)
+        return result_sharing.Page(
+            cached.header,
+            after,
+            tuple(cached.results[after:]),
+            cached.revision,
+            len(cached.results),
+            cached.confirmed_s - received_s,
+        )
+
+    async def _read_on(
+        self, cached: _CachedJob, after: int, wait_s: float, confirm_timeout_s: float
+    ) -> None:
+        """Read results after ``after``; return without any only if the store has confirmed that.
+
+        :raises UnavailableError: if there may be results that can't be read now.
+        """
+        if wait_s and not cached.has_news(after):
             await self._wait_for_news(cached, after, wait_s)
-        known = len(cached.results)
-        new = tuple(cached.results[after:])
-        return result_sharing.Page(cached.header, after, new, cached.revision, known)
+        if cached.can_answer(after):
+            return
+        outcome = "failed"
+        try:
+            with trio.move_on_after(confirm_timeout_s):
+                await self._confirm(cached, after)
+                outcome = "news" if cached.has_news(after) else "nothing new"
+        finally:
+            self._confirmations.inc({"outcome": outcome})
+        if not cached.can_answer(after):
+            age_s = clocks.since_boot_s() - cached.confirmed_s
+            _log.info("results_not_confirmed", job=cached.header.job, after=after, age_s=age_s)
+            raise platform.UnavailableError("results are not confirmed", step="read")
 
-    async def _refresh_once(self, cached: _CachedJob) -> None:
+    async def _confirm(self, cached: _CachedJob, after: int) -> None:
         """Read on without waiting; callers at the same time share the read."""
-        asked = cached.revision
         async with cached.lock:
-            if cached.revision == asked:
-                await self._refresh(cached, 0.0)
+            if cached.can_answer(after):
+                return
+            known = len(cached.results)
+            await self._refresh(cached, 0.0)
+            if len(cached.results) > known and cached.watch is not None:
+                # The watch should have shown this; it may be lost.
+                cached.watch.cancel()
 
     async def _load(self, job: str) -> _CachedJob:
         """Return what is cached of a job; the first call reads its header."""
@@ -190,12 +245,6 @@
         with trio.move_on_after(wait_s):
             while not cached.has_news(after) and cached.failure is None:
                 await cached.changed.wait()
-        if cached.has_news(after):
-            return
-        if cached.failure is not None:
-            raise cached.failure
-        if self._availability.unavailable and not cached.from_worker:
-            raise platform.UnavailableError("the store does not respond", step="read")
 
     async def _follow(self, cached: _CachedJob, scope: trio.CancelScope) -> None:
         """Read new results until the job is complete, nobody asks any more or the store fails."""
@@ -204,7 +253,7 @@
                 while not cached.complete:
                     with (
                         self._availability.interruptible_watch(),
-                        trio.move_on_after(WATCH_TIMEOUT_S + RESPONSE_TIMEOUT_S),
+                        trio.move_on_after(WATCH_TIMEOUT_S + RESPONSE_TIMEOUT_S) as cached.watch,
                     ):
                         await self._refresh(cached, WATCH_TIMEOUT_S)
                     await trio.sleep(SETTLE_AFTER_WORKER_S if cached.from_worker else SETTLE_S)
@@ -214,21 +263,24 @@
                 job = cached.header.job
                 _log.warning("store_lost", job=job, error=exc.format_message())
         finally:
-            cached.following = None
+            cached.following = cached.watch = None
             cached.changed.notify_all()
 
     async def _refresh(self, cached: _CachedJob, wait_s: float) -> None:
-        """Read the results after those cached, waiting for one up to ``wait_s``."""
+        """Read the results after those cached, waiting for one up to ``wait_s``.
+
+        :raises UnavailableError: if neither a worker nor the store responds.
+        """
+        if self._client is not None and await self._fetch_page(cached, wait_s):
+            return
+        if self._client is None and self._availability.unavailable:
+            # At a worker: the gateway that asks may reach the store.
+            raise platform.UnavailableError("the store does not respond", step="read")
         job = cached.header.job
-        if self._client is not None:
-            page = await self._client.fetch(job, len(cached.results), wait_s)
-            cached.from_worker = page is not None and self._apply_page(cached, page)
-            if cached.from_worker:
-                return
-        asked = cached.revision
+        asked, asked_s = cached.revision, clocks.since_boot_s()
         listed, revision, reset = await self._repository.list_results(job, asked, wait_s)
         if reset:
-            asked = cached.revision
+            asked, asked_s = cached.revision, clocks.since_boot_s()
             listed, revision, _ = await self._repository.list_results(job, 0, 0.0)
         if cached.revision != asked:
             # Another call has read on meanwhile.
@@ -237,8 +289,18 @@
             cached.clear()
         cached.add(listed)
         cached.revision = revision
+        cached.confirm(asked_s)
         cached.changed.notify_all()
 
+    async def _fetch_page(self, cached: _CachedJob, wait_s: float) -> bool:
+        """Read on at the worker; return ``False`` if the store has to be read."""
+        assert self._client is not None
+        known = len(cached.results)
+        page = await self._client.fetch(cached.header.job, known, wait_s)
+        cached.from_worker = page is not None and self._apply_page(cached, page)
+        # A page without results has to be confirmed, or the worker may not know that there are any.
+        return cached.from_worker and (wait_s > 0 or cached.can_answer(known))
+
     @staticmethod
     def _apply_page(cached: _CachedJob, page: result_sharing.Page) -> bool:
         """Add the results of a page; return ``False`` if they don't follow those cached."""
@@ -248,5 +310,7 @@
             return False
         cached.add(new)
         cached.revision = max(cached.revision, page.revision)
+        if len(cached.results) == page.known:
+            cached.confirm(page.confirmed_s)
         cached.changed.notify_all()
         return True
--- a/src/cornelgrade/services/edge/result_sharing.py
+++ b/src/cornelgrade/services/edge/result_sharing.py
@@ -5,12 +5,13 @@
 read from the store, in the store's order, so every gateway sees the same positions as in the store.
 """
 
+import math
 from typing import Protocol
 
 import msgspec
 import trio
 
-from cornelgrade import errors, kernel, logs, metrics
+from cornelgrade import clocks, errors, kernel, logs, metrics
 from cornelgrade.adapters import platform
 from cornelgrade.services.edge import job_repository, open_job, peer_calls, peers
 
@@ -32,6 +33,8 @@
 
     :param revision: of the store up to which the results before and in this page are complete.
     :param known: number of results that the worker knows.
+    :param confirmed_s: a time at which the store had no other results: for the worker, seconds
+        after it received the call, mostly negative; for the gateway, by :mod:`clocks`.
     """
 
     header: job_repository.JobHeader
@@ -39,6 +42,7 @@
     results: tuple[job_repository.StoredResult, ...]
     revision: int
     known: int
+    confirmed_s: float = -math.inf
 
 
 class PageSource(Protocol):
@@ -70,6 +74,7 @@
         if worker is None or trio.current_time() < self._avoided_until_s.get(worker, 0.0):
             return None
         wait_s = min(wait_s, MAX_WAIT_S)
+        sent_s = clocks.since_boot_s()
         target = f"{PATH}?{peer_calls.encode_query(job=job, after=after, wait=wait_s)}"
         try:
             body = await self._calls.call(
@@ -85,7 +90,8 @@
             self._counter.inc({"outcome": "unknown" if page is None else "behind"})
             return None
         self._counter.inc({"outcome": "read"})
-        return page
+        # The worker has received the call after it was sent, so this is no later than it was there.
+        return msgspec.structs.replace(page, confirmed_s=sent_s + page.confirmed_s)
 
 
 class ResultServer:
--- a/src/cornelgrade/services/edge/store_monitor.py
+++ b/src/cornelgrade/services/edge/store_monitor.py
@@ -7,12 +7,11 @@
 """
 
 import random
-import time
 from collections.abc import Callable
 
 import trio
 
-from cornelgrade import kernel, logs
+from cornelgrade import clocks, kernel, logs
 from cornelgrade.adapters import platform
 from cornelgrade.schema import messages
 from cornelgrade.services.edge import _store_availability, peers, ports
@@ -76,11 +75,11 @@
             due_s = self._due_s() + jitter_s
             if now_s >= due_s:
                 return
-            suspended_before_s = _suspended_s()
+            suspended_before_s = clocks.suspended_s()
             with trio.move_on_at(due_s):
                 await self._availability.wait_change()
             late_s = trio.current_time() - due_s
-            if max(late_s, _suspended_s() - suspended_before_s) > SUSPENSION_S:
+            if max(late_s, clocks.suspended_s() - suspended_before_s) > SUSPENSION_S:
                 _log.info("was_suspended", late_s=late_s)
                 self._availability.restart_watches()
                 return
@@ -152,8 +151,3 @@
         if followed < revision and not self._availability.unavailable:
             _log.warning("watch_lost", kind=kind, version=followed, newer=revision)
             self._availability.restart_watches()
-
-
-def _suspended_s() -> float:
-    """Return for how long the machine has been suspended since its start."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME) - time.clock_gettime(time.CLOCK_MONOTONIC)
