Send changes of loads less often in a large fleet

Profile of the first 20 s: a worker sends 23,569 datagrams with counts of load in 516 rounds of 6.1 ms, 19 % of its busy time; a gateway spends 29 % of its own on receiving such datagrams and 14 % on sending its counts and sampling gauges.

Cause: a worker sends each gateway the counts of all others whenever one of them changes, up to 20 times a second, so the work grows with the square of the fleet.

Claims on items keep their pause of 0.05 s. The mean durations in these messages are computed once a round, and gauges of placement are sampled once a second.

--- a/src/cornelgrade/services/edge/runner.py
+++ b/src/cornelgrade/services/edge/runner.py
@@ -135,7 +135,8 @@
             nursery = self._nursery
             nursery.start_soon(self._uses.receive_uses, uses)
             nursery.start_soon(self._claims.receive_claims, claims)
-            nursery.start_soon(self._broadcast_state)
+            nursery.start_soon(self._broadcast_claims)
+            nursery.start_soon(self._broadcast_uses)
             nursery.start_soon(self._sweeper.run)
             nursery.start_soon(
                 self._uses.loads.poll,
@@ -601,14 +602,20 @@
 
     # Broadcasts
 
-    async def _broadcast_state(self) -> None:
+    async def _broadcast_claims(self) -> None:
         while True:
             self._claims.send_claims()
-            self._uses.send_to_gateways(self._owned_upstreams())
             with trio.move_on_after(_broadcast.BROADCAST_INTERVAL_S):
                 await self._wake.wait()
             await trio.sleep(MIN_BROADCAST_PAUSE_S)
 
+    async def _broadcast_uses(self) -> None:
+        while True:
+            gateways = self._uses.send_to_gateways(self._owned_upstreams())
+            with trio.move_on_after(_broadcast.BROADCAST_INTERVAL_S):
+                await self._wake.wait()
+            await trio.sleep(_broadcast.pause_s(gateways, MIN_BROADCAST_PAUSE_S))
+
 
 def _given_up_result(item: ports.Item) -> ports.ItemResult:
     return ports.ItemResult(item.name, ports.ItemEnd.GIVEN_UP, "")
--- a/src/cornelgrade/services/edge/slot_permits.py
+++ b/src/cornelgrade/services/edge/slot_permits.py
@@ -31,6 +31,8 @@
 
 # Counts are resent this often because datagrams may be lost.
 USE_BROADCAST_INTERVAL_S = 0.25
+# How often the metrics of placement are sampled.
+LOAD_METRICS_INTERVAL_S = 1.0
 # Reports of other gateways' requests expire after four broadcasts.
 REPORT_TTL_S = 1.0
 # Limits on the upstreams that a gateway tracks, so that its messages stay bounded in a large fleet.
@@ -144,6 +146,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._receive_uses, received)
             nursery.start_soon(self._broadcast_uses)
+            nursery.start_soon(self._record_loads)
             nursery.start_soon(self._dispatch_on_change, self._fleet.changed)
             nursery.start_soon(self._dispatch_on_change, self._limits.changed)
             nursery.start_soon(self._dispatch_on_change, self._reach.changed)
@@ -411,10 +414,14 @@
             for vm, uses in uses_by_vm.items():
                 for message in team_shares.split_uses(uses):
                     self._peers.send(vm, message)
-            self._record_loads()
             await trio.sleep(USE_BROADCAST_INTERVAL_S)
 
-    def _record_loads(self) -> None:
+    async def _record_loads(self) -> None:
+        while True:
+            self._record_loads_once()
+            await trio.sleep(LOAD_METRICS_INTERVAL_S)
+
+    def _record_loads_once(self) -> None:
         for service in {reg.upstream.service for reg in self._fleet.usable_registrations()}:
             candidates = self._list_candidates(service, frozenset(), None, repeatable=False)
             queued = sum(1 for waiter in self._waiting if waiter.service == service)
--- a/src/cornelgrade/services/edge/upstream_uses.py
+++ b/src/cornelgrade/services/edge/upstream_uses.py
@@ -78,12 +78,14 @@
         received = self._online_by_gateway.get(upstream, {}).values()
         return [use for use, at_s in received if now_s - at_s < USE_TTL_S]
 
-    def send_to_gateways(self, owned_upstreams: list[routes.Upstream]) -> None:
+    def send_to_gateways(self, owned_upstreams: list[routes.Upstream]) -> int:
         """Send each gateway the requests of the others at the upstreams that it uses.
 
         A gateway that uses none of them gets an empty message, because it needs to know which
         workers are live to choose a batch owner. Unchanged counts are resent each
         :data:`_broadcast.BROADCAST_INTERVAL_S`.
+
+        :returns: the number of gateways.
         """
         now_s = trio.current_time()
         uses_by_gateway: dict[str, list[messages.UpstreamUse]] = {
@@ -108,17 +110,27 @@
         changed, _ = self._delta.select_entries(
             {vm: messages.Uses(tuple(uses)) for vm, uses in uses_by_gateway.items()}
         )
+        took_ms = {up.name: self._mean_to_report_ms(up.name, now_s) for up in owned_upstreams}
         for vm, message in changed.items():
-            self._peers.send(vm, self._add_durations(message, now_s))
+            self._peers.send(vm, _add_durations(message, took_ms))
         if now_s - self._forgot_s >= FORGET_INTERVAL_S:
             self._forgot_s = now_s
             self.speeds.forget_old(now_s)
+        return len(uses_by_gateway)
+
+    def _mean_to_report_ms(self, upstream: str, now_s: float) -> int:
+        return round((self.speeds.mean_to_report_s(upstream, now_s) or 0.0) * _MS_PER_S)
 
-    def _add_durations(self, message: messages.Uses, now_s: float) -> messages.Uses:
-        """Add the mean durations to a message; a change of these alone is no reason to send one."""
-        uses = []
-        for use in message.uses:
-            mean_s = self.speeds.mean_to_report_s(use.upstream, now_s)
-            took_ms = round((mean_s or 0.0) * _MS_PER_S)
-            uses.append(dataclasses.replace(use, took_ms=took_ms))
-        return messages.Uses(tuple(uses))
+
+def _add_durations(message: messages.Uses, took_ms: dict[str, int]) -> messages.Uses:
+    """Add the mean durations to a message; a change of these alone is no reason to send one."""
+    return messages.Uses(
+        tuple(
+            (
+                dataclasses.replace(use, took_ms=took_ms[use.upstream])
+                if took_ms[use.upstream]
+                else use
+            )
+            for use in message.uses
+        )
+    )
