Let a confirmation of results go on after its caller's timeout

Callers saw: 503 to every read that doesn't wait, though the result was stored, while a call to the store took over 0.3 s at the worker and what was left of 0.5 s at the gateway, or while the worker of the job accepted calls and didn't respond. It lasted as long as the fault.

Cause: each read cancelled its confirmation at its own timeout, so the next one began again and nothing was learned. The call to the worker had the same timeout of 0.5 s and was cancelled before it could fail, so the worker was not avoided.

The read runs as a task of the reader that callers share. Its time is bounded by the timeouts of the calls, and it is sent again when the store becomes available. An empty answer needs a recent confirmation as before, and callers are refused as soon as before. Reads before the start or after the end of the service get 503.

--- a/src/cornelgrade/services/edge/result_reader.py
+++ b/src/cornelgrade/services/edge/result_reader.py
@@ -47,6 +47,17 @@
 _log = logs.Logger("results")
 
 
+@dataclasses.dataclass(eq=False, slots=True)
+class _Confirmation:
+    """A read of the results that there are now.
+
+    :ivar failure: why it failed.
+    """
+
+    ended: trio.Event = dataclasses.field(default_factory=trio.Event)
+    failure: platform.UnavailableError | None = None
+
+
 @dataclasses.dataclass(slots=True)
 class _CachedJob:
     """The results of a job that this gateway has read so far.
@@ -57,7 +68,7 @@
     :ivar confirmed_s: a time at which the store had no other results, by :mod:`clocks`.
     :ivar following: while a watch is open for it, the scope that ends it.
     :ivar failure: why the last watch failed.
-    :ivar lock: held while a caller that does not wait reads on.
+    :ivar confirmation: the read that confirms it, while there is one.
     :ivar watch: the scope of the watch, cancelled to send it again.
     """
 
@@ -70,7 +81,7 @@
     following: trio.CancelScope | None = None
     watch: trio.CancelScope | None = None
     failure: platform.UnavailableError | None = None
-    lock: trio.Lock = dataclasses.field(default_factory=trio.Lock)
+    confirmation: "_Confirmation | None" = None
     changed: _notifier.Notifier = dataclasses.field(default_factory=_notifier.Notifier)
 
     @property
@@ -138,9 +149,12 @@
 
     async def run(self, started: Callable[[], None]) -> None:
         """Follow jobs until cancelled."""
-        async with trio.open_nursery() as self._nursery:
-            started()
-            await trio.sleep_forever()
+        try:
+            async with trio.open_nursery() as self._nursery:
+                started()
+                await trio.sleep_forever()
+        finally:
+            self._nursery = None
 
     async def read(
         self, job: str, after: int, wait_s: float, team: str | None = None
@@ -196,15 +210,49 @@
             raise platform.UnavailableError("results are not confirmed", step="read")
 
     async def _confirm(self, cached: _CachedJob, after: int) -> None:
-        """Read on without waiting; callers at the same time share the read."""
-        async with cached.lock:
-            if cached.can_answer(after):
-                return
-            known = len(cached.results)
-            await self._refresh(cached, 0.0)
-            if len(cached.results) > known and cached.watch is not None:
-                # The watch should have shown this; it may be lost.
-                cached.watch.cancel()
+        """Read on without waiting; callers at the same time share the read.
+
+        The read goes on after a caller's timeout. A slow store, or a worker that doesn't respond,
+        would else keep the results from all callers that don't wait.
+
+        :raises UnavailableError: if the read fails.
+        """
+        while not cached.can_answer(after):
+            confirmation = cached.confirmation
+            if confirmation is None:
+                nursery = self._running_nursery()
+                confirmation = cached.confirmation = _Confirmation()
+                nursery.start_soon(self._run_confirmation, cached, confirmation)
+            await confirmation.ended.wait()
+            if confirmation.failure is not None:
+                failure = confirmation.failure
+                raise platform.UnavailableError(failure.message, step="read") from failure
+
+    async def _run_confirmation(self, cached: _CachedJob, confirmation: _Confirmation) -> None:
+        known = len(cached.results)
+        try:
+            with self._availability.interruptible_watch():
+                await self._refresh(cached, 0.0)
+        except platform.UnavailableError as exc:
+            confirmation.failure = exc
+        except trio.Cancelled:
+            confirmation.failure = platform.UnavailableError("the process stops", step="read")
+            raise
+        finally:
+            cached.confirmation = None
+            confirmation.ended.set()
+        if len(cached.results) > known and cached.watch is not None:
+            # The watch should have shown this; it may be lost.
+            cached.watch.cancel()
+
+    def _running_nursery(self) -> trio.Nursery:
+        """Return the nursery of reads that callers share.
+
+        :raises UnavailableError: before the start and after the end of the service.
+        """
+        if self._nursery is None:
+            raise platform.UnavailableError("the process starts or stops", step="read")
+        return self._nursery
 
     async def _load(self, job: str) -> _CachedJob:
         """Return what is cached of a job; the first call reads its header."""
@@ -235,12 +283,12 @@
         return _CachedJob(header)
 
     async def _wait_for_news(self, cached: _CachedJob, after: int, wait_s: float) -> None:
-        assert self._nursery is not None
+        nursery = self._running_nursery()
         deadline_s = trio.current_time() + wait_s + FOLLOW_AFTER_READ_S
         if cached.following is None:
             cached.failure = None
             cached.following = trio.CancelScope(deadline=deadline_s)
-            self._nursery.start_soon(self._follow, cached, cached.following)
+            nursery.start_soon(self._follow, cached, cached.following)
         cached.following.deadline = deadline_s
         with trio.move_on_after(wait_s):
             while not cached.has_news(after) and cached.failure is None:
--- a/tests/edge/test_unseen_results.py
+++ b/tests/edge/test_unseen_results.py
@@ -4,12 +4,20 @@
 without a sign, while the gateways read on.
 """
 
+import msgspec
 import pytest
 import trio
 
 from cornelgrade import errors
 from cornelgrade.platform.standins import edge_system, formats
-from cornelgrade.services.edge import job_repository, open_job, peer_calls, peers, ports
+from cornelgrade.services.edge import (
+    job_repository,
+    open_job,
+    peer_calls,
+    peers,
+    ports,
+    result_reader,
+)
 
 # Within this time a position that was read is there for every other caller.
 SETTLE_S = 1.0
@@ -142,3 +150,38 @@
                 await trio.sleep(0.1)
     assert [items for status, items in answers if status == 200 and items != seen] == []
     assert answers[-1] == (200, seen)
+
+
+# Guards against results that stay unseen while the store takes longer than a confirmation may: each
+# read was cancelled before its response came, and callers that don't wait got 503 without end.
+async def test_results_of_a_slow_store_reach_callers_that_do_not_wait():
+    async with edge_system.run_system(gateways=2, workers=2, engines=0) as system:
+        await system.submit("gateway-0", "job", ITEMS)
+        await read(system, "gateway-0", 0, 0)
+        await add_result(system, 0)
+        system.store.switch(msgspec.structs.replace(system.store.switches, slow_s=0.7))
+        assert await read_until_seen(system, "gateway-0", 0) == ["item-0"]
+
+
+# Guards against results that stay unseen while the worker that follows the job doesn't respond: the
+# wait for it took all the time for a confirmation, so the store was not read.
+async def test_results_reach_callers_that_do_not_wait_when_a_worker_does_not_respond(monkeypatch):
+    call = peer_calls.PeerCalls.call
+    silent = False
+
+    async def limited(self, vm, target, timeout_s, *args):
+        if not silent:
+            return await call(self, vm, target, timeout_s, *args)
+        await trio.sleep(timeout_s)
+        raise errors.NotReachableError("no response", step=target, peer=vm)
+
+    monkeypatch.setattr(peer_calls.PeerCalls, "call", limited)
+    async with edge_system.run_system(gateways=2, workers=2, engines=0) as system:
+        await system.submit("gateway-0", "job", ITEMS)
+        await read(system, "gateway-0", 0, 0)
+        await add_result(system, 0)
+        silent = True
+        # The read above confirmed that there was nothing.
+        await trio.sleep(result_reader.MAX_CONFIRMATION_AGE_S)
+        with trio.fail_after(SETTLE_S):
+            assert await read_until_seen(system, "gateway-0", 0) == ["item-0"]
