Go on with a broken-off stream only with an event stream

Cause: the relay checked only the status of the response to a resume request. A text that ends with a blank line was taken for an event without data, like a comment, and passed on; a text without one was dropped; in both cases the end of the body ended the caller's stream.

The first response is relayed by events only if it is an event stream, so the one that continues it has to be one too. Any other counts as a failed run: another engine goes on, or the stream is visibly broken off.

--- a/src/cornelgrade/platform/standins/stream_engine.py
+++ b/src/cornelgrade/platform/standins/stream_engine.py
@@ -18,6 +18,20 @@
 _VERSION_LINE = re.compile(rb"^: ([^\n]*)\n", re.MULTILINE)
 
 
+class Reply(msgspec.Struct, frozen=True):
+    """A response that replaces the engine's own.
+
+    :param not_executed: whether it states that the request has not run.
+    :param unframed: whether it has neither a length nor chunks.
+    """
+
+    status: int
+    content_type: str = "text/event-stream"
+    body: bytes = b""
+    not_executed: bool = False
+    unframed: bool = False
+
+
 class Faults(msgspec.Struct, frozen=True):
     """Faults to inject.
 
@@ -40,6 +54,7 @@
     :param dark: such a crash closes no connection; the engine only falls silent.
     :param leaving: say in each response that the engine is leaving.
     :param limits: limits in requests a second to name in each response, each in a header.
+    :param resume_reply: the response to requests that resume a stream.
     """
 
     decline: bool = False
@@ -60,6 +75,7 @@
     dark: bool = False
     leaving: bool = False
     limits: tuple[str, ...] = ()
+    resume_reply: Reply | None = None
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -217,6 +233,9 @@
             foreign = (("x-request-id", "someone-else"), *self._notice())
             await req.respond(200, b"not yours", foreign)
             return
+        if self.faults.resume_reply is not None and seen.resumed_after is not None:
+            await self._send_reply(req, self.faults.resume_reply, head)
+            return
         if self.faults.fail and self.faults.fail_on in seen.body:
             await trio.sleep(self.event_s)
             await req.respond(self.faults.fail, b"failed", head)
@@ -232,6 +251,17 @@
             await self._send_events(req, seen, faults)
         await req.end_response()
 
+    @staticmethod
+    async def _send_reply(
+        req: _http_server.Exchange, reply: Reply, head: _http_server.Headers
+    ) -> None:
+        not_executed = (("x-not-executed", "1"),) if reply.not_executed else ()
+        headers = (*head, *not_executed, ("content-type", reply.content_type))
+        if reply.unframed:
+            req.omit_framing()
+        await req.start_response(reply.status, headers, reply.body)
+        await req.end_response()
+
     async def _send_events(
         self, req: _http_server.Exchange, seen: ReceivedRequest, faults: Faults
     ) -> None:
--- a/src/cornelgrade/services/edge/_response_relay.py
+++ b/src/cornelgrade/services/edge/_response_relay.py
@@ -20,6 +20,10 @@
 _EVENT_STREAM = b"text/event-stream"
 
 
+def _is_event_stream(head: http1.ResponseHead) -> bool:
+    return (head.get(b"content-type") or b"").startswith(_EVENT_STREAM)
+
+
 class ResponseRelay:
     """Relays responses whose head was received; raises ``CallError`` if another may be tried."""
 
@@ -74,8 +78,7 @@
         headers = self._call_format.caller_headers(head)
         if progress.permit is not None and req.hop is not None:
             headers += forwarding.origin_headers(progress.permit.upstream)
-        streamed = (head.get(b"content-type") or b"").startswith(_EVENT_STREAM)
-        if streamed and req.route.resumable and head.status < 300:
+        if _is_event_stream(head) and req.route.resumable and head.status < 300:
             await self._relay_events(channel, req, progress, (head.status, headers))
             return
         await self._relay_body(channel, req, progress, (head.status, headers))
@@ -112,6 +115,8 @@
         """Continue a stream that the caller has received in part."""
         if head.status >= 300:
             raise channel.call_error(f"resume request got status {head.status}", _relay_state.STEP)
+        if not _is_event_stream(head):
+            raise channel.call_error("resume request got no event stream", _relay_state.STEP)
         await self._relay_events(channel, req, progress, None)
 
     async def _relay_events(
