Treat lines that belong to no event stream as a broken-off stream

Cause: whatever ends with a blank line was taken for an event. Without an id and data it was passed on like a comment; after "id: 3" in the same block it even counted as event 3. The end of the body then completed the response.

Evidence: tests/edge/test_resume_errors.py failed before for "200 text as events", "200 JSON as events", "200 head as events" (framed and unframed), "200 comment, then a head" and "200 event with a head in it": for streams, streams over another gateway and items. The unframed one passed before over another gateway.

Each line of an event stream is a comment, a field whose name is a word, or the bare name of a known field; a line with an unknown field stays allowed. Lines of a text, of JSON or the status line of a response are none of these, so the splitter can mark such an event, and relay and item caller count the run as failed before anything of that event is sent: another engine goes on, or the stream is visibly broken off.

--- a/src/cornelgrade/policy/event_stream.py
+++ b/src/cornelgrade/policy/event_stream.py
@@ -9,8 +9,13 @@
 MAX_EVENT_BYTES = 262_144
 # A line ends with CR, LF or both.
 MAX_LINE_END_BYTES = 2
+MALFORMED_MESSAGE = "lines that belong to no event stream"
 _LINE_END_BYTES = b"\r\n"
 _BLANK_LINE = re.compile(rb"(?>\r\n|\r|\n){2}")
+# A line is a comment, a field, or the bare name of a known field. A field that is not known is
+# ignored, but its name is a word.
+_LINE = rb"(?:[\w-]*:[^\r\n]*|data|id|event|retry)?(?:\r\n|\r|\n)"
+_EVENT = re.compile(rb"(?:\xef\xbb\xbf)?(?:" + _LINE + rb")*+")
 _ID = b"id:"
 _DATA = b"data:"
 
@@ -23,11 +28,14 @@
     :param event_id: its id, ``None`` if it has none or one that is not a number.
     :param empty: whether it has neither data nor an id, like the comments that keep an idle
         connection open. It shows no progress.
+    :param well_formed: whether each of its lines may be part of an event stream; the lines of a
+        text or of the head of a response may not.
     """
 
     raw: bytes
     event_id: int | None
     empty: bool = False
+    well_formed: bool = True
 
     def data(self) -> bytes:
         """Return the event's data, with several data lines joined by line feeds."""
@@ -83,7 +91,8 @@
     lines = raw.splitlines()
     ids = [line for line in lines if line.startswith(_ID)]
     empty = not ids and not any(line.startswith(_DATA) for line in lines)
-    return Event(raw, _parse_id(ids[0]) if ids else None, empty)
+    well_formed = _EVENT.fullmatch(raw) is not None
+    return Event(raw, _parse_id(ids[0]) if ids else None, empty, well_formed)
 
 
 def _parse_id(line: bytes) -> int | None:
--- a/src/cornelgrade/services/edge/_response_relay.py
+++ b/src/cornelgrade/services/edge/_response_relay.py
@@ -136,6 +136,8 @@
             except event_stream.EventTooLongError as exc:
                 raise channel.call_error(str(exc), _relay_state.STEP) from exc
             for event in events:
+                if not event.well_formed:
+                    raise channel.call_error(event_stream.MALFORMED_MESSAGE, _relay_state.STEP)
                 if _relay_state.has_gap(event, progress.last_event):
                     raise channel.call_error(
                         f"events missing between {progress.last_event} and {event.event_id}",
--- a/src/cornelgrade/services/edge/item_call.py
+++ b/src/cornelgrade/services/edge/item_call.py
@@ -128,6 +128,8 @@
                 raise channel.call_error(str(exc), _STEP) from exc
             events_before = partial.events
             for event in events:
+                if not event.well_formed:
+                    raise channel.call_error(event_stream.MALFORMED_MESSAGE, _STEP)
                 if event.empty:
                     continue
                 partial.origin = software_versions.origin_at(up)
