Take only a response with its id after one to another request

Clients were told "not run, try again" for a request that an engine was running, and such a request ran at a second engine (REFUSED, TWICE), when an engine wrote an earlier refusal with its id and then another one without any id before the response.

Cause: a response to another request is skipped, but the next one was taken for the response to the request if it had no id, although the connection had just shown that it carries additional responses.

After a foreign response only one that echoes the request's id belongs to it. Others are skipped, within the limit that exists; if none follows, the request may have run.

--- a/src/cornelgrade/adapters/http1_connection.py
+++ b/src/cornelgrade/adapters/http1_connection.py
@@ -256,6 +256,10 @@
         data = b"".join(self._h11.send(event) or b"" for event in events)
         await self._send_bytes(data)
 
+    async def send_raw(self, data: bytes) -> None:
+        """Send bytes that belong to no response, for stand-ins."""
+        await self._send_bytes(data)
+
     async def _send_bytes(self, data: bytes) -> None:
         """Send bytes as fast as the client reads them.
 
--- a/src/cornelgrade/adapters/http1_server.py
+++ b/src/cornelgrade/adapters/http1_server.py
@@ -98,6 +98,10 @@
         length = (("content-length", str(len(body) + 1)),)
         await self._send([self._response_head(status, length), _data_event(body)])
 
+    async def send_raw(self, data: bytes) -> None:
+        """Send bytes that belong to no response, for stand-ins."""
+        await self._conn.send_raw(data)
+
     def _response_head(self, status: int, headers: Headers | RawHeaders) -> h11.Response:
         closing = [("connection", "close")] if self._conn.closing else []
         return h11.Response(status_code=status, headers=[*headers, *closing])
--- a/src/cornelgrade/platform/calls.py
+++ b/src/cornelgrade/platform/calls.py
@@ -151,9 +151,13 @@
         resume = ((_LAST_EVENT_ID, str(after).encode()),) if after is not None else ()
         return own_headers + kept + resume
 
-    def verdict(self, head: http1.ResponseHead, request_id: str) -> ports.Verdict:
+    def verdict(
+        self, head: http1.ResponseHead, request_id: str, *, after_foreign: bool = False
+    ) -> ports.Verdict:
         """Classify an upstream's response by its status and headers."""
         echoed_id = head.get(_REQUEST_ID)
+        if echoed_id is None and after_foreign:
+            return ports.Verdict.FOREIGN
         if echoed_id is not None and echoed_id.decode("latin-1") != request_id:
             return ports.Verdict.FOREIGN
         if head.get(_NOT_EXECUTED) is not None or head.status == _STATUS_WRONG_INSTANCE:
--- a/src/cornelgrade/platform/standins/stream_engine.py
+++ b/src/cornelgrade/platform/standins/stream_engine.py
@@ -54,6 +54,9 @@
     :param dark: such a crash closes no connection; the engine only falls silent.
     :param leaving: say in each response that the engine is leaving.
     :param limits: limits in requests a second to name in each response, each in a header.
+    :param extra_refusals: ids of refusals that are written once more before each response; empty
+        for one without an id.
+    :param repeat_refusals: write each refusal twice.
     :param resume_reply: the response to requests that resume a stream.
     """
 
@@ -75,6 +78,8 @@
     dark: bool = False
     leaving: bool = False
     limits: tuple[str, ...] = ()
+    extra_refusals: tuple[str, ...] = ()
+    repeat_refusals: bool = False
     resume_reply: Reply | None = None
 
 
@@ -203,6 +208,8 @@
             await req.respond(421, b"", (("x-instance-id", self.name), *self._notice()))
         elif self.faults.decline or self.waiting >= MAX_QUEUED_REQUESTS:
             await req.respond(503, b"", (("x-not-executed", "1"), *self._notice()))
+            if self.faults.repeat_refusals:
+                await req.send_raw(encode_refusal(seen.request))
         else:
             await self._serve(req, seen)
 
@@ -229,6 +236,8 @@
     async def _answer(self, req: _http_server.Exchange, seen: ReceivedRequest) -> None:
         signature = () if self.faults.unsigned else (("x-response-signature", "signed"),)
         head = (("x-request-id", seen.request), *signature, *self._notice())
+        for refused in self.faults.extra_refusals:
+            await req.send_raw(encode_refusal(refused))
         if self.faults.foreign:
             foreign = (("x-request-id", "someone-else"), *self._notice())
             await req.respond(200, b"not yours", foreign)
@@ -294,6 +303,15 @@
             await trio.sleep_forever()
 
 
+def encode_refusal(request: str) -> bytes:
+    """Encode a refusal of a request, without an id if that is empty."""
+    echoed = f"X-Request-Id: {request}\r\n" if request else ""
+    return (
+        "HTTP/1.1 503 Service Unavailable\r\n"
+        f"{echoed}X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+    ).encode()
+
+
 def list_prompt_parts(seen: ReceivedRequest) -> tuple[str, ...]:
     """Return the parts of a request's prompt without the last one, which is its own."""
     listed = seen.headers.get("x-prompt-prefix", "").split(",")
--- a/src/cornelgrade/services/edge/ports.py
+++ b/src/cornelgrade/services/edge/ports.py
@@ -109,8 +109,14 @@
         :param team: the team whose job it is part of, if any.
         """
 
-    def verdict(self, head: http1.ResponseHead, request_id: str) -> Verdict:
-        """Classify the head of an upstream's response to a request."""
+    def verdict(
+        self, head: http1.ResponseHead, request_id: str, *, after_foreign: bool = False
+    ) -> Verdict:
+        """Classify the head of an upstream's response to a request.
+
+        :param after_foreign: whether a response to another request came before it on the same
+            connection; then only one that names the request belongs to it.
+        """
 
     def is_leaving(self, head: http1.ResponseHead) -> bool:
         """Return whether an upstream says in a response, of any status, that it is leaving."""
--- a/src/cornelgrade/services/edge/relay.py
+++ b/src/cornelgrade/services/edge/relay.py
@@ -376,12 +376,16 @@
         with trio.move_on_after(
             self._response_relay.idle_timeout_s(req, progress, req.route.aim_s)
         ):
+            after_foreign = False
             while True:
                 head = await channel.read_head()
                 self._notices.record(up, head)
-                verdict = self._call_format.verdict(head, req.caller.request_id)
+                verdict = self._call_format.verdict(
+                    head, req.caller.request_id, after_foreign=after_foreign
+                )
                 if verdict is not ports.Verdict.FOREIGN:
                     break
+                after_foreign = True
                 _log.warning("foreign_response", request=req.caller.request_id, upstream=up.name)
                 await channel.skip_response()
             self._crash_detector.record_response(up)
