--- a/src/cornelgrade/services/edge/_response_relay.py
+++ b/src/cornelgrade/services/edge/_response_relay.py
@@ -20,6 +20,10 @@
 _EVENT_STREAM = b"text/event-stream"
 
 
+def _is_event_stream(head: http1.ResponseHead) -> bool:
+    return (head.get(b"content-type") or b"").startswith(_EVENT_STREAM)
+
+
 class ResponseRelay:
     """Relays responses whose head was received; raises ``CallError`` if another may be tried."""
 
@@ -74,8 +78,7 @@
         headers = self._call_format.caller_headers(head)
         if progress.permit is not None and req.hop is not None:
             headers += forwarding.origin_headers(progress.permit.upstream)
-        streamed = (head.get(b"content-type") or b"").startswith(_EVENT_STREAM)
-        if streamed and req.route.resumable and head.status < 300:
+        if _is_event_stream(head) and req.route.resumable and head.status < 300:
             await self._relay_events(channel, req, progress, (head.status, headers))
             return
         await self._relay_body(channel, req, progress, (head.status, headers))
@@ -112,6 +115,8 @@
         """Continue a stream that the caller has received in part."""
         if head.status >= 300:
             raise channel.call_error(f"resume request got status {head.status}", _relay_state.STEP)
+        if not _is_event_stream(head):
+            raise channel.call_error("resume request got no event stream", _relay_state.STEP)
         await self._relay_events(channel, req, progress, None)
 
     async def _relay_events(
@@ -131,6 +136,8 @@
             except event_stream.EventTooLongError as exc:
                 raise channel.call_error(str(exc), _relay_state.STEP) from exc
             for event in events:
+                if not event.well_formed:
+                    raise channel.call_error(event_stream.MALFORMED_MESSAGE, _relay_state.STEP)
                 if _relay_state.has_gap(event, progress.last_event):
                     raise channel.call_error(
                         f"events missing between {progress.last_event} and {event.event_id}",
