Skip what can't be decoded of an object in the store, not its whole page

Callers saw: machines that list or watch a kind ended again and again, or stopped following it, after another writer had left one odd object in it.

Cause: msgspec raises RecursionError, which is no DecodeError, for a document with one part that is nested too deeply, also within an unknown field or a Raw, and no handler caught it. A lone surrogate or NaN in one object made the whole page or watch response invalid, which counted as an outage of the store at each attempt.

Change: on such an error, the response is decoded again with the deep part of the object replaced by null, and with what JSON doesn't allow replaced in place (platform/foreign_json.py). The object keeps its name and revision, so that an upstream whose entry becomes odd counts as missing. Nothing changes for responses that can be decoded.

--- a/src/cornelgrade/platform/entries.py
+++ b/src/cornelgrade/platform/entries.py
@@ -29,7 +29,7 @@
         host, _, port = entry.address.rpartition(":")
         if not host or not 0 < int(port) < 65_536 or entry.slots < 1:
             raise ValueError(entry.address)
-    except (msgspec.DecodeError, UnicodeDecodeError, KeyError, ValueError) as exc:
+    except (msgspec.DecodeError, KeyError, ValueError, RecursionError) as exc:
         _log.warning("entry_unusable", upstream=name, error=repr(exc))
         return None
     return routes.Upstream(
--- a/src/cornelgrade/platform/objects.py
+++ b/src/cornelgrade/platform/objects.py
@@ -12,6 +12,7 @@
 
 from cornelgrade import logs, metrics
 from cornelgrade.adapters import conditional_writes, engine, http1, platform
+from cornelgrade.platform import foreign_json
 from cornelgrade.policy import settle
 
 CONNECT_TIMEOUT_S = 0.5
@@ -19,6 +20,10 @@
 MAX_RESPONSE_BYTES = 8_000_000
 _MS_PER_S = 1000
 _PEER = "store"
+# Depths of the fields of an object: alone, in a page and in the events of a watch.
+_OBJECT_PART_DEPTH = 2
+_PAGE_PART_DEPTH = 4
+_EVENTS_PART_DEPTH = 5
 _SUCCESS_STATUSES = frozenset((200, 201, 202, 204))
 _log = logs.Logger("store")
 _Query = dict[str, str]
@@ -122,7 +127,7 @@
         status, raw = await self._read("watch", _object_path(kind), query, wait_s)
         if status == 410:
             return platform.Changes(after, reset=True)
-        events = _decode_response(raw, _Events)
+        events = _decode_response(raw, _Events, _EVENTS_PART_DEPTH)
         latest: dict[str, tuple[bool, platform.StoredObject]] = {}
         for event in events.events:
             stored = _decode_object(kind, event.object)
@@ -185,7 +190,7 @@
         while True:
             query = {"after": after} if after else {}
             _, raw = await self._read("list", _object_path(kind), query, 0.0)
-            page = _decode_response(raw, _Page)
+            page = _decode_response(raw, _Page, _PAGE_PART_DEPTH)
             first_revision = page.at if first_revision is None else first_revision
             items = tuple(s for item in page.items if (s := _decode_object(kind, item)))
             objects += items
@@ -247,26 +252,22 @@
     return "PUT", _object_path(pending.kind, pending.name), body
 
 
-def _decode_response(raw: bytes, kind: type[T]) -> T:
-    """Decode a response, which may contain invalid UTF-8 written by another client.
+def _decode_response(raw: bytes, kind: type[T], part_depth: int = _PAGE_PART_DEPTH) -> T:
+    """Decode a response, to which other clients may have contributed what can't be decoded.
 
-    :raises UnavailableError: if it is invalid even after replacing such bytes.
+    :raises UnavailableError: if it is invalid even without such parts.
     """
     try:
-        return msgspec.json.decode(raw, type=kind)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
-        _log.warning("response_invalid_utf8", error=repr(exc))
-    try:
-        return msgspec.json.decode(raw.decode(errors="replace"), type=kind)
+        return foreign_json.decode(raw, kind, part_depth=part_depth)
     except msgspec.DecodeError as exc:
         raise platform.UnavailableError(f"invalid response: {exc}", step="decode") from exc
 
 
 def _decode_object(kind: str, raw: bytes | msgspec.Raw) -> platform.StoredObject | None:
-    """Decode one object, ``None`` if another client wrote an invalid one."""
+    """Decode one object, ``None`` if another client wrote one without a readable name."""
     try:
-        obj = msgspec.json.decode(raw, type=_Object)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        obj = foreign_json.decode(raw, _Object, part_depth=_OBJECT_PART_DEPTH)
+    except msgspec.DecodeError as exc:
         _log.warning("object_invalid", kind=kind, error=repr(exc))
         return None
     meta = obj.metadata
@@ -278,6 +279,6 @@
     """Return nonce and value of a project object; for other specs no nonce and the spec itself."""
     try:
         own = msgspec.json.decode(spec, type=_OwnSpec)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
         return "", bytes(spec)
     return own.nonce, bytes(own.value)
