Leave out engines whose entry has numbers or an address out of range

Callers saw: processes ended after another writer had left an entry with a number too large, or an address that can't be connected to.

Cause: slots and born had no upper bound, born no lower one, and an address was only split. Such a number doesn't fit the messages to peers, or a float; an address such as "a b:80" raised other errors than OSError when connecting, and "+80" or digits of other scripts passed as ports. A name with a line break went into a header.

Change: entries.decode checks all that requests to an engine and messages about it contain, with named bounds, and logs and leaves out what fails. An entry that was sound before counts as missing, as with any other invalid entry. Fields that are not read (sequence, coldRemainingMs) may hold anything.

--- a/src/cornelgrade/platform/entries.py
+++ b/src/cornelgrade/platform/entries.py
@@ -1,10 +1,18 @@
 """Decodes the entries that engines register themselves with to :class:`routes.Upstream`."""
 
+import ipaddress
+
 import msgspec
 
 from cornelgrade import logs, routes
+from cornelgrade.platform import calls
 
 KIND = "servers"
+# Beyond what one engine can have; shares of slots are sent to peers in 32 bits.
+MAX_SLOTS = 1_000_000
+# The largest integer that all JSON encoders keep exactly; starts are sent to peers in 64 bits.
+MAX_STARTED_MS = 2**53 - 1
+MAX_PORT = 65_535
 _log = logs.Logger("entries")
 _LEAVING_BY_STATE = {"ready": False, "draining": True}
 
@@ -26,9 +34,7 @@
     try:
         entry = msgspec.json.decode(value, type=_Entry)
         leaving = _LEAVING_BY_STATE[entry.state]
-        host, _, port = entry.address.rpartition(":")
-        if not host or not 0 < int(port) < 65_536 or entry.slots < 1:
-            raise ValueError(entry.address)
+        _check(name, entry)
     except (msgspec.DecodeError, KeyError, ValueError, RecursionError) as exc:
         _log.warning("entry_unusable", upstream=name, error=repr(exc))
         return None
@@ -42,3 +48,18 @@
         started_ms=entry.born,
         version=entry.version,
     )
+
+
+def _check(name: str, entry: _Entry) -> None:
+    """Check what requests to an engine and messages about it contain.
+
+    :raises ValueError: if one of them can't be sent.
+    """
+    if not name or not calls.is_field_value(name):
+        raise ValueError("its name can't be sent in a header")
+    if not 1 <= entry.slots <= MAX_SLOTS or not 0 <= entry.born <= MAX_STARTED_MS:
+        raise ValueError("slots or start out of range")
+    host, _, port = entry.address.rpartition(":")
+    ipaddress.ip_address(host.removeprefix("[").removesuffix("]"))
+    if not calls.is_unsigned_integer(port) or not 1 <= int(port) <= MAX_PORT:
+        raise ValueError("port out of range")
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -32,6 +32,8 @@
     *DEEP,
     *(nested(n) for n in (200, 600, 990)),
     *(odd_spec("unknown", raw) for raw in DEEP),
+    *(odd_spec("slots", raw) for raw in (b"9" * 400, b"9" * 5_000, b"-1", b"1e400", b"NaN")),
+    *(odd_spec("born", raw) for raw in (b"9" * 400, b"-5", b"1" + b"0" * 17)),
 ]
 # Values of fields that are not read, which leave the entry usable.
 UNREAD = [
@@ -42,6 +44,25 @@
     odd_spec("unknown", b'"\xff"'),
     odd_spec("unknown", b'"x\x00\n"'),
 ]
+ODD_ADDRESSES = [
+    "127.0.0.1:0",
+    "127.0.0.1:65536",
+    "127.0.0.1:99999999",
+    "127.0.0.1:" + "9" * 5_000,
+    "127.0.0.1:-1",
+    "127.0.0.1:+80",
+    "127.0.0.1: 80",
+    "127.0.0.1:8_0",
+    "127.0.0.1:\u0668\u0660",
+    ":80",
+    "[]:80",
+    "127.0.0.1",
+    "a\0b:80",
+    "a b:80",
+    "\u00e9" * 70 + ":80",
+    "a" * 70 + ".example:80",
+    "",
+]
 
 
 @contextlib.asynccontextmanager
@@ -110,6 +131,18 @@
     assert (stored.name, stored.version, stored.value) == ("b", 7, b"null")
 
 
+# Guards against addresses that can't be connected to, which end the process that tries.
+@pytest.mark.parametrize("address", ODD_ADDRESSES, ids=range(len(ODD_ADDRESSES)))
+async def test_entry_with_an_odd_address_is_left_out(address):
+    assert entries.decode("e", msgspec.json.encode({**SOUND, "address": address})) is None
+
+
+# Guards against names that can't be sent as a header's value.
+@pytest.mark.parametrize("name", ["", "a\r\nb", "a\0", "\u4e00", " a"])
+async def test_entry_with_an_odd_name_is_left_out(name):
+    assert entries.decode(name, SOUND_SPEC) is None
+
+
 # Guards against repairs that change other parts, or that take minutes.
 async def test_repair_replaces_only_the_deep_part():
     raw = rb'{"a":["[[\"",1,{"b":%s}],"c":"\\\ud800x"}' % nested(200_000)
