--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -5,6 +5,7 @@
 import msgspec
 import pytest
 import trio
+from tests.platform import odd_specs
 
 from cornelgrade.adapters import http1_server
 from cornelgrade.platform import entries, foreign_json, objects
@@ -13,10 +14,6 @@
 SOUND_SPEC = msgspec.json.encode(SOUND)
 
 
-def nested(depth, opening=b"[", closing=b"]"):
-    return opening * depth + b"1" * (opening != b"[") + closing * depth
-
-
 def odd_spec(field, raw):
     return msgspec.json.encode({**SOUND, field: msgspec.Raw(raw)})
 
@@ -26,11 +23,11 @@
     return b'{"metadata":%s,"spec":%s,"status":null}' % (meta, spec)
 
 
-DEEP = [nested(n) for n in (5_000, 200_000)]
-DEEP += [nested(n, b'{"a":', b"}") for n in (5_000, 200_000)]
+DEEP = [odd_specs.nested(n) for n in (5_000, 200_000)]
+DEEP += [odd_specs.nested(n, b'{"a":', b"}") for n in (5_000, 200_000)]
 ODD_SPECS = [
     *DEEP,
-    *(nested(n) for n in (200, 600, 990)),
+    *(odd_specs.nested(n) for n in (200, 600, 990)),
     *(odd_spec("unknown", raw) for raw in DEEP),
     *(odd_spec("slots", raw) for raw in (b"9" * 400, b"9" * 5_000, b"-1", b"1e400", b"NaN")),
     *(odd_spec("born", raw) for raw in (b"9" * 400, b"-5", b"1" + b"0" * 17)),
@@ -145,6 +142,6 @@
 
 # Guards against repairs that change other parts, or that take minutes.
 async def test_repair_replaces_only_the_deep_part():
-    raw = rb'{"a":["[[\"",1,{"b":%s}],"c":"\\\ud800x"}' % nested(200_000)
+    raw = rb'{"a":["[[\"",1,{"b":%s}],"c":"\\\ud800x"}' % odd_specs.nested(200_000)
     decoded = foreign_json.decode(raw, dict, part_depth=3)
     assert decoded == {"a": ['[["', 1, None], "c": "\\\ufffdx"}
