Fail calls to addresses that can't be parsed instead of ending the process

Callers saw: nothing so far, as entries of engines are checked; entries of peers were not.

Cause: http1.connect and Socket.send handled OSError only. An address without a port, a port out of range, a NUL or a host label that is too long raise ValueError, UnicodeError or OverflowError. A host name in a peer's entry made each datagram wait for a name lookup, which blocks the process.

Change: both count such an address as not reached. Peers whose address is no IP address with a port are left out, with the check that engines' entries get (addresses.is_ip_and_port).

--- a/src/cornelgrade/adapters/datagrams.py
+++ b/src/cornelgrade/adapters/datagrams.py
@@ -188,7 +188,7 @@
         raw = self._key.tag(address.encode(), payload) + payload
         try:
             self._sock.sendto(raw, addresses.split_host_port(address))
-        except OSError:
+        except (OSError, ValueError, OverflowError):
             self._count_drop(DropReason.NOT_SENT)
             return
         self._traffic_counts[0] += len(raw)
--- a/src/cornelgrade/adapters/http1.py
+++ b/src/cornelgrade/adapters/http1.py
@@ -276,7 +276,8 @@
     except trio.TooSlowError as exc:
         sock.close()
         raise _connect_error("connect timed out", address, timed_out=True) from exc
-    except OSError as exc:
+    except (OSError, ValueError, OverflowError) as exc:
+        # The latter two mean that the address can't be parsed, or its port is out of range.
         sock.close()
         raise _connect_error(repr(exc), address, timed_out=False) from exc
     except BaseException:
--- a/src/cornelgrade/platform/entries.py
+++ b/src/cornelgrade/platform/entries.py
@@ -1,10 +1,8 @@
 """Decodes the entries that engines register themselves with to :class:`routes.Upstream`."""
 
-import ipaddress
-
 import msgspec
 
-from cornelgrade import logs, routes
+from cornelgrade import addresses, logs, routes
 from cornelgrade.platform import calls
 
 KIND = "servers"
@@ -12,7 +10,6 @@
 MAX_SLOTS = 1_000_000
 # The largest integer that all JSON encoders keep exactly; starts are sent to peers in 64 bits.
 MAX_STARTED_MS = 2**53 - 1
-MAX_PORT = 65_535
 _log = logs.Logger("entries")
 _LEAVING_BY_STATE = {"ready": False, "draining": True}
 
@@ -59,7 +56,5 @@
         raise ValueError("its name can't be sent in a header")
     if not 1 <= entry.slots <= MAX_SLOTS or not 0 <= entry.born <= MAX_STARTED_MS:
         raise ValueError("slots or start out of range")
-    host, _, port = entry.address.rpartition(":")
-    ipaddress.ip_address(host.removeprefix("[").removesuffix("]"))
-    if not calls.is_unsigned_integer(port) or not 1 <= int(port) <= MAX_PORT:
-        raise ValueError("port out of range")
+    if not addresses.is_ip_and_port(entry.address):
+        raise ValueError("its address is no IP address with a port")
--- a/src/cornelgrade/services/edge/peers.py
+++ b/src/cornelgrade/services/edge/peers.py
@@ -14,7 +14,7 @@
 import msgspec
 import trio
 
-from cornelgrade import logs, settings
+from cornelgrade import addresses, logs, settings
 from cornelgrade.adapters import datagrams, peer_key, platform
 from cornelgrade.policy import rendezvous, shared_allowance
 from cornelgrade.schema import messages
@@ -330,6 +330,9 @@
         except msgspec.DecodeError as exc:
             _log.warning("peer_unreadable", peer=stored.name, error=repr(exc))
             return
+        if not addresses.is_ip_and_port(entry.address):
+            _log.warning("peer_unreadable", peer=stored.name, error="its address is invalid")
+            return
         peer = self._peers.get(stored.name)
         if stored.name == self.vm or (peer and peer.entry == entry):
             return
--- a/tests/edge/test_odd_registrations.py
+++ b/tests/edge/test_odd_registrations.py
@@ -11,7 +11,7 @@
 from cornelgrade import routes
 from cornelgrade.platform import entries, objects
 from cornelgrade.platform.standins import edge_system, formats, store_server, stream_engine
-from cornelgrade.services.edge import fleet
+from cornelgrade.services.edge import fleet, peers
 
 SETTLE_S = 1.0
 EVENTS = 5
@@ -107,3 +107,16 @@
                 await trio.sleep(0.1)
         got = await system.send_online("gateway-0", edge_system.ONCE_PREFIX, "r")
     assert (got.status, got.complete) == (200, True)
+
+
+# Guards against a peer's entry that ends the processes that send datagrams to its address.
+@pytest.mark.parametrize("address", ["127.0.0.1:99999999", "127.0.0.1:x", "a\0b:1", "a b:1", ""])
+async def test_peer_with_an_odd_address_disturbs_nobody(address):
+    async with edge_system.run_system(gateways=2, workers=1, engines=2) as system:
+        entry = {"address": address, "role": "gateway", "failure_domain": "north"}
+        await system._put_object(peers.PEER_KIND, "odd", entry)
+        await trio.sleep(SETTLE_S)
+        got = await system.send_online("gateway-0", edge_system.ONCE_PREFIX, "r")
+        assert (got.status, got.complete) == (200, True)
+        for node in system.nodes.values():
+            assert "odd" not in node.kern.find("peers", peers.Peers).other_vms()
