Treat load reports that are odd as no report

Callers saw: nothing so far. A faulty engine whose load report is nested 5,000 deep raised RecursionError in the task that reads reports, and counts of 400 digits went into the uses that are told to peers in 32 bits.

Change: RecursionError makes a report invalid as other errors do, and the counts and the start have bounds.

tests/platform/test_odd_load_reports.py: 13 of its 28 cases fail on the code before and pass now.

--- a/src/cornelgrade/platform/calls.py
+++ b/src/cornelgrade/platform/calls.py
@@ -2,6 +2,7 @@
 
 import math
 import re
+from typing import Annotated
 
 import msgspec
 
@@ -36,11 +37,16 @@
 )
 
 
+# Counts and times that fit the messages to peers.
+_Count = Annotated[int, msgspec.Meta(ge=0, le=2**31 - 1)]
+_Milliseconds = Annotated[int, msgspec.Meta(ge=0, le=2**53 - 1)]
+
+
 class _Report(msgspec.Struct):
-    running: int
-    waiting: int
+    running: _Count
+    waiting: _Count
     # Start of the engine in Unix milliseconds.
-    born: int = 0
+    born: _Milliseconds = 0
 
 
 class CallFormat:
@@ -52,7 +58,7 @@
         """Decode an engine's load report, ``None`` if it is invalid."""
         try:
             report = msgspec.json.decode(body, type=_Report)
-        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as exc:
             _log.warning("report_invalid", error=repr(exc))
             return None
         return ports.UpstreamLoad(report.running, report.waiting, report.born)
