Handle RecursionError where JSON of engines, peers and other writers is decoded

Callers saw: a service that died each time it read a deeply nested object of the system's own kinds, and stopped following it.

Cause: as for the entries of engines, msgspec raises RecursionError, which the handlers of unreadable objects, of control responses, of chats and of the end of an unframed JSON response did not expect.

Change: they handle it as they do other invalid JSON. An unframed JSON response that is nested too deeply to find its end counts as broken off, since passing on half of it as complete would be worse.

test_odd_object_of_an_own_kind_disturbs_nobody: 4 of 8 cases (deep) fail on the code before, as peers, quarantine_sync or runner dies, and pass now; invalid UTF-8 never did harm there. test_json_that_is_nested_too_deeply_is_not_taken_for_complete fails before and passes now.

--- a/src/cornelgrade/adapters/engine.py
+++ b/src/cornelgrade/adapters/engine.py
@@ -153,7 +153,7 @@
     """Return the messages of a chat completion that other requests may share: all but the last."""
     try:
         messages = msgspec.json.decode(body, type=_Messages).messages
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
         # Not a chat; the engine judges the body.
         return ()
     return tuple(bytes(message) for message in messages[:-1])
--- a/src/cornelgrade/adapters/upstream_http.py
+++ b/src/cornelgrade/adapters/upstream_http.py
@@ -253,7 +253,7 @@
             raise self._call_error("control", message, engine.Progress.ANSWERED)
         try:
             return msgspec.json.decode(content, type=kind)
-        except msgspec.DecodeError as exc:
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as exc:
             raise self._call_error("control", str(exc), engine.Progress.ANSWERED) from exc
 
     async def _request_bounded(self, method: str, path: str, body: bytes) -> tuple[int, bytes]:
--- a/src/cornelgrade/policy/response_end.py
+++ b/src/cornelgrade/policy/response_end.py
@@ -84,6 +84,8 @@
             msgspec.json.decode(self._body)
         except (msgspec.DecodeError, UnicodeDecodeError):
             return "JSON document ended early"
+        except RecursionError:
+            return "JSON document is nested too deeply to find its end"
         return ""
 
 
--- a/src/cornelgrade/services/edge/peers.py
+++ b/src/cornelgrade/services/edge/peers.py
@@ -327,7 +327,7 @@
     def _apply_entry(self, stored: platform.StoredObject) -> None:
         try:
             entry = msgspec.json.decode(stored.value, type=PeerEntry)
-        except msgspec.DecodeError as exc:
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as exc:
             _log.warning("peer_unreadable", peer=stored.name, error=repr(exc))
             return
         if not addresses.is_ip_and_port(entry.address):
--- a/src/cornelgrade/services/edge/quarantine_sync.py
+++ b/src/cornelgrade/services/edge/quarantine_sync.py
@@ -161,7 +161,7 @@
         """Apply a stored decision, or delete it once it has expired."""
         try:
             expires_ms = msgspec.json.decode(stored.value, type=StoredDecision).expires_ms
-        except msgspec.DecodeError as exc:
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as exc:
             _log.warning("decision_unreadable", fingerprint=stored.name, error=repr(exc))
             return
         remaining_s = expires_ms / _MS_PER_S - time.time()
--- a/src/cornelgrade/services/edge/runner.py
+++ b/src/cornelgrade/services/edge/runner.py
@@ -188,7 +188,7 @@
         for stored in changes.items:
             try:
                 stored_header = job_repository.decode_header(stored)
-            except msgspec.MsgspecError as exc:
+            except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as exc:
                 _log.error("header_unreadable", job=stored.name, error=repr(exc))
                 continue
             self._apply_header(stored_header, is_new=not is_snapshot)
--- a/src/cornelgrade/services/edge/suspect_records.py
+++ b/src/cornelgrade/services/edge/suspect_records.py
@@ -63,7 +63,7 @@
         for stored in await self._store.list(KIND, limit=quarantine.MAX_ENTRIES):
             try:
                 suspect = msgspec.json.decode(stored.value, type=StoredSuspect)
-            except msgspec.DecodeError as exc:
+            except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as exc:
                 _log.warning("suspect_unreadable", fingerprint=stored.name, error=repr(exc))
                 continue
             record = _decode_suspect(stored.name, suspect)
@@ -82,7 +82,7 @@
 
 def _knows_all(stored: platform.StoredObject, record: ports.SuspectRecord) -> bool:
     """Return whether another process has stored at least what this one knows."""
-    with contextlib.suppress(msgspec.DecodeError):
+    with contextlib.suppress(msgspec.DecodeError, UnicodeDecodeError, RecursionError):
         known = msgspec.json.decode(stored.value, type=StoredSuspect)
         attributed = sum(crash.attributed for crash in known.crashes)
         return len(known.crashes) >= len(record.sightings) and attributed >= sum(
--- a/src/cornelgrade/services/web/jobs.py
+++ b/src/cornelgrade/services/web/jobs.py
@@ -305,7 +305,7 @@
         return None
     try:
         return msgspec.Raw(msgspec.json.encode(msgspec.json.decode(body)))
-    except (msgspec.MsgspecError, UnicodeDecodeError):
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
         return body.decode(errors="replace")
 
 
--- a/src/cornelgrade/services/web/online.py
+++ b/src/cornelgrade/services/web/online.py
@@ -138,7 +138,7 @@
 def _decode_prompt(body: bytes) -> Prompt:
     try:
         return msgspec.json.decode(body, type=Prompt)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as exc:
         raise errors.Refusal(errors.Code.BAD_REQUEST, str(exc), step="read_body") from exc
 
 
--- a/tests/edge/test_odd_registrations.py
+++ b/tests/edge/test_odd_registrations.py
@@ -8,10 +8,16 @@
 from tests.edge import stranded
 from tests.platform import odd_specs
 
-from cornelgrade import routes
+from cornelgrade import kernel, routes
 from cornelgrade.platform import entries, objects
 from cornelgrade.platform.standins import edge_system, formats, store_server, stream_engine
-from cornelgrade.services.edge import fleet, peers
+from cornelgrade.services.edge import (
+    fleet,
+    job_repository,
+    peers,
+    quarantine_sync,
+    suspect_records,
+)
 
 SETTLE_S = 1.0
 EVENTS = 5
@@ -27,6 +33,15 @@
         return entries.decode(name, value)
 
 
+@pytest.fixture(autouse=True)
+def no_service_dies(monkeypatch):
+    """Fail the test if a service dies, which its process may restart."""
+    died = []
+    monkeypatch.setattr(kernel.Kernel, "_log_failure", lambda _, *failure: died.append(failure))
+    yield
+    assert not died
+
+
 @contextlib.asynccontextmanager
 async def run_system(monkeypatch, **options):
     """Run a system that reads the store over HTTP, with the formats of the platform."""
@@ -120,3 +135,33 @@
         assert (got.status, got.complete) == (200, True)
         for node in system.nodes.values():
             assert "odd" not in node.kern.find("peers", peers.Peers).other_vms()
+
+
+# Guards against odd objects of the system's own kinds that end the processes that read them.
+@pytest.mark.parametrize(
+    "kind",
+    [peers.PEER_KIND, quarantine_sync.KIND, suspect_records.KIND, job_repository.HEADER_KIND],
+)
+@pytest.mark.parametrize(
+    "raw",
+    [
+        b'{"unknown":' + odd_specs.nested(5_000) + b"}",
+        b'{"job":"\xff","address":"\xff","crashes":[{"upstream":"\xff"}]}',
+    ],
+    ids=["deep", "utf8"],
+)
+async def test_odd_object_of_an_own_kind_disturbs_nobody(kind, raw):
+    async with edge_system.run_system(gateways=1, workers=1, engines=1) as system:
+        await system._put_object(kind, "odd", msgspec.Raw(raw))
+        await system.start_gateway("late")
+        await system.start_worker("late-worker")
+        await system.wait_until_ready("late")
+        await trio.sleep(SETTLE_S)
+        for gateway in ("gateway-0", "late"):
+            got = await system.send_online(gateway, edge_system.ONCE_PREFIX, f"r-{gateway}")
+            assert (got.status, got.complete) == (200, True)
+        await system.submit("late", "job", {f"i{n}": b"q" for n in range(3)})
+        done = []
+        with trio.fail_after(8):
+            while len(done) < 3:
+                done += await system.results("gateway-0", "job", len(done))
--- a/tests/platform/test_odd_load_reports.py
+++ b/tests/platform/test_odd_load_reports.py
@@ -20,5 +20,3 @@
     body = msgspec.json.encode({"running": 1, "waiting": 0, field: msgspec.Raw(raw)})
     report = calls.CallFormat().parse_load(body)
     assert (report is not None) == (field == "unknown" and raw not in DEEP)
-
-
--- a/tests/policy/test_response_end.py
+++ b/tests/policy/test_response_end.py
@@ -67,3 +67,10 @@
 
 def test_body_that_is_no_stream_is_judged_by_its_framing():
     assert judge([b"data: a"], "text/plain") == ""
+
+
+# Guards against a deeply nested document that ends the task that relays it.
+def test_json_that_is_nested_too_deeply_is_not_taken_for_complete():
+    end = response_end.follow_json_body("application/json", framed=False)
+    end.feed(b"[" * 5_000 + b"]" * 5_000)
+    assert end.find_break() != ""
