Bound the times in stored quarantine decisions and crashes

Callers saw: quarantine_sync died each time it read a decision or crash whose time has 400 digits, and no longer shared the quarantine.

Cause: such an integer is valid JSON, and overflows when it is converted to a float.

Change: times are 0 to 2**53 - 1; other objects are logged as unreadable, as any other invalid one.

test_odd_object_of_an_own_kind_disturbs_nobody: 2 of the 4 cases with such a number fail on the code before (OverflowError) and pass now.

--- a/src/cornelgrade/services/edge/ports.py
+++ b/src/cornelgrade/services/edge/ports.py
@@ -2,12 +2,17 @@
 
 import dataclasses
 import enum
-from typing import Protocol
+from typing import Annotated, Protocol
+
+import msgspec
 
 from cornelgrade import routes
 from cornelgrade.adapters import http1, http1_server
 from cornelgrade.policy import upstream_limit
 
+# A time that others wrote; larger integers overflow floats and the messages to peers.
+UnixMilliseconds = Annotated[int, msgspec.Meta(ge=0, le=2**53 - 1)]
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Caller:
--- a/src/cornelgrade/services/edge/quarantine_sync.py
+++ b/src/cornelgrade/services/edge/quarantine_sync.py
@@ -18,6 +18,7 @@
 from cornelgrade.adapters import platform
 from cornelgrade.services import ports, quarantine
 from cornelgrade.services.edge import _store_availability, peers, suspect_records
+from cornelgrade.services.edge import ports as edge_ports
 
 KIND = "cornelgrade-quarantine"
 RESEND_INTERVAL_S = 1.0
@@ -35,7 +36,7 @@
 class StoredDecision(msgspec.Struct, frozen=True):
     """A quarantined request in the store, named by its fingerprint."""
 
-    expires_ms: int
+    expires_ms: edge_ports.UnixMilliseconds
 
 
 class PeerReports:
--- a/src/cornelgrade/services/edge/suspect_records.py
+++ b/src/cornelgrade/services/edge/suspect_records.py
@@ -14,6 +14,7 @@
 from cornelgrade import logs
 from cornelgrade.adapters import platform
 from cornelgrade.services import ports, quarantine
+from cornelgrade.services.edge import ports as edge_ports
 
 KIND = "cornelgrade-suspects"
 _MS_PER_S = 1000
@@ -26,8 +27,8 @@
     :param stored_ms: Unix time from which the ages of the crashes count back.
     """
 
-    expires_ms: int
-    stored_ms: int
+    expires_ms: edge_ports.UnixMilliseconds
+    stored_ms: edge_ports.UnixMilliseconds
     crashes: tuple[ports.CrashSighting, ...]
 
 
--- a/tests/edge/test_odd_registrations.py
+++ b/tests/edge/test_odd_registrations.py
@@ -147,8 +147,9 @@
     [
         b'{"unknown":' + odd_specs.nested(5_000) + b"}",
         b'{"job":"\xff","address":"\xff","crashes":[{"upstream":"\xff"}]}',
+        b'{"expires_ms":%s,"stored_ms":%s,"crashes":[]}' % ((b"9" * 400,) * 2),
     ],
-    ids=["deep", "utf8"],
+    ids=["deep", "utf8", "number"],
 )
 async def test_odd_object_of_an_own_kind_disturbs_nobody(kind, raw):
     async with edge_system.run_system(gateways=1, workers=1, engines=1) as system:
