--- a/src/cornelgrade/services/edge/quarantine_sync.py
+++ b/src/cornelgrade/services/edge/quarantine_sync.py
@@ -18,6 +18,7 @@
 from cornelgrade.adapters import platform
 from cornelgrade.services import ports, quarantine
 from cornelgrade.services.edge import _store_availability, peers, suspect_records
+from cornelgrade.services.edge import ports as edge_ports
 
 KIND = "cornelgrade-quarantine"
 RESEND_INTERVAL_S = 1.0
@@ -35,7 +36,7 @@
 class StoredDecision(msgspec.Struct, frozen=True):
     """A quarantined request in the store, named by its fingerprint."""
 
-    expires_ms: int
+    expires_ms: edge_ports.UnixMilliseconds
 
 
 class PeerReports:
@@ -161,7 +162,7 @@
         """Apply a stored decision, or delete it once it has expired."""
         try:
             expires_ms = msgspec.json.decode(stored.value, type=StoredDecision).expires_ms
-        except msgspec.DecodeError as exc:
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as exc:
             _log.warning("decision_unreadable", fingerprint=stored.name, error=repr(exc))
             return
         remaining_s = expires_ms / _MS_PER_S - time.time()
--- a/src/cornelgrade/services/edge/suspect_records.py
+++ b/src/cornelgrade/services/edge/suspect_records.py
@@ -14,6 +14,7 @@
 from cornelgrade import logs
 from cornelgrade.adapters import platform
 from cornelgrade.services import ports, quarantine
+from cornelgrade.services.edge import ports as edge_ports
 
 KIND = "cornelgrade-suspects"
 _MS_PER_S = 1000
@@ -26,8 +27,8 @@
     :param stored_ms: Unix time from which the ages of the crashes count back.
     """
 
-    expires_ms: int
-    stored_ms: int
+    expires_ms: edge_ports.UnixMilliseconds
+    stored_ms: edge_ports.UnixMilliseconds
     crashes: tuple[ports.CrashSighting, ...]
 
 
@@ -63,7 +64,7 @@
         for stored in await self._store.list(KIND, limit=quarantine.MAX_ENTRIES):
             try:
                 suspect = msgspec.json.decode(stored.value, type=StoredSuspect)
-            except msgspec.DecodeError as exc:
+            except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as exc:
                 _log.warning("suspect_unreadable", fingerprint=stored.name, error=repr(exc))
                 continue
             record = _decode_suspect(stored.name, suspect)
@@ -82,7 +83,7 @@
 
 def _knows_all(stored: platform.StoredObject, record: ports.SuspectRecord) -> bool:
     """Return whether another process has stored at least what this one knows."""
-    with contextlib.suppress(msgspec.DecodeError):
+    with contextlib.suppress(msgspec.DecodeError, UnicodeDecodeError, RecursionError):
         known = msgspec.json.decode(stored.value, type=StoredSuspect)
         attributed = sum(crash.attributed for crash in known.crashes)
         return len(known.crashes) >= len(record.sightings) and attributed >= sum(
