Skip responses to other requests in runs of items

A batch item never completed while engines wrote an earlier refusal before its response: each run was given up although the engine had begun it.

Cause: the relay of online requests skips a response that echoes another request's id and reads on; the item caller counted it as a failed run.

Evidence: test_item_completes_in_one_run_after_refusals_of_other_requests failed in all four cases before, without a result within 8 s.

Both now find their response with one function, which takes only a response that echoes the request's id once a foreign one has come.

--- a/src/cornelgrade/services/edge/item_call.py
+++ b/src/cornelgrade/services/edge/item_call.py
@@ -7,7 +7,13 @@
 from cornelgrade import kernel, routes, settings
 from cornelgrade.adapters import engine, http1
 from cornelgrade.policy import event_stream, software_versions
-from cornelgrade.services.edge import _upstream_attempts, job_repository, ports, upstream_notices
+from cornelgrade.services.edge import (
+    _own_response,
+    _upstream_attempts,
+    job_repository,
+    ports,
+    upstream_notices,
+)
 
 CONNECT_TIMEOUT_S = 0.3
 # An upstream with a free slot responds within a fraction of a second.
@@ -106,9 +112,9 @@
         self, channel: http1.Channel, item: ports.Item, up: routes.Upstream
     ) -> http1.ResponseHead:
         with trio.move_on_after(RESPONSE_TIMEOUT_S):
-            head = await channel.read_head()
-            self._notices.record(up, head)
-            verdict = self._call_format.verdict(head, item.name)
+            head, verdict = await _own_response.read_head(
+                channel, self._call_format, self._notices, up, item.name
+            )
             if verdict is ports.Verdict.NOT_RUN:
                 channel.progress = engine.Progress.NOT_SENT
             if verdict is not ports.Verdict.RESPONSE:
--- a/src/cornelgrade/services/edge/relay.py
+++ b/src/cornelgrade/services/edge/relay.py
@@ -12,6 +12,7 @@
 )
 from cornelgrade.services import ports as shared_ports
 from cornelgrade.services.edge import (
+    _own_response,
     _peer_relay,
     _relay_state,
     _response_relay,
@@ -376,18 +377,9 @@
         with trio.move_on_after(
             self._response_relay.idle_timeout_s(req, progress, req.route.aim_s)
         ):
-            after_foreign = False
-            while True:
-                head = await channel.read_head()
-                self._notices.record(up, head)
-                verdict = self._call_format.verdict(
-                    head, req.caller.request_id, after_foreign=after_foreign
-                )
-                if verdict is not ports.Verdict.FOREIGN:
-                    break
-                after_foreign = True
-                _log.warning("foreign_response", request=req.caller.request_id, upstream=up.name)
-                await channel.skip_response()
+            head, verdict = await _own_response.read_head(
+                channel, self._call_format, self._notices, up, req.caller.request_id
+            )
             self._crash_detector.record_response(up)
             self._reach.record_contact()
             return self._check_verdict(channel, head, verdict)
--- a/tests/edge/test_repeated_refusals.py
+++ b/tests/edge/test_repeated_refusals.py
@@ -78,3 +78,19 @@
         runs = [run for run in runs_of(system, "item") if run.ran]
     assert results == [("item", stream_engine.result_text("item", 5))]
     assert len(runs) == 1
+
+
+# Guards against items that an engine runs in vain because an earlier refusal comes before each
+# response.
+@each_extra
+async def test_item_completes_in_one_run_after_refusals_of_other_requests(extra):
+    async with edge_system.run_system(workers=1, engines=2) as system:
+        set_faults(system, extra_refusals=extra)
+        await system.submit("gateway-0", "job", {"item": b"note"})
+        results = []
+        with trio.move_on_after(8):
+            while not results:
+                results = await system.results("gateway-0", "job", 0)
+        runs = [run for run in runs_of(system, "item") if run.ran]
+    assert results == [("item", stream_engine.result_text("item", 5))]
+    assert len(runs) == 1
