Read jobs from several callers in the soak of the edge, and after a power loss

The soak could not see this: each job had one reader, which went on from what it had read itself.

Now six readers read jobs at all gateways, with and without X-Wait-Ms, from any position that any caller has read. The judge reports an empty answer of a sound gateway more than 1 s after the position was read, another result at a position, and statuses like 404 of an accepted job. A page may end early: "at least one if one exists". The store rejects some workers or gateways for 2 to 5 s, beside the other faults. Every third job has 40 items. After the last fault all processes and engines lose power at once, with jobs open; everything that was read is read again at every gateway within 18 s. This replaces the second read of each job at one gateway and includes cancelled jobs.

Two of them show that the judge finds missing and changed positions.

--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -1,6 +1,7 @@
 """The callers of the soak: online requests, jobs, and questions which plan is in force."""
 
 import collections
+import contextlib
 import dataclasses
 import random
 
@@ -18,6 +19,8 @@
 ONLINE_PER_S = 10.0
 JOBS_PER_S = 0.5
 ITEMS = 6
+# Every third job has so many that it is open while the store rejects processes for seconds.
+LONG_ITEMS = 40
 CLIENTS = 8
 CANCEL_SHARE = 0.15
 RESUMED_SHARE = 0.5
@@ -83,6 +86,23 @@
     foreign: list[str] = dataclasses.field(default_factory=list)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Read:
+    """A read of a job's results that was answered.
+
+    :param after: the position that it began at.
+    :param results: what it returned, from that position on.
+    """
+
+    job: Job
+    after: int
+    gateway: str
+    begin_s: float
+    end_s: float
+    status: int
+    results: list[tuple[str, str, str]]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Mark:
     """One look at which plan a gateway serves.
@@ -113,6 +133,7 @@
         self.denied: list[Request] = []
         self.requests: list[Request] = []
         self.jobs: list[Job] = []
+        self.reads: list[Read] = []
         self.marks: list[Mark] = []
         self.outcomes: collections.Counter[str] = collections.Counter()
         self.more = True
@@ -127,7 +148,8 @@
             while self.more:
                 job = f"job-{len(self.jobs)}"
                 team = self.keys_rng.choice(self.keyring.names)
-                items = tuple(f"{job}-item-{n}" for n in range(ITEMS))
+                count = ITEMS if len(self.jobs) % 3 else LONG_ITEMS
+                items = tuple(f"{job}-item-{n}" for n in range(count))
                 self.jobs.append(Job(job, items, team=team))
                 nursery.start_soon(self._job, self.jobs[-1])
                 await trio.sleep(self.rng.expovariate(JOBS_PER_S))
@@ -226,20 +248,30 @@
             number += 1
 
     async def _call(
-        self, method: str, target: str, headers: dict[str, str], content: bytes = b"", key: str = ""
+        self,
+        method: str,
+        target: str,
+        headers: dict[str, str],
+        content: bytes = b"",
+        key: str = "",
+        *,
+        gateway: world.Daemon | None = None,
+        client: httpx.AsyncClient | None = None,
     ) -> httpx.Response | None:
-        """Make a call about a job at any gateway; ``None`` if no whole answer came.
+        """Make a call about a job; ``None`` if no whole answer came.
 
         :param key: of the caller's team, empty for a team without a limit.
+        :param gateway: any if not given.
+        :param client: whose connections are used, one of its own if not given.
         """
-        gateway = self._gateway()
+        gateway = gateway or self._gateway()
         key = key or self.keyring.lasting(teams.FREE_TEAM)
         req = Request(f"{method} {target}", target, gateway.name, trio.current_time(), key=key)
         sent = {"host": edge_system.HOST, **headers, **formats.key_headers(key)}
         try:
-            async with httpx.AsyncClient(
-                timeout=httpx.Timeout(HELD_S, connect=CONNECT_S)
-            ) as client:
+            async with contextlib.AsyncExitStack() as stack:
+                if client is None:
+                    client = await stack.enter_async_context(make_client())
                 url = f"http://{gateway.caller_address}{target}"
                 got = await client.request(method, url, headers=sent, content=content)
         except httpx.HTTPError:
@@ -270,13 +302,36 @@
 
     async def read(self, job: Job, after: int) -> list[tuple[str, str, str]]:
         """Read results from a position on, with another key than the job was sent with."""
-        target = formats.job_target(job.id, after)
-        key = self.keyring.lasting(job.team, 1)
-        got = await self._call("GET", target, formats.wait_headers(WAIT_S), key=key)
-        if got is None or got.status_code != 200:
+        read = await self.fetch(job, after, WAIT_S, self._gateway())
+        if read is None or read.status != 200:
             await trio.sleep(RETRY_S)
             return []
-        return formats.decode_results(got.content)
+        return read.results
+
+    async def fetch(
+        self,
+        job: Job,
+        after: int,
+        wait_s: float | None,
+        gateway: world.Daemon,
+        client: httpx.AsyncClient | None = None,
+    ) -> Read | None:
+        """Read results from a position on at one gateway; ``None`` if no whole answer came.
+
+        :param wait_s: how long the call may wait for a result, ``None`` for a call without it.
+        """
+        begin_s = trio.current_time()
+        target = formats.job_target(job.id, after)
+        headers = {} if wait_s is None else formats.wait_headers(wait_s)
+        key = self.keyring.lasting(job.team, 1)
+        got = await self._call("GET", target, headers, key=key, gateway=gateway, client=client)
+        if got is None:
+            return None
+        results = formats.decode_results(got.content) if got.status_code == 200 else []
+        end_s = trio.current_time()
+        read = Read(job, after, gateway.name, begin_s, end_s, got.status_code, results)
+        self.reads.append(read)
+        return read
 
     async def _look(self, daemon: world.Daemon) -> None:
         """Ask one gateway for routes that were just added."""
@@ -337,3 +392,8 @@
                 got = await self._call(method, target, formats.wait_headers(0), key=key)
                 if got is not None and got.status_code < 300:
                     job.foreign.append(f"{method} {target}")
+
+
+def make_client() -> httpx.AsyncClient:
+    """Make a client that waits no longer than an answer may take."""
+    return httpx.AsyncClient(timeout=httpx.Timeout(HELD_S, connect=CONNECT_S))
--- a/bench/soak/edge.py
+++ b/bench/soak/edge.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from bench.soak import callers, faults, judge, team_faults, team_judge, world
+from bench.soak import callers, faults, judge, readers, team_faults, team_judge, world
 
 GATEWAYS, WORKERS, ENGINES = 3, 3, 4
 # From the last fault until every accepted job must have been read whole.
@@ -53,9 +53,11 @@
         injected = faults.Faults(system, drawn)
         draws = random.Random(f"callers {seed}"), random.Random(f"keys {seed}")
         seen = callers.Callers(system, *draws)
-        again: list[str] = []
+        others = readers.Readers(system, seen, random.Random(f"readers {seed}"))
+        unread: list[str] = []
         async with trio.open_nursery() as nursery:
             nursery.start_soon(seen.run)
+            nursery.start_soon(others.run)
             if crashing:
                 nursery.start_soon(seen.repeat_culprit)
                 nursery.start_soon(seen.send_culprit_parts)
@@ -64,14 +66,13 @@
                 nursery.start_soon(seen.try_foreign_keys)
             await injected.run()
             await trio.sleep(QUIET_S if teams else 0.0)
-            seen.more = False
-            with trio.move_on_after(FINISH_S):
-                while not all(job.done for job in seen.jobs):
-                    await trio.sleep(world.POLL_S)
-                again = await _read_again(seen)
+            nursery.start_soon(_stop_calling, seen)
+            await faults.lose_power(system)
+            unread = await others.read_all_again(trio.current_time() + FINISH_S)
             await trio.sleep(callers.HELD_S + callers.CONNECT_S)
             nursery.cancel_scope.cancel()
-        problems = [*judge.Judge(system, seen).all(), *again]
+        problems = [*judge.Judge(system, seen).all(), *unread]
+        problems += readers.ReadJudge(system, seen).all()
         problems += team_judge.TeamJudge(system, seen).all()
         items = sum(len(job.results) for job in seen.jobs)
         stalled_s = sum(w.end_s - w.begin_s for w in system.windows if w.part == world.OWN)
@@ -79,14 +80,6 @@
         return Report(len(seen.requests), items, stalled_s, faulted, outcomes, problems)
 
 
-async def _read_again(seen: callers.Callers) -> list[str]:
-    """Read each finished job from the start; what was read once must stand."""
-    problems = []
-    for job in seen.jobs:
-        again: list[tuple[str, str, str]] = []
-        while job.ended_s is None and len(again) < len(job.items):
-            again += await seen.read(job, len(again))
-        if job.ended_s is None and again != job.results:
-            first, second = ([name for name, _, _ in read] for read in (job.results, again))
-            problems.append(f"{job.id} reads {second} after {first}")
-    return problems
+async def _stop_calling(seen: callers.Callers) -> None:
+    """Send nothing new from the moment at which the connections in use have been lost."""
+    seen.more = False
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -20,6 +20,7 @@
 VERSIONS_GAP_S = 5.0
 UNFRAMED_GAP_S = 2.0
 LIMITS_GAP_S = 6.0
+REJECTIONS_GAP_S = 3.0
 STRANDING_GAP_S = 8.0
 SERIES_SHARE = 0.25
 SERIES = 3
@@ -27,6 +28,9 @@
 DOWN_S = (0.1, 2.0)
 FREEZE_S = (0.2, 4.0)
 OUTAGE_S = (0.5, 5.0)
+# Long enough for a probe of the store to fail while a watch that was sent before is open.
+REJECTED_S = (2.0, 5.0)
+POWER_LOSS_S = 1.0
 SLOW_S = (0.05, 0.5)
 ENGINE_FAULT_S = (0.5, 3.0)
 DELAY_S = (0.02, 0.3)
@@ -65,6 +69,13 @@
     fault_proxy.Switches(lose="up"),
     fault_proxy.Switches(lose="down"),
 )
+# The store answers a process nothing or rejects it, also its new connections.
+_REJECTIONS = (
+    fault_proxy.Switches(cut=True, refuse=True),
+    fault_proxy.Switches(freeze=True, lose="up"),
+    fault_proxy.Switches(lose="up"),
+    fault_proxy.Switches(lose="down"),
+)
 _HEALED = fault_proxy.Switches()
 
 
@@ -96,6 +107,7 @@
     drawn += _draw(f"{seed} versions", seconds, VERSIONS_GAP_S, _VERSION_ACTS)
     drawn += _draw(f"{seed} unframed", seconds, UNFRAMED_GAP_S, _UNFRAMED_ACTS)
     drawn += _draw(f"{seed} limits", seconds, LIMITS_GAP_S, _LIMIT_ACTS)
+    drawn += _draw(f"{seed} rejections", seconds, REJECTIONS_GAP_S, _REJECTION_ACTS)
     if stranding:
         drawn += _draw(f"{seed} stranding", seconds, STRANDING_GAP_S, _STRANDING_ACTS)
     for kind, gap_s, acts in more:
@@ -267,10 +279,26 @@
 
 async def cut_from_store(faults: Injection, name: str) -> None:
     """Disturb the connections of one process to the store for a while."""
+    await _on_store_path(faults, name, faults.rng.choice(_PATH_FAULTS), faults.between(OUTAGE_S))
+
+
+async def _store_rejects(faults: Injection) -> None:
+    """Let the store answer nothing to some gateways or workers while it serves the others."""
+    role = faults.rng.choice((world.GATEWAY, world.WORKER, world.WORKER, ""))
+    names = [d.name for d in faults.system.daemons.values() if d.role == role or not role]
+    switches, for_s = faults.rng.choice(_REJECTIONS), faults.between(REJECTED_S)
+    async with trio.open_nursery() as nursery:
+        for name in faults.rng.sample(names, faults.rng.randint(1, len(names) - 1)):
+            nursery.start_soon(_on_store_path, faults, name, switches, for_s)
+
+
+async def _on_store_path(
+    faults: Injection, name: str, switches: fault_proxy.Switches, for_s: float
+) -> None:
     proxy = faults.system.store_paths[name]
     with faults.system.window(f"{name} to store", "cut"):
-        proxy.switch(faults.rng.choice(_PATH_FAULTS))
-        await trio.sleep(faults.between(OUTAGE_S))
+        proxy.switch(switches)
+        await trio.sleep(for_s)
         proxy.switch(fault_proxy.Switches(cut=True))
 
 
@@ -333,10 +361,37 @@
     with faults.on_engine(engine, "crash"):
         down_s = faults.between(ENGINE_FAULT_S)
         engine.stand_in.crash(down_s)
-        await trio.sleep(down_s)
-        await engine.wait_until_up()
-        engine.born += 1
-        await faults.system.register(engine)
+        await _come_back(faults.system, engine, down_s)
+
+
+async def _come_back(system: world.World, engine: world.Engine, down_s: float) -> None:
+    await trio.sleep(down_s)
+    await engine.wait_until_up()
+    engine.born += 1
+    await system.register(engine)
+
+
+async def lose_power(system: world.World) -> None:
+    """Kill all processes and crash all engines at one moment, and start them again."""
+    staying = [engine for engine in system.engines.values() if engine.left_s is None]
+    with contextlib.ExitStack() as stack:
+        for daemon in system.daemons.values():
+            stack.enter_context(system.window(daemon.name, "kill"))
+            daemon.signal(signal.SIGKILL)
+        for engine in system.engines.values():
+            stack.enter_context(system.window(engine.stand_in.name, "crash"))
+            engine.stand_in.crash(POWER_LOSS_S)
+        async with trio.open_nursery() as nursery:
+            for engine in staying:
+                nursery.start_soon(_come_back, system, engine, POWER_LOSS_S)
+            for daemon in system.daemons.values():
+                nursery.start_soon(_power_up, daemon)
+
+
+async def _power_up(daemon: world.Daemon) -> None:
+    await daemon.wait()
+    await trio.sleep(POWER_LOSS_S)
+    await daemon.start()
 
 
 async def _engine_leaves(faults: Injection) -> None:
@@ -438,4 +493,5 @@
 _VERSION_ACTS: dict[str, Act] = {"engine_upgraded": _engine_upgraded}
 _UNFRAMED_ACTS: dict[str, Act] = {"engine_unframed": _engine_unframed}
 _LIMIT_ACTS: dict[str, Act] = {"engine_limited": _engine_limited}
+_REJECTION_ACTS: dict[str, Act] = {"store_rejects": _store_rejects}
 _STRANDING_ACTS: dict[str, Act] = {"gateways_stranded": _gateways_stranded}
--- a/tests/process/test_edge_soak.py
+++ b/tests/process/test_edge_soak.py
@@ -7,7 +7,7 @@
 
 import pytest
 import trio
-from bench.soak import callers, edge, faults, team_judge, teams, world
+from bench.soak import callers, edge, faults, readers, team_judge, teams, world
 
 from cornelgrade.platform.standins import stream_engine
 
@@ -102,3 +102,46 @@
             seen.denied.append(req)
     found = list(team_judge.TeamJudge(system, seen).all())
     assert [re.split(" (?:at|came)", problem)[0] for problem in found] == expected
+
+
+def _judge_reads(system, *reads):
+    """Judge reads of one job, each given as gateway, position, when it ended, status, results."""
+    seen = callers.Callers(system, random.Random(1), random.Random(1))
+    job = callers.Job("job", (), accepted_s=0.0)
+    for gateway, after, end_s, status, texts in reads:
+        results = [(text, "completed", text) for text in texts]
+        seen.reads.append(callers.Read(job, after, gateway, end_s - 0.1, end_s, status, results))
+    return list(readers.ReadJudge(system, seen).all())
+
+
+# Guards against a judge that misses a position which was read and is not there at another gateway,
+# that blames one which can't be sure or sends a shorter page, or that excuses one whose worker has
+# lost the store.
+def test_judge_finds_positions_that_were_read_and_are_missing(tmp_path):
+    system = world.World(None, tmp_path)
+    system.windows.append(world.Window("worker-0 to store", "cut", 5.0, 30.0))
+    system.windows.append(world.Window("gateway-2 to store", "cut", 5.0, 8.0))
+    found = _judge_reads(
+        system,
+        ("gateway-0", 0, 10.0, 200, "ab"),
+        ("gateway-1", 2, 12.0, 200, ""),
+        ("gateway-1", 1, 10.9, 200, ""),
+        ("gateway-2", 1, 11.0, 200, ""),
+        ("gateway-1", 1, 11.1, 503, ""),
+        ("gateway-1", 0, 11.1, 200, "a"),
+        ("gateway-1", 0, 11.1, 200, ""),
+        ("gateway-2", 1, 11.2, 200, ""),
+        ("gateway-1", 1, 11.3, 404, ""),
+    )
+    expected = ["from 0 at gateway-1.*no", "from 1 at gateway-2.*no", "from 1.*status 404"]
+    assert len(found) == len(expected)
+    assert all(map(re.search, expected, found))
+
+
+# Guards against a judge that lets a position change, even at a gateway with a fault.
+def test_judge_finds_positions_that_changed(tmp_path):
+    system = world.World(None, tmp_path)
+    system.windows.append(world.Window("gateway-1", "freeze", 9.0, 12.0))
+    reads = ("gateway-0", 0, 10.0, 200, "ab"), ("gateway-1", 1, 11.0, 200, "c")
+    (found,) = _judge_reads(system, *reads)
+    assert "position 1 was ('b'" in found
