--- a/src/cornelgrade/services/edge/result_reader.py
+++ b/src/cornelgrade/services/edge/result_reader.py
@@ -30,8 +30,8 @@
 MAX_CACHED_JOBS = 64
 # Callers read about twice a second; a longer pause means that they have left.
 FOLLOW_AFTER_READ_S = 1.0
-# A watch may be lost without a sign. Confirmations notice that if there are results; this bounds how
-# long a watch that only brings none is kept.
+# A watch may be lost without a sign. Confirmations notice that if there are results; this bounds
+# how long one that only brings none is kept.
 WATCH_TIMEOUT_S = 10.0
 # An empty answer needs a confirmation that is newer than this. A position that was read has to be
 # there for every caller after 1 s; the remainder is for the response to arrive.
