--- a/src/cornelgrade/services/edge/ports.py
+++ b/src/cornelgrade/services/edge/ports.py
@@ -10,7 +10,7 @@
 from cornelgrade.adapters import http1, http1_server
 from cornelgrade.policy import upstream_limit
 
-# A time that others wrote; larger integers overflow floats and the messages to peers.
+# A time that another writer stored; larger integers overflow floats and the messages to peers.
 UnixMilliseconds = Annotated[int, msgspec.Meta(ge=0, le=2**53 - 1)]
 
 
--- a/src/cornelgrade/services/edge/result_sharing.py
+++ b/src/cornelgrade/services/edge/result_sharing.py
@@ -90,7 +90,7 @@
             self._counter.inc({"outcome": "unknown" if page is None else "behind"})
             return None
         self._counter.inc({"outcome": "read"})
-        # The worker has received the call after it was sent, so this is no later than it was there.
+        # The worker received the call after ``sent_s``, so this is at or before the true time.
         return msgspec.structs.replace(page, confirmed_s=sent_s + page.confirmed_s)
 
 
