Store outcomes through another worker while a worker has lost the store

Cause: a worker that lost the store kept its claims on items whose outcomes it could not write, so no other worker ran them and their results stayed unseen until the store was back there. Ruled out: releasing the claims. If the store is down for all workers, every item that ended runs again, and a worker can't tell that from a loss of its own. Change: after 1 s without a response, or at once after an error, the outcome is sent in a signed POST to one other worker, which writes the same object if it has the job open. The own write goes on beside it; both write the same name.

--- a/src/cornelgrade/services/edge/outcome_writer.py
+++ b/src/cornelgrade/services/edge/outcome_writer.py
@@ -1,16 +1,21 @@
-"""Writes how runs of batch items ended to the store, again until it is available."""
+"""Writes how runs of batch items ended to the store, again until it is available.
 
-from collections.abc import Awaitable, Callable, Iterable
+While it is not, other workers are asked, which may reach it.
+"""
+
+from collections.abc import Callable, Iterable
 
 import trio
 
 from cornelgrade import logs
 from cornelgrade.adapters import platform
-from cornelgrade.services.edge import job_repository, open_job, ports
+from cornelgrade.services.edge import job_repository, open_job, outcome_sharing, ports
 
 # Pauses between attempts; each is twice the one before.
 MIN_RETRY_PAUSE_S = 0.2
 MAX_RETRY_PAUSE_S = 1.0
+# A write takes milliseconds, at a slow store some hundred; after this another worker is asked too.
+ASK_OTHERS_AFTER_S = 1.0
 # How long a result waits for others of its job, which is short beside the pauses of readers.
 GATHER_S = 0.2
 GATHER_CHECK_S = 0.02
@@ -24,6 +29,7 @@
         more writes.
     :param on_written: called after each write.
     :param may_group: whether all processes can read several results in one object.
+    :param others: the other workers, ``None`` if none can be asked.
     """
 
     def __init__(
@@ -32,7 +38,9 @@
         jobs: dict[str, open_job.OpenJob],
         on_written: Callable[[], None],
         may_group: Callable[[], bool],
+        others: outcome_sharing.OutcomeClient | None = None,
     ) -> None:
+        self._others = others
         self._may_group = may_group
         self._repository = repository
         self._jobs = jobs
@@ -65,7 +73,8 @@
         for index in stored_elsewhere:
             del results[index]
         for group in self._group(results):
-            await self._retry(job, min(group), self._make_write(job.header.job, group))
+            name = job_repository.make_group_name(group) if len(group) > 1 else ""
+            await self._retry(job, _outcome_of(job, name=name, results=group))
             self._record_stored(job, group)
 
     def _record_stored(self, job: open_job.OpenJob, indexes: Iterable[int]) -> None:
@@ -82,37 +91,49 @@
             return self._repository.group_results(results)
         return tuple({index: result} for index, result in results.items())
 
-    def _make_write(
-        self, job: str, group: dict[int, ports.ItemResult]
-    ) -> Callable[[], Awaitable[None]]:
-        """Return the write of one object, which may be repeated."""
-        if len(group) == 1:
-            ((index, result),) = group.items()
-            return lambda: self._repository.add_result(job, index, result)
-        name = job_repository.make_group_name(group)
-        return lambda: self._repository.add_group(job, name, group)
-
     async def _write_failures(self, job: open_job.OpenJob, index: int) -> None:
         failures = job.failures[index]
-        await self._retry(
-            job, index, lambda: self._repository.record_failures(job.header.job, index, failures)
-        )
+        await self._retry(job, _outcome_of(job, failures={index: failures}))
         job.recording.discard(index)
         self._on_written()
 
-    async def _retry(
-        self, job: open_job.OpenJob, index: int, write: Callable[[], Awaitable[None]]
-    ) -> None:
+    async def _retry(self, job: open_job.OpenJob, outcome: outcome_sharing.Outcome) -> None:
         pause_s = MIN_RETRY_PAUSE_S
         while self._jobs.get(job.header.job) is job:
-            try:
-                await write()
+            if await self._store(job, outcome):
                 return
+            await trio.sleep(pause_s)
+            pause_s = min(2 * pause_s, MAX_RETRY_PAUSE_S)
+
+    async def _store(self, job: open_job.OpenJob, outcome: outcome_sharing.Outcome) -> bool:
+        """Write an outcome, and ask another worker to if that fails or takes long."""
+        stored = False
+        failed = trio.Event()
+
+        async def write() -> None:
+            nonlocal stored
+            try:
+                await outcome_sharing.store_outcome(self._repository, outcome)
+                stored = True
+                nursery.cancel_scope.cancel()
             except platform.UnavailableError as exc:
-                item = job.items[index].name
+                item = job.items[outcome.first_item].name
                 _log.info("outcome_not_stored", item=item, error=exc.format_message())
-                await trio.sleep(pause_s)
-                pause_s = min(2 * pause_s, MAX_RETRY_PAUSE_S)
+            failed.set()
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(write)
+            with trio.move_on_after(ASK_OTHERS_AFTER_S):
+                await failed.wait()
+            # The write may be cancelled, as it can be repeated and the other worker has made it.
+            if self._others is not None and await self._others.send(outcome):
+                stored = True
+                nursery.cancel_scope.cancel()
+        return stored
+
+
+def _outcome_of(job: open_job.OpenJob, **parts) -> outcome_sharing.Outcome:
+    return outcome_sharing.Outcome(job.header.job, job.header.received_ms, **parts)
 
 
 def _may_wait(job: open_job.OpenJob) -> bool:
--- a/src/cornelgrade/services/edge/peer_calls.py
+++ b/src/cornelgrade/services/edge/peer_calls.py
@@ -1,10 +1,11 @@
 """The service ``peer_calls``: calls between the processes of the fleet over TCP, for what is large.
 
-A call is a GET at the address of the peer's datagrams. Request and response are signed with the
-fleet's key. A header marks it, because gateways take forwarded requests at the same address, and
-the signature covers that it is a call.
+A call is a GET, or a POST if it has a body, at the address of the peer's datagrams. Request and
+response are signed with the fleet's key. A header marks it, because gateways take forwarded
+requests at the same address, and the signature covers that it is a call.
 """
 
+import hashlib
 import time
 import urllib.parse
 from collections.abc import Awaitable, Callable
@@ -17,16 +18,16 @@
 
 MARK = "cornelgrade-call"
 CONNECT_TIMEOUT_S = 0.25
-# Calls have no body.
-LIMITS = http1_server.Limits(header_bytes=8192, body_bytes=1)
-_METHOD = "GET"
+# A body holds an object of the store at most, in which results are larger than in a call.
+LIMITS = http1_server.Limits(header_bytes=8192, body_bytes=8_000_000)
+_DIGEST_BYTES = 16
 _NOTHING_STATUS = errors.STATUS[errors.Code.NOT_FOUND]
 _AUTH = peer_auth.AUTH_HEADER.encode()
 _TAG = peer_auth.TAG_HEADER.encode()
 _log = logs.Logger("peer_calls")
 
-# Returns the body of a response to the query, ``None`` if there is none.
-Handler = Callable[[dict[str, str]], Awaitable[bytes | None]]
+# Returns the body of a response to the query and the body of a call, ``None`` if there is none.
+Handler = Callable[[dict[str, str], bytes], Awaitable[bytes | None]]
 
 
 class PeerCalls:
@@ -58,19 +59,22 @@
         """Pass calls of a path to a handler."""
         self._handlers[path] = handler
 
-    async def call(self, vm: str, target: str, timeout_s: float, limit_bytes: int) -> bytes | None:
+    async def call(
+        self, vm: str, target: str, timeout_s: float, limit_bytes: int, body: bytes = b""
+    ) -> bytes | None:
         """Call a peer; return the body of its response, ``None`` if it has none to give.
 
         :param target: a path and, after a question mark, a query.
         :param timeout_s: for the complete response.
         :param limit_bytes: maximum size of the response.
+        :param body: of the request.
         :raises NotReachableError: without a valid response.
         """
         address, key = self._peers.address_of(vm), self._peers.key
         if address is None or key is None:
             raise errors.NotReachableError("address or key is unknown", step=target, peer=vm)
         auth, nonce = peer_auth.make_auth_header(
-            key, self._peers.vm, address, _signed_text(target), time.time()
+            key, self._peers.vm, address, _signed_text(target, body), time.time()
         )
         marks = (
             (b"host", address.encode()),
@@ -80,9 +84,10 @@
         try:
             with trio.fail_after(timeout_s):
                 with await http1.connect(address, CONNECT_TIMEOUT_S) as channel:
-                    await channel.send(_METHOD, target.encode(), marks, b"")
+                    method = "POST" if body else "GET"
+                    await channel.send(method, target.encode(), marks, body)
                     head = await channel.read_head()
-                    body = await channel.read_body(limit_bytes)
+                    received = await channel.read_body(limit_bytes)
         except (engine.CallError, trio.TooSlowError) as exc:
             raise errors.NotReachableError(repr(exc), step=target, peer=vm) from exc
         if head.status == _NOTHING_STATUS:
@@ -90,9 +95,9 @@
         if head.status != 200:
             raise errors.NotReachableError(f"status {head.status}", step=target, peer=vm)
         tag = (head.get(_TAG) or b"").decode("latin-1")
-        if not peer_auth.verify_response_tag(key, tag, nonce, body):
+        if not peer_auth.verify_response_tag(key, tag, nonce, received):
             raise errors.NotReachableError("response tag does not match", step=target, peer=vm)
-        return body
+        return received
 
     async def handle(self, exchange: http1_server.Exchange) -> bool:
         """Respond to a call; return ``False`` if the request is none."""
@@ -108,7 +113,7 @@
                 key,
                 exchange.headers.get(peer_auth.AUTH_HEADER),
                 self._own_address,
-                _signed_text(target),
+                _signed_text(target, exchange.body),
                 time.time(),
             )
         except errors.Refusal as exc:
@@ -116,7 +121,7 @@
             await exchange.respond(exc.status, b"", ())
             return True
         handler = self._handlers.get(exchange.path)
-        body = await handler(exchange.query) if handler else None
+        body = await handler(exchange.query, exchange.body) if handler else None
         if body is None:
             await exchange.respond(_NOTHING_STATUS, b"", ())
             return True
@@ -134,5 +139,8 @@
     return urllib.parse.urlencode(values)
 
 
-def _signed_text(target: str) -> str:
-    return f"call {target}"
+def _signed_text(target: str, body: bytes) -> str:
+    text = f"call {target}"
+    if not body:
+        return text
+    return f"{text} {hashlib.blake2b(body, digest_size=_DIGEST_BYTES).hexdigest()}"
--- a/src/cornelgrade/services/edge/plan_exchange.py
+++ b/src/cornelgrade/services/edge/plan_exchange.py
@@ -122,7 +122,7 @@
         self._fetch_counter.inc({"outcome": "accepted" if accepted else "not_newer"})
         return accepted
 
-    async def _send_plan(self, _query: dict[str, str]) -> bytes | None:
+    async def _send_plan(self, _query: dict[str, str], _body: bytes) -> bytes | None:
         table = self._fleet.table()
         if table is None:
             return None
--- a/src/cornelgrade/services/edge/result_sharing.py
+++ b/src/cornelgrade/services/edge/result_sharing.py
@@ -101,7 +101,7 @@
         self._source = source
         kern.find("peer_calls", peer_calls.PeerCalls).register(PATH, self._send_page)
 
-    async def _send_page(self, query: dict[str, str]) -> bytes | None:
+    async def _send_page(self, query: dict[str, str], _body: bytes) -> bytes | None:
         try:
             job, after, wait_s = query["job"], int(query["after"]), float(query["wait"])
             page = await self._source.read_page(job, after, min(wait_s, MAX_WAIT_S))
--- a/src/cornelgrade/services/edge/runner.py
+++ b/src/cornelgrade/services/edge/runner.py
@@ -37,6 +37,7 @@
     job_repository,
     job_sweeper,
     open_job,
+    outcome_sharing,
     outcome_writer,
     peers,
     ports,
@@ -109,7 +110,14 @@
         )
         self._wake = _notifier.Notifier()
         self._outcomes = outcome_writer.OutcomeWriter(
-            self._repository, self._jobs, self._wake.notify_all, self._peers.all_read_groups
+            self._repository,
+            self._jobs,
+            self._wake.notify_all,
+            self._peers.all_read_groups,
+            outcome_sharing.OutcomeClient(kern),
+        )
+        outcome_sharing.OutcomeServer(
+            kern, self._repository, availability, self._jobs, self._wake.notify_all
         )
         self._uses = upstream_uses.UpstreamUses(
             self._peers,
