Let items of the burst test last longer than the pauses between bursts

Engines now send an event every 0.2 s while they crash, so that an item needs 12 s, more than all pauses together; after the bursts they send one every 0.01 s as before, and the 20 s for the results stay.

--- a/tests/edge/test_owed_items.py
+++ b/tests/edge/test_owed_items.py
@@ -11,10 +11,14 @@
 # An item that waits after a crash runs again within this time.
 NEXT_RUN_S = 10.0
 EVENTS = 60
+# An item takes 12 s while engines crash, so that none completes before the last crash.
+CRASHING_EVENT_S, CALM_EVENT_S = 0.2, 0.01
 
 
 async def crash_under_items(system):
     """Crash in turn the engine that runs one of the items, in bursts."""
+    for eng in system.engines.values():
+        eng.event_s = CRASHING_EVENT_S
     for _ in range(BURSTS):
         for _ in range(CRASHES):
             with trio.move_on_after(NEXT_RUN_S):
@@ -24,6 +28,8 @@
                     eng.crash(PAUSE_S)
             await trio.sleep(PAUSE_S)
         await trio.sleep(2.0)
+    for eng in system.engines.values():
+        eng.event_s = CALM_EVENT_S
 
 
 async def read_results(system, job, total):
