Let workers without the store learn of cancelled jobs, and others close theirs

Cause: headers come only by the watch of the store. A worker that has lost it went on with the items of a cancelled job, and one that is first in the order of a job's workers was the only one to close it or to give up its expired items; both lasted until the store was back at that worker.

Now such a worker asks another one, every 0.5 s, for headers that are newer than its own, over the call by which it sends outcomes; choosing a worker and pausing after declines moved from OutcomeClient to WorkerCalls, which both share. The workers that load a job may close it each after 1.5 s times its rank.

Ruled out: sending the cancellation to all workers, as it may be lost, and a flag in datagrams that says who reaches the store, as it is known seconds late.

Still open: a read that asks the lost worker gets a 503 once (seen in the expired case, so that the test repeats a rejected read as callers do).

--- a/src/cornelgrade/services/edge/open_job.py
+++ b/src/cornelgrade/services/edge/open_job.py
@@ -7,7 +7,7 @@
 import trio
 
 from cornelgrade import routes
-from cornelgrade.policy import item_claims, ownership, rendezvous, software_versions
+from cornelgrade.policy import item_claims, rendezvous, software_versions
 from cornelgrade.schema import messages
 from cornelgrade.services.edge import item_call, job_repository, ports
 
@@ -23,6 +23,9 @@
 # Workers that load a job's input at once. The others load it only when they have nothing else to
 # run, so that the calls for a job don't grow with the fleet.
 JOB_WORKERS = 4
+# A worker closes a job that is over, or gives up its items, after this long times its rank among
+# those that loaded it. A worker that reaches the store does so within a second.
+CLOSE_STAGGER_S = 1.5
 # Pause before a failed item is retried, so that a transient fault can clear.
 RETRY_PAUSE_S = 0.3
 
@@ -62,6 +65,7 @@
     :ivar claimed_s: when other workers last claimed items.
     :ivar known_s: when this worker learned of it.
     :ivar loading: whether its input was read or is being read.
+    :ivar over_s: since when it is complete, or its items may be given up; ``None`` if neither.
     :ivar closing: whether its final state is being stored.
     :ivar route_seen_s: when its route was last in the plan.
     :ivar recorded_done: items whose tokens were recorded as done, as a bit set.
@@ -89,6 +93,7 @@
     ran_s: dict[int, tuple[float, float]] = dataclasses.field(default_factory=dict)
     known_s: float = 0.0
     loading: bool = False
+    over_s: float | None = None
     closing: bool = False
     route_seen_s: float = 0.0
     recorded_done: int = 0
@@ -250,12 +255,6 @@
         self.not_before_s[index] = now_s + RETRY_PAUSE_S
 
 
-@functools.lru_cache(maxsize=16_384)
-def closing_worker(job: str, workers: tuple[str, ...]) -> str | None:
-    """Return the worker that closes a job."""
-    return ownership.choose_owner(job, workers)
-
-
 @functools.lru_cache(maxsize=16_384)
 def _rank_job_workers(job: str, workers: tuple[str, ...]) -> tuple[str, ...]:
     """Return the workers in the order in which they load a job."""
@@ -263,10 +262,21 @@
 
 
 def job_workers(job: str, workers: tuple[str, ...]) -> tuple[str, ...]:
-    """Return the workers that load a job at once, that which closes it among them."""
+    """Return the workers that load a job at once, in the order in which they may close it."""
     return _rank_job_workers(job, workers)[:JOB_WORKERS]
 
 
+def closing_worker(job: str, workers: tuple[str, ...]) -> str | None:
+    """Return the worker that closes a job as long as it reaches the store."""
+    return next(iter(job_workers(job, workers)), None)
+
+
+def closing_rank(job: str, workers: tuple[str, ...], vm: str) -> int | None:
+    """Return the position of a worker among those that may close a job, ``None`` if it may not."""
+    first = job_workers(job, workers)
+    return first.index(vm) if vm in first else None
+
+
 @functools.lru_cache(maxsize=16_384)
 def _rank_workers(job: str, index: int, workers: tuple[str, ...]) -> tuple[str, ...]:
     """Return the workers in the order in which they may start an item."""
--- a/src/cornelgrade/services/edge/outcome_sharing.py
+++ b/src/cornelgrade/services/edge/outcome_sharing.py
@@ -5,30 +5,24 @@
 until the store is back there. So it sends them to another worker over a signed call.
 """
 
-import random
 from collections.abc import Callable
 
 import msgspec
 import trio
 
-from cornelgrade import errors, kernel, logs, metrics
+from cornelgrade import kernel, logs, metrics
 from cornelgrade.adapters import platform
 from cornelgrade.services.edge import (
     _store_availability,
     job_repository,
     open_job,
     peer_calls,
-    peers,
     ports,
+    worker_calls,
 )
 
 PATH = "/outcomes"
-# For the response of the other worker, whose write to a store that responds takes milliseconds.
-TIMEOUT_S = 1.5
 MAX_RESPONSE_BYTES = 100
-# After a worker that doesn't reach the store either, none is asked for this long: mostly the store
-# is down for all of them, and then each has many outcomes to store.
-PAUSE_S = 0.5
 _STORED = b"stored"
 # Says nothing about the store: outcomes of other jobs go on to be sent.
 _NOT_OPEN = b"not open"
@@ -73,42 +67,20 @@
 class OutcomeClient:
     """Sends outcomes to other workers."""
 
-    def __init__(self, kern: kernel.Kernel) -> None:
-        self._peers = kern.find("peers", peers.Peers)
-        self._calls = kern.find("peer_calls", peer_calls.PeerCalls)
-        self._rng = random.Random(self._peers.vm)
-        self._chosen: str | None = None
-        self._declined: set[str] = set()
-        self._next_s = 0.0
+    def __init__(self, calls: worker_calls.WorkerCalls) -> None:
+        self._calls = calls
         self._counter = metrics.counter(
             "cornelgrade_outcomes_sent_total", "Outcomes sent to other workers by their response."
         )
 
     async def send(self, outcome: Outcome) -> bool:
         """Send an outcome to one other worker; return whether it has been stored."""
-        if trio.current_time() < self._next_s or (worker := self._choose()) is None:
+        if not self._calls.may_call():
             return False
-        try:
-            body = msgspec.msgpack.encode(outcome)
-            got = await self._calls.call(worker, PATH, TIMEOUT_S, MAX_RESPONSE_BYTES, body)
-        except errors.NotReachableError as exc:
-            _log.info("outcome_not_sent", job=outcome.job, worker=worker, error=repr(exc))
-            got = None
+        got = await self._calls.call(PATH, msgspec.msgpack.encode(outcome), MAX_RESPONSE_BYTES)
         self._counter.inc({"response": got.decode() if got else "declined"})
-        if not got:
-            self._declined.add(worker)
-            self._next_s = trio.current_time() + PAUSE_S
         return got == _STORED
 
-    def _choose(self) -> str | None:
-        """Return the worker that responded last, else one that has not declined yet."""
-        others = set(self._peers.live_vms(peers.Role.WORKER)) - {self._peers.vm}
-        if others <= self._declined:
-            self._declined.clear()
-        if (free := sorted(others - self._declined)) and self._chosen not in free:
-            self._chosen = self._rng.choice(free)
-        return self._chosen if free else None
-
 
 class OutcomeServer:
     """Stores outcomes of other workers.
--- a/src/cornelgrade/services/edge/runner.py
+++ b/src/cornelgrade/services/edge/runner.py
@@ -33,6 +33,7 @@
     claim_exchange,
     crash_detector,
     fleet,
+    header_sharing,
     item_call,
     job_repository,
     job_sweeper,
@@ -47,6 +48,7 @@
     upstream_outliers,
     upstream_uses,
     waiting_tokens,
+    worker_calls,
 )
 
 # Maximum time between two scheduling passes; load changes trigger one at once.
@@ -109,16 +111,24 @@
             "cornelgrade_edge_item_run_seconds", "Time of one run of a batch item."
         )
         self._wake = _notifier.Notifier()
+        calls = worker_calls.WorkerCalls(kern)
         self._outcomes = outcome_writer.OutcomeWriter(
             self._repository,
             self._jobs,
             self._wake.notify_all,
             self._peers.all_read_groups,
-            outcome_sharing.OutcomeClient(kern),
+            outcome_sharing.OutcomeClient(calls),
         )
         outcome_sharing.OutcomeServer(
             kern, self._repository, availability, self._jobs, self._wake.notify_all
         )
+        self._shared_headers = header_sharing.HeaderClient(
+            calls,
+            availability,
+            self._jobs,
+            lambda stored_header: self._apply_header(stored_header, is_new=False),
+        )
+        header_sharing.HeaderServer(kern, availability, self._find_tracked)
         self._uses = upstream_uses.UpstreamUses(
             self._peers,
             call_format,
@@ -153,6 +163,7 @@
                 self._record_upstream_success,
             )
             nursery.start_soon(self._watch_headers)
+            nursery.start_soon(self._shared_headers.run)
             started()
             while True:
                 self._schedule()
@@ -178,11 +189,15 @@
 
     def find_header(self, job: str) -> job_repository.StoredHeader | None:
         """Return the header of an accepted job, perhaps in an earlier state."""
+        stored = self._find_tracked(job)
+        return stored if stored is not None and stored.header.accepted else None
+
+    def _find_tracked(self, job: str) -> job_repository.StoredHeader | None:
+        """Return the header of a job in the state that is known here."""
         tracked = self._jobs.get(job)
         if tracked is not None:
             return job_repository.StoredHeader(tracked.header, tracked.version, tracked.created)
-        closed = self._sweeper.find_header(job)
-        return closed if closed is not None and closed.header.accepted else None
+        return self._sweeper.find_header(job)
 
     async def _watch_headers(self) -> None:
         await _object_watch.watch_objects(
@@ -571,21 +586,39 @@
         """Close a completed job; give up the items of one that expired or lost its route."""
         if not job.loading and self._loads_at_once(job):
             self._start_loading(job, is_new=False)
-        workers = self._peers.live_vms(peers.Role.WORKER)
-        if open_job.closing_worker(job.header.job, workers) != self._cfg.vm or job.closing:
+        rank = open_job.closing_rank(
+            job.header.job, self._peers.live_vms(peers.Role.WORKER), self._cfg.vm
+        )
+        if rank is None or job.closing:
             return
-        if job.complete:
-            assert self._nursery is not None
+        assert self._nursery is not None
+        is_over = job.complete or self._may_give_up(job, now_s)
+        if not is_over:
+            job.over_s = None
+        elif job.over_s is None:
+            job.over_s = now_s
+        if not is_over or not self._is_turn_to_close(job, rank, now_s):
+            pass
+        elif job.complete:
             job.closing = True
             self._nursery.start_soon(self._close_job, job)
-        elif self._may_give_up(job, now_s):
-            assert self._nursery is not None
+        else:
             for index in tuple(job.startable_items(now_s)):
                 result = _given_up_result(job.items[index])
                 self._outcomes.start_result(self._nursery, job, index, result)
-        if self._nursery is not None and not job.complete:
+        if rank == 0 and not job.complete:
             self._done_tokens.start_record(self._nursery, job, self._fleet.table())
 
+    def _is_turn_to_close(self, job: open_job.OpenJob, rank: int, now_s: float) -> bool:
+        """Whether this worker may close a job that is over, or give up its items.
+
+        The workers before it may have lost the store, or not respond.
+        """
+        if rank == 0 or job.over_s is None:
+            return rank == 0
+        waited_s = now_s - max(job.over_s, self._availability.recovered_s)
+        return waited_s >= rank * open_job.CLOSE_STAGGER_S and not self._availability.unavailable
+
     def _may_give_up(self, job: open_job.OpenJob, now_s: float) -> bool:
         """Whether a job's items may be given up: it has expired or its route was removed."""
         expired = time.time() * _MS_PER_S > job.header.expires_ms
--- a/tests/edge/test_outcome_sharing.py
+++ b/tests/edge/test_outcome_sharing.py
@@ -5,9 +5,15 @@
 import trio
 
 from cornelgrade import errors
-from cornelgrade.adapters import platform
 from cornelgrade.platform.standins import edge_system, formats, stream_engine
-from cornelgrade.services.edge import outcome_sharing, peer_calls, peers, ports, runner
+from cornelgrade.services.edge import (
+    outcome_sharing,
+    peer_calls,
+    peers,
+    ports,
+    runner,
+    worker_calls,
+)
 
 ITEMS = {f"item-{number}": b"note" for number in range(6)}
 # After the last event of an item; the platform's client takes a silent store for lost after 2 s.
@@ -20,28 +26,6 @@
 RUNS_S = 2 * EVENTS * EVENT_S
 
 
-@pytest.fixture(params=["silent", "rejected"])
-def lose_store(request, monkeypatch):
-    """How a worker loses the store: calls get no response, or fail at once."""
-    rejected = set()
-    limit_call = edge_system.Store._limit_call
-
-    def limited(self, call, *args, **kwargs):
-        if edge_system.CURRENT_NODE.get() in rejected:
-            raise platform.UnavailableError("rejected", step=call)
-        return limit_call(self, call, *args, **kwargs)
-
-    monkeypatch.setattr(edge_system.Store, "_limit_call", limited)
-
-    def lose(system, worker):
-        if request.param == "rejected":
-            rejected.add(worker)
-        else:
-            system.nodes[worker].store.silent = True
-
-    return lose
-
-
 def count_sends(monkeypatch):
     """Return a list that grows by each call that sends an outcome."""
     sent = []
@@ -165,7 +149,7 @@
 # Guards against an outcome that is sent again and again because the response to it was lost.
 async def test_outcome_that_another_worker_has_stored_is_not_sent_again(monkeypatch):
     sent = count_sends(monkeypatch)
-    monkeypatch.setattr(outcome_sharing, "TIMEOUT_S", 0.0)
+    monkeypatch.setattr(worker_calls, "TIMEOUT_S", 0.0)
     async with edge_system.run_system(workers=2, engines=0) as system:
         await system.submit("gateway-0", "job", ITEMS)
         await trio.sleep(1.0)
