Decline reads of unknown jobs at once at a worker without the store

Cause: a worker that had lost the store before a job was submitted read the job's header from the store when a gateway asked it for results. With a silent store that takes 2 s, the gateway's call ends after 0.5 s, as long as its whole confirmation may take, and the caller got a 503 although the gateway reached the store. Reads of jobs that the worker knew were declined at once already.

The new test on the code before: 1 of 12 cases fails (503 for one of 6 reads); now none does.

--- a/src/cornelgrade/services/edge/result_reader.py
+++ b/src/cornelgrade/services/edge/result_reader.py
@@ -278,11 +278,20 @@
             cached = _CachedJob(page.header)
             cached.from_worker = self._apply_page(cached, page)
             return cached
+        self._check_store()
         header = await self._repository.find_accepted(job)
         if header is None:
             raise errors.Refusal(errors.Code.NOT_FOUND, f"no job {job}", step="read")
         return _CachedJob(header)
 
+    def _check_store(self) -> None:
+        """Fail at once at a worker that has lost the store: the gateway that asks may reach it.
+
+        :raises UnavailableError: if the store is lost.
+        """
+        if self._client is None and self._availability.unavailable:
+            raise platform.UnavailableError("the store does not respond", step="read")
+
     async def _wait_for_news(self, cached: _CachedJob, after: int, wait_s: float) -> None:
         nursery = self._running_nursery()
         deadline_s = trio.current_time() + wait_s + FOLLOW_AFTER_READ_S
@@ -322,9 +331,7 @@
         """
         if self._client is not None and await self._fetch_page(cached, wait_s):
             return
-        if self._client is None and self._availability.unavailable:
-            # At a worker: the gateway that asks may reach the store.
-            raise platform.UnavailableError("the store does not respond", step="read")
+        self._check_store()
         job = cached.header.job
         asked, asked_s = cached.revision, clocks.since_boot_s()
         listed, revision, reset = await self._repository.list_results(job, asked, wait_s)
--- a/tests/edge/test_header_sharing.py
+++ b/tests/edge/test_header_sharing.py
@@ -77,6 +77,23 @@
                 await trio.sleep(0.1)
 
 
+# Guards against reads that are rejected because they wait for a worker that doesn't know the job
+# and can't read it, as it lost the store before the job was submitted.
+@pytest.mark.parametrize("wait_s", [0.0, 0.5])
+@pytest.mark.parametrize("lost", WORKERS)
+async def test_reads_of_a_new_job_are_not_rejected(lose_store, lost, wait_s):
+    async with edge_system.run_system(workers=3, engines=0) as system:
+        lose_store(system, lost)
+        # The platform's client takes a silent store for lost after 2 s.
+        await trio.sleep(2.5)
+        await system.submit("gateway-0", "job", ITEMS)
+        target, headers = formats.job_target("job"), formats.wait_headers(wait_s)
+        statuses = [
+            (await system.send("gateway-0", "GET", target, headers)).status for _ in range(6)
+        ]
+    assert statuses == [200] * 6
+
+
 # Guards against items of an expired job that are never given up, for the same reason.
 @pytest.mark.parametrize("lost", WORKERS)
 async def test_expired_items_are_given_up_by_another_worker(lose_store, lost):
