Excuse late items for as long as the soak stood still

The judge reports an item that comes to an engine more than 3 s after its job was cancelled.

The limit is now 3 s plus the time for which the process stood still between the acknowledgement and the item's arrival. A window that merely touches this span, as for faults of the store, would also excuse an item that is late for another reason, so the overlap is counted.

Before: 3 of 8 cases of the new test of the judge fail (those with a standstill that explains the delay). After: all pass; the same delay without a standstill, with a shorter one, or with one that was over before or began later is reported.

--- a/bench/soak/judge.py
+++ b/bench/soak/judge.py
@@ -183,7 +183,9 @@
         paths = {f"{name} to store" for name in workers} | {"store"}
         for item in job.items:
             for name, attempt in self._attempts[item]:
-                late = attempt.at_s > ended_s + CANCEL_S
+                # A worker learns nothing from a store that stands still with this process.
+                stalled_s = self.system.stalled_s(ended_s, attempt.at_s)
+                late = attempt.at_s > ended_s + CANCEL_S + stalled_s
                 begin_s = ended_s - SLACK_S
                 if late and not self.system.touched(workers | paths, begin_s, attempt.at_s):
                     self.problems.append(f"{item} came to {name} after its job was cancelled")
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -78,6 +78,10 @@
         """Whether it overlaps a span of time."""
         return self.begin_s <= end_s and begin_s <= self.end_s
 
+    def overlap_s(self, begin_s: float, end_s: float) -> float:
+        """Return for how long it overlaps a span of time."""
+        return max(0.0, min(self.end_s, end_s) - max(self.begin_s, begin_s))
+
 
 class Daemon:
     """One gateway or worker as a process, restarted by :meth:`start`.
@@ -254,6 +258,10 @@
         """Whether a fault touched one of these parts within a span of time."""
         return any(w.part in parts and w.touches(begin_s, end_s) for w in self.windows)
 
+    def stalled_s(self, begin_s: float = -math.inf, end_s: float = math.inf) -> float:
+        """Return for how long of a span of time this process stood still, see :data:`STALL_S`."""
+        return sum(w.overlap_s(begin_s, end_s) for w in self.windows if w.part == OWN)
+
     def attempts(self, request: str) -> list[tuple[Engine, stream_engine.ReceivedRequest]]:
         """Give what reached the engines of one request."""
         return [
--- a/tests/process/test_edge_soak.py
+++ b/tests/process/test_edge_soak.py
@@ -7,7 +7,7 @@
 
 import pytest
 import trio
-from bench.soak import callers, edge, faults, readers, team_judge, teams, world
+from bench.soak import callers, edge, faults, judge, readers, team_judge, teams, world
 
 from cornelgrade.platform.standins import stream_engine
 
@@ -145,3 +145,35 @@
     reads = ("gateway-0", 0, 10.0, 200, "ab"), ("gateway-1", 1, 11.0, 200, "c")
     (found,) = _judge_reads(system, *reads)
     assert "position 1 was ('b'" in found
+
+
+# Guards against a judge that blames a worker for the time in which this process, and with it the
+# store and the engines, stood still, and against one that excuses more than that time.
+@pytest.mark.parametrize(
+    ("stalls", "late"),
+    [
+        ([(12.0, 13.5)], []),
+        ([(11.0, 11.5), (12.0, 13.0)], []),
+        ([(12.9, 14.5)], []),
+        ([], ["item-1"]),
+        ([(5.0, 9.0)], ["item-1"]),
+        ([(12.0, 12.5)], ["item-1"]),
+        ([(8.0, 10.9)], ["item-1"]),
+        ([(14.1, 20.0)], ["item-1"]),
+    ],
+)
+def test_judge_excuses_late_items_for_as_long_as_the_soak_stood_still(tmp_path, stalls, late):
+    system = world.World(None, tmp_path)
+    system.daemons["worker-0"] = types.SimpleNamespace(name="worker-0", role=world.WORKER)
+    engine = stream_engine.StreamEngine("engine-0")
+    system.engines["engine-0"] = types.SimpleNamespace(stand_in=engine)
+    system.windows += [world.Window(world.OWN, "stall", *span) for span in stalls]
+    for name, at_s in (("item-0", 12.9), ("item-1", 14.0)):
+        engine.seen.append(stream_engine.ReceivedRequest(name, b"/", {}, b"", None, at_s))
+    seen = callers.Callers(system, random.Random(1), random.Random(1))
+    seen.jobs.append(callers.Job("job", ("item-0", "item-1"), accepted_s=8.0, ended_s=10.0))
+    judged = judge.Judge(system, seen)
+    judged._job(seen.jobs[0])
+    assert judged.problems == [
+        f"{name} came to engine-0 after its job was cancelled" for name in late
+    ]
