Cut workers off from gateways in the soak

The soak cut processes off from the store and gateways off from engines, but no link between two processes, so that it never showed whether results that a worker stores are seen at a gateway which the worker reaches neither by datagram nor by call.

The new fault links_cut cuts some workers off from some gateways, one way or both, for 0.5 to 6 s, while all still reach the store. It opens windows of its own, which excuse nothing. The judge of reads also reports a gateway that answers a position with an empty page after it has shown it, unless its process ended between.

A relay between the processes was ruled out: datagrams, calls and responses are signed for the address of their receiver. Dropping packets needs root. The soak therefore starts the programs through bench.soak.cut_links, which passes the datagram socket its filter for tests and lets connections to an address time out while a file lists it. One way, datagrams are lost in that direction; connections, which need both, can't be opened in either. Calls that are open go on.

--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -3,6 +3,7 @@
 import collections
 import contextlib
 import dataclasses
+import itertools
 import random
 import signal
 from collections.abc import Awaitable, Callable, Sequence
@@ -22,6 +23,7 @@
 LIMITS_GAP_S = 6.0
 REJECTIONS_GAP_S = 3.0
 STRANDING_GAP_S = 8.0
+CUT_LINKS_GAP_S = 4.0
 SERIES_SHARE = 0.25
 SERIES = 3
 SERIES_GAP_S = 0.4
@@ -41,6 +43,8 @@
 # Gateways that lose their ways to all engines at a time, and how often also those in use.
 MAX_STRANDED = 2
 RESET_SHARE = 0.5
+# Some cuts outlast the silence after which a process takes its peer as gone.
+CUT_LINKS_S = (0.5, 6.0)
 # How long an engine that leaves goes on serving what it has.
 LEAVE_S = 4.0
 HERD_SHARE = 0.5
@@ -108,6 +112,7 @@
     drawn += _draw(f"{seed} unframed", seconds, UNFRAMED_GAP_S, _UNFRAMED_ACTS)
     drawn += _draw(f"{seed} limits", seconds, LIMITS_GAP_S, _LIMIT_ACTS)
     drawn += _draw(f"{seed} rejections", seconds, REJECTIONS_GAP_S, _REJECTION_ACTS)
+    drawn += _draw(f"{seed} links", seconds, CUT_LINKS_GAP_S, _LINK_ACTS)
     if stranding:
         drawn += _draw(f"{seed} stranding", seconds, STRANDING_GAP_S, _STRANDING_ACTS)
     for kind, gap_s, acts in more:
@@ -465,6 +470,21 @@
         faults.system.stranded.difference_update(cut)
 
 
+async def _links_cut(faults: Injection) -> None:
+    """Cut some workers off from some gateways, one way or both; all still reach the store."""
+    names = {
+        role: [daemon.name for daemon in faults.system.daemons.values() if daemon.role == role]
+        for role in (world.WORKER, world.GATEWAY)
+    }
+    workers, gateways = (
+        faults.rng.sample(found, faults.rng.randint(1, len(found))) for found in names.values()
+    )
+    up = list(itertools.product(workers, gateways))
+    down = list(itertools.product(gateways, workers))
+    with faults.system.cutting(faults.rng.choice((up, down, up + down))):
+        await trio.sleep(faults.between(CUT_LINKS_S))
+
+
 async def _change(faults: Injection) -> None:
     await faults.system.change()
 
@@ -494,4 +514,5 @@
 _UNFRAMED_ACTS: dict[str, Act] = {"engine_unframed": _engine_unframed}
 _LIMIT_ACTS: dict[str, Act] = {"engine_limited": _engine_limited}
 _REJECTION_ACTS: dict[str, Act] = {"store_rejects": _store_rejects}
+_LINK_ACTS: dict[str, Act] = {"links_cut": _links_cut}
 _STRANDING_ACTS: dict[str, Act] = {"gateways_stranded": _gateways_stranded}
--- a/bench/soak/readers.py
+++ b/bench/soak/readers.py
@@ -1,5 +1,6 @@
 """Several readers of each job, and the judge of what they read."""
 
+import collections
 import random
 from collections.abc import Iterator
 
@@ -21,6 +22,8 @@
 # A gateway is sound this long after its last fault.
 CONTACT_S = 3.0
 _OK = 200
+# Faults that end a gateway's process, and with it what it knows.
+_ENDING = frozenset(("kill", "stop", "start"))
 # Which reads may get 401 is for :mod:`team_judge` to check.
 _NOT_READ = frozenset((401, 429, 503))
 Result = tuple[str, str, str]
@@ -103,12 +106,15 @@
         self.seen = seen
         # What was first read at each position of each job, and when.
         self._first: dict[tuple[str, int], tuple[float, Result]] = {}
+        # When each gateway had shown each position of each job.
+        self._shown: dict[tuple[str, str, int], list[float]] = collections.defaultdict(list)
 
     def all(self) -> Iterator[str]:
         """Give what is wrong."""
         for read in sorted(self.seen.reads, key=lambda read: read.end_s):
             yield from self._changed(read)
             yield from self._missing(read)
+            yield from self._withdrawn(read)
 
     def _changed(self, read: callers.Read) -> Iterator[str]:
         for position, result in enumerate(read.results, read.after):
@@ -133,6 +139,21 @@
         if not read.results and (late_s := read.end_s - first_s) > SETTLE_S:
             yield f"{_describe(read)}: no results, of which one was read {late_s:.2f} s before"
 
+    def _withdrawn(self, read: callers.Read) -> Iterator[str]:
+        """Check that a gateway which has shown a position shows it until its process ends."""
+        for position in range(read.after, read.after + len(read.results)):
+            self._shown[read.job.id, read.gateway, position].append(read.end_s)
+        if read.status != _OK or read.results:
+            return
+        shown = self._shown[read.job.id, read.gateway, read.after]
+        shown_s = max((end_s for end_s in shown if end_s <= read.begin_s), default=None)
+        if shown_s is None:
+            return
+        ends = [w for w in self.system.windows if w.part == read.gateway and w.fault in _ENDING]
+        if not any(w.touches(shown_s, read.end_s) for w in ends):
+            late_s = read.end_s - shown_s
+            yield f"{_describe(read)}: no results, of which it sent one {late_s:.2f} s before"
+
 
 def _describe(read: callers.Read) -> str:
     took_s = read.end_s - read.begin_s
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -1,5 +1,6 @@
 """What the soak of the platform's programs runs: processes, proxies, engines and a store."""
 
+import collections
 import contextlib
 import dataclasses
 import functools
@@ -11,19 +12,19 @@
 import signal
 import subprocess
 import sys
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Collection
 
 import msgspec
 import trio
 
-from bench.soak import sockets, teams
+from bench.soak import cut_links, sockets, teams
 from cornelgrade import addresses, routes
 from cornelgrade.adapters import platform
 from cornelgrade.platform import directory
 from cornelgrade.platform.standins import edge_system, formats, store_server, stream_engine
 from cornelgrade.standins import fault_proxy, local_ports, platform_store
 
-SOURCE = pathlib.Path(__file__).resolve().parents[2] / "src"
+ROOT = pathlib.Path(__file__).resolve().parents[2]
 LOOPBACK = "127.0.0.1:0"
 GATEWAY, WORKER = "gateway", "worker"
 # The fault of a gateway that reaches no engine.
@@ -98,9 +99,11 @@
         self.rotation = False
         self.caller_address = local_ports.free_address() if role == GATEWAY else ""
         self.ready_address = local_ports.free_address() if role == GATEWAY else ""
+        self.peer_address = local_ports.free_address()
         self.log = folder / f"{name}.log"
-        self._metrics_address = local_ports.free_address()
+        self.metrics_address = local_ports.free_address()
         self._settings = folder / f"{name}.json"
+        self._cuts = folder / f"{name}.cuts"
         self._process: trio.Process | None = None
 
     def configure(self, store_address: str) -> None:
@@ -108,8 +111,8 @@
         cfg = {
             "vm": self.name,
             "failure_domain": self.domain,
-            "peer_address": local_ports.free_address(),
-            "metrics_address": self._metrics_address,
+            "peer_address": self.peer_address,
+            "metrics_address": self.metrics_address,
             "store_address": store_address,
             "stop_grace_s": GRACE_S,
         }
@@ -128,20 +131,25 @@
                 await trio.sleep(START_PAUSE_S)
 
     async def _listens(self) -> bool:
-        return await _accepts(self.caller_address or self._metrics_address)
+        return await _accepts(self.caller_address or self.metrics_address)
 
     async def _open(self) -> None:
         env = {
             **os.environ,
-            "PYTHONPATH": str(SOURCE),
+            "PYTHONPATH": os.pathsep.join((str(ROOT / "src"), str(ROOT))),
             "CORNELGRADE_SETTINGS": str(self._settings),
+            cut_links.CUTS_VARIABLE: str(self._cuts),
         }
-        command = [sys.executable, "-m", "cornelgrade.platform", self.role]
+        command = [sys.executable, "-m", cut_links.__name__, self.role]
         with self.log.open("ab") as out:
             self._process = await trio.lowlevel.open_process(
                 command, env=env, stdout=out, stderr=subprocess.STDOUT
             )
 
+    def cut_off(self, cuts: cut_links.Cuts) -> None:
+        """Replace what it can't send to its peers, also after a restart."""
+        cuts.write(self._cuts)
+
     def signal(self, signum: signal.Signals) -> None:
         """Send a signal; one that comes after the end is lost."""
         with contextlib.suppress(ProcessLookupError):
@@ -240,6 +248,8 @@
         self.windows: list[Window] = []
         self.problems: list[str] = []
         self.plans: dict[int, float] = {}
+        # How many faults cut each link between two processes, by sender and receiver.
+        self._cut_links: collections.Counter[tuple[str, str]] = collections.Counter()
         self._server = store_server.StoreServer(self.store)
         self._store_address = ""
         self._planning = trio.Lock()
@@ -258,6 +268,34 @@
         """Whether a fault touched one of these parts within a span of time."""
         return any(w.part in parts and w.touches(begin_s, end_s) for w in self.windows)
 
+    @contextlib.contextmanager
+    def cutting(self, links: Collection[tuple[str, str]]):
+        """Cut links between processes, each from a sender to a receiver, until the block ends.
+
+        No process is at fault, and each still reaches the store.
+        """
+        with contextlib.ExitStack() as stack:
+            for sender, receiver in links:
+                stack.enter_context(self.window(f"{sender} to {receiver}", "cut"))
+            self._cut_links.update(links)
+            self._write_cuts()
+            try:
+                yield
+            finally:
+                self._cut_links.subtract(links)
+                self._write_cuts()
+
+    def _write_cuts(self) -> None:
+        cut = [link for link, faults in self._cut_links.items() if faults]
+        for name, daemon in self.daemons.items():
+            one_way = {receiver for sender, receiver in cut if sender == name}
+            either_way = one_way | {sender for sender, receiver in cut if receiver == name}
+            lost, closed = map(self._list_addresses, (one_way, either_way))
+            daemon.cut_off(cut_links.Cuts(datagrams=lost, connections=closed))
+
+    def _list_addresses(self, names: set[str]) -> frozenset[str]:
+        return frozenset(self.daemons[name].peer_address for name in names)
+
     def stalled_s(self, begin_s: float = -math.inf, end_s: float = math.inf) -> float:
         """Return for how long of a span of time this process stood still, see :data:`STALL_S`."""
         return sum(w.overlap_s(begin_s, end_s) for w in self.windows if w.part == OWN)
--- a/tests/process/test_edge_soak.py
+++ b/tests/process/test_edge_soak.py
@@ -1,15 +1,18 @@
 """A short soak of the edge processes; ``python -m bench.soak edge`` runs longer soaks."""
 
+import collections
 import functools
+import math
 import random
 import re
 import types
 
 import pytest
 import trio
-from bench.soak import callers, edge, faults, judge, readers, team_judge, teams, world
+from bench.soak import callers, cut_links, edge, faults, judge, readers, team_judge, teams, world
 
-from cornelgrade.platform.standins import stream_engine
+from cornelgrade.platform.standins import edge_system, formats, stream_engine
+from cornelgrade.services.edge import peers, result_sharing
 
 SECONDS = 5.0
 
@@ -177,3 +180,104 @@
     assert judged.problems == [
         f"{name} came to engine-0 after its job was cancelled" for name in late
     ]
+
+
+# Guards against a judge that lets a gateway withdraw a position which it has shown, that excuses
+# this by a cut off the store, or that blames a gateway for what its process before showed.
+def test_judge_finds_positions_that_a_gateway_withdrew(tmp_path):
+    system = world.World(None, tmp_path)
+    system.windows.append(world.Window("gateway-0 to store", "cut", 5.0, 30.0))
+    system.windows.append(world.Window("gateway-1", "kill", 10.1, 10.2))
+    system.windows.append(world.Window("gateway-2", "freeze", 10.1, 10.2))
+    found = _judge_reads(
+        system,
+        ("gateway-0", 0, 10.0, 200, "ab"),
+        ("gateway-0", 1, 10.05, 200, ""),
+        ("gateway-0", 2, 10.4, 200, ""),
+        ("gateway-0", 1, 10.5, 503, ""),
+        ("gateway-0", 1, 10.6, 200, ""),
+        ("gateway-1", 0, 10.0, 200, "a"),
+        ("gateway-1", 0, 10.5, 200, ""),
+        ("gateway-1", 0, 10.6, 200, "a"),
+        ("gateway-1", 0, 10.8, 200, ""),
+        ("gateway-2", 0, 10.0, 200, "a"),
+        ("gateway-2", 0, 10.5, 200, ""),
+    )
+    expected = ["from 0 at gateway-2", "from 1 at gateway-0", "from 0 at gateway-1.*0.20 s before"]
+    assert len(found) == len(expected)
+    assert all(map(re.search, expected, found))
+
+
+@pytest.fixture
+def linked(tmp_path):
+    """A world of a gateway and two workers that were not started, and the links that each cuts."""
+    system = world.World(None, tmp_path)
+    for name in ("gateway-0", "worker-0", "worker-1"):
+        role = name.partition("-")[0]
+        system.daemons[name] = world.Daemon(name, role, "a", tmp_path)
+    files = {name: cut_links.CutFile(tmp_path / f"{name}.cuts") for name in system.daemons}
+
+    def list_cut(name):
+        names = {daemon.peer_address: other for other, daemon in system.daemons.items()}
+        cuts = files[name].cuts
+        return [{names[address] for address in cut} for cut in (cuts.datagrams, cuts.connections)]
+
+    return system, list_cut
+
+
+# Guards against cuts that reach further than they should, and against one that ends with another.
+async def test_links_are_cut_one_way_until_the_last_fault_ends(linked):
+    system, list_cut = linked
+    gateway, worker = "gateway-0", "worker-0"
+    with system.cutting([(worker, gateway)]):
+        assert list_cut(worker) == [{gateway}, {gateway}]
+        assert list_cut(gateway) == [set(), {worker}]
+        with system.cutting([(worker, gateway), (gateway, worker)]):
+            assert list_cut(gateway) == [{worker}, {worker}]
+        assert list_cut(worker) == [{gateway}, {gateway}]
+        assert list_cut(gateway) == [set(), {worker}]
+        assert list_cut("worker-1") == [set(), set()]
+    assert list_cut(worker) == list_cut(gateway) == [set(), set()]
+    # A cut excuses nothing that is looked up by the names of processes or of their ways.
+    parts = {name for name in system.daemons} | {f"{name} to store" for name in system.daemons}
+    assert not system.touched(parts, -math.inf, math.inf)
+
+
+async def _ask(gateway):
+    """Let a gateway look for a job that is not there; return how the call to a worker ended."""
+    before = await _count_calls(gateway)
+    target = formats.job_target("none", 0).encode()
+    headers = {"host": edge_system.HOST}
+    got = await edge_system.call(gateway.caller_address, "GET", target, headers, b"")
+    assert got.status == 404
+    return sorted((await _count_calls(gateway) - before).elements())
+
+
+async def _wait_until_called(gateway):
+    """Wait until a gateway hears its worker and gets responses from it."""
+    with trio.fail_after(peers.UNRESPONSIVE_RETRY_S + 2.0):
+        while await _ask(gateway) != ["unknown"]:
+            await trio.sleep(0.1)
+
+
+async def _count_calls(gateway):
+    got = await edge_system.call(gateway.metrics_address, "GET", b"/metrics", {}, b"")
+    found = re.findall(r'^cornelgrade_result_reads_total{.*"(.*)"} (\d+)', got.body.decode(), re.M)
+    return collections.Counter({outcome: int(count) for outcome, count in found})
+
+
+# Guards against programs that send datagrams or make calls past the places where links are cut.
+async def test_gateway_loses_a_worker_that_it_is_cut_off_from_until_the_cut_ends(tmp_path):
+    async with world.running(tmp_path, 1, 1, 1) as system:
+        gateway = system.daemons["gateway-0"]
+        there, back = ("gateway-0", "worker-0"), ("worker-0", "gateway-0")
+        await _wait_until_called(gateway)
+        # The worker is still heard, so that it is called.
+        with system.cutting([there]):
+            assert await _ask(gateway) == ["failed"]
+            await trio.sleep(result_sharing.AVOID_WORKER_S)
+            assert await _ask(gateway) == ["failed"]
+        with system.cutting([back]):
+            await trio.sleep(peers.PEER_TIMEOUT_S + 0.5)
+            assert await _ask(gateway) == []
+        await _wait_until_called(gateway)
