--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -5,6 +5,7 @@
 import random
 from collections.abc import AsyncIterator
 
+import msgspec
 import trio
 from tests import fakes
 
@@ -67,7 +68,7 @@
     def send(self, vm: str, message: ports.PeerMessage) -> None:
         """Send a message to one VM."""
         if isinstance(message, ports.Load | ports.Yield):
-            message = dataclasses.replace(message, vm=self._view.self_vm)
+            message = msgspec.structs.replace(message, vm=self._view.self_vm)
         self._bus.deliver(vm, message)
 
     def broadcast(self, message: ports.PeerMessage) -> None:
--- a/bench/manifest_calls.py
+++ b/bench/manifest_calls.py
@@ -9,7 +9,6 @@
   --seed=N     Seed [default: 1].
 """
 
-import dataclasses
 import random
 
 import docopt
@@ -45,7 +44,7 @@
     def set_version(self, version: int) -> None:
         """Let every other VM hear it."""
         newest = max(m.manifest_version for m in self.members.values())
-        own = dataclasses.replace(self.members[self.vm], manifest_version=version)
+        own = msgspec.structs.replace(self.members[self.vm], manifest_version=version)
         self.members[self.vm] = own
         if version > newest:
             for other in self.all_of:
--- a/bench/mixed_load.py
+++ b/bench/mixed_load.py
@@ -5,6 +5,7 @@
 import json
 import random
 
+import msgspec
 import trio
 from hdrh import histogram
 
@@ -164,7 +165,7 @@
             number = next(numbers)
             body = json.dumps(batch_body(number, rng)).encode()
             call = engine.Call(f"b{number}", "POST", "/v1/completions", body)
-            call = dataclasses.replace(call, first_byte_timeout_s=600.0)
+            call = msgspec.structs.replace(call, first_byte_timeout_s=600.0)
             async with linked.call(call):
                 pass
 
--- a/bench/mixed_world.py
+++ b/bench/mixed_world.py
@@ -5,6 +5,7 @@
 import random
 from collections.abc import AsyncIterator
 
+import msgspec
 import trio
 
 from cornelgrade import kernel, manifest, settings
@@ -143,7 +144,7 @@
         await trio.sleep(self.site.link_s if far else LOCAL_LINK_S)
         table = self.gateways
         if isinstance(message, ports.Load | ports.Yield):
-            message = dataclasses.replace(message, vm=sender)
+            message = msgspec.structs.replace(message, vm=sender)
             table = self.workers
         if vm in table:
             table[vm].deliver(message)
--- a/src/cornelgrade/adapters/conditional_writes.py
+++ b/src/cornelgrade/adapters/conditional_writes.py
@@ -1,9 +1,9 @@
 """Conditional writes that are retried until their outcome is known, also after a lost response."""
 
-import dataclasses
 import secrets
 from typing import Protocol
 
+import msgspec
 import trio
 
 from cornelgrade.adapters import platform
@@ -12,8 +12,7 @@
 RETRY_DELAY_S = 0.05
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ConditionalWrite:
+class ConditionalWrite(msgspec.Struct, frozen=True):
     """A conditional write to send; ``version`` is 0 for a create."""
 
     write: settle.Write
@@ -161,8 +160,7 @@
         await self._writer.write(settle.Write.DELETE, kind, name, b"", version, "")
 
 
-@dataclasses.dataclass(slots=True)
-class _Sent:
+class _Sent(msgspec.Struct):
     """Tracks whether any attempt at a write may have taken effect."""
 
     may_have_applied: bool = False
--- a/src/cornelgrade/adapters/datagrams.py
+++ b/src/cornelgrade/adapters/datagrams.py
@@ -5,13 +5,13 @@
 """
 
 import collections
-import dataclasses
 import enum
 import ipaddress
 import socket
 import time
 from collections.abc import Callable
 
+import msgspec
 import trio
 
 from cornelgrade import addresses, metrics
@@ -39,8 +39,7 @@
     NOT_SENT = "not_sent"
 
 
-@dataclasses.dataclass(slots=True)
-class _SenderState:
+class _SenderState(msgspec.Struct):
     session: int
     highest_sequence: int
     received_bits: int
@@ -102,8 +101,7 @@
     return True
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Traffic:
+class Traffic(msgspec.Struct, frozen=True):
     """Counts of bytes and datagrams since the socket was opened."""
 
     sent_bytes: int = 0
--- a/src/cornelgrade/adapters/engine.py
+++ b/src/cornelgrade/adapters/engine.py
@@ -6,7 +6,6 @@
 """
 
 import contextlib
-import dataclasses
 import enum
 from collections.abc import AsyncIterator
 from typing import Protocol
@@ -47,8 +46,7 @@
         self.timed_out = timed_out
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Call:
+class Call(msgspec.Struct, frozen=True):
     """One call to an upstream.
 
     :param stream_id: identifies the running call at the engine, for cancellation.
--- a/src/cornelgrade/adapters/http1.py
+++ b/src/cornelgrade/adapters/http1.py
@@ -6,12 +6,12 @@
 """
 
 import contextlib
-import dataclasses
 import enum
 import socket
 from types import TracebackType
 
 import h11
+import msgspec
 import trio
 
 from cornelgrade import addresses
@@ -81,8 +81,7 @@
     CONNECTION = "connection"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ResponseHead:
+class ResponseHead(msgspec.Struct, frozen=True):
     """Status and headers of a response; header names are in lower case."""
 
     status: int
--- a/src/cornelgrade/adapters/http1_connection.py
+++ b/src/cornelgrade/adapters/http1_connection.py
@@ -1,7 +1,6 @@
 """One connection of the HTTP/1.1 server: its socket, its protocol state and its timeouts."""
 
 import contextlib
-import dataclasses
 import fcntl
 import socket
 import struct
@@ -10,6 +9,7 @@
 from types import TracebackType
 
 import h11
+import msgspec
 import trio
 
 from cornelgrade import addresses, logs
@@ -33,8 +33,7 @@
 _log = logs.Logger("http1_server")
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Limits:
+class Limits(msgspec.Struct, frozen=True):
     """Limits on the size and duration of a client's requests.
 
     :param header_timeout_s: from the first byte of a request to the end of its headers.
@@ -47,8 +46,7 @@
     idle_timeout_s: float = 75.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ReceivedRequest:
+class ReceivedRequest(msgspec.Struct, frozen=True):
     """A request with its body.
 
     :param at_s: when the headers were complete, on trio's clock.
--- a/src/cornelgrade/adapters/platform.py
+++ b/src/cornelgrade/adapters/platform.py
@@ -4,17 +4,17 @@
 response was lost can be determined by reading the object back.
 """
 
-import dataclasses
 import enum
 from typing import Protocol
 
+import msgspec
+
 from cornelgrade import errors
 
 MAX_VALUE_BYTES = 1_000_000
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StoredObject:
+class StoredObject(msgspec.Struct, frozen=True):
     """An object as stored by the platform.
 
     :param version: the platform's revision at the object's last write; it grows with every
@@ -31,8 +31,7 @@
     created: int = 0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Changes:
+class Changes(msgspec.Struct, frozen=True):
     """Result of a watch.
 
     :param version: pass this as ``after`` to the next watch.
@@ -54,8 +53,7 @@
     LEAVING = "leaving"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Vm:
+class Vm(msgspec.Struct, frozen=True):
     """An entry of the platform's VM list.
 
     ``name`` is an entry VM's name or, for an upstream's VM, the upstream's name.
--- a/src/cornelgrade/adapters/platform_http.py
+++ b/src/cornelgrade/adapters/platform_http.py
@@ -5,7 +5,6 @@
 ``GET /v1/watch/KIND``; ``GET /v1/vms``.
 """
 
-import dataclasses
 import urllib.parse
 from types import TracebackType
 
@@ -159,7 +158,7 @@
             raise conditional_writes.LostResponseError from exc
         if response.status_code in (200, 201, 204):
             version = parse_etag(response.headers.get("etag", "0"))
-            return dataclasses.replace(
+            return msgspec.structs.replace(
                 pending.to_object(version), created=_created_version(response)
             )
         if response.status_code == 412:
--- a/src/cornelgrade/edge_daemons.py
+++ b/src/cornelgrade/edge_daemons.py
@@ -1,10 +1,10 @@
 """The daemons that route by host and path: their services and signal handling."""
 
-import dataclasses
 import signal
 import sys
 from collections.abc import Awaitable, Callable
 
+import msgspec
 import trio
 
 from cornelgrade import errors, kernel, log_stream, logs, settings
@@ -44,8 +44,7 @@
 _RESTART = kernel.Supervision(on_exit=kernel.OnExit.RESTART)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Dependencies:
+class Dependencies(msgspec.Struct, frozen=True):
     """The platform clients and message formats that the daemons use."""
 
     store: platform.Platform
--- a/src/cornelgrade/kernel.py
+++ b/src/cornelgrade/kernel.py
@@ -1,6 +1,5 @@
 """Start and supervise the services of a process and look them up by name."""
 
-import dataclasses
 import enum
 import math
 import pathlib
@@ -8,6 +7,7 @@
 from collections.abc import Callable
 from typing import Protocol, TypeVar
 
+import msgspec
 import trio
 
 from cornelgrade import errors, logs
@@ -31,8 +31,7 @@
     RESTART = "restart"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Supervision:
+class Supervision(msgspec.Struct, frozen=True):
     """How one service is supervised.
 
     :param on_exit: what to do when the service raises an exception.
--- a/src/cornelgrade/platform/plans.py
+++ b/src/cornelgrade/platform/plans.py
@@ -1,6 +1,5 @@
 """Decodes the operator's configuration to :class:`routes.Plan`."""
 
-import dataclasses
 import math
 from typing import Any
 
@@ -100,8 +99,7 @@
     tenants: list[_Tenant] | None = None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Draft:
+class Draft(msgspec.Struct, frozen=True):
     """A configuration that may be sent, for review.
 
     :param plan: has everything that :func:`decode` leaves out: targets without weight, tenants
--- a/src/cornelgrade/policy/batch_capacity.py
+++ b/src/cornelgrade/policy/batch_capacity.py
@@ -1,9 +1,10 @@
 """How many batch items an upstream runs beside its online requests, and which run next."""
 
 import collections
-import dataclasses
 from collections.abc import Mapping
 
+import msgspec
+
 from cornelgrade.policy import fair_queue, rendezvous
 
 # Slots kept free for the next online request above LOW_LOAD_SHARE. An upstream takes tens of
@@ -41,8 +42,7 @@
         return loads[0][1]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class UpstreamLoad:
+class UpstreamLoad(msgspec.Struct, frozen=True):
     """Load of an upstream.
 
     :param online: online requests there, as published by the gateways.
@@ -87,8 +87,7 @@
     return max(0, slots - busiest - use.batch)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RunningItem:
+class RunningItem(msgspec.Struct, frozen=True):
     """A running batch item.
 
     :param events: events received so far, in all its runs.
@@ -118,8 +117,7 @@
     )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class WaitingItem:
+class WaitingItem(msgspec.Struct, frozen=True):
     """A batch item waiting for a slot.
 
     :param due_s: Unix time at which its job is due.
@@ -138,8 +136,7 @@
     rank: int = 0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class TeamItems:
+class TeamItems(msgspec.Struct, frozen=True):
     """Batch slots that teams use, at all workers.
 
     :param usage: slots that each team uses, the larger of now and the average of the last seconds.
@@ -206,8 +203,7 @@
     )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Pace:
+class Pace(msgspec.Struct, frozen=True):
     """Moving averages over completed items, used to estimate how long an item takes.
 
     :param events: events of a complete item.
--- a/src/cornelgrade/policy/crash_sightings.py
+++ b/src/cornelgrade/policy/crash_sightings.py
@@ -1,16 +1,16 @@
 """Crashes as several processes saw them, identified so that each counts once."""
 
-import dataclasses
 import functools
 import hashlib
 from collections.abc import Iterable
 
+import msgspec
+
 # Crashes of upstreams whose starts can't be told apart are one crash within this time.
 SAME_CRASH_S = 2.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Sighting:
+class Sighting(msgspec.Struct, frozen=True):
     """A crash with a request in flight, as one process saw it.
 
     :param crash: id of the upstream's start, or of the upstream if its start is unknown.
@@ -56,7 +56,7 @@
             merged.append(sighting)
             continue
         known = merged[index]
-        merged[index] = dataclasses.replace(
+        merged[index] = msgspec.structs.replace(
             known,
             attributed=known.attributed or sighting.attributed,
             weak=known.weak and sighting.weak,
--- a/src/cornelgrade/policy/ejections.py
+++ b/src/cornelgrade/policy/ejections.py
@@ -5,10 +5,11 @@
 """
 
 import collections
-import dataclasses
 import enum
 from collections.abc import Mapping
 
+import msgspec
+
 from cornelgrade.policy import outlier
 
 # Failures that are kept; far more than eject all that may be ejected.
@@ -34,8 +35,7 @@
 UNTRIED_READMIT_S = 30.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Ejection:
+class Ejection(msgspec.Struct, frozen=True):
     """An upstream that is ejected, and its trials.
 
     :param failure_share: share of its requests that failed.
@@ -81,7 +81,9 @@
     lapsed = len(ejection.open_until_s) - len(still_open)
     if not lapsed:
         return ejection
-    return dataclasses.replace(ejection, open_until_s=still_open, unused=ejection.unused + lapsed)
+    return msgspec.structs.replace(
+        ejection, open_until_s=still_open, unused=ejection.unused + lapsed
+    )
 
 
 def trials_due(ejection: Ejection, now_s: float) -> int:
@@ -95,7 +97,7 @@
 def open_trials(ejection: Ejection, count: int, now_s: float) -> Ejection:
     """Record trials that were handed out."""
     opened = (now_s + TRIAL_TTL_S,) * count
-    return dataclasses.replace(ejection, open_until_s=ejection.open_until_s + opened)
+    return msgspec.structs.replace(ejection, open_until_s=ejection.open_until_s + opened)
 
 
 def record_trial(ejection: Ejection, succeeded: bool, now_s: float) -> Ejection | None:
@@ -106,16 +108,16 @@
     if succeeded:
         if ejection.successes + 1 >= READMIT_SUCCESSES:
             return None
-        return dataclasses.replace(
+        return msgspec.structs.replace(
             ejection,
             heard_s=now_s,
             successes=ejection.successes + 1,
             open_until_s=ejection.open_until_s[1:],
         )
     if now_s < ejection.next_trial_s:
-        return dataclasses.replace(ejection, heard_s=now_s, successes=0)
+        return msgspec.structs.replace(ejection, heard_s=now_s, successes=0)
     failed_trials = ejection.failed_trials + 1
-    return dataclasses.replace(
+    return msgspec.structs.replace(
         ejection,
         heard_s=now_s,
         next_trial_s=now_s + trial_interval_s(failed_trials),
@@ -140,8 +142,7 @@
     UNTRIED = "no trial ended for long"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Change:
+class Change(msgspec.Struct, frozen=True):
     """An upstream that was ejected or readmitted.
 
     :param failures: number of failures that ejected it.
@@ -158,8 +159,7 @@
         return self.reason is Reason.FAILURES
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Probation:
+class _Probation(msgspec.Struct, frozen=True):
     failed_trials: int
     until_s: float
 
--- a/src/cornelgrade/policy/event_stream.py
+++ b/src/cornelgrade/policy/event_stream.py
@@ -1,8 +1,9 @@
 """Splits a stream of server-sent events into events, wherever the chunks of bytes end."""
 
-import dataclasses
 import re
 
+import msgspec
+
 # Enough for the ids of any stream; longer numbers are slow to parse.
 MAX_ID_DIGITS = 15
 # An event carries a few tokens; what is longer than this is no event.
@@ -20,8 +21,7 @@
 _DATA = b"data:"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Event:
+class Event(msgspec.Struct, frozen=True):
     """A server-sent event.
 
     :param raw: its bytes, including the blank line that ends it.
--- a/src/cornelgrade/policy/fair_queue.py
+++ b/src/cornelgrade/policy/fair_queue.py
@@ -4,11 +4,11 @@
 last seconds. Callers without a team count together as one team.
 """
 
-import dataclasses
 import math
 from collections.abc import Hashable, Iterable, Mapping
 from typing import Generic, TypeVar
 
+import msgspec
 import xxhash
 
 # Time constant of the average number of slots in use: some requests of a team, so that a short
@@ -112,8 +112,7 @@
     return min(1.0, max(0.0, part))
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Verdict:
+class Verdict(msgspec.Struct, frozen=True):
     """What one batch owner reported about the teams at its upstreams of a service.
 
     :param over_share: ids of the teams that are over their share.
@@ -135,8 +134,7 @@
     return balance > 0
 
 
-@dataclasses.dataclass(slots=True)
-class _Flow:
+class _Flow(msgspec.Struct):
     """Requests of one team.
 
     :ivar finish: start tag of its next request, unless the virtual time is later.
@@ -149,8 +147,7 @@
     pending: int = 0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StartTag:
+class StartTag(msgspec.Struct, frozen=True):
     """Position of a request in the queue: lower ones go first, in seconds of slot time.
 
     :param estimate_s: slot time that was charged in advance.
--- a/src/cornelgrade/policy/health.py
+++ b/src/cornelgrade/policy/health.py
@@ -1,13 +1,12 @@
 """When to retry a failing upstream: back-off that doubles with each consecutive failure."""
 
-import dataclasses
+import msgspec
 
 BACKOFF_S = 0.25
 MAX_BACKOFF_S = 5.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Health:
+class Health(msgspec.Struct, frozen=True):
     """Consecutive failures, and the time before which no new work is sent.
 
     :param retry_at_s: time on the process's clock, 0 while healthy.
--- a/src/cornelgrade/policy/membership.py
+++ b/src/cornelgrade/policy/membership.py
@@ -7,6 +7,8 @@
 import enum
 import math
 
+import msgspec
+
 from cornelgrade.services import ports
 
 State = ports.MemberState
@@ -106,7 +108,7 @@
     version = received.manifest_version
     if known is not None and known.incarnation == received.incarnation:
         version = max(version, known.manifest_version)
-    return dataclasses.replace(received, state=state, manifest_version=version)
+    return msgspec.structs.replace(received, state=state, manifest_version=version)
 
 
 def refute_record(me: ports.Member, received: ports.Member) -> ports.Member:
@@ -118,4 +120,4 @@
         return me
     if received.incarnation == me.incarnation and me.state is State.LEAVING:
         return me
-    return dataclasses.replace(me, incarnation=received.incarnation + 1)
+    return msgspec.structs.replace(me, incarnation=received.incarnation + 1)
--- a/src/cornelgrade/policy/outlier.py
+++ b/src/cornelgrade/policy/outlier.py
@@ -7,11 +7,11 @@
 """
 
 import collections
-import dataclasses
 import enum
 import math
 from collections.abc import Iterable, Mapping
 
+import msgspec
 import xxhash
 
 WINDOW_S = 2.0
@@ -43,16 +43,14 @@
     EJECTED = "ejected"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Start:
+class Start(msgspec.Struct, frozen=True):
     """One start of an upstream; the next one has a clean record."""
 
     upstream: str
     started_ms: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Failure:
+class Failure(msgspec.Struct, frozen=True):
     """A response that failed at an upstream.
 
     :param request: hash of what the request shares with its repeats.
@@ -71,8 +69,7 @@
     broken: bool = False
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Tally:
+class Tally(msgspec.Struct, frozen=True):
     """What counts against an upstream.
 
     :param successes: average of the senders that reported failures.
--- a/src/cornelgrade/policy/placement.py
+++ b/src/cornelgrade/policy/placement.py
@@ -11,11 +11,12 @@
 that know the same reports would otherwise all choose the same upstream.
 """
 
-import dataclasses
 import math
 import random
 import statistics
 
+import msgspec
+
 from cornelgrade.policy import outlier
 
 # A request that waits at the upstream saves the round trip after a slot becomes free, for a wait of
@@ -39,8 +40,7 @@
 MAX_REPORT_AGE = 3.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Candidate:
+class Candidate(msgspec.Struct, frozen=True):
     """Load of an upstream as known to a gateway.
 
     :param own: this gateway's requests there.
@@ -83,8 +83,7 @@
         return 0.0 if self.report_age is None else math.exp(-self.report_age)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Circumstances:
+class Circumstances(msgspec.Struct, frozen=True):
     """What a choice between upstreams has in common.
 
     :param capacity: mean capacity of an upstream.
--- a/src/cornelgrade/policy/prober.py
+++ b/src/cornelgrade/policy/prober.py
@@ -8,6 +8,8 @@
 import random
 from collections.abc import Sequence
 
+import msgspec
+
 from cornelgrade.policy import actions, gossip, membership
 from cornelgrade.schema import codec, messages
 from cornelgrade.services import ports
@@ -99,7 +101,9 @@
 
     def set_version(self, version: int) -> list[actions.Action]:
         """Publish that a later manifest is in force here, to a few members immediately."""
-        self._set_own_record(dataclasses.replace(self.me, manifest_version=version), urgent=False)
+        self._set_own_record(
+            msgspec.structs.replace(self.me, manifest_version=version), urgent=False
+        )
         return self.announce(messages.Version(version), self.tuning.indirect_probes + 1)
 
     def announce(self, body: messages.Body, fanout: int) -> list[actions.Action]:
@@ -109,7 +113,7 @@
 
     def leave(self) -> list[actions.Action]:
         """Announce that this member is leaving."""
-        self._set_own_record(dataclasses.replace(self.me, state=State.LEAVING))
+        self._set_own_record(msgspec.structs.replace(self.me, state=State.LEAVING))
         return self.announce(messages.Roster(), _LEAVE_FANOUT)
 
     def receive_rumor(self, rumor: messages.Rumor) -> list[actions.Action]:
@@ -188,7 +192,9 @@
     def _expire_members(self, now: float) -> list[actions.Action]:
         out: list[actions.Action] = []
         for vm in [vm for vm, at in self._suspicion_deadlines.items() if now >= at]:
-            out += self._store_record(now, dataclasses.replace(self.members[vm], state=State.DEAD))
+            out += self._store_record(
+                now, msgspec.structs.replace(self.members[vm], state=State.DEAD)
+            )
         retention_s = self.tuning.dead_retention_s
         for vm in [vm for vm, at in self._dead_since.items() if now - at > retention_s]:
             del self._dead_since[vm]
@@ -237,7 +243,7 @@
             return []
         new_state = {State.ALIVE: State.SUSPECT, State.LEAVING: State.DEAD}.get(member.state)
         return (
-            self._store_record(now, dataclasses.replace(member, state=new_state))
+            self._store_record(now, msgspec.structs.replace(member, state=new_state))
             if new_state
             else []
         )
--- a/src/cornelgrade/policy/quarantine.py
+++ b/src/cornelgrade/policy/quarantine.py
@@ -27,10 +27,11 @@
 has begun to crash engines does not.
 """
 
-import dataclasses
 import enum
 from collections.abc import Container, Mapping
 
+import msgspec
+
 from cornelgrade.policy import crash_sightings, request_traits
 
 MAX_CRASHES = 2
@@ -69,8 +70,7 @@
     QUARANTINED = "condemned"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Crash:
+class Crash(msgspec.Struct, frozen=True):
     """An upstream's crash as seen by one VM, with the requests that the VM had in flight there.
 
     :param at_s: monotonic time at which the crash was detected or a peer's report received.
@@ -92,8 +92,7 @@
     started_ms: int = 0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Evidence:
+class Evidence(msgspec.Struct, frozen=True):
     """One crash with one request in flight.
 
     :param was_suspect: the request was a suspect before this crash.
@@ -136,8 +135,7 @@
         )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class PeerCount:
+class PeerCount(msgspec.Struct, frozen=True):
     """Crashes that another process reports for a request, from its own evidence.
 
     :param crashes: crashes that it attributes to the request.
@@ -151,8 +149,7 @@
     sightings: tuple[crash_sightings.Sighting, ...] = ()
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Entry:
+class Entry(msgspec.Struct, frozen=True):
     """Evidence on one request.
 
     :param peer_counts: counts of other processes, one for each.
@@ -208,7 +205,7 @@
     for peer_crash in earlier:
         if not peer_crash.own and _is_same_crash(peer_crash, crash, earlier):
             evidence = _add_peer_report(evidence, fingerprint, peer_crash)
-    return dataclasses.replace(
+    return msgspec.structs.replace(
         entry,
         evidence=(*entry.evidence, evidence)[-MAX_EVIDENCE:],
         reported=entry.reported | {crash.upstream},
@@ -236,7 +233,7 @@
 def _add_peer_report(evidence: Evidence, fingerprint: str, peer_crash: Crash) -> Evidence:
     """Add the requests that another VM had in flight, except for the same request."""
     same_request = peer_crash.fingerprint == fingerprint
-    return dataclasses.replace(
+    return msgspec.structs.replace(
         evidence,
         others=evidence.others + peer_crash.in_flight - same_request,
         other_suspects=evidence.other_suspects + max(0, peer_crash.suspects - same_request),
@@ -252,7 +249,7 @@
         return entry
     added = _add_peer_report(nearest, fingerprint, peer_crash)
     evidence = tuple(added if e is nearest else e for e in entry.evidence)
-    return dataclasses.replace(entry, evidence=evidence)
+    return msgspec.structs.replace(entry, evidence=evidence)
 
 
 def merge_peer_count(
@@ -276,7 +273,7 @@
         or peer_count.seen > known.seen
         or len(peer_count.sightings) > len(known.sightings)
     )
-    return dataclasses.replace(
+    return msgspec.structs.replace(
         entry,
         peer_counts=tuple(counts.values())[-MAX_PEER_COUNTS:],
         expires_at_s=max(entry.expires_at_s, expires_at_s),
@@ -286,7 +283,7 @@
 
 def clear_reported(entry: Entry) -> Entry:
     """Clear the reported crashes, so that the next report counts as a new crash."""
-    return dataclasses.replace(entry, reported=frozenset())
+    return msgspec.structs.replace(entry, reported=frozenset())
 
 
 def _own_sightings(entry: Entry) -> tuple[crash_sightings.Sighting, ...]:
@@ -366,7 +363,7 @@
     sightings = _own_sightings(entry)
     if decided_at_s(entry) <= now_s:
         return sightings
-    return tuple(dataclasses.replace(s, attributed=False) for s in sightings)
+    return tuple(msgspec.structs.replace(s, attributed=False) for s in sightings)
 
 
 def pick_suspect(fingerprint: str, entries: Mapping[str, Entry], suspects: Container[str]) -> str:
--- a/src/cornelgrade/policy/registrations.py
+++ b/src/cornelgrade/policy/registrations.py
@@ -5,7 +5,7 @@
 kept and marked as suspect.
 """
 
-import dataclasses
+import msgspec
 
 from cornelgrade import routes
 
@@ -13,8 +13,7 @@
 REREGISTRATION_GRACE_S = 2.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Registration:
+class Registration(msgspec.Struct, frozen=True):
     """An upstream's registration.
 
     :param suspect_until_s: time until which it is kept after it expired in an outage; 0 while it is
@@ -45,7 +44,7 @@
 
 
 def _mark_suspect(reg: Registration, until_s: float) -> Registration:
-    return dataclasses.replace(reg, suspect_until_s=reg.suspect_until_s or until_s)
+    return msgspec.structs.replace(reg, suspect_until_s=reg.suspect_until_s or until_s)
 
 
 def list_usable(known: Registrations, now_s: float) -> tuple[Registration, ...]:
--- a/src/cornelgrade/policy/retry.py
+++ b/src/cornelgrade/policy/retry.py
@@ -1,8 +1,9 @@
 """What may follow a failed call, by its progress and idempotence, and the retry budget."""
 
-import dataclasses
 import enum
 
+import msgspec
+
 from cornelgrade import errors
 from cornelgrade.adapters import engine
 
@@ -19,8 +20,7 @@
     FAIL = "fail"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Rule:
+class Rule(msgspec.Struct, frozen=True):
     """What to do next, and what an error returned to the caller states about execution."""
 
     then: FailureAction
@@ -52,8 +52,7 @@
     return max(earlier, last, key=_RAN_PRECEDENCE.index)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Budget:
+class Budget(msgspec.Struct, frozen=True):
     """A retry budget: each success earns a share of a retry, up to ``limit`` retries."""
 
     limit: float = 10.0
@@ -65,11 +64,11 @@
 
     :param share: retries per success, from the manifest.
     """
-    return dataclasses.replace(budget, balance=min(budget.limit, budget.balance + share))
+    return msgspec.structs.replace(budget, balance=min(budget.limit, budget.balance + share))
 
 
 def spend(budget: Budget) -> Budget | None:
     """Deduct one retry; return ``None`` if the budget is exhausted."""
     if budget.balance < 1.0:
         return None
-    return dataclasses.replace(budget, balance=budget.balance - 1.0)
+    return msgspec.structs.replace(budget, balance=budget.balance - 1.0)
--- a/src/cornelgrade/policy/shared_allowance.py
+++ b/src/cornelgrade/policy/shared_allowance.py
@@ -6,9 +6,10 @@
 """
 
 import collections
-import dataclasses
 import math
 
+import msgspec
+
 from cornelgrade.policy import token_bucket
 
 # A VM leases tokens for so long at an equal part of the rate, so that high rates need few messages.
@@ -20,8 +21,7 @@
 GRANT_MEMORY_S = USE_MEMORY_S + 1.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class LimitKey:
+class LimitKey(msgspec.Struct, frozen=True):
     """What a limit applies to: one start of an upstream, or a team.
 
     :param name: of the upstream or team.
@@ -33,8 +33,7 @@
     is_team: bool = False
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Senders:
+class Senders(msgspec.Struct, frozen=True):
     """The VMs that may send under a limit, as one of them sees them.
 
     :param heard: number of those that it hears, including itself.
--- a/src/cornelgrade/policy/slow_readers.py
+++ b/src/cornelgrade/policy/slow_readers.py
@@ -1,14 +1,14 @@
 """Which connections to end when a process buffers too much for clients that read slowly."""
 
-import dataclasses
 from collections.abc import Sequence
 
+import msgspec
+
 # A client that reads at all takes something within this time.
 MIN_BLOCKED_S = 0.5
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Reader:
+class Reader(msgspec.Struct, frozen=True):
     """A connection for which bytes are buffered.
 
     :param held_bytes: of its request and of the response that the client has not taken.
--- a/src/cornelgrade/policy/software_versions.py
+++ b/src/cornelgrade/policy/software_versions.py
@@ -1,9 +1,10 @@
 """Which software versions of a service may have begun a stream that is still taken up."""
 
-import dataclasses
 import functools
 from collections.abc import Iterable
 
+import msgspec
+
 from cornelgrade import routes
 
 # No stream is taken up longer after it began than this.
@@ -11,8 +12,7 @@
 _MS_PER_S = 1000.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StreamOrigin:
+class StreamOrigin(msgspec.Struct, frozen=True):
     """What began a stream; the stream goes on only there."""
 
     service: str
--- a/src/cornelgrade/policy/stranding.py
+++ b/src/cornelgrade/policy/stranding.py
@@ -5,9 +5,10 @@
 or Envoy's zone-aware routing). Forwarded requests go one hop only.
 """
 
-import dataclasses
 import random
 
+import msgspec
+
 # One upstream that can't be reached is likely down itself.
 MIN_UNREACHED = 2
 # Failures at this many upstreams without a success in between are reason to check the others.
@@ -16,8 +17,7 @@
 CHOICES = 2
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Peer:
+class Peer(msgspec.Struct, frozen=True):
     """A VM that reported which upstreams it reaches.
 
     :param services: those whose upstreams it reaches.
--- a/src/cornelgrade/policy/token_bucket.py
+++ b/src/cornelgrade/policy/token_bucket.py
@@ -1,13 +1,13 @@
 """Rate limits and the token buckets that keep to them."""
 
-import dataclasses
 import math
 
+import msgspec
+
 _ROUNDING = 1e-9
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RateLimit:
+class RateLimit(msgspec.Struct, frozen=True):
     """A limit on a number of requests.
 
     In any span of time ``t_s``, no more than ``rate_per_s * t_s + capacity`` are allowed.
@@ -28,8 +28,7 @@
         return RateLimit(self.rate_per_s * share, self.burst * share)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Bucket:
+class Bucket(msgspec.Struct, frozen=True):
     """A token bucket; its level may be negative, as a debt that is paid off first.
 
     :param at_s: time for which ``level`` holds, on the process's clock.
@@ -55,7 +54,7 @@
 
     def drain(self, tokens: float) -> "Bucket":
         """Return the bucket without some tokens."""
-        return dataclasses.replace(self, level=self.level - tokens)
+        return msgspec.structs.replace(self, level=self.level - tokens)
 
     @property
     def whole_tokens(self) -> int:
--- a/src/cornelgrade/policy/upstream_limit.py
+++ b/src/cornelgrade/policy/upstream_limit.py
@@ -1,8 +1,9 @@
 """Rate limits that upstreams name: their parsing, and what they allow."""
 
-import dataclasses
 import math
 
+import msgspec
+
 from cornelgrade.policy import token_bucket
 
 # Lowest rate that is kept to. A lower one would never let a request find out that it has ended.
@@ -14,8 +15,7 @@
 POLL_SHARE = 0.1
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Reading:
+class Reading(msgspec.Struct, frozen=True):
     """What one response says about a limit.
 
     :param per_s: requests a second, ``None`` if it names none that can be read.
--- a/src/cornelgrade/policy/upstream_speed.py
+++ b/src/cornelgrade/policy/upstream_speed.py
@@ -5,10 +5,11 @@
 would show its recovery are sent there.
 """
 
-import dataclasses
 import math
 from collections.abc import Iterable
 
+import msgspec
+
 # Responses of an upstream that count as much as what is known of the others.
 PRIOR_RESPONSES = 1.0
 # Evidence counts half after this time. A gateway of a large fleet has one response of an upstream
@@ -25,8 +26,7 @@
 MIN_WEIGHT = 0.01
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Durations:
+class Durations(msgspec.Struct, frozen=True):
     """Moving geometric mean of an upstream's durations; one that is far longer counts little.
 
     :param log_sum: sum of the logarithms of the durations in seconds, weighted by age.
@@ -54,8 +54,7 @@
         return math.exp(self.log_sum / self.weight)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Speeds:
+class Speeds(msgspec.Struct, frozen=True):
     """Speeds of a service's upstreams.
 
     :param typical_s: typical duration of a request at these upstreams.
--- a/src/cornelgrade/schema/messages.py
+++ b/src/cornelgrade/schema/messages.py
@@ -1,45 +1,39 @@
 """Messages that the fleet's processes exchange in datagrams."""
 
-import dataclasses
+import msgspec
 
 from cornelgrade.policy import shared_allowance
 from cornelgrade.services import ports
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Ping:
+class Ping(msgspec.Struct, frozen=True):
     """Asks the receiver for an :class:`Ack` with the same number."""
 
     number: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Ack:
+class Ack(msgspec.Struct, frozen=True):
     """Answers a :class:`Ping`, or a :class:`ProbeRequest` whose target answered."""
 
     number: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ProbeRequest:
+class ProbeRequest(msgspec.Struct, frozen=True):
     """Asks the receiver to ping ``vm`` and to forward its ack under ``number``."""
 
     number: int
     vm: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Join:
+class Join(msgspec.Struct, frozen=True):
     """Asks the receiver for all members that it knows."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Roster:
+class Roster(msgspec.Struct, frozen=True):
     """Carries only membership records: part of the reply to :class:`Join`, or a refresh."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Version:
+class Version(msgspec.Struct, frozen=True):
     """Announces the version of the configuration that is in force at the sender.
 
     :param vm: the sender, set on receipt.
@@ -49,8 +43,7 @@
     vm: str = ""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class TeamUse:
+class TeamUse(msgspec.Struct, frozen=True):
     """Number of a team's online requests outstanding at one upstream.
 
     :param team: :func:`fair_queue.team_id` of the team.
@@ -60,8 +53,7 @@
     online: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class UpstreamUse:
+class UpstreamUse(msgspec.Struct, frozen=True):
     """Numbers of requests outstanding at one upstream.
 
     :param online: online requests: a gateway sends its own, the upstream's batch owner those of all
@@ -82,8 +74,7 @@
     took_ms: int = 0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Uses:
+class Uses(msgspec.Struct, frozen=True):
     """Usage of upstreams: a gateway sends it to their batch owner, which replies with its own.
 
     :param vm: the sender, set on receipt.
@@ -93,16 +84,14 @@
     vm: str = ""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ItemFailures:
+class ItemFailures(msgspec.Struct, frozen=True):
     """Number of failed runs of one item that a worker knows of, its own and other workers'."""
 
     item: int
     failures: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class JobClaim:
+class JobClaim(msgspec.Struct, frozen=True):
     """A worker's knowledge of a job's items.
 
     :param running: items that the worker runs, as a bit set.
@@ -116,8 +105,7 @@
     failed: tuple[ItemFailures, ...] = ()
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class JobClaims:
+class JobClaims(msgspec.Struct, frozen=True):
     """Announces to the other workers which items the sender runs.
 
     :param vm: the sender, set on receipt.
@@ -127,8 +115,7 @@
     vm: str = ""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StoreProgress:
+class StoreProgress(msgspec.Struct, frozen=True):
     """Tells that the platform's store responded to the sender just now.
 
     :param followed: kinds of objects that the sender watches, each with the newest revision of an
@@ -138,8 +125,7 @@
     followed: tuple[tuple[str, int], ...]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StreamOrigin:
+class StreamOrigin(msgspec.Struct, frozen=True):
     """Tells which software version of which service began a stream.
 
     :param request: hash of the id of the caller's attempt that began it.
@@ -150,15 +136,13 @@
     version: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StreamOrigins:
+class StreamOrigins(msgspec.Struct, frozen=True):
     """Tells the origins of streams, unasked or in reply to :class:`StreamOriginQuery`."""
 
     origins: tuple[StreamOrigin, ...]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StreamOriginQuery:
+class StreamOriginQuery(msgspec.Struct, frozen=True):
     """Asks for the origin of a stream; who doesn't know it doesn't reply.
 
     :param vm: the sender, set on receipt.
@@ -168,8 +152,7 @@
     vm: str = ""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class UpstreamLimit:
+class UpstreamLimit(msgspec.Struct, frozen=True):
     """A rate limit that one start of an upstream named.
 
     :param per_s: requests a second from all VMs together, 0 if the limit has ended.
@@ -180,8 +163,7 @@
     per_s: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class UpstreamLimits:
+class UpstreamLimits(msgspec.Struct, frozen=True):
     """Tells limits: a VM tells an upstream's batch owner, which tells all VMs.
 
     :param vm: the sender, set on receipt.
@@ -191,8 +173,7 @@
     vm: str = ""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class AllowanceRequest:
+class AllowanceRequest(msgspec.Struct, frozen=True):
     """Asks the owner of a limit for tokens; with 0 it only tells that the sender lives.
 
     :param used: tokens of this limit that the sender used recently, whoever granted them.
@@ -205,8 +186,7 @@
     vm: str = ""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class AllowanceGrant:
+class AllowanceGrant(msgspec.Struct, frozen=True):
     """Reply to :class:`AllowanceRequest`.
 
     :param tokens: number of requests that the receiver may send within the lease.
@@ -220,8 +200,7 @@
     expected_s: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ReachQuery:
+class ReachQuery(msgspec.Struct, frozen=True):
     """Asks which services' upstreams the receiver reaches.
 
     :param vm: the sender, set on receipt.
@@ -230,8 +209,7 @@
     vm: str = ""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ReachReport:
+class ReachReport(msgspec.Struct, frozen=True):
     """Reply to :class:`ReachQuery`.
 
     :param services: those of which the sender reaches upstreams and takes requests.
@@ -244,8 +222,7 @@
     vm: str = ""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class UpstreamQuery:
+class UpstreamQuery(msgspec.Struct, frozen=True):
     """Asks whether an upstream that doesn't respond to the sender responds to the receiver.
 
     :param started_ms: Unix time of the upstream's start in milliseconds, 0 if not known.
@@ -257,15 +234,13 @@
     vm: str = ""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class UpstreamResponds:
+class UpstreamResponds(msgspec.Struct, frozen=True):
     """Reply to :class:`UpstreamQuery`; there is none if the upstream doesn't respond."""
 
     upstream: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class UpstreamOutcome:
+class UpstreamOutcome(msgspec.Struct, frozen=True):
     """Tells who judges a service's upstreams that a response failed, or how a trial ended.
 
     :param request: hash of what the request shares with its repeats.
@@ -286,8 +261,7 @@
     vm: str = ""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Ejection:
+class Ejection(msgspec.Struct, frozen=True):
     """An upstream that is to get no requests but trials.
 
     :param failure_share: share of its requests that failed.
@@ -306,8 +280,7 @@
     ended: bool = False
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Ejections:
+class Ejections(msgspec.Struct, frozen=True):
     """Tells all VMs which upstreams are ejected, when that changes and each second.
 
     :param vm: the sender, set on receipt.
@@ -342,8 +315,7 @@
 )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Rumor:
+class Rumor(msgspec.Struct, frozen=True):
     """A message that is gossiped to every gateway; identified by ``origin`` and ``number``."""
 
     origin: str
@@ -351,8 +323,7 @@
     message: ports.PeerMessage
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Datagram:
+class Datagram(msgspec.Struct, frozen=True):
     """One datagram.
 
     :param sender: the sending process: the VM's name, followed by ``/worker`` for a worker.
--- a/src/cornelgrade/services/edge/_relay_state.py
+++ b/src/cornelgrade/services/edge/_relay_state.py
@@ -1,6 +1,6 @@
 """What a relayed request is and how far it came, with the decisions that follow from it."""
 
-import dataclasses
+import msgspec
 
 from cornelgrade import errors, logs, routes
 from cornelgrade.adapters import http1, http1_server
@@ -13,8 +13,7 @@
 STEP = "answer"
 
 
-@dataclasses.dataclass(slots=True)
-class Progress:
+class Progress(msgspec.Struct):
     """Progress of a request over all its attempts.
 
     :ivar upstreams_tried: number of upstreams that it was assigned to.
@@ -46,8 +45,7 @@
     failed_peers: frozenset[str] = frozenset()
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Request:
+class Request(msgspec.Struct, frozen=True):
     """A request with its caller, route and deadline.
 
     :param hop: where it came from, if another gateway forwarded it.
--- a/src/cornelgrade/services/edge/_trial_permits.py
+++ b/src/cornelgrade/services/edge/_trial_permits.py
@@ -1,12 +1,11 @@
 """The trials of ejected upstreams that a VM may send."""
 
-import dataclasses
+import msgspec
 
 from cornelgrade.policy import ejections, outlier
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Permit:
+class _Permit(msgspec.Struct, frozen=True):
     count: int
     takes_any: bool
     until_s: float
@@ -38,5 +37,5 @@
         """Use up one trial; return ``False`` if there is none."""
         permit = self._permits.pop(start, None)
         if permit is not None and permit.count > 1:
-            self._permits[start] = dataclasses.replace(permit, count=permit.count - 1)
+            self._permits[start] = msgspec.structs.replace(permit, count=permit.count - 1)
         return permit is not None
--- a/src/cornelgrade/services/edge/allowances.py
+++ b/src/cornelgrade/services/edge/allowances.py
@@ -5,9 +5,9 @@
 Limits under which nothing is sent cost nothing: nothing is counted, requested or announced.
 """
 
-import dataclasses
 from collections.abc import Callable
 
+import msgspec
 import trio
 
 from cornelgrade import kernel, metrics
@@ -29,8 +29,7 @@
 MAX_REPEAT_S = 0.25
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Terms:
+class Terms(msgspec.Struct, frozen=True):
     """A limit and who owns it.
 
     :param pick_owner: returns the VM that owns it now, ``None`` if no worker is known.
@@ -46,8 +45,7 @@
     spares_messages: bool = False
 
 
-@dataclasses.dataclass(slots=True)
-class _Allowance:
+class _Allowance(msgspec.Struct):
     """The tokens of one limit.
 
     :ivar bucket: the owner's tokens, or those of a VM's fixed part.
@@ -62,15 +60,15 @@
 
     terms: Terms
     bucket: token_bucket.Bucket
-    leases: list[float] = dataclasses.field(default_factory=list)
-    used: shared_allowance.RecentTimes = dataclasses.field(
+    leases: list[float] = msgspec.field(default_factory=list)
+    used: shared_allowance.RecentTimes = msgspec.field(
         default_factory=lambda: shared_allowance.RecentTimes(shared_allowance.USE_MEMORY_S)
     )
     ledger: shared_allowance.GrantLedger | None = None
     asked_s: float | None = None
     repeat_s: float = 0.0
     expected_s: float = 0.0
-    denied: dict[str, float] = dataclasses.field(default_factory=dict)
+    denied: dict[str, float] = msgspec.field(default_factory=dict)
 
 
 class Allowances:
--- a/src/cornelgrade/services/edge/crash_detector.py
+++ b/src/cornelgrade/services/edge/crash_detector.py
@@ -6,10 +6,10 @@
 """
 
 import contextlib
-import dataclasses
 import itertools
 from collections.abc import Callable, Iterator
 
+import msgspec
 import trio
 
 from cornelgrade import kernel, logs, routes
@@ -30,23 +30,21 @@
 _log = logs.Logger("crash_detector")
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Boot:
+class _Boot(msgspec.Struct, frozen=True):
     """One start of an upstream."""
 
     upstream: str
     started_ms: int
 
 
-@dataclasses.dataclass(slots=True)
-class _Check:
+class _Check(msgspec.Struct):
     """A check of one upstream.
 
     :ivar fingerprints: requests in flight there when a failure asked for the check, by call.
     """
 
-    fingerprints: dict[int, str] = dataclasses.field(default_factory=dict)
-    done: trio.Event = dataclasses.field(default_factory=trio.Event)
+    fingerprints: dict[int, str] = msgspec.field(default_factory=dict)
+    done: trio.Event = msgspec.field(default_factory=trio.Event)
 
 
 class CrashDetector:
--- a/src/cornelgrade/services/edge/forwarding.py
+++ b/src/cornelgrade/services/edge/forwarding.py
@@ -4,9 +4,10 @@
 are signed with the fleet's key, so that no caller can use that address.
 """
 
-import dataclasses
 import time
 
+import msgspec
+
 from cornelgrade import errors, kernel, routes
 from cornelgrade.adapters import engine, http1, http1_server, peer_auth
 from cornelgrade.policy import software_versions
@@ -24,8 +25,7 @@
 _OWN_HEADERS = frozenset((_RUNS, _SENDER, _TEAM, _AUTH, peer_calls.MARK.encode()))
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Hop:
+class Hop(msgspec.Struct, frozen=True):
     """Where a forwarded request came from.
 
     :param sender: the gateway that forwarded it.
--- a/src/cornelgrade/services/edge/frontend.py
+++ b/src/cornelgrade/services/edge/frontend.py
@@ -1,8 +1,8 @@
 """The service ``front``: accepts requests and dispatches them to the relay or job handler."""
 
-import dataclasses
 from collections.abc import Callable
 
+import msgspec
 import trio
 
 from cornelgrade import errors, kernel, logs, routes, settings
@@ -103,7 +103,7 @@
         """Return the limits of forwarded requests, which have some headers of the sender's own."""
         limits = self._current_limits()
         header_bytes = limits.header_bytes + forwarding.MAX_OWN_HEADER_BYTES
-        return dataclasses.replace(limits, header_bytes=header_bytes)
+        return msgspec.structs.replace(limits, header_bytes=header_bytes)
 
     async def _send_readiness(self, exchange: http1_server.Exchange) -> None:
         serving = not self._stopping and self._fleet.table() is not None
--- a/src/cornelgrade/services/edge/item_call.py
+++ b/src/cornelgrade/services/edge/item_call.py
@@ -1,7 +1,6 @@
 """Runs a batch item at one upstream, resuming after its last received event."""
 
-import dataclasses
-
+import msgspec
 import trio
 
 from cornelgrade import kernel, routes, settings
@@ -28,8 +27,7 @@
 _RUN_FAILED_STATUS = 500
 
 
-@dataclasses.dataclass(slots=True)
-class PartialResult:
+class PartialResult(msgspec.Struct):
     """Events received in earlier runs of an item.
 
     :ivar text_bytes: size of the events' data.
@@ -37,7 +35,7 @@
     :ivar origin: what made these events, ``None`` before the first; the item goes on only there.
     """
 
-    texts: list[str] = dataclasses.field(default_factory=list)
+    texts: list[str] = msgspec.field(default_factory=list)
     text_bytes: int = 0
     last_event: int | None = None
     origin: software_versions.StreamOrigin | None = None
--- a/src/cornelgrade/services/edge/job_repository.py
+++ b/src/cornelgrade/services/edge/job_repository.py
@@ -8,7 +8,6 @@
 """
 
 import base64
-import dataclasses
 import secrets
 from typing import Literal
 
@@ -82,8 +81,7 @@
 _Group = tuple[_GroupedResult, ...]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StoredHeader:
+class StoredHeader(msgspec.Struct, frozen=True):
     """A job header with its position and version in the store.
 
     :param created: orders headers by creation.
@@ -96,8 +94,7 @@
     is_new: bool = False
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StoredResult:
+class StoredResult(msgspec.Struct, frozen=True):
     """A result in the store.
 
     :param created: orders the results of a job; those of one object share it.
--- a/src/cornelgrade/services/edge/open_job.py
+++ b/src/cornelgrade/services/edge/open_job.py
@@ -1,9 +1,9 @@
 """State of an open job at a worker, and which of its items the worker may start."""
 
-import dataclasses
 import functools
 from collections.abc import Iterator
 
+import msgspec
 import trio
 
 from cornelgrade import routes
@@ -27,8 +27,7 @@
 RETRY_PAUSE_S = 0.3
 
 
-@dataclasses.dataclass(slots=True)
-class ItemRun:
+class ItemRun(msgspec.Struct):
     """A run of an item at this worker.
 
     :ivar preempted: whether it was cancelled to free its slot for online requests.
@@ -40,8 +39,7 @@
     preempted: bool = False
 
 
-@dataclasses.dataclass(slots=True)
-class OpenJob:
+class OpenJob(msgspec.Struct):
     """An open job as known to this worker.
 
     :ivar version: version of its header in the store.
@@ -74,19 +72,19 @@
     items: tuple[ports.Item, ...] = ()
     fingerprints: tuple[str, ...] = ()
     done: int = 0
-    runs: dict[int, ItemRun] = dataclasses.field(default_factory=dict)
-    ended: dict[int, ports.ItemResult] = dataclasses.field(default_factory=dict)
-    storing: set[int] = dataclasses.field(default_factory=set)
-    partial: dict[int, item_call.PartialResult] = dataclasses.field(default_factory=dict)
-    failures: dict[int, int] = dataclasses.field(default_factory=dict)
-    recording: set[int] = dataclasses.field(default_factory=set)
-    not_before_s: dict[int, float] = dataclasses.field(default_factory=dict)
-    claims: dict[str, tuple[int, float]] = dataclasses.field(default_factory=dict)
-    heard_s: dict[str, float] = dataclasses.field(default_factory=dict)
+    runs: dict[int, ItemRun] = msgspec.field(default_factory=dict)
+    ended: dict[int, ports.ItemResult] = msgspec.field(default_factory=dict)
+    storing: set[int] = msgspec.field(default_factory=set)
+    partial: dict[int, item_call.PartialResult] = msgspec.field(default_factory=dict)
+    failures: dict[int, int] = msgspec.field(default_factory=dict)
+    recording: set[int] = msgspec.field(default_factory=set)
+    not_before_s: dict[int, float] = msgspec.field(default_factory=dict)
+    claims: dict[str, tuple[int, float]] = msgspec.field(default_factory=dict)
+    heard_s: dict[str, float] = msgspec.field(default_factory=dict)
     slack_s: float = 0.0
-    interrupted_s: dict[int, float] = dataclasses.field(default_factory=dict)
-    claimed_s: dict[int, float] = dataclasses.field(default_factory=dict)
-    ran_s: dict[int, tuple[float, float]] = dataclasses.field(default_factory=dict)
+    interrupted_s: dict[int, float] = msgspec.field(default_factory=dict)
+    claimed_s: dict[int, float] = msgspec.field(default_factory=dict)
+    ran_s: dict[int, tuple[float, float]] = msgspec.field(default_factory=dict)
     known_s: float = 0.0
     loading: bool = False
     closing: bool = False
--- a/src/cornelgrade/services/edge/peer_reach.py
+++ b/src/cornelgrade/services/edge/peer_reach.py
@@ -5,10 +5,10 @@
 """
 
 import collections
-import dataclasses
 import random
 from collections.abc import Callable
 
+import msgspec
 import trio
 
 from cornelgrade import kernel, settings
@@ -77,7 +77,7 @@
     def _choose(self, service: str, tried: frozenset[str]) -> stranding.Peer | None:
         now_s = trio.current_time()
         fresh = tuple(
-            dataclasses.replace(peer, sent=self._sent_since_report[peer.vm])
+            msgspec.structs.replace(peer, sent=self._sent_since_report[peer.vm])
             for peer, at_s in self._reports.values()
             if now_s - at_s < REPORT_TTL_S
         )
--- a/src/cornelgrade/services/edge/peers.py
+++ b/src/cornelgrade/services/edge/peers.py
@@ -4,7 +4,6 @@
 datagrams arrive. This view is best effort: correctness never depends on it.
 """
 
-import dataclasses
 import enum
 import functools
 import secrets
@@ -79,8 +78,7 @@
     reads_groups: bool = False
 
 
-@dataclasses.dataclass(slots=True)
-class _Peer:
+class _Peer(msgspec.Struct):
     entry: PeerEntry
     registered_s: float
     last_received_s: float = -1e9
@@ -359,5 +357,5 @@
 def _with_sender(datagram: messages.Datagram) -> messages.Body:
     """Set the sender in messages that have a field for it."""
     if isinstance(datagram.body, _WITH_SENDER):
-        return dataclasses.replace(datagram.body, vm=datagram.sender)
+        return msgspec.structs.replace(datagram.body, vm=datagram.sender)
     return datagram.body
--- a/src/cornelgrade/services/edge/ports.py
+++ b/src/cornelgrade/services/edge/ports.py
@@ -1,6 +1,5 @@
 """Interfaces and data types shared by the edge services and their platform adapters."""
 
-import dataclasses
 import enum
 from typing import Annotated, Protocol
 
@@ -14,8 +13,7 @@
 UnixMilliseconds = Annotated[int, msgspec.Meta(ge=0, le=2**53 - 1)]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Caller:
+class Caller(msgspec.Struct, frozen=True):
     """Request parameters that a caller sets in headers.
 
     :param timeout_s: how long it waits for the complete response, ``None`` if not given.
@@ -47,8 +45,7 @@
     UNSIGNED = "unsigned"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class UpstreamLoad:
+class UpstreamLoad(msgspec.Struct, frozen=True):
     """Requests at an upstream, from its own load report, which lags slightly.
 
     :param started_ms: Unix time of the upstream's start in milliseconds, 0 if not given.
@@ -158,8 +155,7 @@
     END = "end"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class JobCall:
+class JobCall(msgspec.Struct, frozen=True):
     """A call about an accepted job.
 
     :param after: position of the first result to return.
@@ -174,8 +170,7 @@
     wait_s: float = 0.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Item:
+class Item(msgspec.Struct, frozen=True):
     """One item of a job, run as a POST of ``body`` to ``target``.
 
     :param tokens: prompt length plus maximum output length.
@@ -195,8 +190,7 @@
     GIVEN_UP = "given_up"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ItemResult:
+class ItemResult(msgspec.Struct, frozen=True):
     """The final outcome of an item; ``text`` joins the data of its events by line feeds."""
 
     item: str
--- a/src/cornelgrade/services/edge/result_reader.py
+++ b/src/cornelgrade/services/edge/result_reader.py
@@ -10,10 +10,10 @@
 """
 
 import collections
-import dataclasses
 import math
 from collections.abc import Callable, Iterable
 
+import msgspec
 import trio
 
 from cornelgrade import clocks, errors, logs, metrics
@@ -48,19 +48,17 @@
 _log = logs.Logger("results")
 
 
-@dataclasses.dataclass(eq=False, slots=True)
-class _Confirmation:
+class _Confirmation(msgspec.Struct, eq=False):
     """A read of the results that there are now.
 
     :ivar failure: why it failed.
     """
 
-    ended: trio.Event = dataclasses.field(default_factory=trio.Event)
+    ended: trio.Event = msgspec.field(default_factory=trio.Event)
     failure: platform.UnavailableError | None = None
 
 
-@dataclasses.dataclass(slots=True)
-class _CachedJob:
+class _CachedJob(msgspec.Struct):
     """The results of a job that this gateway has read so far.
 
     :ivar indexes: the items with results; of several results of an item only the first counts.
@@ -74,8 +72,8 @@
     """
 
     header: job_repository.JobHeader
-    results: list[job_repository.StoredResult] = dataclasses.field(default_factory=list)
-    indexes: set[int] = dataclasses.field(default_factory=set)
+    results: list[job_repository.StoredResult] = msgspec.field(default_factory=list)
+    indexes: set[int] = msgspec.field(default_factory=set)
     revision: int = 0
     from_worker: bool = False
     confirmed_s: float = -math.inf
@@ -83,7 +81,7 @@
     watch: trio.CancelScope | None = None
     failure: platform.UnavailableError | None = None
     confirmation: "_Confirmation | None" = None
-    changed: _notifier.Notifier = dataclasses.field(default_factory=_notifier.Notifier)
+    changed: _notifier.Notifier = msgspec.field(default_factory=_notifier.Notifier)
 
     @property
     def complete(self) -> bool:
--- a/src/cornelgrade/services/edge/slot_permits.py
+++ b/src/cornelgrade/services/edge/slot_permits.py
@@ -6,12 +6,12 @@
 """
 
 import collections
-import dataclasses
 import itertools
 import random
 from collections.abc import Callable
 from types import TracebackType
 
+import msgspec
 import trio
 
 from cornelgrade import errors, kernel, logs, routes, settings
@@ -46,8 +46,7 @@
 _log = logs.Logger("seats")
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Report:
+class _Report(msgspec.Struct, frozen=True):
     others: int
     batch: int
     at_s: float
@@ -86,8 +85,7 @@
         self._took_s = trio.current_time() - self._assignment.granted_s
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Assignment:
+class _Assignment(msgspec.Struct, frozen=True):
     upstream: routes.Upstream
     candidate: placement.Candidate
     load_age_s: float | None
@@ -96,8 +94,7 @@
     granted_s: float
 
 
-@dataclasses.dataclass(slots=True)
-class _Waiter:
+class _Waiter(msgspec.Struct):
     """A request that waits for a permit.
 
     :ivar retry_after_s: set if it is refused, because no rate limit allows it before its deadline.
@@ -114,7 +111,7 @@
     repeatable: bool = False
     assignment: _Assignment | None = None
     retry_after_s: float | None = None
-    wake: trio.Event = dataclasses.field(default_factory=trio.Event)
+    wake: trio.Event = msgspec.field(default_factory=trio.Event)
 
 
 class SlotPermits:
--- a/src/cornelgrade/services/edge/stream_origins.py
+++ b/src/cornelgrade/services/edge/stream_origins.py
@@ -7,12 +7,12 @@
 """
 
 import collections
-import dataclasses
 import hashlib
 import random
 import time
 from collections.abc import Callable, Iterable
 
+import msgspec
 import trio
 
 from cornelgrade import kernel, logs, routes
@@ -32,8 +32,7 @@
 _log = logs.Logger("stream_origins")
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Known:
+class _Known(msgspec.Struct, frozen=True):
     """An origin that this process remembers.
 
     :param own: whether the stream began here.
--- a/src/cornelgrade/services/edge/suspect_records.py
+++ b/src/cornelgrade/services/edge/suspect_records.py
@@ -6,7 +6,6 @@
 """
 
 import contextlib
-import dataclasses
 import time
 
 import msgspec
@@ -101,7 +100,7 @@
 def _decode_suspect(fingerprint: str, suspect: StoredSuspect) -> ports.SuspectRecord:
     now_ms = time.time() * _MS_PER_S
     stored_s = max(0.0, now_ms - suspect.stored_ms) / _MS_PER_S
-    crashes = (dataclasses.replace(c, age_s=c.age_s + stored_s) for c in suspect.crashes)
+    crashes = (msgspec.structs.replace(c, age_s=c.age_s + stored_s) for c in suspect.crashes)
     return ports.SuspectRecord(
         fingerprint, (suspect.expires_ms - now_ms) / _MS_PER_S, tuple(crashes)
     )
--- a/src/cornelgrade/services/edge/team_shares.py
+++ b/src/cornelgrade/services/edge/team_shares.py
@@ -1,10 +1,10 @@
 """Tells a gateway which team's request goes next, from its own queue and batch owners' reports."""
 
 import collections
-import dataclasses
 import random
 from collections.abc import Callable, Iterable
 
+import msgspec
 import trio
 
 from cornelgrade import metrics
@@ -19,8 +19,7 @@
 MAX_TEAMS_PER_DATAGRAM = 48
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Report:
+class _Report(msgspec.Struct, frozen=True):
     verdict: fair_queue.Verdict
     at_s: float
 
@@ -124,8 +123,7 @@
             self._reports[message.vm, service] = _Report(verdict, now_s)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class QueueEntry:
+class QueueEntry(msgspec.Struct, frozen=True):
     """Position of a waiting request among those of equal rank.
 
     :param is_over_share: whether its team was over its share when it came.
--- a/src/cornelgrade/services/edge/team_usage.py
+++ b/src/cornelgrade/services/edge/team_usage.py
@@ -1,9 +1,10 @@
 """Tracks at a batch owner how many slots each team uses, and which teams are over their share."""
 
 import collections
-import dataclasses
 from collections.abc import Iterable
 
+import msgspec
+
 from cornelgrade import logs, routes
 from cornelgrade.policy import fair_queue
 from cornelgrade.schema import messages
@@ -14,11 +15,10 @@
 _log = logs.Logger("team_usage")
 
 
-@dataclasses.dataclass(slots=True)
-class _Service:
+class _Service(msgspec.Struct):
     """:ivar over_share: ids of the teams over their share, those with the largest usage first."""
 
-    usage: fair_queue.SlotUsage[int] = dataclasses.field(default_factory=fair_queue.SlotUsage[int])
+    usage: fair_queue.SlotUsage[int] = msgspec.field(default_factory=fair_queue.SlotUsage[int])
     over_share: tuple[int, ...] = ()
 
 
--- a/src/cornelgrade/services/edge/upstream_limits.py
+++ b/src/cornelgrade/services/edge/upstream_limits.py
@@ -4,9 +4,9 @@
 leases (:mod:`cornelgrade.services.edge.allowances`). Upstreams without a limit cost nothing.
 """
 
-import dataclasses
 from collections.abc import Callable
 
+import msgspec
 import trio
 
 from cornelgrade import kernel, logs, routes
@@ -25,8 +25,7 @@
 _log = logs.Logger("upstream_limits")
 
 
-@dataclasses.dataclass(slots=True)
-class _Limit:
+class _Limit(msgspec.Struct):
     """The limit of one start of an upstream.
 
     :ivar polled_s: when its load was last polled.
--- a/src/cornelgrade/services/edge/upstream_loads.py
+++ b/src/cornelgrade/services/edge/upstream_loads.py
@@ -1,8 +1,8 @@
 """Polls upstreams for their own load reports."""
 
-import dataclasses
 from collections.abc import Callable
 
+import msgspec
 import trio
 
 from cornelgrade import routes
@@ -19,8 +19,7 @@
 ResponseHandler = Callable[[routes.Upstream, http1.ResponseHead], None]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class LoadReport:
+class LoadReport(msgspec.Struct, frozen=True):
     """An upstream's load.
 
     :param others: requests running or waiting there that are not this VM's batch items.
--- a/src/cornelgrade/services/edge/upstream_outliers.py
+++ b/src/cornelgrade/services/edge/upstream_outliers.py
@@ -6,11 +6,11 @@
 """
 
 import collections
-import dataclasses
 import functools
 import random
 from collections.abc import Callable, Iterable
 
+import msgspec
 import trio
 
 from cornelgrade import kernel, logs, metrics, routes, settings
@@ -32,8 +32,7 @@
 _log = logs.Logger("upstream_outliers")
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Told:
+class _Told(msgspec.Struct, frozen=True):
     """An ejection that the owner of a service tells."""
 
     failure_share: float
--- a/src/cornelgrade/services/edge/upstream_uses.py
+++ b/src/cornelgrade/services/edge/upstream_uses.py
@@ -1,8 +1,8 @@
 """Tracks the load at the upstreams on which a worker runs batch items."""
 
-import dataclasses
 from collections.abc import Callable
 
+import msgspec
 import trio
 
 from cornelgrade import routes
@@ -127,7 +127,7 @@
     return messages.Uses(
         tuple(
             (
-                dataclasses.replace(use, took_ms=took_ms[use.upstream])
+                msgspec.structs.replace(use, took_ms=took_ms[use.upstream])
                 if took_ms[use.upstream]
                 else use
             )
--- a/src/cornelgrade/services/edge/upstream_view.py
+++ b/src/cornelgrade/services/edge/upstream_view.py
@@ -1,7 +1,6 @@
 """A gateway's view of a service's upstreams beside their load: speeds and order of preference."""
 
-import dataclasses
-
+import msgspec
 import trio
 
 from cornelgrade import routes, settings
@@ -14,8 +13,7 @@
 REPORT_DELAY_S = 0.05
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class View:
+class View(msgspec.Struct, frozen=True):
     """Speeds of the upstreams of a service, and this gateway's preference among them."""
 
     upstreams: tuple[str, ...]
--- a/src/cornelgrade/services/membership.py
+++ b/src/cornelgrade/services/membership.py
@@ -1,11 +1,11 @@
 """The service ``membership`` of the gateway: owns the peer socket and probes other VMs."""
 
 import contextlib
-import dataclasses
 import random
 from collections.abc import Callable, Iterable
 from typing import TypeVar
 
+import msgspec
 import trio
 
 from cornelgrade import logs, metrics, reports, settings
@@ -32,9 +32,9 @@
     """Return the message for services in a datagram; loads and yields name the sending VM."""
     vm = datagram.sender.removesuffix(WORKER_SUFFIX)
     if isinstance(datagram.body, ports.Load):
-        return dataclasses.replace(datagram.body, vm=vm)
+        return msgspec.structs.replace(datagram.body, vm=vm)
     if isinstance(datagram.body, ports.Yield):
-        return dataclasses.replace(datagram.body, vm=vm)
+        return msgspec.structs.replace(datagram.body, vm=vm)
     return datagram.body if isinstance(datagram.body, ports.PeerMessage) else None
 
 
--- a/src/cornelgrade/services/ports.py
+++ b/src/cornelgrade/services/ports.py
@@ -4,6 +4,7 @@
 import enum
 from typing import Protocol, TypeVar, runtime_checkable
 
+import msgspec
 import trio
 
 from cornelgrade import errors, manifest, reports
@@ -22,8 +23,7 @@
     DEAD = "dead"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Member:
+class Member(msgspec.Struct, frozen=True):
     """One VM in the membership; addresses are ``IP:port``."""
 
     vm: str
@@ -37,8 +37,7 @@
     manifest_version: int = 0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class View:
+class View(msgspec.Struct, frozen=True):
     """A snapshot of the membership, which may be out of date; correctness must not depend on it.
 
     :param self_vm: the VM whose view it is.
@@ -60,8 +59,7 @@
         )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Load:
+class Load(msgspec.Struct, frozen=True):
     """A gateway's online load on an engine, sent to the engine's batch owner.
 
     Sent when it changes and at least every second: an owner that receives no load for a few seconds
@@ -76,8 +74,7 @@
     vm: str = ""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Yield:
+class Yield(msgspec.Struct, frozen=True):
     """A gateway's request to an engine's batch owner to free slots immediately.
 
     :param vm: the gateway's VM, set by the membership that receives the message.
@@ -88,8 +85,7 @@
     vm: str = ""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class CrashSighting:
+class CrashSighting(msgspec.Struct, frozen=True):
     """One crash with a request in flight, as one process saw it.
 
     :param crash: id of the upstream's start, or of the upstream if its start is unknown.
@@ -106,8 +102,7 @@
     weak: bool = False
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Quarantined:
+class Quarantined(msgspec.Struct, frozen=True):
     """A request fingerprint that may crash engines.
 
     :param crashes: crashes that it caused, by the sender's own evidence; 0 for a suspect.
@@ -127,8 +122,7 @@
     sightings: tuple[CrashSighting, ...] = ()
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class UpstreamCrashed:
+class UpstreamCrashed(msgspec.Struct, frozen=True):
     """What one process had in flight on an upstream that crashed.
 
     :param source: id of the reporting process.
@@ -144,8 +138,7 @@
     fingerprint: str = ""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Leaving:
+class Leaving(msgspec.Struct, frozen=True):
     """A notice that an upstream is leaving and should get no new work.
 
     :param started_ms: Unix time of the start that it is about, in milliseconds; 0 for any.
@@ -155,16 +148,14 @@
     started_ms: int = 0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Share:
+class Share(msgspec.Struct, frozen=True):
     """The number of requests that a gateway may have outstanding on an engine, from its owner."""
 
     upstream: str
     slots: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class VersionAnnounced:
+class VersionAnnounced(msgspec.Struct, frozen=True):
     """A member has a later manifest version in force than any member announced before."""
 
     vm: str
@@ -234,8 +225,7 @@
         """Validate and accept a manifest; raises a Refusal (``STALE``, ``BAD_REQUEST``, ...)."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Step:
+class Step(msgspec.Struct, frozen=True):
     """One step in the history of a request, item, job, manifest version or order.
 
     :param at_s: Unix time in seconds.
@@ -273,8 +263,7 @@
     ANY = "any"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class GatheredSteps:
+class GatheredSteps(msgspec.Struct, frozen=True):
     """Other processes' steps of a subject; ``silent`` names the processes that didn't answer."""
 
     steps: tuple[reports.HistoryStep, ...]
@@ -323,8 +312,7 @@
         """Return whether a load balancer should send requests to this VM."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Claim:
+class Claim(msgspec.Struct, frozen=True):
     """A keyed request that is to be claimed before it runs.
 
     :param digest: hash of method, path and body; another body under the same key is refused.
@@ -339,8 +327,7 @@
     wait_s: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StoredResponse:
+class StoredResponse(msgspec.Struct, frozen=True):
     """The complete response to a keyed request."""
 
     status: int
@@ -349,8 +336,7 @@
     recorded: bool = True
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ClaimedRun:
+class ClaimedRun(msgspec.Struct, frozen=True):
     """A claim that was granted; only its holder may dispatch the request."""
 
     claim: Claim
@@ -414,8 +400,7 @@
     CONDEMNED = "condemned"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class QuarantineDecision:
+class QuarantineDecision(msgspec.Struct, frozen=True):
     """A request that this process quarantined by its own evidence, or released.
 
     :param expires_s: seconds from now until the quarantine ends; 0 after a release.
@@ -425,8 +410,7 @@
     expires_s: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class SuspectRecord:
+class SuspectRecord(msgspec.Struct, frozen=True):
     """The crashes of a request that is not quarantined yet, to be kept beyond this process.
 
     :param expires_s: seconds from now until they no longer count; 0 once it completed.
--- a/src/cornelgrade/services/quarantine.py
+++ b/src/cornelgrade/services/quarantine.py
@@ -5,11 +5,11 @@
 """
 
 import collections
-import dataclasses
 import secrets
 from collections.abc import Callable, Mapping
 from typing import TypeVar
 
+import msgspec
 import trio
 
 from cornelgrade import kernel, logs
@@ -203,7 +203,7 @@
         now_s = trio.current_time()
         for trait, entry in self._find_entries(fingerprint):
             held = self._classify(trait, now_s) in _HELD
-            started = dataclasses.replace(entry, last_crash_s=now_s) if held else entry
+            started = msgspec.structs.replace(entry, last_crash_s=now_s) if held else entry
             self._store_entry(trait, quarantine.clear_reported(started))
 
     def verdict(self, fingerprint: str) -> ports.Verdict:
@@ -418,7 +418,7 @@
         if entry is None or status is not quarantine.RequestStatus.QUARANTINED:
             return
         expires_at_s = now_s + quarantine.QUARANTINE_S
-        self._store_entry(fingerprint, dataclasses.replace(entry, expires_at_s=expires_at_s))
+        self._store_entry(fingerprint, msgspec.structs.replace(entry, expires_at_s=expires_at_s))
         self._log.error(
             "request_quarantined",
             fingerprint=fingerprint,
--- a/src/cornelgrade/services/records.py
+++ b/src/cornelgrade/services/records.py
@@ -129,7 +129,7 @@
     ) -> ports.StoredResponse:
         """Store the response and return the one that is stored; see :class:`ports.Records`."""
         record_id = idempotency.record_id(run.claim.team, run.claim.key)
-        unrecorded = dataclasses.replace(response, recorded=False)
+        unrecorded = msgspec.structs.replace(response, recorded=False)
         if not self._backlog.has_room(len(response.body)):
             self._remove_local_run(record_id, run)
             self._log.error("response_not_recorded", request=run.claim.request_id)
@@ -143,7 +143,7 @@
         if pending.result is None or pending.result.record is None:
             return unrecorded
         if pending.result.outcome is idempotency.Outcome.STORED:
-            return dataclasses.replace(response, recorded=True)
+            return msgspec.structs.replace(response, recorded=True)
         return await self._read_winning_response(pending.result.record, response)
 
     async def abandon(self, run: ports.ClaimedRun, ran: errors.Ran) -> None:
@@ -285,11 +285,11 @@
     ) -> ports.StoredResponse:
         """Return the response stored first, or the caller's own if that can't be read."""
         if record.answer is None:
-            return dataclasses.replace(response, recorded=False)
+            return msgspec.structs.replace(response, recorded=False)
         try:
             return await self._responses.read(record.answer)
         except platform.UnavailableError:
-            return dataclasses.replace(response, recorded=False)
+            return msgspec.structs.replace(response, recorded=False)
 
     def _build_record(self, run: ports.ClaimedRun) -> idempotency.Record:
         now_s = self._clock()
--- a/tests/edge/limit_fleet.py
+++ b/tests/edge/limit_fleet.py
@@ -3,6 +3,7 @@
 import dataclasses
 import random
 
+import msgspec
 import trio
 
 from cornelgrade import errors, routes
@@ -123,7 +124,7 @@
         await trio.sleep(DELAY_S)
         if self._reaches(sender, receiver):
             if isinstance(body, messages.AllowanceRequest):
-                body = dataclasses.replace(body, vm=sender)
+                body = msgspec.structs.replace(body, vm=sender)
             self.vms[receiver].peers.subscribers.deliver(body)
 
 
--- a/tests/edge/test_result_sharing.py
+++ b/tests/edge/test_result_sharing.py
@@ -3,8 +3,6 @@
 Calls to the store before that, measured by the same tests: see each bound.
 """
 
-import dataclasses
-
 import msgspec
 import pytest
 import trio
@@ -223,5 +221,7 @@
     assert headers == {"job-1": "open", "job-2": "done"}
     assert store.calls[f"list:{HEADER_KIND}"] == 1
     store.forget_history()
-    again = {dataclasses.replace(found, is_new=False) for found in await repository.list_headers()}
+    again = {
+        msgspec.structs.replace(found, is_new=False) for found in await repository.list_headers()
+    }
     assert again == set(await other.list_headers())
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -4,6 +4,7 @@
 import dataclasses
 import hashlib
 
+import msgspec
 import trio
 
 from cornelgrade import manifest
@@ -240,7 +241,7 @@
         ):
             return
         if isinstance(message, ports.Load | ports.Yield):
-            message = dataclasses.replace(message, vm=self.vm)
+            message = msgspec.structs.replace(message, vm=self.vm)
         self._bus.members[vm].subscriptions.deliver(message)
 
     def broadcast(self, message) -> None:
--- a/tests/fleet/test_datagrams.py
+++ b/tests/fleet/test_datagrams.py
@@ -1,9 +1,9 @@
 import contextlib
-import dataclasses
 import socket
 import time
 
 import fleet_helpers
+import msgspec
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -68,8 +68,10 @@
 
 def test_member_size_estimate_is_an_upper_bound():
     one = len(codec.encode(datagram(members=(MEMBER,))))
-    two = len(codec.encode(datagram(members=(MEMBER, dataclasses.replace(MEMBER, vm="x" * 63)))))
-    estimate = codec.estimate_member_bytes(dataclasses.replace(MEMBER, vm="x" * 63))
+    two = len(
+        codec.encode(datagram(members=(MEMBER, msgspec.structs.replace(MEMBER, vm="x" * 63))))
+    )
+    estimate = codec.estimate_member_bytes(msgspec.structs.replace(MEMBER, vm="x" * 63))
     assert two - one <= estimate <= (two - one) * 1.5
 
 
@@ -120,7 +122,7 @@
 
 async def test_replayed_datagram_is_dropped_and_counted():
     with datagrams.Socket("127.0.0.1:0", fleet_helpers.KEY, "b") as b:
-        payload = codec.encode(dataclasses.replace(datagram(), sent_s=time.time()))
+        payload = codec.encode(msgspec.structs.replace(datagram(), sent_s=time.time()))
         raw = fleet_helpers.KEY.tag(b.address.encode(), payload) + payload
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
             for _ in range(3):
--- a/tests/fleet/test_membership_policy.py
+++ b/tests/fleet/test_membership_policy.py
@@ -1,6 +1,6 @@
-import dataclasses
 import random
 
+import msgspec
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -176,7 +176,7 @@
 
 def test_unresponsive_leaving_member_is_dead_without_suspicion():
     pair = SimulatedPeers(1)
-    gone = dataclasses.replace(member("c"), state=State.LEAVING)
+    gone = msgspec.structs.replace(member("c"), state=State.LEAVING)
     pair.a.receive(0.0, pair.wrap("c", messages.Roster(), (gone,)))
     pair.run(2.0, answer=("b",))
     assert pair.a.members["c"].state is State.DEAD
--- a/tests/matrix/broken.py
+++ b/tests/matrix/broken.py
@@ -3,6 +3,7 @@
 import contextlib
 import dataclasses
 
+import msgspec
 import trio
 from tests.matrix import world as worlds
 
@@ -127,7 +128,7 @@
 
     async def update(self, kind, name, value, version, nonce=""):
         if kind == "job" and b"cancelling" in value:
-            return dataclasses.replace(await self.get(kind, name), nonce=nonce)
+            return msgspec.structs.replace(await self.get(kind, name), nonce=nonce)
         return await super().update(kind, name, value, version, nonce)
 
 
--- a/tests/policy/test_conditions.py
+++ b/tests/policy/test_conditions.py
@@ -1,5 +1,4 @@
-import dataclasses
-
+import msgspec
 import pytest
 from tests import samples
 
@@ -21,7 +20,7 @@
 
 
 def other(**change) -> ports.Member:
-    return dataclasses.replace(MEMBER, vm="entry-2", **change)
+    return msgspec.structs.replace(MEMBER, vm="entry-2", **change)
 
 
 def view(*others: ports.Member) -> ports.View:
--- a/tests/policy/test_outlier.py
+++ b/tests/policy/test_outlier.py
@@ -3,6 +3,7 @@
 import dataclasses
 import random
 
+import msgspec
 import pytest
 
 from cornelgrade.policy import ejections, outlier
@@ -194,7 +195,7 @@
     judge, registered = ejections.Judge(), frozenset(map(start_of, range(6)))
     for number in range(20):
         failure = outlier.Failure(1.0 + number / 1000, start_of(0), number, "gateway-0")
-        judge.add_failure(dataclasses.replace(failure, broken=True))
+        judge.add_failure(msgspec.structs.replace(failure, broken=True))
     assert not judge.find_changes(registered, 1.1, senders=9)
 
 
