Tell a job from a deleted one of the same id

Cause: a job id may be submitted again once its job was deleted, which the sweeper does after the retention, counted from the submission. So a job that is open for longer is deleted within seconds of its end. Everything but outcomes sent to other workers named jobs by their id alone. Workers ignored deletions, and readers cached headers and results without an end.

Ruled out: that an id can't be used again (a POST after the deletion gets 202 and stores a new header); that an old outcome is taken by another worker (it compares received_ms already); that an old result replaces a new one stored before it (the store keeps the first).

Before, by the new tests on, where 17 of 18 failed: - without any fault, gateways answered reads of the new job with the cached results of the deleted one - a worker that had missed the deletion put the new header on the old items and done bits, and stored results of the old job in the new one - its claims made items of the new job count as done: 4 of 6 had no result within the 8 s of the test - a change of the old header (closing, ending, accepting, declining, recording tokens) was applied to the new one on a version conflict - a worker without the store while a job ended and was deleted still had it open 8 s, the limit of the test, after the store was back

After: a job is identified by its id and received_ms. Workers drop jobs that were deleted or replaced, with their runs. Claims and stored results carry received_ms; those without it, of older versions, are taken as before. Results of another job are skipped, and one of an earlier job that occupies the name of a result is replaced, never one of a later job. A changed header of another job counts as deleted. Readers check after the retention, at most each 0.6 s, whether what they cached is of the present job. The sweeper no longer assumes that a job that it has deleted is still tracked, as the watch may bring the deletion first.

All 25 cases of tests/edge/test_reused_job_ids.py pass.

--- a/src/cornelgrade/edge_daemons.py
+++ b/src/cornelgrade/edge_daemons.py
@@ -80,7 +80,10 @@
     kern.add(stream_origins.StreamOrigins(kern, cfg.vm), _RESTART)
     repository = job_repository.JobRepository(dependencies.store, cfg.value_bytes)
     results = result_reader.ResultReader(
-        repository, availability, client=result_sharing.ResultClient(kern)
+        repository,
+        availability,
+        retention_s=cfg.retention_s,
+        client=result_sharing.ResultClient(kern),
     )
     kern.add(results)
     handler = job_handler.JobHandler(
@@ -103,7 +106,10 @@
     kern.add(item_runner)
     repository = job_repository.JobRepository(dependencies.store, cfg.value_bytes)
     results = result_reader.ResultReader(
-        repository, availability, find_header=item_runner.find_header
+        repository,
+        availability,
+        retention_s=cfg.retention_s,
+        find_header=item_runner.find_header,
     )
     kern.add(results)
     result_sharing.ResultServer(kern, results)
--- a/src/cornelgrade/schema/codec.py
+++ b/src/cornelgrade/schema/codec.py
@@ -152,6 +152,7 @@
         builder[i].job = claim.job
         builder[i].running = _encode_bitmap(claim.running)
         builder[i].done = _encode_bitmap(claim.done)
+        builder[i].receivedMs = claim.received_ms
         failed = builder[i].init("failed", len(claim.failed))
         for number, entry in enumerate(claim.failed):
             failed[number].item = entry.item
@@ -254,6 +255,7 @@
                 int.from_bytes(claim.running, "little"),
                 int.from_bytes(claim.done, "little"),
                 tuple(messages.ItemFailures(entry.item, entry.failures) for entry in claim.failed),
+                claim.receivedMs,
             )
             for claim in raw
         )
--- a/src/cornelgrade/schema/messages.py
+++ b/src/cornelgrade/schema/messages.py
@@ -108,12 +108,15 @@
     :param running: items that the worker runs, as a bit set.
     :param done: items that it knows are done, as a bit set.
     :param failed: items with failed runs.
+    :param received_ms: when the job was accepted, which tells it from an earlier one of its id; 0
+        from older versions, which don't tell it.
     """
 
     job: str
     running: int
     done: int
     failed: tuple[ItemFailures, ...] = ()
+    received_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/cornelgrade/schema/peer.capnp
+++ b/src/cornelgrade/schema/peer.capnp
@@ -99,6 +99,7 @@
   running @1 :Data;
   done @2 :Data;
   failed @3 :List(ItemFailures);
+  receivedMs @4 :UInt64;
 }
 
 struct Followed {
--- a/src/cornelgrade/services/edge/claim_exchange.py
+++ b/src/cornelgrade/services/edge/claim_exchange.py
@@ -27,7 +27,7 @@
             now_s = trio.current_time()
             for remote in message.claims:
                 job = self._jobs.get(remote.job)
-                if job is not None:
+                if job is not None and job.is_claimed_by(remote):
                     job.apply_claim(message.vm, remote, now_s)
 
     def send_claims(self) -> None:
--- a/src/cornelgrade/services/edge/job_repository.py
+++ b/src/cornelgrade/services/edge/job_repository.py
@@ -30,6 +30,9 @@
 class JobHeader(msgspec.Struct, frozen=True):
     """A job without its items.
 
+    Its id may be submitted again after the job was deleted, so the id and ``received_ms`` together
+    identify a job.
+
     :param received_ms: Unix milliseconds of its acceptance; its deadlines count from then.
     :param pieces: number of objects that hold its input.
     :param team: the team that submitted it, empty if requests need no keys.
@@ -60,6 +63,10 @@
         """Whether the job was ever accepted."""
         return self.state not in ("reserved", "declined")
 
+    def is_same_job(self, other: "JobHeader") -> bool:
+        """Whether another header is one of this job, perhaps in another state."""
+        return (self.job, self.received_ms) == (other.job, other.received_ms)
+
     def is_visible_to(self, team: str | None) -> bool:
         """Whether callers of a team may use the job.
 
@@ -68,13 +75,19 @@
         return team is None or self.team in ("", team)
 
 
-class _Result(msgspec.Struct, frozen=True):
+class _Result(msgspec.Struct, frozen=True, kw_only=True):
+    """A result in an object of its own.
+
+    :param received_ms: of the job, 0 if not known: results of older versions don't have it.
+    """
+
     item: str
     end: ports.ItemEnd
     text: str
+    received_ms: int = 0
 
 
-class _GroupedResult(_Result, frozen=True):
+class _GroupedResult(_Result, frozen=True, kw_only=True):
     index: int
 
 
@@ -220,11 +233,7 @@
                 HEADER_KIND, updated.job, value, stored_header.version
             )
         except platform.ConflictError as exc:
-            if exc.current is None:
-                raise platform.UnavailableError(
-                    "job header was deleted", step="update job"
-                ) from exc
-            return decode_header(exc.current)
+            return _current_header(exc, updated, step="update job")
         return StoredHeader(updated, stored.version, stored.created)
 
     async def accept_job(self, stored_header: StoredHeader) -> JobHeader:
@@ -254,11 +263,7 @@
                 await self._store.update(HEADER_KIND, updated.job, value, stored_header.version)
                 return updated
             except platform.ConflictError as exc:
-                if exc.current is None:
-                    raise platform.UnavailableError(
-                        "job header was deleted", step="change job state"
-                    ) from exc
-                stored_header = decode_header(exc.current)
+                stored_header = _current_header(exc, updated, step="change job state")
         return stored_header.header
 
     async def delete_job(self, stored_header: StoredHeader) -> None:
@@ -297,12 +302,32 @@
             raise platform.UnavailableError("job input is incomplete", step="read input")
         return base64.b64decode(msgspec.json.decode(stored.value, type=str))
 
-    async def add_result(self, job: str, index: int, result: ports.ItemResult) -> None:
-        """Store a result unless another VM has already stored one."""
-        value = msgspec.json.encode(_Result(result.item, result.end, result.text))
+    async def add_result(
+        self, job: str, index: int, result: ports.ItemResult, received_ms: int = 0
+    ) -> None:
+        """Store a result unless another VM has already stored one.
+
+        One of a deleted job of the same id, stored by a worker that didn't know of its deletion, is
+        replaced. The result of a deleted job doesn't replace one of the present job.
+
+        :param received_ms: of the job, 0 if not known.
+        """
+        kind, name = _result_kind(job), _item_name(index)
+        new = _Result(item=result.item, end=result.end, text=result.text, received_ms=received_ms)
+        while True:
+            try:
+                await self._store.create(kind, name, msgspec.json.encode(new))
+                return
+            except platform.ConflictError as exc:
+                if exc.current is None or not _is_of_earlier_job(exc.current, received_ms):
+                    return
+                await self._delete_result(exc.current)
+
+    async def _delete_result(self, stored: platform.StoredObject) -> None:
         try:
-            await self._store.create(_result_kind(job), _item_name(index), value)
+            await self._store.delete(stored.kind, stored.name, stored.version)
         except platform.ConflictError:
+            # Another worker has replaced it.
             return
 
     def group_results(
@@ -319,14 +344,20 @@
             groups[-1][index] = result
         return tuple(groups)
 
-    async def add_group(self, job: str, name: str, results: dict[int, ports.ItemResult]) -> None:
+    async def add_group(
+        self, job: str, name: str, results: dict[int, ports.ItemResult], received_ms: int = 0
+    ) -> None:
         """Store several results in one object.
 
         Another VM may have stored results of these items; the first one of an item counts.
 
         :param name: made by :func:`make_group_name`, the same when the call is repeated.
+        :param received_ms: of the job, 0 if not known.
         """
-        group = tuple(_GroupedResult(r.item, r.end, r.text, i) for i, r in results.items())
+        group = tuple(
+            _GroupedResult(item=r.item, end=r.end, text=r.text, index=i, received_ms=received_ms)
+            for i, r in results.items()
+        )
         try:
             await self._store.create(_result_kind(job), name, msgspec.json.encode(group))
         except platform.ConflictError:
@@ -353,7 +384,7 @@
         return {int(found.name): _decode_failures(found) for found in stored}
 
     async def list_results(
-        self, job: str, after: int, wait_s: float
+        self, job: str, after: int, wait_s: float, received_ms: int = 0
     ) -> tuple[tuple[StoredResult, ...], int, bool]:
         """Return results newer than a revision, in order, and the revision to continue from.
 
@@ -362,12 +393,16 @@
         is returned exactly once. An item may have several results; the first one counts.
 
         :param after: 0 for all results.
+        :param received_ms: of the job, to leave out results of a deleted job of the same id; 0 if
+            not known.
         :returns: results, revision, and whether the store has lost the history since ``after``.
         """
         changes = await self._store.watch(_result_kind(job), after=after, wait_s=wait_s)
         new = (s for s in changes.items if after < s.created <= changes.version)
         ordered = sorted(new, key=lambda stored: stored.created)
-        results = tuple(entry for stored in ordered for entry in _decode_results(stored))
+        results = tuple(
+            entry for stored in ordered for entry in _decode_results(stored, received_ms)
+        )
         return results, changes.version, changes.reset
 
 
@@ -377,19 +412,47 @@
     return StoredHeader(header, stored.version, stored.created)
 
 
+def _current_header(exc: platform.ConflictError, header: JobHeader, *, step: str) -> StoredHeader:
+    """Return the header with which a change of a job conflicted.
+
+    :raises UnavailableError: if the job was deleted, also if its id was submitted again.
+    """
+    found = decode_header(exc.current) if exc.current is not None else None
+    if found is None or not found.header.is_same_job(header):
+        raise platform.UnavailableError("job header was deleted", step=step) from exc
+    return found
+
+
 def make_group_name(results: dict[int, ports.ItemResult]) -> str:
     """Return a new name for an object with these results."""
     return f"{_item_name(min(results))}{GROUP_MARK}{secrets.token_hex(GROUP_NAME_BYTES)}"
 
 
-def _decode_results(stored: platform.StoredObject) -> tuple[StoredResult, ...]:
+def _decode_results(stored: platform.StoredObject, received_ms: int) -> tuple[StoredResult, ...]:
+    """Decode the results in an object, but for those of another job of the same id."""
     if GROUP_MARK in stored.name:
         group = msgspec.json.decode(stored.value, type=_Group)
-        return tuple(StoredResult(r.index, _make_result(r), stored.created) for r in group)
+        return tuple(
+            StoredResult(r.index, _make_result(r), stored.created)
+            for r in group
+            if _may_be_of_job(r, received_ms)
+        )
     single = msgspec.json.decode(stored.value, type=_Result)
+    if not _may_be_of_job(single, received_ms):
+        return ()
     return (StoredResult(int(stored.name), _make_result(single), stored.created),)
 
 
+def _may_be_of_job(result: _Result, received_ms: int) -> bool:
+    return not (result.received_ms and received_ms) or result.received_ms == received_ms
+
+
+def _is_of_earlier_job(stored: platform.StoredObject, received_ms: int) -> bool:
+    """Whether a single result is known to be of an earlier job than that received then."""
+    result = msgspec.json.decode(stored.value, type=_Result)
+    return 0 < result.received_ms < received_ms
+
+
 def _make_result(decoded: _Result) -> ports.ItemResult:
     return ports.ItemResult(decoded.item, decoded.end, decoded.text)
 
--- a/src/cornelgrade/services/edge/job_sweeper.py
+++ b/src/cornelgrade/services/edge/job_sweeper.py
@@ -38,8 +38,12 @@
         """Return the header of a job that is tracked."""
         return self._closed.get(job)
 
+    def tracked_jobs(self) -> set[str]:
+        """Return the ids of the jobs that are tracked."""
+        return set(self._closed)
+
     def untrack(self, job: str) -> None:
-        """Stop tracking a job that is open now; open jobs are kept regardless of age."""
+        """Stop tracking a job that is open now or deleted; open jobs are kept regardless of age."""
         self._closed.pop(job, None)
 
     async def run(self) -> None:
@@ -58,14 +62,20 @@
         job = stored_header.header.job
         workers = self._peers.live_vms(peers.Role.WORKER)
         if ownership.choose_owner(job, workers) != self._cfg.vm:
-            del self._closed[job]
+            self._untrack_header(stored_header)
             return
         try:
             await self._repository.delete_job(stored_header)
-            del self._closed[job]
+            self._untrack_header(stored_header)
             _log.info("job_forgotten", job=job, state=stored_header.header.state)
         except platform.ConflictError as exc:
             _log.info("job_changed", job=job, error=exc.format_message())
-            del self._closed[job]
+            self._untrack_header(stored_header)
         except platform.UnavailableError as exc:
             _log.warning("job_not_deleted", job=job, error=exc.format_message())
+
+    def _untrack_header(self, stored_header: job_repository.StoredHeader) -> None:
+        """Stop tracking a job unless a newer header of its id is tracked by now."""
+        job = stored_header.header.job
+        if self._closed.get(job) is stored_header:
+            del self._closed[job]
--- a/src/cornelgrade/services/edge/open_job.py
+++ b/src/cornelgrade/services/edge/open_job.py
@@ -144,9 +144,17 @@
             if not self.done >> index & 1
         )
         return messages.JobClaim(
-            self.header.job, self._unavailable_to_others(now_s), self.done, failed
+            self.header.job,
+            self._unavailable_to_others(now_s),
+            self.done,
+            failed,
+            self.header.received_ms,
         )
 
+    def is_claimed_by(self, claim: messages.JobClaim) -> bool:
+        """Whether a claim is on this job, not on an earlier one of the same id."""
+        return claim.job == self.header.job and claim.received_ms in (0, self.header.received_ms)
+
     def apply_claim(self, vm: str, claim: messages.JobClaim, now_s: float) -> None:
         """Record what another worker reported."""
         self.claims[vm] = (claim.running, now_s)
--- a/src/cornelgrade/services/edge/outcome_sharing.py
+++ b/src/cornelgrade/services/edge/outcome_sharing.py
@@ -61,11 +61,12 @@
 
     :raises UnavailableError: if the store does not respond.
     """
+    received_ms = outcome.received_ms
     if outcome.name:
-        await repository.add_group(outcome.job, outcome.name, outcome.results)
+        await repository.add_group(outcome.job, outcome.name, outcome.results, received_ms)
     else:
         for index, result in outcome.results.items():
-            await repository.add_result(outcome.job, index, result)
+            await repository.add_result(outcome.job, index, result, received_ms)
     for index, failures in outcome.failures.items():
         await repository.record_failures(outcome.job, index, failures)
 
--- a/src/cornelgrade/services/edge/result_reader.py
+++ b/src/cornelgrade/services/edge/result_reader.py
@@ -7,11 +7,15 @@
 A position that one caller has read must not be empty for another one later. Callers may read at
 other gateways, which may have read the store. So there is no empty answer unless the store has
 confirmed it recently, here or at the worker.
+
+The id of a job may be submitted again after the job was deleted, which happens after its retention.
+From then on it is checked whether what is cached is still of the present job.
 """
 
 import collections
 import dataclasses
 import math
+import time
 from collections.abc import Callable, Iterable
 
 import trio
@@ -45,6 +49,7 @@
 SETTLE_S = 0.25
 # The worker has paused already.
 SETTLE_AFTER_WORKER_S = 0.02
+_MS_PER_S = 1000
 _log = logs.Logger("results")
 
 
@@ -71,6 +76,7 @@
     :ivar failure: why the last watch failed.
     :ivar confirmation: the read that confirms it, while there is one.
     :ivar watch: the scope of the watch, cancelled to send it again.
+    :ivar checked_s: a time at which this was the present job of its id, by :mod:`clocks`.
     """
 
     header: job_repository.JobHeader
@@ -81,6 +87,7 @@
     confirmed_s: float = -math.inf
     following: trio.CancelScope | None = None
     watch: trio.CancelScope | None = None
+    checked_s: float = -math.inf
     failure: platform.UnavailableError | None = None
     confirmation: "_Confirmation | None" = None
     changed: _notifier.Notifier = dataclasses.field(default_factory=_notifier.Notifier)
@@ -123,6 +130,7 @@
 class ResultReader:
     """Reads results; holds only a cache.
 
+    :param retention_s: no job is deleted, and its id is not submitted again, within this time.
     :param find_header: of accepted jobs, at a worker.
     :param client: asks workers, at a gateway; a worker itself reads the store.
     """
@@ -134,9 +142,11 @@
         repository: job_repository.JobRepository,
         availability: _store_availability.StoreAvailability,
         *,
+        retention_s: float,
         find_header: HeaderLookup = lambda job: None,
         client: result_sharing.ResultClient | None = None,
     ) -> None:
+        self._retention_ms = int(retention_s * _MS_PER_S)
         self._find_header = find_header
         self._client = client
         self._repository = repository
@@ -256,17 +266,64 @@
         return self._nursery
 
     async def _load(self, job: str) -> _CachedJob:
-        """Return what is cached of a job; the first call reads its header."""
+        """Return what is cached of a job; the first call reads its header.
+
+        :raises Refusal: ``NOT_FOUND`` if there is no such job.
+        """
         cached = self._cache.get(job)
         if cached is None:
             cached = self._cache.setdefault(job, await self._read_job(job))
+        if self._must_check(cached):
+            cached = await self._check_present(cached)
         self._cache.move_to_end(job)
         while len(self._cache) > MAX_CACHED_JOBS:
-            _, evicted = self._cache.popitem(last=False)
-            if evicted.following is not None:
-                evicted.following.cancel()
+            self._evict(next(iter(self._cache.values())))
+        return cached
+
+    def _evict(self, cached: _CachedJob) -> None:
+        if self._cache.get(cached.header.job) is cached:
+            del self._cache[cached.header.job]
+        if cached.following is not None:
+            cached.following.cancel()
+
+    def _must_check(self, cached: _CachedJob) -> bool:
+        """Whether a job may have been deleted since it was last seen to be present."""
+        retained = time.time() * _MS_PER_S < cached.header.received_ms + self._retention_ms
+        return not retained and clocks.since_boot_s() - cached.checked_s >= MAX_CONFIRMATION_AGE_S
+
+    async def _check_present(self, cached: _CachedJob) -> _CachedJob:
+        """Return what is cached of the present job of an id.
+
+        :raises Refusal: ``NOT_FOUND`` if the job was deleted.
+        :raises UnavailableError: if neither a worker nor the store tells.
+        """
+        job, asked_s = cached.header.job, clocks.since_boot_s()
+        header = await self._read_present_header(job, len(cached.results))
+        if header is None or not header.is_same_job(cached.header):
+            self._evict(cached)
+            if header is None:
+                raise errors.Refusal(errors.Code.NOT_FOUND, f"no job {job}", step="read")
+            cached = _CachedJob(header)
+        # Another call may have checked it meanwhile.
+        cached = self._cache.setdefault(job, cached)
+        if header.is_same_job(cached.header):
+            cached.checked_s = max(cached.checked_s, asked_s)
         return cached
 
+    async def _read_present_header(self, job: str, after: int) -> job_repository.JobHeader | None:
+        """Return the header of an accepted job, ``None`` if there is none.
+
+        :param after: number of results that are known, which a worker need not send again.
+        """
+        known = self._find_header(job)
+        if known is not None and not self._availability.unavailable:
+            return known.header
+        page = await self._client.fetch(job, after, 0.0) if self._client else None
+        if page is not None:
+            return page.header
+        stored = await self._repository.find_job(job)
+        return stored.header if stored is not None and stored.header.accepted else None
+
     async def _read_job(self, job: str) -> _CachedJob:
         """Return a job as the worker that follows it knows it, or its header from the store."""
         known = self._find_header(job)
@@ -325,12 +382,14 @@
         if self._client is None and self._availability.unavailable:
             # At a worker: the gateway that asks may reach the store.
             raise platform.UnavailableError("the store does not respond", step="read")
-        job = cached.header.job
+        job, received_ms = cached.header.job, cached.header.received_ms
         asked, asked_s = cached.revision, clocks.since_boot_s()
-        listed, revision, reset = await self._repository.list_results(job, asked, wait_s)
+        listed, revision, reset = await self._repository.list_results(
+            job, asked, wait_s, received_ms
+        )
         if reset:
             asked, asked_s = cached.revision, clocks.since_boot_s()
-            listed, revision, _ = await self._repository.list_results(job, 0, 0.0)
+            listed, revision, _ = await self._repository.list_results(job, 0, 0.0, received_ms)
         if cached.revision != asked:
             # Another call has read on meanwhile.
             return
@@ -353,6 +412,9 @@
     @staticmethod
     def _apply_page(cached: _CachedJob, page: result_sharing.Page) -> bool:
         """Add the results of a page; return ``False`` if they don't follow those cached."""
+        if not page.header.is_same_job(cached.header):
+            _log.info("page_of_another_job", job=cached.header.job)
+            return False
         new = tuple(entry for entry in page.results if entry.index not in cached.indexes)
         if page.after > len(cached.results) or (new and page.revision < cached.revision):
             _log.warning("page_rejected", job=cached.header.job, revision=page.revision)
--- a/src/cornelgrade/services/edge/runner.py
+++ b/src/cornelgrade/services/edge/runner.py
@@ -194,6 +194,14 @@
         )
 
     async def _apply_headers(self, changes: platform.Changes, is_snapshot: bool) -> None:
+        deleted = set(changes.deleted)
+        if is_snapshot and changes.version:
+            known = self._jobs.keys() | self._sweeper.tracked_jobs()
+            deleted |= known - {stored.name for stored in changes.items}
+        for name in deleted:
+            self._sweeper.untrack(name)
+            if (job := self._jobs.get(name)) is not None:
+                self._drop_job(job, "deleted")
         for stored in changes.items:
             try:
                 stored_header = job_repository.decode_header(stored)
@@ -205,6 +213,10 @@
     def _apply_header(self, stored_header: job_repository.StoredHeader, *, is_new: bool) -> None:
         header = stored_header.header
         tracked = self._jobs.get(header.job)
+        if tracked is not None and not tracked.header.is_same_job(header):
+            # It was deleted, which was missed, and its id was submitted again.
+            self._drop_job(tracked, "replaced")
+            tracked = None
         if header.state != "open":
             if tracked is not None:
                 self._drop_job(tracked, header.state)
@@ -227,7 +239,8 @@
             self._start_loading(job, is_new=is_new)
 
     def _drop_job(self, job: open_job.OpenJob, why: str) -> None:
-        self._jobs.pop(job.header.job, None)
+        if self._jobs.get(job.header.job) is job:
+            del self._jobs[job.header.job]
         _log.info("job_dropped", job=job.header.job, why=why, running=len(job.runs))
         for run in job.runs.values():
             run.scope.cancel()
@@ -255,7 +268,9 @@
         while self._jobs.get(job.header.job) is job:
             try:
                 if not is_new:
-                    listed, _, _ = await self._repository.list_results(job.header.job, 0, 0.0)
+                    listed, _, _ = await self._repository.list_results(
+                        job.header.job, 0, 0.0, job.header.received_ms
+                    )
                     # An item that two workers ran may have two results.
                     job.done |= sum(1 << index for index in {entry.index for entry in listed})
                     job.merge_failures(await self._repository.read_failures(job.header.job))
