Cancel and avoid duplicate runs of batch items

Cause: slots of several workers that become free together were filled with the same items before any claim arrived. In one job of 60 items at three workers (8 slots each, runs of 1.5 s) all second starts came 0 to 45 ms after the first, and the claim on the first arrived 25 to 50 ms after it. Three things added to it: - A worker that had run out of items for which it ranks first took those of another worker by its own score. That is high where the other's is higher still, so it took what the other was about to start. - Claims were sent 50 ms after a change, and a start in a pass that followed no event was only sent with the next full state (a claim arrived 241 ms after its start). - Neither of two runs ended when the workers learned of each other, nor when the item was done.

Ruled out: a stale view long after the first start. Second starts more than 0.3 s after the first came only from a measuring script that held back first events beyond the timeout of 1.2 s between events.

Change: of two workers that started an item within 0.5 s, without events so far, the one that comes later in the item's hash order cancels its run; a run of an item that is done is cancelled too. Items of another worker are taken in the reverse of its order. Starts are broadcast, 20 ms after a change; there are no more broadcasts a second than before.

--- a/src/cornelgrade/policy/batch_capacity.py
+++ b/src/cornelgrade/policy/batch_capacity.py
@@ -127,6 +127,8 @@
     :param has_progress: this VM holds part of its result from an earlier run.
     :param team: whose job it is part of, empty if none.
     :param rank: its team's priority or, without one, its route's; 0 is the most urgent.
+    :param order: its place among the items of its job at this VM, ascending. Items at equal
+        places are in an order that differs between VMs.
     """
 
     job: str
@@ -136,6 +138,7 @@
     has_progress: bool = False
     team: str = ""
     rank: int = 0
+    order: tuple[int, int] = (0, 0)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -201,6 +204,7 @@
             not w.has_progress,
             w.due_s,
             w.job,
+            w.order,
             -rendezvous.score(f"{w.job}/{w.index}", vm),
         ),
     )
--- a/src/cornelgrade/services/edge/_notifier.py
+++ b/src/cornelgrade/services/edge/_notifier.py
@@ -14,6 +14,10 @@
         self._event.set()
         self._event = trio.Event()
 
+    def next_event(self) -> trio.Event:
+        """Return the event of the next notification, for a task that starts to wait later."""
+        return self._event
+
     async def wait(self) -> None:
         """Wait for the next notification."""
         await self._event.wait()
--- a/src/cornelgrade/services/edge/claim_exchange.py
+++ b/src/cornelgrade/services/edge/claim_exchange.py
@@ -29,6 +29,7 @@
                 job = self._jobs.get(remote.job)
                 if job is not None:
                     job.apply_claim(message.vm, remote, now_s)
+                    job.cancel_duplicates(self._peers.vm, message.vm, remote, now_s)
 
     def send_claims(self) -> None:
         """Send changed claims to the other workers, and periodically all of them.
--- a/src/cornelgrade/services/edge/open_job.py
+++ b/src/cornelgrade/services/edge/open_job.py
@@ -20,6 +20,10 @@
 # The same for an item that has failed. Workers count its runs by messages, and two that run it at
 # the same time count one failure, so the next worker waits until messages must have come.
 FAILED_START_STAGGER_S = 1.0
+# Two workers that start an item at the same time learn of it from each other's next claim, or, if a
+# datagram is lost, from the full state 0.25 s later. One cancels its run if that is not older than
+# this and has no events.
+DUPLICATE_AGE_S = 0.5
 # Workers that load a job's input at once. The others load it only when they have nothing else to
 # run, so that the calls for a job don't grow with the fleet.
 JOB_WORKERS = 4
@@ -32,12 +36,14 @@
     """A run of an item at this worker.
 
     :ivar preempted: whether it was cancelled to free its slot for online requests.
+    :ivar duplicate: whether it was cancelled because another worker runs or ran the item.
     """
 
     upstream: str
     started_s: float
     scope: trio.CancelScope
     preempted: bool = False
+    duplicate: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -156,6 +162,31 @@
                 self.claimed_s[index] = now_s
         self.apply_failures({entry.item: entry.failures for entry in claim.failed}, now_s)
 
+    def cancel_duplicates(
+        self, own_vm: str, vm: str, claim: messages.JobClaim, now_s: float
+    ) -> None:
+        """Cancel runs of items that are done, or that another worker started at the same time.
+
+        :param own_vm: this worker.
+        :param vm: the worker that reported the claim, which was applied before.
+        """
+        for index, run in self.runs.items():
+            done = self.done >> index & 1
+            claimed = claim.running >> index & 1
+            if done or (claimed and self._yields(index, run, own_vm, vm, now_s)):
+                run.duplicate = True
+                run.scope.cancel()
+
+    def _yields(self, index: int, run: ItemRun, own_vm: str, vm: str, now_s: float) -> bool:
+        """Whether a run has just started and that of another worker is to go on instead.
+
+        The hash order of two workers is the same for both, whichever others they know, so that
+        never both of them yield.
+        """
+        if now_s - run.started_s >= DUPLICATE_AGE_S or self.partial[index].events:
+            return False
+        return rendezvous.pick_members(_item_key(self.header.job, index), (own_vm, vm), 1) == (vm,)
+
     def apply_failures(self, failures: dict[int, int], now_s: float) -> None:
         """Record the numbers of failed runs that another worker reported."""
         for index, count in failures.items():
@@ -270,7 +301,21 @@
 @functools.lru_cache(maxsize=16_384)
 def _rank_workers(job: str, index: int, workers: tuple[str, ...]) -> tuple[str, ...]:
     """Return the workers in the order in which they may start an item."""
-    key = f"{job}/{index}"
     first = job_workers(job, workers)
     others = _rank_job_workers(job, workers)[JOB_WORKERS:]
-    return rendezvous.pick_members(key, first, len(first)) + others
+    return rendezvous.pick_members(_item_key(job, index), first, len(first)) + others
+
+
+def start_order(job: str, index: int, workers: tuple[str, ...], vm: str) -> tuple[int, int]:
+    """Return an item's place among those of its job at a worker, ascending.
+
+    Those for which it ranks highest come first. It takes those of another worker in the reverse of
+    that worker's order, so that the two meet only at the last one.
+    """
+    ranked = _rank_workers(job, index, workers)
+    score = rendezvous.score(_item_key(job, index), ranked[0])
+    return ranked.index(vm), -score if ranked[0] == vm else score
+
+
+def _item_key(job: str, index: int) -> str:
+    return f"{job}/{index}"
--- a/src/cornelgrade/services/edge/runner.py
+++ b/src/cornelgrade/services/edge/runner.py
@@ -59,6 +59,9 @@
 OWNERSHIP_TTL_S = 0.05
 # Minimum time between two broadcasts, so that changes close together share a datagram.
 MIN_BROADCAST_PAUSE_S = 0.05
+# The part of that pause between a change and the broadcast of claims, in which the next scheduling
+# pass starts items. Other workers may start the same items until they receive the claims.
+CLAIM_GATHER_S = 2 * MIN_SCHEDULE_PAUSE_S
 # Job headers written close together share a response to a watch. Jobs are due, and cancelled ones
 # have to stop, within seconds.
 HEADER_SETTLE_S = 0.5
@@ -305,6 +308,9 @@
         waiting = self._list_startable(table, free_total, now_s) if free_slots else []
         free_slots = self._sort_for_items(free_slots)
         started = sum(self._start_items(up, free, table, waiting) for up, free in free_slots)
+        if started:
+            # Broadcasts the claims: passes that follow no event start items too.
+            self._wake.notify_all()
         if started < free_total:
             self._load_next_job(now_s)
 
@@ -417,6 +423,7 @@
                 self._pace.remaining_s(job.partial[index].events if index in job.partial else 0),
                 index in job.interrupted_s,
                 *self._team_items.identify(table, job),
+                order=open_job.start_order(job.header.job, index, workers, self._cfg.vm),
             )
             for job in self._jobs.values()
             for index in job.startable_items(now_s)
@@ -448,7 +455,7 @@
             )
             for job in self._jobs.values()
             for index, run in job.runs_at(upstream)
-            if not run.preempted
+            if not (run.preempted or run.duplicate)
         ]
         chosen = batch_capacity.choose_preempted(running, time.time())
         if chosen is not None:
@@ -504,8 +511,9 @@
                 job.record_run(index, run.started_s, trio.current_time() - run.started_s)
             self._wake.notify_all()
             took_s = trio.current_time() - run.started_s
-            preempted = run.preempted and run.scope.cancelled_caught
-            self._run_counter.inc({"outcome": "gave_way" if preempted else outcome.split(":")[0]})
+            if run.scope.cancelled_caught and (run.preempted or run.duplicate):
+                outcome = "duplicate" if run.duplicate else "gave_way"
+            self._run_counter.inc({"outcome": outcome.split(":")[0]})
             self._run_histogram.observe({}, took_s)
             _log.info(
                 "item",
@@ -513,7 +521,7 @@
                 fingerprint=fingerprint,
                 job=job.header.job,
                 upstream=up.name,
-                outcome="gave_way" if preempted else outcome,
+                outcome=outcome,
                 events=partial.events,
                 took_s=took_s,
             )
@@ -612,10 +620,12 @@
 
     async def _broadcast_claims(self) -> None:
         while True:
+            changed = self._wake.next_event()
             self._claims.send_claims()
+            await trio.sleep(MIN_BROADCAST_PAUSE_S - CLAIM_GATHER_S)
             with trio.move_on_after(_broadcast.BROADCAST_INTERVAL_S):
-                await self._wake.wait()
-            await trio.sleep(MIN_BROADCAST_PAUSE_S)
+                await changed.wait()
+            await trio.sleep(CLAIM_GATHER_S)
 
     async def _broadcast_uses(self) -> None:
         while True:
