Review case 1: an accepted job answers 404 once its route is removed

A job is accepted and its results are read; then the operator removes the batch route, and GET /lots/ID answers 404 at every gateway from then on.

Two gateways, one worker, two engines on loopback.

--- /dev/null
+++ b/review/1/case.py
@@ -0,0 +1,77 @@
+"""An accepted batch job answers 404 once the operator has removed its route."""
+
+import base64
+import json
+
+import rig
+import trio
+
+from cornelgrade.platform.standins import stream_engine
+
+JOB = "7c41e09b52d6a3f8"
+ITEMS = 6
+CONFIG_APPLY_S = 2.0
+
+
+def submission() -> bytes:
+    items = [
+        {
+            "id": f"e5b2907c14da6f{number:02x}", "path": f"/notes/3/{number}",
+            "headers": {"X-Model": "m"}, "tokens": 940,
+            "body": base64.b64encode(b"note %d" % number).decode(),
+        }
+        for number in range(ITEMS)
+    ]
+    return json.dumps({"items": items}).encode()
+
+
+async def read(address: str, after: int) -> rig.Answer:
+    return await rig.ask_once(address, "GET", f"/lots/{JOB}?after={after}", {"x-wait-ms": "1000"})
+
+
+async def play(r: rig.Rig, record: rig.Record) -> int:
+    for number in range(2):
+        engine = stream_engine.StreamEngine(f"i-{number}", events=10, event_s=0.03)
+        await r.register(engine.name, await r.nursery.start(engine.run))
+    online, batch = rig.online_route("questions", "/questions/"), rig.batch_route()
+    await r.plan(1, [online, batch], ["llm"])
+    await r.start("worker-0", "worker")
+    for name in ("gateway-0", "gateway-1"):
+        await r.start(name, "gateway")
+    await r.wait_ready("gateway-0", "gateway-1")
+    await trio.sleep(1.5)
+    fronts = [r.programs[name].front for name in ("gateway-0", "gateway-1")]
+
+    got = await rig.ask_once(
+        fronts[0], "POST", f"/notes/{JOB}",
+        {"x-request-id": JOB, "content-type": "application/json"}, submission(),
+    )
+    record.note(f"client: POST /notes/{JOB} at gateway-0: {got.status} {got.error}")
+    if got.status != 202:
+        return rig.COULD_NOT_RUN
+    known: list[dict] = []
+    with trio.fail_after(30):
+        while len(known) < ITEMS:
+            got = await read(fronts[1], 0)
+            known = json.loads(got.body)["results"] if got.status == 200 else []
+            await trio.sleep(0.3)
+    record.note(f"client: GET /lots/{JOB}?after=0 at gateway-1: 200, all {ITEMS} results, "
+                f"states {sorted({x['state'] for x in known})}")
+
+    if rig.TROUBLE:
+        await r.plan(2, [online], ["llm"])
+    else:
+        await r.plan(2, [online | {"timeoutMs": 4000}, batch], ["llm"])
+    await trio.sleep(CONFIG_APPLY_S + 1.0)
+    broken = 0
+    for _ in range(3):
+        for name, address in zip(("gateway-0", "gateway-1"), fronts):
+            got = await read(address, 0)
+            same = got.status == 200 and json.loads(got.body)["results"] == known
+            record.note(f"client: GET /lots/{JOB}?after=0 at {name}: {got.status}, same results: {same}")
+            broken += got.status in (404, 410)
+        await trio.sleep(0.5)
+    return rig.BROKEN if broken else rig.HELD
+
+
+rig.main(__file__, play)
