--- a/review/2/case.py
+++ b/review/2/case.py
@@ -65,6 +65,11 @@
             record.note(f"client: GET /lots/{JOB} at {name}: {status}, same results: {results == known}")
             broken += status in (404, 410)
         await trio.sleep(0.5)
+    again = await rig.ask_once(fronts[0], "POST", f"/notes/{JOB}", {"x-request-id": JOB}, submission())
+    body = await rig.ask_once(fronts[0], "GET", f"/items/{JOB}?id=e5b2907c14da6f00", {})
+    end = await rig.ask_once(fronts[0], "DELETE", f"/lots/{JOB}", {})
+    record.note(f"client, not judged: the job sent again {again.status}, an item's body {body.status}, "
+                f"its end {end.status}")
     return rig.BROKEN if broken else rig.HELD
 
 
