--- a/review/1/case.py
+++ b/review/1/case.py
@@ -2,16 +2,17 @@
 
 import base64
 import json
+import pathlib
 
 import rig
 import trio
 
 import engines
 
+RECORD = pathlib.Path(__file__).with_name("record.txt")
 JOB = "7c41e09b52d6a3f8"
 ITEMS = 12
 EVENTS, EVENT_S = 40, 0.05
-DOWN_S = 2.0
 
 
 def submission() -> bytes:
@@ -82,4 +83,4 @@
     return rig.BROKEN if broken else rig.HELD
 
 
-rig.main(__file__, play)
+rig.main(RECORD, play)
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -2,12 +2,14 @@
 
 import base64
 import json
+import pathlib
 
 import rig
 import trio
 
 from cornelgrade.platform.standins import stream_engine
 
+RECORD = pathlib.Path(__file__).with_name("record.txt")
 JOB = "7c41e09b52d6a3f8"
 ITEMS = 6
 CONFIG_APPLY_S = 2.0
@@ -73,4 +75,4 @@
     return rig.BROKEN if broken else rig.HELD
 
 
-rig.main(__file__, play)
+rig.main(RECORD, play)
--- a/review/common/rig.py
+++ b/review/common/rig.py
@@ -28,10 +28,10 @@
 
 
 class Record:
-    """Writes what was sent, answered and run to ``record.txt`` of a case."""
+    """Writes what was sent, answered and run to the file that a case names."""
 
-    def __init__(self, folder: pathlib.Path) -> None:
-        self._out = (folder / "record.txt").open("w")
+    def __init__(self, path: pathlib.Path) -> None:
+        self._out = path.open("w")
         self._start_s = time.monotonic()
         self.note(f"TROUBLE={int(TROUBLE)}")
 
@@ -261,10 +261,12 @@
     } | more
 
 
-def main(case: str, play) -> None:
-    """Run a case; exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run."""
-    folder = pathlib.Path(case).resolve().parent
-    record = Record(folder)
+def main(path: pathlib.Path, play) -> None:
+    """Run a case; exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+
+    :param path: of the record.
+    """
+    record = Record(path)
     verdict = COULD_NOT_RUN
 
     async def run() -> None:
