Ask for what follows an end that only a connection marks

Callers got short streams that looked whole, and items were completed with a part of their text, when a connection without framing ended between two events while its upstream went on running. The check at the end asked only whether the upstream runs: no evidence of a crash was taken for evidence of the end.

A resumable stream and an item are now asked for once more at the same upstream, after their last event, and have ended if that brings nothing.

--- a/src/cornelgrade/adapters/http1.py
+++ b/src/cornelgrade/adapters/http1.py
@@ -120,6 +120,7 @@
         self._body_end: response_end.BodyEnd = response_end.AnyEnd()
         self._confirm_end: Callable[[], Awaitable[bool]] | None = None
         self._needs_confirmation = False
+        self._may_be_empty = False
         self._skipped_responses = 0
 
     def __enter__(self) -> "Channel":
@@ -143,6 +144,19 @@
         """
         self._confirm_end = confirm
 
+    def allow_no_event(self) -> None:
+        """Take a stream without framing and without an event for complete.
+
+        A stream that goes on after its last event has none left.
+        """
+        self._may_be_empty = True
+
+    async def wait_closed(self) -> None:
+        """Wait until the peer closes the connection; bytes that it sends are discarded."""
+        with contextlib.suppress(trio.BrokenResourceError):
+            while await self._stream.receive_some(READ_BYTES):
+                pass
+
     async def send(self, method: str, target: bytes, headers: Headers, content: bytes) -> None:
         """Send a request with its body.
 
@@ -188,7 +202,9 @@
             return response_end.AnyEnd()
         content_type = (head.get(b"content-type") or b"").decode("latin-1")
         framed = head.framing is not Framing.CONNECTION or head.status >= _MIN_NOT_SUCCESS_STATUS
-        return response_end.follow_body(content_type, framed=framed)
+        return response_end.follow_body(
+            content_type, framed=framed, may_be_empty=self._may_be_empty
+        )
 
     async def read_chunk(self) -> bytes:
         """Return the next chunk of the body, ``b""`` once it is complete.
--- a/src/cornelgrade/policy/response_end.py
+++ b/src/cornelgrade/policy/response_end.py
@@ -27,13 +27,12 @@
 class _EventStreamEnd:
     """The end of a stream of events.
 
-    :param framed: whether more than the end of the connection marks the end of the body.
+    :param may_be_empty: whether it may have no event; else the first one is looked for.
     """
 
-    def __init__(self, *, framed: bool) -> None:
-        # Only an unframed stream needs to be searched for its first event.
-        self._first_events = None if framed else event_stream.EventSplitter()
-        self._has_event = framed
+    def __init__(self, *, may_be_empty: bool) -> None:
+        self._first_events = None if may_be_empty else event_stream.EventSplitter()
+        self._has_event = may_be_empty
         self._in_event = False
         self._tail = b""
 
@@ -100,13 +99,14 @@
         return ""
 
 
-def follow_body(content_type: str, *, framed: bool) -> BodyEnd:
+def follow_body(content_type: str, *, framed: bool, may_be_empty: bool = False) -> BodyEnd:
     """Return what judges the end of a body of this type.
 
     :param framed: whether more than the end of the connection marks the end of the body.
+    :param may_be_empty: whether an unframed stream may have no event.
     """
     if content_type.startswith(_EVENT_STREAM):
-        return _EventStreamEnd(framed=framed)
+        return _EventStreamEnd(may_be_empty=framed or may_be_empty)
     return AnyEnd()
 
 
--- a/src/cornelgrade/services/edge/_peer_relay.py
+++ b/src/cornelgrade/services/edge/_peer_relay.py
@@ -53,7 +53,9 @@
             if req.route.resumable and origin is not None and not progress.started:
                 self._origins.record(caller.request_id, origin)
             progress.framing = head.framing
-            await self._responses.relay(channel, req, progress, head)
+            if not await self._responses.relay(channel, req, progress, head):
+                raise channel.call_error("peer sent a stream without framing", _relay_state.STEP)
+        await exchange.end_response()
 
     async def _read_head(
         self, channel: http1.Channel, req: _relay_state.Request, progress: _relay_state.Progress
--- a/src/cornelgrade/services/edge/_relay_state.py
+++ b/src/cornelgrade/services/edge/_relay_state.py
@@ -4,7 +4,7 @@
 
 from cornelgrade import errors, logs, routes
 from cornelgrade.adapters import http1, http1_server
-from cornelgrade.policy import event_stream, software_versions
+from cornelgrade.policy import event_stream, software_versions, stream_end
 from cornelgrade.services.edge import forwarding, ports, slot_permits
 
 # Statuses that say that the request has not run.
@@ -24,6 +24,7 @@
     :ivar response_bytes: bytes of response bodies received.
     :ivar origin: what began the stream, once it has begun, here or in an earlier attempt.
     :ivar framing: what marks the end of the last response.
+    :ivar end: what the responses show of the end of the stream.
     :ivar peer: the gateway to which it was forwarded last; empty once it is tried here.
     :ivar failed_peers: gateways that failed to serve it.
     """
@@ -37,6 +38,7 @@
     response_bytes: int = 0
     origin: software_versions.StreamOrigin | None = None
     framing: http1.Framing | None = None
+    end: stream_end.StreamEnd = msgspec.field(default_factory=stream_end.StreamEnd)
     first_byte_s: float | None = None
     upstream: str = ""
     permit: slot_permits.SlotPermit | None = None
@@ -64,6 +66,11 @@
     rank: int = 0
 
 
+def may_go_on(req: Request, progress: Progress) -> bool:
+    """Whether the stream can be asked for what follows its last event."""
+    return req.route.resumable and progress.last_event is not None
+
+
 def is_last_attempt(req: Request, progress: Progress) -> bool:
     """Whether no other upstream may run the request after the next one."""
     return progress.earlier_runs + progress.runs + 1 >= req.route.max_attempts
--- a/src/cornelgrade/services/edge/_response_relay.py
+++ b/src/cornelgrade/services/edge/_response_relay.py
@@ -20,7 +20,8 @@
 _EVENT_STREAM = b"text/event-stream"
 
 
-def _is_event_stream(head: http1.ResponseHead) -> bool:
+def is_event_stream(head: http1.ResponseHead) -> bool:
+    """Return whether the body is a stream of events."""
     return (head.get(b"content-type") or b"").startswith(_EVENT_STREAM)
 
 
@@ -52,11 +53,13 @@
         req: _relay_state.Request,
         progress: _relay_state.Progress,
         head: http1.ResponseHead,
-    ) -> None:
-        """Relay a response whose head was received, or go on with a stream that has begun."""
+    ) -> bool:
+        """Relay a response whose head was received, or go on with a stream that has begun.
+
+        :returns: whether it is whole. If not, the stream may go on after its last event.
+        """
         if progress.started:
-            await self._resume_stream(channel, req, progress, head)
-            return
+            return await self._resume_stream(channel, req, progress, head)
         if head.status >= 500 and _relay_state.may_repeat(req, progress):
             raise channel.call_error(
                 f"upstream failed with status {head.status}", _relay_state.STEP
@@ -66,7 +69,7 @@
             raise channel.call_error(
                 f"status {head.status} after an earlier run", _relay_state.STEP
             )
-        await self._relay_head_and_body(channel, req, progress, head)
+        return await self._relay_head_and_body(channel, req, progress, head)
 
     async def _relay_head_and_body(
         self,
@@ -74,14 +77,14 @@
         req: _relay_state.Request,
         progress: _relay_state.Progress,
         head: http1.ResponseHead,
-    ) -> None:
+    ) -> bool:
         headers = self._call_format.caller_headers(head)
         if progress.permit is not None and req.hop is not None:
             headers += forwarding.origin_headers(progress.permit.upstream)
-        if _is_event_stream(head) and req.route.resumable and head.status < 300:
-            await self._relay_events(channel, req, progress, (head.status, headers))
-            return
+        if is_event_stream(head) and req.route.resumable and head.status < 300:
+            return await self._relay_events(channel, req, progress, (head.status, headers))
         await self._relay_body(channel, req, progress, (head.status, headers))
+        return True
 
     async def _relay_body(
         self,
@@ -96,7 +99,6 @@
             await self._write_part(req, progress, head, part)
         if not progress.started:
             await self._write_part(req, progress, head, b"")
-        await req.exchange.end_response()
 
     def _check_size(
         self, channel: http1.Channel, progress: _relay_state.Progress, part: bytes
@@ -111,13 +113,13 @@
         req: _relay_state.Request,
         progress: _relay_state.Progress,
         head: http1.ResponseHead,
-    ) -> None:
+    ) -> bool:
         """Continue a stream that the caller has received in part."""
         if head.status >= 300:
             raise channel.call_error(f"resume request got status {head.status}", _relay_state.STEP)
-        if not _is_event_stream(head):
+        if not is_event_stream(head):
             raise channel.call_error("resume request got no event stream", _relay_state.STEP)
-        await self._relay_events(channel, req, progress, None)
+        return await self._relay_events(channel, req, progress, None)
 
     async def _relay_events(
         self,
@@ -125,8 +127,11 @@
         req: _relay_state.Request,
         progress: _relay_state.Progress,
         head: tuple[int, http1.Headers] | None,
-    ) -> None:
-        """Relay complete events only, so that another upstream can resume after the last one."""
+    ) -> bool:
+        """Relay complete events only, so that another upstream can resume after the last one.
+
+        :returns: whether the stream has ended.
+        """
         splitter = event_stream.EventSplitter()
         progress.last_event_s = trio.current_time()
         while part := await self._read_part(channel, req, progress):
@@ -135,6 +140,7 @@
                 events = splitter.feed(part)
             except event_stream.EventTooLongError as exc:
                 raise channel.call_error(str(exc), _relay_state.STEP) from exc
+            new_events = False
             for event in events:
                 if not event.well_formed:
                     raise channel.call_error(event_stream.MALFORMED_MESSAGE, _relay_state.STEP)
@@ -148,15 +154,20 @@
                     if progress.started:
                         await req.exchange.send_chunk(event.raw)
                 elif _relay_state.is_new_event(event, progress.last_event):
+                    new_events = True
                     self._record_origin(req, progress)
                     await self._write_part(req, progress, head, event.raw)
                     progress.last_event_s = trio.current_time()
                     progress.last_event = (
                         event.event_id if event.event_id is not None else progress.last_event
                     )
+            progress.end.feed(new_events, splitter.remainder)
+        unframed = progress.framing is http1.Framing.CONNECTION
+        if unframed and not progress.end.record_end(progress.last_event):
+            return False
         if not progress.started and head is not None:
             await self._write_part(req, progress, head, b"")
-        await req.exchange.end_response()
+        return True
 
     def _record_origin(self, req: _relay_state.Request, progress: _relay_state.Progress) -> None:
         """Record what began a stream, before its first event is sent."""
--- a/src/cornelgrade/services/edge/item_call.py
+++ b/src/cornelgrade/services/edge/item_call.py
@@ -7,13 +7,14 @@
 
 from cornelgrade import kernel, routes, settings
 from cornelgrade.adapters import engine, http1
-from cornelgrade.policy import event_stream, software_versions
+from cornelgrade.policy import event_stream, software_versions, stream_end
 from cornelgrade.services.edge import (
     _own_response,
     _upstream_attempts,
     job_repository,
     outage_checks,
     ports,
+    stream_questions,
     upstream_notices,
 )
 
@@ -36,12 +37,14 @@
     :ivar text_bytes: size of the events' data.
     :ivar last_event: number of the last event, ``None`` before the first.
     :ivar origin: what made these events, ``None`` before the first; the item goes on only there.
+    :ivar end: what these runs show of the end of the item's stream.
     """
 
     texts: list[str] = msgspec.field(default_factory=list)
     text_bytes: int = 0
     last_event: int | None = None
     origin: software_versions.StreamOrigin | None = None
+    end: stream_end.StreamEnd = msgspec.field(default_factory=stream_end.StreamEnd)
 
     @property
     def events(self) -> int:
@@ -54,6 +57,7 @@
         self.text_bytes = 0
         self.last_event = None
         self.origin = None
+        self.end = stream_end.StreamEnd()
 
 
 class ItemCaller:
@@ -66,6 +70,7 @@
         self._call_format = call_format
         self._notices = upstream_notices.UpstreamNotices(kern, call_format)
         self._outage_checks = kern.find("outage_checks", outage_checks.OutageChecks)
+        self._stream_questions = stream_questions.StreamQuestions(kern)
 
     async def run_item(
         self,
@@ -81,37 +86,59 @@
         :returns: the final result, or ``None`` if the upstream reports that this run failed.
         :raises CallError: if the run did not finish.
         """
+        if partial.origin is not None:
+            await self._outage_checks.check_version(up)
+        status, ended = await self._call_upstream(header, item, up, partial, attempt)
+        while not ended:
+            self._stream_questions.start(up)
+            status, ended = await self._call_upstream(header, item, up, partial, attempt)
+        if status == _UNPROCESSABLE_STATUS:
+            return ports.ItemResult(item.name, ports.ItemEnd.GIVEN_UP, "")
+        if status == _RUN_FAILED_STATUS:
+            return None
+        attempt.record_completion(status)
+        return ports.ItemResult(item.name, ports.ItemEnd.COMPLETED, "\n".join(partial.texts))
+
+    async def _call_upstream(
+        self,
+        header: job_repository.JobHeader,
+        item: ports.Item,
+        up: routes.Upstream,
+        partial: PartialResult,
+        attempt: _upstream_attempts.Attempt,
+    ) -> tuple[int, bool]:
+        """Send an item and read the events of the response.
+
+        :returns: the status, and whether nothing more is to be asked for.
+        """
         headers = tuple((k.encode(), v.encode("latin-1")) for k, v in item.headers)
         request_headers = self._call_format.item_headers(
             header.host, item.name, headers, up.name, partial.last_event, header.team
         )
-        if partial.origin is not None:
-            await self._outage_checks.check_version(up)
         with await http1.connect(up.address, CONNECT_TIMEOUT_S) as channel:
+            if partial.end.may_be_empty(partial.last_event):
+                channel.allow_no_event()
             channel.confirm_end_with(functools.partial(self._outage_checks.is_running, up))
             await channel.send("POST", item.target.encode("latin-1"), request_headers, item.body)
             head = await self._read_head(channel, item, up)
             attempt.record_status(head.status)
-            if head.status == _UNPROCESSABLE_STATUS:
-                return ports.ItemResult(item.name, ports.ItemEnd.GIVEN_UP, "")
-            if head.status == _RUN_FAILED_STATUS:
-                return None
+            if head.status in (_UNPROCESSABLE_STATUS, _RUN_FAILED_STATUS):
+                return head.status, True
             if head.status >= 300:
                 raise channel.call_error(f"upstream responded with status {head.status}", _STEP)
             if not (head.get(b"content-type") or _EVENT_STREAM).startswith(_EVENT_STREAM):
                 raise channel.call_error("response is no event stream", _STEP)
             events_before = partial.events
+            unframed = head.framing is http1.Framing.CONNECTION
             try:
                 await self._read_events(channel, partial, up)
             except engine.CallError as exc:
-                unframed = head.framing is http1.Framing.CONNECTION
                 if unframed and partial.events == events_before and not exc.timed_out:
                     # The earlier runs may have brought all events: whether more are due can't be
                     # told from an unframed stream without any, so the next run starts anew.
                     partial.clear()
                 raise
-        attempt.record_completion(head.status)
-        return ports.ItemResult(item.name, ports.ItemEnd.COMPLETED, "\n".join(partial.texts))
+            return head.status, not unframed or partial.end.record_end(partial.last_event)
 
     async def _read_head(
         self, channel: http1.Channel, item: ports.Item, up: routes.Upstream
@@ -148,6 +175,7 @@
                     continue
                 partial.origin = software_versions.origin_at(up)
                 _append_event(channel, partial, event)
+            partial.end.feed(partial.events > events_before, splitter.remainder)
             if partial.events > events_before:
                 last_event_s = trio.current_time()
             if partial.text_bytes > self._max_text_bytes:
--- a/src/cornelgrade/services/edge/relay.py
+++ b/src/cornelgrade/services/edge/relay.py
@@ -23,10 +23,12 @@
     fleet,
     forwarding,
     outage_checks,
+    path_watch,
     peer_reach,
     ports,
     slot_permits,
     stream_origins,
+    stream_questions,
     team_limits,
     upstream_notices,
     upstream_outliers,
@@ -70,6 +72,8 @@
         self._team_usage = kern.find("team_limits", team_limits.TeamLimits).usage
         self._crash_detector = kern.find("crash_detector", crash_detector.CrashDetector)
         self._outage_checks = kern.find("outage_checks", outage_checks.OutageChecks)
+        self._path_watch = kern.find("path_watch", path_watch.PathWatch)
+        self._stream_questions = stream_questions.StreamQuestions(kern)
         self._call_format = call_format
         self._notices = upstream_notices.UpstreamNotices(kern, call_format)
         self._peer_reach = kern.find("peer_reach", peer_reach.PeerReach)
@@ -328,11 +332,15 @@
         except engine.CallError as exc:
             self._reach.mark_suspect(up, exc.message)
             raise
-        channel.confirm_end_with(functools.partial(self._outage_checks.is_running, up))
         with self._crash_detector.track_call(up, req.fingerprint):
             try:
                 with channel:
-                    return await self._call_upstream(channel, req, progress, up, attempt)
+                    head, ended = await self._call_upstream(channel, req, progress, up, attempt)
+                while not ended:
+                    ended = await self._ask_for_more(req, progress, up, attempt)
+                await req.exchange.end_response()
+                attempt.record_completion(head.status)
+                return head
             except engine.CallError as exc:
                 if await self._crash_detector.check_after(up, exc):
                     self._reach.mark_suspect(up, exc.message)
@@ -350,15 +358,58 @@
         progress: _relay_state.Progress,
         up: routes.Upstream,
         attempt: _upstream_attempts.Attempt,
-    ) -> http1.ResponseHead:
-        """Send a request and relay the response; return its head."""
+    ) -> tuple[http1.ResponseHead, bool]:
+        """Send a request and relay the response.
+
+        :returns: its head, and whether it is whole.
+        """
+        if _relay_state.may_go_on(req, progress) and progress.end.may_be_empty(progress.last_event):
+            channel.allow_no_event()
+        channel.confirm_end_with(functools.partial(self._outage_checks.is_running, up))
         await self._send_request(channel, req, progress, up)
         head = await self._read_head(channel, req, progress, up)
         attempt.record_status(head.status)
         progress.framing = head.framing
-        await self._response_relay.relay(channel, req, progress, head)
-        attempt.record_completion(head.status)
-        return head
+        if head.framing is not http1.Framing.CONNECTION or (
+            req.route.resumable and _response_relay.is_event_stream(head)
+        ):
+            return head, await self._response_relay.relay(channel, req, progress, head)
+        with self._path_watch.accompany(up) as companion:
+            channel.confirm_end_with(functools.partial(self._has_ended_alone, up, companion))
+            return head, await self._response_relay.relay(channel, req, progress, head)
+
+    async def _has_ended_alone(self, up: routes.Upstream, companion: path_watch.Companion) -> bool:
+        """Return whether neither an upstream nor the path to it has ended with a response."""
+        ended_s = trio.current_time()
+        return await self._outage_checks.is_running(up) and not await companion.ended_with(ended_s)
+
+    async def _ask_for_more(
+        self,
+        req: _relay_state.Request,
+        progress: _relay_state.Progress,
+        up: routes.Upstream,
+        attempt: _upstream_attempts.Attempt,
+    ) -> bool:
+        """Ask an upstream for what follows the last event of its stream.
+
+        :returns: whether the stream has ended.
+        """
+        _log.info(
+            "stream_end_unconfirmed",
+            request=req.caller.request_id,
+            upstream=up.name,
+            last_event=progress.last_event,
+        )
+        self._stream_questions.start(up)
+        try:
+            with await http1.connect(up.address, CONNECT_TIMEOUT_S) as channel:
+                _, ended = await self._call_upstream(channel, req, progress, up, attempt)
+        except engine.CallError as exc:
+            if exc.progress is engine.Progress.NOT_SENT:
+                # The upstream has run the request, whatever became of the question.
+                exc.progress = engine.Progress.PART_ANSWERED
+            raise
+        return ended
 
     async def _send_request(
         self,
--- a/src/cornelgrade/standins/fault_proxy.py
+++ b/src/cornelgrade/standins/fault_proxy.py
@@ -22,8 +22,8 @@
     """Faults of the proxy; ``up`` is from the caller to the target.
 
     :param cut: connections that are open now are reset; acts once.
-    :param end: connections that are open now are closed without a reset, as by a balancer that gives
-        them up; acts once.
+    :param end: connections that are open now are closed without a reset, as by a balancer that
+        gives them up; acts once.
     :param refuse: new connections are reset at once.
     :param delay_s: extra delay of each chunk, in each direction.
     :param freeze: connections that are open now carry nothing more; acts once.
--- a/tests/edge/test_ends_between_events.py
+++ b/tests/edge/test_ends_between_events.py
@@ -21,18 +21,20 @@
 @contextlib.asynccontextmanager
 async def run_behind_proxies(**options):
     """Run a system whose engines are reached through proxies; yield it and the proxies."""
-    async with edge_system.run_system(event_s=EVENT_S, **options) as system:
-        async with trio.open_nursery() as nursery:
-            proxies = {}
-            for name, eng in system.engines.items():
-                proxies[name] = fault_proxy.FaultProxy(eng.address)
-                address = await nursery.start(proxies[name].serve, "127.0.0.1:0")
-                up = eng.upstream(edge_system.SERVICE, "north")
-                await system.register(dataclasses.replace(up, address=address))
-            await trio.sleep(0.6)
-            set_faults(system, unframed=True)
-            yield system, proxies
-            nursery.cancel_scope.cancel()
+    async with (
+        edge_system.run_system(event_s=EVENT_S, **options) as system,
+        trio.open_nursery() as nursery,
+    ):
+        proxies = {}
+        for name, eng in system.engines.items():
+            proxies[name] = fault_proxy.FaultProxy(eng.address)
+            address = await nursery.start(proxies[name].serve, "127.0.0.1:0")
+            up = eng.upstream(edge_system.SERVICE, "north")
+            await system.register(dataclasses.replace(up, address=address))
+        await trio.sleep(0.6)
+        set_faults(system, unframed=True)
+        yield system, proxies
+        nursery.cancel_scope.cancel()
 
 
 def list_runs(system, request):
@@ -158,3 +160,16 @@
     assert (got.status, got.complete) == (200, True)
     assert got.body == stream_engine.response_body("r1", EVENTS)
     assert len(runs) == 1
+
+
+# Guards against streams whose caller can't tell which event was the last one, and against asking a
+# whole stream for more than once.
+async def test_whole_resumable_stream_is_asked_for_more_once():
+    async with edge_system.run_system(engines=2) as system:
+        set_faults(system, unframed=True)
+        got = await system.send_online("gateway-0", RESUMABLE, "r1")
+        runs = list_runs(system, "r1")
+        upstreams = [eng for eng in system.engines.values() if eng.seen]
+    assert (got.status, got.complete) == (200, True)
+    assert [seen.resumed_after for seen in runs] == [None, EVENTS]
+    assert len([eng for eng in upstreams if any(s.request == "r1" for s in eng.seen)]) == 1
