Check the events of streams that run once

Callers of streams that run once got the head and the events of another response behind their own where an upstream without framing wrote a second one, with a proper end: the numbers went 28, 29, 30, 1, 2, 3. On these routes the bytes were relayed as they came; only resumable streams were split into events.

Each event is now checked as on resumable routes and passed on unchanged, up to the first that is no part of the stream; the response then ends visibly incomplete. Eight of the cases in test_foreign_events.py fail before.

--- a/src/cornelgrade/services/edge/_response_relay.py
+++ b/src/cornelgrade/services/edge/_response_relay.py
@@ -83,7 +83,10 @@
             headers += forwarding.origin_headers(progress.permit.upstream)
         if is_event_stream(head) and req.route.resumable and head.status < 300:
             return await self._relay_events(channel, req, progress, (head.status, headers))
-        await self._relay_body(channel, req, progress, (head.status, headers))
+        if is_event_stream(head) and head.status < 300:
+            await self._relay_unchanged_events(channel, req, progress, (head.status, headers))
+        else:
+            await self._relay_body(channel, req, progress, (head.status, headers))
         return True
 
     async def _relay_body(
@@ -100,6 +103,31 @@
         if not progress.started:
             await self._write_part(req, progress, head, b"")
 
+    async def _relay_unchanged_events(
+        self,
+        channel: http1.Channel,
+        req: _relay_state.Request,
+        progress: _relay_state.Progress,
+        head: tuple[int, http1.Headers],
+    ) -> None:
+        """Relay each byte of a stream that can't go on elsewhere, up to what is no part of it."""
+        splitter = event_stream.EventSplitter()
+        last_event: int | None = None
+        while part := await channel.read_chunk():
+            self._check_size(channel, progress, part)
+            if not progress.started:
+                await self._write_part(req, progress, head, b"")
+            for event in _split_events(channel, splitter, part):
+                _check_event(channel, event, last_event)
+                if not _relay_state.is_new_event(event, last_event):
+                    raise channel.call_error(
+                        f"event {event.event_id} follows {last_event}", _relay_state.STEP
+                    )
+                last_event = event.event_id if event.event_id is not None else last_event
+                await self._write_part(req, progress, head, event.raw)
+        # A blank line may follow the last event.
+        await self._write_part(req, progress, head, splitter.remainder)
+
     def _check_size(
         self, channel: http1.Channel, progress: _relay_state.Progress, part: bytes
     ) -> None:
@@ -136,19 +164,9 @@
         progress.last_event_s = trio.current_time()
         while part := await self._read_part(channel, req, progress):
             self._check_size(channel, progress, part)
-            try:
-                events = splitter.feed(part)
-            except event_stream.EventTooLongError as exc:
-                raise channel.call_error(str(exc), _relay_state.STEP) from exc
             new_events = False
-            for event in events:
-                if not event.well_formed:
-                    raise channel.call_error(event_stream.MALFORMED_MESSAGE, _relay_state.STEP)
-                if _relay_state.has_gap(event, progress.last_event):
-                    raise channel.call_error(
-                        f"events missing between {progress.last_event} and {event.event_id}",
-                        _relay_state.STEP,
-                    )
+            for event in _split_events(channel, splitter, part):
+                _check_event(channel, event, progress.last_event)
                 if event.empty:
                     # A comment neither begins a response nor extends the time until an event.
                     if progress.started:
@@ -191,8 +209,35 @@
         part: bytes,
     ) -> None:
         if progress.started or head is None:
-            await req.exchange.send_chunk(part)
+            if part:
+                await req.exchange.send_chunk(part)
             return
         progress.started = True
         progress.first_byte_s = trio.current_time() - req.exchange.arrived_s
         await req.exchange.start_response(*head, part)
+
+
+def _split_events(
+    channel: http1.Channel, splitter: event_stream.EventSplitter, part: bytes
+) -> tuple[event_stream.Event, ...]:
+    """Return the events that a part of a stream completes.
+
+    :raises CallError: if one is too long.
+    """
+    try:
+        return splitter.feed(part)
+    except event_stream.EventTooLongError as exc:
+        raise channel.call_error(str(exc), _relay_state.STEP) from exc
+
+
+def _check_event(channel: http1.Channel, event: event_stream.Event, last_event: int | None) -> None:
+    """Check that an event may follow the last one of its stream.
+
+    :raises CallError: if it is none, or if events are missing before it.
+    """
+    if not event.well_formed:
+        raise channel.call_error(event_stream.MALFORMED_MESSAGE, _relay_state.STEP)
+    if _relay_state.has_gap(event, last_event):
+        raise channel.call_error(
+            f"events missing between {last_event} and {event.event_id}", _relay_state.STEP
+        )
