Take the version of a stream from the start that serves it

Streams and items held events of two versions when an engine came back under its id with another version shortly before they began: what began them was taken from the registration by which the engine was chosen, also if the next start had reported or registered itself before the first event or while the stream ran.

While a stream runs, its origin follows the registration of its upstream as long as the connection is open: the start before has ended then, so that the present one serves it. A stream that goes on after a break ends before the first event of another start.

Four cases of test_restarted_versions.py fail before.

--- a/src/cornelgrade/adapters/http1.py
+++ b/src/cornelgrade/adapters/http1.py
@@ -38,6 +38,8 @@
 # A deadline that is noticed this late shows that the process was paused.
 PAUSED_S = 0.25
 Headers = tuple[tuple[bytes, bytes], ...]
+# The state of an open connection in the first byte of Linux's TCP_INFO.
+_ESTABLISHED = 1
 _MIN_NOT_SUCCESS_STATUS = 300
 _NO_BODY_STATUSES = frozenset((204, 304))
 # Headers that must not be forwarded (RFC 9110, section 7.6.1).
@@ -151,6 +153,11 @@
         """
         self._may_be_empty = True
 
+    def is_open(self) -> bool:
+        """Return whether the peer has not closed the connection, also behind unread bytes."""
+        info = self._stream.socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+        return info[0] == _ESTABLISHED
+
     async def wait_closed(self) -> None:
         """Wait until the peer closes the connection; bytes that it sends are discarded."""
         with contextlib.suppress(trio.BrokenResourceError):
--- a/src/cornelgrade/services/edge/_response_relay.py
+++ b/src/cornelgrade/services/edge/_response_relay.py
@@ -4,11 +4,13 @@
 
 from cornelgrade import kernel
 from cornelgrade.adapters import http1
-from cornelgrade.policy import event_stream, software_versions
+from cornelgrade.policy import event_stream
 from cornelgrade.services.edge import (
     _relay_state,
+    fleet,
     forwarding,
     ports,
+    serving_start,
     slot_permits,
     stream_origins,
 )
@@ -33,6 +35,7 @@
     ) -> None:
         self._max_response_bytes = max_response_bytes
         self._call_format = call_format
+        self._fleet = kern.find("fleet", fleet.Fleet)
         self._permits = kern.find("seats", slot_permits.SlotPermits)
         self._origins = kern.find("stream_origins", stream_origins.StreamOrigins)
 
@@ -162,6 +165,7 @@
         """
         splitter = event_stream.EventSplitter()
         progress.last_event_s = trio.current_time()
+        start = self._find_start(channel, progress)
         while part := await self._read_part(channel, req, progress):
             self._check_size(channel, progress, part)
             new_events = False
@@ -173,7 +177,7 @@
                         await req.exchange.send_chunk(event.raw)
                 elif _relay_state.is_new_event(event, progress.last_event):
                     new_events = True
-                    self._record_origin(req, progress)
+                    self._record_origin(req, progress, start)
                     await self._write_part(req, progress, head, event.raw)
                     progress.last_event_s = trio.current_time()
                     progress.last_event = (
@@ -187,12 +191,31 @@
             await self._write_part(req, progress, head, b"")
         return True
 
-    def _record_origin(self, req: _relay_state.Request, progress: _relay_state.Progress) -> None:
-        """Record what began a stream, before its first event is sent."""
-        if progress.origin is None and progress.permit is not None:
-            up = progress.permit.upstream
-            progress.origin = software_versions.origin_at(up)
-            self._origins.record(req.caller.request_id, progress.origin)
+    def _find_start(
+        self, channel: http1.Channel, progress: _relay_state.Progress
+    ) -> serving_start.ServingStart | None:
+        """Return the start that serves a response, ``None`` if a peer does."""
+        if progress.peer or progress.permit is None:
+            return None
+        up = progress.permit.upstream
+        return serving_start.ServingStart(self._fleet, up, channel, progress.origin)
+
+    def _record_origin(
+        self,
+        req: _relay_state.Request,
+        progress: _relay_state.Progress,
+        start: serving_start.ServingStart | None,
+    ) -> None:
+        """Record what began a stream, before its next event is sent.
+
+        :raises CallError: if another start goes on with it.
+        """
+        if start is None:
+            return
+        origin = start.follow_origin()
+        if origin != progress.origin:
+            progress.origin = origin
+            self._origins.record(req.caller.request_id, origin)
 
     async def _read_part(
         self, channel: http1.Channel, req: _relay_state.Request, progress: _relay_state.Progress
--- a/src/cornelgrade/services/edge/fleet.py
+++ b/src/cornelgrade/services/edge/fleet.py
@@ -80,6 +80,11 @@
         """Return all registered upstreams, also those that are leaving."""
         return tuple(reg.upstream for reg in self._registered.values())
 
+    def find_upstream(self, name: str) -> routes.Upstream | None:
+        """Return a registered upstream, with the start that it reported last."""
+        reg = self._registered.get(name)
+        return reg.upstream if reg is not None else None
+
     def usable_registrations(self) -> tuple[registrations.Registration, ...]:
         """Return the registrations of upstreams that may receive new requests."""
         usable = registrations.list_usable(self._registered, trio.current_time())
--- a/src/cornelgrade/services/edge/item_call.py
+++ b/src/cornelgrade/services/edge/item_call.py
@@ -11,9 +11,11 @@
 from cornelgrade.services.edge import (
     _own_response,
     _upstream_attempts,
+    fleet,
     job_repository,
     outage_checks,
     ports,
+    serving_start,
     stream_questions,
     upstream_notices,
 )
@@ -69,6 +71,7 @@
         self._max_text_bytes = int(cfg.value_bytes * MAX_TEXT_RATIO)
         self._call_format = call_format
         self._notices = upstream_notices.UpstreamNotices(kern, call_format)
+        self._fleet = kern.find("fleet", fleet.Fleet)
         self._outage_checks = kern.find("outage_checks", outage_checks.OutageChecks)
         self._stream_questions = stream_questions.StreamQuestions(kern)
 
@@ -160,6 +163,7 @@
         self, channel: http1.Channel, partial: PartialResult, up: routes.Upstream
     ) -> None:
         splitter = event_stream.EventSplitter()
+        start = serving_start.ServingStart(self._fleet, up, channel, partial.origin)
         last_event_s = trio.current_time()
         # Bytes that complete no event don't extend the time until the next one.
         while part := await channel.read_chunk_by(last_event_s + EVENT_GAP_TIMEOUT_S, _STEP):
@@ -173,7 +177,7 @@
                     raise channel.call_error(event_stream.MALFORMED_MESSAGE, _STEP)
                 if event.empty:
                     continue
-                partial.origin = software_versions.origin_at(up)
+                partial.origin = start.follow_origin()
                 _append_event(channel, partial, event)
             partial.end.feed(partial.events > events_before, splitter.remainder)
             if partial.events > events_before:
--- a/tests/edge/test_restarted_versions.py
+++ b/tests/edge/test_restarted_versions.py
@@ -195,3 +195,75 @@
             running.crash(5.0)
     (got,) = received
     assert versions_of(got) == {"v2"}
+
+
+async def run_stream_from_unnoticed_start(system, *, register_s):
+    """Send a stream to an engine that came back as version v2, and crash the engine in the end.
+
+    :param register_s: how long after the first events the engine registers its version.
+    """
+    restarted, other = system.engines.values()
+    await restart_as(restarted, "v2")
+    other.faults = stream_engine.Faults(decline=True)
+    received = []
+
+    async def receive():
+        received.append(await system.send_online("gateway-0", PATH, "r1"))
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(receive)
+        running, _ = await wait_until_run(system, "r1")
+        await trio.sleep(register_s)
+        await system.register(running.upstream(edge_system.SERVICE, "north"))
+        with trio.fail_after(5):
+            while usable(system, "gateway-0")[running.name].version != "v2":
+                await trio.sleep(0.01)
+        await trio.sleep(2 * EVENT_S)
+        other.faults = stream_engine.Faults()
+        running.crash(5.0)
+    return received[0]
+
+
+# Guards against a stream that goes on at the version that its upstream had when it was chosen,
+# although the registration of its next start arrived while the stream ran.
+async def test_stream_that_ran_when_its_version_was_registered_does_not_go_on_at_another():
+    async with run_engines(engines=2) as system:
+        await start_engines(system)
+        got = await run_stream_from_unnoticed_start(system, register_s=0.05)
+    assert versions_of(got) == {"v2"}
+
+
+# Guards against the same where the caller takes the stream up.
+@pytest.mark.parametrize("gateway", ["gateway-0", "gateway-1"])
+async def test_stream_that_ran_when_its_version_was_registered_is_not_taken_up_at_another(gateway):
+    async with run_engines(engines=2, gateways=2) as system:
+        await start_engines(system)
+        got = await run_stream_from_unnoticed_start(system, register_s=0.05)
+        last_event = len(stream_engine.split_versions(got.body)[0].split(b"\n\n")) - 1
+        taken = await system.send_online(
+            gateway, PATH, "r2", resumes="r1", last_event_id=str(last_event)
+        )
+    assert versions_of(got) == {"v2"}
+    assert taken.status != 200 or versions_of(taken) <= {"v2"}
+
+
+# Guards against items that hold events of two versions for the same reason.
+async def test_item_that_ran_when_its_version_was_registered_does_not_go_on_at_another():
+    async with run_engines(workers=1, engines=2) as system:
+        await start_engines(system)
+        restarted, other = system.engines.values()
+        other.faults = stream_engine.Faults(decline=True)
+        await restart_as(restarted, "v2")
+        await system.submit("gateway-0", "job", {"item-0": b"note"})
+        running, _ = await wait_until_run(system, "item-0")
+        await system.register(running.upstream(edge_system.SERVICE, "north"))
+        with trio.fail_after(5):
+            while usable(system, "worker-0")[running.name].version != "v2":
+                await trio.sleep(0.01)
+        other.faults = stream_engine.Faults()
+        running.crash(5.0)
+        with trio.fail_after(20):
+            while not await system.results("gateway-0", "job", 0):
+                await trio.sleep(0.05)
+        runs = [s.resumed_after for s in other.seen if s.request == "item-0" and s.ran]
+    assert runs == [None]
