Let the soak end answers early while their engine runs on

Drawn apart and on request, so that older seeds give the faults that they gave.

The judge counts a question for what follows the last event, at the engine of the run before, as part of that run: the rule on attempts counts engines.

--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -20,6 +20,7 @@
 LATER_GAP_S = 4.0
 VERSIONS_GAP_S = 5.0
 UNFRAMED_GAP_S = 2.0
+ENDING_GAP_S = 1.5
 LIMITS_GAP_S = 6.0
 REJECTIONS_GAP_S = 3.0
 STRANDING_GAP_S = 8.0
@@ -50,6 +51,9 @@
 # How long an engine that leaves goes on serving what it has.
 LEAVE_S = 4.0
 HERD_SHARE = 0.5
+# How often the path to an engine ends its connections in a row, and the pauses before.
+PATH_ENDS = 3
+PATH_ENDS_GAP_S = (0.2, 0.8)
 Act = Callable[["Injection"], Awaitable[None]]
 # A further kind of faults: its name, the mean pause between two in seconds, and what they do.
 Kind = tuple[str, float, dict[str, Act]]
@@ -106,6 +110,7 @@
     *,
     restarting: bool = False,
     stranding: bool = False,
+    ending: bool = False,
     more: Sequence[Kind] = (),
 ) -> list[Plan]:
     """Draw which faults are injected when; a seed always gives the same.
@@ -113,6 +118,7 @@
     :param restarting: whether engines crash while their answers have no framing, and come back with
         another version before they register it.
     :param stranding: whether gateways lose their ways to all engines.
+    :param ending: whether answers without framing end early while their engine goes on running.
     """
     drawn = _draw(seed, seconds, GAP_S, ACTS)
     # Drawn apart, so that the seeds of earlier findings still give the faults that they gave.
@@ -127,6 +133,8 @@
         drawn += _draw(f"{seed} in place", seconds, VERSIONS_GAP_S, _IN_PLACE_ACTS)
     if stranding:
         drawn += _draw(f"{seed} stranding", seconds, STRANDING_GAP_S, _STRANDING_ACTS)
+    if ending:
+        drawn += _draw(f"{seed} ending", seconds, ENDING_GAP_S, _ENDING_ACTS)
     for kind, gap_s, acts in more:
         drawn += _draw(f"{seed} {kind}", seconds, gap_s, acts)
     return sorted(drawn, key=lambda plan: plan.at_s)
@@ -403,6 +411,27 @@
         await _misbehave(faults, engine, _UNFRAMED_FAULTS[0], crash=True)
 
 
+async def _engine_ends_early(faults: Injection) -> None:
+    """Let an engine end answers without framing between two events, and go on running."""
+    if (engine := faults.free_engine()) is None:
+        return
+    chosen = msgspec.structs.replace(_UNFRAMED_FAULTS[0], close_after=faults.rng.randint(1, 9))
+    with faults.on_engine(engine, world.ENDS_EARLY):
+        await _misbehave(faults, engine, chosen)
+
+
+async def _path_ends(faults: Injection) -> None:
+    """End all connections to an engine that answers without framing, now and then."""
+    if (engine := faults.free_engine()) is None:
+        return
+    with faults.on_engine(engine, "path"):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_misbehave, faults, engine, _UNFRAMED_FAULTS[0])
+            for _ in range(PATH_ENDS):
+                await trio.sleep(faults.between(PATH_ENDS_GAP_S))
+                engine.proxy.switch(fault_proxy.Switches(end=True))
+
+
 async def _come_back(
     system: world.World, engine: world.Engine, down_s: float, late_s: float = 0.0
 ) -> None:
@@ -565,6 +594,10 @@
 _IN_PLACE_ACTS: dict[str, Act] = {"engine_upgraded_in_place": _engine_upgraded_in_place}
 _UNFRAMED_ACTS: dict[str, Act] = {"engine_unframed": _engine_unframed}
 _UNFRAMED_CRASH_ACTS: dict[str, Act] = {"unframed_engine_crash": _unframed_engine_crash}
+_ENDING_ACTS: dict[str, Act] = {
+    "engine_ends_early": _engine_ends_early,
+    "path_ends": _path_ends,
+}
 _LIMIT_ACTS: dict[str, Act] = {"engine_limited": _engine_limited}
 _REJECTION_ACTS: dict[str, Act] = {"store_rejects": _store_rejects}
 _LINK_ACTS: dict[str, Act] = {"links_cut": _links_cut}
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -32,6 +32,8 @@
 STRANDED = "stranded"
 # The fault of a store that responds, but late.
 SLOW = "store slow"
+# The fault of an engine that ends answers between two events and goes on running.
+ENDS_EARLY = "ends early"
 # Names this process among the parts that faults touch.
 OWN = "soak"
 # Changes that the store's watches can look back on: few, so that an outage outlasts them.
