Ask others what began a stream where the store may be missed

A gateway whose watch of registrations has not responded since it was sent again asks other gateways first. Nothing is asked while the watch responds and there is one version.

--- a/src/cornelgrade/edge_daemons.py
+++ b/src/cornelgrade/edge_daemons.py
@@ -77,7 +77,12 @@
     kern.add(upstream_reach.UpstreamReach(kern, dependencies.calls))
     kern.add(slot_permits.SlotPermits(kern, cfg))
     kern.add(peer_reach.PeerReach(kern, cfg))
-    kern.add(stream_origins.StreamOrigins(kern, cfg.vm), _RESTART)
+    kern.add(
+        stream_origins.StreamOrigins(
+            kern, cfg.vm, availability, dependencies.directory.upstream_kind
+        ),
+        _RESTART,
+    )
     repository = job_repository.JobRepository(dependencies.store, cfg.value_bytes)
     results = result_reader.ResultReader(
         repository,
--- a/src/cornelgrade/services/edge/_store_availability.py
+++ b/src/cornelgrade/services/edge/_store_availability.py
@@ -24,6 +24,8 @@
         self._changed = trio.Event()
         self._watches: set[trio.CancelScope] = set()
         self._followed: dict[str, int] = {}
+        self._followed_s: dict[str, float] = {}
+        self._restarted_s = -1e9
         self._settle_s: dict[str, float] = {}
 
     def record_failure(self) -> bool:
@@ -46,6 +48,7 @@
 
     def restart_watches(self) -> None:
         """Send all watches again, because changes may have been missed."""
+        self._restarted_s = trio.current_time()
         for scope in self._watches:
             scope.cancel()
         self._notify()
@@ -75,8 +78,16 @@
         :param settle_s: pause after a change, by which the next ones may arrive late.
         """
         self._followed[kind] = max(revision, self._followed.get(kind, 0))
+        self._followed_s[kind] = trio.current_time()
         self._settle_s[kind] = settle_s
 
+    def may_be_behind(self, kind: str) -> bool:
+        """Return whether changes of a watched kind may have been missed.
+
+        The watch has not responded since it was sent again.
+        """
+        return self.unavailable or self._followed_s.get(kind, -1e9) < self._restarted_s
+
     def followed_revisions(self) -> dict[str, int]:
         """Return the newest revision received of each kind that is watched."""
         return dict(self._followed)
--- a/src/cornelgrade/services/edge/stream_origins.py
+++ b/src/cornelgrade/services/edge/stream_origins.py
@@ -18,7 +18,7 @@
 from cornelgrade import kernel, logs, routes
 from cornelgrade.policy import rendezvous, software_versions
 from cornelgrade.schema import messages
-from cornelgrade.services.edge import fleet, peers
+from cornelgrade.services.edge import _store_availability, fleet, peers
 
 # Gateways that are told of a stream, beside the one at which it began.
 HOLDERS = 3
@@ -48,10 +48,18 @@
 
     name = "stream_origins"
 
-    def __init__(self, kern: kernel.Kernel, vm: str) -> None:
+    def __init__(
+        self,
+        kern: kernel.Kernel,
+        vm: str,
+        availability: _store_availability.StoreAvailability,
+        upstream_kind: str,
+    ) -> None:
         self._fleet = kern.find("fleet", fleet.Fleet)
         self._peers = kern.find("peers", peers.Peers)
         self._vm = vm
+        self._availability = availability
+        self._upstream_kind = upstream_kind
         self._rng = random.Random(vm)
         self._history = software_versions.VersionHistory(-software_versions.STREAM_LIFETIME_S)
         self._known: collections.OrderedDict[int, _Known] = collections.OrderedDict()
@@ -103,7 +111,10 @@
             for target in route.targets
             for origin in self._history.list_origins(target.service, now_s)
         ]
-        if len(possible) == 1 and self._history.is_complete(now_s, route.timeout_s):
+        complete = self._history.is_complete(now_s, route.timeout_s)
+        # Other gateways may know of a version that was registered meanwhile.
+        behind = self._availability.may_be_behind(self._upstream_kind)
+        if len(possible) == 1 and complete and not behind:
             return possible[0]
         found = await self._ask(key) if key is not None else None
         if found is None and len(possible) == 1 and not self._may_replace_others(possible[0]):
--- a/tests/edge/test_stream_versions.py
+++ b/tests/edge/test_stream_versions.py
@@ -7,6 +7,7 @@
 
 from cornelgrade import routes
 from cornelgrade.platform.standins import edge_system, stream_engine
+from cornelgrade.services.edge import store_monitor, stream_origins
 
 OLD, NEW = "v1", "v2"
 EVENTS = 6
@@ -369,3 +370,26 @@
                 {version} if resumed_after is None else (versions_since_start | {version})
             )
             assert len(versions_since_start) == 1, runs
+
+
+# Guards against taking the only version that a gateway knows for the origin of a stream, although
+# it has lost the store, others know of more versions, and what they told it got lost.
+async def test_gateway_that_lost_the_store_asks_others_what_began_a_stream(
+    start_fleet, monkeypatch
+):
+    fleet = await start_fleet(NEW, NEW, gateways=2)
+    await trio.sleep(edge_system.REQUEST_TIMEOUT_S)
+    fleet.system.nodes["gateway-0"].store.silent = True
+    await trio.sleep(
+        store_monitor.MAX_OWN_SILENCE_S
+        + store_monitor.MAX_JITTER_S
+        + 2 * store_monitor.PROBE_TIMEOUT_S
+    )
+    await fleet.system.start_engine("engine-2", "north", events=EVENTS, version=OLD)
+    fleet.versions["engine-2"] = OLD
+    await trio.sleep(0.6)
+    monkeypatch.setattr(stream_origins.StreamOrigins, "_tell_holders", lambda self, keys: None)
+    await fleet.begin("gateway-1", "r1")
+    got = await fleet.take_up("gateway-0", "r2", "r1")
+    assert fleet.ran("r2") == []
+    assert got.status == 503
