--- a/src/cornelgrade/services/edge/relay.py
+++ b/src/cornelgrade/services/edge/relay.py
@@ -381,7 +381,12 @@
     async def _has_ended_alone(self, up: routes.Upstream, companion: path_watch.Companion) -> bool:
         """Return whether neither an upstream nor the path to it has ended with a response."""
         ended_s = trio.current_time()
-        return await self._outage_checks.is_running(up) and not await companion.ended_with(ended_s)
+        if not await self._outage_checks.is_running(up):
+            return False
+        if not await companion.ended_with(ended_s):
+            return True
+        _log.info("path_ended", upstream=up.name)
+        return False
 
     async def _ask_for_more(
         self,
