Move the calls of upstreams out of the relay

Pure move: _upstream_relay.py calls upstreams as _peer_relay.py calls peers, and relay.py keeps the choice of where requests go.

--- /dev/null
+++ b/src/cornelgrade/services/edge/_upstream_relay.py
@@ -0,0 +1,196 @@
+"""Relays a request to one upstream and the upstream's response to the caller."""
+
+import functools
+
+import trio
+
+from cornelgrade import kernel, logs, routes
+from cornelgrade.adapters import engine, http1
+from cornelgrade.services.edge import (
+    _own_response,
+    _relay_state,
+    _response_relay,
+    _upstream_attempts,
+    crash_detector,
+    outage_checks,
+    path_watch,
+    ports,
+    stream_questions,
+    upstream_notices,
+    upstream_outliers,
+    upstream_reach,
+)
+
+# A connection within a region takes a few milliseconds; an upstream that takes this long is down or
+# overloaded.
+CONNECT_TIMEOUT_S = 0.25
+_log = logs.Logger("relay")
+
+
+class UpstreamRelay:
+    """Calls upstreams; each request's task owns its connections."""
+
+    def __init__(
+        self,
+        kern: kernel.Kernel,
+        call_format: ports.CallFormat,
+        responses: _response_relay.ResponseRelay,
+    ) -> None:
+        self._reach = kern.find("upstream_reach", upstream_reach.UpstreamReach)
+        self._outliers = kern.find("upstream_outliers", upstream_outliers.UpstreamOutliers)
+        self._crash_detector = kern.find("crash_detector", crash_detector.CrashDetector)
+        self._outage_checks = kern.find("outage_checks", outage_checks.OutageChecks)
+        self._path_watch = kern.find("path_watch", path_watch.PathWatch)
+        self._stream_questions = stream_questions.StreamQuestions(kern)
+        self._notices = upstream_notices.UpstreamNotices(kern, call_format)
+        self._call_format = call_format
+        self._responses = responses
+
+    async def call(
+        self, req: _relay_state.Request, progress: _relay_state.Progress, up: routes.Upstream
+    ) -> http1.ResponseHead:
+        """Relay the response of one upstream; return its head."""
+        attempt = self._outliers.start_attempt(up, req.fingerprint)
+        if progress.origin is not None:
+            await self._outage_checks.check_version(up)
+        try:
+            channel = await http1.connect(up.address, CONNECT_TIMEOUT_S)
+        except engine.CallError as exc:
+            self._reach.mark_suspect(up, exc.message)
+            raise
+        with self._crash_detector.track_call(up, req.fingerprint):
+            try:
+                with channel:
+                    head, ended = await self._call_upstream(channel, req, progress, up, attempt)
+                while not ended:
+                    ended = await self._ask_for_more(req, progress, up, attempt)
+                await req.exchange.end_response()
+                attempt.record_completion(head.status)
+                return head
+            except engine.CallError as exc:
+                if await self._crash_detector.check_after(up, exc):
+                    self._reach.mark_suspect(up, exc.message)
+                else:
+                    attempt.record_error(exc)
+                raise
+            except trio.Cancelled:
+                self._crash_detector.check_abandoned(up, channel.last_received_s)
+                raise
+
+    async def _call_upstream(
+        self,
+        channel: http1.Channel,
+        req: _relay_state.Request,
+        progress: _relay_state.Progress,
+        up: routes.Upstream,
+        attempt: _upstream_attempts.Attempt,
+    ) -> tuple[http1.ResponseHead, bool]:
+        """Send a request and relay the response.
+
+        :returns: its head, and whether it is whole.
+        """
+        if _relay_state.may_go_on(req, progress) and progress.end.may_be_empty(progress.last_event):
+            channel.allow_no_event()
+        channel.confirm_end_with(functools.partial(self._outage_checks.is_running, up))
+        await self._send_request(channel, req, progress, up)
+        head = await self._read_head(channel, req, progress, up)
+        attempt.record_status(head.status)
+        progress.framing = head.framing
+        if head.framing is not http1.Framing.CONNECTION or (
+            req.route.resumable and _response_relay.is_event_stream(head)
+        ):
+            return head, await self._responses.relay(channel, req, progress, head)
+        with self._path_watch.accompany(up) as companion:
+            channel.confirm_end_with(functools.partial(self._has_ended_alone, up, companion))
+            return head, await self._responses.relay(channel, req, progress, head)
+
+    async def _has_ended_alone(self, up: routes.Upstream, companion: path_watch.Companion) -> bool:
+        """Return whether neither an upstream nor the path to it has ended with a response."""
+        ended_s = trio.current_time()
+        if not await self._outage_checks.is_running(up):
+            return False
+        if not await companion.ended_with(ended_s):
+            return True
+        _log.info("path_ended", upstream=up.name)
+        return False
+
+    async def _ask_for_more(
+        self,
+        req: _relay_state.Request,
+        progress: _relay_state.Progress,
+        up: routes.Upstream,
+        attempt: _upstream_attempts.Attempt,
+    ) -> bool:
+        """Ask an upstream for what follows the last event of its stream.
+
+        :returns: whether the stream has ended.
+        """
+        _log.info(
+            "stream_end_unconfirmed",
+            request=req.caller.request_id,
+            upstream=up.name,
+            last_event=progress.last_event,
+        )
+        self._stream_questions.start(up)
+        try:
+            with await http1.connect(up.address, CONNECT_TIMEOUT_S) as channel:
+                _, ended = await self._call_upstream(channel, req, progress, up, attempt)
+        except engine.CallError as exc:
+            if exc.progress is engine.Progress.NOT_SENT:
+                # The upstream has run the request, whatever became of the question.
+                exc.progress = engine.Progress.PART_ANSWERED
+            raise
+        return ended
+
+    async def _send_request(
+        self,
+        channel: http1.Channel,
+        req: _relay_state.Request,
+        progress: _relay_state.Progress,
+        up: routes.Upstream,
+    ) -> None:
+        exchange = req.exchange
+        timeout_s = req.caller.timeout_s or req.route.timeout_s
+        remaining_s = exchange.arrived_s + timeout_s - trio.current_time()
+        headers = self._call_format.upstream_headers(
+            exchange.raw_headers, up.name, remaining_s, progress.last_event, req.team
+        )
+        await channel.send(exchange.method, exchange.target, headers, exchange.body)
+
+    async def _read_head(
+        self,
+        channel: http1.Channel,
+        req: _relay_state.Request,
+        progress: _relay_state.Progress,
+        up: routes.Upstream,
+    ) -> http1.ResponseHead:
+        """Wait for the head of this request's response."""
+        with trio.move_on_after(self._responses.idle_timeout_s(req, progress, req.route.aim_s)):
+            head, verdict = await _own_response.read_head(
+                channel, self._call_format, self._notices, up, req.caller.request_id
+            )
+            self._crash_detector.record_response(up)
+            self._reach.record_contact()
+            return self._check_verdict(channel, head, verdict)
+        self._reach.mark_suspect(up, "silent")
+        raise channel.call_error(
+            "no response within the timeout", _relay_state.STEP, timed_out=True
+        )
+
+    @staticmethod
+    def _check_verdict(
+        channel: http1.Channel, head: http1.ResponseHead, verdict: ports.Verdict
+    ) -> http1.ResponseHead:
+        """Raise for heads that must not be passed on to the caller."""
+        if verdict is ports.Verdict.NOT_RUN:
+            channel.progress = engine.Progress.NOT_SENT
+            raise channel.call_error(
+                f"upstream declined with status {head.status}", _relay_state.STEP
+            )
+        if verdict is ports.Verdict.UNSIGNED and (
+            head.status < 400 or head.status in _relay_state.NOT_RUN_STATUSES
+        ):
+            raise channel.call_error(
+                f"unsigned response with status {head.status}", _relay_state.STEP
+            )
+        return head
--- a/src/cornelgrade/services/edge/relay.py
+++ b/src/cornelgrade/services/edge/relay.py
@@ -1,11 +1,9 @@
 """Relays an online request to upstreams and their response to the caller, with retries."""
 
-import functools
-
 import trio
 
 from cornelgrade import errors, kernel, logs, metrics, routes, settings
-from cornelgrade.adapters import engine, http1, http1_server
+from cornelgrade.adapters import engine, http1_server
 from cornelgrade.policy import (
     request_traits,
     retry,
@@ -14,30 +12,20 @@
 )
 from cornelgrade.services import ports as shared_ports
 from cornelgrade.services.edge import (
-    _own_response,
     _peer_relay,
     _relay_state,
     _response_relay,
-    _upstream_attempts,
-    crash_detector,
+    _upstream_relay,
     fleet,
     forwarding,
-    outage_checks,
-    path_watch,
     peer_reach,
     ports,
     slot_permits,
     stream_origins,
-    stream_questions,
     team_limits,
-    upstream_notices,
-    upstream_outliers,
     upstream_reach,
 )
 
-# A connection within a region takes a few milliseconds; an upstream that takes this long is down or
-# overloaded.
-CONNECT_TIMEOUT_S = 0.25
 # How long a request waits for a permit, as a ratio of its latency target. After that it would be
 # late here, while an early refusal leaves the caller time to retry elsewhere.
 PERMIT_WAIT_RATIO = 0.2
@@ -58,27 +46,22 @@
 
 
 class Relay:
-    """Forwards requests; each request's task owns its connection to the upstream."""
+    """Chooses where requests go, again after failures, until they have their final response."""
 
     def __init__(
         self, kern: kernel.Kernel, cfg: settings.EdgeSettings, call_format: ports.CallFormat
     ) -> None:
         self._permits = kern.find("seats", slot_permits.SlotPermits)
         self._reach = kern.find("upstream_reach", upstream_reach.UpstreamReach)
-        self._outliers = kern.find("upstream_outliers", upstream_outliers.UpstreamOutliers)
         self._fleet = kern.find("fleet", fleet.Fleet)
         self._origins = kern.find("stream_origins", stream_origins.StreamOrigins)
         self._quarantine = kern.find("quarantine", shared_ports.Quarantine)
         self._team_usage = kern.find("team_limits", team_limits.TeamLimits).usage
-        self._crash_detector = kern.find("crash_detector", crash_detector.CrashDetector)
-        self._outage_checks = kern.find("outage_checks", outage_checks.OutageChecks)
-        self._path_watch = kern.find("path_watch", path_watch.PathWatch)
-        self._stream_questions = stream_questions.StreamQuestions(kern)
         self._call_format = call_format
-        self._notices = upstream_notices.UpstreamNotices(kern, call_format)
         self._peer_reach = kern.find("peer_reach", peer_reach.PeerReach)
-        self._response_relay = _response_relay.ResponseRelay(kern, cfg.response_bytes, call_format)
-        self._peer_relay = _peer_relay.PeerRelay(kern, call_format, self._response_relay)
+        responses = _response_relay.ResponseRelay(kern, cfg.response_bytes, call_format)
+        self._upstream_relay = _upstream_relay.UpstreamRelay(kern, call_format, responses)
+        self._peer_relay = _peer_relay.PeerRelay(kern, call_format, responses)
         self._forward_counter = metrics.counter(
             "cornelgrade_edge_forwarded_total", "Requests forwarded to other gateways by outcome."
         )
@@ -157,7 +140,7 @@
                 progress.permit = permit
                 goes_on = progress.started or progress.last_event is not None
                 try:
-                    head = await self._try_upstream(req, progress, permit.upstream)
+                    head = await self._upstream_relay.call(req, progress, permit.upstream)
                     if head.status < 300:
                         if not goes_on:
                             permit.record_success()
@@ -320,157 +303,6 @@
         """Whether the response was started on a route that is not resumable."""
         return progress.started and not req.route.resumable
 
-    async def _try_upstream(
-        self, req: _relay_state.Request, progress: _relay_state.Progress, up: routes.Upstream
-    ) -> http1.ResponseHead:
-        """Relay the response of one upstream; return its head."""
-        attempt = self._outliers.start_attempt(up, req.fingerprint)
-        if progress.origin is not None:
-            await self._outage_checks.check_version(up)
-        try:
-            channel = await http1.connect(up.address, CONNECT_TIMEOUT_S)
-        except engine.CallError as exc:
-            self._reach.mark_suspect(up, exc.message)
-            raise
-        with self._crash_detector.track_call(up, req.fingerprint):
-            try:
-                with channel:
-                    head, ended = await self._call_upstream(channel, req, progress, up, attempt)
-                while not ended:
-                    ended = await self._ask_for_more(req, progress, up, attempt)
-                await req.exchange.end_response()
-                attempt.record_completion(head.status)
-                return head
-            except engine.CallError as exc:
-                if await self._crash_detector.check_after(up, exc):
-                    self._reach.mark_suspect(up, exc.message)
-                else:
-                    attempt.record_error(exc)
-                raise
-            except trio.Cancelled:
-                self._crash_detector.check_abandoned(up, channel.last_received_s)
-                raise
-
-    async def _call_upstream(
-        self,
-        channel: http1.Channel,
-        req: _relay_state.Request,
-        progress: _relay_state.Progress,
-        up: routes.Upstream,
-        attempt: _upstream_attempts.Attempt,
-    ) -> tuple[http1.ResponseHead, bool]:
-        """Send a request and relay the response.
-
-        :returns: its head, and whether it is whole.
-        """
-        if _relay_state.may_go_on(req, progress) and progress.end.may_be_empty(progress.last_event):
-            channel.allow_no_event()
-        channel.confirm_end_with(functools.partial(self._outage_checks.is_running, up))
-        await self._send_request(channel, req, progress, up)
-        head = await self._read_head(channel, req, progress, up)
-        attempt.record_status(head.status)
-        progress.framing = head.framing
-        if head.framing is not http1.Framing.CONNECTION or (
-            req.route.resumable and _response_relay.is_event_stream(head)
-        ):
-            return head, await self._response_relay.relay(channel, req, progress, head)
-        with self._path_watch.accompany(up) as companion:
-            channel.confirm_end_with(functools.partial(self._has_ended_alone, up, companion))
-            return head, await self._response_relay.relay(channel, req, progress, head)
-
-    async def _has_ended_alone(self, up: routes.Upstream, companion: path_watch.Companion) -> bool:
-        """Return whether neither an upstream nor the path to it has ended with a response."""
-        ended_s = trio.current_time()
-        if not await self._outage_checks.is_running(up):
-            return False
-        if not await companion.ended_with(ended_s):
-            return True
-        _log.info("path_ended", upstream=up.name)
-        return False
-
-    async def _ask_for_more(
-        self,
-        req: _relay_state.Request,
-        progress: _relay_state.Progress,
-        up: routes.Upstream,
-        attempt: _upstream_attempts.Attempt,
-    ) -> bool:
-        """Ask an upstream for what follows the last event of its stream.
-
-        :returns: whether the stream has ended.
-        """
-        _log.info(
-            "stream_end_unconfirmed",
-            request=req.caller.request_id,
-            upstream=up.name,
-            last_event=progress.last_event,
-        )
-        self._stream_questions.start(up)
-        try:
-            with await http1.connect(up.address, CONNECT_TIMEOUT_S) as channel:
-                _, ended = await self._call_upstream(channel, req, progress, up, attempt)
-        except engine.CallError as exc:
-            if exc.progress is engine.Progress.NOT_SENT:
-                # The upstream has run the request, whatever became of the question.
-                exc.progress = engine.Progress.PART_ANSWERED
-            raise
-        return ended
-
-    async def _send_request(
-        self,
-        channel: http1.Channel,
-        req: _relay_state.Request,
-        progress: _relay_state.Progress,
-        up: routes.Upstream,
-    ) -> None:
-        exchange = req.exchange
-        timeout_s = req.caller.timeout_s or req.route.timeout_s
-        remaining_s = exchange.arrived_s + timeout_s - trio.current_time()
-        headers = self._call_format.upstream_headers(
-            exchange.raw_headers, up.name, remaining_s, progress.last_event, req.team
-        )
-        await channel.send(exchange.method, exchange.target, headers, exchange.body)
-
-    async def _read_head(
-        self,
-        channel: http1.Channel,
-        req: _relay_state.Request,
-        progress: _relay_state.Progress,
-        up: routes.Upstream,
-    ) -> http1.ResponseHead:
-        """Wait for the head of this request's response."""
-        with trio.move_on_after(
-            self._response_relay.idle_timeout_s(req, progress, req.route.aim_s)
-        ):
-            head, verdict = await _own_response.read_head(
-                channel, self._call_format, self._notices, up, req.caller.request_id
-            )
-            self._crash_detector.record_response(up)
-            self._reach.record_contact()
-            return self._check_verdict(channel, head, verdict)
-        self._reach.mark_suspect(up, "silent")
-        raise channel.call_error(
-            "no response within the timeout", _relay_state.STEP, timed_out=True
-        )
-
-    @staticmethod
-    def _check_verdict(
-        channel: http1.Channel, head: http1.ResponseHead, verdict: ports.Verdict
-    ) -> http1.ResponseHead:
-        """Raise for heads that must not be passed on to the caller."""
-        if verdict is ports.Verdict.NOT_RUN:
-            channel.progress = engine.Progress.NOT_SENT
-            raise channel.call_error(
-                f"upstream declined with status {head.status}", _relay_state.STEP
-            )
-        if verdict is ports.Verdict.UNSIGNED and (
-            head.status < 400 or head.status in _relay_state.NOT_RUN_STATUSES
-        ):
-            raise channel.call_error(
-                f"unsigned response with status {head.status}", _relay_state.STEP
-            )
-        return head
-
     async def _send_refusal(
         self, req: _relay_state.Request, progress: _relay_state.Progress, refusal: errors.Refusal
     ) -> str:
