--- a/src/cornelgrade/services/edge/path_watch.py
+++ b/src/cornelgrade/services/edge/path_watch.py
@@ -19,8 +19,8 @@
 _log = logs.Logger("path_watch")
 
 
-class Companion:
-    """A connection beside the one that carries a response."""
+class IdleConnection:
+    """A connection to the upstream of a response on which nothing is sent."""
 
     def __init__(self) -> None:
         self._ended = trio.Event()
@@ -32,9 +32,9 @@
             try:
                 with await http1.connect(up.address, CONNECT_TIMEOUT_S) as channel:
                     await channel.wait_closed()
-            except engine.CallError as exc:
-                # Without a companion, the response counts as one that ended alone.
-                _log.info("no_companion", upstream=up.name, error=exc.format_message())
+            except (engine.CallError, OSError) as exc:
+                # Without it, the response counts as one that ended alone.
+                _log.info("idle_connection_failed", upstream=up.name, error=repr(exc))
                 return
             self._ended_s = trio.current_time()
             self._ended.set()
@@ -50,7 +50,7 @@
 
 
 class PathWatch:
-    """Opens companions of responses."""
+    """Keeps idle connections open beside responses."""
 
     name = "path_watch"
 
@@ -64,12 +64,12 @@
             await trio.sleep_forever()
 
     @contextlib.contextmanager
-    def accompany(self, up: routes.Upstream) -> Iterator[Companion]:
+    def open_beside(self, up: routes.Upstream) -> Iterator[IdleConnection]:
         """Keep a second connection to an upstream open within the context."""
-        companion, scope = Companion(), trio.CancelScope()
+        idle, scope = IdleConnection(), trio.CancelScope()
         if self._nursery is not None:
-            self._nursery.start_soon(companion.watch, up, scope)
+            self._nursery.start_soon(idle.watch, up, scope)
         try:
-            yield companion
+            yield idle
         finally:
             scope.cancel()
