--- a/bench/soak/judge.py
+++ b/bench/soak/judge.py
@@ -169,8 +169,9 @@
     def _item_versions(self, item: str) -> None:
         """Check that an item goes on only at a version at which it began."""
         begun: set[str] = set()
-        for name, attempt in sorted(self._attempts[item], key=lambda entry: entry[1].at_s):
-            version = self.system.engines[name].stand_in.version
+        for _, attempt in sorted(self._attempts[item], key=lambda entry: entry[1].at_s):
+            # An engine may have come back with another version since.
+            version = attempt.version
             if attempt.resumed_after is None:
                 begun.add(version)
             elif attempt.ran and version not in begun:
--- a/src/cornelgrade/platform/standins/stream_engine.py
+++ b/src/cornelgrade/platform/standins/stream_engine.py
@@ -99,6 +99,7 @@
     """A request that reached the engine.
 
     :ivar at_s: arrival time on trio's clock.
+    :ivar version: of the engine's software at that time.
     :ivar ran: whether it got a slot.
     :ivar cancelled: whether its caller disconnected before the end.
     """
@@ -109,6 +110,7 @@
     body: bytes
     resumed_after: int | None
     at_s: float = 0.0
+    version: str = ""
     ran: bool = False
     cancelled: bool = False
     ended: bool = False
@@ -215,7 +217,13 @@
         resume_after = int(after) if after else None
         request = req.headers.get("x-request-id", "")
         seen = ReceivedRequest(
-            request, req.target, req.headers, req.body, resume_after, trio.current_time()
+            request,
+            req.target,
+            req.headers,
+            req.body,
+            resume_after,
+            trio.current_time(),
+            self.version,
         )
         self.seen.append(seen)
         if req.headers.get("x-expect-instance", self.name) != self.name:
