Read the state of a response's connection when the one beside it ends

A response that runs once passed for whole although its path had ended, if its caller read slowly: the end of the response is noticed only once what came before is sent, and the idle connection had ended more than 50 ms earlier then.

When the idle connection ends, the state of the response's connection tells whether both have ended. The test failed before.

--- a/src/cornelgrade/services/edge/_upstream_relay.py
+++ b/src/cornelgrade/services/edge/_upstream_relay.py
@@ -100,19 +100,16 @@
             req.route.resumable and _response_relay.is_event_stream(head)
         ):
             return head, await self._responses.relay(channel, req, progress, head)
-        with self._path_watch.open_beside(up) as idle:
+        with self._path_watch.open_beside(up, channel) as idle:
             channel.confirm_end_with(functools.partial(self._has_ended_alone, up, idle))
             return head, await self._responses.relay(channel, req, progress, head)
 
     async def _has_ended_alone(self, up: routes.Upstream, idle: path_watch.IdleConnection) -> bool:
         """Return whether neither an upstream nor the path to it has ended with a response."""
-        ended_s = trio.current_time()
-        if not await self._outage_checks.is_running(up):
+        if await idle.ended_with(trio.current_time()):
+            _log.info("path_ended", upstream=up.name)
             return False
-        if not await idle.ended_with(ended_s):
-            return True
-        _log.info("path_ended", upstream=up.name)
-        return False
+        return await self._outage_checks.is_running(up)
 
     async def _ask_for_more(
         self,
--- a/tests/edge/test_ends_between_events.py
+++ b/tests/edge/test_ends_between_events.py
@@ -7,6 +7,7 @@
 import trio
 from tests.edge import stranded, test_unframed_responses
 
+from cornelgrade.adapters import http1_server
 from cornelgrade.platform.standins import edge_system, stream_engine
 from cornelgrade.standins import fault_proxy
 
@@ -173,3 +174,22 @@
     assert (got.status, got.complete) == (200, True)
     assert [seen.resumed_after for seen in runs] == [None, EVENTS]
     assert len([eng for eng in upstreams if any(s.request == "r1" for s in eng.seen)]) == 1
+
+
+# Guards against missing that the path of a response has ended because its caller reads slowly.
+async def test_response_behind_a_slow_caller_is_visibly_incomplete_after_its_path_ended(
+    monkeypatch,
+):
+    send_chunk = http1_server.Exchange.send_chunk
+
+    async def send_slowly(self, chunk):
+        await send_chunk(self, chunk)
+        # Gateways name the instance in what they send to engines, which send as before.
+        if "x-expect-instance" not in self.headers:
+            await trio.sleep(6 * EVENT_S)
+
+    async with run_behind_proxies(engines=2) as (system, proxies):
+        monkeypatch.setattr(http1_server.Exchange, "send_chunk", send_slowly)
+        got = await send_through_ending_path(system, proxies, edge_system.ONCE_PREFIX, events=1)
+    assert not got.complete
+    assert got.body == stream_engine.response_body("r1", EVENTS)[: len(got.body)]
