Pass events without a number on once where a stream is asked for more

A sound upstream that ends its stream with an event without a number repeated that event in reply to the question for more, so that callers and items got it twice. Such events are no sign of more in the reply to a question, and are left out until an event with a number follows.

--- a/src/cornelgrade/policy/stream_end.py
+++ b/src/cornelgrade/policy/stream_end.py
@@ -29,6 +29,13 @@
         begun = not event_stream.is_blank(remainder)
         self.in_event = begun or (self.in_event and not new_events)
 
+    def is_asked(self, last_event: int | None) -> bool:
+        """Return whether what follows an event is asked for, because a response ended there.
+
+        Events without a number are then no sign of more: the caller may have had them before.
+        """
+        return last_event is not None and self.ended_after == last_event
+
     def may_be_empty(self, last_event: int | None) -> bool:
         """Return whether a response that goes on after an event may have no events."""
         return last_event is not None and not self.in_event
--- a/src/cornelgrade/services/edge/_response_relay.py
+++ b/src/cornelgrade/services/edge/_response_relay.py
@@ -175,6 +175,8 @@
                     # A comment neither begins a response nor extends the time until an event.
                     if progress.started:
                         await req.exchange.send_chunk(event.raw)
+                elif event.event_id is None and progress.end.is_asked(progress.last_event):
+                    continue
                 elif _relay_state.is_new_event(event, progress.last_event):
                     new_events = True
                     self._record_origin(req, progress, start)
--- a/src/cornelgrade/services/edge/item_call.py
+++ b/src/cornelgrade/services/edge/item_call.py
@@ -175,7 +175,8 @@
             for event in events:
                 if not event.well_formed:
                     raise channel.call_error(event_stream.MALFORMED_MESSAGE, _STEP)
-                if event.empty:
+                unnumbered = event.event_id is None
+                if event.empty or (unnumbered and partial.end.is_asked(partial.last_event)):
                     continue
                 partial.origin = start.follow_origin()
                 _append_event(channel, partial, event)
--- a/tests/edge/test_ends_between_events.py
+++ b/tests/edge/test_ends_between_events.py
@@ -193,3 +193,28 @@
         got = await send_through_ending_path(system, proxies, edge_system.ONCE_PREFIX, events=1)
     assert not got.complete
     assert got.body == stream_engine.response_body("r1", EVENTS)[: len(got.body)]
+
+
+# Guards against passing an event without a number on twice as a whole stream is asked for more.
+@pytest.mark.parametrize("workers", [0, 1])
+async def test_event_without_a_number_is_not_repeated(monkeypatch, workers):
+    send_events = stream_engine.StreamEngine._send_events
+
+    async def send_with_marker(self, req, seen, faults):
+        await send_events(self, req, seen, faults)
+        await req.send_chunk(b"data: done\n\n")
+
+    monkeypatch.setattr(stream_engine.StreamEngine, "_send_events", send_with_marker)
+    async with edge_system.run_system(engines=2, workers=workers) as system:
+        set_faults(system, unframed=True)
+        got = await system.send_online("gateway-0", RESUMABLE, "r1")
+        results = []
+        if workers:
+            await system.submit("gateway-0", "job", {"item": b"note"})
+            with trio.fail_after(10):
+                while not results:
+                    results = await system.results("gateway-0", "job", 0)
+    assert (got.status, got.complete) == (200, True)
+    assert got.body == stream_engine.response_body("r1", EVENTS) + b"data: done\n\n"
+    text = stream_engine.result_text("item", EVENTS) + "\ndone"
+    assert results == ([("item", text)] if workers else [])
