Bound the wait for the reply to a question about the end of a stream

A caller who had all events was held until the deadline of its request if no other upstream could go on and the asked one stayed silent. The reply has to begin within a second now, as a caller gives up after two; else the response ends visibly incomplete. A question that is declined no longer counts as a broken response of the upstream, whose answer had come.

--- a/src/cornelgrade/services/edge/_upstream_relay.py
+++ b/src/cornelgrade/services/edge/_upstream_relay.py
@@ -21,6 +21,9 @@
     upstream_reach,
 )
 
+# How long the response to a question may take. The caller has all events, and gives up after 2 s
+# without another or the end.
+QUESTION_TIMEOUT_S = 1.0
 # A connection within a region takes a few milliseconds; an upstream that takes this long is down or
 # overloaded.
 CONNECT_TIMEOUT_S = 0.25
@@ -62,6 +65,9 @@
             try:
                 with channel:
                     head, ended = await self._call_upstream(channel, req, progress, up, attempt)
+                if not ended:
+                    # What becomes of the question is no evidence against the upstream.
+                    attempt.record_completion(head.status)
                 while not ended:
                     ended = await self._ask_for_more(req, progress, up, attempt)
                 await req.exchange.end_response()
@@ -162,7 +168,10 @@
         up: routes.Upstream,
     ) -> http1.ResponseHead:
         """Wait for the head of this request's response."""
-        with trio.move_on_after(self._responses.idle_timeout_s(req, progress, req.route.aim_s)):
+        limit_s = self._responses.idle_timeout_s(req, progress, req.route.aim_s)
+        if progress.end.is_asked(progress.last_event):
+            limit_s = min(limit_s, QUESTION_TIMEOUT_S)
+        with trio.move_on_after(limit_s):
             head, verdict = await _own_response.read_head(
                 channel, self._call_format, self._notices, up, req.caller.request_id
             )
--- a/tests/edge/test_ends_between_events.py
+++ b/tests/edge/test_ends_between_events.py
@@ -218,3 +218,24 @@
     assert got.body == stream_engine.response_body("r1", EVENTS) + b"data: done\n\n"
     text = stream_engine.result_text("item", EVENTS) + "\ndone"
     assert results == ([("item", text)] if workers else [])
+
+
+# Guards against holding a caller who has all events until the deadline of its request.
+async def test_stream_ends_soon_if_nobody_answers_the_question(monkeypatch):
+    async with edge_system.run_system(engines=1) as system:
+        (eng,) = system.engines.values()
+        set_faults(system, unframed=True)
+        handle_run = eng._serve
+
+        async def serve_first_run_only(req, seen):
+            if seen.resumed_after is not None:
+                await trio.sleep_forever()
+            await handle_run(req, seen)
+
+        monkeypatch.setattr(eng, "_serve", serve_first_run_only)
+        begun_s = trio.current_time()
+        got = await system.send_online("gateway-0", RESUMABLE, "r1")
+        took_s = trio.current_time() - begun_s
+    assert not got.complete
+    assert got.body == stream_engine.response_body("r1", EVENTS)
+    assert took_s < 2.5
