Let the judge of the soak join only runs without framing with their questions

It took each run that goes on at the engine of the run before for a question, also where the answer before had a length or chunks, so that a repeated run went unseen. The stand-in engine notes which of its answers have no framing.

--- a/bench/soak/judge.py
+++ b/bench/soak/judge.py
@@ -324,14 +324,17 @@
 def _list_runs(attempts: list[tuple[str, stream_engine.ReceivedRequest]]) -> list[str]:
     """Return the engines that ran a request, each as often as it ran anew or after another one.
 
-    An engine that is asked for what follows its last event goes on with its run.
+    An engine that is asked for what follows its last event, as its answer had no framing, goes on
+    with its run.
     """
     ran = sorted(((a.at_s, name, a) for name, a in attempts if a.ran), key=lambda run: run[0])
-    return [
-        name
-        for number, (_, name, attempt) in enumerate(ran)
-        if attempt.resumed_after is None or not number or ran[number - 1][1] != name
-    ]
+    runs = []
+    before = ("", False)
+    for _, name, attempt in ran:
+        if attempt.resumed_after is None or before != (name, True):
+            runs.append(name)
+        before = (name, attempt.unframed)
+    return runs
 
 
 def _served_share(requests: list[callers.Request]) -> float:
--- a/src/cornelgrade/platform/standins/stream_engine.py
+++ b/src/cornelgrade/platform/standins/stream_engine.py
@@ -101,6 +101,7 @@
     :ivar at_s: arrival time on trio's clock.
     :ivar version: of the engine's software at that time.
     :ivar ran: whether it got a slot.
+    :ivar unframed: whether its response has neither a length nor chunks.
     :ivar cancelled: whether its caller disconnected before the end.
     """
 
@@ -112,6 +113,7 @@
     at_s: float = 0.0
     version: str = ""
     ran: bool = False
+    unframed: bool = False
     cancelled: bool = False
     ended: bool = False
 
@@ -273,6 +275,7 @@
             return
         # One look for the whole response: a fault that begins later must not end a framed one.
         faults = self.faults
+        seen.unframed = faults.unframed
         if faults.unframed:
             req.omit_framing()
         await req.start_response(200, (*head, ("content-type", faults.content_type)), b"")
