Take no event for the end of a stream only after its own upstream ended it

Only the reply to a question may have no event now: the response before it, of the same run at the same upstream, ended after the last event.

--- a/src/cornelgrade/policy/stream_end.py
+++ b/src/cornelgrade/policy/stream_end.py
@@ -1,44 +1,39 @@
 """Whether a stream has ended where a response without framing does.
 
 What ends the connection need not be the upstream: a balancer or an address translation on the path
-may give it up, and an upstream may break off one response and go on running. So the stream is asked
-for once more, after its last event. It has ended if that brings no event either.
+may give it up, and an upstream may break off one response and go on running. So the upstream is
+asked once more for what follows the last event. The stream has ended if that brings none either.
 """
 
 import msgspec
 
-from cornelgrade.policy import event_stream
-
 
 class StreamEnd(msgspec.Struct):
-    """What the responses to one request show of the end of its stream.
+    """What the runs of a request show of the end of its stream.
 
     :ivar ended_after: number of the event after which a response ended.
-    :ivar in_event: whether a later event had begun when a response broke off, so that more are due.
+    :ivar same_run: whether it did so in the run that goes on now, at one upstream. A response that
+        another run broke off is no sign of an end, whatever this one brings.
     """
 
     ended_after: int | None = None
-    in_event: bool = False
+    same_run: bool = False
 
-    def feed(self, new_events: bool, remainder: bytes) -> None:
-        """Take what a part of a response brought.
+    def begin_run(self) -> None:
+        """Begin a run at another upstream, or anew."""
+        self.same_run = False
 
-        :param new_events: whether it completed events that follow the last one.
-        :param remainder: its bytes after the last event.
-        """
-        begun = not event_stream.is_blank(remainder)
-        self.in_event = begun or (self.in_event and not new_events)
+    def may_be_whole(self, last_event: int | None) -> bool:
+        """Return whether the caller may have all events: a response ended after the last one."""
+        return last_event is not None and self.ended_after == last_event
 
     def is_asked(self, last_event: int | None) -> bool:
-        """Return whether what follows an event is asked for, because a response ended there.
+        """Return whether an upstream is asked for what follows the end of its response.
 
-        Events without a number are then no sign of more: the caller may have had them before.
+        The reply may have no event. Events without a number are then no sign of more, as the caller
+        may have had them before.
         """
-        return last_event is not None and self.ended_after == last_event
-
-    def may_be_empty(self, last_event: int | None) -> bool:
-        """Return whether a response that goes on after an event may have no events."""
-        return last_event is not None and not self.in_event
+        return self.same_run and self.may_be_whole(last_event)
 
     def record_end(self, last_event: int | None) -> bool:
         """Record that a response without framing ended after an event.
@@ -46,6 +41,6 @@
         :param last_event: ``None`` if the events have no numbers, so that nothing can be asked.
         :returns: whether the stream has ended there.
         """
-        ended = last_event is None or self.ended_after == last_event
-        self.ended_after = last_event
+        ended = last_event is None or self.is_asked(last_event)
+        self.ended_after, self.same_run = last_event, True
         return ended
--- a/src/cornelgrade/services/edge/_relay_state.py
+++ b/src/cornelgrade/services/edge/_relay_state.py
@@ -24,7 +24,7 @@
     :ivar response_bytes: bytes of response bodies received.
     :ivar origin: what began the stream, once it has begun, here or in an earlier attempt.
     :ivar framing: what marks the end of the last response.
-    :ivar end: what the responses show of the end of the stream.
+    :ivar end: what the last run shows of the end of the stream.
     :ivar peer: the gateway to which it was forwarded last; empty once it is tried here.
     :ivar failed_peers: gateways that failed to serve it.
     """
@@ -66,11 +66,6 @@
     rank: int = 0
 
 
-def may_go_on(req: Request, progress: Progress) -> bool:
-    """Whether the stream can be asked for what follows its last event."""
-    return req.route.resumable and progress.last_event is not None
-
-
 def is_last_attempt(req: Request, progress: Progress) -> bool:
     """Whether no other upstream may run the request after the next one."""
     return progress.earlier_runs + progress.runs + 1 >= req.route.max_attempts
--- a/src/cornelgrade/services/edge/_response_relay.py
+++ b/src/cornelgrade/services/edge/_response_relay.py
@@ -168,7 +168,6 @@
         start = self._find_start(channel, progress)
         while part := await self._read_part(channel, req, progress):
             self._check_size(channel, progress, part)
-            new_events = False
             for event in _split_events(channel, splitter, part):
                 _check_event(channel, event, progress.last_event)
                 if event.empty:
@@ -178,14 +177,12 @@
                 elif event.event_id is None and progress.end.is_asked(progress.last_event):
                     continue
                 elif _relay_state.is_new_event(event, progress.last_event):
-                    new_events = True
                     self._record_origin(req, progress, start)
                     await self._write_part(req, progress, head, event.raw)
                     progress.last_event_s = trio.current_time()
                     progress.last_event = (
                         event.event_id if event.event_id is not None else progress.last_event
                     )
-            progress.end.feed(new_events, splitter.remainder)
         unframed = progress.framing is http1.Framing.CONNECTION
         if unframed and not progress.end.record_end(progress.last_event):
             return False
--- a/src/cornelgrade/services/edge/_upstream_relay.py
+++ b/src/cornelgrade/services/edge/_upstream_relay.py
@@ -21,8 +21,8 @@
     upstream_reach,
 )
 
-# How long the response to a question may take. The caller has all events, and gives up after 2 s
-# without another or the end.
+# How long a response may take while the caller may have all events of a stream. The caller gives up
+# after 2 s without another one or the end.
 QUESTION_TIMEOUT_S = 1.0
 # A connection within a region takes a few milliseconds; an upstream that takes this long is down or
 # overloaded.
@@ -54,6 +54,7 @@
     ) -> http1.ResponseHead:
         """Relay the response of one upstream; return its head."""
         attempt = self._outliers.start_attempt(up, req.fingerprint)
+        progress.end.begin_run()
         if progress.origin is not None:
             await self._outage_checks.check_version(up)
         try:
@@ -95,7 +96,7 @@
 
         :returns: its head, and whether it is whole.
         """
-        if _relay_state.may_go_on(req, progress) and progress.end.may_be_empty(progress.last_event):
+        if progress.end.is_asked(progress.last_event):
             channel.allow_no_event()
         channel.confirm_end_with(functools.partial(self._outage_checks.is_running, up))
         await self._send_request(channel, req, progress, up)
@@ -169,7 +170,7 @@
     ) -> http1.ResponseHead:
         """Wait for the head of this request's response."""
         limit_s = self._responses.idle_timeout_s(req, progress, req.route.aim_s)
-        if progress.end.is_asked(progress.last_event):
+        if progress.end.may_be_whole(progress.last_event):
             limit_s = min(limit_s, QUESTION_TIMEOUT_S)
         with trio.move_on_after(limit_s):
             head, verdict = await _own_response.read_head(
--- a/src/cornelgrade/services/edge/item_call.py
+++ b/src/cornelgrade/services/edge/item_call.py
@@ -39,7 +39,7 @@
     :ivar text_bytes: size of the events' data.
     :ivar last_event: number of the last event, ``None`` before the first.
     :ivar origin: what made these events, ``None`` before the first; the item goes on only there.
-    :ivar end: what these runs show of the end of the item's stream.
+    :ivar end: what the last run shows of the end of the item's stream.
     """
 
     texts: list[str] = msgspec.field(default_factory=list)
@@ -89,6 +89,7 @@
         :returns: the final result, or ``None`` if the upstream reports that this run failed.
         :raises CallError: if the run did not finish.
         """
+        partial.end.begin_run()
         if partial.origin is not None:
             await self._outage_checks.check_version(up)
         status, ended = await self._call_upstream(header, item, up, partial, attempt)
@@ -119,7 +120,7 @@
             header.host, item.name, headers, up.name, partial.last_event, header.team
         )
         with await http1.connect(up.address, CONNECT_TIMEOUT_S) as channel:
-            if partial.end.may_be_empty(partial.last_event):
+            if partial.end.is_asked(partial.last_event):
                 channel.allow_no_event()
             channel.confirm_end_with(functools.partial(self._outage_checks.is_running, up))
             await channel.send("POST", item.target.encode("latin-1"), request_headers, item.body)
@@ -180,7 +181,6 @@
                     continue
                 partial.origin = start.follow_origin()
                 _append_event(channel, partial, event)
-            partial.end.feed(partial.events > events_before, splitter.remainder)
             if partial.events > events_before:
                 last_event_s = trio.current_time()
             if partial.text_bytes > self._max_text_bytes:
--- a/tests/edge/test_unframed_responses.py
+++ b/tests/edge/test_unframed_responses.py
@@ -193,3 +193,31 @@
             while not results:
                 results = await system.results("gateway-0", "job", 0)
     assert results == [("item", stream_engine.result_text("item", EVENTS))]
+
+
+BROKEN_BY_SILENCE = {"unframed": True, "silent_after": 2, "end_before_events_if_resumed": True}
+
+
+# Guards against taking a stream that goes on after a silence, and brings no event, for complete.
+async def test_stream_without_an_event_after_a_silence_is_not_complete():
+    async with edge_system.run_system(engines=2) as system:
+        set_faults(system, **BROKEN_BY_SILENCE)
+        got = await system.send_online("gateway-0", edge_system.RESUMABLE_PREFIX, "r1")
+    assert not (got.status == 200 and got.complete)
+
+
+# Guards against the same for items, whose text would stay short (soak seed 4).
+async def test_item_without_an_event_after_a_silence_completes_whole():
+    async with edge_system.run_system(workers=1, engines=2) as system:
+        set_faults(system, **BROKEN_BY_SILENCE)
+        await system.submit("gateway-0", "job", {"item": b"note"})
+        with trio.fail_after(15):
+            while sum(len(eng.seen) for eng in system.engines.values()) < 3:
+                await trio.sleep(0.02)
+        await trio.sleep(0.5)
+        set_faults(system, unframed=True)
+        results = []
+        with trio.fail_after(15):
+            while not results:
+                results = await system.results("gateway-0", "job", 0)
+    assert results == [("item", stream_engine.result_text("item", EVENTS))]
