--- a/src/cornelgrade/services/edge/_upstream_relay.py
+++ b/src/cornelgrade/services/edge/_upstream_relay.py
@@ -103,21 +103,16 @@
         head = await self._read_head(channel, req, progress, up)
         attempt.record_status(head.status)
         progress.framing = head.framing
+        may_be_asked = req.route.resumable and _response_relay.is_event_stream(head)
         if head.framing is not http1.Framing.CONNECTION or (
-            req.route.resumable and _response_relay.is_event_stream(head)
+            may_be_asked and not progress.end.is_asked(progress.last_event)
         ):
             return head, await self._responses.relay(channel, req, progress, head)
         with self._path_watch.open_beside(up, channel) as idle:
-            channel.confirm_end_with(functools.partial(self._has_ended_alone, up, idle))
+            confirm = functools.partial(self._outage_checks.has_ended_alone, up, idle)
+            channel.confirm_end_with(confirm)
             return head, await self._responses.relay(channel, req, progress, head)
 
-    async def _has_ended_alone(self, up: routes.Upstream, idle: path_watch.IdleConnection) -> bool:
-        """Return whether neither an upstream nor the path to it has ended with a response."""
-        if await idle.ended_with(trio.current_time()):
-            _log.info("path_ended", upstream=up.name)
-            return False
-        return await self._outage_checks.is_running(up)
-
     async def _ask_for_more(
         self,
         req: _relay_state.Request,
--- a/src/cornelgrade/services/edge/item_call.py
+++ b/src/cornelgrade/services/edge/item_call.py
@@ -1,5 +1,6 @@
 """Runs a batch item at one upstream, resuming after its last received event."""
 
+import contextlib
 import functools
 
 import msgspec
@@ -14,6 +15,7 @@
     fleet,
     job_repository,
     outage_checks,
+    path_watch,
     ports,
     serving_start,
     stream_questions,
@@ -73,6 +75,7 @@
         self._notices = upstream_notices.UpstreamNotices(kern, call_format)
         self._fleet = kern.find("fleet", fleet.Fleet)
         self._outage_checks = kern.find("outage_checks", outage_checks.OutageChecks)
+        self._path_watch = kern.find("path_watch", path_watch.PathWatch)
         self._stream_questions = stream_questions.StreamQuestions(kern)
 
     async def run_item(
@@ -119,10 +122,14 @@
         request_headers = self._call_format.item_headers(
             header.host, item.name, headers, up.name, partial.last_event, header.team
         )
-        with await http1.connect(up.address, CONNECT_TIMEOUT_S) as channel:
+        with contextlib.ExitStack() as stack:
+            channel = stack.enter_context(await http1.connect(up.address, CONNECT_TIMEOUT_S))
+            confirm = functools.partial(self._outage_checks.is_running, up)
             if partial.end.is_asked(partial.last_event):
                 channel.allow_no_event()
-            channel.confirm_end_with(functools.partial(self._outage_checks.is_running, up))
+                idle = stack.enter_context(self._path_watch.open_beside(up, channel))
+                confirm = functools.partial(self._outage_checks.has_ended_alone, up, idle)
+            channel.confirm_end_with(confirm)
             await channel.send("POST", item.target.encode("latin-1"), request_headers, item.body)
             head = await self._read_head(channel, item, up)
             attempt.record_status(head.status)
--- a/src/cornelgrade/services/edge/outage_checks.py
+++ b/src/cornelgrade/services/edge/outage_checks.py
@@ -15,6 +15,7 @@
 from cornelgrade.services.edge import (
     _notifier,
     fleet,
+    path_watch,
     peers,
     ports,
     upstream_limits,
@@ -96,6 +97,16 @@
         await trio.sleep(REPLY_INTERVAL_S)
         return await self._responds_to_peer(up)
 
+    async def has_ended_alone(self, up: routes.Upstream, idle: path_watch.IdleConnection) -> bool:
+        """Return whether neither an upstream nor the path to it has ended with a response.
+
+        :param idle: the connection beside that of the response.
+        """
+        if await idle.ended_with(trio.current_time()):
+            _log.info("path_ended", upstream=up.name)
+            return False
+        return await self.is_running(up)
+
     async def check_version(self, up: routes.Upstream) -> None:
         """Check that an upstream with which a stream is to go on is of its registered version.
 
--- a/tests/edge/test_ends_between_events.py
+++ b/tests/edge/test_ends_between_events.py
@@ -239,3 +239,46 @@
     assert not got.complete
     assert got.body == stream_engine.response_body("r1", EVENTS)
     assert took_s < 2.5
+
+
+# Guards against a short stream that looks whole because the path ends again under the question.
+@pytest.mark.parametrize("workers", [0, 1])
+async def test_path_that_ends_under_the_question_is_no_answer(monkeypatch, workers):
+    send_events = stream_engine.StreamEngine._send_events
+
+    async def send_late_if_resumed(self, req, seen, faults):
+        if seen.resumed_after is not None:
+            await trio.sleep(4 * EVENT_S)
+        await send_events(self, req, seen, faults)
+
+    monkeypatch.setattr(stream_engine.StreamEngine, "_send_events", send_late_if_resumed)
+
+    async def end_twice(system, proxies, request):
+        await end_connections(system, proxies, request, 2)
+        with trio.fail_after(5):
+            while not any(seen.resumed_after for seen in list_runs(system, request)):
+                await trio.sleep(0.002)
+        await trio.sleep(EVENT_S)
+        for proxy in proxies.values():
+            proxy.switch(fault_proxy.Switches(end=True))
+
+    async with run_behind_proxies(engines=2, workers=workers) as (system, proxies):
+        received = []
+        if workers:
+            await system.submit("gateway-0", "job", {"r1": b"note"})
+            await end_twice(system, proxies, "r1")
+            with trio.fail_after(20):
+                while not received:
+                    received = await system.results("gateway-0", "job", 0)
+            assert received == [("r1", stream_engine.result_text("r1", EVENTS))]
+            return
+
+        async def receive():
+            received.append(await system.send_online("gateway-0", RESUMABLE, "r1"))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(receive)
+            await end_twice(system, proxies, "r1")
+        (got,) = received
+        whole = stream_engine.response_body("r1", EVENTS)
+        assert got.body == (whole if got.complete else whole[: len(got.body)])
