--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -137,9 +137,7 @@
         return await _accepts(self.caller_address or self.metrics_address)
 
     async def _open(self) -> None:
-        env = {
-            **os.environ,
-            "PYTHONPATH": os.pathsep.join((str(ROOT / "src"), str(ROOT))),
+        env = program_env(ROOT) | {
             "CORNELGRADE_SETTINGS": str(self._settings),
             cut_links.CUTS_VARIABLE: str(self._cuts),
         }
@@ -458,6 +456,12 @@
             await daemon.kill()
 
 
+def program_env(checkout: pathlib.Path) -> dict[str, str]:
+    """Return the environment of a process that runs the programs of a checkout."""
+    path = os.pathsep.join((str(checkout / "src"), str(checkout)))
+    return {**os.environ, "PYTHONPATH": path}
+
+
 async def _until_done(write: Callable[[], Awaitable[None]]) -> None:
     """Try a write of an operator or an engine until the store has taken it."""
     while True:
--- /dev/null
+++ b/bench/streams/engine.py
@@ -0,0 +1,117 @@
+"""A model engine as a process of its own, started by :mod:`bench.streams.engines`.
+
+Usage: ``python -m bench.streams.engine SETTINGS`` with the JSON of :class:`EngineSettings`. Each
+line on standard output is the JSON of a :class:`Notice`.
+"""
+
+import random
+import sys
+import time
+
+import msgspec
+import trio
+
+from cornelgrade.platform.standins import stream_engine
+from cornelgrade.standins import _http_server
+
+
+class EngineSettings(msgspec.Struct, frozen=True):
+    """What one start of an engine is and how often it fails, each as a share of responses.
+
+    :param address: ``IP:port`` to listen on.
+    :param unframed: responses that have neither a length nor chunks.
+    :param ends_early: responses that end between two events while the engine goes on running, with
+        a proper end of their framing if they have one.
+    :param second_answers: unframed responses with a response to another request behind them.
+    :param empty_replies: responses to requests that resume a stream which have no event.
+    """
+
+    name: str
+    address: str
+    version: str
+    seed: str
+    events: int = 30
+    event_s: float = 0.03
+    unframed: float = 0.0
+    ends_early: float = 0.0
+    second_answers: float = 0.0
+    empty_replies: float = 0.0
+
+
+class Notice(msgspec.Struct, frozen=True, omit_defaults=True):
+    """What an engine tells of itself.
+
+    :param started_ms: Unix time of its start in milliseconds, once it listens; 0 in other notices.
+    :param ended_early: the request whose response it ended between two events, or before the first.
+    :param framed: whether that response has chunks.
+    """
+
+    started_ms: int = 0
+    ended_early: str = ""
+    framed: bool = False
+
+
+class ProcessEngine(stream_engine.StreamEngine):
+    """An engine that draws the faults of each response; its events tell their version."""
+
+    def __init__(self, cfg: EngineSettings) -> None:
+        super().__init__(
+            cfg.name, events=cfg.events, event_s=cfg.event_s, version=cfg.version, slots=16
+        )
+        self.started_ms = int(time.time() * 1000)
+        self._cfg = cfg
+        self._rng = random.Random(cfg.seed)
+
+    async def serve(self) -> None:
+        """Serve until the process is ended."""
+        async with trio.open_nursery() as nursery:
+            await nursery.start(self._server.serve, self._cfg.address)
+            _tell(Notice(started_ms=self.started_ms))
+
+    def _draw_faults(self, *, resumed: bool) -> stream_engine.Faults:
+        cfg, rng = self._cfg, self._rng
+        unframed, early, second, empty = (rng.random() for _ in range(4))
+        cut = rng.randrange(1, cfg.events)
+        is_unframed = unframed < cfg.unframed
+        return stream_engine.Faults(
+            unframed=is_unframed,
+            close_after=cut if early < cfg.ends_early else None,
+            foreign_after=second < cfg.second_answers,
+            end_before_events_if_resumed=resumed and empty < cfg.empty_replies,
+        )
+
+    async def _answer(
+        self, req: _http_server.Exchange, seen: stream_engine.ReceivedRequest
+    ) -> None:
+        faults = self._draw_faults(resumed=seen.resumed_after is not None)
+        self.faults = faults
+        after = seen.resumed_after or 0
+        cuts = faults.close_after is not None and max(faults.close_after, after + 1) < self.events
+        if (cuts or faults.end_before_events_if_resumed) and after < self.events:
+            _tell(Notice(ended_early=seen.request, framed=not faults.unframed))
+        await super()._answer(req, seen)
+
+    async def _send_events(
+        self,
+        req: _http_server.Exchange,
+        seen: stream_engine.ReceivedRequest,
+        faults: stream_engine.Faults,
+    ) -> None:
+        # Items' texts keep the data of events only, so the version stands there.
+        named = stream_engine.ReceivedRequest(
+            f"{seen.request}@{self.version}",
+            seen.target,
+            seen.headers,
+            seen.body,
+            seen.resumed_after,
+        )
+        await super()._send_events(req, named, faults)
+
+
+def _tell(notice: Notice) -> None:
+    sys.stdout.buffer.write(msgspec.json.encode(notice) + b"\n")
+    sys.stdout.flush()
+
+
+if __name__ == "__main__":
+    trio.run(ProcessEngine(msgspec.json.decode(sys.argv[1], type=EngineSettings)).serve)
--- /dev/null
+++ b/bench/streams/rig.py
@@ -0,0 +1,147 @@
+"""A store, gateways, workers and engines for one trial; all but the store are processes."""
+
+import contextlib
+import pathlib
+import random
+import subprocess
+import sys
+from collections.abc import AsyncIterator
+
+import trio
+
+from bench.soak import sockets, world
+from bench.streams import engines
+from cornelgrade.platform import directory
+from cornelgrade.platform.standins import edge_system, formats, store_server
+from cornelgrade.standins import fault_proxy, platform_store
+
+GATEWAYS, WORKERS, ENGINES = 3, 3, 6
+# Attempts of a stream or item: enough to come through faults that follow each other.
+MAX_ATTEMPTS = 3
+
+
+class Daemon(world.Daemon):
+    """A gateway or worker of a checkout.
+
+    :param programs: the checkout whose programs run.
+    """
+
+    def __init__(
+        self, name: str, role: str, domain: str, folder: pathlib.Path, programs: pathlib.Path
+    ) -> None:
+        super().__init__(name, role, domain, folder)
+        self._programs = programs
+
+    async def _open(self) -> None:
+        env = world.program_env(self._programs)
+        env["CORNELGRADE_SETTINGS"] = str(self._settings)
+        command = [sys.executable, "-m", "cornelgrade.platform", self.role]
+        with self.log.open("ab") as out:
+            self._process = await trio.lowlevel.open_process(
+                command, env=env, stdout=out, stderr=subprocess.STDOUT
+            )
+
+
+class Rig:
+    """Everything that runs in a trial; made by :func:`running`.
+
+    :ivar stranded: names of the gateways that reach no engine.
+    """
+
+    def __init__(self, nursery: trio.Nursery, folder: pathlib.Path, programs: pathlib.Path) -> None:
+        self.nursery = nursery
+        self.engines: list[engines.Engine] = []
+        self.daemons: dict[str, Daemon] = {}
+        self.store_paths: dict[str, fault_proxy.FaultProxy] = {}
+        self.stranded: set[str] = set()
+        self._store = platform_store.MemoryPlatform(edge_system.UNLIMITED)
+        self._folder = folder
+        self._programs = programs
+
+    @property
+    def gateways(self) -> list[Daemon]:
+        """All gateways."""
+        return [d for d in self.daemons.values() if d.role == world.GATEWAY]
+
+    async def open(self, seed: int, shares: dict[str, float], versions: random.Random) -> None:
+        """Start everything and wait until callers can come.
+
+        :param shares: of failed responses, see :class:`bench.streams.engine.EngineSettings`.
+        :param versions: draws which engines begin as the second version.
+        """
+        server = store_server.StoreServer(self._store)
+        store_address = await self.nursery.start(server.serve, world.LOOPBACK)
+        plan = edge_system.make_plan(1)
+        await self._put(
+            directory.Directory.plan_kind, directory.Directory.plan_name, formats.encode_plan(plan)
+        )
+        for number in range(ENGINES):
+            version = versions.choice(("v1", "v1", "v2"))
+            cfg = engines.settings_of(f"engine-{number}", str(seed), version, **shares)
+            eng = engines.Engine(cfg, edge_system.DOMAINS[number % 3], self._is_stranded)
+            await eng.open(self.nursery)
+            self.engines.append(eng)
+            await self.register(eng)
+        for role, count in ((world.WORKER, WORKERS), (world.GATEWAY, GATEWAYS)):
+            for number in range(count):
+                await self._add_daemon(f"{role}-{number}", role, number, store_address)
+        with trio.fail_after(world.OPEN_LIMIT_S):
+            for daemon in self.gateways:
+                while not await _is_ready(daemon):
+                    await trio.sleep(world.POLL_S)
+
+    async def _add_daemon(self, name: str, role: str, number: int, store_address: str) -> None:
+        domain = edge_system.DOMAINS[number % 3]
+        daemon = Daemon(name, role, domain, self._folder, self._programs)
+        proxy = fault_proxy.FaultProxy(store_address)
+        daemon.configure(await self.nursery.start(proxy.serve, world.LOOPBACK))
+        self.daemons[name], self.store_paths[name] = daemon, proxy
+        await daemon.start()
+
+    def _is_stranded(self, port: int) -> bool:
+        return any(sockets.owns_port(self.daemons[name].pid, port) for name in self.stranded)
+
+    async def register(self, eng: engines.Engine) -> None:
+        """Write the registration of an engine's present start."""
+        up = eng.registration()
+        await self._put(directory.Directory.upstream_kind, up.name, formats.encode_entry(up))
+
+    async def _put(self, kind: str, name: str, raw: bytes) -> None:
+        found = await self._store.get(kind, name)
+        if found is None:
+            await self._store.create(kind, name, raw)
+        else:
+            await self._store.update(kind, name, raw, found.version)
+
+    async def close(self) -> None:
+        """End every process that was started here."""
+        for process in (*self.daemons.values(), *self.engines):
+            await process.kill()
+
+
+async def _is_ready(daemon: Daemon) -> bool:
+    with trio.move_on_after(world.READY_TIMEOUT_S), contextlib.suppress(Exception):
+        return (
+            await edge_system.call(daemon.ready_address, "GET", b"/ready", {}, b"")
+        ).status == 200
+    return False
+
+
+@contextlib.asynccontextmanager
+async def running(
+    folder: pathlib.Path, programs: pathlib.Path, seed: int, shares: dict[str, float]
+) -> AsyncIterator[Rig]:
+    """Run a system until the block ends.
+
+    :param folder: for the logs of its processes.
+    :param programs: the checkout whose gateways and workers run.
+    """
+    async with trio.open_nursery() as nursery:
+        system = Rig(nursery, folder, programs)
+        try:
+            await system.open(seed, shares, random.Random(f"versions {seed}"))
+            yield system
+        finally:
+            with trio.CancelScope(shield=True):
+                await system.close()
+            nursery.cancel_scope.cancel()
