Let an upstream confirm its start before a stream goes on elsewhere

Callers got events of two software versions: an engine came back under its id with another version, a stream began there before that was registered, the engine ended again, and the stream went on at the registered version. The last registration stood for the start that served the connection.

A start serves a connection if it has reported itself later than the connection was opened, as it was registered before. So a gateway asks for a load report when the first event of a resumable stream arrives, one for all streams that began there meanwhile, and records the origin once it has come. If a response breaks off unconfirmed, the stream goes on nowhere, and an item starts anew. A run that goes on with a stream holds its first event until its own start is confirmed: the check before it was older than the connection.

--- a/src/cornelgrade/adapters/http1.py
+++ b/src/cornelgrade/adapters/http1.py
@@ -109,13 +109,14 @@
 
     Failures are raised as :class:`engine.CallError`, whose ``progress`` is that of the call.
 
+    :ivar opened_s: when the peer was connected to, on trio's clock.
     :ivar last_received_s: when the peer last sent something or was connected to, on trio's clock.
     """
 
     def __init__(self, stream: trio.SocketStream, peer: str) -> None:
         self.peer = peer
         self.progress = engine.Progress.NOT_SENT
-        self.last_received_s = trio.current_time()
+        self.opened_s = self.last_received_s = trio.current_time()
         self._stream = stream
         self._h11 = h11.Connection(h11.CLIENT)
         self._request: h11.Request | None = None
--- a/src/cornelgrade/policy/software_versions.py
+++ b/src/cornelgrade/policy/software_versions.py
@@ -29,6 +29,14 @@
     return _make_origin(up.service, up.version)
 
 
+def unconfirmed_origin(up: routes.Upstream) -> StreamOrigin:
+    """Return the origin of a stream that began at an upstream, but maybe at its next start.
+
+    Such a stream goes on nowhere.
+    """
+    return StreamOrigin(up.service, f"{up.name} started {up.started_ms} or later")
+
+
 def resolve_origin(origin: StreamOrigin, upstreams: Iterable[routes.Upstream]) -> StreamOrigin:
     """Return an origin with its version, if it is a start whose version is known by now."""
     for up in upstreams:
--- a/src/cornelgrade/services/edge/_relay_state.py
+++ b/src/cornelgrade/services/edge/_relay_state.py
@@ -5,7 +5,7 @@
 from cornelgrade import errors, logs, routes
 from cornelgrade.adapters import http1, http1_server
 from cornelgrade.policy import event_stream, software_versions, stream_end
-from cornelgrade.services.edge import forwarding, ports, slot_permits
+from cornelgrade.services.edge import forwarding, ports, serving_start, slot_permits
 
 # Statuses that say that the request has not run.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
@@ -23,6 +23,8 @@
     :ivar last_event_s: when it arrived or, before the first one of an attempt, the head.
     :ivar response_bytes: bytes of response bodies received.
     :ivar origin: what began the stream, once it has begun, here or in an earlier attempt.
+    :ivar recorded: the origin that was recorded last, so that the stream can be taken up.
+    :ivar serving: which start serves the last response, ``None`` if a peer does.
     :ivar framing: what marks the end of the last response.
     :ivar end: what the last run shows of the end of the stream.
     :ivar peer: the gateway to which it was forwarded last; empty once it is tried here.
@@ -37,6 +39,8 @@
     last_event_s: float = 0.0
     response_bytes: int = 0
     origin: software_versions.StreamOrigin | None = None
+    recorded: software_versions.StreamOrigin | None = None
+    serving: serving_start.ServingStart | None = None
     framing: http1.Framing | None = None
     end: stream_end.StreamEnd = msgspec.field(default_factory=stream_end.StreamEnd)
     first_byte_s: float | None = None
--- a/src/cornelgrade/services/edge/_response_relay.py
+++ b/src/cornelgrade/services/edge/_response_relay.py
@@ -2,13 +2,14 @@
 
 import trio
 
-from cornelgrade import kernel
+from cornelgrade import kernel, logs
 from cornelgrade.adapters import http1
-from cornelgrade.policy import event_stream
+from cornelgrade.policy import event_stream, software_versions
 from cornelgrade.services.edge import (
     _relay_state,
     fleet,
     forwarding,
+    outage_checks,
     ports,
     serving_start,
     slot_permits,
@@ -20,6 +21,7 @@
 IDLE_TIMEOUT_RATIO = 2.0
 MIN_IDLE_TIMEOUT_S = 0.6
 _EVENT_STREAM = b"text/event-stream"
+_log = logs.Logger("relay")
 
 
 def is_event_stream(head: http1.ResponseHead) -> bool:
@@ -36,6 +38,7 @@
         self._max_response_bytes = max_response_bytes
         self._call_format = call_format
         self._fleet = kern.find("fleet", fleet.Fleet)
+        self._outage_checks = kern.find("outage_checks", outage_checks.OutageChecks)
         self._permits = kern.find("seats", slot_permits.SlotPermits)
         self._origins = kern.find("stream_origins", stream_origins.StreamOrigins)
 
@@ -165,7 +168,7 @@
         """
         splitter = event_stream.EventSplitter()
         progress.last_event_s = trio.current_time()
-        start = self._find_start(channel, progress)
+        progress.serving = self._find_start(channel, progress)
         while part := await self._read_part(channel, req, progress):
             self._check_size(channel, progress, part)
             for event in _split_events(channel, splitter, part):
@@ -177,7 +180,7 @@
                 elif event.event_id is None and progress.end.is_asked(progress.last_event):
                     continue
                 elif _relay_state.is_new_event(event, progress.last_event):
-                    self._record_origin(req, progress, start)
+                    await self._follow_origin(req, progress)
                     await self._write_part(req, progress, head, event.raw)
                     progress.last_event_s = trio.current_time()
                     progress.last_event = (
@@ -197,23 +200,46 @@
         if progress.peer or progress.permit is None:
             return None
         up = progress.permit.upstream
-        return serving_start.ServingStart(self._fleet, up, channel, progress.origin)
+        return serving_start.ServingStart(
+            self._fleet, self._outage_checks, up, channel, progress.origin
+        )
 
-    def _record_origin(
-        self,
-        req: _relay_state.Request,
-        progress: _relay_state.Progress,
-        start: serving_start.ServingStart | None,
+    async def _follow_origin(
+        self, req: _relay_state.Request, progress: _relay_state.Progress
     ) -> None:
         """Record what began a stream, before its next event is sent.
 
         :raises CallError: if another start goes on with it.
         """
-        if start is None:
+        if progress.serving is None:
             return
-        origin = start.follow_origin()
-        if origin != progress.origin:
+        progress.origin = await progress.serving.follow_origin()
+        if progress.serving.begins and progress.permit is not None:
+            confirmed = progress.serving.is_confirmed
+            up = progress.permit.upstream
+            origin = progress.origin if confirmed else software_versions.unconfirmed_origin(up)
+            self._record_origin(req, progress, origin)
+
+    async def settle_origin(
+        self, req: _relay_state.Request, progress: _relay_state.Progress
+    ) -> None:
+        """Record what began a stream whose response was broken off."""
+        serving, progress.serving = progress.serving, None
+        origin = await serving.settle_origin() if serving is not None else None
+        if origin is not None and origin != progress.origin:
             progress.origin = origin
+            _log.info("origin_unconfirmed", request=req.caller.request_id, origin=origin.version)
+        if origin is not None and serving is not None and serving.begins:
+            self._record_origin(req, progress, origin)
+
+    def _record_origin(
+        self,
+        req: _relay_state.Request,
+        progress: _relay_state.Progress,
+        origin: software_versions.StreamOrigin,
+    ) -> None:
+        if origin != progress.recorded:
+            progress.recorded = origin
             self._origins.record(req.caller.request_id, origin)
 
     async def _read_part(
--- a/src/cornelgrade/services/edge/_upstream_relay.py
+++ b/src/cornelgrade/services/edge/_upstream_relay.py
@@ -69,6 +69,7 @@
                 if not ended:
                     # What becomes of the question is no evidence against the upstream.
                     attempt.record_completion(head.status)
+                    await self._responses.settle_origin(req, progress)
                 while not ended:
                     ended = await self._ask_for_more(req, progress, up, attempt)
                 await req.exchange.end_response()
@@ -79,6 +80,7 @@
                     self._reach.mark_suspect(up, exc.message)
                 else:
                     attempt.record_error(exc)
+                await self._responses.settle_origin(req, progress)
                 raise
             except trio.Cancelled:
                 self._crash_detector.check_abandoned(up, channel.last_received_s)
--- a/src/cornelgrade/services/edge/fleet.py
+++ b/src/cornelgrade/services/edge/fleet.py
@@ -8,7 +8,7 @@
 
 from cornelgrade import kernel, logs, routes
 from cornelgrade.adapters import platform
-from cornelgrade.policy import registrations, route_table
+from cornelgrade.policy import registrations, route_table, start_sightings
 from cornelgrade.services import ports as shared_ports
 from cornelgrade.services.edge import (
     _notifier,
@@ -52,6 +52,7 @@
         self._availability = availability
         self._table: route_table.RouteTable | None = None
         self._registered: registrations.Registrations = {}
+        self._sightings = start_sightings.StartSightings()
         self._notices: collections.OrderedDict[shared_ports.Leaving, None] = (
             collections.OrderedDict()
         )
@@ -105,12 +106,24 @@
             for vm in {*nearby, *self._peers.other_vms_in(up.failure_domain)}:
                 self._peers.send(vm, notice)
 
-    def record_start(self, up: routes.Upstream, started_ms: int) -> None:
+    def has_reported(self, up: routes.Upstream, since_s: float) -> bool:
+        """Return whether the registered start of an upstream has responded since then.
+
+        One that has ended meanwhile would report another start, or none. One that reports no start
+        can't be told apart from others, and counts.
+
+        :param since_s: on trio's clock.
+        """
+        return not up.started_ms or self._sightings.was_seen(up.name, up.started_ms, since_s)
+
+    def record_start(self, up: routes.Upstream, started_ms: int, asked_s: float) -> None:
         """Record the start that an upstream reports: its registration may be late.
 
         :param up: the upstream as registered when it was asked.
         :param started_ms: 0 if it reports none.
+        :param asked_s: when it was asked, on trio's clock.
         """
+        self._sightings.record(up.name, started_ms or up.started_ms, asked_s)
         current = registrations.record_start(self._registered, up, started_ms)
         if current is not self._registered:
             self._registered = current
--- a/src/cornelgrade/services/edge/item_call.py
+++ b/src/cornelgrade/services/edge/item_call.py
@@ -140,16 +140,23 @@
             if not (head.get(b"content-type") or _EVENT_STREAM).startswith(_EVENT_STREAM):
                 raise channel.call_error("response is no event stream", _STEP)
             events_before = partial.events
+            start = serving_start.ServingStart(
+                self._fleet, self._outage_checks, up, channel, partial.origin
+            )
             unframed = head.framing is http1.Framing.CONNECTION
             try:
-                await self._read_events(channel, partial, up)
+                await self._read_events(channel, partial, start)
             except engine.CallError as exc:
+                await _settle_origin(partial, start)
                 if unframed and partial.events == events_before and not exc.timed_out:
                     # The earlier runs may have brought all events: whether more are due can't be
                     # told from an unframed stream without any, so the next run starts anew.
                     partial.clear()
                 raise
-            return head.status, not unframed or partial.end.record_end(partial.last_event)
+            ended = not unframed or partial.end.record_end(partial.last_event)
+            if not ended:
+                await _settle_origin(partial, start)
+            return head.status, ended
 
     async def _read_head(
         self, channel: http1.Channel, item: ports.Item, up: routes.Upstream
@@ -168,10 +175,9 @@
         raise channel.call_error("no response within the timeout", _STEP, timed_out=True)
 
     async def _read_events(
-        self, channel: http1.Channel, partial: PartialResult, up: routes.Upstream
+        self, channel: http1.Channel, partial: PartialResult, start: serving_start.ServingStart
     ) -> None:
         splitter = event_stream.EventSplitter()
-        start = serving_start.ServingStart(self._fleet, up, channel, partial.origin)
         last_event_s = trio.current_time()
         # Bytes that complete no event don't extend the time until the next one.
         while part := await channel.read_chunk_by(last_event_s + EVENT_GAP_TIMEOUT_S, _STEP):
@@ -186,7 +192,7 @@
                 unnumbered = event.event_id is None
                 if event.empty or (unnumbered and partial.end.is_asked(partial.last_event)):
                     continue
-                partial.origin = start.follow_origin()
+                partial.origin = await start.follow_origin()
                 _append_event(channel, partial, event)
             if partial.events > events_before:
                 last_event_s = trio.current_time()
@@ -195,6 +201,12 @@
                 raise channel.call_error("result exceeds the size limit", _STEP)
 
 
+async def _settle_origin(partial: PartialResult, start: serving_start.ServingStart) -> None:
+    """Let the next run start anew if what began the item is not known for sure."""
+    if await start.settle_origin() != partial.origin:
+        partial.clear()
+
+
 def _append_event(
     channel: http1.Channel, partial: PartialResult, event: event_stream.Event
 ) -> None:
--- a/src/cornelgrade/services/edge/outage_checks.py
+++ b/src/cornelgrade/services/edge/outage_checks.py
@@ -60,15 +60,23 @@
         self._responding: dict[str, float] = {}
         self._replied = _notifier.Notifier()
         self._checked_s: dict[str, float] = {}
+        self._nursery: trio.Nursery | None = None
+        # Upstreams that are asked for their start, and since when it has to have run.
+        self._confirming: set[str] = set()
+        self._confirm_since_s: dict[str, float] = {}
 
     async def run(self, started: Callable[[], None]) -> None:
         """Reply to peers and receive their replies until cancelled."""
         queries = self._peers.subscribe(messages.UpstreamQuery)
         replies = self._peers.subscribe(messages.UpstreamResponds)
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._receive_queries, nursery, queries)
-            nursery.start_soon(self._receive_replies, replies)
-            started()
+        try:
+            async with trio.open_nursery() as nursery:
+                self._nursery = nursery
+                nursery.start_soon(self._receive_queries, nursery, queries)
+                nursery.start_soon(self._receive_replies, replies)
+                started()
+        finally:
+            self._nursery = None
 
     async def find_outage(self, up: routes.Upstream) -> str | None:
         """Return the sign that an upstream is down or was restarted, ``None`` if it still runs."""
@@ -107,6 +115,30 @@
             return False
         return await self.is_running(up)
 
+    def confirm_soon(self, up: routes.Upstream, since_s: float) -> None:
+        """Ask an upstream in the background which start of it runs, unless it has told.
+
+        One question serves all connections that were opened before.
+
+        :param since_s: when a connection to it was opened, on trio's clock.
+        """
+        self._confirm_since_s[up.name] = since_s
+        if self._nursery is not None and up.name not in self._confirming:
+            self._confirming.add(up.name)
+            self._nursery.start_soon(self._confirm, up)
+
+    async def _confirm(self, up: routes.Upstream) -> None:
+        try:
+            for _ in range(MAX_CHECKS):
+                if not self._limits.try_take_for_poll(up):
+                    return
+                await self.find_outage(up)
+                if self._fleet.has_reported(up, self._confirm_since_s[up.name]):
+                    return
+        finally:
+            self._confirming.discard(up.name)
+            del self._confirm_since_s[up.name]
+
     async def check_version(self, up: routes.Upstream) -> None:
         """Check that an upstream with which a stream is to go on is of its registered version.
 
--- a/src/cornelgrade/services/edge/upstream_loads.py
+++ b/src/cornelgrade/services/edge/upstream_loads.py
@@ -25,8 +25,8 @@
     def record(self, up: routes.Upstream, head: http1.ResponseHead) -> None:
         """Record the head of a response."""
 
-    def record_load(self, up: routes.Upstream, load: ports.UpstreamLoad) -> None:
-        """Record a load report."""
+    def record_load(self, up: routes.Upstream, load: ports.UpstreamLoad, asked_s: float) -> None:
+        """Record a load report that was asked for at a time on trio's clock."""
 
 
 class LoadReport(msgspec.Struct, frozen=True):
@@ -107,6 +107,7 @@
     :param recorder: gets the response.
     :raises CallError: if it does not respond in time.
     """
+    asked_s = trio.current_time()
     with trio.move_on_after(LOAD_TIMEOUT_S):
         with await http1.connect(up.address, LOAD_TIMEOUT_S) as channel:
             host = ((b"host", up.address.encode()),)
@@ -116,7 +117,7 @@
             body = await channel.read_body(MAX_RESPONSE_BYTES)
             load = call_format.parse_load(body) if head.status == 200 else None
             if load is not None:
-                recorder.record_load(up, load)
+                recorder.record_load(up, load, asked_s)
             return load
     raise engine.CallError(
         "no response within the timeout",
--- a/src/cornelgrade/services/edge/upstream_notices.py
+++ b/src/cornelgrade/services/edge/upstream_notices.py
@@ -19,6 +19,6 @@
             self._fleet.record_leaving(up)
         self._limits.record_reading(up, self._call_format.read_limit(head))
 
-    def record_load(self, up: routes.Upstream, load: ports.UpstreamLoad) -> None:
+    def record_load(self, up: routes.Upstream, load: ports.UpstreamLoad, asked_s: float) -> None:
         """Record what a load report says of more than the load."""
-        self._fleet.record_start(up, load.started_ms)
+        self._fleet.record_start(up, load.started_ms, asked_s)
