Let the gateway that serves a forwarded stream tell what began it

The gateway that forwards a stream recorded its origin from headers that its peer sent with the head of the response, by the registration of that moment. News of the next start that the peer got after the head did not reach it, so that the stream could be taken up there at another version.

The peer now sends a StreamOrigins datagram to the sender whenever it records or corrects the origin; the headers of earlier builds are dropped. The test passes before as well: checks of stranded gateways had shown the restart to the peer before the head, so the order of head and news is by reading only.

--- a/src/cornelgrade/services/edge/_peer_relay.py
+++ b/src/cornelgrade/services/edge/_peer_relay.py
@@ -10,7 +10,6 @@
     forwarding,
     ports,
     slot_permits,
-    stream_origins,
 )
 
 
@@ -23,7 +22,6 @@
         call_format: ports.CallFormat,
         responses: _response_relay.ResponseRelay,
     ) -> None:
-        self._origins = kern.find("stream_origins", stream_origins.StreamOrigins)
         self._forwarding = forwarding.Forwarding(kern, call_format)
         self._call_format = call_format
         self._responses = responses
@@ -48,10 +46,7 @@
             # The peer makes one run, so that runs are counted here whatever becomes of it.
             earlier_runs = max(progress.runs, req.route.max_attempts - 1)
             await self._forwarding.send(channel, exchange, headers, earlier_runs, req.team)
-            head = await self._read_head(channel, req, progress)
-            origin, head = forwarding.take_origin(head)
-            if req.route.resumable and origin is not None and not progress.started:
-                self._origins.record(caller.request_id, origin)
+            head = forwarding.drop_own_headers(await self._read_head(channel, req, progress))
             progress.framing = head.framing
             if not await self._responses.relay(channel, req, progress, head):
                 raise channel.call_error("peer sent a stream without framing", _relay_state.STEP)
--- a/src/cornelgrade/services/edge/_response_relay.py
+++ b/src/cornelgrade/services/edge/_response_relay.py
@@ -8,7 +8,6 @@
 from cornelgrade.services.edge import (
     _relay_state,
     fleet,
-    forwarding,
     outage_checks,
     ports,
     serving_start,
@@ -85,8 +84,6 @@
         head: http1.ResponseHead,
     ) -> bool:
         headers = self._call_format.caller_headers(head)
-        if progress.permit is not None and req.hop is not None:
-            headers += forwarding.origin_headers(progress.permit.upstream)
         if is_event_stream(head) and req.route.resumable and head.status < 300:
             return await self._relay_events(channel, req, progress, (head.status, headers))
         if is_event_stream(head) and head.status < 300:
@@ -240,7 +237,8 @@
     ) -> None:
         if origin != progress.recorded:
             progress.recorded = origin
-            self._origins.record(req.caller.request_id, origin)
+            sender = req.hop.sender if req.hop is not None else ""
+            self._origins.record(req.caller.request_id, origin, sender)
 
     async def _read_part(
         self, channel: http1.Channel, req: _relay_state.Request, progress: _relay_state.Progress
--- a/src/cornelgrade/services/edge/forwarding.py
+++ b/src/cornelgrade/services/edge/forwarding.py
@@ -8,9 +8,8 @@
 
 import msgspec
 
-from cornelgrade import errors, kernel, routes
+from cornelgrade import errors, kernel
 from cornelgrade.adapters import engine, http1, http1_server, peer_auth
-from cornelgrade.policy import software_versions
 from cornelgrade.services.edge import peer_calls, peers, ports
 
 CONNECT_TIMEOUT_S = 0.25
@@ -18,10 +17,10 @@
 MAX_OWN_HEADER_BYTES = 2048
 _RUNS = b"cornelgrade-runs"
 _SENDER = b"cornelgrade-sender"
-_SERVICE = b"cornelgrade-service"
-_VERSION = b"cornelgrade-version"
 _TEAM = b"cornelgrade-team"
 _AUTH = peer_auth.AUTH_HEADER.encode()
+# Peers of earlier builds name the origin of a stream in these.
+_OLD_RESPONSE_HEADERS = frozenset((b"cornelgrade-service", b"cornelgrade-version"))
 _OWN_HEADERS = frozenset((_RUNS, _SENDER, _TEAM, _AUTH, peer_calls.MARK.encode()))
 
 
@@ -106,22 +105,10 @@
         return Hop(sender, int(runs), team)
 
 
-def origin_headers(up: routes.Upstream) -> http1.Headers:
-    """Return the headers that tell the gateway that forwarded a request what began its stream."""
-    origin = software_versions.origin_at(up)
-    return ((_SERVICE, origin.service.encode()), (_VERSION, origin.version.encode()))
-
-
-def take_origin(
-    head: http1.ResponseHead,
-) -> tuple[software_versions.StreamOrigin | None, http1.ResponseHead]:
-    """Return what a peer says began a stream, and the head without the headers that say so."""
-    service, version = head.get(_SERVICE), head.get(_VERSION)
-    kept = tuple((k, v) for k, v in head.headers if k not in (_SERVICE, _VERSION))
-    origin = None
-    if service is not None and version is not None:
-        origin = software_versions.StreamOrigin(service.decode(), version.decode())
-    return origin, http1.ResponseHead(head.status, kept)
+def drop_own_headers(head: http1.ResponseHead) -> http1.ResponseHead:
+    """Return the head of a response without what peers of earlier builds add to it."""
+    kept = tuple((k, v) for k, v in head.headers if k not in _OLD_RESPONSE_HEADERS)
+    return http1.ResponseHead(head.status, kept)
 
 
 def _signed_text(exchange: http1_server.Exchange, sender: str, runs: str, team: str) -> str:
--- a/src/cornelgrade/services/edge/stream_origins.py
+++ b/src/cornelgrade/services/edge/stream_origins.py
@@ -77,10 +77,13 @@
             nursery.start_soon(self._observe_changes)
             started()
 
-    def record(self, request_id: str, origin: software_versions.StreamOrigin) -> None:
-        """Record what begins a stream; call it before its first event is sent.
+    def record(
+        self, request_id: str, origin: software_versions.StreamOrigin, forwarded_by: str = ""
+    ) -> None:
+        """Record what begins a stream; call it before its first event is sent, and on a change.
 
         :param request_id: id of the caller's attempt; a stream without one can't be found again.
+        :param forwarded_by: gateway that forwarded it here, at which its caller may take it up.
         """
         if not request_id:
             return
@@ -88,6 +91,8 @@
         self._remember(key, origin, own=True)
         if origin.service in self._mixed:
             self._tell_holders((key,))
+        if forwarded_by:
+            self._peers.send(forwarded_by, messages.StreamOrigins((self._tell(key),)))
 
     def resolve(self, origin: software_versions.StreamOrigin) -> software_versions.StreamOrigin:
         """Return an origin with its version, if that was unknown and has been registered since."""
@@ -161,10 +166,8 @@
         """Send origins to their holders, joined into few datagrams."""
         by_vm: dict[str, list[messages.StreamOrigin]] = {}
         for key in keys:
-            origin = self._known[key].origin
             for vm in self._holders(key):
-                told = messages.StreamOrigin(key, origin.service, origin.version)
-                by_vm.setdefault(vm, []).append(told)
+                by_vm.setdefault(vm, []).append(self._tell(key))
         for vm, origins in by_vm.items():
             for at in range(0, len(origins), MAX_ORIGINS_PER_DATAGRAM):
                 part = tuple(origins[at : at + MAX_ORIGINS_PER_DATAGRAM])
@@ -184,12 +187,14 @@
         self, queries: trio.MemoryReceiveChannel[messages.StreamOriginQuery]
     ) -> None:
         async for query in queries:
-            known = self._known.get(query.request)
-            if known is not None:
-                origin = known.origin
-                told = messages.StreamOrigin(query.request, origin.service, origin.version)
+            if query.request in self._known:
+                told = self._tell(query.request)
                 self._peers.send(query.vm, messages.StreamOrigins((told,)))
 
+    def _tell(self, key: int) -> messages.StreamOrigin:
+        origin = self._known[key].origin
+        return messages.StreamOrigin(key, origin.service, origin.version)
+
     async def _observe_changes(self) -> None:
         while True:
             self._observe()
--- a/tests/edge/test_restarted_versions.py
+++ b/tests/edge/test_restarted_versions.py
@@ -9,7 +9,7 @@
 
 from cornelgrade.adapters import engine
 from cornelgrade.platform.standins import edge_system, stream_engine
-from cornelgrade.services.edge import fleet, upstream_loads
+from cornelgrade.services.edge import fleet, stream_origins, upstream_loads
 
 EVENTS = 20
 EVENT_S = 0.05
@@ -247,6 +247,27 @@
     assert taken.status != 200 or versions_of(taken) <= {"v2"}
 
 
+# Guards against a gateway that takes a stream up at the version which its peer had registered when
+# the response began, although the next start of the upstream served it.
+async def test_gateway_learns_which_start_served_a_stream_that_it_forwarded(monkeypatch):
+    async with run_engines(gateways=2, engines=2) as system:
+        await start_engines(system)
+        restarted, other = system.engines.values()
+        with stranded.cut_vms(system, monkeypatch, "gateway-0", refuses=True):
+            with trio.fail_after(10):
+                while (await system.send_online("gateway-0", PATH, "before")).status != 200:
+                    await trio.sleep(0.05)
+            await restart_as(restarted, "v2")
+            other.faults = stream_engine.Faults(decline=True)
+            got = await system.send_online("gateway-0", PATH, "r1")
+            kern = system.nodes["gateway-0"].kern
+            origins = kern.find("stream_origins", stream_origins.StreamOrigins)
+            route = edge_system.make_plan().routes[1]
+            origin = await origins.find("r1", route)
+    assert versions_of(got) == {"v2"}
+    assert origin.version == f"{restarted.name} started {restarted.started_ms}"
+
+
 # Guards against items that hold events of two versions for the same reason.
 async def test_item_that_ran_when_its_version_was_registered_does_not_go_on_at_another():
     async with run_engines(workers=1, engines=2) as system:
