Take a stream that does not begin with its first event for incomplete

Callers got streams, and items texts, whose first events were missing if an upstream left them out: the number of an event was compared with that of the event before, and the first one of a response had none before it. Events are numbered from 1, and an upstream resumes at the event after Last-Event-Id.

The first event is now compared with that. A resumable stream or an item runs at another upstream, a stream that runs once fails before its first event.

--- a/src/cornelgrade/platform/standins/stream_engine.py
+++ b/src/cornelgrade/platform/standins/stream_engine.py
@@ -43,6 +43,7 @@
     :param end_after: end responses after this many events, within the next one.
     :param close_after: end responses between two events, once this many were sent and at least one
         in this response. Without framing, that looks like the end of a whole one.
+    :param begin_after: omit so many events at the begin of responses.
     :param foreign_after: write a response to another request behind each one without framing.
     :param end_before_events: end responses before the first event.
     :param end_before_events_if_resumed: the same for requests that resume a stream.
@@ -73,6 +74,7 @@
     cut_after: int | None = None
     end_after: int | None = None
     close_after: int | None = None
+    begin_after: int = 0
     foreign_after: bool = False
     end_before_events: bool = False
     end_before_events_if_resumed: bool = False
@@ -302,7 +304,7 @@
         self, req: _http_server.Exchange, seen: ReceivedRequest, faults: Faults
     ) -> None:
         """Send the events; ``faults`` are those at the begin of the response."""
-        first = (seen.resumed_after or 0) + 1
+        first = (seen.resumed_after or 0) + 1 + faults.begin_after
         for number in range(first, self.events + 1):
             if faults.close_after is not None and number > max(faults.close_after, first):
                 return
--- a/src/cornelgrade/policy/event_stream.py
+++ b/src/cornelgrade/policy/event_stream.py
@@ -12,6 +12,8 @@
 MAX_LINE_END_BYTES = 2
 MALFORMED_MESSAGE = "lines that belong to no event stream"
 _LINE_END_BYTES = b"\r\n"
+# Number of the first event of a stream, if it has one.
+_FIRST_ID = 1
 _BLANK_LINE = re.compile(rb"(?>\r\n|\r|\n){2}")
 # A line is a comment, a field, or the bare name of a known field. A field that is not known is
 # ignored, but its name is a word.
@@ -43,6 +45,20 @@
         return b"\n".join(line[len(_DATA) :].removeprefix(b" ") for line in lines)
 
 
+def is_new(event: Event, last_id: int | None) -> bool:
+    """Return whether an event is none of those up to the last one; one without a number may be."""
+    return event.event_id is None or last_id is None or event.event_id > last_id
+
+
+def has_gap(event: Event, last_id: int | None) -> bool:
+    """Return whether events are missing before an event.
+
+    :param last_id: number of the last event before it, ``None`` at the begin of a stream.
+    """
+    next_id = _FIRST_ID if last_id is None else last_id + 1
+    return event.event_id is not None and event.event_id > next_id
+
+
 class EventTooLongError(ValueError):
     """An event does not end within :data:`MAX_EVENT_BYTES`."""
 
--- a/src/cornelgrade/services/edge/_relay_state.py
+++ b/src/cornelgrade/services/edge/_relay_state.py
@@ -4,7 +4,7 @@
 
 from cornelgrade import errors, logs, routes
 from cornelgrade.adapters import http1, http1_server
-from cornelgrade.policy import event_stream, software_versions, stream_end
+from cornelgrade.policy import software_versions, stream_end
 from cornelgrade.services.edge import forwarding, ports, serving_start, slot_permits
 
 # Statuses that say that the request has not run.
@@ -94,16 +94,6 @@
     }
 
 
-def is_new_event(event: event_stream.Event, last: int | None) -> bool:
-    """Whether an event follows the last one that the caller received."""
-    return event.event_id is None or last is None or event.event_id > last
-
-
-def has_gap(event: event_stream.Event, last: int | None) -> bool:
-    """Whether events are missing between the caller's last event and this one."""
-    return event.event_id is not None and last is not None and event.event_id > last + 1
-
-
 def final_refusal(progress: Progress, refusal: errors.Refusal) -> errors.Refusal:
     """Return the refusal as is only if no upstream can have run the request."""
     if not progress.runs:
--- a/src/cornelgrade/services/edge/_response_relay.py
+++ b/src/cornelgrade/services/edge/_response_relay.py
@@ -115,14 +115,14 @@
     ) -> None:
         """Relay each byte of a stream that can't go on elsewhere, up to what is no part of it."""
         splitter = event_stream.EventSplitter()
-        last_event: int | None = None
+        last_event = progress.last_event
         while part := await channel.read_chunk():
             self._check_size(channel, progress, part)
             if not progress.started:
                 await self._write_part(req, progress, head, b"")
             for event in _split_events(channel, splitter, part):
                 _check_event(channel, event, last_event)
-                if not _relay_state.is_new_event(event, last_event):
+                if not event_stream.is_new(event, last_event):
                     raise channel.call_error(
                         f"event {event.event_id} follows {last_event}", _relay_state.STEP
                     )
@@ -176,7 +176,7 @@
                         await req.exchange.send_chunk(event.raw)
                 elif event.event_id is None and progress.end.is_asked(progress.last_event):
                     continue
-                elif _relay_state.is_new_event(event, progress.last_event):
+                elif event_stream.is_new(event, progress.last_event):
                     await self._follow_origin(req, progress)
                     await self._write_part(req, progress, head, event.raw)
                     progress.last_event_s = trio.current_time()
@@ -283,7 +283,7 @@
     """
     if not event.well_formed:
         raise channel.call_error(event_stream.MALFORMED_MESSAGE, _relay_state.STEP)
-    if _relay_state.has_gap(event, last_event):
+    if event_stream.has_gap(event, last_event):
         raise channel.call_error(
             f"events missing between {last_event} and {event.event_id}", _relay_state.STEP
         )
--- a/src/cornelgrade/services/edge/item_call.py
+++ b/src/cornelgrade/services/edge/item_call.py
@@ -214,13 +214,12 @@
 
     :raises CallError: if events are missing before it.
     """
-    if event.event_id is not None and partial.last_event is not None:
-        if event.event_id <= partial.last_event:
-            return
-        if event.event_id > partial.last_event + 1:
-            raise channel.call_error(
-                f"events missing between {partial.last_event} and {event.event_id}", _STEP
-            )
+    if event_stream.has_gap(event, partial.last_event):
+        raise channel.call_error(
+            f"events missing between {partial.last_event} and {event.event_id}", _STEP
+        )
+    if not event_stream.is_new(event, partial.last_event):
+        return
     data = event.data()
     partial.texts.append(data.decode("utf-8", "replace"))
     partial.text_bytes += len(data)
--- a/tests/edge/test_foreign_events.py
+++ b/tests/edge/test_foreign_events.py
@@ -60,6 +60,41 @@
     assert not got.complete
 
 
+# Guards against a stream or item without its first events.
+@pytest.mark.parametrize("path", RUN_ONCE_PREFIXES)
+async def test_stream_that_runs_once_and_lacks_its_first_events_fails(start_system, path):
+    async with edge_system.run_system() as system:
+        await start_system(system)
+        set_faults(system, begin_after=2)
+        got = await system.send_online("gateway-0", path, "r1")
+    assert b"data" not in got.body
+    assert not (got.status == 200 and got.complete)
+
+
+async def test_resumable_stream_without_its_first_events_runs_elsewhere():
+    async with edge_system.run_system(engines=2) as system:
+        for number in range(4):
+            for name, eng in system.engines.items():
+                missing = 2 if name == f"engine-{number % 2}" else 0
+                eng.faults = stream_engine.Faults(begin_after=missing)
+            got = await system.send_online("gateway-0", edge_system.RESUMABLE_PREFIX, f"r{number}")
+            assert got.body == stream_engine.response_body(f"r{number}", EVENTS)
+
+
+async def test_item_without_its_first_events_runs_again():
+    async with edge_system.run_system(workers=1, engines=2) as system:
+        system.engines["engine-0"].faults = stream_engine.Faults(begin_after=2)
+        items = {f"item-{number}": b"note" for number in range(8)}
+        await system.submit("gateway-0", "job", items)
+        await trio.sleep(0.5)
+        system.engines["engine-0"].faults = stream_engine.Faults()
+        results = []
+        with trio.fail_after(20):
+            while len(results) < len(items):
+                results += await system.results("gateway-0", "job", len(results))
+    assert dict(results) == {name: stream_engine.result_text(name, EVENTS) for name in items}
+
+
 # Guards against changing what a sound stream that runs once has between its events.
 @pytest.mark.parametrize("unframed", [False, True])
 @pytest.mark.parametrize("path", RUN_ONCE_PREFIXES)
