Do not repeat streams and items whose events have no numbers

Callers got the events of a resumable stream twice, and items their lines, if these had no numbers and the response broke off: the next run was not told where to go on, and nothing showed that its events had come before. The stream now ends visibly incomplete, and the item starts anew. test_resumable_stream_without_numbers_is_not_repeated fails before and passes; for items by reading only.

--- a/src/cornelgrade/services/edge/item_call.py
+++ b/src/cornelgrade/services/edge/item_call.py
@@ -93,6 +93,9 @@
         :raises CallError: if the run did not finish.
         """
         partial.end.begin_run()
+        if partial.last_event is None:
+            # Events without numbers would come again.
+            partial.clear()
         if partial.origin is not None:
             await self._outage_checks.check_version(up)
         status, ended = await self._call_upstream(header, item, up, partial, attempt)
--- a/src/cornelgrade/services/edge/relay.py
+++ b/src/cornelgrade/services/edge/relay.py
@@ -300,8 +300,8 @@
 
     @staticmethod
     def _cannot_resume(req: _relay_state.Request, progress: _relay_state.Progress) -> bool:
-        """Whether the response was started on a route that is not resumable."""
-        return progress.started and not req.route.resumable
+        """Whether the response was started and nothing tells an upstream where to go on."""
+        return progress.started and (not req.route.resumable or progress.last_event is None)
 
     async def _send_refusal(
         self, req: _relay_state.Request, progress: _relay_state.Progress, refusal: errors.Refusal
--- a/tests/edge/test_foreign_events.py
+++ b/tests/edge/test_foreign_events.py
@@ -5,6 +5,7 @@
 from tests.edge import test_unframed_responses
 
 from cornelgrade.platform.standins import edge_system, stream_engine
+from cornelgrade.standins import _http_server
 
 EVENTS = 5
 start_system = test_unframed_responses.start_system
@@ -95,6 +96,19 @@
     assert dict(results) == {name: stream_engine.result_text(name, EVENTS) for name in items}
 
 
+# Guards against events that come twice because nothing numbers those that the caller has.
+async def test_resumable_stream_without_numbers_is_not_repeated(monkeypatch):
+    async def send_without_numbers(self, req, seen, faults):
+        await req.send_chunk(b"data: a\n\n")
+        raise _http_server.AbortConnectionError
+
+    async with edge_system.run_system(engines=2) as system:
+        monkeypatch.setattr(stream_engine.StreamEngine, "_send_events", send_without_numbers)
+        got = await system.send_online("gateway-0", edge_system.RESUMABLE_PREFIX, "r1")
+        runs = [s for eng in system.engines.values() for s in eng.seen if s.ran]
+    assert (got.body, got.complete, len(runs)) == (b"data: a\n\n", False, 1)
+
+
 # Guards against changing what a sound stream that runs once has between its events.
 @pytest.mark.parametrize("unframed", [False, True])
 @pytest.mark.parametrize("path", RUN_ONCE_PREFIXES)
