Ask others what began a stream also while a single version is registered

Callers got events of two versions: an engine came back under its id with another version that it had not registered, a stream began there, the engine ended, and the caller took the stream up at another gateway. That one knew a single version and took it for the origin without asking, though the first gateway knew that another start had served the stream.

A gateway now always asks for the origin of a stream that it doesn't know; only if nobody replies does the single version count. While an upstream has been restarted and not registered since, gateways tell holders of the streams that begin, as with several versions, so that the origin outlives its gateway. test_stream_of_an_unregistered_start_is_not_taken_up_at_another_gateway fails before in both cases and passes. Only streams that are taken up pay.

--- a/src/cornelgrade/services/edge/stream_origins.py
+++ b/src/cornelgrade/services/edge/stream_origins.py
@@ -1,9 +1,9 @@
 """The service ``stream_origins``: which software version began a stream that a caller takes up.
 
 A stream goes on only at the version that began it, and its caller may take it up at any gateway.
-A gateway remembers the streams that began there. While several versions of a service serve, it also
-tells a few other gateways of each, so that the origin is known after the gateway is gone. A gateway
-that doesn't know the origin asks. No message is sent while a service has a single version.
+A gateway remembers the streams that began there. While several versions of a service serve, or an
+upstream has been restarted and not registered since, it also tells a few other gateways of each, so
+that the origin is known after the gateway is gone. A gateway that doesn't know the origin asks.
 """
 
 import collections
@@ -119,11 +119,12 @@
         complete = self._history.is_complete(now_s, route.timeout_s)
         # Other gateways may know of a version that was registered meanwhile.
         behind = self._availability.may_be_behind(self._upstream_kind)
-        if len(possible) == 1 and complete and not behind:
-            return possible[0]
+        # The gateway at which it began may know of a start that is not registered.
         found = await self._ask(key) if key is not None else None
-        if found is None and len(possible) == 1 and not self._may_replace_others(possible[0]):
-            found = possible[0]
+        only = possible[0] if len(possible) == 1 else None
+        if found is None and only is not None:
+            knows_all = complete and not behind
+            found = only if knows_all or not self._may_replace_others(only) else None
         _log.info(
             "stream_origin",
             request=request_id,
@@ -206,7 +207,9 @@
         upstreams = self._fleet.upstreams()
         self._history.observe(upstreams, now_s)
         services = {up.service for up in upstreams}
-        mixed = frozenset(s for s in services if len(self._history.list_origins(s, now_s)) > 1)
+        restarted = {up.service for up in upstreams if up.restarted}
+        versions = {s: self._history.list_origins(s, now_s) for s in services}
+        mixed = frozenset(s for s in services if len(versions[s]) > 1 or s in restarted)
         newly_mixed, self._mixed = mixed - self._mixed, mixed
         if newly_mixed:
             _log.info("versions_mixed", services=",".join(sorted(newly_mixed)))
--- a/tests/edge/test_restarted_versions.py
+++ b/tests/edge/test_restarted_versions.py
@@ -9,6 +9,7 @@
 
 from cornelgrade.adapters import engine
 from cornelgrade.platform.standins import edge_system, stream_engine
+from cornelgrade.policy import software_versions
 from cornelgrade.services.edge import fleet, stream_origins, upstream_loads
 
 EVENTS = 20
@@ -197,6 +198,32 @@
     assert versions_of(got) == {"v2"}
 
 
+# Guards against a gateway that takes the only registered version for the origin of a stream, though
+# the gateway at which it began knows that another start served it.
+@pytest.mark.parametrize("stopped", [False, True])
+async def test_stream_of_an_unregistered_start_is_not_taken_up_at_another_gateway(
+    monkeypatch, stopped
+):
+    # A gateway that has followed registrations for so long knows all versions.
+    monkeypatch.setattr(software_versions, "STREAM_LIFETIME_S", 3.0)
+    async with run_engines(engines=2, gateways=3) as system:
+        await start_engines(system)
+        await trio.sleep(3.0)
+        # News, upon which versions of longer ago are forgotten.
+        await start_engines(system)
+        restarted, other = system.engines.values()
+        await restart_as(restarted, "v2")
+        other.faults = stream_engine.Faults(decline=True)
+        got = await system.send_online("gateway-0", PATH, "r1")
+        other.faults = stream_engine.Faults()
+        restarted.crash(5.0)
+        if stopped:
+            system.nodes["gateway-0"].scope.cancel()
+        taken = await system.send_online("gateway-1", PATH, "r2", resumes="r1", last_event_id="5")
+    assert versions_of(got) == {"v2"}
+    assert taken.status != 200 or versions_of(taken) <= {"v2"}
+
+
 async def run_stream_from_unnoticed_start(system, *, register_s):
     """Send a stream to an engine that came back as version v2, and crash the engine in the end.
 
