End engine streams at their first end marker

On the product's own interface a caller could receive, as part of its stream, a second response that followed one without framing: its head, its events and its end marker. A stream that broke off between two events, or inside one, counted as whole if that second response had an end marker. A keyed request stored such a body and replayed it.

Only data that ended with the marker ended a stream, so a marker with more bytes behind it in one read was passed on as an event. Whether lines belong to an event stream was checked for the users' platform only.

Each event up to the first marker is now checked. Bytes behind the marker are dropped; a stream with foreign lines fails before them, so that it goes on elsewhere after its last whole event, or ends visibly incomplete.

--- a/src/cornelgrade/policy/event_stream.py
+++ b/src/cornelgrade/policy/event_stream.py
@@ -97,6 +97,12 @@
     return not part.strip(_LINE_END_BYTES)
 
 
+def is_single_event(raw: bytes) -> bool:
+    """Return whether bytes up to a blank line are one event, of lines of an event stream only."""
+    lines = raw.lstrip(_LINE_END_BYTES)
+    return _EVENT.fullmatch(lines) is not None and _find_event_end(lines) in (None, len(lines))
+
+
 def _find_event_end(buffer: bytes) -> int | None:
     """Return the offset after the first blank line."""
     found = _BLANK_LINE.search(buffer)
--- a/src/cornelgrade/services/_relay.py
+++ b/src/cornelgrade/services/_relay.py
@@ -33,43 +33,64 @@
 ) -> exchange.ResponseParts:
     """Relay complete events only, and count them, so that a stream can be resumed after any event.
 
-    Comments are passed on, but neither counted nor taken for progress.
+    Comments are passed on, but neither counted nor taken for progress. Bytes behind the end marker
+    are dropped: without framing, a second response may follow on the connection.
 
     :param on_events: called with the number of events relayed, excluding the end marker.
     :raises CallError: ``PART_ANSWERED`` if the stream ends without the end marker, has no complete
-        event in time, or an event that is too long.
+        event in time, an event that is too long, or lines that belong to no event stream.
     """
     yield exchange.ResponseHead(response.status, response.headers)
     partial = b""
     chunks = response.chunks()
     event_deadline_s = trio.current_time() + timeouts.first_s
     while (chunk := await _read_chunk(chunks, event_deadline_s, peer)) is not None:
-        data = partial + chunk if partial else chunk
-        end = data.rfind(engine.EVENT_END) + len(engine.EVENT_END)
-        if end < len(engine.EVENT_END):
-            if len(data) > event_stream.MAX_EVENT_BYTES:
-                raise _relay_error("an event exceeds the size limit", peer)
-            partial = data
-            continue
-        partial = data[end:]
-        events = data[:end]
-        ended = events.endswith(engine.END_MARKER)
-        count = _count_events(events)
-        if count:
+        taken = _take_events(partial + chunk if partial else chunk)
+        partial = taken.rest
+        if taken.count:
             event_deadline_s = trio.current_time() + timeouts.gap_s
-        on_events(count - ended)
-        yield events
-        if ended:
+        if taken.events:
+            on_events(taken.count)
+            yield taken.events
+        if taken.ended:
             return
+        if taken.malformed:
+            raise _relay_error(event_stream.MALFORMED_MESSAGE, peer)
+        if len(partial) > event_stream.MAX_EVENT_BYTES:
+            raise _relay_error("an event exceeds the size limit", peer)
     raise _relay_error("the stream ended without its end marker", peer)
 
 
-def _count_events(events: bytes) -> int:
-    """Count the events with data in complete blocks."""
-    return sum(
-        any(line.startswith(_DATA) for line in block.split(b"\n"))
-        for block in events.split(engine.EVENT_END)
-    )
+@dataclasses.dataclass(frozen=True, slots=True)
+class _TakenEvents:
+    """Complete events at the begin of some data.
+
+    :param count: number of those with data, excluding the end marker.
+    :param rest: data of the event that is not complete yet.
+    :param ended: whether the last one is the end marker.
+    :param malformed: whether lines that belong to no event stream follow.
+    """
+
+    events: bytes
+    count: int
+    rest: bytes = b""
+    ended: bool = False
+    malformed: bool = False
+
+
+def _take_events(data: bytes) -> _TakenEvents:
+    """Take complete events, up to the end marker or to the first one that is malformed."""
+    start = count = 0
+    while (found := data.find(engine.EVENT_END, start)) >= 0:
+        end = found + len(engine.EVENT_END)
+        event = data[start:end]
+        if not event_stream.is_single_event(event):
+            return _TakenEvents(data[:start], count, malformed=True)
+        if event == engine.END_MARKER or event.endswith(b"\n" + engine.END_MARKER):
+            return _TakenEvents(data[:end], count, ended=True)
+        count += any(line.startswith(_DATA) for line in event.split(b"\n"))
+        start = end
+    return _TakenEvents(data[:start], count, data[start:])
 
 
 async def _read_chunk(chunks: AsyncIterator[bytes], deadline_s: float, peer: str) -> bytes | None:
--- a/tests/services/test_relay_stream.py
+++ b/tests/services/test_relay_stream.py
@@ -59,3 +59,33 @@
 async def test_comments_are_passed_on_and_not_counted():
     chunks = [EVENT, COMMENT, EVENT + COMMENT, engine.END_MARKER]
     assert await relay(Response(chunks, 0.0)) == (b"".join(chunks), 2)
+
+
+FOREIGN_HEAD = b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n"
+
+
+# Guards against passing on what follows the end of a stream, such as a second response on a
+# connection without framing, as part of the answer.
+@pytest.mark.parametrize("behind", [EVENT, FOREIGN_HEAD + EVENT, EVENT + engine.END_MARKER])
+@pytest.mark.parametrize("chunk_bytes", [7, 1_000])
+async def test_stream_ends_at_its_first_end_marker(behind, chunk_bytes):
+    whole = EVENT * 2 + engine.END_MARKER
+    received = whole + behind
+    chunks = [received[i : i + chunk_bytes] for i in range(0, len(received), chunk_bytes)]
+    assert await relay(Response(chunks, 0.0)) == (whole, 2)
+
+
+# Guards against a stream that is broken off between or inside events, and that a second response
+# on the same connection completes with its own events and end marker.
+@pytest.mark.parametrize("chunk_bytes", [7, 1_000])
+@pytest.mark.parametrize("cut", [b"", b"da", EVENT[:12]], ids=["between", "name", "data"])
+async def test_stream_fails_before_lines_that_belong_to_no_event_stream(chunk_bytes, cut):
+    received = EVENT * 2 + cut + FOREIGN_HEAD + EVENT * 3 + engine.END_MARKER
+    chunks = [received[i : i + chunk_bytes] for i in range(0, len(received), chunk_bytes)]
+    counted = []
+    passed_on = b""
+    with pytest.raises(engine.CallError) as caught:
+        async for part in _relay.relay_stream(Response(chunks, 0.0), "engine-0", counted.append):
+            passed_on += part if isinstance(part, bytes) else b""
+    assert caught.value.progress is engine.Progress.PART_ANSWERED
+    assert (passed_on, sum(counted)) == (EVENT * 2, 2)
