Take responses that have no body for whole

On the product's own interface callers of plain services got 502 for a response to HEAD, or one with status 204, that names the type JSON or event stream and no length: "JSON document ended early". A request that runs once ended with outcome_unknown though its upstream had answered it.

The check of unframed bodies took the missing length for a body that ends with its connection. By HTTP these responses have no body, whatever their headers say, so their end is always marked.

Evidence: the 6 cases of test_response_that_has_no_body_is_whole fail without the change and pass with it. The comment of the test below them referred to the test before it and now names its own failure.

--- a/src/cornelgrade/adapters/upstream_http.py
+++ b/src/cornelgrade/adapters/upstream_http.py
@@ -43,14 +43,17 @@
     return tuple((k, v) for k, v in headers.items() if k not in _HOP_BY_HOP)
 
 
+def _is_framed(response: httpx.Response) -> bool:
+    """Return whether more than the end of the connection marks the end of the body."""
+    if response.request.method == "HEAD" or response.status_code == httpx.codes.NO_CONTENT:
+        return True
+    return "content-length" in response.headers or "transfer-encoding" in response.headers
+
+
 def _follow_body(response: httpx.Response) -> response_end.BodyEnd:
     """Return what judges the end of a body; a failure may end anywhere."""
-    headers = response.headers
-    framed = "content-length" in headers or "transfer-encoding" in headers
-    content_type = headers.get("content-type", "")
-    return response_end.follow_json_body(
-        content_type, framed=framed or response.status_code >= _MIN_NOT_SUCCESS_STATUS
-    )
+    framed = _is_framed(response) or response.status_code >= _MIN_NOT_SUCCESS_STATUS
+    return response_end.follow_json_body(response.headers.get("content-type", ""), framed=framed)
 
 
 class _ConnectionPool:
--- a/tests/adapters/test_unframed_bodies.py
+++ b/tests/adapters/test_unframed_bodies.py
@@ -77,7 +77,19 @@
     assert await relay(raw) is engine.Progress.PART_ANSWERED
 
 
-# Guards against the same in a stream of an engine, which marks its end.
+# Guards against a failure for a response that by HTTP has no body and needs no length.
+@pytest.mark.parametrize(
+    ("method", "status"), [("POST", b"204 No Content"), ("HEAD", b"200 OK"), ("HEAD", b"204 N")]
+)
+@pytest.mark.parametrize("content_type", [b"application/json", b"text/event-stream"])
+async def test_response_that_has_no_body_is_whole(method, status, content_type):
+    head = b"HTTP/1.1 %s\r\ncontent-type: %s\r\n\r\n" % (status, content_type)
+    call = engine.Call("s", method, "/refills", BODY)
+    async with open_upstream(head) as upstream, upstream.call(call) as response:
+        assert [chunk async for chunk in response.chunks()] == []
+
+
+# Guards against passing on a stream of an engine without its end marker.
 @pytest.mark.parametrize("end", [0, 20, len(EVENTS) - 1, len(EVENTS)])
 async def test_unframed_stream_without_its_end_marker_is_no_answer(end):
     assert await relay(EVENT_HEAD + EVENTS[:end], stream=True) is engine.Progress.PART_ANSWERED
