Ask upstreams whether they run at the end of unframed bodies

On the product's own interface callers received the begin of a text as a whole answer if its upstream crashed while it wrote it without framing. A keyed request stored the part and replayed it to each resend, and an item kept it as its result.

The end of a connection stood for the end of the body, but the kernel of a process that dies ends its connections in the same way. Only JSON documents and streams of engines show their end themselves.

The HTTP adapter, which online requests, keyed requests and items share, now asks for the load report after another successful unframed body. Any response shows that the upstream runs, as plain services have no such report. A refused or closed connection ends the response as broken off: it is run again if it may be, else its caller gets an error, and nothing is stored. The interface names no start of an upstream, so one that is back before it is asked still passes.

Evidence: 8 cases of an upstream that has ended and one of the questions it gets fail in tests/adapters/test_unframed_bodies.py without the change and pass with it.

--- a/src/cornelgrade/adapters/engine.py
+++ b/src/cornelgrade/adapters/engine.py
@@ -55,6 +55,8 @@
     :param gap_timeout_s: longest wait between two chunks of the response.
     :param new_connection: open a new connection for this call, because a stale pooled connection
         could leave its outcome unknown.
+    :param marks_end: whether the caller looks for :data:`END_MARKER`, so that nothing else has to
+        confirm the end of the response.
     """
 
     stream_id: str
@@ -66,6 +68,7 @@
     first_byte_timeout_s: float = 5.0
     gap_timeout_s: float = 3.0
     new_connection: bool = False
+    marks_end: bool = False
 
 
 class Response(Protocol):
--- a/src/cornelgrade/adapters/upstream_http.py
+++ b/src/cornelgrade/adapters/upstream_http.py
@@ -2,7 +2,7 @@
 
 import contextlib
 import types
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import TypeVar
 
 import httpx
@@ -36,6 +36,7 @@
     )
 )
 _MIN_NOT_SUCCESS_STATUS = 300
+_ENDED_MESSAGE = "upstream ended with a body that only its connection ends"
 _NOT_SENT_ERRORS = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
 
 
@@ -50,10 +51,9 @@
     return "content-length" in response.headers or "transfer-encoding" in response.headers
 
 
-def _follow_body(response: httpx.Response) -> response_end.BodyEnd:
-    """Return what judges the end of a body; a failure may end anywhere."""
-    framed = _is_framed(response) or response.status_code >= _MIN_NOT_SUCCESS_STATUS
-    return response_end.follow_json_body(response.headers.get("content-type", ""), framed=framed)
+def _may_end_anywhere(response: httpx.Response) -> bool:
+    """Return whether the end of the body is not checked: it is framed, or tells of a failure."""
+    return _is_framed(response) or response.status_code >= _MIN_NOT_SUCCESS_STATUS
 
 
 class _ConnectionPool:
@@ -93,7 +93,8 @@
     """A response whose status and headers have arrived.
 
     :param first_byte_deadline_s: deadline of the first chunk, on trio's clock.
-    :param gap_timeout_s: longest wait between two chunks.
+    :param call: the call that it responds to.
+    :param is_running: asks whether the upstream still runs.
     """
 
     def __init__(
@@ -101,20 +102,27 @@
         response: httpx.Response,
         peer: str,
         first_byte_deadline_s: float,
-        gap_timeout_s: float,
+        call: engine.Call,
+        is_running: Callable[[], Awaitable[bool]],
     ) -> None:
         self.status = response.status_code
         self.headers = _drop_hop_by_hop_headers(response.headers)
         self.timed_out = False
-        self._body_end = _follow_body(response)
+        framed = _may_end_anywhere(response)
+        content_type = response.headers.get("content-type", "")
+        self._body_end = response_end.follow_json_body(content_type, framed=framed)
+        self._end_marked = call.marks_end or response_end.is_end_marked(content_type, framed=framed)
+        self._is_running = is_running
         self._response = response
         self._peer = peer
         self._first_byte_deadline_s = first_byte_deadline_s
-        self._gap_timeout_s = gap_timeout_s
+        self._gap_timeout_s = call.gap_timeout_s
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yield the body as it arrives, undecoded.
 
+        A body whose end only its connection marks is complete if the upstream still runs.
+
         :raises CallError: with ``PART_ANSWERED`` if the body ends early, a chunk times out, or it
             is longer than :data:`MAX_RESPONSE_BYTES`.
         """
@@ -128,6 +136,8 @@
             except StopAsyncIteration:
                 if reason := self._body_end.find_break():
                     raise self._body_error(reason, timed_out=False) from None
+                if not self._end_marked and not await self._is_running():
+                    raise self._body_error(_ENDED_MESSAGE, timed_out=False) from None
                 return
             except trio.TooSlowError as exc:
                 self.timed_out = True
@@ -183,7 +193,7 @@
         first_byte_deadline_s = trio.current_time() + call.first_byte_timeout_s
         async with pool.acquire() as client:
             raw = await self._send(client, call, first_byte_deadline_s)
-            response = HttpResponse(raw, self.name, first_byte_deadline_s, call.gap_timeout_s)
+            response = HttpResponse(raw, self.name, first_byte_deadline_s, call, self._is_running)
             try:
                 yield response
             finally:
@@ -224,6 +234,18 @@
         path = f"/v1/cache/events?after={after}"
         return await self._call_control_api(tuple[engine.CacheEvent, ...], "GET", path)
 
+    async def _is_running(self) -> bool:
+        """Return whether the upstream accepts a connection and does not close it unanswered.
+
+        A plain service has no load report; any response shows that it runs. So does an accepted
+        connection without one: a service that handles one call at a time may be busy.
+        """
+        try:
+            await self.load()
+        except engine.CallError as exc:
+            return exc.timed_out or exc.progress is engine.Progress.ANSWERED
+        return True
+
     async def _replace_pool(self, stale: _ConnectionPool) -> None:
         """Use a new pool from now on; calls on the old one continue."""
         if self._pool is stale:
@@ -258,7 +280,8 @@
         except _NOT_SENT_ERRORS as exc:
             raise self._call_error("connect", repr(exc), engine.Progress.NOT_SENT) from exc
         except (trio.TooSlowError, httpx.HTTPError) as exc:
-            raise self._call_error("control", repr(exc), engine.Progress.SENT) from exc
+            timed_out = isinstance(exc, trio.TooSlowError)
+            raise self._call_error("control", repr(exc), engine.Progress.SENT, timed_out) from exc
         if status >= 400:
             message = content[:200].decode("utf-8", "replace")
             raise self._call_error("control", message, engine.Progress.ANSWERED)
--- a/src/cornelgrade/policy/response_end.py
+++ b/src/cornelgrade/policy/response_end.py
@@ -115,3 +115,8 @@
     if content_type.startswith(_JSON) and not framed:
         return _JsonEnd()
     return follow_body(content_type, framed=framed)
+
+
+def is_end_marked(content_type: str, *, framed: bool) -> bool:
+    """Return whether a body of this type shows by itself whether it is complete."""
+    return framed or content_type.startswith(_JSON)
--- a/src/cornelgrade/services/online.py
+++ b/src/cornelgrade/services/online.py
@@ -377,6 +377,7 @@
             first_byte_timeout_s=min(first_s, left_s),
             gap_timeout_s=online.token_gap_timeout_s,
             new_connection=not req.idempotent,
+            marks_end=req.stream,
         )
 
     def _online_policy(self) -> manifest.OnlinePolicy:
--- a/tests/adapters/test_unframed_bodies.py
+++ b/tests/adapters/test_unframed_bodies.py
@@ -15,34 +15,63 @@
 JSON_HEAD = b"HTTP/1.1 200 OK\r\ncontent-type: application/json\r\nconnection: close\r\n\r\n"
 EVENT_HEAD = b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\nconnection: close\r\n\r\n"
 TEXT_HEAD = b"HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\nconnection: close\r\n\r\n"
+UNTYPED_HEAD = b"HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n"
+NOT_FOUND = b"HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n"
+CLOSE = b""
+SILENCE = b"silence"
+CONTROL = b"GET /v1/load "
+END_OF_HEAD = b"\r\n\r\n"
 EVENTS = b'data: {"a": 1}\n\ndata: {"b": 2}\n\n'
 
 
 @contextlib.asynccontextmanager
-async def open_upstream(raw):
-    """Give an upstream that answers each call with these bytes and closes the connection."""
+async def open_upstream(raw, *, ends=False, control=NOT_FOUND):
+    """Give an upstream that answers each call with these bytes and closes the connection.
+
+    :param ends: whether its process ends right after that, as a crash does.
+    :param control: what it answers to a control call before it closes the connection.
+    """
 
     async def answer(stream):
         async with stream:
             # Closing a connection with unread bytes would reset it.
             request = b""
+            while not request.endswith((BODY, END_OF_HEAD)):
+                request += await stream.receive_some(65_536)
+            if request.startswith(CONTROL):
+                asked.append(request)
+                if control == SILENCE:
+                    await trio.sleep_forever()
+                await stream.send_all(control)
+                return
             while not request.endswith(BODY):
                 request += await stream.receive_some(65_536)
             await stream.send_all(raw)
+            if ends:
+                serving.cancel()
+                await closed.wait()
+
+    async def serve():
+        with serving:
+            await trio.serve_listeners(answer, listeners, handler_nursery=nursery)
+        closed.set()
 
+    asked = []
+    serving, closed = trio.CancelScope(), trio.Event()
     async with trio.open_nursery() as nursery:
         listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
         port = listeners[0].socket.getsockname()[1]
-        nursery.start_soon(trio.serve_listeners, answer, listeners)
+        nursery.start_soon(serve)
         async with upstream_http.HttpUpstream("e", f"127.0.0.1:{port}") as upstream:
+            upstream.asked = asked
             yield upstream
         nursery.cancel_scope.cancel()
 
 
-async def relay(raw, *, stream=False):
+async def relay(raw, *, stream=False, **changes):
     """Return what a gateway relays of a response, or how far the call came if it failed."""
-    call = engine.Call("s", "POST", "/v1/completions", BODY)
-    async with open_upstream(raw) as upstream:
+    call = engine.Call("s", "POST", "/v1/completions", BODY, marks_end=stream)
+    async with open_upstream(raw, **changes) as upstream:
         try:
             async with upstream.call(call) as response:
                 parts = (
@@ -107,6 +136,45 @@
     assert await relay(EVENT_HEAD + body, stream=True) == body
 
 
+# Guards against passing on, or recording for resends, the begin of a body whose upstream crashed:
+# its kernel ends the connection as the end of a whole body does.
+@pytest.mark.parametrize(
+    "raw",
+    [TEXT_HEAD, TEXT_HEAD + b"any te", UNTYPED_HEAD + ANSWER[:20], EVENT_HEAD + EVENTS],
+)
+@pytest.mark.parametrize(
+    "failure", [{"ends": True}, {"control": CLOSE}], ids=["refuses", "closes connections"]
+)
+async def test_unframed_body_of_an_upstream_that_has_ended_is_no_answer(raw, failure):
+    assert await relay(raw, **failure) is engine.Progress.PART_ANSWERED
+
+
+# Guards against failing a whole response because its upstream is too busy for a control call.
+async def test_unframed_body_of_an_upstream_that_accepts_connections_in_silence_is_whole():
+    with trio.fail_after(upstream_http.CONTROL_TIMEOUT_S + 1.0):
+        assert await relay(TEXT_HEAD + b"any text", control=SILENCE) == b"any text"
+
+
+# Guards against a question that costs responses whose end is marked in another way.
+@pytest.mark.parametrize(
+    ("raw", "stream", "questions"),
+    [
+        (TEXT_HEAD + b"any text", False, 1),
+        (JSON_HEAD + ANSWER, False, 0),
+        (EVENT_HEAD + EVENTS + engine.END_MARKER, True, 0),
+        (b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok", False, 0),
+        (b"HTTP/1.1 204 No Content\r\n\r\n", False, 0),
+        (b"HTTP/1.1 404 Not Found\r\n\r\n", False, 0),
+    ],
+)
+async def test_only_an_unmarked_end_costs_a_load_report(raw, stream, questions):
+    call = engine.Call("s", "POST", "/v1/completions", BODY, marks_end=stream)
+    async with open_upstream(raw) as upstream, upstream.call(call) as response:
+        async for _ in response.chunks():
+            pass
+        assert len(upstream.asked) == questions
+
+
 # Guards against storing half an answer as the result of an item.
 @pytest.mark.parametrize(("end", "event"), [(len(ANSWER), "ANSWERED"), (20, "BROKEN")])
 async def test_item_with_an_unframed_body_completes_only_if_it_is_whole(end, event):
