Keep as results of items only answers that show their end

Callers of jobs could read a part of an answer, or none, as the result of an item: events of a stream without its end marker, whatever the framing, the begin of a JSON document that is framed or has no type, and empty bodies with status 200. An item that had been cancelled to give way and then got an answer that its earlier text can't go before (a stream that the item asked for, or JSON that is no completion) raised an error out of its task; by reading, the nursery there ends the run of all items at that engine.

Only online requests looked for the end marker. Items took the end of any framing, and of an unframed body that is no JSON, for the end of the answer. An answer without choices dropped the earlier text.

Items now read streams as online requests do. A successful answer whose type is JSON, or that has none, must be a whole document; another one counts as a fault of the upstream, is retried within the attempts of the item, and keeps no earlier text. An item that asks for a stream starts anew after it was cancelled. A sound answer pays one more scan of its document.

--- a/src/cornelgrade/services/_item_call.py
+++ b/src/cornelgrade/services/_item_call.py
@@ -7,12 +7,14 @@
 
 from cornelgrade.adapters import engine
 from cornelgrade.policy import batch, request_traits
-from cornelgrade.services import _chunk_run, job_records
+from cornelgrade.services import _chunk_run, _relay, job_records
 
 RESPONSE_TIMEOUT_S = 120.0
 CANCEL_TIMEOUT_S = 1.0
 _CANCELLED_STATUS = 499
-_JSON = (("content-type", "application/json"),)
+_JSON_TYPE = "application/json"
+_EVENT_STREAM_TYPE = "text/event-stream"
+_JSON = (("content-type", _JSON_TYPE),)
 
 
 _PROGRESS_EVENTS = {
@@ -28,17 +30,59 @@
     return request_traits.fingerprint(item.path, item.body, engine.list_shared_messages(item.body))
 
 
+class _NoCompletionError(ValueError):
+    """A successful response holds no whole document, or no text that earlier text goes before."""
+
+
+class _Options(msgspec.Struct, frozen=True):
+    stream: bool = False
+
+
+def _asks_for_stream(body: bytes) -> bool:
+    try:
+        return msgspec.json.decode(body, type=_Options).stream
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+        # No request for a completion; the engine judges the body.
+        return False
+
+
 def prepend_text(body: bytes, earlier: str) -> bytes:
-    """Insert the text of earlier, cancelled runs before the text of the last run."""
+    """Insert the text of earlier, cancelled runs before the text of the last run.
+
+    :raises ValueError: if the body is no completion.
+    """
     if not earlier:
         return body
-    completion = msgspec.json.decode(body)
-    for choice in completion.get("choices", ()):
-        holder, field = (choice, "text") if "text" in choice else (choice["message"], "content")
-        holder[field] = earlier + holder[field]
+    try:
+        completion = msgspec.json.decode(body)
+        choices = completion["choices"]
+        for choice in choices:
+            holder, field = (choice, "text") if "text" in choice else (choice["message"], "content")
+            holder[field] = earlier + holder[field]
+    except (msgspec.DecodeError, RecursionError, LookupError, TypeError) as exc:
+        raise _NoCompletionError(f"no completion: {exc!r}") from exc
+    if not choices:
+        raise _NoCompletionError("a completion without choices")
     return msgspec.json.encode(completion)
 
 
+def _check_document(content_type: str, body: bytes) -> None:
+    """Check that a body of JSON, or one without a type, is a whole document.
+
+    :raises ValueError: if it is not.
+    """
+    if content_type and not content_type.startswith(_JSON_TYPE):
+        return
+    try:
+        msgspec.json.decode(body, type=msgspec.Raw)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as exc:
+        raise _NoCompletionError("no whole JSON document") from exc
+
+
+def _ignore_count(events: int) -> None:
+    """Take the number of events of an item's stream, which isn't resumed."""
+
+
 class ItemCall:
     """A running call of one item.
 
@@ -46,7 +90,8 @@
     if the tokens of a cancelled call were lost, and ``crash_reported`` once the quarantine has
     received the crash that ended the call.
 
-    An item whose text another software version generated starts anew.
+    An item whose text another software version generated starts anew, and so does one that asks
+    for a stream: text can't be put before events.
 
     :param alone: no other item may be started on the engine while the call runs.
     :param software_version: the engine's own version.
@@ -64,7 +109,9 @@
         self.alone = alone
         self.crash_reported = False
         self.shared = False
-        goes_on = work.resume.software_version == software_version
+        goes_on = work.resume.software_version == software_version and not _asks_for_stream(
+            work.item.body
+        )
         self._earlier = work.resume if goes_on else _chunk_run.Resume()
         self.resume = self._earlier
         self.cancelling = False
@@ -95,18 +142,28 @@
             first_byte_timeout_s=RESPONSE_TIMEOUT_S,
             gap_timeout_s=RESPONSE_TIMEOUT_S,
         )
-        parts = []
         async with self._upstream.call(call) as response:
-            async for part in response.chunks():
-                parts.append(part)
-        return self._report_response(response.status, b"".join(parts))
-
-    def _report_response(self, status: int, body: bytes) -> _chunk_run.Report:
+            content_type = dict(response.headers).get("content-type", "")
+            if batch.classify_status(response.status) is batch.Event.ANSWERED and (
+                content_type.startswith(_EVENT_STREAM_TYPE)
+            ):
+                parts = _relay.relay_stream(response, self._upstream.name, _ignore_count)
+            else:
+                parts = _relay.relay_whole(response)
+            _, body = await _relay.collect_response(parts)
+        return self._report_response(response.status, content_type, body)
+
+    def _report_response(self, status: int, content_type: str, body: bytes) -> _chunk_run.Report:
         if status == _CANCELLED_STATUS and self.cancelling:
             return self._report(batch.Event.PREEMPTED)
         event = batch.classify_status(status)
         if event is batch.Event.ANSWERED:
-            body = prepend_text(body, self._earlier.text)
+            try:
+                _check_document(content_type, body)
+                body = prepend_text(body, self._earlier.text)
+            except _NoCompletionError as exc:
+                self.resume = _chunk_run.Resume()
+                return self._report(batch.Event.FAILED, status, str(exc).encode())
         return self._report(event, status, body)
 
     def _report_failure(self, exc: engine.CallError) -> _chunk_run.Report:
--- a/tests/adapters/test_unframed_bodies.py
+++ b/tests/adapters/test_unframed_bodies.py
@@ -14,6 +14,11 @@
 ANSWER = json.dumps({"choices": [{"text": "a whole answer"}]}).encode()
 JSON_HEAD = b"HTTP/1.1 200 OK\r\ncontent-type: application/json\r\nconnection: close\r\n\r\n"
 EVENT_HEAD = b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\nconnection: close\r\n\r\n"
+CHUNKED_HEAD = (
+    b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
+)
+NO_RESUME = _chunk_run.Resume()
+RESUME = _chunk_run.Resume(2, "earlier text")
 TEXT_HEAD = b"HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\nconnection: close\r\n\r\n"
 UNTYPED_HEAD = b"HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n"
 NOT_FOUND = b"HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n"
@@ -36,7 +41,7 @@
         async with stream:
             # Closing a connection with unread bytes would reset it.
             request = b""
-            while not request.endswith((BODY, END_OF_HEAD)):
+            while not request.endswith((b"}", END_OF_HEAD)):
                 request += await stream.receive_some(65_536)
             if request.startswith(CONTROL):
                 asked.append(request)
@@ -44,7 +49,7 @@
                     await trio.sleep_forever()
                 await stream.send_all(control)
                 return
-            while not request.endswith(BODY):
+            while not request.endswith(b"}"):
                 request += await stream.receive_some(65_536)
             await stream.send_all(raw)
             if ends:
@@ -84,10 +89,17 @@
             return exc.progress
 
 
-def make_work(item):
+async def run_item(raw, body=BODY, resume=NO_RESUME):
+    """Return the report of an item's run at an upstream that answers with these bytes."""
+    item = job_records.Item("i", "/v1/completions", body)
+    async with open_upstream(raw) as upstream:
+        return await _item_call.ItemCall(upstream, make_work(item, resume)).run()
+
+
+def make_work(item, resume):
     header = types.SimpleNamespace(job="job", chunk_items=1)
     run = types.SimpleNamespace(claim=types.SimpleNamespace(chunk=0), header=header)
-    return _chunk_run.Work(run, 0, item, _chunk_run.Resume(), alone=False)
+    return _chunk_run.Work(run, 0, item, resume, alone=False)
 
 
 # Guards against passing on, or recording for resends, a body that its upstream broke off.
@@ -178,7 +190,43 @@
 # Guards against storing half an answer as the result of an item.
 @pytest.mark.parametrize(("end", "event"), [(len(ANSWER), "ANSWERED"), (20, "BROKEN")])
 async def test_item_with_an_unframed_body_completes_only_if_it_is_whole(end, event):
-    item = job_records.Item("i", "/v1/completions", BODY)
-    async with open_upstream(JSON_HEAD + ANSWER[:end]) as upstream:
-        report = await _item_call.ItemCall(upstream, make_work(item)).run()
+    assert (await run_item(JSON_HEAD + ANSWER[:end])).event.name == event
+
+
+# Guards against the same where the framing tells of an end, but not the document.
+@pytest.mark.parametrize("content_type", [b"content-type: application/json\r\n", b""])
+@pytest.mark.parametrize(
+    ("end", "event"), [(len(ANSWER), "ANSWERED"), (20, "FAILED"), (0, "FAILED")]
+)
+async def test_item_with_a_framed_body_completes_only_if_its_document_is_whole(
+    content_type, end, event
+):
+    head = b"HTTP/1.1 200 OK\r\n%scontent-length: %d\r\n\r\n" % (content_type, end)
+    assert (await run_item(head + ANSWER[:end])).event.name == event
+
+
+# Guards against storing the begin of a stream as the result of an item that asked for one.
+@pytest.mark.parametrize("head", [EVENT_HEAD, CHUNKED_HEAD], ids=["unframed", "chunked"])
+@pytest.mark.parametrize(
+    ("events", "event"), [(EVENTS, "BROKEN"), (EVENTS + engine.END_MARKER, "ANSWERED")]
+)
+async def test_item_of_events_completes_only_with_the_end_marker(head, events, event):
+    chunk = b"%x\r\n%s\r\n0\r\n\r\n" % (len(events), events)
+    report = await run_item(head + (chunk if head == CHUNKED_HEAD else events))
     assert report.event.name == event
+    assert event == "BROKEN" or report.body == events
+
+
+# Guards against an engine's run of all items that ends because the text of cancelled runs can't be
+# put before a response.
+@pytest.mark.parametrize("answer", [b"{}", b"[]", b'{"choices": [{}]}', b"7"])
+async def test_resumed_item_fails_if_its_answer_is_no_completion(answer):
+    report = await run_item(JSON_HEAD + answer, resume=RESUME)
+    assert (report.event.name, report.resume) == ("FAILED", NO_RESUME)
+
+
+# Guards against the same, and against the loss of the first events of a stream.
+async def test_item_of_events_starts_anew():
+    whole = EVENTS + engine.END_MARKER
+    report = await run_item(EVENT_HEAD + whole, b'{"stream": true}', RESUME)
+    assert (report.event.name, report.body) == ("ANSWERED", whole)
