Promise nothing about keyed requests without a record

GET /v1/requests/KEY answered 404 with "ran": "no", which docs/API.md calls a promise, for each key without a record. A request that may be repeated runs without a record while the store is out, and records expire, so the promise was false for requests that had run, or were running.

An absent record stood for a request that never ran.

Evidence: test_absent_record_is_no_promise_that_the_request_did_not_run fails without the change and passes with it; test_request_that_may_be_repeated_can_run_without_a_record shows the case and passes before and after.

--- a/src/cornelgrade/services/web/requests.py
+++ b/src/cornelgrade/services/web/requests.py
@@ -44,7 +44,13 @@
 
 def _state_response(key: str, state: ports.RequestState) -> quart.Response:
     if state is ports.RequestState.NOT_FOUND:
-        raise errors.Refusal(errors.Code.NOT_FOUND, f"no request with key {key}", step="record")
+        # Requests that may be repeated can run without a record, and records expire.
+        raise errors.Refusal(
+            errors.Code.NOT_FOUND,
+            f"no request with key {key} is recorded",
+            step="record",
+            ran=errors.Ran.UNKNOWN,
+        )
     body = msgspec.json.encode(RequestStateBody(key, state.value))
     response = quart.Response(body, status=_STATUS_CODES[state], content_type="application/json")
     if state is ports.RequestState.RUNNING:
--- a/tests/services/test_records.py
+++ b/tests/services/test_records.py
@@ -412,3 +412,13 @@
     assert trio.current_time() - begin_s <= drained_after_s + 0.1
     await trio.sleep(3)
     assert await one.lookup("afya", "k") == make_response()
+
+
+# The reason for which an absent record tells no caller that its request did not run.
+async def test_request_that_may_be_repeated_can_run_without_a_record(autojump_clock, fleet):
+    one, two = await fleet.start_vm("one"), await fleet.start_vm("two")
+    fleet.switch(down=True)
+    run = await one.begin(make_claim(idempotent=True))
+    assert isinstance(run, ports.ClaimedRun)
+    fleet.switch()
+    assert await two.inspect("afya", "k") is ports.RequestState.NOT_FOUND
--- a/tests/web/test_requests.py
+++ b/tests/web/test_requests.py
@@ -72,6 +72,13 @@
     assert (await response.get_json())["error"]["code"] == "not_found"
 
 
+# Guards against a promise that a request did not run, made because it has no record: one that may
+# be repeated can run without a record, and records expire.
+async def test_absent_record_is_no_promise_that_the_request_did_not_run(get_request):
+    response = await get_request("k")
+    assert (await response.get_json())["error"]["ran"] == "unknown"
+
+
 async def test_platform_outage_is_refused_with_retry_after(records, get_request):
     records.results["clinic", "k"] = errors.Refusal(
         errors.Code.UNAVAILABLE, "away", step="record", retry_after_s=2.0
