Accept line ends of two kinds in one engine stream

The check of each event of an engine's stream, added with its end at the first marker, took a comment that ends with CR LF before an event that ends with LF for a second response: the two were one block with a blank line in it. A sound stream of such an engine would have failed at its first comment.

A blank line within a block is now refused only if the block has a field that event streams don't know, as the head of a response has.

Evidence: test_stream_with_line_ends_of_two_kinds_is_relayed_to_its_end fails without the change; it and the cases of foreign heads, also behind a part of an event, pass with it.

--- a/src/cornelgrade/policy/event_stream.py
+++ b/src/cornelgrade/policy/event_stream.py
@@ -19,6 +19,9 @@
 # ignored, but its name is a word.
 _LINE = rb"(?:[\w-]*:[^\r\n]*|data|id|event|retry)?(?:\r\n|\r|\n)"
 _EVENT = re.compile(rb"(?:\xef\xbb\xbf)?(?:" + _LINE + rb")*+")
+_KNOWN_LINES = re.compile(
+    rb"(?:\xef\xbb\xbf)?(?:(?:(?:data|id|event|retry)?:[^\r\n]*|data|id|event|retry)?(?:\r\n|\r|\n))*+"
+)
 _ID = b"id:"
 _DATA = b"data:"
 
@@ -97,10 +100,16 @@
     return not part.strip(_LINE_END_BYTES)
 
 
-def is_single_event(raw: bytes) -> bool:
-    """Return whether bytes up to a blank line are one event, of lines of an event stream only."""
+def belongs_to_stream(raw: bytes) -> bool:
+    """Return whether bytes up to a blank line have lines of an event stream only.
+
+    Fields that are not known may be those of a head that follows part of an event, if a blank line
+    lies behind them.
+    """
     lines = raw.lstrip(_LINE_END_BYTES)
-    return _EVENT.fullmatch(lines) is not None and _find_event_end(lines) in (None, len(lines))
+    if _find_event_end(lines) in (None, len(lines)):
+        return _EVENT.fullmatch(lines) is not None
+    return _KNOWN_LINES.fullmatch(lines) is not None
 
 
 def _find_event_end(buffer: bytes) -> int | None:
--- a/src/cornelgrade/services/_relay.py
+++ b/src/cornelgrade/services/_relay.py
@@ -84,7 +84,7 @@
     while (found := data.find(engine.EVENT_END, start)) >= 0:
         end = found + len(engine.EVENT_END)
         event = data[start:end]
-        if not event_stream.is_single_event(event):
+        if not event_stream.belongs_to_stream(event):
             return _TakenEvents(data[:start], count, malformed=True)
         if event == engine.END_MARKER or event.endswith(b"\n" + engine.END_MARKER):
             return _TakenEvents(data[:end], count, ended=True)
--- a/tests/services/test_relay_stream.py
+++ b/tests/services/test_relay_stream.py
@@ -89,3 +89,9 @@
             passed_on += part if isinstance(part, bytes) else b""
     assert caught.value.progress is engine.Progress.PART_ANSWERED
     assert (passed_on, sum(counted)) == (EVENT * 2, 2)
+
+
+# Guards against failing a sound stream whose comments end their lines in another way.
+async def test_stream_with_line_ends_of_two_kinds_is_relayed_to_its_end():
+    chunks = [EVENT, b": ping\r\n\r\n", EVENT, b"\r\n", EVENT, engine.END_MARKER]
+    assert await relay(Response(chunks, 0.0)) == (b"".join(chunks), 3)
