Do not take an empty reply for the end of a stream

Callers saw a stream, or the text of a batch item, as complete with a part of its events if an upstream ended an unframed response between two events and answered the question for more with a head and no event.

Cause: the question asked for what follows the last event n, and an empty reply confirmed the end. An empty body shows nothing, as a broken path or an upstream that breaks off brings it too.

Now an empty reply, framed or not, leads to a second question, for the last two events (from the begin if n is 1 or 2). The end is confirmed only if they come again and the reply ends after n. If more comes, nothing of that reply is passed on; the stream goes on with a run that is asked after n. Up to four such questions are asked, within 1 s for callers; then the stream goes on elsewhere or ends visibly incomplete, and an item runs again. Last-Event-Id 0 is sent as no header.

--- a/src/cornelgrade/platform/calls.py
+++ b/src/cornelgrade/platform/calls.py
@@ -92,13 +92,18 @@
         resume_after: int | None,
         team: str = "",
     ) -> http1.Headers:
-        """Return the headers of a request to an upstream."""
+        """Return the headers of a request to an upstream.
+
+        :param resume_after: the event after which it goes on, 0 for the begin of the stream,
+            ``None`` for what the caller asks for.
+        """
         kept = tuple(
             (k, v) for k, v in http1.drop_hop_by_hop_headers(headers) if k not in _REPLACED_HEADERS
         )
         if resume_after is not None:
             kept = tuple((k, v) for k, v in kept if k != _LAST_EVENT_ID)
-            kept += ((_LAST_EVENT_ID, str(resume_after).encode()),)
+            # Upstreams need not read 0 as the begin, so that goes without the header.
+            kept += ((_LAST_EVENT_ID, str(resume_after).encode()),) if resume_after else ()
         left_ms = str(max(1, math.floor(left_s * _MS_PER_S))).encode()
         return (
             *kept,
@@ -135,7 +140,10 @@
         after: int | None,
         team: str = "",
     ) -> http1.Headers:
-        """Return the headers of a batch item's request to an upstream."""
+        """Return the headers of a batch item's request to an upstream.
+
+        :param after: the event after which it goes on, 0 or ``None`` for the begin.
+        """
         own_headers = (
             (b"host", host.encode()),
             (_REQUEST_ID, item_id.encode()),
@@ -154,7 +162,7 @@
             )
         )
         kept = tuple((k, v) for k, v in http1.drop_hop_by_hop_headers(headers) if k not in dropped)
-        resume = ((_LAST_EVENT_ID, str(after).encode()),) if after is not None else ()
+        resume = ((_LAST_EVENT_ID, str(after).encode()),) if after else ()
         return own_headers + kept + resume
 
     def verdict(
--- a/src/cornelgrade/platform/standins/stream_engine.py
+++ b/src/cornelgrade/platform/standins/stream_engine.py
@@ -47,6 +47,7 @@
     :param foreign_after: write a response to another request behind each one without framing.
     :param end_before_events: end responses before the first event.
     :param end_before_events_if_resumed: the same for requests that resume a stream.
+    :param empty_resumes: how many of these for each request end so; ``None`` for all.
     :param unframed: responses have neither a length nor chunks, and a crash closes connections
         instead of resetting them.
     :param early_lines: the first line of each event of such a response is sent as soon as the event
@@ -78,6 +79,7 @@
     foreign_after: bool = False
     end_before_events: bool = False
     end_before_events_if_resumed: bool = False
+    empty_resumes: int | None = None
     unframed: bool = False
     early_lines: bool = False
     content_type: str = "text/event-stream"
@@ -281,14 +283,21 @@
         if faults.unframed:
             req.omit_framing()
         await req.start_response(200, (*head, ("content-type", faults.content_type)), b"")
-        resumed = seen.resumed_after is not None
-        empty = faults.end_before_events_if_resumed if resumed else False
-        if not (empty or faults.end_before_events):
+        if not (self._ends_empty(seen, faults) or faults.end_before_events):
             await self._send_events(req, seen, faults)
         if faults.unframed and faults.foreign_after:
             await req.send_chunk(encode_foreign_response(seen.request))
         await req.end_response()
 
+    def _ends_empty(self, seen: ReceivedRequest, faults: Faults) -> bool:
+        """Return whether a response to a request that resumes a stream ends before an event."""
+        if seen.resumed_after is None or not faults.end_before_events_if_resumed:
+            return False
+        resumes = [
+            s for s in self.seen if s.request == seen.request and s.resumed_after is not None
+        ]
+        return faults.empty_resumes is None or len(resumes) <= faults.empty_resumes
+
     @staticmethod
     async def _send_reply(
         req: _http_server.Exchange, reply: Reply, head: _http_server.Headers
--- a/src/cornelgrade/services/edge/_response_relay.py
+++ b/src/cornelgrade/services/edge/_response_relay.py
@@ -3,7 +3,7 @@
 import trio
 
 from cornelgrade import kernel, logs
-from cornelgrade.adapters import http1
+from cornelgrade.adapters import engine, http1
 from cornelgrade.policy import event_stream, software_versions
 from cornelgrade.services.edge import (
     _relay_state,
@@ -174,7 +174,8 @@
                     # A comment neither begins a response nor extends the time until an event.
                     if progress.started:
                         await req.exchange.send_chunk(event.raw)
-                elif event.event_id is None and progress.end.is_asked(progress.last_event):
+                elif event.event_id is None and progress.end.has_ended_after(progress.last_event):
+                    # The caller may have had it before the response ended there.
                     continue
                 elif event_stream.is_new(event, progress.last_event):
                     await self._follow_origin(req, progress)
@@ -183,8 +184,13 @@
                     progress.last_event = (
                         event.event_id if event.event_id is not None else progress.last_event
                     )
+        if progress.end.goes_on(progress.last_event):
+            channel.progress = engine.Progress.PART_ANSWERED
+            raise channel.call_error(
+                f"ended after event {progress.last_event}, which others follow", _relay_state.STEP
+            )
         unframed = progress.framing is http1.Framing.CONNECTION
-        if unframed and not progress.end.record_end(progress.last_event):
+        if unframed and progress.end.is_asked_about(progress.last_event):
             return False
         if not progress.started and head is not None:
             await self._write_part(req, progress, head, b"")
--- a/src/cornelgrade/services/edge/_upstream_relay.py
+++ b/src/cornelgrade/services/edge/_upstream_relay.py
@@ -21,8 +21,9 @@
     upstream_reach,
 )
 
-# How long a response may take while the caller may have all events of a stream. The caller gives up
-# after 2 s without another one or the end.
+# How long a response may take while the caller may have all events of a stream, and how long the
+# replies with its last events may take together. The caller gives up after 2 s without another
+# event or the end.
 QUESTION_TIMEOUT_S = 1.0
 # A connection within a region takes a few milliseconds; an upstream that takes this long is down or
 # overloaded.
@@ -54,7 +55,7 @@
     ) -> http1.ResponseHead:
         """Relay the response of one upstream; return its head."""
         attempt = self._outliers.start_attempt(up, req.fingerprint)
-        progress.end.begin_run()
+        asked_after = progress.last_event
         if progress.origin is not None:
             await self._outage_checks.check_version(up)
         try:
@@ -70,8 +71,13 @@
                     # What becomes of the question is no evidence against the upstream.
                     attempt.record_completion(head.status)
                     await self._responses.settle_origin(req, progress)
-                while not ended:
-                    ended = await self._ask_for_more(req, progress, up, attempt)
+                while True:
+                    if progress.end.is_doubtful(asked_after, progress.last_event):
+                        ended = await self._has_ended(req, progress, up)
+                    if ended:
+                        break
+                    asked_after = progress.last_event
+                    ended = await self._go_on(req, progress, up, attempt)
                 await req.exchange.end_response()
                 attempt.record_completion(head.status)
                 return head
@@ -98,33 +104,47 @@
 
         :returns: its head, and whether it is whole.
         """
-        if progress.end.is_asked(progress.last_event):
+        if progress.end.may_be_whole(progress.last_event):
             channel.allow_no_event()
         channel.confirm_end_with(functools.partial(self._outage_checks.is_running, up))
-        await self._send_request(channel, req, progress, up)
+        await self._send_request(channel, req, up, progress.last_event)
         head = await self._read_head(channel, req, progress, up)
         attempt.record_status(head.status)
         progress.framing = head.framing
         may_be_asked = req.route.resumable and _response_relay.is_event_stream(head)
-        if head.framing is not http1.Framing.CONNECTION or (
-            may_be_asked and not progress.end.is_asked(progress.last_event)
-        ):
+        if head.framing is not http1.Framing.CONNECTION or may_be_asked:
             return head, await self._responses.relay(channel, req, progress, head)
         with self._path_watch.open_beside(up, channel) as idle:
             confirm = functools.partial(self._outage_checks.has_ended_alone, up, idle)
             channel.confirm_end_with(confirm)
             return head, await self._responses.relay(channel, req, progress, head)
 
-    async def _ask_for_more(
+    async def _has_ended(
+        self, req: _relay_state.Request, progress: _relay_state.Progress, up: routes.Upstream
+    ) -> bool:
+        """Return whether a stream after which nothing came has ended there.
+
+        :raises CallError: if no reply of its upstream tells.
+        """
+
+        async def send(channel: http1.Channel, after: int) -> http1.ResponseHead:
+            await self._send_request(channel, req, up, after)
+            return await self._read_head(channel, req, progress, up)
+
+        return await self._stream_questions.has_ended(
+            up, req.caller.request_id, progress.end, send, QUESTION_TIMEOUT_S
+        )
+
+    async def _go_on(
         self,
         req: _relay_state.Request,
         progress: _relay_state.Progress,
         up: routes.Upstream,
         attempt: _upstream_attempts.Attempt,
     ) -> bool:
-        """Ask an upstream for what follows the last event of its stream.
+        """Ask an upstream for what follows the last event of its stream, and relay it.
 
-        :returns: whether the stream has ended.
+        :returns: whether the response is whole.
         """
         _log.info(
             "stream_end_unconfirmed",
@@ -132,13 +152,13 @@
             upstream=up.name,
             last_event=progress.last_event,
         )
-        self._stream_questions.start(up)
+        self._stream_questions.take_permit(up)
         try:
             with await http1.connect(up.address, CONNECT_TIMEOUT_S) as channel:
                 _, ended = await self._call_upstream(channel, req, progress, up, attempt)
         except engine.CallError as exc:
             if exc.progress is engine.Progress.NOT_SENT:
-                # The upstream has run the request, whatever became of the question.
+                # The upstream has run the request, whatever became of what follows.
                 exc.progress = engine.Progress.PART_ANSWERED
             raise
         return ended
@@ -147,14 +167,15 @@
         self,
         channel: http1.Channel,
         req: _relay_state.Request,
-        progress: _relay_state.Progress,
         up: routes.Upstream,
+        last_event: int | None,
     ) -> None:
+        """Send a request for what follows an event, ``None`` for what the caller asks for."""
         exchange = req.exchange
         timeout_s = req.caller.timeout_s or req.route.timeout_s
         remaining_s = exchange.arrived_s + timeout_s - trio.current_time()
         headers = self._call_format.upstream_headers(
-            exchange.raw_headers, up.name, remaining_s, progress.last_event, req.team
+            exchange.raw_headers, up.name, remaining_s, last_event, req.team
         )
         await channel.send(exchange.method, exchange.target, headers, exchange.body)
 
--- a/src/cornelgrade/services/edge/item_call.py
+++ b/src/cornelgrade/services/edge/item_call.py
@@ -1,6 +1,5 @@
 """Runs a batch item at one upstream, resuming after its last received event."""
 
-import contextlib
 import functools
 
 import msgspec
@@ -15,7 +14,6 @@
     fleet,
     job_repository,
     outage_checks,
-    path_watch,
     ports,
     serving_start,
     stream_questions,
@@ -25,6 +23,8 @@
 CONNECT_TIMEOUT_S = 0.3
 # An upstream with a free slot responds within a fraction of a second.
 RESPONSE_TIMEOUT_S = 2.0
+# Limit for all replies to the question whether an item's stream has ended. No caller waits.
+QUESTIONS_TIMEOUT_S = 2 * RESPONSE_TIMEOUT_S
 # Events of a running item arrive every few tens of milliseconds.
 EVENT_GAP_TIMEOUT_S = 1.2
 # Share of an object in the store that the text of a result may take; the encoding adds to it.
@@ -33,6 +33,7 @@
 _EVENT_STREAM = b"text/event-stream"
 _UNPROCESSABLE_STATUS = 422
 _RUN_FAILED_STATUS = 500
+_MIN_FAILURE_STATUS = 300
 
 
 class PartialResult(msgspec.Struct):
@@ -75,7 +76,6 @@
         self._notices = upstream_notices.UpstreamNotices(kern, call_format)
         self._fleet = kern.find("fleet", fleet.Fleet)
         self._outage_checks = kern.find("outage_checks", outage_checks.OutageChecks)
-        self._path_watch = kern.find("path_watch", path_watch.PathWatch)
         self._stream_questions = stream_questions.StreamQuestions(kern)
 
     async def run_item(
@@ -92,15 +92,20 @@
         :returns: the final result, or ``None`` if the upstream reports that this run failed.
         :raises CallError: if the run did not finish.
         """
-        partial.end.begin_run()
         if partial.last_event is None:
             # Events without numbers would come again.
             partial.clear()
         if partial.origin is not None:
             await self._outage_checks.check_version(up)
+        asked_after = partial.last_event
         status, ended = await self._call_upstream(header, item, up, partial, attempt)
-        while not ended:
-            self._stream_questions.start(up)
+        while status < _MIN_FAILURE_STATUS:
+            if partial.end.is_doubtful(asked_after, partial.last_event):
+                ended = await self._has_ended(header, item, up, partial)
+            if ended:
+                break
+            asked_after = partial.last_event
+            self._stream_questions.take_permit(up)
             status, ended = await self._call_upstream(header, item, up, partial, attempt)
         if status == _UNPROCESSABLE_STATUS:
             return ports.ItemResult(item.name, ports.ItemEnd.GIVEN_UP, "")
@@ -121,24 +126,16 @@
 
         :returns: the status, and whether nothing more is to be asked for.
         """
-        headers = tuple((k.encode(), v.encode("latin-1")) for k, v in item.headers)
-        request_headers = self._call_format.item_headers(
-            header.host, item.name, headers, up.name, partial.last_event, header.team
-        )
-        with contextlib.ExitStack() as stack:
-            channel = stack.enter_context(await http1.connect(up.address, CONNECT_TIMEOUT_S))
-            confirm = functools.partial(self._outage_checks.is_running, up)
-            if partial.end.is_asked(partial.last_event):
+        with await http1.connect(up.address, CONNECT_TIMEOUT_S) as channel:
+            if partial.end.may_be_whole(partial.last_event):
                 channel.allow_no_event()
-                idle = stack.enter_context(self._path_watch.open_beside(up, channel))
-                confirm = functools.partial(self._outage_checks.has_ended_alone, up, idle)
-            channel.confirm_end_with(confirm)
-            await channel.send("POST", item.target.encode("latin-1"), request_headers, item.body)
+            channel.confirm_end_with(functools.partial(self._outage_checks.is_running, up))
+            await self._send_item(channel, header, item, up, partial.last_event)
             head = await self._read_head(channel, item, up)
             attempt.record_status(head.status)
             if head.status in (_UNPROCESSABLE_STATUS, _RUN_FAILED_STATUS):
                 return head.status, True
-            if head.status >= 300:
+            if head.status >= _MIN_FAILURE_STATUS:
                 raise channel.call_error(f"upstream responded with status {head.status}", _STEP)
             if not (head.get(b"content-type") or _EVENT_STREAM).startswith(_EVENT_STREAM):
                 raise channel.call_error("response is no event stream", _STEP)
@@ -151,16 +148,57 @@
                 await self._read_events(channel, partial, start)
             except engine.CallError as exc:
                 await _settle_origin(partial, start)
-                if unframed and partial.events == events_before and not exc.timed_out:
+                is_empty = unframed and partial.events == events_before and not exc.timed_out
+                if is_empty and not partial.end.goes_on(partial.last_event):
                     # The earlier runs may have brought all events: whether more are due can't be
                     # told from an unframed stream without any, so the next run starts anew.
                     partial.clear()
                 raise
-            ended = not unframed or partial.end.record_end(partial.last_event)
+            if partial.end.goes_on(partial.last_event):
+                channel.progress = engine.Progress.PART_ANSWERED
+                raise channel.call_error(
+                    f"ended after event {partial.last_event}, which others follow", _STEP
+                )
+            ended = not (unframed and partial.end.is_asked_about(partial.last_event))
             if not ended:
                 await _settle_origin(partial, start)
             return head.status, ended
 
+    async def _has_ended(
+        self,
+        header: job_repository.JobHeader,
+        item: ports.Item,
+        up: routes.Upstream,
+        partial: PartialResult,
+    ) -> bool:
+        """Return whether an item's stream after which nothing came has ended there.
+
+        :raises CallError: if no reply of the upstream tells.
+        """
+
+        async def send(channel: http1.Channel, after: int) -> http1.ResponseHead:
+            await self._send_item(channel, header, item, up, after)
+            return await self._read_head(channel, item, up)
+
+        return await self._stream_questions.has_ended(
+            up, item.name, partial.end, send, QUESTIONS_TIMEOUT_S
+        )
+
+    async def _send_item(
+        self,
+        channel: http1.Channel,
+        header: job_repository.JobHeader,
+        item: ports.Item,
+        up: routes.Upstream,
+        after: int | None,
+    ) -> None:
+        """Send an item, asking for what follows an event."""
+        headers = tuple((k.encode(), v.encode("latin-1")) for k, v in item.headers)
+        request_headers = self._call_format.item_headers(
+            header.host, item.name, headers, up.name, after, header.team
+        )
+        await channel.send("POST", item.target.encode("latin-1"), request_headers, item.body)
+
     async def _read_head(
         self, channel: http1.Channel, item: ports.Item, up: routes.Upstream
     ) -> http1.ResponseHead:
@@ -193,7 +231,7 @@
                 if not event.well_formed:
                     raise channel.call_error(event_stream.MALFORMED_MESSAGE, _STEP)
                 unnumbered = event.event_id is None
-                if event.empty or (unnumbered and partial.end.is_asked(partial.last_event)):
+                if event.empty or (unnumbered and partial.end.has_ended_after(partial.last_event)):
                     continue
                 partial.origin = await start.follow_origin()
                 _append_event(channel, partial, event)
--- a/src/cornelgrade/services/edge/stream_questions.py
+++ b/src/cornelgrade/services/edge/stream_questions.py
@@ -1,21 +1,110 @@
 """Asks upstreams whether a stream goes on after an end that only its connection marked."""
 
-from cornelgrade import kernel, routes
-from cornelgrade.adapters import engine
-from cornelgrade.services.edge import fleet, upstream_limits
+import functools
+from collections.abc import Awaitable, Callable
 
+import trio
+
+from cornelgrade import kernel, logs, routes
+from cornelgrade.adapters import engine, http1
+from cornelgrade.policy import event_stream, stream_end
+from cornelgrade.services.edge import fleet, outage_checks, path_watch, upstream_limits
+
+# Replies may be cut short too. An upstream that sends a single event in each needs three: one that
+# ends before the last event, and two that end after it. One more may be empty.
+MAX_QUESTIONS = 4
+# A connection within a region takes a few milliseconds.
+CONNECT_TIMEOUT_S = 0.25
 _STEP = "ask for more events"
+_EVENT_STREAM = b"text/event-stream"
+_log = logs.Logger("stream_questions")
+
+# Sends the request again, asking for what follows an event (0 for all), and returns the head.
+Send = Callable[[http1.Channel, int], Awaitable[http1.ResponseHead]]
 
 
 class StreamQuestions:
-    """Decides which upstreams may be asked, and accounts for what is sent to them."""
+    """Asks an upstream, and accounts for what is sent to it."""
 
     def __init__(self, kern: kernel.Kernel) -> None:
         self._fleet = kern.find("fleet", fleet.Fleet)
         self._limits = kern.find("upstream_limits", upstream_limits.UpstreamLimits)
+        self._outage_checks = kern.find("outage_checks", outage_checks.OutageChecks)
+        self._path_watch = kern.find("path_watch", path_watch.PathWatch)
+
+    async def has_ended(
+        self,
+        up: routes.Upstream,
+        request: str,
+        end: stream_end.StreamEnd,
+        send: Send,
+        timeout_s: float,
+    ) -> bool:
+        """Return whether a stream has ended after the event where its response did.
+
+        Nothing that the replies bring is part of the stream: more comes from a run that is asked
+        for what follows that event.
+
+        :param timeout_s: limit for all replies together.
+        :raises CallError: if no reply tells.
+        """
+        assert end.ended_after is not None
+        evidence = stream_end.Evidence(end.ended_after)
+        answer = stream_end.Answer.UNKNOWN
+        with trio.move_on_after(timeout_s) as scope:
+            for _ in range(MAX_QUESTIONS):
+                answer = await self._ask(up, request, evidence, send)
+                if answer is not stream_end.Answer.UNKNOWN:
+                    break
+        if answer is stream_end.Answer.UNKNOWN:
+            raise _error(up, "end of the stream is not confirmed", timed_out=scope.cancelled_caught)
+        if answer is stream_end.Answer.MORE:
+            end.goes_on_after = end.ended_after
+        return answer is stream_end.Answer.ENDED
+
+    async def _ask(
+        self, up: routes.Upstream, request: str, evidence: stream_end.Evidence, send: Send
+    ) -> stream_end.Answer:
+        """Ask once, and log what the reply tells and why.
+
+        :raises CallError: if no reply to the request began.
+        """
+        self.take_permit(up)
+        evidence.begin_reply()
+        asked_after = evidence.ask_after
+        answer, reason = stream_end.Answer.UNKNOWN, "timeout"
+        try:
+            with (
+                await http1.connect(up.address, CONNECT_TIMEOUT_S) as channel,
+                self._path_watch.open_beside(up, channel) as idle,
+            ):
+                confirm = functools.partial(self._outage_checks.has_ended_alone, up, idle)
+                channel.confirm_end_with(confirm)
+                head = await send(channel, asked_after)
+                _check_head(up, head)
+                reason = await _read_reply(channel, evidence)
+            answer = stream_end.Answer.UNKNOWN if reason else evidence.end_reply()
+        except engine.CallError as exc:
+            reason = str(exc)
+            if exc.progress is engine.Progress.NOT_SENT:
+                # The upstream has run the request, whatever became of the question.
+                exc.progress = engine.Progress.PART_ANSWERED
+            raise
+        finally:
+            _log.info(
+                "stream_end_asked",
+                request=request,
+                upstream=up.name,
+                last_event=evidence.last_event,
+                asked_after=asked_after,
+                last_brought=evidence.last_brought,
+                answer=answer.value,
+                reason=reason or f"ended or read up to event {evidence.last_brought}",
+            )
+        return answer
 
-    def start(self, up: routes.Upstream) -> None:
-        """Account for a question to an upstream.
+    def take_permit(self, up: routes.Upstream) -> None:
+        """Account for a question to an upstream, or for a run that goes on there.
 
         :raises CallError: if it gets no new requests.
         """
@@ -24,10 +113,42 @@
             for reg in self._fleet.usable_registrations()
         }
         if (up.name, up.started_ms) not in usable:
-            raise engine.CallError(
-                "connection ended, and the upstream takes no new requests",
-                step=_STEP,
-                peer=up.address,
-                progress=engine.Progress.PART_ANSWERED,
-            )
+            raise _error(up, "connection ended, and the upstream takes no new requests")
         self._limits.take(up)
+
+
+async def _read_reply(channel: http1.Channel, evidence: stream_end.Evidence) -> str:
+    """Read a reply until it brings more, or ends; return why it tells nothing, empty if it may."""
+    splitter = event_stream.EventSplitter()
+    try:
+        while part := await channel.read_chunk():
+            for event in splitter.feed(part):
+                if not event.well_formed:
+                    return event_stream.MALFORMED_MESSAGE
+                if not event.empty:
+                    evidence.add_event(event.event_id)
+            if evidence.goes_on:
+                break
+    except event_stream.EventTooLongError as exc:
+        return str(exc)
+    except engine.CallError as exc:
+        return exc.message
+    return ""
+
+
+def _check_head(up: routes.Upstream, head: http1.ResponseHead) -> None:
+    """Raise :class:`CallError` unless a reply is a stream of events."""
+    if head.status >= 300:
+        raise _error(up, f"question got status {head.status}")
+    if not (head.get(b"content-type") or _EVENT_STREAM).startswith(_EVENT_STREAM):
+        raise _error(up, "question got no event stream")
+
+
+def _error(up: routes.Upstream, message: str, *, timed_out: bool = False) -> engine.CallError:
+    return engine.CallError(
+        message,
+        step=_STEP,
+        peer=up.address,
+        progress=engine.Progress.PART_ANSWERED,
+        timed_out=timed_out,
+    )
--- a/tests/edge/test_ends_between_events.py
+++ b/tests/edge/test_ends_between_events.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import dataclasses
+import functools
 
 import pytest
 import trio
@@ -164,15 +165,15 @@
 
 
 # Guards against streams whose caller can't tell which event was the last one, and against asking a
-# whole stream for more than once.
-async def test_whole_resumable_stream_is_asked_for_more_once():
+# whole stream more often than for what follows its last event and for its last two events.
+async def test_whole_resumable_stream_is_asked_about_twice():
     async with edge_system.run_system(engines=2) as system:
         set_faults(system, unframed=True)
         got = await system.send_online("gateway-0", RESUMABLE, "r1")
         runs = list_runs(system, "r1")
         upstreams = [eng for eng in system.engines.values() if eng.seen]
     assert (got.status, got.complete) == (200, True)
-    assert [seen.resumed_after for seen in runs] == [None, EVENTS]
+    assert [seen.resumed_after for seen in runs] == [None, EVENTS, EVENTS - 2]
     assert len([eng for eng in upstreams if any(s.request == "r1" for s in eng.seen)]) == 1
 
 
@@ -282,3 +283,98 @@
         (got,) = received
         whole = stream_engine.response_body("r1", EVENTS)
         assert got.body == (whole if got.complete else whole[: len(got.body)])
+
+
+def end_early_then_empty(system, *, empty_resumes, framed_resumes=False):
+    """Let first runs end after two events and replies to the first questions bring nothing."""
+    for eng in system.engines.values():
+        answer = functools.partial(type(eng)._answer, eng)
+
+        async def answer_with_faults(req, seen, eng=eng, answer=answer):
+            first = seen.resumed_after is None and not list_earlier(eng, seen)
+            eng.faults = stream_engine.Faults(
+                unframed=first or not framed_resumes,
+                close_after=2 if first else None,
+                end_before_events_if_resumed=True,
+                empty_resumes=empty_resumes,
+            )
+            await answer(req, seen)
+
+        eng._answer = answer_with_faults
+
+
+def list_earlier(eng, seen):
+    return [s for s in eng.seen if s.request == seen.request and s is not seen]
+
+
+def assert_goes_on_as_asked(system, request, last_event=2):
+    """Check that what follows an early end came from a run that was asked for what follows it."""
+    runs = sorted(list_runs(system, request), key=lambda seen: seen.at_s)
+    asked = [seen.resumed_after for seen in runs]
+    # The first question, the last events again, of which more follows, and the run that goes on.
+    assert asked[1:4] == [last_event, None, last_event]
+
+
+# Guards against a stream that looks whole because the reply to a question brings nothing, as one
+# over a broken path does.
+@pytest.mark.parametrize("framed_resumes", [False, True])
+async def test_empty_reply_does_not_end_a_stream(framed_resumes):
+    async with edge_system.run_system(engines=2) as system:
+        end_early_then_empty(system, empty_resumes=1, framed_resumes=framed_resumes)
+        got = await system.send_online("gateway-0", RESUMABLE, "r1")
+        assert_goes_on_as_asked(system, "r1")
+    assert (got.status, got.complete) == (200, True)
+    assert got.body == stream_engine.response_body("r1", EVENTS)
+
+
+# Guards against the same where no reply that resumes the stream brings anything.
+async def test_stream_is_visibly_incomplete_if_all_resumes_are_empty():
+    async with edge_system.run_system(engines=2) as system:
+        end_early_then_empty(system, empty_resumes=None)
+        got = await system.send_online("gateway-0", RESUMABLE, "r1")
+    assert not got.complete
+    assert got.body == stream_engine.response_body("r1", 2)
+
+
+# Guards against the same for a stream that its caller takes up, at its gateway or at another one.
+@pytest.mark.parametrize("gateway", ["gateway-0", "gateway-1"])
+async def test_empty_reply_does_not_end_a_stream_that_is_taken_up(gateway):
+    async with edge_system.run_system(gateways=2, engines=2) as system:
+        await system.send_online("gateway-0", RESUMABLE, "r1")
+        for eng in system.engines.values():
+            answer = functools.partial(type(eng)._answer, eng)
+
+            async def answer_with_faults(req, seen, eng=eng, answer=answer):
+                earlier = list_earlier(eng, seen)
+                eng.faults = stream_engine.Faults(
+                    unframed=True,
+                    close_after=None if earlier else 2,
+                    end_before_events_if_resumed=len(earlier) == 1,
+                )
+                await answer(req, seen)
+
+            eng._answer = answer_with_faults
+        got = await system.send_online(gateway, RESUMABLE, "r2", resumes="r1", last_event_id="1")
+        asked = [seen.resumed_after for seen in list_runs(system, "r2")]
+    assert (got.status, got.complete) == (200, True)
+    assert got.body == stream_engine.response_body("r2", EVENTS, 1)
+    assert asked[:4] == [1, 2, None, 2]
+
+
+# Guards against results with a part of their text for the same reason.
+@pytest.mark.parametrize("empty_resumes", [1, None])
+async def test_empty_reply_does_not_complete_an_item(empty_resumes):
+    async with edge_system.run_system(workers=1, engines=2) as system:
+        end_early_then_empty(system, empty_resumes=empty_resumes)
+        await system.submit("gateway-0", "job", {"item": b"note"})
+        results = []
+        if empty_resumes is None:
+            await trio.sleep(2)
+            assert await system.results("gateway-0", "job", 0) == []
+            end_early_then_empty(system, empty_resumes=0)
+        with trio.fail_after(20):
+            while not results:
+                results = await system.results("gateway-0", "job", 0)
+        if empty_resumes is not None:
+            assert_goes_on_as_asked(system, "item")
+    assert results == [("item", stream_engine.result_text("item", EVENTS))]
