Share one idle connection per upstream between unframed responses

Cause: each response opened an idle connection of its own after its head. Where that was not accepted yet when the path ended, it stayed open, and the response counted as one that ended alone. The state was also read for 50 ms of wall time only, so a path that was slow to end both passed.

All responses of one start of an upstream now share an idle connection (path_watch), which is kept for 3 s after the last of them and reopened when it ends. Its state is read from the kernel in ten looks, also after a pause of the process, and again once the load report has come over the same path. Where it was not open for 0.1 s before the last part of the response arrived, path_unwatched is logged and the response passes as before: an upstream that closes idle connections would else give no whole response.

Measured: test_path_ends_before_a_new_idle_connection_is_accepted and test_responses_of_one_upstream_share_an_idle_connection fail before (6 responses opened 6 idle connections, now 1) and pass.

--- a/src/cornelgrade/services/edge/outage_checks.py
+++ b/src/cornelgrade/services/edge/outage_checks.py
@@ -108,12 +108,22 @@
     async def has_ended_alone(self, up: routes.Upstream, idle: path_watch.IdleConnection) -> bool:
         """Return whether neither an upstream nor the path to it has ended with a response.
 
-        :param idle: the connection beside that of the response.
+        :param idle: the idle connection to the upstream, beside that of the response.
         """
-        if await idle.ended_with(trio.current_time()):
-            _log.info("path_ended", upstream=up.name)
+        watched_s = idle.watched_s()
+        ended = await idle.ends_soon()
+        if not ended:
+            running = await self.is_running(up)
+            # What relayed the report has had time to end the idle connection too.
+            ended = idle.has_ended()
+        if ended:
+            _log.info("path_ended", upstream=up.name, watched_s=watched_s)
             return False
-        return await self.is_running(up)
+        if watched_s is None:
+            # Callers would never get a whole response from an upstream that keeps no connection on
+            # which nothing is sent, so that what isn't watched passes.
+            _log.info("path_unwatched", upstream=up.name)
+        return running
 
     def confirm_soon(self, up: routes.Upstream, since_s: float) -> None:
         """Ask an upstream in the background which start of it runs, unless it has told.
--- a/src/cornelgrade/services/edge/path_watch.py
+++ b/src/cornelgrade/services/edge/path_watch.py
@@ -2,7 +2,7 @@
 
 A response that has no framing and may run only once can't be asked for again. A second connection
 to its upstream, on which nothing is sent, ends at the same moment if something on the path ended
-both.
+both. All responses of one start of an upstream share it.
 """
 
 import contextlib
@@ -14,68 +14,142 @@
 from cornelgrade.adapters import engine, http1
 
 CONNECT_TIMEOUT_S = 0.25
-# Connections that end within this time have ended together.
+# Connections that end within this time have ended together. It is spent in looks at their state, so
+# that a process that was paused meanwhile looks again before it decides.
 SAME_MOMENT_S = 0.05
 POLL_S = 0.005
+SAME_MOMENT_POLLS = round(SAME_MOMENT_S / POLL_S)
 # An upstream that closes an idle connection sooner keeps none open.
 MIN_IDLE_S = 1.0
+# A connection that is open may still wait to be accepted, and then outlives what ends the path. Who
+# has relayed a part of a response this long after it was opened has accepted it.
+MIN_PROOF_S = 0.1
+# How long a connection is kept for the next response once no response needs it.
+KEEP_S = 3.0
+# While responses need a connection that can't be opened, it is tried again after this time.
+RETRY_S = 0.25
 _log = logs.Logger("path_watch")
+_Key = tuple[str, str, int]
 
 
 class IdleConnection:
-    """A connection to the upstream of a response on which nothing is sent.
+    """The idle connection to an upstream as seen by one response.
 
-    :param response: the channel that carries the response. Its state is read when this connection
-        ends, as the end of the response is noticed late behind a slow caller.
+    :param response: the channel that carries the response. Its state is read when the idle
+        connection ends, as the end of the response is noticed late behind a slow caller.
     """
 
-    def __init__(self, response: http1.Channel) -> None:
+    def __init__(self, standing: "_StandingConnection", response: http1.Channel) -> None:
+        self._standing = standing
         self._response = response
-        self._ended = trio.Event()
+        self._ended = False
 
-    async def watch(self, up: routes.Upstream, scope: trio.CancelScope) -> None:
-        """Stay connected until the response and this connection have ended together."""
-        with scope:
-            while not self._ended.is_set():
-                opened_s = trio.current_time()
-                try:
-                    with await http1.connect(up.address, CONNECT_TIMEOUT_S) as channel:
-                        await channel.wait_closed()
-                except (engine.CallError, OSError) as exc:
-                    # Without it, the response counts as one that ended alone.
-                    _log.info("idle_connection_failed", upstream=up.name, error=repr(exc))
-                    return
-                lasted_s = trio.current_time() - opened_s
-                if await self._has_response_ended():
-                    self._ended.set()
-                elif lasted_s < MIN_IDLE_S:
-                    return
-
-    async def _has_response_ended(self) -> bool:
-        """Return whether the connection of the response has ended, or does so soon."""
-        with trio.move_on_after(SAME_MOMENT_S):
-            while self._response.is_open():
-                await trio.sleep(POLL_S)
-            return True
-        return False
-
-    async def ended_with(self, ended_s: float) -> bool:
-        """Return whether it has ended together with the response, or does so soon.
-
-        :param ended_s: when the end of the response was noticed, on trio's clock.
+    def record_end(self) -> bool:
+        """Record that the idle connection has ended; return whether the response has too."""
+        self._ended = self._ended or not self._response.is_open()
+        return self._ended
+
+    def has_ended(self) -> bool:
+        """Return whether the idle connection has ended with the response, which has ended."""
+        return self._ended or self._standing.is_closed()
+
+    async def ends_soon(self) -> bool:
+        """Return whether it has ended together with the response, or does so soon."""
+        for _ in range(SAME_MOMENT_POLLS):
+            if self.has_ended():
+                return True
+            await trio.sleep(POLL_S)
+        return self.has_ended()
+
+    def watched_s(self) -> float | None:
+        """Return how long it was open when the last part of the response arrived.
+
+        :returns: ``None`` if it was not, or not long enough to tell that it had been accepted.
         """
-        with trio.move_on_at(ended_s + SAME_MOMENT_S):
-            await self._ended.wait()
-        return self._ended.is_set()
+        opened_s = self._standing.opened_s
+        if opened_s is None:
+            return None
+        open_s = self._response.last_received_s - opened_s
+        return open_s if open_s >= MIN_PROOF_S else None
+
+
+class _StandingConnection:
+    """A connection to one start of an upstream on which nothing is sent.
+
+    :ivar opened_s: when it was opened, on trio's clock; ``None`` while it isn't open.
+    """
+
+    def __init__(self, up: routes.Upstream) -> None:
+        self.opened_s: float | None = None
+        self.watching: set[IdleConnection] = set()
+        self.is_running = False
+        self._up = up
+        self._scope = trio.CancelScope()
+        self._channel: http1.Channel | None = None
+
+    def is_closed(self) -> bool:
+        """Return whether its peer has closed it, also if :meth:`run` hasn't noticed yet."""
+        return self._channel is not None and not self._channel.is_open()
+
+    def begin(self) -> None:
+        """Let :meth:`run` go on until it is released."""
+        self._scope = trio.CancelScope()
+        self.is_running = True
+
+    def hold(self) -> bool:
+        """Keep it open; return whether it has not been given up yet."""
+        self._scope.deadline = float("inf")
+        return not self._scope.cancel_called
+
+    def release(self) -> None:
+        """Keep it open for the next response for a while."""
+        self._scope.deadline = trio.current_time() + KEEP_S
+
+    async def run(self) -> None:
+        """Stay connected until it is given up, or the upstream keeps no idle connection."""
+        try:
+            with self._scope:
+                while True:
+                    lasted_s = await self._stay_connected()
+                    if lasted_s is None:
+                        await trio.sleep(RETRY_S)
+                    elif not await self._tell_watching() and lasted_s < MIN_IDLE_S:
+                        return
+        finally:
+            self.is_running = False
+
+    async def _stay_connected(self) -> float | None:
+        """Return how long a connection lasted, ``None`` if none could be opened."""
+        try:
+            with await http1.connect(self._up.address, CONNECT_TIMEOUT_S) as channel:
+                self._channel, self.opened_s = channel, channel.opened_s
+                try:
+                    await channel.wait_closed()
+                    return trio.current_time() - channel.opened_s
+                finally:
+                    self._channel = self.opened_s = None
+        except (engine.CallError, OSError) as exc:
+            # Without it, a response counts as one that ended alone.
+            _log.info("idle_connection_failed", upstream=self._up.name, error=repr(exc))
+            return None
+
+    async def _tell_watching(self) -> bool:
+        """Return whether a response has ended with the connection, or does so soon."""
+        ended = False
+        for _ in range(SAME_MOMENT_POLLS):
+            ended = any([idle.record_end() for idle in self.watching]) or ended
+            await trio.sleep(POLL_S)
+        return any([idle.record_end() for idle in self.watching]) or ended
 
 
 class PathWatch:
-    """Keeps idle connections open beside responses."""
+    """Keeps an idle connection open to each upstream with responses that need it."""
 
     name = "path_watch"
 
     def __init__(self) -> None:
         self._nursery: trio.Nursery | None = None
+        self._standing: dict[_Key, _StandingConnection] = {}
 
     async def run(self, started: Callable[[], None]) -> None:
         """Watch connections until cancelled."""
@@ -85,14 +159,42 @@
                 await trio.sleep_forever()
         finally:
             self._nursery = None
+            self._standing.clear()
 
     @contextlib.contextmanager
     def open_beside(self, up: routes.Upstream, response: http1.Channel) -> Iterator[IdleConnection]:
-        """Keep a second connection to the upstream of a response open within the context."""
-        idle, scope = IdleConnection(response), trio.CancelScope()
-        if self._nursery is not None:
-            self._nursery.start_soon(idle.watch, up, scope)
+        """Keep an idle connection to the upstream of a response open within the context."""
+        standing = self._hold(up)
+        idle = IdleConnection(standing, response)
+        standing.watching.add(idle)
         try:
             yield idle
         finally:
-            scope.cancel()
+            standing.watching.discard(idle)
+            if not standing.watching:
+                standing.release()
+                if not standing.is_running:
+                    self._drop(up, standing)
+
+    def _hold(self, up: routes.Upstream) -> _StandingConnection:
+        """Return the connection to this start of an upstream; open it if need be."""
+        key = (up.name, up.address, up.started_ms)
+        standing = self._standing.get(key)
+        if standing is None or (standing.is_running and not standing.hold()):
+            standing = self._standing[key] = _StandingConnection(up)
+        if not standing.is_running and self._nursery is not None:
+            standing.begin()
+            self._nursery.start_soon(self._run_standing, up, standing)
+        return standing
+
+    async def _run_standing(self, up: routes.Upstream, standing: _StandingConnection) -> None:
+        try:
+            await standing.run()
+        finally:
+            if not standing.watching:
+                self._drop(up, standing)
+
+    def _drop(self, up: routes.Upstream, standing: _StandingConnection) -> None:
+        key = (up.name, up.address, up.started_ms)
+        if self._standing.get(key) is standing:
+            del self._standing[key]
--- /dev/null
+++ b/tests/edge/test_path_watch.py
@@ -0,0 +1,106 @@
+"""Idle connections that show whether the path of a response has ended."""
+
+import pytest
+import trio
+from tests.edge import test_ends_between_events
+
+from cornelgrade.platform.standins import edge_system, stream_engine
+from cornelgrade.standins import fault_proxy
+
+ONCE = edge_system.ONCE_PREFIX
+EVENTS = test_ends_between_events.EVENTS
+RESPONSES = 6
+run_behind_proxies = test_ends_between_events.run_behind_proxies
+# Longer than a response takes, and shorter than the wait for a load report.
+LATE_S = 0.3
+
+
+async def serve_whole(system, request):
+    """Send a request that runs once; its response has to be whole."""
+    got = await system.send_online("gateway-0", ONCE, request)
+    assert (got.status, got.complete) == (200, True)
+    assert got.body == stream_engine.response_body(request, EVENTS)
+
+
+@pytest.fixture
+def accept_with(monkeypatch):
+    """Return a function that lets all proxies await another function before they relay.
+
+    It gets each connection, and returns whether that is relayed.
+    """
+    relay = fault_proxy.FaultProxy._relay_connection
+    awaited = []
+
+    async def relay_after(self, stream):
+        if not awaited or await awaited[-1](stream):
+            await relay(self, stream)
+
+    # Proxies keep the method that they have when they start.
+    monkeypatch.setattr(fault_proxy.FaultProxy, "_relay_connection", relay_after)
+    return awaited.append
+
+
+# Guards against passing on as complete a response whose path ended before the connection beside it
+# was accepted.
+async def test_path_ends_before_a_new_idle_connection_is_accepted(accept_with):
+    async def accept_late(stream):
+        await trio.sleep(LATE_S)
+        return True
+
+    async with run_behind_proxies(engines=1) as (system, proxies):
+        await serve_whole(system, "before")
+        accept_with(accept_late)
+        got = await test_ends_between_events.send_through_ending_path(
+            system, proxies, ONCE, events=1
+        )
+    assert got.body == stream_engine.response_body("r1", EVENTS)[: len(got.body)]
+    assert not got.complete
+
+
+# Guards against a connection to the upstream for each response without framing.
+async def test_responses_of_one_upstream_share_an_idle_connection():
+    async with run_behind_proxies(engines=1) as (system, proxies):
+        (proxy,) = proxies.values()
+        (eng,) = system.engines.values()
+        before, calls_before = proxy.counters["connections"], len(eng.arrivals_s)
+        for number in range(RESPONSES):
+            await serve_whole(system, f"r{number}")
+        opened = proxy.counters["connections"] - before
+        calls = len(eng.arrivals_s) - calls_before
+    assert opened - calls <= 1
+
+
+# Guards against refusing whole responses of an upstream that keeps no idle connection.
+async def test_whole_responses_pass_where_idle_connections_are_closed(accept_with):
+    async def is_used(stream):
+        with trio.move_on_after(0.02):
+            return bool(await stream.socket.recv(1, trio.socket.MSG_PEEK))
+        return False
+
+    async with run_behind_proxies(engines=1) as (system, _):
+        accept_with(is_used)
+        for number in range(RESPONSES):
+            await serve_whole(system, f"r{number}")
+
+
+# Guards against a path that is no longer watched after it has ended once.
+async def test_path_that_ends_twice_is_noticed_twice():
+    async with run_behind_proxies(engines=1) as (system, proxies):
+        for request in ("r1", "r2"):
+            await serve_whole(system, f"before-{request}")
+            got = await test_ends_between_events.send_through_ending_path(
+                system, proxies, ONCE, events=3
+            )
+            assert not got.complete
+            for eng in system.engines.values():
+                eng.seen.clear()
+
+
+# Guards against an idle connection that is never closed.
+async def test_idle_connection_ends_soon_after_the_last_response():
+    async with run_behind_proxies(engines=1) as (system, proxies):
+        await serve_whole(system, "r1")
+        (proxy,) = proxies.values()
+        with trio.fail_after(6):
+            while proxy._connections:
+                await trio.sleep(0.2)
