Take a stream for cut if its upstream goes on making its events

Callers got a stream that runs once, without framing, as complete with a part of its events where the upstream ended its connection between two events and went on with the run.

Cause: an upstream that runs stood for an end that was meant. Such a stream can't be asked for again, and its upstream's list of runs was not read.

The report that is asked for after the end is now decoded with its list of runs. If it names more events than arrived, the stream ends visibly incomplete: a run that has ended made none after the last one. The list is as of some hundred ms ago, so if it still names the run with no more events, up to two more reports are asked for, 0.3 s apart, unless the request would time out. A run that stays listed with at most the events that arrived is no sign of a cut, and neither is one that is missing.

A cut stream that is shorter than the lag, or whose upstream ends the run when the connection ends, still passes for whole.

--- a/bench/streams/engine.py
+++ b/bench/streams/engine.py
@@ -104,6 +104,7 @@
             seen.headers,
             seen.body,
             seen.resumed_after,
+            run=seen.run,
         )
         await super()._send_events(req, named, faults)
 
--- a/src/cornelgrade/platform/calls.py
+++ b/src/cornelgrade/platform/calls.py
@@ -1,5 +1,6 @@
 """Headers and statuses of requests and responses, towards callers and towards upstreams."""
 
+import contextlib
 import math
 import re
 from typing import Annotated
@@ -29,6 +30,8 @@
 _RETRY_AFTER = "Retry-After"
 _STATUS_WRONG_INSTANCE = 421
 _MS_PER_S = 1000.0
+# More than an engine runs at a time.
+MAX_RUNS = 1024
 _log = logs.Logger("calls")
 _REPLACED_HEADERS = frozenset((_DEADLINE, _EXPECT_INSTANCE, _KEY, _TENANT, b"content-length"))
 # Valid field values (RFC 9110, section 5.5).
@@ -42,11 +45,19 @@
 _Milliseconds = Annotated[int, msgspec.Meta(ge=0, le=2**53 - 1)]
 
 
+# Id of the request, tokens in memory, events made, priority.
+class _Run(msgspec.Struct, array_like=True):
+    request: str
+    tokens: msgspec.Raw
+    events: _Count
+
+
 class _Report(msgspec.Struct):
     running: _Count
     waiting: _Count
     # Start of the engine in Unix milliseconds.
     born: _Milliseconds = 0
+    runs: msgspec.Raw = msgspec.Raw(b"[]")
 
 
 class CallFormat:
@@ -61,7 +72,8 @@
         except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as exc:
             _log.warning("report_invalid", error=repr(exc))
             return None
-        return ports.UpstreamLoad(report.running, report.waiting, report.born)
+        made = _parse_runs(report.runs)
+        return ports.UpstreamLoad(report.running, report.waiting, report.born, made)
 
     def parse_caller(self, headers: http1.Headers) -> ports.Caller:
         """Parse the request metadata in a caller's headers."""
@@ -194,6 +206,21 @@
         return request_id_header + after
 
 
+def _parse_runs(raw: msgspec.Raw) -> dict[str, int]:
+    """Return the events made by each run in a list; entries that can't be read are left out."""
+    made: dict[str, int] = {}
+    try:
+        entries = msgspec.json.decode(raw, type=list[msgspec.Raw])
+    except msgspec.DecodeError:
+        return made
+    for entry in entries[:MAX_RUNS]:
+        with contextlib.suppress(msgspec.DecodeError, UnicodeDecodeError):
+            run = msgspec.json.decode(entry, type=_Run)
+            # Of two with one id, the lower count claims less.
+            made[run.request] = min(run.events, made.get(run.request, run.events))
+    return made
+
+
 def is_field_value(text: str) -> bool:
     """Return whether a text may be sent as the value of a header."""
     return _FIELD_VALUE.fullmatch(text) is not None
--- a/src/cornelgrade/platform/standins/stream_engine.py
+++ b/src/cornelgrade/platform/standins/stream_engine.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import math
 import re
 import time
 from collections.abc import Callable
@@ -43,6 +44,8 @@
     :param end_after: end responses after this many events, within the next one.
     :param close_after: end responses between two events, once this many were sent and at least one
         in this response. Without framing, that looks like the end of a whole one.
+    :param goes_on_s: go on making the events of a response that ``close_after`` ended for this
+        time.
     :param begin_after: omit so many events at the begin of responses.
     :param foreign_after: write a response to another request behind each one without framing.
     :param end_before_events: end responses before the first event.
@@ -74,6 +77,7 @@
     cut_after: int | None = None
     end_after: int | None = None
     close_after: int | None = None
+    goes_on_s: float = 0.0
     begin_after: int = 0
     foreign_after: bool = False
     end_before_events: bool = False
@@ -96,6 +100,24 @@
     resume_reply: Reply | None = None
 
 
+@dataclasses.dataclass(slots=True, eq=False)
+class Run:
+    """What the list of runs tells of one, on trio's clock.
+
+    :ivar made_s: when each event was made, or will be.
+    :ivar until_s: when it ends.
+    """
+
+    began_s: float
+    first: int
+    made_s: list[float] = dataclasses.field(default_factory=list)
+    until_s: float = math.inf
+
+    def count_events(self, at_s: float) -> int:
+        """Return the number of the last event made at a time."""
+        return self.first - 1 + sum(made_s <= at_s for made_s in self.made_s)
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class ReceivedRequest:
     """A request that reached the engine.
@@ -104,6 +126,7 @@
     :ivar version: of the engine's software at that time.
     :ivar ran: whether it got a slot.
     :ivar unframed: whether its response has neither a length nor chunks.
+    :ivar run: its entry in the list of runs, once it has a slot.
     :ivar cancelled: whether its caller disconnected before the end.
     """
 
@@ -116,6 +139,7 @@
     version: str = ""
     ran: bool = False
     unframed: bool = False
+    run: Run | None = None
     cancelled: bool = False
     ended: bool = False
 
@@ -132,6 +156,7 @@
     :param event_s: time between two events.
     :param version: version of its software.
     :ivar started_ms: Unix time of its start in milliseconds, 0 if it doesn't report that.
+    :ivar report_lag_s: how old its list of runs is.
     :ivar tells_version: whether each event has a comment line with the version.
     :ivar arrivals_s: when requests arrived, those for its load included.
     :ivar on_crash: called with the time for which it is down after a request crashed it.
@@ -161,6 +186,8 @@
         self.crashes = 0
         self.on_crash: Callable[[float], None] = lambda down_s: None
         self.started_ms = 0
+        self.report_lag_s = 0.0
+        self._runs: list[ReceivedRequest] = []
         self._silent_until_s = -1e9
         self.address = ""
         self._slot_limiter = trio.CapacityLimiter(slots)
@@ -214,7 +241,12 @@
         await trio.sleep_until(self._silent_until_s)
         self.arrivals_s.append(trio.current_time())
         if req.raw_path == "/report":
-            load = {"running": self.running, "waiting": self.waiting, "born": self.started_ms}
+            load = {
+                "running": self.running,
+                "waiting": self.waiting,
+                "born": self.started_ms,
+                "runs": self._list_runs(),
+            }
             await req.respond(200, msgspec.json.encode(load), self._notice())
             return
         after = req.headers.get("last-event-id")
@@ -239,6 +271,16 @@
         else:
             await self._serve(req, seen)
 
+    def _list_runs(self) -> list[tuple[str, int, int, int]]:
+        """Return the runs as they were a while ago: id, tokens, events made, priority."""
+        at_s = trio.current_time() - self.report_lag_s
+        self._runs = [seen for seen in self._runs if seen.run and seen.run.until_s > at_s]
+        return [
+            (seen.request, 0, seen.run.count_events(at_s), 0)
+            for seen in self._runs
+            if seen.run and seen.run.began_s <= at_s
+        ]
+
     async def _serve(self, req: _http_server.Exchange, seen: ReceivedRequest) -> None:
         self.waiting += 1
         try:
@@ -247,6 +289,8 @@
             self.waiting -= 1
         self.running += 1
         seen.ran = True
+        seen.run = Run(trio.current_time(), (seen.resumed_after or 0) + 1)
+        self._runs.append(seen)
         self.max_running = max(self.max_running, self.running)
         self._crash_if_due(seen, None)
         try:
@@ -256,6 +300,8 @@
             seen.cancelled = True
             raise
         finally:
+            if seen.run.until_s == math.inf:
+                seen.run.until_s = trio.current_time()
             self.running -= 1
             self._slot_limiter.release_on_behalf_of(seen)
 
@@ -307,6 +353,7 @@
         first = (seen.resumed_after or 0) + 1 + faults.begin_after
         for number in range(first, self.events + 1):
             if faults.close_after is not None and number > max(faults.close_after, first):
+                self._go_on(seen, number, faults.goes_on_s)
                 return
             version = self.version if self.tells_version else ""
             event = encode_event(seen.request, number, version)
@@ -321,8 +368,18 @@
             await trio.sleep(self.event_s)
             await trio.sleep_until(self._silent_until_s)
             await req.send_chunk(event[len(begun) :])
+            if seen.run is not None:
+                seen.run.made_s.append(trio.current_time())
         await self._inject_faults(req, self.events)
 
+    def _go_on(self, seen: ReceivedRequest, number: int, for_s: float) -> None:
+        """Let a run be listed, with an event more each time, after its response has ended."""
+        if for_s and seen.run is not None:
+            now_s = trio.current_time()
+            left = range(1, self.events - number + 2)
+            seen.run.made_s += [now_s + self.event_s * count for count in left]
+            seen.run.until_s = now_s + for_s
+
     def _notice(self) -> tuple[tuple[str, str], ...]:
         leaving = (("server-leaving", "1"),) if self.faults.leaving else ()
         return leaving + tuple(("server-limit", limit) for limit in self.faults.limits)
--- a/src/cornelgrade/services/edge/_relay_state.py
+++ b/src/cornelgrade/services/edge/_relay_state.py
@@ -4,7 +4,7 @@
 
 from cornelgrade import errors, logs, routes
 from cornelgrade.adapters import http1, http1_server
-from cornelgrade.policy import software_versions, stream_end
+from cornelgrade.policy import listed_runs, software_versions, stream_end
 from cornelgrade.services.edge import forwarding, ports, serving_start, slot_permits
 
 # Statuses that say that the request has not run.
@@ -25,6 +25,7 @@
     :ivar origin: what began the stream, once it has begun, here or in an earlier attempt.
     :ivar recorded: the origin that was recorded last, so that the stream can be taken up.
     :ivar serving: which start serves the last response, ``None`` if a peer does.
+    :ivar received: what the last response has brought of a stream that can't be asked for again.
     :ivar framing: what marks the end of the last response.
     :ivar end: what the last run shows of the end of the stream.
     :ivar peer: the gateway to which it was forwarded last; empty once it is tried here.
@@ -41,6 +42,7 @@
     origin: software_versions.StreamOrigin | None = None
     recorded: software_versions.StreamOrigin | None = None
     serving: serving_start.ServingStart | None = None
+    received: listed_runs.Received | None = None
     framing: http1.Framing | None = None
     end: stream_end.StreamEnd = msgspec.field(default_factory=stream_end.StreamEnd)
     first_byte_s: float | None = None
--- a/src/cornelgrade/services/edge/_upstream_relay.py
+++ b/src/cornelgrade/services/edge/_upstream_relay.py
@@ -6,6 +6,7 @@
 
 from cornelgrade import kernel, logs, routes
 from cornelgrade.adapters import engine, http1
+from cornelgrade.policy import listed_runs
 from cornelgrade.services.edge import (
     _own_response,
     _relay_state,
@@ -111,7 +112,11 @@
         ):
             return head, await self._responses.relay(channel, req, progress, head)
         with self._path_watch.open_beside(up, channel) as idle:
-            confirm = functools.partial(self._outage_checks.has_ended_alone, up, idle)
+            if not may_be_asked and not progress.runs:
+                progress.received = listed_runs.Received(req.caller.request_id, req.deadline_s)
+            confirm = functools.partial(
+                self._outage_checks.has_ended_alone, up, idle, progress.received
+            )
             channel.confirm_end_with(confirm)
             return head, await self._responses.relay(channel, req, progress, head)
 
--- a/src/cornelgrade/services/edge/outage_checks.py
+++ b/src/cornelgrade/services/edge/outage_checks.py
@@ -11,6 +11,7 @@
 
 from cornelgrade import kernel, logs, routes, settings
 from cornelgrade.adapters import engine
+from cornelgrade.policy import listed_runs
 from cornelgrade.schema import messages
 from cornelgrade.services.edge import (
     _notifier,
@@ -38,6 +39,10 @@
 # A sound one may be silent for a second.
 MAX_CHECKS = 3
 CHECK_PAUSE_S = 0.1
+# A report is as of some hundred ms ago, so that the first one after the end of a response often
+# still lists its run. Two more are asked for meanwhile, each after this time.
+MAX_RUN_CHECKS = 2
+RUN_CHECK_PAUSE_S = 0.3
 _log = logs.Logger("outage_checks")
 
 
@@ -91,29 +96,40 @@
         An upstream that doesn't respond still runs if this VM has lost its links and a peer gets a
         response.
         """
+        return (await self._check_running(up))[0]
+
+    async def _check_running(self, up: routes.Upstream) -> tuple[bool, ports.UpstreamLoad | None]:
+        """Return whether it is running, as :meth:`is_running`, and its report if it gave one."""
         for _ in range(MAX_CHECKS):
             try:
-                return not await self._was_restarted(up)
+                load = await self._fetch_load(up)
+                return not _is_other_start(up, load), load
             except engine.CallError as exc:
                 if exc.progress is engine.Progress.NOT_SENT and not exc.timed_out:
                     # A process that has ended refuses connections.
                     break
             await trio.sleep(CHECK_PAUSE_S)
         if await self._reaches_another(up):
-            return False
+            return False, None
         # Peers may reply with what they found so long ago.
         await trio.sleep(REPLY_INTERVAL_S)
-        return await self._responds_to_peer(up)
+        return await self._responds_to_peer(up), None
 
-    async def has_ended_alone(self, up: routes.Upstream, idle: path_watch.IdleConnection) -> bool:
+    async def has_ended_alone(
+        self,
+        up: routes.Upstream,
+        idle: path_watch.IdleConnection,
+        received: listed_runs.Received | None = None,
+    ) -> bool:
         """Return whether neither an upstream nor the path to it has ended with a response.
 
         :param idle: the idle connection to the upstream, beside that of the response.
+        :param received: what the response has brought, if the upstream must not go on with it.
         """
         watched_s = idle.watched_s()
         ended = await idle.ends_soon()
         if not ended:
-            running = await self.is_running(up)
+            running, load = await self._check_running(up)
             # What relayed the report has had time to end the idle connection too.
             ended = idle.has_ended()
         if ended:
@@ -123,8 +139,34 @@
             # Callers would never get a whole response from an upstream that keeps no connection on
             # which nothing is sent, so that what isn't watched passes.
             _log.info("path_unwatched", upstream=up.name)
+        if running and received is not None and await self._goes_on(up, received, load):
+            _log.info("run_goes_on", upstream=up.name, request=received.request)
+            return False
         return running
 
+    async def _goes_on(
+        self, up: routes.Upstream, received: listed_runs.Received, load: ports.UpstreamLoad | None
+    ) -> bool:
+        """Return whether an upstream is seen to go on with a run whose response has ended."""
+        for _ in range(MAX_RUN_CHECKS):
+            found = listed_runs.find(load.events_made if load else {}, received)
+            if found is not listed_runs.Finding.LISTED:
+                return found is listed_runs.Finding.CUT
+            latest_s = trio.current_time() + RUN_CHECK_PAUSE_S + upstream_loads.LOAD_TIMEOUT_S
+            if latest_s > received.until_s:
+                # A whole response must not time out for this.
+                return False
+            await trio.sleep(RUN_CHECK_PAUSE_S)
+            if not self._limits.try_take_for_poll(up):
+                return False
+            try:
+                load = await upstream_loads.fetch_load(self._call_format, up, self._notices)
+            except engine.CallError:
+                return False
+        return (
+            listed_runs.find(load.events_made if load else {}, received) is listed_runs.Finding.CUT
+        )
+
     def confirm_soon(self, up: routes.Upstream, since_s: float) -> None:
         """Ask an upstream in the background which start of it runs, unless it has told.
 
@@ -167,11 +209,11 @@
 
         :raises CallError: if it doesn't respond.
         """
+        return _is_other_start(up, await self._fetch_load(up))
+
+    async def _fetch_load(self, up: routes.Upstream) -> ports.UpstreamLoad | None:
         self._limits.take(up)
-        load = await upstream_loads.fetch_load(self._call_format, up, self._notices)
-        if load is None or not up.started_ms:
-            return False
-        return load.started_ms not in (0, up.started_ms)
+        return await upstream_loads.fetch_load(self._call_format, up, self._notices)
 
     async def is_cut_off(self, up: routes.Upstream) -> bool:
         """Return whether an upstream seems down only because this VM has lost its links."""
@@ -250,3 +292,10 @@
             self._responding = {n: s for n, s in self._responding.items() if now_s - s < CUT_OFF_S}
             self._responding[reply.upstream] = now_s
             self._replied.notify_all()
+
+
+def _is_other_start(up: routes.Upstream, load: ports.UpstreamLoad | None) -> bool:
+    """Return whether a load report is that of another start than the registered one."""
+    if load is None or not up.started_ms:
+        return False
+    return load.started_ms not in (0, up.started_ms)
--- a/src/cornelgrade/services/edge/ports.py
+++ b/src/cornelgrade/services/edge/ports.py
@@ -49,11 +49,14 @@
     """Requests at an upstream, from its own load report, which lags slightly.
 
     :param started_ms: Unix time of the upstream's start in milliseconds, 0 if not given.
+    :param events_made: number of events that each of its runs has made, by the id of the request;
+        some runs may be missing.
     """
 
     running: int
     waiting: int
     started_ms: int = 0
+    events_made: dict[str, int] = {}
 
 
 class CallFormat(Protocol):
