Test answers of resumed items with a framing

The cases of answers that are no completion had no framing, so that the check of unframed JSON could fail them first. They are framed now, with one more answer, whose text is no UTF-8. No fault: all cases pass without a change of the code, and the decoder raises its own error for that text.

--- a/tests/adapters/test_unframed_bodies.py
+++ b/tests/adapters/test_unframed_bodies.py
@@ -219,9 +219,13 @@
 
 # Guards against an engine's run of all items that ends because the text of cancelled runs can't be
 # put before a response.
-@pytest.mark.parametrize("answer", [b"{}", b"[]", b'{"choices": [{}]}', b"7"])
+@pytest.mark.parametrize(
+    "answer",
+    [b"{}", b"[]", b'{"choices": [{}]}', b"7", b'{"choices": [{"text": "\xff"}]}'],
+)
 async def test_resumed_item_fails_if_its_answer_is_no_completion(answer):
-    report = await run_item(JSON_HEAD + answer, resume=RESUME)
+    head = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % len(answer)
+    report = await run_item(head + answer, resume=RESUME)
     assert (report.event.name, report.resume) == ("FAILED", NO_RESUME)
 
 
