--- a/tests/adapters/test_unframed_bodies.py
+++ b/tests/adapters/test_unframed_bodies.py
@@ -96,7 +96,7 @@
         return await _item_call.ItemCall(upstream, make_work(item, resume)).run()
 
 
-def make_work(item, resume):
+def make_work(item, resume=NO_RESUME):
     header = types.SimpleNamespace(job="job", chunk_items=1)
     run = types.SimpleNamespace(claim=types.SimpleNamespace(chunk=0), header=header)
     return _chunk_run.Work(run, 0, item, resume, alone=False)
