Renew an idle connection before its upstream closes it

Callers could get a whole stream as incomplete at an upstream that closes idle connections: the shared one ends each time after the same while, and a response that has just ended counts as ended with it.

Once two connections have lasted equally long, later ones are renewed after half of that. test_idle_connection_is_renewed_before_its_upstream_closes_it_again fails before (3 closes in 5 s, where 2 are due) and passes.

--- a/src/cornelgrade/services/edge/path_watch.py
+++ b/src/cornelgrade/services/edge/path_watch.py
@@ -6,6 +6,7 @@
 """
 
 import contextlib
+import math
 from collections.abc import Callable, Iterator
 
 import trio
@@ -26,6 +27,10 @@
 MIN_PROOF_S = 0.1
 # How long a connection is kept for the next response once no response needs it.
 KEEP_S = 3.0
+# An upstream that has closed two connections after the same time, up to this part of it, closes idle
+# ones. Later ones are renewed sooner, so that no response ends by chance at that moment.
+SAME_TIME_RATIO = 0.1
+RENEWAL_RATIO = 0.5
 # While responses need a connection that can't be opened, it is tried again after this time.
 RETRY_S = 0.25
 _log = logs.Logger("path_watch")
@@ -86,6 +91,8 @@
         self._up = up
         self._scope = trio.CancelScope()
         self._channel: http1.Channel | None = None
+        self._renewal_s = math.inf
+        self._lasted_s = 0.0
 
     def is_closed(self) -> bool:
         """Return whether its peer has closed it, also if :meth:`run` hasn't noticed yet."""
@@ -113,18 +120,31 @@
                     lasted_s = await self._stay_connected()
                     if lasted_s is None:
                         await trio.sleep(RETRY_S)
-                    elif not await self._tell_watching() and lasted_s < MIN_IDLE_S:
-                        return
+                    elif lasted_s < self._renewal_s:
+                        ended = await self._tell_watching()
+                        if lasted_s < MIN_IDLE_S and not ended:
+                            return
+                        self._learn_renewal(lasted_s)
         finally:
             self.is_running = False
 
+    def _learn_renewal(self, lasted_s: float) -> None:
+        """Take into account how long a connection lasted until its peer closed it."""
+        if abs(lasted_s - self._lasted_s) < SAME_TIME_RATIO * lasted_s:
+            self._renewal_s = RENEWAL_RATIO * lasted_s
+        self._lasted_s = lasted_s
+
     async def _stay_connected(self) -> float | None:
-        """Return how long a connection lasted, ``None`` if none could be opened."""
+        """Return how long a connection lasted, ``None`` if none could be opened.
+
+        One that lasts until it is renewed is closed here.
+        """
         try:
             with await http1.connect(self._up.address, CONNECT_TIMEOUT_S) as channel:
                 self._channel, self.opened_s = channel, channel.opened_s
                 try:
-                    await channel.wait_closed()
+                    with trio.move_on_after(self._renewal_s):
+                        await channel.wait_closed()
                     return trio.current_time() - channel.opened_s
                 finally:
                     self._channel = self.opened_s = None
--- a/tests/edge/test_path_watch.py
+++ b/tests/edge/test_path_watch.py
@@ -5,6 +5,7 @@
 from tests.edge import test_ends_between_events
 
 from cornelgrade.platform.standins import edge_system, stream_engine
+from cornelgrade.services.edge import path_watch
 from cornelgrade.standins import fault_proxy
 
 ONCE = edge_system.ONCE_PREFIX
@@ -96,6 +97,25 @@
                 eng.seen.clear()
 
 
+# Guards against whole responses that end by chance as an upstream closes its idle connection, again
+# and again under load.
+async def test_idle_connection_is_renewed_before_its_upstream_closes_it_again(accept_with):
+    closed = []
+
+    async def close_idle(stream):
+        with trio.move_on_after(path_watch.MIN_IDLE_S + 0.2):
+            return bool(await stream.socket.recv(1, trio.socket.MSG_PEEK))
+        closed.append(trio.current_time())
+        return False
+
+    async with run_behind_proxies(engines=1) as (system, _):
+        accept_with(close_idle)
+        with trio.move_on_after(5):
+            while True:
+                await system.send_online("gateway-0", ONCE, "r")
+    assert len(closed) == 2
+
+
 # Guards against an idle connection that is never closed.
 async def test_idle_connection_ends_soon_after_the_last_response():
     async with run_behind_proxies(engines=1) as (system, proxies):
