--- a/src/cornelgrade/services/edge/path_watch.py
+++ b/src/cornelgrade/services/edge/path_watch.py
@@ -27,7 +27,7 @@
 MIN_PROOF_S = 0.1
 # How long a connection is kept for the next response once no response needs it.
 KEEP_S = 3.0
-# An upstream that has closed two connections after the same time, up to this part of it, closes idle
+# An upstream that closed two connections after the same time, up to this part of it, closes idle
 # ones. Later ones are renewed sooner, so that no response ends by chance at that moment.
 SAME_TIME_RATIO = 0.1
 RENEWAL_RATIO = 0.5
