Keep the faults of a stream trial beside its logs

A trial now writes faults.log: when each fault was injected, which engine's connections all ended, and the early ends that the judge knows.

--- a/bench/streams/faults.py
+++ b/bench/streams/faults.py
@@ -1,6 +1,7 @@
 """Draws faults that overlap and injects them."""
 
 import contextlib
+import datetime
 import random
 import signal
 from collections.abc import Awaitable, Callable, Iterator, Sequence
@@ -46,11 +47,13 @@
     """The faults of one seed.
 
     :ivar counts: how often each kind was injected.
+    :ivar log: one line for each fault, with the time as in the logs of the processes.
     """
 
     def __init__(self, system: rig.Rig, seed: int) -> None:
         self.system = system
         self.counts: dict[str, int] = {}
+        self.log: list[str] = []
         self._seed = seed
 
     async def run(self, kinds: list[Kind], seconds: float) -> None:
@@ -68,8 +71,13 @@
             if trio.current_time() > until_s:
                 return
             self.counts[kind.name] = self.counts.get(kind.name, 0) + 1
+            self._record(f"fault={kind.name!r}")
             nursery.start_soon(kind.inject, self, random.Random(rng.getrandbits(64)))
 
+    def _record(self, text: str) -> None:
+        now = datetime.datetime.now(datetime.UTC)
+        self.log.append(f"time={now:%Y-%m-%dT%H:%M:%S.%fZ} {text}")
+
     def _hold_engine(
         self, rng: random.Random, unlike: str = ""
     ) -> contextlib.AbstractContextManager[engines.Engine | None]:
@@ -125,7 +133,9 @@
 
     async def end_paths(self, rng: random.Random) -> None:
         """End all connections to an engine while it goes on running."""
-        self._choose_proxy(rng).switch(fault_proxy.Switches(end=True))
+        eng = rng.choice(self.system.engines)
+        self._record(f"ended={eng.name}")
+        eng.proxy.switch(fault_proxy.Switches(end=True))
 
     async def reset_paths(self, rng: random.Random) -> None:
         """Reset all connections to an engine while it goes on running."""
--- a/bench/streams/trial.py
+++ b/bench/streams/trial.py
@@ -54,5 +54,7 @@
             nursery.start_soon(seen.run, options.seconds)
             nursery.start_soon(injected.run, kinds, options.seconds)
         found = judge.find_problems(seen.streams, seen.results, system.early_ends, EVENTS)
+        ends = [f"{end}" for end in system.early_ends]
+        (folder / "faults.log").write_text("\n".join([*injected.log, *ends, ""]))
         counts = {kind.name: injected.counts.get(kind.name, 0) for kind in kinds}
         return Report(len(seen.streams), len(seen.results), shares, counts, found)
