Keep the confirmation of a start when the next one reports itself

A stream ended though its start had been confirmed and others of its version served, if its upstream was back as another start, and had reported that, before the gateway handled the break, as behind a slow caller. The last report of an upstream replaced the earlier one, and with it the confirmation; a connection that still looked open was then credited to the next start, so that events of the first one counted as of its version.

The confirmation is kept with the response.

--- a/src/cornelgrade/services/edge/serving_start.py
+++ b/src/cornelgrade/services/edge/serving_start.py
@@ -35,11 +35,15 @@
         self._channel = channel
         self._origin = origin
         self.begins = origin is None
+        self._confirmed = False
 
     @property
     def is_confirmed(self) -> bool:
         """Whether the start has reported itself since the channel was opened."""
-        return self._fleet.has_reported(self._up, self._channel.opened_s)
+        if not self._confirmed:
+            # Kept, as the report of the next start replaces that of this one.
+            self._confirmed = self._fleet.has_reported(self._up, self._channel.opened_s)
+        return self._confirmed
 
     async def follow_origin(self) -> software_versions.StreamOrigin:
         """Return what began the stream of which an event has arrived.
@@ -53,7 +57,8 @@
             await self._checks.find_outage(self._up)
         known = self._fleet.find_upstream(self._up.name)
         if (
-            known is not None
+            not self.is_confirmed
+            and known is not None
             and known.started_ms != self._up.started_ms
             and self._channel.is_open()
         ):
--- a/tests/edge/test_restarted_versions.py
+++ b/tests/edge/test_restarted_versions.py
@@ -10,7 +10,13 @@
 from cornelgrade.adapters import engine
 from cornelgrade.platform.standins import edge_system, stream_engine
 from cornelgrade.policy import software_versions
-from cornelgrade.services.edge import fleet, stream_origins, upstream_loads
+from cornelgrade.services.edge import (
+    _response_relay,
+    fleet,
+    outage_checks,
+    stream_origins,
+    upstream_loads,
+)
 
 EVENTS = 20
 EVENT_S = 0.05
@@ -224,6 +230,44 @@
     assert taken.status != 200 or versions_of(taken) <= {"v2"}
 
 
+# Guards against a stream that ends although its start was confirmed while it ran, because the next
+# start reports itself before the gateway has handled the break, as behind a slow caller.
+@pytest.mark.parametrize("version", ["v1", "v2"])
+async def test_stream_whose_start_was_confirmed_goes_on_after_a_late_break(monkeypatch, version):
+    slow = trio.Event()
+    write_part = _response_relay.ResponseRelay._write_part
+
+    async def write_slowly(req, progress, head, part):
+        await write_part(req, progress, head, part)
+        if progress.last_event == 6:
+            await slow.wait()
+
+    monkeypatch.setattr(_response_relay.ResponseRelay, "_write_part", staticmethod(write_slowly))
+    async with run_engines(engines=2) as system:
+        await start_engines(system)
+        received = []
+
+        async def receive():
+            received.append(await system.send_online("gateway-0", PATH, "r1"))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(receive)
+            running, _ = await wait_until_run(system, "r1")
+            await trio.sleep(8 * EVENT_S)
+            kern = system.nodes["gateway-0"].kern
+            registered = kern.find("fleet", fleet.Fleet)
+            running.crash(0.05)
+            running.version = version
+            await trio.sleep(0.2)
+            checks = kern.find("outage_checks", outage_checks.OutageChecks)
+            await checks.find_outage(registered.find_upstream(running.name))
+            slow.set()
+    (got,) = received
+    body, versions = stream_engine.split_versions(got.body)
+    assert (got.complete, versions) == (True, {"v1"})
+    assert body == stream_engine.response_body("r1", EVENTS)
+
+
 async def run_stream_from_unnoticed_start(system, *, register_s):
     """Send a stream to an engine that came back as version v2, and crash the engine in the end.
 
