Hold the first event of a stream until its start is confirmed

Callers got events of two versions if the gateway at which a stream began was killed between the first event and the report that confirms its start: only that gateway knew that the origin was not confirmed, and the one that took the stream up found a single registered version and nobody who replied.

The first event now waits up to 100 ms for the report, which takes a few. Where none comes, the holders are told that the origin is not confirmed, and again once it is. An unconfirmed origin of another gateway is no answer while a gateway may know better, so that a lost datagram refuses no take-up.

A sound stream pays the time of one report before its first event.

--- a/src/cornelgrade/policy/software_versions.py
+++ b/src/cornelgrade/policy/software_versions.py
@@ -10,6 +10,8 @@
 # No stream is taken up longer after it began than this.
 STREAM_LIFETIME_S = 60.0
 _MS_PER_S = 1000.0
+# Marks origins that are sent to other gateways as the version of a stream.
+_UNCONFIRMED = " or later"
 
 
 class StreamOrigin(msgspec.Struct, frozen=True):
@@ -34,7 +36,12 @@
 
     Such a stream goes on nowhere.
     """
-    return StreamOrigin(up.service, f"{up.name} started {up.started_ms} or later")
+    return StreamOrigin(up.service, f"{up.name} started {up.started_ms}{_UNCONFIRMED}")
+
+
+def is_unconfirmed(origin: StreamOrigin) -> bool:
+    """Return whether an origin is one of :func:`unconfirmed_origin`."""
+    return origin.version.endswith(_UNCONFIRMED)
 
 
 def resolve_origin(origin: StreamOrigin, upstreams: Iterable[routes.Upstream]) -> StreamOrigin:
--- a/src/cornelgrade/services/edge/outage_checks.py
+++ b/src/cornelgrade/services/edge/outage_checks.py
@@ -68,6 +68,7 @@
         self._nursery: trio.Nursery | None = None
         # Upstreams that are asked for their start, and since when it has to have run.
         self._confirming: set[str] = set()
+        self._confirmed = _notifier.Notifier()
         self._confirm_since_s: dict[str, float] = {}
 
     async def run(self, started: Callable[[], None]) -> None:
@@ -179,17 +180,26 @@
             self._confirming.add(up.name)
             self._nursery.start_soon(self._confirm, up)
 
+    async def confirm(self, up: routes.Upstream, since_s: float, wait_s: float) -> None:
+        """As :meth:`confirm_soon`, and wait for a while until it is told."""
+        self.confirm_soon(up, since_s)
+        with trio.move_on_after(wait_s):
+            while up.name in self._confirming and not self._fleet.has_reported(up, since_s):
+                await self._confirmed.wait()
+
     async def _confirm(self, up: routes.Upstream) -> None:
         try:
             for _ in range(MAX_CHECKS):
                 if not self._limits.try_take_for_poll(up):
                     return
                 await self.find_outage(up)
+                self._confirmed.notify_all()
                 if self._fleet.has_reported(up, self._confirm_since_s[up.name]):
                     return
         finally:
             self._confirming.discard(up.name)
             del self._confirm_since_s[up.name]
+            self._confirmed.notify_all()
 
     async def check_version(self, up: routes.Upstream) -> None:
         """Check that an upstream with which a stream is to go on is of its registered version.
--- a/src/cornelgrade/services/edge/serving_start.py
+++ b/src/cornelgrade/services/edge/serving_start.py
@@ -10,6 +10,9 @@
 from cornelgrade.policy import software_versions
 from cornelgrade.services.edge import fleet, outage_checks
 
+# How long the first event of a stream waits until its upstream has confirmed its start. A report
+# takes a few milliseconds; a sound upstream may be silent for a second.
+CONFIRM_WAIT_S = 0.1
 _STEP = "follow upstream"
 
 
@@ -48,13 +51,12 @@
     async def follow_origin(self) -> software_versions.StreamOrigin:
         """Return what began the stream of which an event has arrived.
 
-        A stream that began elsewhere waits until the start that goes on with it is confirmed; for
-        one that begins, this is asked for beside it.
+        A stream that began elsewhere waits until the start that goes on with it is confirmed. One
+        that begins waits for :data:`CONFIRM_WAIT_S` at most, at its first event.
 
         :raises CallError: if another start began the stream than the one that serves it.
         """
-        if not self.begins and not self.is_confirmed:
-            await self._checks.find_outage(self._up)
+        await self._wait_confirmed()
         known = self._fleet.find_upstream(self._up.name)
         if (
             not self.is_confirmed
@@ -73,6 +75,14 @@
             self._origin = software_versions.origin_at(self._up)
         return self._origin
 
+    async def _wait_confirmed(self) -> None:
+        if self.is_confirmed:
+            return
+        if not self.begins:
+            await self._checks.find_outage(self._up)
+        elif self._origin is None:
+            await self._checks.confirm(self._up, self._channel.opened_s, CONFIRM_WAIT_S)
+
     async def settle_origin(self) -> software_versions.StreamOrigin | None:
         """Return what began the stream once its response has ended, ``None`` before any event."""
         if self._origin is None or not self.begins:
--- a/src/cornelgrade/services/edge/stream_origins.py
+++ b/src/cornelgrade/services/edge/stream_origins.py
@@ -88,8 +88,12 @@
         if not request_id:
             return
         key = hash_request_id(request_id)
+        before = self._known.get(key)
         self._remember(key, origin, own=True)
-        if origin.service in self._mixed:
+        doubted = software_versions.is_unconfirmed(origin) or (
+            before is not None and software_versions.is_unconfirmed(before.origin)
+        )
+        if doubted or origin.service in self._mixed:
             self._tell_holders((key,))
         if forwarded_by:
             self._peers.send(forwarded_by, messages.StreamOrigins((self._tell(key),)))
@@ -107,8 +111,9 @@
         :param route: the route that it takes; its services may have begun it.
         """
         key = hash_request_id(request_id) if request_id else None
-        if key is not None and key in self._known:
-            return self._known[key].origin
+        known = self._known.get(key) if key is not None else None
+        if known is not None and (known.own or not software_versions.is_unconfirmed(known.origin)):
+            return known.origin
         now_s = trio.current_time()
         self._history.observe(self._fleet.upstreams(), now_s)
         possible = [
@@ -180,8 +185,11 @@
         async for message in received:
             for told in message.origins:
                 origin = software_versions.StreamOrigin(told.service, told.version)
-                self._remember(told.request, origin, own=False)
-                if told.request in self._queries:
+                unconfirmed = software_versions.is_unconfirmed(origin)
+                if not unconfirmed or told.request not in self._known:
+                    self._remember(told.request, origin, own=False)
+                # Another gateway may know it for sure.
+                if not unconfirmed and told.request in self._queries:
                     self._queries[told.request].set()
 
     async def _answer_queries(
--- a/tests/edge/test_restarted_versions.py
+++ b/tests/edge/test_restarted_versions.py
@@ -14,6 +14,7 @@
     _response_relay,
     fleet,
     outage_checks,
+    serving_start,
     stream_origins,
     upstream_loads,
 )
@@ -230,6 +231,56 @@
     assert taken.status != 200 or versions_of(taken) <= {"v2"}
 
 
+# Guards against the same after the gateway was killed before the upstream had confirmed its start.
+async def test_stream_of_an_unconfirmed_start_is_not_taken_up_after_its_gateway(monkeypatch):
+    monkeypatch.setattr(software_versions, "STREAM_LIFETIME_S", 3.0)
+    async with run_engines(engines=2, gateways=3) as system:
+        await start_engines(system)
+        await trio.sleep(3.0)
+        await start_engines(system)
+        restarted, other = system.engines.values()
+        await restart_as(restarted, "v2")
+        other.faults = stream_engine.Faults(decline=True)
+        killed = trio.Event()
+        fetch_load = upstream_loads.fetch_load
+
+        async def fetch_late(*args):
+            await killed.wait()
+            return await fetch_load(*args)
+
+        monkeypatch.setattr(upstream_loads, "fetch_load", fetch_late)
+        received = []
+
+        async def receive():
+            received.append(await system.send_online("gateway-0", PATH, "r1"))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(receive)
+            await wait_until_run(system, "r1")
+            await trio.sleep(serving_start.CONFIRM_WAIT_S + 2 * EVENT_S)
+            system.nodes["gateway-0"].scope.cancel()
+        killed.set()
+        other.faults = stream_engine.Faults()
+        restarted.crash(5.0)
+        (got,) = received
+        taken = await system.send_online("gateway-1", PATH, "r2", resumes="r1", last_event_id="2")
+    assert versions_of(got) == {"v2"}
+    assert taken.status != 200 or versions_of(taken) <= {"v2"}
+
+
+# Guards against a stream that can't be taken up because the datagram that confirmed its origin was
+# lost on the way to a holder, though the gateway at which it began knows it.
+async def test_stream_is_taken_up_where_its_origin_is_known_as_unconfirmed():
+    async with run_engines(engines=2, gateways=2) as system:
+        await start_engines(system)
+        await system.send_online("gateway-0", PATH, "r1")
+        holder = system.nodes["gateway-1"].kern.find("stream_origins", stream_origins.StreamOrigins)
+        unconfirmed = software_versions.unconfirmed_origin(usable(system, "gateway-0")["engine-0"])
+        holder._remember(stream_origins.hash_request_id("r1"), unconfirmed, own=False)
+        taken = await system.send_online("gateway-1", PATH, "r2", resumes="r1", last_event_id="5")
+    assert taken.status == 200
+
+
 # Guards against a stream that ends although its start was confirmed while it ran, because the next
 # start reports itself before the gateway has handled the break, as behind a slow caller.
 @pytest.mark.parametrize("version", ["v1", "v2"])
