--- a/tests/process/test_edge_soak.py
+++ b/tests/process/test_edge_soak.py
@@ -107,6 +107,31 @@
     assert [re.split(" (?:at|came)", problem)[0] for problem in found] == expected
 
 
+# Guards against a judge that takes questions for the end of a stream for runs, and against one that
+# joins runs which no answer without framing makes questions.
+@pytest.mark.parametrize(
+    ("received", "expected"),
+    [
+        ([("a", None, True), ("a", 10, True), ("a", 8, True)], "a"),
+        ([("a", None, True), ("a", 10, True), ("b", 10, False), ("b", 8, False)], "ab"),
+        ([("a", None, False), ("a", 10, False), ("b", 10, False), ("b", 8, False)], "aabb"),
+        ([("a", None, True), ("a", None, True)], "aa"),
+        ([("a", None, True), ("b", 4, True), ("a", 6, True)], "aba"),
+    ],
+)
+def test_judge_tells_questions_from_runs(received, expected):
+    attempts = [
+        (
+            name,
+            stream_engine.ReceivedRequest(
+                "r", b"/", {}, b"", after, float(at_s), ran=True, unframed=unframed
+            ),
+        )
+        for at_s, (name, after, unframed) in enumerate(received)
+    ]
+    assert judge._list_runs(attempts) == list(expected)
+
+
 def _judge_reads(system, *reads):
     """Judge reads of one job, each given as gateway, position, when it ended, status, results."""
     seen = callers.Callers(system, random.Random(1), random.Random(1))
