--- a/tests/edge/test_restarted_versions.py
+++ b/tests/edge/test_restarted_versions.py
@@ -410,3 +410,44 @@
                 await trio.sleep(0.05)
         runs = [s.resumed_after for s in other.seen if s.request == "item-0" and s.ran]
     assert runs == [None]
+
+
+# Guards against events of a start that came up between the check of its upstream and the run there.
+async def test_run_that_goes_on_passes_nothing_of_a_start_that_was_not_checked(monkeypatch):
+    async def pass_check(self, up):
+        pass
+
+    monkeypatch.setattr(outage_checks.OutageChecks, "check_version", pass_check)
+    async with run_engines(engines=2) as system:
+        await start_engines(system)
+        got = await run_stream(system, restarted=1)
+    assert versions_of(got) == {"v1"}
+    assert not got.complete
+
+
+# Guards against an item that goes on at the registered version of an upstream whose start nobody
+# has confirmed.
+async def test_item_of_a_start_that_was_not_confirmed_starts_anew(monkeypatch):
+    async with run_engines(workers=1, engines=2) as system:
+        await start_engines(system)
+        restarted, other = system.engines.values()
+        fetch_load = upstream_loads.fetch_load
+
+        async def fetch_of_other(call_format, up, recorder):
+            if up.name == restarted.name:
+                raise engine.CallError("lost", step="", peer="", progress=engine.Progress.NOT_SENT)
+            return await fetch_load(call_format, up, recorder)
+
+        monkeypatch.setattr(upstream_loads, "fetch_load", fetch_of_other)
+        other.faults = stream_engine.Faults(decline=True)
+        await restart_as(restarted, "v2")
+        await system.submit("gateway-0", "job", {"item-0": b"note"})
+        running, _ = await wait_until_run(system, "item-0")
+        other.faults = stream_engine.Faults()
+        running.crash(5.0)
+        with trio.fail_after(20):
+            while not await system.results("gateway-0", "job", 0):
+                await trio.sleep(0.05)
+        runs = [s.resumed_after for s in other.seen if s.request == "item-0" and s.ran]
+    assert running is restarted
+    assert runs == [None]
