Trust no path that has just ended where nothing watched a response

A response without framing passed if no idle connection had been open long enough to tell, as an upstream may keep none. That an upstream keeps none was taken from the absence of a connection, also right after the path had ended. Ends of connections are remembered now, those of idle ones too if a path ends so; for a second after one, an unwatched response counts as ended with its path. An upstream keeps no idle connection only if it has closed two in a row early, so that a single short disturbance leaves no response unwatched.

--- a/src/cornelgrade/adapters/http1.py
+++ b/src/cornelgrade/adapters/http1.py
@@ -159,11 +159,17 @@
         info = self._stream.socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
         return info[0] == _ESTABLISHED
 
-    async def wait_closed(self) -> None:
-        """Wait until the peer closes the connection; bytes that it sends are discarded."""
-        with contextlib.suppress(trio.BrokenResourceError):
+    async def wait_closed(self) -> bool:
+        """Wait until the peer closes the connection; bytes that it sends are discarded.
+
+        :returns: whether it was reset.
+        """
+        try:
             while await self._stream.receive_some(READ_BYTES):
                 pass
+        except trio.BrokenResourceError:
+            return True
+        return False
 
     async def send(self, method: str, target: bytes, headers: Headers, content: bytes) -> None:
         """Send a request with its body.
--- a/src/cornelgrade/services/edge/outage_checks.py
+++ b/src/cornelgrade/services/edge/outage_checks.py
@@ -44,6 +44,9 @@
 # still lists its run. Two more are asked for meanwhile, each after this time.
 MAX_RUN_CHECKS = 2
 RUN_CHECK_PAUSE_S = 0.3
+# A path that has ended may end again. For this time, a response that nothing watched long enough
+# counts as ended with it.
+UNTRUSTED_S = 1.0
 _log = logs.Logger("outage_checks")
 
 
@@ -130,7 +133,7 @@
         :param received: what the response has brought, if the upstream must not go on with it.
         """
         watched_s = idle.watched_s()
-        ended = await idle.ends_soon()
+        ended = await idle.ends_soon() or (watched_s is None and self._is_untrusted(up))
         if not ended:
             running, load = await self._check_running(up)
             # What relayed the report has had time to end the idle connection too.
@@ -148,6 +151,10 @@
             return False
         return running
 
+    def _is_untrusted(self, up: routes.Upstream) -> bool:
+        """Return whether the path to an upstream has ended a moment ago."""
+        return self._path_ends.has_ended_since(up, trio.current_time() - UNTRUSTED_S)
+
     async def _goes_on(
         self, up: routes.Upstream, received: listed_runs.Received, load: ports.UpstreamLoad | None
     ) -> bool:
--- a/src/cornelgrade/services/edge/path_watch.py
+++ b/src/cornelgrade/services/edge/path_watch.py
@@ -10,6 +10,7 @@
 import math
 from collections.abc import Callable, Iterator
 
+import msgspec
 import trio
 
 from cornelgrade import kernel, logs, routes
@@ -37,6 +38,8 @@
 RENEWAL_RATIO = 0.5
 # While responses need a connection that can't be opened, it is tried again after this time.
 RETRY_S = 0.25
+# An upstream that has closed so many idle connections in a row sooner than MIN_IDLE_S keeps none.
+MAX_SHORT_CONNECTIONS = 2
 _log = logs.Logger("path_watch")
 _Key = tuple[str, str, int]
 
@@ -92,21 +95,35 @@
         return open_s if open_s >= MIN_PROOF_S else None
 
 
+class _Ended(msgspec.Struct, frozen=True):
+    """An idle connection that its peer, or something on the path, has closed."""
+
+    lasted_s: float
+    reset: bool
+
+    @property
+    def shows_path_end(self) -> bool:
+        """Whether this is how paths end; upstreams close and reset young ones for other reasons."""
+        return self.lasted_s >= (MIN_PROOF_S if self.reset else MIN_IDLE_S)
+
+
 class _StandingConnection:
     """A connection to one start of an upstream on which nothing is sent.
 
     :ivar opened_s: when it was opened, on trio's clock; ``None`` while it isn't open.
     """
 
-    def __init__(self, up: routes.Upstream) -> None:
+    def __init__(self, up: routes.Upstream, ends: path_ends.PathEnds) -> None:
         self.opened_s: float | None = None
         self.watching: set[IdleConnection] = set()
         self.is_running = False
         self._up = up
+        self._path_ends = ends
         self._scope = trio.CancelScope()
         self._channel: http1.Channel | None = None
         self._renewal_s = math.inf
         self._lasted_s = 0.0
+        self._short_connections = 0
 
     def is_closed(self) -> bool:
         """Return whether its peer has closed it, also if :meth:`run` hasn't noticed yet."""
@@ -131,35 +148,43 @@
         try:
             with self._scope:
                 while True:
-                    lasted_s = await self._stay_connected()
-                    if lasted_s is None:
+                    ended = await self._stay_connected()
+                    if ended is None:
                         await trio.sleep(RETRY_S)
-                    elif lasted_s < self._renewal_s:
-                        ended = await self.tell_watching()
-                        if lasted_s < MIN_IDLE_S and not ended:
+                    elif ended.lasted_s < self._renewal_s:
+                        if ended.shows_path_end:
+                            self._path_ends.record_end(self._up, "idle connection closed")
+                        if self._keeps_none(ended.lasted_s, await self.tell_watching()):
                             return
-                        self._learn_renewal(lasted_s)
+                        self._learn_renewal(ended.lasted_s)
         finally:
             self.is_running = False
 
+    def _keeps_none(self, lasted_s: float, response_ended: bool) -> bool:
+        """Return whether the upstream is known to keep no idle connection open.
+
+        A single one that was closed soon may have ended with its path.
+        """
+        is_short = lasted_s < MIN_IDLE_S and not response_ended
+        self._short_connections = self._short_connections + 1 if is_short else 0
+        return self._short_connections >= MAX_SHORT_CONNECTIONS
+
     def _learn_renewal(self, lasted_s: float) -> None:
         """Take into account how long a connection lasted until its peer closed it."""
         if abs(lasted_s - self._lasted_s) < SAME_TIME_RATIO * lasted_s:
             self._renewal_s = RENEWAL_RATIO * lasted_s
         self._lasted_s = lasted_s
 
-    async def _stay_connected(self) -> float | None:
-        """Return how long a connection lasted, ``None`` if none could be opened.
-
-        One that lasts until it is renewed is closed here.
-        """
+    async def _stay_connected(self) -> _Ended | None:
+        """Keep a connection open until it ends or is renewed, ``None`` if none could be opened."""
         try:
             with await http1.connect(self._up.address, CONNECT_TIMEOUT_S) as channel:
                 self._channel, self.opened_s = channel, channel.opened_s
                 try:
+                    reset = False
                     with trio.move_on_after(self._renewal_s):
-                        await channel.wait_closed()
-                    return trio.current_time() - channel.opened_s
+                        reset = await channel.wait_closed()
+                    return _Ended(trio.current_time() - channel.opened_s, reset)
                 finally:
                     self._channel = self.opened_s = None
         except (engine.CallError, OSError) as exc:
@@ -222,7 +247,7 @@
         key = (up.name, up.address, up.started_ms)
         standing = self._standing.get(key)
         if standing is None or (standing.is_running and not standing.hold()):
-            standing = self._standing[key] = _StandingConnection(up)
+            standing = self._standing[key] = _StandingConnection(up, self._path_ends)
         if not standing.is_running and self._nursery is not None:
             standing.begin()
             self._nursery.start_soon(self._run_standing, up, standing)
--- a/tests/edge/test_path_watch.py
+++ b/tests/edge/test_path_watch.py
@@ -153,3 +153,22 @@
     while not test_ends_between_events.list_runs(system, "r1"):
         await trio.sleep(0.002)
     await system.send_online("gateway-0", ONCE, "r2")
+
+
+# Guards against passing on as complete a response whose path ended as it had a moment before, when
+# no connection had been open long enough to tell.
+@pytest.mark.parametrize("cut", [True, False])
+async def test_path_that_ends_again_at_once_is_noticed(accept_with, cut):
+    async with run_behind_proxies(engines=1) as (system, proxies):
+        await serve_whole(system, "before")
+        (proxy,) = proxies.values()
+        # Older than what upstreams close because it is idle.
+        await trio.sleep(path_watch.MIN_IDLE_S)
+        accept_with(hold_unused)
+        proxy.switch(fault_proxy.Switches(cut=cut, end=not cut))
+        await trio.sleep(0.02)
+        got = await test_ends_between_events.send_through_ending_path(
+            system, proxies, ONCE, events=1
+        )
+    assert got.body == stream_engine.response_body("r1", EVENTS)[: len(got.body)]
+    assert not got.complete
