Take no peer's word for the path of a response that nothing watched

A gateway that had lost its way to an upstream passed on the begin of a stream that runs once as a whole one, if peers still reached the upstream. That the upstream runs stood for a path that held; peers only know of theirs.

Such a response is complete by the word of peers only if its idle connection lives on. The new test failed before: 2 of 5 events, complete.

--- a/src/cornelgrade/services/edge/outage_checks.py
+++ b/src/cornelgrade/services/edge/outage_checks.py
@@ -7,6 +7,7 @@
 import random
 from collections.abc import Callable
 
+import msgspec
 import trio
 
 from cornelgrade import kernel, logs, routes, settings
@@ -50,6 +51,19 @@
 _log = logs.Logger("outage_checks")
 
 
+class _Check(msgspec.Struct, frozen=True):
+    """What a check of an upstream has found.
+
+    :param running: whether it runs without a restart.
+    :param reached: whether it responded to this VM; else peers have told.
+    :param load: its report, ``None`` if it gave no usable one.
+    """
+
+    running: bool
+    reached: bool = False
+    load: ports.UpstreamLoad | None = None
+
+
 class OutageChecks:
     """Checks upstreams after a failed call, and for peers that ask."""
 
@@ -102,24 +116,24 @@
         An upstream that doesn't respond still runs if this VM has lost its links and a peer gets a
         response.
         """
-        return (await self._check_running(up))[0]
+        return (await self._check_running(up)).running
 
-    async def _check_running(self, up: routes.Upstream) -> tuple[bool, ports.UpstreamLoad | None]:
-        """Return whether it is running, as :meth:`is_running`, and its report if it gave one."""
+    async def _check_running(self, up: routes.Upstream) -> _Check:
+        """Check whether an upstream runs, as :meth:`is_running`."""
         for _ in range(MAX_CHECKS):
             try:
                 load = await self._fetch_load(up)
-                return not _is_other_start(up, load), load
+                return _Check(not _is_other_start(up, load), reached=True, load=load)
             except engine.CallError as exc:
                 if exc.progress is engine.Progress.NOT_SENT and not exc.timed_out:
                     # A process that has ended refuses connections.
                     break
             await trio.sleep(CHECK_PAUSE_S)
         if await self._reaches_another(up):
-            return False, None
+            return _Check(running=False)
         # Peers may reply with what they found so long ago.
         await trio.sleep(REPLY_INTERVAL_S)
-        return await self._responds_to_peer(up), None
+        return _Check(await self._responds_to_peer(up))
 
     async def has_ended_alone(
         self,
@@ -133,11 +147,22 @@
         :param received: what the response has brought, if the upstream must not go on with it.
         """
         watched_s = idle.watched_s()
+        check = _Check(running=False)
         ended = await idle.ends_soon() or (watched_s is None and self._is_untrusted(up))
         if not ended:
-            running, load = await self._check_running(up)
-            # What relayed the report has had time to end the idle connection too.
-            ended = idle.has_ended()
+            check = await self._check_running(up)
+            # What relayed the report has had time to end the idle connection too. What peers see
+            # tells nothing of the path from here.
+            ended = idle.has_ended() or (watched_s is None and not check.reached)
+        _log.info(
+            "response_end_checked",
+            upstream=up.name,
+            request=received.request if received is not None else "",
+            watched_s=watched_s,
+            path_ended=ended,
+            running=check.running,
+            reached=check.reached,
+        )
         if ended:
             _log.info("path_ended", upstream=up.name, watched_s=watched_s)
             self._path_ends.record_end(up, "a response and its path have ended")
@@ -146,10 +171,12 @@
             # Callers would never get a whole response from an upstream that keeps no connection on
             # which nothing is sent, so that what isn't watched passes.
             _log.info("path_unwatched", upstream=up.name)
-        if running and received is not None and await self._goes_on(up, received, load):
+        if not check.running or received is None:
+            return check.running
+        goes_on = await self._goes_on(up, received, check.load)
+        if goes_on:
             _log.info("run_goes_on", upstream=up.name, request=received.request)
-            return False
-        return running
+        return not goes_on
 
     def _is_untrusted(self, up: routes.Upstream) -> bool:
         """Return whether the path to an upstream has ended a moment ago."""
--- a/tests/edge/test_path_watch.py
+++ b/tests/edge/test_path_watch.py
@@ -2,7 +2,7 @@
 
 import pytest
 import trio
-from tests.edge import test_ends_between_events
+from tests.edge import stranded, test_ends_between_events
 
 from cornelgrade.platform.standins import edge_system, stream_engine
 from cornelgrade.services.edge import path_watch
@@ -172,3 +172,22 @@
         )
     assert got.body == stream_engine.response_body("r1", EVENTS)[: len(got.body)]
     assert not got.complete
+
+
+# Guards against taking a response for whole because peers reach its upstream, while this VM has
+# lost its way there.
+async def test_peers_tell_nothing_of_the_path_of_a_response(monkeypatch):
+    async with edge_system.run_system(gateways=2, engines=1) as system:
+        test_ends_between_events.set_faults(system, unframed=True, close_after=2)
+        (eng,) = system.engines.values()
+        serve = eng._serve
+        with stranded.cut_vms(system, monkeypatch, refuses=True) as cuts:
+
+            async def serve_after_cut(req, seen):
+                cuts.vms.add("gateway-0")
+                await serve(req, seen)
+
+            monkeypatch.setattr(eng, "_serve", serve_after_cut)
+            got = await system.send_online("gateway-0", ONCE, "r1")
+    assert got.body == stream_engine.response_body("r1", 2)
+    assert not got.complete
