Watch the path of a response from before its request is sent

Where upstreams of a service have sent responses without framing within the last minute, the idle connection is opened before the request is sent. The kernel holds it while the process is paused, and it ends with the path. That is one connection for the requests in flight at an upstream, as before.

--- a/src/cornelgrade/services/edge/path_watch.py
+++ b/src/cornelgrade/services/edge/path_watch.py
@@ -36,6 +36,8 @@
 # ones. Later ones are renewed sooner, so that no response ends by chance at that moment.
 SAME_TIME_RATIO = 0.1
 RENEWAL_RATIO = 0.5
+# How long a service is expected to send responses without framing after one of its upstreams has.
+UNFRAMED_MEMORY_S = 60.0
 # While responses need a connection that can't be opened, it is tried again after this time.
 RETRY_S = 0.25
 # An upstream that has closed so many idle connections in a row sooner than MIN_IDLE_S keeps none.
@@ -209,6 +211,7 @@
     def __init__(self, kern: kernel.Kernel) -> None:
         self._nursery: trio.Nursery | None = None
         self._standing: dict[_Key, _StandingConnection] = {}
+        self._unframed_s: dict[str, float] = {}
         self._path_ends = kern.find("path_ends", path_ends.PathEnds)
         self._path_ends.subscribe(self._tell_watching)
 
@@ -222,6 +225,19 @@
             self._nursery = None
             self._standing.clear()
 
+    def record_unframed(self, service: str) -> None:
+        """Record that an upstream of a service has begun a response without framing."""
+        self._unframed_s[service] = trio.current_time()
+
+    def expects_unframed(self, service: str) -> bool:
+        """Return whether upstreams of a service have sent responses without framing lately.
+
+        The idle connection is then opened before the request is sent, as a process that is paused
+        may read a response long after its path has ended.
+        """
+        earliest_s = trio.current_time() - UNFRAMED_MEMORY_S
+        return self._unframed_s.get(service, -math.inf) >= earliest_s
+
     def _tell_watching(self, up: routes.Upstream) -> None:
         for (name, address, _), standing in self._standing.items():
             if (name, address) == (up.name, up.address) and self._nursery is not None:
--- a/tests/edge/test_path_watch.py
+++ b/tests/edge/test_path_watch.py
@@ -4,12 +4,14 @@
 import trio
 from tests.edge import stranded, test_ends_between_events
 
+from cornelgrade.adapters import http1
 from cornelgrade.platform.standins import edge_system, stream_engine
 from cornelgrade.services.edge import path_watch
 from cornelgrade.standins import fault_proxy
 
 ONCE = edge_system.ONCE_PREFIX
 EVENTS = test_ends_between_events.EVENTS
+EVENT_S = test_ends_between_events.EVENT_S
 RESPONSES = 6
 run_behind_proxies = test_ends_between_events.run_behind_proxies
 # Longer than a response takes, and shorter than the wait for a load report.
@@ -191,3 +193,26 @@
             got = await system.send_online("gateway-0", ONCE, "r1")
     assert got.body == stream_engine.response_body("r1", 2)
     assert not got.complete
+
+
+# Guards against passing on as complete a response that is read after its path has ended, as by a
+# process that was paused.
+async def test_response_that_is_read_after_its_path_ended_is_incomplete(monkeypatch):
+    read_head = http1.Channel.read_head
+
+    async def read_late(self):
+        if self._request.method == b"POST":
+            await trio.sleep(4 * EVENT_S)
+        return await read_head(self)
+
+    monkeypatch.setattr(path_watch, "KEEP_S", 0.0)
+    async with run_behind_proxies(engines=1) as (system, proxies):
+        await serve_whole(system, "before")
+        await trio.sleep(path_watch.POLL_S)
+        with monkeypatch.context() as patch:
+            patch.setattr(http1.Channel, "read_head", read_late)
+            got = await test_ends_between_events.send_through_ending_path(
+                system, proxies, ONCE, events=2
+            )
+    assert got.body == stream_engine.response_body("r1", 2)
+    assert not got.complete
