Wait before asking about the end of a stream once more

A whole resumable stream, all of whose events its caller had, ended visibly incomplete if its upstream replied at once and another call had just told that the path had ended: trusts no reply whose idle connection is too young to tell, and all four questions were asked within a few milliseconds.

The next question now comes 0.1 s later, when the connection that all replies share is old enough.

--- a/src/cornelgrade/services/edge/stream_questions.py
+++ b/src/cornelgrade/services/edge/stream_questions.py
@@ -52,7 +52,10 @@
         evidence = stream_end.Evidence(end.ended_after)
         answer = stream_end.Answer.UNKNOWN
         with trio.move_on_after(timeout_s) as scope:
-            for _ in range(MAX_QUESTIONS):
+            for number in range(MAX_QUESTIONS):
+                if number:
+                    # The connection beside the next reply is then old enough to tell.
+                    await trio.sleep(path_watch.MIN_PROOF_S)
                 answer = await self._ask(up, request, evidence, send)
                 if answer is not stream_end.Answer.UNKNOWN:
                     break
--- a/tests/edge/test_path_watch.py
+++ b/tests/edge/test_path_watch.py
@@ -216,3 +216,28 @@
             )
     assert got.body == stream_engine.response_body("r1", 2)
     assert not got.complete
+
+
+# Guards against failing a resumable stream that goes on at its upstream because the path has ended
+# a moment before, which other calls have told.
+async def test_stream_ends_whole_soon_after_a_known_end_of_its_path(monkeypatch):
+    send_events = stream_engine.StreamEngine._send_events
+
+    async def send_at_once_if_resumed(self, req, seen, faults):
+        self.event_s = EVENT_S if seen.resumed_after is None else 0.0
+        await send_events(self, req, seen, faults)
+
+    monkeypatch.setattr(stream_engine.StreamEngine, "_send_events", send_at_once_if_resumed)
+    async with run_behind_proxies(engines=1) as (system, proxies):
+        test_ends_between_events.set_faults(system, unframed=False)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(system.send_online, "gateway-0", ONCE, "other")
+            while not test_ends_between_events.list_runs(system, "other"):
+                await trio.sleep(0.002)
+            await trio.sleep(EVENT_S)
+            test_ends_between_events.set_faults(system, unframed=True)
+            got = await test_ends_between_events.send_through_ending_path(
+                system, proxies, edge_system.RESUMABLE_PREFIX, events=1
+            )
+    assert (got.status, got.complete) == (200, True)
+    assert got.body == stream_engine.response_body("r1", EVENTS)
