Confirm no start by a load report that tells none

A stream that was to go on at the version that began it got events of another version, complete to its caller, where the upstream had been restarted and its load reports lacked the field with the start. Such a report was recorded as one of the registered start, so the check before the run and the confirmation at its first event both passed.

A report without a start is recorded as a sighting of none.

--- a/src/cornelgrade/services/edge/fleet.py
+++ b/src/cornelgrade/services/edge/fleet.py
@@ -120,10 +120,11 @@
         """Record the start that an upstream reports: its registration may be late.
 
         :param up: the upstream as registered when it was asked.
-        :param started_ms: 0 if it reports none.
+        :param started_ms: 0 if it reports none, which confirms no start.
         :param asked_s: when it was asked, on trio's clock.
         """
-        self._sightings.record(up.name, started_ms or up.started_ms, asked_s)
+        if started_ms:
+            self._sightings.record(up.name, started_ms, asked_s)
         current = registrations.record_start(self._registered, up, started_ms)
         if current is not self._registered:
             self._registered = current
--- a/src/cornelgrade/services/edge/outage_checks.py
+++ b/src/cornelgrade/services/edge/outage_checks.py
@@ -106,16 +106,19 @@
 
     async def _check_running(self, up: routes.Upstream) -> tuple[bool, ports.UpstreamLoad | None]:
         """Return whether it is running, as :meth:`is_running`, and its report if it gave one."""
+        is_reached = False
         for _ in range(MAX_CHECKS):
             try:
                 load = await self._fetch_load(up)
-                return not _is_other_start(up, load), load
+                if _tells_start(up, load):
+                    return not _is_other_start(up, load), load
+                is_reached = True
             except engine.CallError as exc:
                 if exc.progress is engine.Progress.NOT_SENT and not exc.timed_out:
                     # A process that has ended refuses connections.
                     break
             await trio.sleep(CHECK_PAUSE_S)
-        if await self._reaches_another(up):
+        if is_reached or await self._reaches_another(up):
             return False, None
         # Peers may reply with what they found so long ago.
         await trio.sleep(REPLY_INTERVAL_S)
@@ -314,6 +317,11 @@
             self._replied.notify_all()
 
 
+def _tells_start(up: routes.Upstream, load: ports.UpstreamLoad | None) -> bool:
+    """Return whether a report tells which start runs, if its upstream tells any."""
+    return not up.started_ms or (load is not None and load.started_ms != 0)
+
+
 def _is_other_start(up: routes.Upstream, load: ports.UpstreamLoad | None) -> bool:
     """Return whether a load report is that of another start than the registered one."""
     if load is None or not up.started_ms:
--- a/tests/edge/test_restarted_versions.py
+++ b/tests/edge/test_restarted_versions.py
@@ -3,11 +3,13 @@
 A stream or an item must not go on there with the events of the version that is registered.
 """
 
+import msgspec
 import pytest
 import trio
 from tests.edge import stranded
 
 from cornelgrade.adapters import engine
+from cornelgrade.platform import calls
 from cornelgrade.platform.standins import edge_system, stream_engine
 from cornelgrade.policy import software_versions
 from cornelgrade.services.edge import (
@@ -92,6 +94,23 @@
     assert not got.complete
 
 
+# Guards against a load report without a start that confirms the registered one.
+async def test_report_without_a_start_confirms_none(monkeypatch):
+    parse_load = calls.CallFormat.parse_load
+
+    def parse_without_start(self, body):
+        return msgspec.structs.replace(parse_load(self, body), started_ms=0)
+
+    monkeypatch.setattr(calls.CallFormat, "parse_load", parse_without_start)
+    async with run_engines(engines=2) as system:
+        await start_engines(system)
+        got = await run_stream(system, restarted=1)
+        up = usable(system, "gateway-0")["engine-0"]
+        kern = system.nodes["gateway-0"].kern
+        assert not await kern.find("outage_checks", outage_checks.OutageChecks).is_running(up)
+    assert (got.complete, versions_of(got), up.restarted) == (False, {"v1"}, False)
+
+
 # Guards against breaking off a stream that an engine of its version can go on with.
 async def test_stream_goes_on_at_its_version():
     async with run_engines(engines=3) as system:
