Keep the sightings of the latest starts of an upstream

Of each upstream only the last report was kept. A task whose start had reported itself lost that confirmation if the next start reported itself before the task looked: its stream ended visibly incomplete, or its item started anew, although what began it was known.

Each process now keeps the last report of the latest four starts of each upstream. A sighting speaks of one start only, so that of the next start takes nothing from it, and what one task has learnt counts for all. The fifth start evicts the one that was asked longest ago.

--- a/src/cornelgrade/policy/start_sightings.py
+++ b/src/cornelgrade/policy/start_sightings.py
@@ -6,22 +6,21 @@
 
 import collections
 
-import msgspec
-
 # More than the upstreams of which one process has streams or items at a time.
 MAX_UPSTREAMS = 4096
-
-
-class _Sighting(msgspec.Struct, frozen=True):
-    started_ms: int
-    asked_s: float
+# Those that streams and items of a process can be at: one that ended takes seconds to be back.
+MAX_STARTS = 4
 
 
 class StartSightings:
-    """The last report of each upstream that this process has received."""
+    """The last report of each of the latest starts of each upstream that this process received.
+
+    A task may look for the report of its start only after the next start has reported itself.
+    """
 
     def __init__(self) -> None:
-        self._last: collections.OrderedDict[str, _Sighting] = collections.OrderedDict()
+        # By upstream, when each of its starts was asked for its last report.
+        self._asked_s: collections.OrderedDict[str, dict[int, float]] = collections.OrderedDict()
 
     def record(self, upstream: str, started_ms: int, asked_s: float) -> None:
         """Record a report.
@@ -29,15 +28,15 @@
         :param started_ms: Unix time in milliseconds of the start that reported itself.
         :param asked_s: when it was asked. It ran then or later, as its report came after that.
         """
-        known = self._last.get(upstream)
-        if known is not None and known.asked_s > asked_s:
-            return
-        self._last[upstream] = _Sighting(started_ms, asked_s)
-        self._last.move_to_end(upstream)
-        while len(self._last) > MAX_UPSTREAMS:
-            self._last.popitem(last=False)
+        starts = self._asked_s.setdefault(upstream, {})
+        starts[started_ms] = max(asked_s, starts.get(started_ms, asked_s))
+        if len(starts) > MAX_STARTS:
+            del starts[min(starts, key=starts.__getitem__)]
+        self._asked_s.move_to_end(upstream)
+        while len(self._asked_s) > MAX_UPSTREAMS:
+            self._asked_s.popitem(last=False)
 
     def was_seen(self, upstream: str, started_ms: int, since_s: float) -> bool:
         """Return whether a start was seen to run at a time or later."""
-        known = self._last.get(upstream)
-        return known is not None and known.started_ms == started_ms and known.asked_s >= since_s
+        asked_s = self._asked_s.get(upstream, {}).get(started_ms)
+        return asked_s is not None and asked_s >= since_s
--- a/src/cornelgrade/services/edge/serving_start.py
+++ b/src/cornelgrade/services/edge/serving_start.py
@@ -44,7 +44,6 @@
     def is_confirmed(self) -> bool:
         """Whether the start has reported itself since the channel was opened."""
         if not self._confirmed:
-            # Kept, as the report of the next start replaces that of this one.
             self._confirmed = self._fleet.has_reported(self._up, self._channel.opened_s)
         return self._confirmed
 
