--- a/src/cornelgrade/services/edge/outage_checks.py
+++ b/src/cornelgrade/services/edge/outage_checks.py
@@ -120,17 +120,20 @@
 
     async def _check_running(self, up: routes.Upstream) -> _Check:
         """Check whether an upstream runs, as :meth:`is_running`."""
+        is_reached = False
         for _ in range(MAX_CHECKS):
             try:
                 load = await self._fetch_load(up)
-                return _Check(not _is_other_start(up, load), reached=True, load=load)
+                if _tells_start(up, load):
+                    return _Check(not _is_other_start(up, load), reached=True, load=load)
+                is_reached = True
             except engine.CallError as exc:
                 if exc.progress is engine.Progress.NOT_SENT and not exc.timed_out:
                     # A process that has ended refuses connections.
                     break
             await trio.sleep(CHECK_PAUSE_S)
-        if await self._reaches_another(up):
-            return _Check(running=False)
+        if is_reached or await self._reaches_another(up):
+            return _Check(running=False, reached=is_reached)
         # Peers may reply with what they found so long ago.
         await trio.sleep(REPLY_INTERVAL_S)
         return _Check(await self._responds_to_peer(up))
@@ -341,6 +344,11 @@
             self._replied.notify_all()
 
 
+def _tells_start(up: routes.Upstream, load: ports.UpstreamLoad | None) -> bool:
+    """Return whether a report tells which start runs, if its upstream tells any."""
+    return not up.started_ms or (load is not None and load.started_ms != 0)
+
+
 def _is_other_start(up: routes.Upstream, load: ports.UpstreamLoad | None) -> bool:
     """Return whether a load report is that of another start than the registered one."""
     if load is None or not up.started_ms:
