Let the stand-in engine pause, name versions and send an end marker

Engines may be preempted in the middle of a stream, begin an event with a line that names another version of the weights, or send a last event without a number. No test could play these. The list of runs counts the event without a number, and a pause may follow it, so that a response ends later than the last event was made.

--- a/src/cornelgrade/platform/standins/stream_engine.py
+++ b/src/cornelgrade/platform/standins/stream_engine.py
@@ -55,6 +55,12 @@
         instead of resetting them.
     :param early_lines: the first line of each event of such a response is sent as soon as the event
         before has ended, so that a crash falls inside an event.
+    :param new_version_every: begin each event whose number is a multiple of this with a line that
+        names another version of the weights; 0 for none.
+    :param end_data: data of one more event, without a number, behind the last one; empty for none.
+        It is made in the same step, and the list of runs counts it.
+    :param pause_after: pause after this many events, as a run does that is preempted.
+    :param pause_s: how long such a pause lasts.
     :param content_type: of responses.
     :param silent_after: stop sending after this many events, but keep the connection open.
     :param foreign: respond with the response to another request.
@@ -86,6 +92,10 @@
     empty_resumes: int | None = None
     unframed: bool = False
     early_lines: bool = False
+    new_version_every: int = 0
+    end_data: bytes = b""
+    pause_after: int | None = None
+    pause_s: float = 0.0
     content_type: str = "text/event-stream"
     silent_after: int | None = None
     foreign: bool = False
@@ -366,6 +376,8 @@
                 return
             version = self.version if self.tells_version else ""
             event = encode_event(seen.request, number, version)
+            if faults.new_version_every and number % faults.new_version_every == 0:
+                event = f"versions:{number}\n".encode() + event
             begun = event[: event.index(b"\n")] if faults.unframed and faults.early_lines else b""
             if begun:
                 await req.send_chunk(begun)
@@ -380,6 +392,19 @@
             if seen.run is not None:
                 seen.run.made_s.append(trio.current_time())
         await self._inject_faults(req, self.events)
+        await self._send_end_data(req, seen, faults)
+
+    async def _send_end_data(
+        self, req: _http_server.Exchange, seen: ReceivedRequest, faults: Faults
+    ) -> None:
+        """Send the event without a number, unless the response ends before it."""
+        ends_before = faults.close_after == self.events and seen.resumed_after != self.events
+        if not faults.end_data or ends_before:
+            return
+        await req.send_chunk(b"data: " + faults.end_data + b"\n\n")
+        if seen.run is not None:
+            seen.run.made_s.append(trio.current_time())
+        await self._inject_faults(req, self.events + 1)
 
     def _go_on(self, seen: ReceivedRequest, number: int, for_s: float) -> None:
         """Let a run be listed, with an event more each time, after its response has ended."""
@@ -397,6 +422,8 @@
         if self.faults.cut_after == sent_events:
             await req.send_chunk(b"id: 99\nda" if sent_events < self.events else b"")
             raise _http_server.AbortConnectionError
+        if self.faults.pause_after == sent_events:
+            await trio.sleep(self.faults.pause_s)
         if self.faults.silent_after == sent_events:
             await trio.sleep_forever()
 
