Pass events without a number on once where streams go on

Callers of resumable streams got an event without a number behind the last numbered one twice if the response was reset behind it, and not at all if a response without framing ended just before it; texts of items likewise. Whether it had come before was not known: it was dropped if a response had ended after the last number, else passed on.

Now the events without a number that have followed the last number are counted, and a response that is asked for after that number has so many of them skipped. Those behind earlier numbers are skipped too, should a response begin there.

--- a/src/cornelgrade/policy/event_stream.py
+++ b/src/cornelgrade/policy/event_stream.py
@@ -53,6 +53,43 @@
     return event.event_id is None or last_id is None or event.event_id > last_id
 
 
+class Repeats(msgspec.Struct):
+    """Tells which events of a stream's responses came before, also those without a number.
+
+    A response that is asked for after the last number brings again what followed that number.
+
+    :ivar received: how many events without a number have followed the last number.
+    :ivar due: how many of them the current response has yet to bring again.
+    :ivar is_before: whether the current response is still before the last number.
+    """
+
+    received: int = 0
+    due: int = 0
+    is_before: bool = False
+
+    def begin_response(self) -> None:
+        """Begin with a response that is asked for after the last number."""
+        self.due, self.is_before = self.received, False
+
+    def is_new(self, event: Event, last_id: int | None) -> bool:
+        """Take the next event of a response; return whether it has not come before."""
+        if event.event_id is not None:
+            self.is_before = last_id is not None and event.event_id < last_id
+            return is_new(event, last_id)
+        if self.is_before:
+            return False
+        is_due = self.due > 0
+        self.due -= is_due
+        return not is_due
+
+    def add_new(self, event: Event) -> None:
+        """Record that a new event was passed on or kept."""
+        if event.event_id is not None:
+            self.received = self.due = 0
+        else:
+            self.received += 1
+
+
 def has_gap(event: Event, last_id: int | None) -> bool:
     """Return whether events are missing before an event.
 
--- a/src/cornelgrade/services/edge/_relay_state.py
+++ b/src/cornelgrade/services/edge/_relay_state.py
@@ -4,7 +4,7 @@
 
 from cornelgrade import errors, logs, routes
 from cornelgrade.adapters import http1, http1_server
-from cornelgrade.policy import listed_runs, software_versions, stream_end
+from cornelgrade.policy import event_stream, listed_runs, software_versions, stream_end
 from cornelgrade.services.edge import forwarding, ports, serving_start, slot_permits
 
 # Statuses that say that the request has not run.
@@ -28,6 +28,7 @@
     :ivar received: what the last response has brought of a stream that can't be asked for again.
     :ivar framing: what marks the end of the last response.
     :ivar end: what the last run shows of the end of the stream.
+    :ivar repeats: what of a stream that can be asked for again came before.
     :ivar peer: the gateway to which it was forwarded last; empty once it is tried here.
     :ivar failed_peers: gateways that failed to serve it.
     """
@@ -45,6 +46,7 @@
     received: listed_runs.Received | None = None
     framing: http1.Framing | None = None
     end: stream_end.StreamEnd = msgspec.field(default_factory=stream_end.StreamEnd)
+    repeats: event_stream.Repeats = msgspec.field(default_factory=event_stream.Repeats)
     first_byte_s: float | None = None
     upstream: str = ""
     permit: slot_permits.SlotPermit | None = None
--- a/src/cornelgrade/services/edge/_response_relay.py
+++ b/src/cornelgrade/services/edge/_response_relay.py
@@ -168,6 +168,7 @@
         splitter = event_stream.EventSplitter()
         progress.last_event_s = trio.current_time()
         progress.serving = self._find_start(channel, progress)
+        progress.repeats.begin_response()
         while part := await self._read_part(channel, req, progress):
             self._check_size(channel, progress, part)
             for event in _split_events(channel, splitter, part):
@@ -176,12 +177,10 @@
                     # A comment neither begins a response nor extends the time until an event.
                     if progress.started:
                         await req.exchange.send_chunk(event.raw)
-                elif event.event_id is None and progress.end.has_ended_after(progress.last_event):
-                    # The caller may have had it before the response ended there.
-                    continue
-                elif event_stream.is_new(event, progress.last_event):
+                elif progress.repeats.is_new(event, progress.last_event):
                     await self._follow_origin(req, progress)
                     await self._write_part(req, progress, head, event.raw)
+                    progress.repeats.add_new(event)
                     progress.last_event_s = trio.current_time()
                     progress.last_event = (
                         event.event_id if event.event_id is not None else progress.last_event
--- a/src/cornelgrade/services/edge/item_call.py
+++ b/src/cornelgrade/services/edge/item_call.py
@@ -43,6 +43,7 @@
     :ivar last_event: number of the last event, ``None`` before the first.
     :ivar origin: what made these events, ``None`` before the first; the item goes on only there.
     :ivar end: what the last run shows of the end of the item's stream.
+    :ivar repeats: what of the item's stream came before.
     """
 
     texts: list[str] = msgspec.field(default_factory=list)
@@ -50,6 +51,7 @@
     last_event: int | None = None
     origin: software_versions.StreamOrigin | None = None
     end: stream_end.StreamEnd = msgspec.field(default_factory=stream_end.StreamEnd)
+    repeats: event_stream.Repeats = msgspec.field(default_factory=event_stream.Repeats)
 
     @property
     def events(self) -> int:
@@ -63,6 +65,7 @@
         self.last_event = None
         self.origin = None
         self.end = stream_end.StreamEnd()
+        self.repeats = event_stream.Repeats()
 
 
 class ItemCaller:
@@ -219,6 +222,7 @@
         self, channel: http1.Channel, partial: PartialResult, start: serving_start.ServingStart
     ) -> None:
         splitter = event_stream.EventSplitter()
+        partial.repeats.begin_response()
         last_event_s = trio.current_time()
         # Bytes that complete no event don't extend the time until the next one.
         while part := await channel.read_chunk_by(last_event_s + EVENT_GAP_TIMEOUT_S, _STEP):
@@ -230,8 +234,7 @@
             for event in events:
                 if not event.well_formed:
                     raise channel.call_error(event_stream.MALFORMED_MESSAGE, _STEP)
-                unnumbered = event.event_id is None
-                if event.empty or (unnumbered and partial.end.has_ended_after(partial.last_event)):
+                if event.empty:
                     continue
                 partial.origin = await start.follow_origin()
                 _append_event(channel, partial, event)
@@ -259,8 +262,9 @@
         raise channel.call_error(
             f"events missing between {partial.last_event} and {event.event_id}", _STEP
         )
-    if not event_stream.is_new(event, partial.last_event):
+    if not partial.repeats.is_new(event, partial.last_event):
         return
+    partial.repeats.add_new(event)
     data = event.data()
     partial.texts.append(data.decode("utf-8", "replace"))
     partial.text_bytes += len(data)
--- a/tests/policy/test_response_end.py
+++ b/tests/policy/test_response_end.py
@@ -74,3 +74,27 @@
     end = response_end.follow_json_body("application/json", framed=False)
     end.feed(b"[" * 5_000 + b"]" * 5_000)
     assert end.find_break() != ""
+
+
+# Guards against events without a number that come twice where a response begins before the last
+# number, and against dropping new ones.
+@pytest.mark.parametrize(
+    ("raw", "new"),
+    [
+        (b"data: b\n\n", ""),
+        (b"data: b\n\ndata: c\n\n", "c"),
+        (b"id: 1\ndata: 1\n\ndata: a\n\nid: 2\ndata: 2\n\ndata: b\n\ndata: c\n\n", "c"),
+        (b"id: 3\ndata: 3\n\ndata: d\n\n", "3d"),
+    ],
+)
+def test_events_of_an_earlier_response_are_not_new(raw, new):
+    repeats, last_id, found = event_stream.Repeats(), None, ""
+    for response in (b"id: 1\ndata: 1\n\ndata: a\n\nid: 2\ndata: 2\n\ndata: b\n\n", raw):
+        found = ""
+        repeats.begin_response()
+        for event in event_stream.EventSplitter().feed(response):
+            if repeats.is_new(event, last_id):
+                repeats.add_new(event)
+                found += event.data().decode()
+                last_id = event.event_id or last_id
+    assert found == new
