Count events without numbers against the list of runs

A whole stream that runs once, without framing, ended visibly incomplete if its last event had no number and the report after its end still listed the run: the list counts that event, while only the number of the last numbered one was compared, so that the run seemed to have gone on.

The events without a number that a response brought are added before the comparison. A run that has made more than all of them still shows a cut.

--- a/src/cornelgrade/policy/listed_runs.py
+++ b/src/cornelgrade/policy/listed_runs.py
@@ -17,11 +17,20 @@
     :ivar request: id of the request; empty if it has none.
     :ivar until_s: when the request times out, on the clock of the caller.
     :ivar last_event: number of the last event, ``None`` before the first one with a number.
+    :ivar unnumbered: how many events without a number it has brought; a list may count them.
     """
 
     request: str
     until_s: float = math.inf
     last_event: int | None = None
+    unnumbered: int = 0
+
+    def add_event(self, number: int | None) -> None:
+        """Take the next event."""
+        if number is None:
+            self.unnumbered += 1
+        else:
+            self.last_event = number
 
 
 class Finding(enum.Enum):
@@ -45,4 +54,5 @@
     made = events_made.get(received.request) if received.request else None
     if made is None or received.last_event is None:
         return Finding.NOTHING
-    return Finding.CUT if made > received.last_event else Finding.LISTED
+    is_cut = made > received.last_event + received.unnumbered
+    return Finding.CUT if is_cut else Finding.LISTED
--- a/src/cornelgrade/services/edge/_response_relay.py
+++ b/src/cornelgrade/services/edge/_response_relay.py
@@ -127,8 +127,8 @@
                         f"event {event.event_id} follows {last_event}", _relay_state.STEP
                     )
                 last_event = event.event_id if event.event_id is not None else last_event
-                if progress.received is not None:
-                    progress.received.last_event = last_event
+                if progress.received is not None and not event.empty:
+                    progress.received.add_event(event.event_id)
                 await self._write_part(req, progress, head, event.raw)
         # A blank line may follow the last event.
         await self._write_part(req, progress, head, splitter.remainder)
--- a/tests/policy/test_listed_runs.py
+++ b/tests/policy/test_listed_runs.py
@@ -18,7 +18,12 @@
         ({"": 4}, "", 3, listed_runs.Finding.NOTHING),
     ],
 )
-async def test_only_more_events_than_received_show_a_cut(made, request_id, last_event, finding):
-    assert (
-        listed_runs.find(made, listed_runs.Received(request_id, last_event=last_event)) is finding
-    )
+@pytest.mark.parametrize("unnumbered", [0, 1])
+async def test_only_more_events_than_received_show_a_cut(
+    made, request_id, last_event, finding, unnumbered
+):
+    received = listed_runs.Received(request_id, last_event=last_event)
+    for _ in range(unnumbered):
+        received.add_event(None)
+    made = {name: count + unnumbered for name, count in made.items()}
+    assert listed_runs.find(made, received) is finding
