Refuse streams of unknown origin while registrations may be missed

What callers saw: a stream that began at one software version and was taken up at a gateway that had lost the store went on at another version, if the replies of the gateways that knew its origin were lost.

Cause: silence stood for "nobody knows", and the only version that the gateway knew stood for all. A gateway that knew that it may have missed registrations still took that version for the origin if the upstreams that it knew had started long ago; those that it had missed are the ones that count. A gateway that was frozen decided by what it knew before it asked others, and read the missed registrations meanwhile.

Evidence: test_stream_is_refused_without_store_and_replies and test_stream_is_refused_if_a_version_appears_while_others_are_asked failed before (2 of 3, one run) and pass. The third, test_stream_goes_on_without_store_and_its_gateway, passes before too; it fails with the refusal alone.

Why it works: without a reply the only known version counts only if the watch of registrations is current before and after the question, and what is known then decides.

--- a/src/cornelgrade/services/edge/stream_origins.py
+++ b/src/cornelgrade/services/edge/stream_origins.py
@@ -1,9 +1,11 @@
 """The service ``stream_origins``: which software version began a stream that a caller takes up.
 
 A stream goes on only at the version that began it, and its caller may take it up at any gateway.
-A gateway remembers the streams that began there. While several versions of a service serve, or an
-upstream has been restarted and not registered since, it also tells a few other gateways of each, so
-that the origin is known after the gateway is gone. A gateway that doesn't know the origin asks.
+A gateway remembers the streams that began there. While several versions of a service serve, an
+upstream has been restarted and not registered since, or registrations may have been missed, it also
+tells a few other gateways of each, so that the origin is known after the gateway is gone. A gateway
+that doesn't know the origin asks. Without a reply it takes the only version that it knows for the
+origin, unless it may have missed registrations.
 """
 
 import collections
@@ -93,7 +95,7 @@
         doubted = software_versions.is_unconfirmed(origin) or (
             before is not None and software_versions.is_unconfirmed(before.origin)
         )
-        if doubted or origin.service in self._mixed:
+        if doubted or origin.service in self._mixed or self._is_behind():
             self._tell_holders((key,))
         if forwarded_by:
             self._peers.send(forwarded_by, messages.StreamOrigins((self._tell(key),)))
@@ -114,22 +116,13 @@
         known = self._known.get(key) if key is not None else None
         if known is not None and (known.own or not software_versions.is_unconfirmed(known.origin)):
             return known.origin
-        now_s = trio.current_time()
-        self._history.observe(self._fleet.upstreams(), now_s)
-        possible = [
-            origin
-            for target in route.targets
-            for origin in self._history.list_origins(target.service, now_s)
-        ]
-        complete = self._history.is_complete(now_s, route.timeout_s)
-        # Other gateways may know of a version that was registered meanwhile.
-        behind = self._availability.may_be_behind(self._upstream_kind)
+        behind = self._is_behind()
         # The gateway at which it began may know of a start that is not registered.
-        found = await self._ask(key) if key is not None else None
-        only = possible[0] if len(possible) == 1 else None
-        if found is None and only is not None:
-            knows_all = complete and not behind
-            found = only if knows_all or not self._may_replace_others(only) else None
+        found = await self._ask(key, everyone=behind) if key is not None else None
+        # Registrations that this process missed until then may have arrived meanwhile.
+        possible = self._list_origins(route)
+        if found is None and len(possible) == 1 and not (behind or self._is_behind()):
+            found = possible[0] if self._is_only_origin(possible[0], route) else None
         _log.info(
             "stream_origin",
             request=request_id,
@@ -139,18 +132,40 @@
         )
         return found
 
-    def _may_replace_others(self, origin: software_versions.StreamOrigin) -> bool:
-        """Return whether another version may have served before this process began to look."""
-        return software_versions.has_recent_start(
+    def _is_behind(self) -> bool:
+        """Return whether a version may have been registered that this process doesn't know."""
+        return self._availability.may_be_behind(self._upstream_kind)
+
+    def _list_origins(self, route: routes.Route) -> tuple[software_versions.StreamOrigin, ...]:
+        """Return what may have begun a stream of a route, as far as this process knows."""
+        now_s = trio.current_time()
+        self._history.observe(self._fleet.upstreams(), now_s)
+        return tuple(
+            origin
+            for target in route.targets
+            for origin in self._history.list_origins(target.service, now_s)
+        )
+
+    def _is_only_origin(self, origin: software_versions.StreamOrigin, route: routes.Route) -> bool:
+        """Return whether no other version may have served before this process began to look."""
+        return self._history.is_complete(
+            trio.current_time(), route.timeout_s
+        ) or not software_versions.has_recent_start(
             self._fleet.upstreams(), origin.service, time.time()
         )
 
-    async def _ask(self, key: int) -> software_versions.StreamOrigin | None:
-        """Ask other gateways for the origin of a stream."""
+    async def _ask(
+        self, key: int, *, everyone: bool = False
+    ) -> software_versions.StreamOrigin | None:
+        """Ask other gateways for the origin of a stream.
+
+        :param everyone: ask all of them, as the stream is refused if nobody replies.
+        """
         replied = self._queries.setdefault(key, trio.Event())
         holders = self._holders(key)
         others = [vm for vm in self._other_gateways() if vm not in holders]
-        asked = (*holders, *self._rng.sample(others, min(MAX_OTHERS_ASKED, len(others))))
+        count = len(others) if everyone else min(MAX_OTHERS_ASKED, len(others))
+        asked = (*holders, *self._rng.sample(others, count))
         try:
             for _ in range(QUERY_ROUNDS if asked else 0):
                 for vm in asked:
