Ask which start runs before an unframed body counts as whole

On the product's own interface a caller got the begin of a body as a whole one, and a keyed request or an item kept it, if the body had no framing, was neither JSON nor an event stream, and its upstream was killed and back before it was asked whether it runs.

The question was whether any process runs at the upstream's address, not whether the one that sent the body does. Responses may now name the start of their process in the header engine-start, and the body is whole only if the reply to the load report doesn't name another one. Upstreams that name none are judged as before.

Two of the five cases of the new test fail without the change; the other three guard against failing whole bodies where a start isn't named on both sides.

--- a/src/cornelgrade/adapters/engine.py
+++ b/src/cornelgrade/adapters/engine.py
@@ -3,6 +3,9 @@
 Wire protocol: ``POST /v1/completions`` and ``/v1/chat/completions`` (one JSON body, or
 server-sent events that end with ``data: [DONE]``), ``DELETE /v1/streams/ID``, ``GET /v1/load``,
 ``GET /v1/cache/events?after=N``, ``GET /v1/models``, ``POST /v1/orders``.
+
+Any response may name the start of the process that sent it in the header ``engine-start``: a value
+that no other start of the upstream has.
 """
 
 import contextlib
@@ -16,6 +19,7 @@
 
 RESUME_HEADER = "engine-resume-from"
 LEAVING_HEADER = "engine-leaving"
+START_HEADER = "engine-start"
 STREAM_ID_HEADER = "engine-stream-id"
 END_MARKER = b"data: [DONE]\n\n"
 EVENT_END = b"\n\n"
--- a/src/cornelgrade/adapters/upstream_http.py
+++ b/src/cornelgrade/adapters/upstream_http.py
@@ -94,7 +94,7 @@
 
     :param first_byte_deadline_s: deadline of the first chunk, on trio's clock.
     :param call: the call that it responds to.
-    :param is_running: asks whether the upstream still runs.
+    :param is_running: asks whether the upstream still runs as the start that it is given, if any.
     """
 
     def __init__(
@@ -103,7 +103,7 @@
         peer: str,
         first_byte_deadline_s: float,
         call: engine.Call,
-        is_running: Callable[[], Awaitable[bool]],
+        is_running: Callable[[str], Awaitable[bool]],
     ) -> None:
         self.status = response.status_code
         self.headers = _drop_hop_by_hop_headers(response.headers)
@@ -112,6 +112,7 @@
         content_type = response.headers.get("content-type", "")
         self._body_end = response_end.follow_json_body(content_type, framed=framed)
         self._end_marked = call.marks_end or response_end.is_end_marked(content_type, framed=framed)
+        self._start = response.headers.get(engine.START_HEADER, "")
         self._is_running = is_running
         self._response = response
         self._peer = peer
@@ -121,7 +122,8 @@
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yield the body as it arrives, undecoded.
 
-        A body whose end only its connection marks is complete if the upstream still runs.
+        A body whose end only its connection marks is complete if the upstream still runs as the
+        start that sent it.
 
         :raises CallError: with ``PART_ANSWERED`` if the body ends early, a chunk times out, or it
             is longer than :data:`MAX_RESPONSE_BYTES`.
@@ -136,7 +138,7 @@
             except StopAsyncIteration:
                 if reason := self._body_end.find_break():
                     raise self._body_error(reason, timed_out=False) from None
-                if not self._end_marked and not await self._is_running():
+                if not self._end_marked and not await self._is_running(self._start):
                     raise self._body_error(_ENDED_MESSAGE, timed_out=False) from None
                 return
             except trio.TooSlowError as exc:
@@ -234,17 +236,18 @@
         path = f"/v1/cache/events?after={after}"
         return await self._call_control_api(tuple[engine.CacheEvent, ...], "GET", path)
 
-    async def _is_running(self) -> bool:
+    async def _is_running(self, start: str) -> bool:
         """Return whether the upstream accepts a connection and does not close it unanswered.
 
-        A plain service has no load report; any response shows that it runs. So does an accepted
-        connection without one: a service that handles one call at a time may be busy.
+        A plain service has no load report; any response shows that it runs, unless it names another
+        start. So does an accepted connection without one: a service that handles one call at a time
+        may be busy.
         """
         try:
-            await self.load()
+            response, _ = await self._request_control("GET", "/v1/load")
         except engine.CallError as exc:
             return exc.timed_out or exc.progress is engine.Progress.ANSWERED
-        return True
+        return not start or response.headers.get(engine.START_HEADER, start) == start
 
     async def _replace_pool(self, stale: _ConnectionPool) -> None:
         """Use a new pool from now on; calls on the old one continue."""
@@ -274,24 +277,32 @@
         self, kind: type[T], method: str, path: str, body: bytes = b""
     ) -> T:
         """Make a control call and decode its response; an undecodable one is a failure too."""
+        response, content = await self._request_control(method, path, body)
+        if response.status_code >= 400:
+            message = content[:200].decode("utf-8", "replace")
+            raise self._call_error("control", message, engine.Progress.ANSWERED)
+        try:
+            return msgspec.json.decode(content, type=kind)
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as exc:
+            raise self._call_error("control", str(exc), engine.Progress.ANSWERED) from exc
+
+    async def _request_control(
+        self, method: str, path: str, body: bytes = b""
+    ) -> tuple[httpx.Response, bytes]:
+        """Return the response to a control call, whatever its status, and its body."""
         try:
             with trio.fail_after(CONTROL_TIMEOUT_S):
-                status, content = await self._request_bounded(method, path, body)
+                return await self._request_bounded(method, path, body)
         except _NOT_SENT_ERRORS as exc:
             raise self._call_error("connect", repr(exc), engine.Progress.NOT_SENT) from exc
         except (trio.TooSlowError, httpx.HTTPError) as exc:
             timed_out = isinstance(exc, trio.TooSlowError)
             raise self._call_error("control", repr(exc), engine.Progress.SENT, timed_out) from exc
-        if status >= 400:
-            message = content[:200].decode("utf-8", "replace")
-            raise self._call_error("control", message, engine.Progress.ANSWERED)
-        try:
-            return msgspec.json.decode(content, type=kind)
-        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as exc:
-            raise self._call_error("control", str(exc), engine.Progress.ANSWERED) from exc
 
-    async def _request_bounded(self, method: str, path: str, body: bytes) -> tuple[int, bytes]:
-        """Return the status and body of a response.
+    async def _request_bounded(
+        self, method: str, path: str, body: bytes
+    ) -> tuple[httpx.Response, bytes]:
+        """Return a response and its body.
 
         :raises CallError: if the body is longer than :data:`MAX_CONTROL_BYTES`.
         """
@@ -303,7 +314,7 @@
                     raise self._call_error(
                         "control", "response exceeds the size limit", engine.Progress.ANSWERED
                     )
-        return response.status_code, bytes(received)
+        return response, bytes(received)
 
     def _call_error(
         self, step: str, message: str, progress: engine.Progress, timed_out: bool = False
--- a/tests/adapters/test_unframed_bodies.py
+++ b/tests/adapters/test_unframed_bodies.py
@@ -22,6 +22,7 @@
 TEXT_HEAD = b"HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\nconnection: close\r\n\r\n"
 UNTYPED_HEAD = b"HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n"
 NOT_FOUND = b"HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n"
+LOAD = b'HTTP/1.1 200 OK\r\ncontent-length: 35\r\n\r\n{"running":0,"waiting":0,"slots":8}\n'
 CLOSE = b""
 SILENCE = b"silence"
 CONTROL = b"GET /v1/load "
@@ -161,6 +162,27 @@
     assert await relay(raw, **failure) is engine.Progress.PART_ANSWERED
 
 
+def with_start(head, start):
+    return head.replace(b"\r\n", b"\r\nengine-start: %s\r\n" % start, 1)
+
+
+# Guards against passing on, or recording for resends, the begin of a body whose upstream crashed
+# and is back before it is asked; a start that isn't named on both sides shows nothing.
+@pytest.mark.parametrize(
+    ("head", "control", "whole"),
+    [
+        (with_start(TEXT_HEAD, b"1"), with_start(NOT_FOUND, b"2"), False),
+        (with_start(UNTYPED_HEAD, b"1"), with_start(LOAD, b"2"), False),
+        (with_start(TEXT_HEAD, b"1"), with_start(NOT_FOUND, b"1"), True),
+        (with_start(TEXT_HEAD, b"1"), NOT_FOUND, True),
+        (TEXT_HEAD, with_start(LOAD, b"2"), True),
+    ],
+)
+async def test_unframed_body_is_whole_only_of_the_start_that_still_runs(head, control, whole):
+    body = b"any text" if whole else engine.Progress.PART_ANSWERED
+    assert await relay(head + b"any text", control=control) == body
+
+
 # Guards against failing a whole response because its upstream is too busy for a control call.
 async def test_unframed_body_of_an_upstream_that_accepts_connections_in_silence_is_whole():
     with trio.fail_after(upstream_http.CONTROL_TIMEOUT_S + 1.0):
