Join a stream that goes on with events only

On the product's own interface a caller whose stream broke off and went on at another upstream got the body of a refusal there behind its events, if the upstream answered with a status from 400 to 499 such as 404 or 429. The stream counted as answered, and a keyed one was stored so for resends.

The status of a response decided whether it is relayed as events or whole, also where the caller already had the head and the first events of a stream. Such a response is now a failed attempt, so that the stream goes on elsewhere, or ends visibly incomplete.

The new test's cases for 404 and 429 fail without the change (2 of 3); a 302 was already refused, as its body is no event.

--- a/src/cornelgrade/services/_relay.py
+++ b/src/cornelgrade/services/_relay.py
@@ -125,7 +125,7 @@
 
 
 def server_error(response: engine.Response, peer: str) -> engine.CallError:
-    """Return the error of a call that got a server error as response."""
+    """Return the error of a call whose response, by its status, can't be passed on."""
     return engine.CallError(
         f"answered {response.status}", step="send", peer=peer, progress=engine.Progress.SENT
     )
--- a/src/cornelgrade/services/online.py
+++ b/src/cornelgrade/services/online.py
@@ -33,6 +33,7 @@
 CANCEL_TIMEOUT_S = 1.0
 CRASH_REPORT_TIMEOUT_S = 1.0
 LEAVING_REPEAT_INTERVAL_S = 5.0
+_SUCCESS = range(200, 300)
 
 _REQUESTS = metrics.counter("cornelgrade_requests_total", "Online requests by outcome.")
 _RETRIES = metrics.counter("cornelgrade_retries_total", "Attempts after the first.")
@@ -219,6 +220,9 @@
     ) -> exchange.ResponseParts:
         if response.status >= _relay.MIN_SERVER_ERROR_STATUS and req.idempotent:
             raise _relay.server_error(response, peer)
+        if progress.head_sent and response.status not in _SUCCESS:
+            # The caller has the head of a stream, which only events may follow.
+            raise _relay.server_error(response, peer)
         if req.stream and response.status < 400:
             timeouts = _relay.EventTimeouts(call.first_byte_timeout_s, call.gap_timeout_s)
             return _relay.relay_stream(response, peer, progress.add_tokens, timeouts)
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -90,6 +90,7 @@
     :param fail: progress of the error that is raised instead of a response.
     :param tokens: number of tokens in the complete stream.
     :param break_after: number of tokens after which the stream ends without its end marker.
+    :param body: whole body that is sent in place of a stream.
     """
 
     tokens: int = 4
@@ -97,6 +98,7 @@
     fail: engine.Progress | None = None
     break_after: int | None = None
     token_s: float = 0.01
+    body: bytes = b""
 
 
 class ScriptedResponse:
@@ -110,6 +112,9 @@
         self._resume_from = resume_from
 
     async def chunks(self):
+        if self._script.body:
+            yield self._script.body
+            return
         for index in range(self._resume_from, self._script.tokens):
             await trio.sleep(self._script.token_s)
             if index == self._script.break_after:
--- a/tests/services/test_online.py
+++ b/tests/services/test_online.py
@@ -70,6 +70,22 @@
     assert sorted(call.resume_from for up in ups for call in up.calls) == [0, 2]
 
 
+# Guards against the body of a refusal behind the events of a stream that goes on elsewhere.
+@pytest.mark.parametrize("status", [302, 404, 429])
+async def test_stream_that_has_begun_is_not_joined_with_a_refusal(autojump_clock, status):
+    refusing = fakes.Script(status=status, body=b'{"error": {}}')
+    scripts = [BROKEN_STREAM, refusing, fakes.Script()]
+    ups = [fakes.ScriptedUpstream(f"engine-{i}") for i in range(3)]
+    for up in ups:
+        up.scripts = scripts
+    async with run_online(*ups) as service:
+        result = await collect_response(service, request())
+        assert (result[0], b"".join(result[1])) == (200, b"".join(COMPLETE_STREAM))
+        scripts[:] = [BROKEN_STREAM, refusing]
+        with pytest.raises(errors.Refusal):
+            await collect_response(service, request(1))
+
+
 async def test_aborted_stream_goes_on_at_its_software_version(autojump_clock):
     ups = [fakes.ScriptedUpstream(f"engine-{i}") for i in range(6)]
     scripts = [BROKEN_STREAM, fakes.Script()]
