Go on only where a response names the version that began

On the product's own interface callers got streams, and jobs kept texts, of which two software versions of an engine wrote a part each, if an engine was replaced before the manifest said so.

The manifest's version stood for that of the process which answers. An engine may now name its version in each response and with the text of a cancelled call, which goes before the manifest. A response that names another version than the one that began a stream is a failed attempt, and an item whose text another version generated starts anew. What a response names counts for all requests of the process, so that others don't try the same upstream in vain. An upstream of unknown version may be tried for a stream whose engine named its version itself, as the response tells. Engines that name none are judged by the manifest as before.

--- a/src/cornelgrade/adapters/engine.py
+++ b/src/cornelgrade/adapters/engine.py
@@ -5,7 +5,8 @@
 ``GET /v1/cache/events?after=N``, ``GET /v1/models``, ``POST /v1/orders``.
 
 Any response may name the start of the process that sent it in the header ``engine-start``: a value
-that no other start of the upstream has.
+that no other start of the upstream has. The header ``engine-software-version`` names the version
+that it runs; an upstream without it runs the one that the manifest names.
 """
 
 import contextlib
@@ -20,6 +21,7 @@
 RESUME_HEADER = "engine-resume-from"
 LEAVING_HEADER = "engine-leaving"
 START_HEADER = "engine-start"
+SOFTWARE_VERSION_HEADER = "engine-software-version"
 STREAM_ID_HEADER = "engine-stream-id"
 END_MARKER = b"data: [DONE]\n\n"
 EVENT_END = b"\n\n"
@@ -95,6 +97,11 @@
         """Yield the body as it arrives; raises :class:`CallError`."""
 
 
+def read_software_version(response: Response) -> str:
+    """Return the software version that a response names, empty if it names none."""
+    return dict(response.headers).get(SOFTWARE_VERSION_HEADER, "")
+
+
 class Load(msgspec.Struct, frozen=True):
     """An engine's report of its load, which lags behind."""
 
@@ -108,12 +115,13 @@
     """Output that an engine retained of a cancelled call.
 
     Pass ``tokens`` as ``resume_from`` to continue it. ``found`` is false if the engine has no such
-    call.
+    call. ``software_version`` is the one that generated it, empty if the engine doesn't name it.
     """
 
     found: bool
     tokens: int = 0
     text: str = ""
+    software_version: str = ""
 
 
 class OrderKind(enum.StrEnum):
--- a/src/cornelgrade/policy/routing.py
+++ b/src/cornelgrade/policy/routing.py
@@ -55,15 +55,20 @@
     :param alone: the request must run alone; see :func:`choose_for_exclusive_run`.
     :param software_version: the only version that may go on with the request's stream; ``None`` if
         the stream has not begun.
+    :param version_named: whether the upstream itself named that version. One of unknown version is
+        then tried too, as its response can name it.
     """
 
     prefix: int = 0
     exclude: frozenset[str] = frozenset()
     alone: bool = False
     software_version: str | None = None
+    version_named: bool = False
 
     def allow(self, software_version: str) -> bool:
         """Return whether the request may go to an upstream of a software version."""
+        if self.version_named and not software_version:
+            return True
         return self.software_version in (None, software_version)
 
 
--- a/src/cornelgrade/services/_engine_run.py
+++ b/src/cornelgrade/services/_engine_run.py
@@ -29,7 +29,7 @@
     """Runs batch items on one engine.
 
     :param slots: number of requests that the engine runs concurrently.
-    :param software_version: the engine's own version.
+    :param software_version: the engine's own version as the manifest names it.
     :param lean: returns the trade-off between tail latency (0) and throughput (1).
     :param quarantine: the ``quarantine`` service, if the process has one.
     """
@@ -51,6 +51,7 @@
         self._lean = lean
         self._quarantine = quarantine
         self._software_version = software_version
+        self._named_version = ""
         self._log = logs.Logger("batch")
         self._calls: list[_item_call.ItemCall] = []
         self._loads: dict[str, tuple[ports.Load, float]] = {}
@@ -175,7 +176,11 @@
             work.run.requeue(work)
             return False
         call = _item_call.ItemCall(
-            self.upstream, work, alone=alone, software_version=self._software_version
+            self.upstream,
+            work,
+            alone=alone,
+            software_version=self._software_version,
+            named_version=self._named_version,
         )
         call.shared = bool(self._calls) or bool(self._observe().online)
         for other in self._calls:
@@ -197,6 +202,8 @@
             self._calls.remove(call)
             call.work.run.abandon(call.work)
             raise
+        if call.named_version is not None:
+            self._named_version = call.named_version
         self._report_to_quarantine(call, report)
         self._calls.remove(call)
         action = call.work.run.report(call.work, report)
--- a/src/cornelgrade/services/_item_call.py
+++ b/src/cornelgrade/services/_item_call.py
@@ -94,7 +94,10 @@
     for a stream: text can't be put before events.
 
     :param alone: no other item may be started on the engine while the call runs.
-    :param software_version: the engine's own version.
+    :param software_version: the engine's own version as the manifest names it.
+    :param named_version: the version that the engine named last, empty if it named none.
+
+    :ivar named_version: what the engine has named in this call; ``None`` if it has not answered.
     """
 
     def __init__(
@@ -104,12 +107,15 @@
         *,
         alone: bool = False,
         software_version: str = "",
+        named_version: str = "",
     ) -> None:
         self.work = work
         self.alone = alone
         self.crash_reported = False
         self.shared = False
-        goes_on = work.resume.software_version == software_version and not _asks_for_stream(
+        self.named_version: str | None = None
+        expected_version = named_version or software_version
+        goes_on = work.resume.software_version == expected_version and not _asks_for_stream(
             work.item.body
         )
         self._earlier = work.resume if goes_on else _chunk_run.Resume()
@@ -143,6 +149,7 @@
             gap_timeout_s=RESPONSE_TIMEOUT_S,
         )
         async with self._upstream.call(call) as response:
+            self.named_version = engine.read_software_version(response)
             content_type = dict(response.headers).get("content-type", "")
             if batch.classify_status(response.status) is batch.Event.ANSWERED and (
                 content_type.startswith(_EVENT_STREAM_TYPE)
@@ -157,6 +164,9 @@
         if status == _CANCELLED_STATUS and self.cancelling:
             return self._report(batch.Event.PREEMPTED)
         event = batch.classify_status(status)
+        if event is batch.Event.ANSWERED and not self._continues_earlier():
+            self.resume = _chunk_run.Resume()
+            return self._report(batch.Event.PREEMPTED)
         if event is batch.Event.ANSWERED:
             try:
                 _check_document(content_type, body)
@@ -166,6 +176,15 @@
                 return self._report(batch.Event.FAILED, status, str(exc).encode())
         return self._report(event, status, body)
 
+    def _version(self) -> str:
+        """Return the version that has run the call."""
+        return self.named_version or self._software_version
+
+    def _continues_earlier(self) -> bool:
+        """Return whether the version that ran the call also generated the earlier text, if any."""
+        earlier = self._earlier
+        return not earlier.tokens or earlier.software_version == self._version()
+
     def _report_failure(self, exc: engine.CallError) -> _chunk_run.Report:
         if self.cancelling and exc.progress is not engine.Progress.NOT_SENT:
             return self._report(batch.Event.PREEMPTED)
@@ -189,6 +208,9 @@
             except engine.CallError:
                 self.wasted = True
         if cancelled.found:
-            text = self._earlier.text + cancelled.text
-            self.resume = _chunk_run.Resume(cancelled.tokens, text, self._software_version)
+            self.named_version = cancelled.software_version
+            self.resume = _chunk_run.Resume()
+            if self._continues_earlier():
+                text = self._earlier.text + cancelled.text
+                self.resume = _chunk_run.Resume(cancelled.tokens, text, self._version())
         self._scope.cancel()
--- a/src/cornelgrade/services/_router_state.py
+++ b/src/cornelgrade/services/_router_state.py
@@ -18,7 +18,9 @@
 class UpstreamState:
     """One upstream's state in this gateway.
 
-    :param software_version: its own version, empty if the manifest names none.
+    :param software_version: its own version as its last response or else the manifest names it,
+        empty if neither does.
+    :param registered_version: the version that the manifest names.
     :param cap: number of requests that this gateway may have outstanding there.
     :param cap_granted_until_s: end of the share that the upstream's owner granted.
     :param demand_since_s: when this gateway first had demand that no grant answered.
@@ -39,6 +41,7 @@
     leaving_until_s: float = -math.inf
     crash_reported: bool = False
     software_version: str = ""
+    registered_version: str = ""
 
     def is_leaving(self, now_s: float) -> bool:
         """Return whether the last notice that the upstream is leaving is still valid."""
@@ -103,7 +106,9 @@
             state.service = up.service
             state.failure_domain = up.failure_domain
             state.slots = up.slots
-            state.software_version = up.software_version or ""
+            registered_version = up.software_version or ""
+            if registered_version != state.registered_version:
+                state.software_version = state.registered_version = registered_version
             self.upstreams[up.name] = state
             self.queues.setdefault(up.service, Queue())
 
--- a/src/cornelgrade/services/online.py
+++ b/src/cornelgrade/services/online.py
@@ -5,7 +5,6 @@
 """
 
 import contextlib
-import dataclasses
 from collections.abc import AsyncIterator, Callable
 
 import result
@@ -13,10 +12,11 @@
 
 from cornelgrade import errors, kernel, logs, manifest, metrics, reports, tracing
 from cornelgrade.adapters import engine
-from cornelgrade.policy import admission, retry, routing, token_bucket
+from cornelgrade.policy import admission, retry, token_bucket
 from cornelgrade.services import (
     _coalescing,
     _relay,
+    _request_progress,
     exchange,
     keyed_requests,
     ports,
@@ -40,36 +40,6 @@
 _FIRST_TOKEN = metrics.histogram("cornelgrade_first_token_seconds", "Time to the first byte.")
 
 
-@dataclasses.dataclass(slots=True)
-class _Progress:
-    """Progress of one request over its attempts.
-
-    :param ran: whether the request may have run.
-    :param tokens: tokens that were relayed to the caller.
-    :param software_version: version of the upstream that generated them.
-    """
-
-    attempts: int = 0
-    excluded: frozenset[str] = frozenset()
-    ran: errors.Ran = errors.Ran.NO
-    tokens: int = 0
-    head_sent: bool = False
-    software_version: str = ""
-
-    def add_tokens(self, tokens: int) -> None:
-        """Count tokens that were relayed to the caller."""
-        self.tokens += tokens
-
-    def make_requirements(self, prefix: int, *, alone: bool) -> routing.Requirements:
-        """Return where the next attempt may go."""
-        return routing.Requirements(
-            prefix=prefix,
-            exclude=self.excluded,
-            alone=alone,
-            software_version=self.software_version if self.tokens else None,
-        )
-
-
 class Online:
     """The service ``online``; the HTTP front end calls :meth:`serve`."""
 
@@ -135,7 +105,7 @@
                     yield part
 
     async def _run_attempts(self, req: exchange.Request) -> exchange.ResponseParts:
-        progress = _Progress()
+        progress = _request_progress.Progress()
         while True:
             try:
                 async with contextlib.aclosing(self._run_attempt(req, progress)) as parts:
@@ -150,7 +120,7 @@
             return
 
     async def _run_attempt(
-        self, req: exchange.Request, progress: _Progress
+        self, req: exchange.Request, progress: _request_progress.Progress
     ) -> exchange.ResponseParts:
         async with self._hold_permit(req, progress) as upstream:
             call_started_at_s = trio.current_time()
@@ -213,7 +183,7 @@
     def _check_response(
         self,
         req: exchange.Request,
-        progress: _Progress,
+        progress: _request_progress.Progress,
         call: engine.Call,
         peer: str,
         response: engine.Response,
@@ -224,21 +194,34 @@
             # The caller has the head of a stream, which only events may follow.
             raise _relay.server_error(response, peer)
         if req.stream and response.status < 400:
+            self._check_version(progress, peer, response)
             timeouts = _relay.EventTimeouts(call.first_byte_timeout_s, call.gap_timeout_s)
             return _relay.relay_stream(response, peer, progress.add_tokens, timeouts)
         return _relay.relay_whole(response)
 
+    def _check_version(
+        self, progress: _request_progress.Progress, peer: str, response: engine.Response
+    ) -> None:
+        """Raise a :class:`CallError` if another version generated the tokens that were relayed."""
+        named = engine.read_software_version(response)
+        version = self._kern.find("router", router.Router).learn_version(peer, named)
+        if not progress.continues(version, named=bool(named)):
+            raise engine.CallError(
+                f"answered as version {version or 'unknown'}",
+                step="resume",
+                peer=peer,
+                progress=engine.Progress.SENT,
+            )
+
     @contextlib.asynccontextmanager
     async def _hold_permit(
-        self, req: exchange.Request, progress: _Progress
+        self, req: exchange.Request, progress: _request_progress.Progress
     ) -> AsyncIterator[engine.Upstream]:
         """Hold a slot permit at an upstream; a failed call counts against the upstream's health."""
         router_service = self._kern.find("router", router.Router)
         place = admission.Place(req.rank, req.deadline_s, router_service.next_arrival_number())
         with tracing.start_span(tracing.Hop.ROUTE, req.span, service=req.service):
             name = await self._acquire_permit(router_service, req, place, progress)
-        if not progress.tokens:
-            progress.software_version = router_service.software_version(name)
         started_at_s = trio.current_time()
         outcome = router_messages.Outcome.OTHER
         try:
@@ -257,7 +240,7 @@
         router_service: router.Router,
         req: exchange.Request,
         place: admission.Place,
-        progress: _Progress,
+        progress: _request_progress.Progress,
     ) -> str:
         verdict = await self._wait_verdict(req)
         if verdict is ports.Verdict.CONDEMNED:
@@ -304,7 +287,7 @@
             await crashed.recorded.wait()
 
     async def _handle_failure(
-        self, req: exchange.Request, progress: _Progress, exc: engine.CallError
+        self, req: exchange.Request, progress: _request_progress.Progress, exc: engine.CallError
     ) -> None:
         """Return if the request may be retried, else raise the final error."""
         rule = retry.after_failure(exc.progress, req.idempotent)
@@ -335,7 +318,7 @@
         return True
 
     def _final_refusal(
-        self, req: exchange.Request, progress: _Progress, exc: engine.CallError
+        self, req: exchange.Request, progress: _request_progress.Progress, exc: engine.CallError
     ) -> errors.Refusal:
         code = errors.Code.UPSTREAM_FAILED
         if not req.idempotent and progress.ran is errors.Ran.UNKNOWN:
@@ -354,7 +337,7 @@
         )
 
     def _deadline_refusal(
-        self, req: exchange.Request, progress: _Progress, exc: engine.CallError
+        self, req: exchange.Request, progress: _request_progress.Progress, exc: engine.CallError
     ) -> errors.Refusal:
         _REQUESTS.inc({"outcome": errors.Code.DEADLINE.value, "service": req.service})
         return errors.Refusal(
@@ -365,7 +348,9 @@
             peer=exc.peer,
         )
 
-    def _make_call(self, req: exchange.Request, progress: _Progress) -> engine.Call:
+    def _make_call(
+        self, req: exchange.Request, progress: _request_progress.Progress
+    ) -> engine.Call:
         online = self._online_policy()
         first_s = online.first_token_timeout_s
         if not req.stream:
--- a/src/cornelgrade/services/router.py
+++ b/src/cornelgrade/services/router.py
@@ -5,6 +5,7 @@
 """
 
 import bisect
+import contextlib
 import math
 import random
 from collections.abc import Callable
@@ -81,6 +82,7 @@
             router_messages.CancelAcquire: self._on_cancel_acquire,
             router_messages.Release: self._on_release,
             router_messages.Crashed: self._on_crashed,
+            router_messages.VersionSeen: self._on_version_seen,
             ports.Leaving: self._on_leaving,
             ports.Share: self._on_share,
         }
@@ -116,10 +118,20 @@
         state = self._table.upstreams.get(upstream)
         return len(state.running) if state else 0
 
-    def software_version(self, upstream: str) -> str:
-        """Return an upstream's own version, empty if the manifest names none."""
+    def learn_version(self, upstream: str, named: str) -> str:
+        """Return the software version of a response, for all requests from now on.
+
+        :param named: the version that the response names; without one, the manifest's holds.
+        """
         state = self._table.upstreams.get(upstream)
-        return state.software_version if state else ""
+        if state is None:
+            return named
+        version = named or state.registered_version
+        if version != state.software_version:
+            # If the inbox is full, the next response tells.
+            with contextlib.suppress(errors.Refusal):
+                self.post(router_messages.VersionSeen(upstream, version))
+        return version
 
     def queued(self, service: str) -> int:
         """Return the number of a service's waiting requests."""
@@ -185,6 +197,11 @@
             quarantine = self._kern.find("quarantine", ports.Quarantine)
             quarantine.report_crash(message.upstream, tuple(state.running.values()))
 
+    def _on_version_seen(self, message: router_messages.VersionSeen) -> None:
+        state = self._table.upstreams.get(message.upstream)
+        if state is not None:
+            state.software_version = message.software_version
+
     def _on_leaving(self, message: ports.Leaving) -> None:
         state = self._table.upstreams.get(message.upstream)
         if state is None:
@@ -307,11 +324,12 @@
 
     def _refuse_during_outage(self, service: str, queue: _router_state.Queue) -> None:
         """Refuse the waiting requests whose upstreams are all down for longer than they wait."""
-        outages_s: dict[str | None, float] = {}
+        outages_s: dict[tuple[str | None, bool], float] = {}
         for place, request in tuple(queue.requests.items()):
-            version = request.requirements.software_version
+            requirements = request.requirements
+            version = requirements.software_version, requirements.version_named
             if version not in outages_s:
-                outages_s[version] = self._measure_outage(service, request.requirements)
+                outages_s[version] = self._measure_outage(service, requirements)
             outage_s = outages_s[version]
             if outage_s <= MAX_OUTAGE_WAIT_S:
                 continue
--- a/src/cornelgrade/services/router_messages.py
+++ b/src/cornelgrade/services/router_messages.py
@@ -61,6 +61,14 @@
     recorded: trio.Event
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class VersionSeen:
+    """Report the software version that serves a call to an upstream."""
+
+    upstream: str
+    software_version: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Usage:
     """This gateway's outstanding requests at an upstream, and its part of the service's queue."""
@@ -71,4 +79,4 @@
     queued: int
 
 
-Message = Acquire | CancelAcquire | Release | Crashed | ports.Leaving | ports.Share
+Message = Acquire | CancelAcquire | Release | Crashed | VersionSeen | ports.Leaving | ports.Share
--- a/src/cornelgrade/standins/engine.py
+++ b/src/cornelgrade/standins/engine.py
@@ -19,6 +19,7 @@
 
     :param crash: the engine crashes now; acts once.
     :param restart_s: seconds until a crashed engine is up again.
+    :param next_version: software version from the next crash on; the same one if empty.
     :param freeze: nothing is generated, and only the switches and counters respond.
     :param silence: connections that are open now receive nothing more, new ones work; acts once.
     :param truncate_after: number of tokens after which each response ends without its end
@@ -29,6 +30,7 @@
 
     crash: bool = False
     restart_s: float = 2.0
+    next_version: str = ""
     freeze: bool = False
     silence: bool = False
     truncate_after: int = 0
@@ -164,7 +166,16 @@
         self._totals["cancelled_tokens"] += len(sequence.words)
         self._model.stop(sequence, trio.current_time())
         tokens = sequence.resume_from + len(sequence.words)
-        return engine.Cancelled(True, tokens, "".join(sequence.words))
+        version = self.cfg.software_version if self.cfg.names_itself else ""
+        return engine.Cancelled(True, tokens, "".join(sequence.words), version)
+
+    def headers(self) -> tuple[tuple[str, str], ...]:
+        """Return the headers by which responses name the engine's start and software version."""
+        if not self.cfg.names_itself:
+            return ()
+        version = self.cfg.software_version
+        named = ((engine.SOFTWARE_VERSION_HEADER, version),) if version else ()
+        return ((engine.START_HEADER, self._model.start), *named)
 
     def load(self) -> engine.Load:
         """Return the load report, which is ``load_lag_s`` old."""
@@ -243,7 +254,7 @@
         self._totals["crashes"] += 1
         self._totals["generated_tokens"] += crashed_model.generated_tokens
         self._totals["wasted_tokens"] += sum(len(seq.words) for seq in crashed_model.running)
-        self._model = engine_model.EngineModel(self.cfg)
+        self.replace_version(self.switches.next_version or self.cfg.software_version)
         self.switches = msgspec.structs.replace(self.switches, crash=False, freeze=False)
         crashed_model.break_all()
         self.on_crash()
@@ -251,6 +262,11 @@
         await trio.sleep(self.switches.restart_s)
         self.up = True
 
+    def replace_version(self, software_version: str) -> None:
+        """Replace the engine by a new start of a software version; calls must have been broken."""
+        self.cfg = msgspec.structs.replace(self.cfg, software_version=software_version)
+        self._model = engine_model.EngineModel(self.cfg)
+
     def _get_run_counts(self, sequence: engine_model.Sequence) -> tuple[RunCounts, ...]:
         key = sequence.completion.user or sequence.prompt[:MAX_KEY_CHARS]
         entries = [(self._by_key, key)]
--- a/src/cornelgrade/standins/engine_http.py
+++ b/src/cornelgrade/standins/engine_http.py
@@ -96,7 +96,7 @@
         if sequence.state is engine_model.State.TRUNCATED:
             await req.send_truncated(200, body[: len(body) // 2])
             return
-        await req.respond(200, body, _JSON_HEADERS + self._leaving_headers())
+        await req.respond(200, body, _JSON_HEADERS + self._headers())
 
     async def _send_stream(
         self, req: _http_server.Exchange, sequence: engine_model.Sequence, *, chat: bool
@@ -104,7 +104,7 @@
         await _responses.wait_for_tokens(sequence, 1)
         sent = len(sequence.words)
         first = _responses.encode_events(sequence, 0, sent, chat=chat)
-        await req.start_response(200, _EVENT_STREAM_HEADERS + self._leaving_headers(), first)
+        await req.start_response(200, _EVENT_STREAM_HEADERS + self._headers(), first)
         while True:
             await _responses.wait_for_tokens(sequence, sent + 1)
             count = len(sequence.words)
@@ -117,15 +117,17 @@
         done = sequence.state is engine_model.State.DONE
         await req.end_response(engine.END_MARKER if done else b"")
 
-    def _leaving_headers(self) -> _http_server.Headers:
-        return ((LEAVING_HEADER, "1"),) if self.engine.switches.leaving else ()
+    def _headers(self) -> _http_server.Headers:
+        leaving = ((LEAVING_HEADER, "1"),) if self.engine.switches.leaving else ()
+        return self.engine.headers() + leaving
 
     async def _cancel_stream(self, req: _http_server.Exchange) -> None:
         cancelled = self.engine.cancel(req.path.removeprefix(STREAMS_PREFIX))
         await req.respond(200, msgspec.json.encode(cancelled))
 
     async def _get_load(self, req: _http_server.Exchange) -> None:
-        await req.respond(200, msgspec.json.encode(self.engine.load()))
+        body = msgspec.json.encode(self.engine.load())
+        await req.respond(200, body, _JSON_HEADERS + self.engine.headers())
 
     async def _get_models(self, req: _http_server.Exchange) -> None:
         await req.respond(200, msgspec.json.encode(self.engine.state()))
--- a/src/cornelgrade/standins/engine_model.py
+++ b/src/cornelgrade/standins/engine_model.py
@@ -5,6 +5,7 @@
 
 import collections
 import enum
+import secrets
 from collections.abc import Callable
 
 import msgspec
@@ -29,6 +30,7 @@
     :param checks_fencing: whether orders with a stale fencing number are refused.
     :param models: models loaded at the start; without any, the engine serves every name.
     :param software_version: what two versions generate for a prompt doesn't fit together.
+    :param names_itself: whether responses name the engine's start and version.
     """
 
     slots: int = 8
@@ -43,6 +45,7 @@
     role: str = "mixed"
     models: tuple[engine.Loaded, ...] = ()
     software_version: str = ""
+    names_itself: bool = True
 
 
 class State(enum.Enum):
@@ -120,6 +123,7 @@
 
     def __init__(self, cfg: Config) -> None:
         self.cfg = cfg
+        self.start = secrets.token_hex(4)
         self.waiting: collections.deque[Sequence] = collections.deque()
         self.running: list[Sequence] = []
         self.by_stream: dict[str, Sequence] = {}
--- a/src/cornelgrade/standins/memory_engine.py
+++ b/src/cornelgrade/standins/memory_engine.py
@@ -145,7 +145,9 @@
         until = 1 if stream else self._sequence.end + 1
         await self._wait_for_tokens(until, self._call.first_byte_timeout_s, engine.Progress.SENT)
         if stream:
-            return MemoryResponse(200, _EVENT_STREAM_HEADERS, self._stream_events())
+            return MemoryResponse(
+                200, _EVENT_STREAM_HEADERS + self._upstream.engine.headers(), self._stream_events()
+            )
         return self._make_response()
 
     def _make_response(self) -> MemoryResponse:
@@ -157,7 +159,8 @@
         if state is engine_model.State.BROKEN:
             raise self._make_broken_error(engine.Progress.SENT)
         body = _responses.encode_response(self._sequence, chat=self._chat)
-        return MemoryResponse(200, _JSON_HEADERS, iter_single_chunk(body))
+        headers = _JSON_HEADERS + self._upstream.engine.headers()
+        return MemoryResponse(200, headers, iter_single_chunk(body))
 
     async def _stream_events(self) -> AsyncIterator[bytes]:
         sent = 0
--- a/tests/adapters/test_unframed_bodies.py
+++ b/tests/adapters/test_unframed_bodies.py
@@ -90,11 +90,12 @@
             return exc.progress
 
 
-async def run_item(raw, body=BODY, resume=NO_RESUME):
+async def run_item(raw, body=BODY, resume=NO_RESUME, version=""):
     """Return the report of an item's run at an upstream that answers with these bytes."""
     item = job_records.Item("i", "/v1/completions", body)
     async with open_upstream(raw) as upstream:
-        return await _item_call.ItemCall(upstream, make_work(item, resume)).run()
+        work = make_work(item, resume)
+        return await _item_call.ItemCall(upstream, work, software_version=version).run()
 
 
 def make_work(item, resume=NO_RESUME):
@@ -251,6 +252,17 @@
     assert (report.event.name, report.resume) == ("FAILED", NO_RESUME)
 
 
+# Guards against a text of which two software versions wrote a part each: the engine was replaced
+# before the manifest says so.
+@pytest.mark.parametrize(("named", "event"), [(b"v1", "ANSWERED"), (b"v2", "PREEMPTED")])
+async def test_item_goes_on_only_where_the_response_names_its_version(named, event):
+    head = b"HTTP/1.1 200 OK\r\nengine-software-version: %s\r\ncontent-length: %d\r\n\r\n"
+    resume = _chunk_run.Resume(2, "earlier text", "v1")
+    report = await run_item(head % (named, len(ANSWER)) + ANSWER, resume=resume, version="v1")
+    assert (report.event.name, b"earlier" in report.body) == (event, event == "ANSWERED")
+    assert event == "ANSWERED" or report.resume == NO_RESUME
+
+
 # Guards against the same, and against the loss of the first events of a stream.
 async def test_item_of_events_starts_anew():
     whole = EVENTS + engine.END_MARKER
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -91,6 +91,7 @@
     :param tokens: number of tokens in the complete stream.
     :param break_after: number of tokens after which the stream ends without its end marker.
     :param body: whole body that is sent in place of a stream.
+    :param version: software version that the response names.
     """
 
     tokens: int = 4
@@ -99,6 +100,7 @@
     break_after: int | None = None
     token_s: float = 0.01
     body: bytes = b""
+    version: str = ""
 
 
 class ScriptedResponse:
@@ -107,6 +109,8 @@
     headers = (("content-type", "text/event-stream"),)
 
     def __init__(self, script: Script, resume_from: int) -> None:
+        if script.version:
+            self.headers += ((engine.SOFTWARE_VERSION_HEADER, script.version),)
         self.status = script.status
         self._script = script
         self._resume_from = resume_from
--- a/tests/services/test_online.py
+++ b/tests/services/test_online.py
@@ -106,6 +106,54 @@
         assert len(served) == 1
 
 
+async def run_over_versions(*versions):
+    """Return what callers get whose streams break off, each version named by the next response.
+
+    A response that isn't broken off ends the stream; the manifest names v1 for all engines.
+    """
+    scripts = [fakes.Script(break_after=2, version=versions[0])]
+    scripts += [fakes.Script(version=version) for version in versions[1:]]
+    ups = [fakes.ScriptedUpstream(f"engine-{i}") for i in range(3)]
+    for up in ups:
+        up.scripts = scripts
+    async with run_online(*ups, versions=("v1",)) as service:
+        try:
+            _, parts = await collect_response(service, request())
+        except errors.Refusal:
+            parts = []
+    return b"".join(parts), len([call for up in ups for call in up.calls])
+
+
+# Guards against a stream of which two software versions wrote a part each: an engine was replaced
+# before the manifest says so.
+@pytest.mark.parametrize(
+    ("versions", "calls"),
+    [(("v1", "v2", "v1"), 3), (("", "v2", ""), 3), (("", "v2", "v1"), 3), (("v1", ""), 2)],
+)
+async def test_aborted_stream_goes_on_where_the_response_names_its_version(
+    autojump_clock, versions, calls
+):
+    assert await run_over_versions(*versions) == (b"".join(COMPLETE_STREAM), calls)
+
+
+# Guards against the same where no engine of the version is left.
+@pytest.mark.parametrize("versions", [("v1", "v2"), ("v2", "v1"), ("v2", "")])
+async def test_aborted_stream_ends_if_each_response_names_another_version(autojump_clock, versions):
+    assert (await run_over_versions(*versions))[0] == b""
+
+
+# Guards against a restart that each stream has to learn of for itself.
+async def test_version_that_a_response_names_counts_for_all_streams(autojump_clock):
+    ups = [fakes.ScriptedUpstream(f"engine-{i}") for i in range(3)]
+    ups[1].scripts = [fakes.Script(version="v2")]
+    async with run_online(*ups, versions=("v1",)) as service:
+        for number in range(6):
+            ups[0].scripts = ups[2].scripts = [BROKEN_STREAM, fakes.Script()]
+            _, parts = await collect_response(service, request(number))
+            assert b"".join(parts) == b"".join(COMPLETE_STREAM)
+    assert len([call for call in ups[1].calls if call.resume_from]) <= 1
+
+
 async def test_aborted_stream_is_refused_at_once_if_its_software_version_is_gone(autojump_clock):
     ups = [
         fakes.ScriptedUpstream("engine-0", BROKEN_STREAM, fakes.Script(fail=DOWN)),
--- a/tests/test_batch_runs.py
+++ b/tests/test_batch_runs.py
@@ -1,5 +1,6 @@
 import json
 
+import pytest
 import trio
 from tests import batch_kit
 
@@ -27,10 +28,16 @@
         assert await rig.store.open_jobs() == ()
 
 
-# Guards against a text of which two software versions wrote a part each.
-async def test_item_that_gives_way_ends_with_the_text_of_one_software_version(autojump_clock):
-    fleet_manifest = batch_kit.make_manifest(versions=("v1", "v2"))
+# Guards against a text of which two software versions wrote a part each, also if the manifest
+# doesn't tell them apart, as after an upstream was replaced.
+@pytest.mark.parametrize("registered", [("v1", "v2"), ("v1",), ("",)])
+async def test_item_that_gives_way_ends_with_the_text_of_one_software_version(
+    autojump_clock, registered
+):
+    fleet_manifest = batch_kit.make_manifest(versions=registered)
     async with batch_kit.rig(fleet_manifest) as rig:
+        for number, upstream in enumerate(rig.engines.values()):
+            upstream.engine.replace_version(("v1", "v2")[number])
         await rig.start_worker("vm1")
         lines = [batch_kit.item_line(number, tokens=200) for number in range(24)]
         accepted = await job_submission.submit(
