--- a/src/cornelgrade/services/exchange.py
+++ b/src/cornelgrade/services/exchange.py
@@ -14,6 +14,7 @@
     :param deadline_s: deadline on the process's monotonic clock.
     :param span: the span of the whole request, parent of the spans of its hops.
     :param max_tokens: maximum length of the response.
+    :param key_chosen: whether the caller chose the key, and so may have sent the request before.
     """
 
     request_id: str
@@ -31,6 +32,7 @@
     prefix: int = 0
     max_tokens: int = 16
     key: str = ""
+    key_chosen: bool = False
     span: tracing.Span | None = None
 
 
