--- a/tests/adapters/test_unframed_bodies.py
+++ b/tests/adapters/test_unframed_bodies.py
@@ -22,6 +22,7 @@
 TEXT_HEAD = b"HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\nconnection: close\r\n\r\n"
 UNTYPED_HEAD = b"HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n"
 NOT_FOUND = b"HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n"
+LOAD = b'HTTP/1.1 200 OK\r\ncontent-length: 35\r\n\r\n{"running":0,"waiting":0,"slots":8}\n'
 CLOSE = b""
 SILENCE = b"silence"
 CONTROL = b"GET /v1/load "
@@ -89,11 +90,12 @@
             return exc.progress
 
 
-async def run_item(raw, body=BODY, resume=NO_RESUME):
+async def run_item(raw, body=BODY, resume=NO_RESUME, version=""):
     """Return the report of an item's run at an upstream that answers with these bytes."""
     item = job_records.Item("i", "/v1/completions", body)
     async with open_upstream(raw) as upstream:
-        return await _item_call.ItemCall(upstream, make_work(item, resume)).run()
+        work = make_work(item, resume)
+        return await _item_call.ItemCall(upstream, work, software_version=version).run()
 
 
 def make_work(item, resume=NO_RESUME):
@@ -161,6 +163,27 @@
     assert await relay(raw, **failure) is engine.Progress.PART_ANSWERED
 
 
+def with_start(head, start):
+    return head.replace(b"\r\n", b"\r\nengine-start: %s\r\n" % start, 1)
+
+
+# Guards against passing on, or recording for resends, the begin of a body whose upstream crashed
+# and is back before it is asked; a start that isn't named on both sides shows nothing.
+@pytest.mark.parametrize(
+    ("head", "control", "whole"),
+    [
+        (with_start(TEXT_HEAD, b"1"), with_start(NOT_FOUND, b"2"), False),
+        (with_start(UNTYPED_HEAD, b"1"), with_start(LOAD, b"2"), False),
+        (with_start(TEXT_HEAD, b"1"), with_start(NOT_FOUND, b"1"), True),
+        (with_start(TEXT_HEAD, b"1"), NOT_FOUND, True),
+        (TEXT_HEAD, with_start(LOAD, b"2"), True),
+    ],
+)
+async def test_unframed_body_is_whole_only_of_the_start_that_still_runs(head, control, whole):
+    body = b"any text" if whole else engine.Progress.PART_ANSWERED
+    assert await relay(head + b"any text", control=control) == body
+
+
 # Guards against failing a whole response because its upstream is too busy for a control call.
 async def test_unframed_body_of_an_upstream_that_accepts_connections_in_silence_is_whole():
     with trio.fail_after(upstream_http.CONTROL_TIMEOUT_S + 1.0):
@@ -229,6 +252,17 @@
     assert (report.event.name, report.resume) == ("FAILED", NO_RESUME)
 
 
+# Guards against a text of which two software versions wrote a part each: the engine was replaced
+# before the manifest says so.
+@pytest.mark.parametrize(("named", "event"), [(b"v1", "ANSWERED"), (b"v2", "PREEMPTED")])
+async def test_item_goes_on_only_where_the_response_names_its_version(named, event):
+    head = b"HTTP/1.1 200 OK\r\nengine-software-version: %s\r\ncontent-length: %d\r\n\r\n"
+    resume = _chunk_run.Resume(2, "earlier text", "v1")
+    report = await run_item(head % (named, len(ANSWER)) + ANSWER, resume=resume, version="v1")
+    assert (report.event.name, b"earlier" in report.body) == (event, event == "ANSWERED")
+    assert event == "ANSWERED" or report.resume == NO_RESUME
+
+
 # Guards against the same, and against the loss of the first events of a stream.
 async def test_item_of_events_starts_anew():
     whole = EVENTS + engine.END_MARKER
