--- a/src/cornelgrade/services/edge/stream_origins.py
+++ b/src/cornelgrade/services/edge/stream_origins.py
@@ -26,6 +26,9 @@
 HOLDERS = 3
 # Other gateways that are asked beside the holders, because views of who is a holder may differ.
 MAX_OTHERS_ASKED = 5
+# The same while registrations may have been missed, as a stream is refused if nobody replies. In a
+# larger fleet the holders have to know.
+MAX_OTHERS_ASKED_BEHIND = 60
 # A query is repeated because datagrams may be lost; a reply takes a few milliseconds.
 QUERY_INTERVAL_S = 0.05
 QUERY_ROUNDS = 3
@@ -118,7 +121,8 @@
             return known.origin
         behind = self._is_behind()
         # The gateway at which it began may know of a start that is not registered.
-        found = await self._ask(key, everyone=behind) if key is not None else None
+        others = MAX_OTHERS_ASKED_BEHIND if behind else MAX_OTHERS_ASKED
+        found = await self._ask(key, others) if key is not None else None
         # Registrations that this process missed until then may have arrived meanwhile.
         possible = self._list_origins(route)
         if found is None and len(possible) == 1 and not (behind or self._is_behind()):
@@ -154,18 +158,15 @@
             self._fleet.upstreams(), origin.service, time.time()
         )
 
-    async def _ask(
-        self, key: int, *, everyone: bool = False
-    ) -> software_versions.StreamOrigin | None:
+    async def _ask(self, key: int, max_others: int) -> software_versions.StreamOrigin | None:
         """Ask other gateways for the origin of a stream.
 
-        :param everyone: ask all of them, as the stream is refused if nobody replies.
+        :param max_others: how many are asked beside the holders.
         """
         replied = self._queries.setdefault(key, trio.Event())
         holders = self._holders(key)
         others = [vm for vm in self._other_gateways() if vm not in holders]
-        count = len(others) if everyone else min(MAX_OTHERS_ASKED, len(others))
-        asked = (*holders, *self._rng.sample(others, count))
+        asked = (*holders, *self._rng.sample(others, min(max_others, len(others))))
         try:
             for _ in range(QUERY_ROUNDS if asked else 0):
                 for vm in asked:
