Confirm each start for the newest connection to it

The time since which an upstream had to have run was kept by its name and overwritten by whoever asked last. A task with an older connection, or one to another start, set it back, so the shared question could end with a report that was asked for before a newer stream's connection was opened. That stream began with an unconfirmed origin and went nowhere if its upstream broke off before it was asked again.

The time is kept by start, and only moves forward. A question ends once another start has reported itself, as no report can confirm it then.

--- a/src/cornelgrade/services/edge/outage_checks.py
+++ b/src/cornelgrade/services/edge/outage_checks.py
@@ -71,10 +71,9 @@
         self._replied = _notifier.Notifier()
         self._checked_s: dict[str, float] = {}
         self._nursery: trio.Nursery | None = None
-        # Upstreams that are asked for their start, and since when it has to have run.
-        self._confirming: set[str] = set()
+        # Starts that are asked whether they run, and since when each has to have run.
+        self._confirm_since_s: dict[tuple[str, int], float] = {}
         self._confirmed = _notifier.Notifier()
-        self._confirm_since_s: dict[str, float] = {}
 
     async def run(self, started: Callable[[], None]) -> None:
         """Reply to peers and receive their replies until cancelled."""
@@ -184,34 +183,37 @@
     def confirm_soon(self, up: routes.Upstream, since_s: float) -> None:
         """Ask an upstream in the background which start of it runs, unless it has told.
 
-        One question serves all connections that were opened before.
+        One question serves all connections to this start that were opened before.
 
         :param since_s: when a connection to it was opened, on trio's clock.
         """
-        self._confirm_since_s[up.name] = since_s
-        if self._nursery is not None and up.name not in self._confirming:
-            self._confirming.add(up.name)
-            self._nursery.start_soon(self._confirm, up)
+        start = (up.name, up.started_ms)
+        if self._nursery is not None and start not in self._confirm_since_s:
+            self._confirm_since_s[start] = since_s
+            self._nursery.start_soon(self._confirm, up, start)
+        elif start in self._confirm_since_s:
+            self._confirm_since_s[start] = max(since_s, self._confirm_since_s[start])
 
     async def confirm(self, up: routes.Upstream, since_s: float, wait_s: float) -> None:
         """As :meth:`confirm_soon`, and wait for a while until it is told."""
         self.confirm_soon(up, since_s)
+        start = (up.name, up.started_ms)
         with trio.move_on_after(wait_s):
-            while up.name in self._confirming and not self._fleet.has_reported(up, since_s):
+            while start in self._confirm_since_s and not self._fleet.has_reported(up, since_s):
                 await self._confirmed.wait()
 
-    async def _confirm(self, up: routes.Upstream) -> None:
+    async def _confirm(self, up: routes.Upstream, start: tuple[str, int]) -> None:
         try:
             for _ in range(MAX_CHECKS):
                 if not self._limits.try_take_for_poll(up):
                     return
-                await self.find_outage(up)
+                outage = await self.find_outage(up)
                 self._confirmed.notify_all()
-                if self._fleet.has_reported(up, self._confirm_since_s[up.name]):
+                has_reported = self._fleet.has_reported(up, self._confirm_since_s[start])
+                if has_reported or outage == RESTARTED:
                     return
         finally:
-            self._confirming.discard(up.name)
-            del self._confirm_since_s[up.name]
+            del self._confirm_since_s[start]
             self._confirmed.notify_all()
 
     async def check_version(self, up: routes.Upstream) -> None:
--- a/tests/edge/test_restarted_versions.py
+++ b/tests/edge/test_restarted_versions.py
@@ -3,6 +3,8 @@
 A stream or an item must not go on there with the events of the version that is registered.
 """
 
+import dataclasses
+
 import msgspec
 import pytest
 import trio
@@ -444,6 +446,35 @@
     assert not got.complete
 
 
+# Guards against a question that ends before the newest connection to an upstream is confirmed,
+# since a task with an older one, or one to another start, has asked meanwhile.
+async def test_each_connection_is_confirmed_by_a_report_of_its_own_time(monkeypatch):
+    async with run_engines(engines=1) as system:
+        await start_engines(system)
+        kern = system.nodes["gateway-0"].kern
+        checks = kern.find("outage_checks", outage_checks.OutageChecks)
+        registered = kern.find("fleet", fleet.Fleet)
+        up = usable(system, "gateway-0")["engine-0"]
+        fetch_load = upstream_loads.fetch_load
+
+        async def fetch_late(call_format, up, recorder):
+            load = await fetch_load(call_format, up, recorder)
+            await trio.sleep(0.05)
+            return load
+
+        monkeypatch.setattr(outage_checks.upstream_loads, "fetch_load", fetch_late)
+        since_s = trio.current_time()
+        checks.confirm_soon(up, since_s)
+        await trio.sleep(0.03)
+        latest_s = trio.current_time()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(checks.confirm, up, latest_s, 1.0)
+            await trio.sleep(0.01)
+            checks.confirm_soon(dataclasses.replace(up, started_ms=999), since_s)
+            checks.confirm_soon(up, since_s)
+        assert registered.has_reported(up, latest_s)
+
+
 # Guards against an item that goes on at the registered version of an upstream whose start nobody
 # has confirmed.
 async def test_item_of_a_start_that_was_not_confirmed_starts_anew(monkeypatch):
