Ask again for the start that goes on with a stream

A run that went on with a stream or an item was ended at its first event if the one load report that was to confirm its start was lost. The stream paid a second run, of which its upstream counts the failure, and ended visibly incomplete once no attempt was left. The check before the run likewise refused the upstream.

A start is asked up to three times within 0.8 s, of the 2 s for which callers wait for an event. An upstream that refuses the connection, or reports another start, is not asked again. The check before the run passes only where the start has reported itself, so that a report which tells none costs no run.

--- a/src/cornelgrade/services/edge/outage_checks.py
+++ b/src/cornelgrade/services/edge/outage_checks.py
@@ -40,6 +40,9 @@
 # A sound one may be silent for a second.
 MAX_CHECKS = 3
 CHECK_PAUSE_S = 0.1
+# How long a start is asked for that is to go on with a stream: a report that is lost, and another
+# one. Callers give up after 2 s without another event.
+START_TIMEOUT_S = 0.8
 # A report is as of some hundred ms ago, so that the first one after the end of a response often
 # still lists its run. Two more are asked for meanwhile, each after this time.
 MAX_RUN_CHECKS = 2
@@ -223,12 +226,33 @@
         """
         if not up.started_ms:
             return
-        outage = await self.find_outage(up)
-        if outage is not None:
+        doubt = await self.find_doubt(up, trio.current_time())
+        if doubt is not None:
             raise engine.CallError(
-                outage, step="check version", peer=up.address, progress=engine.Progress.NOT_SENT
+                doubt, step="check version", peer=up.address, progress=engine.Progress.NOT_SENT
             )
 
+    async def find_doubt(self, up: routes.Upstream, since_s: float) -> str | None:
+        """Return why a start is not known to run, ``None`` once it has reported itself.
+
+        It is asked again if a report is lost, or doesn't tell a start.
+
+        :param since_s: when the connection to it was opened, on trio's clock.
+        """
+        with trio.move_on_after(START_TIMEOUT_S):
+            for _ in range(MAX_CHECKS):
+                try:
+                    if await self._was_restarted(up):
+                        return RESTARTED
+                except engine.CallError as exc:
+                    if exc.progress is engine.Progress.NOT_SENT and not exc.timed_out:
+                        # A process that has ended refuses connections.
+                        return exc.format_message()
+                if self._fleet.has_reported(up, since_s):
+                    return None
+                await trio.sleep(CHECK_PAUSE_S)
+        return "start is not confirmed"
+
     async def _was_restarted(self, up: routes.Upstream) -> bool:
         """Ask an upstream whether it was restarted since it was registered.
 
--- a/src/cornelgrade/services/edge/serving_start.py
+++ b/src/cornelgrade/services/edge/serving_start.py
@@ -78,7 +78,7 @@
         if self.is_confirmed:
             return
         if not self.begins:
-            await self._checks.find_outage(self._up)
+            await self._checks.find_doubt(self._up, self._channel.opened_s)
         elif self._origin is None:
             await self._checks.confirm(self._up, self._channel.opened_s, CONFIRM_WAIT_S)
 
@@ -87,7 +87,7 @@
         if self._origin is None or not self.begins:
             return self._origin
         if not self.is_confirmed:
-            await self._checks.find_outage(self._up)
+            await self._checks.find_doubt(self._up, self._channel.opened_s)
         if self.is_confirmed:
             return self._origin
         return software_versions.unconfirmed_origin(self._up)
--- a/tests/edge/test_restarted_versions.py
+++ b/tests/edge/test_restarted_versions.py
@@ -110,6 +110,8 @@
         up = usable(system, "gateway-0")["engine-0"]
         kern = system.nodes["gateway-0"].kern
         assert not await kern.find("outage_checks", outage_checks.OutageChecks).is_running(up)
+        seen = [s for eng in system.engines.values() for s in eng.seen]
+        assert not any(s.ran for s in seen if s.resumed_after)
     assert (got.complete, versions_of(got), up.restarted) == (False, {"v1"}, False)
 
 
@@ -446,6 +448,28 @@
     assert not got.complete
 
 
+# Guards against ending a run that goes on with a stream because one load report is lost.
+@pytest.mark.parametrize("lost", [1, 2])
+async def test_run_goes_on_after_a_lost_report(monkeypatch, lost):
+    asked = []
+    fetch_load = outage_checks.OutageChecks._fetch_load
+
+    async def lose_one(self, up):
+        asked.append(up)
+        if len(asked) == lost:
+            raise engine.CallError("lost", step="", peer="", progress=engine.Progress.SENT)
+        return await fetch_load(self, up)
+
+    async with run_engines(engines=1) as system:
+        await start_engines(system)
+        await system.send_online("gateway-0", PATH, "r1")
+        monkeypatch.setattr(outage_checks.OutageChecks, "_fetch_load", lose_one)
+        got = await system.send_online("gateway-0", PATH, "r2", resumes="r1", last_event_id="5")
+    runs = [s for s in system.engines["engine-0"].seen if s.request == "r2" and s.ran]
+    assert (got.status, got.complete, len(runs)) == (200, True, 1)
+    assert len(asked) > lost
+
+
 # Guards against a question that ends before the newest connection to an upstream is confirmed,
 # since a task with an older one, or one to another start, has asked meanwhile.
 async def test_each_connection_is_confirmed_by_a_report_of_its_own_time(monkeypatch):
