Believe replies of the start that served a stream only

A resumable stream without framing that was cut after an event passed for whole if its upstream was restarted before the question for its last events, and the stream of the next start ended at the same event. Which start replied was only checked where the reply had no framing either.

A reply that brought last events, and nothing after them, is evidence only if the start has reported itself since the connection of the reply was opened. Else the stream goes on elsewhere, or ends visibly incomplete. A reply that brings more needs no check, as what it brings is dropped and the run that goes on is checked.

--- a/src/cornelgrade/services/edge/stream_questions.py
+++ b/src/cornelgrade/services/edge/stream_questions.py
@@ -67,7 +67,7 @@
     ) -> stream_end.Answer:
         """Ask once, and log what the reply tells and why.
 
-        :raises CallError: if no reply to the request began.
+        :raises CallError: if no reply to the request began, or not of the start that served it.
         """
         self.take_permit(up)
         evidence.begin_reply()
@@ -83,6 +83,8 @@
                 head = await send(channel, asked_after)
                 _check_head(up, head)
                 reason = await _read_reply(channel, evidence)
+            if not reason and asked_after < evidence.last_brought <= evidence.last_event:
+                await self._check_start(up, channel.opened_s)
             answer = stream_end.Answer.UNKNOWN if reason else evidence.end_reply()
         except engine.CallError as exc:
             reason = str(exc)
@@ -103,6 +105,17 @@
             )
         return answer
 
+    async def _check_start(self, up: routes.Upstream, since_s: float) -> None:
+        """Check that a reply is of the start that served the stream.
+
+        :param since_s: when the connection of the reply was opened, on trio's clock.
+        :raises CallError: if that is not known.
+        """
+        if not self._fleet.has_reported(up, since_s):
+            doubt = await self._outage_checks.find_doubt(up, since_s)
+            if doubt is not None:
+                raise _error(up, doubt)
+
     def take_permit(self, up: routes.Upstream) -> None:
         """Account for a question to an upstream, or for a run that goes on there.
 
--- a/tests/edge/test_restarted_versions.py
+++ b/tests/edge/test_restarted_versions.py
@@ -499,6 +499,33 @@
         assert registered.has_reported(up, latest_s)
 
 
+# Guards against believing a reply to a question for the last events from an upstream that was
+# restarted before it, and whose stream there ends at the same event.
+async def test_reply_of_another_start_does_not_end_a_stream():
+    async with run_engines(engines=1) as system:
+        await start_engines(system)
+        (eng,) = system.engines.values()
+        answer = eng._answer
+
+        async def restart_before_question(req, seen):
+            earlier = [s for s in eng.seen if s.request == seen.request and s is not seen]
+            if earlier and seen.resumed_after is None:
+                eng.started_ms, eng.version, eng.events = 2000, "v2", 2
+            eng.faults = stream_engine.Faults(
+                unframed=not earlier,
+                close_after=None if earlier else 2,
+                end_before_events_if_resumed=True,
+            )
+            await answer(req, seen)
+
+        eng._answer = restart_before_question
+        got = await system.send_online("gateway-0", PATH, "r1")
+        asked = [seen.resumed_after for seen in eng.seen if seen.request == "r1"]
+    assert asked[:3] == [None, 2, None]
+    assert not got.complete
+    assert versions_of(got) == {"v1"}
+
+
 # Guards against an item that goes on at the registered version of an upstream whose start nobody
 # has confirmed.
 async def test_item_of_a_start_that_was_not_confirmed_starts_anew(monkeypatch):
