--- a/tests/edge/test_restarted_versions.py
+++ b/tests/edge/test_restarted_versions.py
@@ -3,6 +3,8 @@
 A stream or an item must not go on there with the events of the version that is registered.
 """
 
+import dataclasses
+
 import msgspec
 import pytest
 import trio
@@ -108,6 +110,8 @@
         up = usable(system, "gateway-0")["engine-0"]
         kern = system.nodes["gateway-0"].kern
         assert not await kern.find("outage_checks", outage_checks.OutageChecks).is_running(up)
+        seen = [s for eng in system.engines.values() for s in eng.seen]
+        assert not any(s.ran for s in seen if s.resumed_after)
     assert (got.complete, versions_of(got), up.restarted) == (False, {"v1"}, False)
 
 
@@ -444,6 +448,84 @@
     assert not got.complete
 
 
+# Guards against ending a run that goes on with a stream because one load report is lost.
+@pytest.mark.parametrize("lost", [1, 2])
+async def test_run_goes_on_after_a_lost_report(monkeypatch, lost):
+    asked = []
+    fetch_load = outage_checks.OutageChecks._fetch_load
+
+    async def lose_one(self, up):
+        asked.append(up)
+        if len(asked) == lost:
+            raise engine.CallError("lost", step="", peer="", progress=engine.Progress.SENT)
+        return await fetch_load(self, up)
+
+    async with run_engines(engines=1) as system:
+        await start_engines(system)
+        await system.send_online("gateway-0", PATH, "r1")
+        monkeypatch.setattr(outage_checks.OutageChecks, "_fetch_load", lose_one)
+        got = await system.send_online("gateway-0", PATH, "r2", resumes="r1", last_event_id="5")
+    runs = [s for s in system.engines["engine-0"].seen if s.request == "r2" and s.ran]
+    assert (got.status, got.complete, len(runs)) == (200, True, 1)
+    assert len(asked) > lost
+
+
+# Guards against a question that ends before the newest connection to an upstream is confirmed,
+# since a task with an older one, or one to another start, has asked meanwhile.
+async def test_each_connection_is_confirmed_by_a_report_of_its_own_time(monkeypatch):
+    async with run_engines(engines=1) as system:
+        await start_engines(system)
+        kern = system.nodes["gateway-0"].kern
+        checks = kern.find("outage_checks", outage_checks.OutageChecks)
+        registered = kern.find("fleet", fleet.Fleet)
+        up = usable(system, "gateway-0")["engine-0"]
+        fetch_load = upstream_loads.fetch_load
+
+        async def fetch_late(call_format, up, recorder):
+            load = await fetch_load(call_format, up, recorder)
+            await trio.sleep(0.05)
+            return load
+
+        monkeypatch.setattr(outage_checks.upstream_loads, "fetch_load", fetch_late)
+        since_s = trio.current_time()
+        checks.confirm_soon(up, since_s)
+        await trio.sleep(0.03)
+        latest_s = trio.current_time()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(checks.confirm, up, latest_s, 1.0)
+            await trio.sleep(0.01)
+            checks.confirm_soon(dataclasses.replace(up, started_ms=999), since_s)
+            checks.confirm_soon(up, since_s)
+        assert registered.has_reported(up, latest_s)
+
+
+# Guards against believing a reply to a question for the last events from an upstream that was
+# restarted before it, and whose stream there ends at the same event.
+async def test_reply_of_another_start_does_not_end_a_stream():
+    async with run_engines(engines=1) as system:
+        await start_engines(system)
+        (eng,) = system.engines.values()
+        answer = eng._answer
+
+        async def restart_before_question(req, seen):
+            earlier = [s for s in eng.seen if s.request == seen.request and s is not seen]
+            if earlier and seen.resumed_after is None:
+                eng.started_ms, eng.version, eng.events = 2000, "v2", 2
+            eng.faults = stream_engine.Faults(
+                unframed=not earlier,
+                close_after=None if earlier else 2,
+                end_before_events_if_resumed=True,
+            )
+            await answer(req, seen)
+
+        eng._answer = restart_before_question
+        got = await system.send_online("gateway-0", PATH, "r1")
+        asked = [seen.resumed_after for seen in eng.seen if seen.request == "r1"]
+    assert asked[:3] == [None, 2, None]
+    assert not got.complete
+    assert versions_of(got) == {"v1"}
+
+
 # Guards against an item that goes on at the registered version of an upstream whose start nobody
 # has confirmed.
 async def test_item_of_a_start_that_was_not_confirmed_starts_anew(monkeypatch):
