Refuse streams whose last event is not named by a number

What callers saw: a request on a resumable route whose Last-Event-Id was no decimal number of up to 15 digits went to an upstream of any version. With sixteen nines the answer was empty and complete, with -1 it had seven events of the first version or of the second.

Cause: a header that the gateway can't read stood for none. It took the request for one that begins a stream, looked for no origin and counted no events, but passed the header on to an upstream that read it.

Why it works: the request gets 400 before it is passed on. An empty header still counts as none, as upstreams take it.

--- a/src/cornelgrade/platform/calls.py
+++ b/src/cornelgrade/platform/calls.py
@@ -80,11 +80,13 @@
         values = dict(headers)
         deadline = values.get(_DEADLINE, b"").decode("latin-1")
         resume = values.get(_LAST_EVENT_ID, b"").decode("latin-1")
+        is_number = is_unsigned_integer(resume)
         return ports.Caller(
             request_id=values.get(_REQUEST_ID, b"").decode("latin-1"),
             host=values.get(b"host", b"").decode("latin-1"),
             timeout_s=_parse_milliseconds(deadline),
-            resume_after=int(resume) if is_unsigned_integer(resume) else None,
+            resume_after=int(resume) if is_number else None,
+            has_invalid_resume=bool(resume) and not is_number,
             resumed_request=values.get(_RESUMES, b"").decode("latin-1"),
             prompt_parts=self.parse_prompt_parts(headers),
             key_digests=tuple(teams.digest_key(v) for k, v in headers if k == _KEY),
--- a/src/cornelgrade/services/edge/frontend.py
+++ b/src/cornelgrade/services/edge/frontend.py
@@ -127,6 +127,11 @@
         if route is None or not route.targets or route.kind is routes.RouteKind.BATCH:
             await self._refuse_request(exchange, caller, errors.Code.NOT_FOUND, "no route", None)
             return
+        if route.resumable and caller.has_invalid_resume:
+            # An upstream may read it as a number, and go on with a stream of another version.
+            why = "the last event is not a number"
+            await self._refuse_request(exchange, caller, errors.Code.BAD_REQUEST, why, None)
+            return
         if self._may_outlast_grace(caller, route):
             await self._refuse_stopping(exchange, caller)
             return
--- a/src/cornelgrade/services/edge/ports.py
+++ b/src/cornelgrade/services/edge/ports.py
@@ -18,6 +18,7 @@
 
     :param timeout_s: how long it waits for the complete response, ``None`` if not given.
     :param resume_after: number of the last event that it received from a broken stream.
+    :param has_invalid_resume: whether it names that event, but not by a number.
     :param resumed_request: id of its attempt that brought the first event of that stream.
     :param prompt_parts: ids of the parts of its prompt that other requests may share.
     :param key_digests: digests of the keys that it carries; one, if it is valid.
@@ -27,6 +28,7 @@
     host: str
     timeout_s: float | None = None
     resume_after: int | None = None
+    has_invalid_resume: bool = False
     resumed_request: str = ""
     prompt_parts: tuple[bytes, ...] = ()
     key_digests: tuple[bytes, ...] = ()
--- a/tests/edge/test_unknown_origins.py
+++ b/tests/edge/test_unknown_origins.py
@@ -111,3 +111,15 @@
             "gateway-1", PATH, "r2", resumes="r1", last_event_id=str(SENT)
         )
     assert (got.status, got.complete) == (200, True)
+
+
+# Guards against a stream that is taken up at any version, or ends without an event, because its
+# caller names the last event in a way that only the upstream reads.
+@pytest.mark.parametrize("last_event", ["-1", "+2", "9" * 16, "2.0"])
+async def test_stream_whose_last_event_is_not_a_number_is_refused(last_event):
+    async with edge_system.run_system(engines=0) as system:
+        engines = [await start_engine(system, v, v, 1000) for v in (OLD, NEW)]
+        await trio.sleep(0.6)
+        got = await system.send_online("gateway-0", PATH, "r2", last_event_id=last_event)
+    assert (got.status, got.body) == (400, b"")
+    assert not any(eng.seen for eng in engines)
