Ask upstreams that break off responses twice for the last events

Callers of resumable streams got a part as a whole, and items completed with a part of their text, if an upstream ended a response without framing between two events, answered the question for more with no event, and ended the reply with the last two events after the same event.

One such reply was believed whatever was known of the upstream. Now a start of an upstream that was seen to break off a response counts for a minute, in all streams or items of the process, as one that may do so again: the last events then have to come twice, the second time asked for from an earlier event. Others cost no more than before. The first stream that meets such an upstream, and one that breaks off each response after the same event, still can't be told from an end.

--- a/src/cornelgrade/policy/stream_end.py
+++ b/src/cornelgrade/policy/stream_end.py
@@ -6,6 +6,9 @@
 brings that too: the upstream is then asked for the last events again, and the stream has ended if
 the reply brings these and nothing after them. The second question does not replace the first, as
 an upstream that breaks off each response after the same event would end both there.
+
+An upstream that breaks off responses may by chance end the reply after the same event too. So one
+that has done so is asked once more, from an earlier event.
 """
 
 import enum
@@ -15,6 +18,8 @@
 # Events that have to be brought again. A reply that is cut short after its first event brings one,
 # as a whole one would if a single event were asked for.
 OVERLAP_EVENTS = 2
+# How long an upstream counts as one that breaks off responses after it was last seen to.
+EARLY_END_MEMORY_S = 60.0
 
 
 class Answer(enum.Enum):
@@ -28,18 +33,23 @@
 class Evidence:
     """What replies with the last events of a stream tell about its end.
 
+    :param twice: whether the events have to be brought twice, from an earlier one the second time.
     :ivar last_event: number of the event after which the stream may have ended, 1 or more.
     :ivar ask_after: the event after which the upstream is asked next, 0 for the begin of the
         stream. A reply that ended before the last event is gone on with.
     :ivar last_brought: number of the last event that the current reply brought.
     """
 
-    def __init__(self, last_event: int) -> None:
-        self.ask_after = max(0, last_event - OVERLAP_EVENTS)
-        self.last_brought = self.ask_after
+    def __init__(self, last_event: int, *, twice: bool = False) -> None:
         self.last_event = last_event
-        self._missing = last_event - self.ask_after
+        self._twice = twice
         self._in_order = True
+        self._require(OVERLAP_EVENTS)
+        self.last_brought = self.ask_after
+
+    def _require(self, events: int) -> None:
+        self.ask_after = max(0, self.last_event - events)
+        self._missing = self.last_event - self.ask_after
 
     def begin_reply(self) -> None:
         """Begin with the next reply."""
@@ -58,6 +68,11 @@
         """Whether the reply has brought more than the last event."""
         return self.last_brought > self.last_event
 
+    @property
+    def ends_early(self) -> bool:
+        """Whether the reply has not brought the last event."""
+        return self.last_brought < self.last_event
+
     def end_reply(self) -> Answer:
         """Return what the replies tell, now that one has ended.
 
@@ -68,13 +83,33 @@
             return Answer.UNKNOWN
         if self.goes_on:
             return Answer.MORE
-        if self.last_brought < self.last_event:
+        if self.ends_early:
             self.ask_after = self.last_brought
             return Answer.UNKNOWN
         self._missing -= self.last_brought - self.ask_after
+        if self._missing <= 0 and self._twice:
+            self._twice = False
+            self._require(OVERLAP_EVENTS + 1)
         return Answer.ENDED if self._missing <= 0 else Answer.UNKNOWN
 
 
+class EarlyEnds:
+    """The starts of upstreams that broke off responses while they went on running."""
+
+    def __init__(self) -> None:
+        self._seen_s: dict[tuple[str, int], float] = {}
+
+    def record(self, start: tuple[str, int], now_s: float) -> None:
+        """Record that a start of an upstream broke off a response."""
+        oldest_s = now_s - EARLY_END_MEMORY_S
+        self._seen_s = {seen: at_s for seen, at_s in self._seen_s.items() if at_s >= oldest_s}
+        self._seen_s[start] = now_s
+
+    def includes(self, start: tuple[str, int], now_s: float) -> bool:
+        """Return whether a start broke off a response lately."""
+        return start in self._seen_s and self._seen_s[start] >= now_s - EARLY_END_MEMORY_S
+
+
 class StreamEnd(msgspec.Struct):
     """What the responses to a request show of the end of its stream.
 
--- a/src/cornelgrade/services/edge/_upstream_relay.py
+++ b/src/cornelgrade/services/edge/_upstream_relay.py
@@ -79,6 +79,8 @@
                         break
                     asked_after = progress.last_event
                     ended = await self._go_on(req, progress, up, attempt)
+                    if progress.last_event != asked_after:
+                        self._stream_questions.record_early_end(up)
                 await req.exchange.end_response()
                 attempt.record_completion(head.status)
                 return head
--- a/src/cornelgrade/services/edge/item_call.py
+++ b/src/cornelgrade/services/edge/item_call.py
@@ -110,6 +110,8 @@
             asked_after = partial.last_event
             self._stream_questions.take_permit(up)
             status, ended = await self._call_upstream(header, item, up, partial, attempt)
+            if partial.last_event != asked_after:
+                self._stream_questions.record_early_end(up)
         if status == _UNPROCESSABLE_STATUS:
             return ports.ItemResult(item.name, ports.ItemEnd.GIVEN_UP, "")
         if status == _RUN_FAILED_STATUS:
--- a/src/cornelgrade/services/edge/stream_questions.py
+++ b/src/cornelgrade/services/edge/stream_questions.py
@@ -13,6 +13,9 @@
 # Replies may be cut short too. An upstream that sends a single event in each needs three: one that
 # ends before the last event, and two that end after it. One more may be empty.
 MAX_QUESTIONS = 4
+# The end of a stream is to be confirmed twice by an upstream that breaks off responses. One that
+# sends a single event in each needs five more questions for the last three events.
+MAX_QUESTIONS_IN_DOUBT = 9
 # A connection within a region takes a few milliseconds.
 CONNECT_TIMEOUT_S = 0.25
 _STEP = "ask for more events"
@@ -31,6 +34,7 @@
         self._limits = kern.find("upstream_limits", upstream_limits.UpstreamLimits)
         self._outage_checks = kern.find("outage_checks", outage_checks.OutageChecks)
         self._path_watch = kern.find("path_watch", path_watch.PathWatch)
+        self._early_ends = stream_end.EarlyEnds()
 
     async def has_ended(
         self,
@@ -49,16 +53,18 @@
         :raises CallError: if no reply tells.
         """
         assert end.ended_after is not None
-        evidence = stream_end.Evidence(end.ended_after)
+        twice = self._early_ends.includes(_start_of(up), trio.current_time())
+        evidence = stream_end.Evidence(end.ended_after, twice=twice)
         answer = stream_end.Answer.UNKNOWN
         with trio.move_on_after(timeout_s) as scope:
-            for _ in range(MAX_QUESTIONS):
+            for _ in range(MAX_QUESTIONS_IN_DOUBT if twice else MAX_QUESTIONS):
                 answer = await self._ask(up, request, evidence, send)
                 if answer is not stream_end.Answer.UNKNOWN:
                     break
         if answer is stream_end.Answer.UNKNOWN:
             raise _error(up, "end of the stream is not confirmed", timed_out=scope.cancelled_caught)
         if answer is stream_end.Answer.MORE:
+            self.record_early_end(up)
             end.goes_on_after = end.ended_after
         return answer is stream_end.Answer.ENDED
 
@@ -83,6 +89,8 @@
                 head = await send(channel, asked_after)
                 _check_head(up, head)
                 reason = await _read_reply(channel, evidence)
+            if not reason and evidence.ends_early:
+                self.record_early_end(up)
             answer = stream_end.Answer.UNKNOWN if reason else evidence.end_reply()
         except engine.CallError as exc:
             reason = str(exc)
@@ -103,16 +111,17 @@
             )
         return answer
 
+    def record_early_end(self, up: routes.Upstream) -> None:
+        """Record that an upstream, which goes on running, has broken off a response."""
+        self._early_ends.record(_start_of(up), trio.current_time())
+
     def take_permit(self, up: routes.Upstream) -> None:
         """Account for a question to an upstream, or for a run that goes on there.
 
         :raises CallError: if it gets no new requests.
         """
-        usable = {
-            (reg.upstream.name, reg.upstream.started_ms)
-            for reg in self._fleet.usable_registrations()
-        }
-        if (up.name, up.started_ms) not in usable:
+        usable = {_start_of(reg.upstream) for reg in self._fleet.usable_registrations()}
+        if _start_of(up) not in usable:
             raise _error(up, "connection ended, and the upstream takes no new requests")
         self._limits.take(up)
 
@@ -136,6 +145,10 @@
     return ""
 
 
+def _start_of(up: routes.Upstream) -> tuple[str, int]:
+    return up.name, up.started_ms
+
+
 def _check_head(up: routes.Upstream, head: http1.ResponseHead) -> None:
     """Raise :class:`CallError` unless a reply is a stream of events."""
     if head.status >= 300:
--- a/tests/edge/test_odd_events.py
+++ b/tests/edge/test_odd_events.py
@@ -36,10 +36,10 @@
     """Let each run of a request have its own faults, and all further ones the last."""
     for eng in system.engines.values():
 
-        async def answer(req, seen, eng=eng, answer=eng._answer):
+        async def answer(req, seen, eng=eng):
             runs = len(list_runs(system, seen.request))
             eng.faults = stream_engine.Faults(**faults[min(runs, len(faults)) - 1])
-            await answer(req, seen)
+            await stream_engine.StreamEngine._answer(eng, req, seen)
 
         eng._answer = answer
 
@@ -175,3 +175,19 @@
     goes_on = path == RESUMABLE
     assert got.complete == goes_on
     assert got.body == stream_engine.response_body("r1", EVENTS if goes_on else 2)
+
+
+# Guards against a short stream or text from an upstream that broke off an earlier one and ends a
+# reply with the last events after the same event too.
+async def test_upstream_that_broke_off_a_response_is_asked_twice():
+    async with edge_system.run_system(workers=1, engines=1) as system:
+        breaks, whole = {"unframed": True, "close_after": 3}, {"unframed": True}
+        empty = {"unframed": True, "end_before_events_if_resumed": True}
+        for number, faults in enumerate([(breaks, whole), (breaks, empty, breaks, whole)]):
+            set_run_faults(system, *faults)
+            got = await system.send_online("gateway-0", RESUMABLE, f"r{number}")
+            assert (got.status, got.complete) == (200, True)
+            assert got.body == stream_engine.response_body(f"r{number}", EVENTS)
+            await system.submit("gateway-0", f"job-{number}", {f"item-{number}": b"note"})
+            text = stream_engine.result_text(f"item-{number}", EVENTS)
+            assert await wait_result(system, f"job-{number}") == [(f"item-{number}", text)]
--- a/tests/policy/test_stream_end.py
+++ b/tests/policy/test_stream_end.py
@@ -35,6 +35,38 @@
     assert found == answers
 
 
+# Guards against believing an upstream that breaks off responses after a single reply.
+@pytest.mark.parametrize(
+    ("last_event", "replies", "answers", "asked_after"),
+    [
+        (5, [(4, 5), (3, 4, 5)], [UNKNOWN, ENDED], [3, 2]),
+        (5, [(4, 5), (3, 4, 5, 6)], [UNKNOWN, MORE], [3, 2]),
+        (5, [(4, 5), (3,), (4, 5), (4, 5)], [UNKNOWN] * 3 + [ENDED], [3, 2, 3, 3]),
+        (1, [(1,), (1, 2)], [UNKNOWN, MORE], [0, 0]),
+    ],
+)
+def test_end_is_confirmed_twice_in_doubt(last_event, replies, answers, asked_after):
+    evidence = stream_end.Evidence(last_event, twice=True)
+    found, asked = [], []
+    for events in replies:
+        evidence.begin_reply()
+        asked.append(evidence.ask_after)
+        for number in events:
+            evidence.add_event(number)
+        found.append(evidence.end_reply())
+    assert (found, asked) == (answers, asked_after)
+
+
+# Guards against doubting an upstream for ever, or another start of it.
+def test_early_ends_are_forgotten():
+    ends = stream_end.EarlyEnds()
+    ends.record(("engine-0", 1), 0.0)
+    ends.record(("engine-1", 1), stream_end.EARLY_END_MEMORY_S - 1)
+    known = [("engine-0", 1), ("engine-0", 2), ("engine-1", 1)]
+    for now_s, doubted in ((1.0, {0, 2}), (stream_end.EARLY_END_MEMORY_S + 1, {2})):
+        assert [ends.includes(start, now_s) for start in known] == [i in doubted for i in range(3)]
+
+
 # Guards against asking for what follows event 0, which an upstream may not read as the begin.
 @pytest.mark.parametrize(("last_event", "asked_after"), [(1, 0), (2, 0), (3, 1), (30, 28)])
 def test_last_two_events_are_asked_for(last_event, asked_after):
