Send a request only once the path of its response is watched

The task that opens the idle connection had not run yet when the process was paused, so it was opened to a path that was intact again. The same held for the first response without framing of a service.

The request now waits for the idle connection, 50 ms at most, which is a connect once in a while as it is shared and kept. That a service frames its responses is taken from its responses, not from their absence.

--- a/src/cornelgrade/services/edge/_upstream_relay.py
+++ b/src/cornelgrade/services/edge/_upstream_relay.py
@@ -115,14 +115,16 @@
             idle = None
             if not req.route.resumable and self._path_watch.expects_unframed(up.service):
                 idle = watches.enter_context(self._path_watch.open_beside(up, channel))
+                await idle.wait_open()
             await self._send_request(channel, req, up, progress.last_event)
             head = await self._read_head(channel, req, progress, up)
             attempt.record_status(head.status)
             progress.framing = head.framing
+            if head.status < 300:
+                self._path_watch.record_head(up.service, head)
             may_be_asked = req.route.resumable and _response_relay.is_event_stream(head)
             if head.framing is not http1.Framing.CONNECTION or may_be_asked:
                 return head, await self._responses.relay(channel, req, progress, head)
-            self._path_watch.record_unframed(up.service)
             idle = idle or watches.enter_context(self._path_watch.open_beside(up, channel))
             if not may_be_asked and not progress.runs:
                 progress.received = listed_runs.Received(req.caller.request_id, req.deadline_s)
--- a/src/cornelgrade/services/edge/path_watch.py
+++ b/src/cornelgrade/services/edge/path_watch.py
@@ -18,6 +18,8 @@
 from cornelgrade.services.edge import path_ends
 
 CONNECT_TIMEOUT_S = 0.25
+# How long a request waits for the connection to open. It takes a few milliseconds.
+OPEN_WAIT_S = 0.05
 # Connections that end within this time have ended together. It is spent in looks at their state, so
 # that a process that was paused meanwhile looks again before it decides.
 SAME_MOMENT_S = 0.05
@@ -59,6 +61,11 @@
         self._response_closed_s: float | None = None
         self._ended = False
 
+    async def wait_open(self) -> None:
+        """Wait until the idle connection is open, for :data:`OPEN_WAIT_S` at most."""
+        with trio.move_on_after(OPEN_WAIT_S):
+            await self._standing.opened.wait()
+
     def record_end(self) -> bool:
         """Record that another connection has ended; return whether the response has with it."""
         if not self._ended and not self._response.is_open():
@@ -113,10 +120,12 @@
     """A connection to one start of an upstream on which nothing is sent.
 
     :ivar opened_s: when it was opened, on trio's clock; ``None`` while it isn't open.
+    :ivar opened: set while it is open.
     """
 
     def __init__(self, up: routes.Upstream, ends: path_ends.PathEnds) -> None:
         self.opened_s: float | None = None
+        self.opened = trio.Event()
         self.watching: set[IdleConnection] = set()
         self.is_running = False
         self._up = up
@@ -182,6 +191,7 @@
         try:
             with await http1.connect(self._up.address, CONNECT_TIMEOUT_S) as channel:
                 self._channel, self.opened_s = channel, channel.opened_s
+                self.opened.set()
                 try:
                     reset = False
                     with trio.move_on_after(self._renewal_s):
@@ -189,6 +199,7 @@
                     return _Ended(trio.current_time() - channel.opened_s, reset)
                 finally:
                     self._channel = self.opened_s = None
+                    self.opened = trio.Event()
         except (engine.CallError, OSError) as exc:
             # Without it, a response counts as one that ended alone.
             _log.info("idle_connection_failed", upstream=self._up.name, error=repr(exc))
@@ -225,18 +236,23 @@
             self._nursery = None
             self._standing.clear()
 
-    def record_unframed(self, service: str) -> None:
-        """Record that an upstream of a service has begun a response without framing."""
-        self._unframed_s[service] = trio.current_time()
+    def record_head(self, service: str, head: http1.ResponseHead) -> None:
+        """Record the head of a successful response of an upstream of a service."""
+        if head.framing is http1.Framing.CONNECTION:
+            self._unframed_s[service] = trio.current_time()
+        else:
+            self._unframed_s.setdefault(service, -math.inf)
 
     def expects_unframed(self, service: str) -> bool:
-        """Return whether upstreams of a service have sent responses without framing lately.
+        """Return whether upstreams of a service may send responses without framing.
+
+        They do if one has lately, or if none has responded yet.
 
         The idle connection is then opened before the request is sent, as a process that is paused
         may read a response long after its path has ended.
         """
         earliest_s = trio.current_time() - UNFRAMED_MEMORY_S
-        return self._unframed_s.get(service, -math.inf) >= earliest_s
+        return self._unframed_s.get(service, math.inf) >= earliest_s
 
     def _tell_watching(self, up: routes.Upstream) -> None:
         for (name, address, _), standing in self._standing.items():
--- a/tests/edge/test_path_watch.py
+++ b/tests/edge/test_path_watch.py
@@ -196,8 +196,9 @@
 
 
 # Guards against passing on as complete a response that is read after its path has ended, as by a
-# process that was paused.
-async def test_response_that_is_read_after_its_path_ended_is_incomplete(monkeypatch):
+# process that was paused, also if it is the first one that the process gets of the service.
+@pytest.mark.parametrize("first", [False, True])
+async def test_response_that_is_read_after_its_path_ended_is_incomplete(monkeypatch, first):
     read_head = http1.Channel.read_head
 
     async def read_late(self):
@@ -207,8 +208,9 @@
 
     monkeypatch.setattr(path_watch, "KEEP_S", 0.0)
     async with run_behind_proxies(engines=1) as (system, proxies):
-        await serve_whole(system, "before")
-        await trio.sleep(path_watch.POLL_S)
+        if not first:
+            await serve_whole(system, "before")
+            await trio.sleep(path_watch.POLL_S)
         with monkeypatch.context() as patch:
             patch.setattr(http1.Channel, "read_head", read_late)
             got = await test_ends_between_events.send_through_ending_path(
@@ -241,3 +243,26 @@
             )
     assert (got.status, got.complete) == (200, True)
     assert got.body == stream_engine.response_body("r1", EVENTS)
+
+
+# Guards against a request that is sent while the connection which shows the end of its path is not
+# open yet: a process that is paused between the two never learns of that end.
+async def test_request_is_sent_once_its_idle_connection_is_open(monkeypatch):
+    connect, send = path_watch._StandingConnection._stay_connected, http1.Channel.send
+    standing, were_open = [], []
+
+    async def connect_late(self):
+        standing.append(self)
+        await trio.sleep(path_watch.OPEN_WAIT_S / 2)
+        return await connect(self)
+
+    async def send_recorded(self, method, target, headers, content):
+        if b"x-expect-instance" in dict(headers):
+            were_open.append([idle.opened_s is not None for idle in standing])
+        await send(self, method, target, headers, content)
+
+    monkeypatch.setattr(path_watch._StandingConnection, "_stay_connected", connect_late)
+    monkeypatch.setattr(http1.Channel, "send", send_recorded)
+    async with run_behind_proxies(engines=1) as (system, _):
+        await serve_whole(system, "r1")
+    assert were_open == [[True]]
