Let the stand-in engine answer without framing

Trials of the product's own interface need engines whose responses end with their connection, as engines behind it may. The stand-in takes this as a field of its configuration. A test also checks that a crashed stand-in names another start and, if told so, another version.

--- a/src/cornelgrade/standins/engine_http.py
+++ b/src/cornelgrade/standins/engine_http.py
@@ -96,7 +96,14 @@
         if sequence.state is engine_model.State.TRUNCATED:
             await req.send_truncated(200, body[: len(body) // 2])
             return
-        await req.respond(200, body, _JSON_HEADERS + self._headers())
+        headers = _JSON_HEADERS + self._headers()
+        if not self.engine.cfg.unframed:
+            await req.respond(200, body, headers)
+            return
+        req.omit_framing()
+        middle = len(body) // 2
+        await req.start_response(200, headers, body[:middle])
+        await req.end_response(body[middle:])
 
     async def _send_stream(
         self, req: _http_server.Exchange, sequence: engine_model.Sequence, *, chat: bool
@@ -104,6 +111,8 @@
         await _responses.wait_for_tokens(sequence, 1)
         sent = len(sequence.words)
         first = _responses.encode_events(sequence, 0, sent, chat=chat)
+        if self.engine.cfg.unframed:
+            req.omit_framing()
         await req.start_response(200, _EVENT_STREAM_HEADERS + self._headers(), first)
         while True:
             await _responses.wait_for_tokens(sequence, sent + 1)
--- a/src/cornelgrade/standins/engine_model.py
+++ b/src/cornelgrade/standins/engine_model.py
@@ -31,6 +31,7 @@
     :param models: models loaded at the start; without any, the engine serves every name.
     :param software_version: what two versions generate for a prompt doesn't fit together.
     :param names_itself: whether responses name the engine's start and version.
+    :param unframed: whether responses have neither a length nor chunks.
     """
 
     slots: int = 8
@@ -46,6 +47,7 @@
     models: tuple[engine.Loaded, ...] = ()
     software_version: str = ""
     names_itself: bool = True
+    unframed: bool = False
 
 
 class State(enum.Enum):
--- a/tests/standins/test_engine_http.py
+++ b/tests/standins/test_engine_http.py
@@ -1,6 +1,7 @@
 import contextlib
 
 import httpx
+import msgspec
 import pytest
 import trio
 
@@ -116,3 +117,31 @@
         assert res.headers[engine_http.LEAVING_HEADER] == "1"
         counters = (await client.get("/v1/counters")).json()
         assert counters["calls_while_leaving"] == 1
+
+
+# Guards against trials that replace an engine while its responses go on naming the start before.
+async def test_responses_name_the_start_and_version_that_sends_them():
+    cfg = msgspec.structs.replace(FAST, software_version="v1")
+    names = []
+    async with running(cfg) as (standin, client):
+        for _ in range(2):
+            found = [(await client.post(PATH, json=HELLO)).headers]
+            found += [(await client.get("/v1/load")).headers]
+            names.append(
+                {(h[engine.START_HEADER], h[engine.SOFTWARE_VERSION_HEADER]) for h in found}
+            )
+            switches = {"crash": True, "restart_s": 0.1, "next_version": "v2"}
+            await client.put("/v1/switches", json=switches)
+            await trio.sleep(0.4)
+    (first,), (second,) = names
+    assert first[0] != second[0]
+    assert (first[1], second[1]) == ("v1", "v2")
+
+
+# Guards against trials of unframed responses in which every response is framed.
+@pytest.mark.parametrize("stream", [False, True])
+async def test_unframed_response_has_neither_a_length_nor_chunks(stream):
+    async with running(msgspec.structs.replace(FAST, unframed=True)) as (_, client):
+        res = await client.post(PATH, json={**HELLO, "stream": stream})
+    assert not {"content-length", "transfer-encoding"} & set(res.headers)
+    assert res.content.endswith(engine.END_MARKER) if stream else res.json()["choices"]
