Play the product's own interface in the trials of streams

bench.streams played only the users' platform, so that two versions of an engine in one stream or item of the product's own interface showed in no trial. Engines are killed or crash and come back with a version that the manifest names late or never, paths end, also twice, and gateways, workers and the platform fail. What is judged is the same: order, wholeness, one version, no foreign bytes.

--- a/tests/process/test_stream_trials.py
+++ b/tests/process/test_stream_trials.py
@@ -2,9 +2,10 @@
 
 import pytest
 import trio
-from bench.streams import trial
+from bench.streams import own, trial
 
 SECONDS = 3.0
+OWN_SECONDS = 4.0
 EARLY_ENDS = {"unframed": 1.0, "ends_early": 0.15, "empty_replies": 0.3}
 ENDED_PATHS = (
     "store cut",
@@ -45,3 +46,11 @@
     report = run(seed, tmp_path, kinds=kinds, shares=shares)
     assert report.found.problems == []
     assert report.streams
+
+
+# Guards against streams and items of the product's own interface of which two software versions
+# wrote a part each: engines were replaced before the manifest said so.
+def test_own_interface_stays_in_order_while_engines_are_replaced(tmp_path):
+    report = own.run(21, tmp_path, OWN_SECONDS, ("engine crashed", "paths ended"))
+    assert report.problems == []
+    assert report.whole and report.items and report.faults["engine crashed"]
