Let only the lifetime of streams tell that all versions are known

What callers saw: a stream that began at a version which left afterwards went on at its successor, if it was taken up at a gateway that had been started some seconds ago and no gateway knew the stream.

Cause: a gateway counted its history of versions as complete once it had run for the route's timeout.

Evidence: test_stream_is_refused_if_another_version_may_have_left_before_earlier_attempts failed before (200 for 503, one run) and passes. The test of the policy said that 5 s were enough with a timeout of 5 s; it now says that they are not. The test of a start that is not registered shortens the lifetime, and still fails without its fix (one run).

Why it works: until a gateway has run for the lifetime of a stream, the only version counts only if all upstreams have run for longer.

--- a/src/cornelgrade/policy/software_versions.py
+++ b/src/cornelgrade/policy/software_versions.py
@@ -92,12 +92,12 @@
             and (origin in self._registered or now_s - last_seen_s <= STREAM_LIFETIME_S)
         )
 
-    def is_complete(self, now_s: float, timeout_s: float) -> bool:
+    def is_complete(self, now_s: float) -> bool:
         """Return whether no version can have left before this process began to look.
 
-        :param timeout_s: time limit of the stream, after which nobody takes it up.
+        The timeout of a stream's route doesn't count, as it limits each attempt of its caller.
         """
-        return now_s - self._since_s >= min(STREAM_LIFETIME_S, timeout_s)
+        return now_s - self._since_s >= STREAM_LIFETIME_S
 
 
 def has_recent_start(upstreams: Iterable[routes.Upstream], service: str, unix_s: float) -> bool:
--- a/src/cornelgrade/services/edge/stream_origins.py
+++ b/src/cornelgrade/services/edge/stream_origins.py
@@ -122,7 +122,7 @@
         # Registrations that this process missed until then may have arrived meanwhile.
         possible = self._list_origins(route)
         if found is None and len(possible) == 1 and not (doubtful or self._may_miss_version(route)):
-            found = possible[0] if self._is_only_origin(possible[0], route) else None
+            found = possible[0] if self._is_only_origin(possible[0]) else None
         _log.info(
             "stream_origin",
             request=request_id,
@@ -153,10 +153,10 @@
             for origin in self._history.list_origins(target.service, now_s)
         )
 
-    def _is_only_origin(self, origin: software_versions.StreamOrigin, route: routes.Route) -> bool:
+    def _is_only_origin(self, origin: software_versions.StreamOrigin) -> bool:
         """Return whether no other version may have served before this process began to look."""
         return self._history.is_complete(
-            trio.current_time(), route.timeout_s
+            trio.current_time()
         ) or not software_versions.has_recent_start(
             self._fleet.upstreams(), origin.service, time.time()
         )
--- a/tests/edge/test_stream_versions.py
+++ b/tests/edge/test_stream_versions.py
@@ -393,3 +393,20 @@
     got = await fleet.take_up("gateway-0", "r2", "r1")
     assert fleet.ran("r2") == []
     assert got.status == 503
+
+
+# Guards against the same once a gateway has run for as long as one attempt of a caller may take:
+# the caller may have made several.
+async def test_stream_is_refused_if_another_version_may_have_left_before_earlier_attempts(
+    start_fleet,
+):
+    fleet = await start_fleet(OLD, OLD, NEW, NEW, gateways=2)
+    await fleet.begin("gateway-0", "first")
+    for eng in fleet.engines(OLD):
+        found = await fleet.system.store.get(edge_system.Directory.upstream_kind, eng.name)
+        await fleet.system.store.delete(found.kind, found.name, found.version)
+    await restart_gateways(fleet.system, "gateway-2", "gateway-3")
+    await trio.sleep(edge_system.REQUEST_TIMEOUT_S)
+    got = await fleet.take_up("gateway-2", "again", "first")
+    assert got.status == 503
+    assert fleet.ran("again") == []
--- a/tests/edge/test_unknown_origins.py
+++ b/tests/edge/test_unknown_origins.py
@@ -4,6 +4,7 @@
 import trio
 
 from cornelgrade.platform.standins import edge_system, stream_engine
+from cornelgrade.policy import software_versions
 from cornelgrade.schema import messages
 from cornelgrade.services.edge import fleet, peers, stream_origins
 
@@ -127,11 +128,12 @@
 
 # Guards against a gateway that knows of a start whose version is not registered, and still takes
 # the only registered version for the origin of any stream.
-async def test_stream_is_refused_while_a_start_is_not_registered(lost_origins):
+async def test_stream_is_refused_while_a_start_is_not_registered(lost_origins, monkeypatch):
+    monkeypatch.setattr(software_versions, "STREAM_LIFETIME_S", 3.0)
     async with edge_system.run_system(gateways=2, engines=0) as system:
         engines = [await start_engine(system, f"old-{n}", OLD, 1000) for n in range(2)]
         # A gateway that has followed registrations for so long knows all versions.
-        await trio.sleep(edge_system.REQUEST_TIMEOUT_S)
+        await trio.sleep(software_versions.STREAM_LIFETIME_S)
         restarted, other = engines
         restarted.crash(0.1)
         restarted.version = NEW
--- a/tests/policy/test_software_versions.py
+++ b/tests/policy/test_software_versions.py
@@ -32,10 +32,9 @@
 # Guards against trusting the history of a process that has just started.
 def test_history_is_complete_only_after_the_lifetime_of_a_stream():
     history = software_versions.VersionHistory(100.0)
-    assert not history.is_complete(100.0 + LIFETIME_S - 1, 900.0)
-    assert history.is_complete(100.0 + LIFETIME_S, 900.0)
-    assert not history.is_complete(104.0, 5.0)
-    assert history.is_complete(105.0, 5.0)
+    assert not history.is_complete(105.0)
+    assert not history.is_complete(100.0 + LIFETIME_S - 1)
+    assert history.is_complete(100.0 + LIFETIME_S)
 
 
 @pytest.mark.parametrize(("started_s", "recent"), [(0.0, True), (930.0, False), (950.0, True)])
