Tell holders of streams while a gateway may not know all versions

Since a gateway that has run for less than a minute refuses streams whose origin nobody tells, if upstreams are young too. In a fleet that has just been started, all streams of a gateway that is gone would be refused with 503.

While its own history of versions may miss some, a gateway tells three others of each stream, as it does while several versions serve. The new test failed before (503 for 200); the 21 tests of the module pass.

--- a/src/cornelgrade/services/edge/stream_origins.py
+++ b/src/cornelgrade/services/edge/stream_origins.py
@@ -2,8 +2,8 @@
 
 A stream goes on only at the version that began it, and its caller may take it up at any gateway.
 A gateway remembers the streams that began there. While several versions of a service serve, an
-upstream has been restarted and not registered since, or registrations may have been missed, it also
-tells a few other gateways of each, so that the origin is known after the gateway is gone. A gateway
+upstream has been restarted and not registered since, or the gateway may not know of all versions,
+it also tells a few other gateways of each, so that the origin is known after it is gone. A gateway
 that doesn't know the origin asks. Without a reply it takes the only version that it knows for the
 origin, unless it may have missed registrations or a start is not registered.
 """
@@ -98,7 +98,9 @@
         doubted = software_versions.is_unconfirmed(origin) or (
             before is not None and software_versions.is_unconfirmed(before.origin)
         )
-        if doubted or origin.service in self._mixed or self._is_behind():
+        # Who doesn't know the stream would refuse it.
+        may_miss_others = self._is_behind() or not self._history.is_complete(trio.current_time())
+        if doubted or may_miss_others or origin.service in self._mixed:
             self._tell_holders((key,))
         if forwarded_by:
             self._peers.send(forwarded_by, messages.StreamOrigins((self._tell(key),)))
--- a/tests/edge/test_stream_versions.py
+++ b/tests/edge/test_stream_versions.py
@@ -410,3 +410,13 @@
     got = await fleet.take_up("gateway-2", "again", "first")
     assert got.status == 503
     assert fleet.ran("again") == []
+
+
+# Guards against refusing the streams of a gateway that is gone, since no other one knows that its
+# only version began them, while all processes are young.
+async def test_stream_of_a_gateway_that_is_gone_goes_on_while_the_fleet_is_young(start_fleet):
+    fleet = await start_fleet(OLD, OLD, gateways=2)
+    await fleet.begin("gateway-0", "first")
+    fleet.system.nodes.pop("gateway-0").scope.cancel()
+    got = await fleet.take_up("gateway-1", "again", "first")
+    assert (got.status, got.body) == (200, rest_of_stream("again"))
