Revert "Refuse a resend as unknown while its record can't be read"

This reverts. test_platform_down_is_a_truthful_not_run, which ran only with the whole suite, asks for "no" where a request with a key comes first while the platform is out, and it has not run. Such a refusal can't tell a first attempt from a resend, so that one of the two gets a wrong answer: "no" is kept, which speaks of the attempt.

--- a/src/cornelgrade/services/_refusals.py
+++ b/src/cornelgrade/services/_refusals.py
@@ -32,16 +32,12 @@
     )
 
 
-def not_recorded(claim: ports.Claim) -> errors.Refusal:
-    """Return the refusal of an attempt that did not run because its record was not written.
-
-    Without the record nobody knows whether the request has run in an earlier attempt.
-    """
+def not_recorded() -> errors.Refusal:
+    """Return the refusal of an attempt that did not run because its record was not written."""
     return errors.Refusal(
         errors.Code.UNAVAILABLE,
         "the run record could not be made; this attempt did not run",
         step=STEP,
-        ran=errors.Ran.UNKNOWN if claim.key_chosen else errors.Ran.NO,
         retry_after_s=RETRY_AFTER_S,
         peer="platform",
     )
--- a/src/cornelgrade/services/exchange.py
+++ b/src/cornelgrade/services/exchange.py
@@ -14,7 +14,6 @@
     :param deadline_s: deadline on the process's monotonic clock.
     :param span: the span of the whole request, parent of the spans of its hops.
     :param max_tokens: maximum length of the response.
-    :param key_chosen: whether the caller chose the key, and so may have sent the request before.
     """
 
     request_id: str
@@ -32,7 +31,6 @@
     prefix: int = 0
     max_tokens: int = 16
     key: str = ""
-    key_chosen: bool = False
     span: tracing.Span | None = None
 
 
--- a/src/cornelgrade/services/job_submission.py
+++ b/src/cornelgrade/services/job_submission.py
@@ -160,12 +160,12 @@
 
     :raises Refusal: ``CONFLICT`` for another body under the same key, ``BAD_REQUEST``,
         ``TOO_LARGE``, ``DEADLINE``, or ``UNAVAILABLE`` with ``ran=no``; ``ran=unknown`` only if
-        an earlier submission can't be read, or the outcome of the header's write is unknown.
+        the outcome of the header's write is unknown.
     """
     job = job_store.job_id(request.team, request.key)
     with trio.move_on_after(UPLOAD_TIMEOUT_S):
         try:
-            found = await _find_earlier(store, request.team, job)
+            found = await store.header(request.team, job)
             if found and found.header.state is not job_records.JobState.ABANDONED:
                 return await _compare_resubmission(found.header, request, body)
             return await _upload_job(store, request, job, body, found.version if found else 0)
@@ -174,16 +174,6 @@
     raise _refusal(errors.Code.DEADLINE, "the upload took too long")
 
 
-async def _find_earlier(
-    store: job_store.JobStore, team: str, job: str
-) -> job_store.VersionedHeader | None:
-    """Return the header of an earlier submission; without it, nobody knows whether one ran."""
-    try:
-        return await store.header(team, job)
-    except platform.UnavailableError as exc:
-        raise _unavailable(exc, errors.Ran.UNKNOWN) from exc
-
-
 def _unavailable(exc: platform.UnavailableError, ran: errors.Ran) -> errors.Refusal:
     return _refusal(
         errors.Code.UNAVAILABLE,
--- a/src/cornelgrade/services/keyed_requests.py
+++ b/src/cornelgrade/services/keyed_requests.py
@@ -58,7 +58,6 @@
         digest=str(req.fingerprint),
         idempotent=req.idempotent,
         wait_s=max(0.0, req.deadline_s - trio.current_time()),
-        key_chosen=req.key_chosen,
     )
 
 
--- a/src/cornelgrade/services/ports.py
+++ b/src/cornelgrade/services/ports.py
@@ -317,7 +317,6 @@
 
     :param digest: hash of method, path and body; another body under the same key is refused.
     :param wait_s: longest wait for an earlier attempt of the request that is still running.
-    :param key_chosen: whether the caller chose the key, and so may have sent the request before.
     """
 
     team: str
@@ -326,7 +325,6 @@
     digest: str
     idempotent: bool
     wait_s: float
-    key_chosen: bool = False
 
 
 class StoredResponse(msgspec.Struct, frozen=True):
--- a/src/cornelgrade/services/records.py
+++ b/src/cornelgrade/services/records.py
@@ -237,7 +237,7 @@
         """Run without a record if the request may be repeated; refuse it otherwise."""
         if run.claim.idempotent:
             return self._register_run(record_id, run)
-        raise _refusals.not_recorded(run.claim)
+        raise _refusals.not_recorded()
 
     def _register_run(self, record_id: str, run: ports.ClaimedRun) -> ports.ClaimedRun | None:
         """Register a run of this process; return ``None`` if the key has one already."""
--- a/src/cornelgrade/services/web/online.py
+++ b/src/cornelgrade/services/web/online.py
@@ -168,7 +168,7 @@
     idempotent = headers.get("Cornelgrade-Idempotent", "true").lower() != "false"
     if any(path.startswith(route) for route in service.non_idempotent_routes):
         idempotent = False
-    chosen_key = key = headers.get("Idempotency-Key", "")
+    key = headers.get("Idempotency-Key", "")
     if not idempotent and not key:
         key = f"unnamed-{uuid.uuid4().hex}"
     return exchange.Request(
@@ -189,7 +189,6 @@
         prefix=routing.prefix_hash(bytes(prompt.messages or prompt.prompt)) if prompt else 0,
         max_tokens=prompt.max_tokens if prompt else 0,
         key=key,
-        key_chosen=bool(chosen_key),
     )
 
 
