Count no response that other ends made fail as a further end of its path

Callers got whole responses that run once, without framing, as visibly incomplete, for as long as an upstream sent them in short succession, once a single connection to it had ended.

Only an idle connection that has itself ended with a response is recorded as a further end. What other calls lose is recorded by themselves.

--- a/src/cornelgrade/services/edge/outage_checks.py
+++ b/src/cornelgrade/services/edge/outage_checks.py
@@ -170,7 +170,10 @@
         )
         if ended:
             _log.info("path_ended", upstream=up.name, watched_s=watched_s)
-            self._path_ends.record_end(up, "a response and its path have ended")
+            if idle.has_ended_with_idle():
+                # What counts only by the ends of other connections is no further end: each response
+                # would else be the reason why the next one counts as ended with its path.
+                self._path_ends.record_end(up, "a response and its path have ended")
             return False
         if watched_s is None:
             # Callers would never get a whole response from an upstream that keeps no connection on
--- a/src/cornelgrade/services/edge/path_watch.py
+++ b/src/cornelgrade/services/edge/path_watch.py
@@ -58,11 +58,16 @@
         self._response = response
         self._response_closed_s: float | None = None
         self._ended = False
+        self._ended_with_idle = False
 
-    def record_end(self) -> bool:
-        """Record that another connection has ended; return whether the response has with it."""
+    def record_end(self, *, idle_ended: bool) -> bool:
+        """Record that another connection has ended; return whether the response has with it.
+
+        :param idle_ended: whether the idle connection has ended, not one of another call.
+        """
         if not self._ended and not self._response.is_open():
             self._ended = self._closed_for_s() <= FAILURE_MOMENT_S
+            self._ended_with_idle = self._ended and idle_ended
         return self._ended
 
     def _closed_for_s(self) -> float:
@@ -76,6 +81,10 @@
         """Return whether the path has ended with the response, which has ended."""
         return self._ended or self._standing.is_closed()
 
+    def has_ended_with_idle(self) -> bool:
+        """Return whether the path has ended as the idle connection shows, not only other calls."""
+        return self._ended_with_idle or self._standing.is_closed()
+
     async def ends_soon(self) -> bool:
         """Return whether the path has ended together with the response, or does so soon."""
         self._closed_for_s()
@@ -156,7 +165,9 @@
                     elif ended.lasted_s < self._renewal_s:
                         if ended.shows_path_end:
                             self._path_ends.record_end(self._up, "idle connection closed")
-                        if self._keeps_none(ended.lasted_s, await self.tell_watching()):
+                        if self._keeps_none(
+                            ended.lasted_s, await self.tell_watching(idle_ended=True)
+                        ):
                             return
                         self._learn_renewal(ended.lasted_s)
         finally:
@@ -194,13 +205,19 @@
             _log.info("idle_connection_failed", upstream=self._up.name, error=repr(exc))
             return None
 
-    async def tell_watching(self) -> bool:
-        """Return whether a response has ended with a connection that has, or does so soon."""
+    async def tell_watching(self, *, idle_ended: bool = False) -> bool:
+        """Return whether a response has ended with a connection that has, or does so soon.
+
+        :param idle_ended: whether that was the idle connection, not one of another call.
+        """
         ended = False
         for _ in range(SAME_MOMENT_POLLS):
-            ended = any([idle.record_end() for idle in self.watching]) or ended
+            ended = self._record_ends(idle_ended) or ended
             await trio.sleep(POLL_S)
-        return any([idle.record_end() for idle in self.watching]) or ended
+        return self._record_ends(idle_ended) or ended
+
+    def _record_ends(self, idle_ended: bool) -> bool:
+        return any([idle.record_end(idle_ended=idle_ended) for idle in self.watching])
 
 
 class PathWatch:
--- a/tests/edge/test_path_watch.py
+++ b/tests/edge/test_path_watch.py
@@ -6,7 +6,7 @@
 
 from cornelgrade.adapters import http1
 from cornelgrade.platform.standins import edge_system, stream_engine
-from cornelgrade.services.edge import path_watch
+from cornelgrade.services.edge import outage_checks, path_watch
 from cornelgrade.standins import fault_proxy
 
 ONCE = edge_system.ONCE_PREFIX
@@ -241,3 +241,57 @@
             )
     assert (got.status, got.complete) == (200, True)
     assert got.body == stream_engine.response_body("r1", EVENTS)
+
+
+async def send_one_by_one(system, duration_s):
+    """Send requests that run once, one after the other; return which were whole."""
+    whole = []
+    until_s = trio.current_time() + duration_s
+    while trio.current_time() < until_s:
+        got = await system.send_online("gateway-0", ONCE, f"r{len(whole)}")
+        whole.append(got.complete)
+    return whole
+
+
+# Guards against failing all whole responses of an upstream that keeps no idle connection, for as
+# long as they follow each other, once a single connection to it has ended.
+async def test_unwatched_responses_pass_again_after_a_path_has_ended(accept_with):
+    async def is_used(stream):
+        with trio.move_on_after(0.02):
+            return bool(await stream.socket.recv(1, trio.socket.MSG_PEEK))
+        return False
+
+    async with run_behind_proxies(engines=1) as (system, _):
+        accept_with(is_used)
+        await serve_whole(system, "before")
+        test_ends_between_events.set_faults(system, unframed=False, cut_after=2)
+        got = await system.send_online("gateway-0", ONCE, "cut")
+        assert not got.complete
+        test_ends_between_events.set_faults(system, unframed=True)
+        await send_one_by_one(system, outage_checks.UNTRUSTED_S + 0.5)
+        assert all(await send_one_by_one(system, 1.0))
+
+
+# Guards against failing all whole responses of an upstream that end in short succession, once one
+# of them has been broken off.
+async def test_whole_responses_do_not_fail_one_another(monkeypatch):
+    got = {}
+    answer = stream_engine.StreamEngine._answer
+
+    async def cut_one(self, req, seen):
+        end_after = EVENTS - 1 if seen.request == "r10" else None
+        self.faults = stream_engine.Faults(unframed=True, end_after=end_after)
+        await answer(self, req, seen)
+
+    async def send(system, number):
+        got[number] = (await system.send_online("gateway-0", ONCE, f"r{number}")).complete
+
+    monkeypatch.setattr(stream_engine.StreamEngine, "_answer", cut_one)
+    async with run_behind_proxies(engines=1, slots=40) as (system, _):
+        await serve_whole(system, "before")
+        async with trio.open_nursery() as nursery:
+            for number in range(80):
+                nursery.start_soon(send, system, number)
+                await trio.sleep(0.02)
+    assert not got[10]
+    assert [number for number in range(40, 80) if not got[number]] == []
