--- a/src/cornelgrade/services/edge/stream_questions.py
+++ b/src/cornelgrade/services/edge/stream_questions.py
@@ -57,12 +57,7 @@
         evidence = stream_end.Evidence(end.ended_after, twice=twice)
         answer = stream_end.Answer.UNKNOWN
         with trio.move_on_after(timeout_s) as scope:
-            asked_after = None
             for _ in range(MAX_QUESTIONS_IN_DOUBT if twice else MAX_QUESTIONS):
-                if asked_after == evidence.ask_after:
-                    # The last reply told nothing. The connection beside the next one is old enough.
-                    await trio.sleep(path_watch.MIN_PROOF_S)
-                asked_after = evidence.ask_after
                 answer = await self._ask(up, request, evidence, send)
                 if answer is not stream_end.Answer.UNKNOWN:
                     break
@@ -116,6 +111,9 @@
                 answer=answer.value,
                 reason=reason or f"ended or read up to event {evidence.last_brought}",
             )
+        if reason:
+            # The connection beside the next reply is then old enough to tell.
+            await trio.sleep(path_watch.MIN_PROOF_S)
         return answer
 
     async def _check_start(self, up: routes.Upstream, since_s: float) -> None:
