Tell other gateways of streams that began before the store went away

Callers of a stream that began before a store outage got 503 when they took it up during the outage, if the gateway at which it began was gone. All upstreams were of one version.

A gateway that notices that the store is away tells the holders of its own streams that it has not told of in an outage before, so that a store that comes and goes doesn't make it repeat them.

--- a/src/cornelgrade/services/edge/stream_origins.py
+++ b/src/cornelgrade/services/edge/stream_origins.py
@@ -10,6 +10,7 @@
 
 import collections
 import hashlib
+import math
 import random
 import time
 from collections.abc import Callable, Iterable
@@ -70,6 +71,7 @@
         self._known: collections.OrderedDict[int, _Known] = collections.OrderedDict()
         self._queries: dict[int, trio.Event] = {}
         self._mixed: frozenset[str] = frozenset()
+        self._shared_s = -math.inf
 
     async def run(self, started: Callable[[], None]) -> None:
         """Follow the registrations and answer other gateways until cancelled."""
@@ -80,6 +82,7 @@
             nursery.start_soon(self._receive_origins, received)
             nursery.start_soon(self._answer_queries, queries)
             nursery.start_soon(self._observe_changes)
+            nursery.start_soon(self._share_in_outages)
             started()
 
     def record(
@@ -232,6 +235,19 @@
             self._observe()
             await self._fleet.changed.wait()
 
+    async def _share_in_outages(self) -> None:
+        """Tell of the streams that began before the store went away; later ones are told at once.
+
+        While it is away, other gateways refuse a stream of which nobody knows the origin.
+        """
+        while True:
+            if self._availability.unavailable:
+                since_s, self._shared_s = self._shared_s, trio.current_time()
+                self._tell_holders(
+                    key for key, known in self._known.items() if known.own and known.at_s >= since_s
+                )
+            await self._availability.wait_change()
+
     def _observe(self) -> None:
         """Record the registered versions; once a service has several, tell of its streams."""
         now_s = trio.current_time()
--- a/tests/edge/test_unknown_origins.py
+++ b/tests/edge/test_unknown_origins.py
@@ -113,6 +113,25 @@
     assert (got.status, got.complete) == (200, True)
 
 
+# Guards against refusing streams that began before the store was away, once their gateway is gone.
+async def test_stream_from_before_the_outage_goes_on_without_its_gateway():
+    async with edge_system.run_system(gateways=3, engines=0) as system:
+        engines = [await start_engine(system, f"old-{n}", OLD, 1000) for n in range(2)]
+        await trio.sleep(0.6)
+        for eng in engines:
+            eng.faults = stream_engine.Faults(cut_after=SENT)
+        await system.send_online("gateway-0", PATH, "r1")
+        for name in system.nodes:
+            await cut_off(system, name)
+        system.nodes["gateway-0"].scope.cancel()
+        for eng in engines:
+            eng.faults = stream_engine.Faults()
+        got = await system.send_online(
+            "gateway-1", PATH, "r2", resumes="r1", last_event_id=str(SENT)
+        )
+    assert (got.status, got.complete) == (200, True)
+
+
 # Guards against a stream that is taken up at any version, or ends without an event, because its
 # caller names the last event in a way that only the upstream reads.
 @pytest.mark.parametrize("last_event", ["-1", "+2", "9" * 16, "2.0"])
