--- a/bench/streams/own_faults.py
+++ b/bench/streams/own_faults.py
@@ -3,6 +3,7 @@
 import collections
 import json
 import random
+import time
 from collections.abc import Awaitable, Callable
 
 import httpx
@@ -60,7 +61,7 @@
             await kind.inject(self)
 
     def _note(self, text: str) -> None:
-        self.log.append(f"{trio.current_time():.3f} {text}")
+        self.log.append(f"{time.monotonic():.3f} {text}")
 
     def _engine(self) -> str:
         engines = sorted(name for name in self._fleet.upstreams if name.startswith("engine"))
