Give questions to upstreams in doubt half as much time again

Callers of whole resumable streams without framing, with 0.19 s and more between events, had them end visibly incomplete for a minute after their upstream had broken off one response.

Both questions fit into 1.5 s with 0.25 s between events. Slower streams in doubt still go on elsewhere or end visibly incomplete.

--- a/src/cornelgrade/services/edge/stream_questions.py
+++ b/src/cornelgrade/services/edge/stream_questions.py
@@ -16,6 +16,9 @@
 # The end of a stream is to be confirmed twice by an upstream that breaks off responses. One that
 # sends a single event in each needs five more questions for the last three events.
 MAX_QUESTIONS_IN_DOUBT = 9
+# The second question brings three events beside the two of the first one, each as slowly as an
+# upstream sends events. With one second for both, whole streams with 0.19 s between events failed.
+TIMEOUT_RATIO_IN_DOUBT = 1.5
 # A connection within a region takes a few milliseconds.
 CONNECT_TIMEOUT_S = 0.25
 _STEP = "ask for more events"
@@ -49,14 +52,15 @@
         Nothing that the replies bring is part of the stream: more comes from a run that is asked
         for what follows that event.
 
-        :param timeout_s: limit for all replies together.
+        :param timeout_s: limit for all replies together, unless the upstream is in doubt.
         :raises CallError: if no reply tells.
         """
         assert end.ended_after is not None
         twice = self._early_ends.includes(_start_of(up), trio.current_time())
         evidence = stream_end.Evidence(end.ended_after, twice=twice)
         answer = stream_end.Answer.UNKNOWN
-        with trio.move_on_after(timeout_s) as scope:
+        limit_s = timeout_s * (TIMEOUT_RATIO_IN_DOUBT if twice else 1.0)
+        with trio.move_on_after(limit_s) as scope:
             asked_after = None
             for _ in range(MAX_QUESTIONS_IN_DOUBT if twice else MAX_QUESTIONS):
                 if asked_after == evidence.ask_after:
