--- a/src/cornelgrade/services/edge/stream_questions.py
+++ b/src/cornelgrade/services/edge/stream_questions.py
@@ -16,7 +16,7 @@
 # The end of a stream is to be confirmed twice by an upstream that breaks off responses. One that
 # sends a single event in each needs five more questions for the last three events.
 MAX_QUESTIONS_IN_DOUBT = 9
-# The second question brings three events beside the two of the first one, at the pace of the stream.
+# The second question brings three events beside the two of the first one, as slowly as the stream.
 TIMEOUT_RATIO_IN_DOUBT = 1.5
 # A connection within a region takes a few milliseconds.
 CONNECT_TIMEOUT_S = 0.25
