Do not wait for the path of a reply that shows no end

A resumable stream that a peer serves, at an upstream that breaks off responses, took 0.66 s to confirm its end, more than the 0.6 s for which the gateway that forwarded it waits for an event; at high load it ended visibly incomplete (test_stream_through_a_peer_goes_on_after_an_early_end in a run of the suite at load 40). Each reply without framing waits 50 ms for the end of its path, also one that ended before the last event and so is no evidence of an end.

Only the end of a reply behind the last event is confirmed now.

--- a/src/cornelgrade/services/edge/stream_questions.py
+++ b/src/cornelgrade/services/edge/stream_questions.py
@@ -87,8 +87,7 @@
                 await http1.connect(up.address, CONNECT_TIMEOUT_S) as channel,
                 self._path_watch.open_beside(up, channel) as idle,
             ):
-                confirm = functools.partial(self._outage_checks.has_ended_alone, up, idle)
-                channel.confirm_end_with(confirm)
+                channel.confirm_end_with(functools.partial(self._confirm_end, up, idle, evidence))
                 head = await send(channel, asked_after)
                 _check_head(up, head)
                 reason = await _read_reply(channel, evidence)
@@ -119,6 +118,12 @@
             await trio.sleep(path_watch.MIN_PROOF_S)
         return answer
 
+    async def _confirm_end(
+        self, up: routes.Upstream, idle: path_watch.IdleConnection, evidence: stream_end.Evidence
+    ) -> bool:
+        """Return whether the end of a reply counts; one before the last event is no evidence."""
+        return evidence.ends_early or await self._outage_checks.has_ended_alone(up, idle)
+
     async def _check_start(self, up: routes.Upstream, since_s: float) -> None:
         """Check that a reply is of the start that served the stream.
 
