--- a/src/cornelgrade/policy/event_stream.py
+++ b/src/cornelgrade/policy/event_stream.py
@@ -54,7 +54,7 @@
 
 
 class Repeats(msgspec.Struct):
-    """Tells which events of a stream's responses came before, also those without a number.
+    """Recognises the events of a response that earlier responses have brought.
 
     A response that is asked for after the last number brings again what followed that number.
 
--- a/src/cornelgrade/services/edge/outage_checks.py
+++ b/src/cornelgrade/services/edge/outage_checks.py
@@ -58,7 +58,7 @@
     """What a check of an upstream has found.
 
     :param running: whether it runs without a restart.
-    :param reached: whether it responded to this VM; else peers have told.
+    :param reached: whether it responded to this VM; else the result is that of peers.
     :param load: its report, ``None`` if it gave no usable one.
     """
 
@@ -157,7 +157,7 @@
         if not ended:
             check = await self._check_running(up)
             # What relayed the report has had time to end the idle connection too. What peers see
-            # tells nothing of the path from here.
+            # is no evidence of the path from here.
             ended = idle.has_ended() or (watched_s is None and not check.reached)
         _log.info(
             "response_end_checked",
@@ -171,8 +171,8 @@
         if ended:
             _log.info("path_ended", upstream=up.name, watched_s=watched_s)
             if idle.has_ended_with_idle():
-                # What counts only by the ends of other connections is no further end: each response
-                # would else be the reason why the next one counts as ended with its path.
+                # A response that ended with connections of other calls is not recorded as an end of
+                # its own, else each such response would make the next ones fail.
                 self._path_ends.record_end(up, "a response and its path have ended")
             return False
         if watched_s is None:
--- a/src/cornelgrade/services/edge/path_ends.py
+++ b/src/cornelgrade/services/edge/path_ends.py
@@ -1,7 +1,7 @@
 """The service ``path_ends``: when connections to upstreams have ended against the will of this VM.
 
-What ends a connection may end all others to the same upstream in the same moment. Whoever notices
-tells it here, so that it counts for all tasks of the process.
+What ends a connection may end each connection to the same upstream at the same moment. Callers
+record lost connections here, so that they are evidence for all tasks of the process.
 """
 
 import collections
@@ -13,7 +13,7 @@
 from cornelgrade.adapters import engine
 
 # Upstreams reset new connections beyond their limit, so that younger ones that were not answered
-# tell nothing.
+# are no evidence.
 MIN_UNANSWERED_S = 0.1
 # More than the upstreams that one process calls within a few seconds.
 MAX_PATHS = 4096
@@ -22,7 +22,7 @@
 
 
 class PathEnds:
-    """Remembers when connections to each upstream last ended, and tells those who watch it."""
+    """Keeps when a connection to each upstream last ended, and notifies listeners."""
 
     name = "path_ends"
 
--- a/src/cornelgrade/services/edge/stream_origins.py
+++ b/src/cornelgrade/services/edge/stream_origins.py
@@ -238,7 +238,7 @@
             await self._fleet.changed.wait()
 
     async def _share_in_outages(self) -> None:
-        """Tell of the streams that began before the store went away; later ones are told at once.
+        """Send the origins of streams that began before an outage of the store to their holders.
 
         While it is away, other gateways refuse a stream of which nobody knows the origin.
         """
--- a/src/cornelgrade/services/edge/stream_questions.py
+++ b/src/cornelgrade/services/edge/stream_questions.py
@@ -114,7 +114,7 @@
                 reason=reason or f"ended or read up to event {evidence.last_brought}",
             )
         if reason:
-            # The connection beside the next reply is then old enough to tell.
+            # The connection beside the next reply is then old enough to show an ended path.
             await trio.sleep(path_watch.MIN_PROOF_S)
         return answer
 
