review: the cases take ports below those of outgoing connections

One of the first five runs of case 9 could not run: a port that was free when it was drawn was taken when the gateway started. The ports are now drawn by cornelgrade.standins.local_ports.

--- a/review/common-2/fleet.py
+++ b/review/common-2/fleet.py
@@ -18,7 +18,7 @@
 import trio
 
 from cornelgrade.platform.standins import store_server
-from cornelgrade.standins import platform_store
+from cornelgrade.standins import local_ports, platform_store
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -46,20 +46,6 @@
         self._file.flush()
 
 
-def free_address() -> str:
-    """Return a loopback address with a port that is free for TCP and UDP."""
-    import socket
-
-    while True:
-        with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as tcp:
-            tcp.bind(("127.0.0.1", 0))
-            port = tcp.getsockname()[1]
-            with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp:
-                with contextlib.suppress(OSError):
-                    udp.bind(("127.0.0.1", port))
-                    return f"127.0.0.1:{port}"
-
-
 def split(address: str) -> tuple[str, int]:
     host, _, port = address.rpartition(":")
     return host, int(port)
@@ -70,9 +56,9 @@
 
     def __init__(self, role: str, name: str, zone: str, store: str, folder: pathlib.Path) -> None:
         self.role, self.name, self.zone = role, name, zone
-        self.peer, self.metrics = free_address(), free_address()
-        self.front = free_address() if role == "gateway" else ""
-        self.ready = free_address() if role == "gateway" else ""
+        self.peer, self.metrics = local_ports.free_address(), local_ports.free_address()
+        self.front = local_ports.free_address() if role == "gateway" else ""
+        self.ready = local_ports.free_address() if role == "gateway" else ""
         self.log = folder / f"{name}.log"
         self._settings = folder / f"{name}.json"
         cfg = {
