--- a/review/6/case.py
+++ b/review/6/case.py
@@ -36,7 +36,7 @@
 async def case() -> int:
     answers: list[tuple[str, str, fleet.Answer]] = []
     silences: dict[str, float] = {}
-    async with fleet.running(CASE) as run:
+    async with fleet.running(CASE / "record.txt") as run:
         await run.start_store()
         await run.write_desired_state(
             [fleet.route("r-1", "/lohu930/", "streaming", timeoutMs=TIMEOUT_S * 1000)]
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -52,7 +52,7 @@
 async def case() -> int:
     streams: dict[str, list[tuple[int, str]]] = {}
     tries: dict[str, list[str]] = {}
-    async with fleet.running(CASE) as run:
+    async with fleet.running(CASE / "record.txt") as run:
         await run.start_store()
         await run.write_desired_state(
             [fleet.route("r-1", "/lohu930/", "streaming", resumable=True, maxAttempts=2)]
--- a/review/common-2/fleet.py
+++ b/review/common-2/fleet.py
@@ -33,10 +33,10 @@
 
 
 class Record:
-    """Writes ``record.txt``: what was sent, answered and run."""
+    """Writes the ``record.txt`` of a case: what was sent, answered and run."""
 
-    def __init__(self, folder: pathlib.Path) -> None:
-        self._file = (folder / "record.txt").open("w")
+    def __init__(self, path: pathlib.Path) -> None:
+        self._file = path.open("w")
         self._begin_s = time.monotonic()
 
     def line(self, what: str, **fields: object) -> None:
@@ -422,9 +422,9 @@
 
 
 @contextlib.asynccontextmanager
-async def running(case: pathlib.Path):
-    """Run a fleet; all its programs have ended when the block has."""
-    record = Record(case)
+async def running(record_path: pathlib.Path):
+    """Run a fleet, and record it; all its programs have ended when the block has."""
+    record = Record(record_path)
     record.line("case", trouble=int(TROUBLE))
     with tempfile.TemporaryDirectory(prefix="case-") as folder:
         async with trio.open_nursery() as nursery:
