Keep the versions that may have begun streams in the store

Cause: what is missing from memory stood for "there was only one". A gateway that has just started knows the registered versions only; what gateways had told each other was gone with them, and the guard by start times covers only engines that replaced others within a minute. Log of a restarted gateway: stream_origin version=v2 possible=1 for streams that began at v1. Ruled out: a wrong origin told by another process, a wrong attempt named by callers, a version never observed.

This works because the store outlives all processes, and a process removes a version only after it has itself seen it absent for as long as streams live.

--- a/src/cornelgrade/edge_daemons.py
+++ b/src/cornelgrade/edge_daemons.py
@@ -78,12 +78,6 @@
     kern.add(upstream_reach.UpstreamReach(kern, dependencies.calls))
     kern.add(slot_permits.SlotPermits(kern, cfg))
     kern.add(peer_reach.PeerReach(kern, cfg))
-    kern.add(
-        stream_origins.StreamOrigins(
-            kern, cfg.vm, availability, dependencies.directory.upstream_kind
-        ),
-        _RESTART,
-    )
     repository = job_repository.JobRepository(dependencies.store, cfg.value_bytes)
     results = result_reader.ResultReader(
         repository,
@@ -152,6 +146,12 @@
     kern.add(upstream_outliers.UpstreamOutliers(kern, cfg))
     kern.add(path_ends.PathEnds())
     kern.add(path_watch.PathWatch(kern), _RESTART)
+    kern.add(
+        stream_origins.StreamOrigins(
+            kern, cfg.vm, dependencies.store, availability, dependencies.directory.upstream_kind
+        ),
+        _RESTART,
+    )
     kern.add(outage_checks.OutageChecks(kern, cfg, dependencies.calls), _RESTART)
     kern.add(crash_detector.CrashDetector(kern), _RESTART)
     if cfg.metrics_address is not None:
--- a/src/cornelgrade/policy/software_versions.py
+++ b/src/cornelgrade/policy/software_versions.py
@@ -63,7 +63,7 @@
 
 
 class VersionHistory:
-    """The versions that were registered lately, as one process has seen them.
+    """The versions that served lately, as one process has seen or read them.
 
     :param since_s: since when the process follows the registrations, on its monotonic clock.
     """
@@ -71,27 +71,41 @@
     def __init__(self, since_s: float) -> None:
         self._since_s = since_s
         self._last_seen_s: dict[StreamOrigin, float] = {}
-        self._registered: frozenset[StreamOrigin] = frozenset()
+        self._serving: frozenset[StreamOrigin] = frozenset()
 
     def observe(self, upstreams: Iterable[routes.Upstream], now_s: float) -> None:
-        """Record the registered upstreams, including those that are leaving."""
-        # What was registered until now served until now.
-        before = self._registered
-        self._registered = frozenset(origin_at(up) for up in upstreams if not up.restarted)
-        self._last_seen_s |= dict.fromkeys(before | self._registered, now_s)
-        for origin, last_seen_s in tuple(self._last_seen_s.items()):
-            if now_s - last_seen_s > STREAM_LIFETIME_S:
-                del self._last_seen_s[origin]
+        """Record the registered upstreams, including those that are leaving.
 
-    def list_origins(self, service: str, now_s: float) -> tuple[StreamOrigin, ...]:
-        """Return what may have begun a stream of a service, as far as this process knows."""
-        return tuple(
+        A start that is not registered yet counts as a version of its own until it is.
+        """
+        present = tuple(upstreams)
+        # What was registered until now served until now.
+        before = self._serving
+        self._serving = frozenset(map(origin_at, present))
+        seen = self._last_seen_s | dict.fromkeys(before | self._serving, now_s)
+        self._last_seen_s = {}
+        for origin, last_seen_s in seen.items():
+            if now_s - last_seen_s <= STREAM_LIFETIME_S:
+                resolved = resolve_origin(origin, present)
+                last_seen_s = max(last_seen_s, self._last_seen_s.get(resolved, last_seen_s))
+                self._last_seen_s[resolved] = last_seen_s
+
+    def restore(self, origins: Iterable[StreamOrigin], now_s: float) -> None:
+        """Add what may have begun streams until now, by a record of other processes."""
+        self._last_seen_s |= dict.fromkeys(origins, now_s)
+
+    def list_all_origins(self, now_s: float) -> frozenset[StreamOrigin]:
+        """Return what may have begun a stream of any service, as far as this process knows."""
+        return frozenset(
             origin
             for origin, last_seen_s in self._last_seen_s.items()
-            if origin.service == service
-            and (origin in self._registered or now_s - last_seen_s <= STREAM_LIFETIME_S)
+            if origin in self._serving or now_s - last_seen_s <= STREAM_LIFETIME_S
         )
 
+    def list_origins(self, service: str, now_s: float) -> tuple[StreamOrigin, ...]:
+        """Return what may have begun a stream of a service, as far as this process knows."""
+        return tuple(o for o in self.list_all_origins(now_s) if o.service == service)
+
     def is_complete(self, now_s: float) -> bool:
         """Return whether no version can have left before this process began to look.
 
--- a/src/cornelgrade/services/edge/fleet.py
+++ b/src/cornelgrade/services/edge/fleet.py
@@ -232,7 +232,10 @@
     async def _expire_registrations(self) -> None:
         while True:
             await trio.sleep(EXPIRY_INTERVAL_S)
-            self._registered = registrations.drop_expired(self._registered, trio.current_time())
+            present = registrations.drop_expired(self._registered, trio.current_time())
+            if len(present) < len(self._registered):
+                self._registered = present
+                self.changed.notify_all()
 
 
 def _make_notice(up: routes.Upstream) -> shared_ports.Leaving:
--- a/src/cornelgrade/services/edge/stream_origins.py
+++ b/src/cornelgrade/services/edge/stream_origins.py
@@ -3,9 +3,10 @@
 A stream goes on only at the version that began it, and its caller may take it up at any gateway.
 A gateway remembers the streams that began there. While several versions of a service serve, an
 upstream has been restarted and not registered since, or the gateway may not know of all versions,
-it also tells a few other gateways of each, so that the origin is known after it is gone. A gateway
-that doesn't know the origin asks. Without a reply it takes the only version that it knows for the
-origin, unless it may have missed registrations or a start is not registered.
+it also tells a few other gateways and a worker of each, so that the origin is known after it is
+gone, or after all gateways are. A gateway that doesn't know the origin asks. Without a reply it
+takes the only version that it knows for the origin, unless it may have missed registrations or a
+start is not registered. The versions before its start are known from a record in the store.
 """
 
 import collections
@@ -19,12 +20,21 @@
 import trio
 
 from cornelgrade import kernel, logs, routes
+from cornelgrade.adapters import platform
 from cornelgrade.policy import rendezvous, software_versions
 from cornelgrade.schema import messages
-from cornelgrade.services.edge import _store_availability, fleet, peers
-
-# Gateways that are told of a stream, beside the one at which it began.
+from cornelgrade.services.edge import (
+    _notifier,
+    _store_availability,
+    fleet,
+    peers,
+    version_records,
+)
+
+# Gateways that are told of a stream, beside the one at which it began, and workers, since all
+# gateways may restart at once.
 HOLDERS = 3
+WORKER_HOLDERS = 1
 # Other gateways that are asked beside the holders, because views of who is a holder may differ.
 MAX_OTHERS_ASKED = 5
 # The same while an unknown version may serve, as a stream is refused if nobody replies. In a larger
@@ -58,6 +68,7 @@
         self,
         kern: kernel.Kernel,
         vm: str,
+        store: platform.Platform,
         availability: _store_availability.StoreAvailability,
         upstream_kind: str,
     ) -> None:
@@ -68,6 +79,8 @@
         self._upstream_kind = upstream_kind
         self._rng = random.Random(vm)
         self._history = software_versions.VersionHistory(-software_versions.STREAM_LIFETIME_S)
+        self._observed = _notifier.Notifier()
+        self._records = version_records.VersionRecords(store, self._peers, vm, self._is_behind)
         self._known: collections.OrderedDict[int, _Known] = collections.OrderedDict()
         self._queries: dict[int, trio.Event] = {}
         self._mixed: frozenset[str] = frozenset()
@@ -82,6 +95,7 @@
             nursery.start_soon(self._receive_origins, received)
             nursery.start_soon(self._answer_queries, queries)
             nursery.start_soon(self._observe_changes)
+            nursery.start_soon(self._records.run, self._history, self._observed)
             nursery.start_soon(self._share_in_outages)
             started()
 
@@ -131,7 +145,7 @@
         # Registrations that this process missed until then may have arrived meanwhile.
         possible = self._list_origins(route)
         if found is None and len(possible) == 1 and not (doubtful or self._may_miss_version(route)):
-            found = possible[0] if self._is_only_origin(possible[0]) else None
+            found = possible[0] if self._knows_earlier_origins(possible[0].service) else None
         _log.info(
             "stream_origin",
             request=request_id,
@@ -162,12 +176,18 @@
             for origin in self._history.list_origins(target.service, now_s)
         )
 
-    def _is_only_origin(self, origin: software_versions.StreamOrigin) -> bool:
-        """Return whether no other version may have served before this process began to look."""
-        return self._history.is_complete(
-            trio.current_time()
-        ) or not software_versions.has_recent_start(
-            self._fleet.upstreams(), origin.service, time.time()
+    def _knows_earlier_origins(self, service: str) -> bool:
+        """Return whether this process knows the versions that served before it began to look."""
+        if self._history.is_complete(trio.current_time()):
+            return True
+        record, unix_s = self._records.record, time.time()
+        if record is None:
+            return False
+        if record.is_older(software_versions.STREAM_LIFETIME_S, unix_s):
+            return True
+        # A version that left before the record was created is not in it.
+        return not record.replaced and not software_versions.has_recent_start(
+            self._fleet.upstreams(), service, unix_s
         )
 
     async def _ask(self, key: int, max_others: int) -> software_versions.StreamOrigin | None:
@@ -194,7 +214,11 @@
         return [vm for vm in self._peers.registered_vms(peers.Role.GATEWAY) if vm != self._vm]
 
     def _holders(self, key: int) -> tuple[str, ...]:
-        return rendezvous.pick_members(str(key), self._other_gateways(), HOLDERS)
+        workers = self._peers.registered_vms(peers.Role.WORKER)
+        return (
+            *rendezvous.pick_members(str(key), self._other_gateways(), HOLDERS),
+            *rendezvous.pick_members(str(key), workers, WORKER_HOLDERS),
+        )
 
     def _tell_holders(self, keys: Iterable[int]) -> None:
         """Send origins to their holders, joined into few datagrams."""
@@ -235,6 +259,7 @@
     async def _observe_changes(self) -> None:
         while True:
             self._observe()
+            self._observed.notify_all()
             await self._fleet.changed.wait()
 
     async def _share_in_outages(self) -> None:
--- a/tests/edge/test_stream_versions.py
+++ b/tests/edge/test_stream_versions.py
@@ -2,12 +2,14 @@
 
 import dataclasses
 
+import msgspec
 import pytest
 import trio
 
 from cornelgrade import routes
 from cornelgrade.platform.standins import edge_system, stream_engine
-from cornelgrade.services.edge import store_monitor, stream_origins
+from cornelgrade.policy import software_versions
+from cornelgrade.services.edge import store_monitor, stream_origins, version_records
 
 OLD, NEW = "v1", "v2"
 EVENTS = 6
@@ -420,3 +422,100 @@
     fleet.system.nodes.pop("gateway-0").scope.cancel()
     got = await fleet.take_up("gateway-1", "again", "first")
     assert (got.status, got.body) == (200, rest_of_stream("again"))
+
+
+async def register_as_long_running(fleet):
+    """Register all engines as started long ago, so that none can have replaced another."""
+    for eng in fleet.system.engines.values():
+        eng.started_ms = 1
+        await fleet.system.register(eng.upstream(edge_system.SERVICE, "north"))
+    await trio.sleep(0.6)
+
+
+# Guards against taking the only registered version for the one that began a stream after all
+# gateways were killed: another one that served beside it for long may have left just before.
+@pytest.mark.parametrize("workers", [0, 1])
+async def test_stream_is_refused_if_its_version_left_before_all_gateways_restarted(
+    start_fleet, workers
+):
+    fleet = await start_fleet(OLD, NEW, NEW, gateways=2, workers=workers)
+    await register_as_long_running(fleet)
+    await fleet.begin("gateway-0", "first")
+    found = await fleet.system.store.get(edge_system.Directory.upstream_kind, "engine-0")
+    await fleet.system.store.delete(found.kind, found.name, found.version)
+    await restart_gateways(fleet.system, "gateway-2", "gateway-3")
+    got = await fleet.take_up("gateway-2", "again", "first")
+    assert got.status == 503
+    assert "retry-after" in got.headers
+    assert fleet.ran("again") == []
+
+
+# Guards against refusing all streams after the gateways were killed while their versions serve.
+async def test_stream_goes_on_at_its_version_after_all_gateways_restarted(start_fleet):
+    fleet = await start_fleet(OLD, OLD, NEW, NEW, gateways=2, workers=1)
+    for number in range(4):
+        await fleet.begin("gateway-0", f"first-{number}")
+    await restart_gateways(fleet.system, "gateway-2", "gateway-3")
+    for number in range(4):
+        got = await fleet.take_up(f"gateway-{2 + number % 2}", f"again-{number}", f"first-{number}")
+        assert (got.status, got.body) == (200, rest_of_stream(f"again-{number}"))
+        assert set(fleet.ran(f"again-{number}")) == {OLD}
+
+
+async def read_recorded_versions(fleet):
+    stored = await fleet.system.store.get(version_records.KIND, version_records.NAME)
+    record = msgspec.json.decode(stored.value, type=version_records.StoredVersions)
+    return [origin.version for origin in record.origins]
+
+
+# Guards against a version that is recorded for ever after it has left.
+async def test_version_that_left_is_removed_from_the_record(start_fleet, monkeypatch):
+    monkeypatch.setattr(software_versions, "STREAM_LIFETIME_S", 2.0)
+    monkeypatch.setattr(version_records, "EXPIRY_INTERVAL_S", 0.2)
+    fleet = await start_fleet(OLD, NEW, gateways=2, workers=1)
+    with trio.fail_after(5):
+        while await read_recorded_versions(fleet) != [OLD, NEW]:
+            await trio.sleep(0.05)
+    found = await fleet.system.store.get(edge_system.Directory.upstream_kind, "engine-0")
+    await fleet.system.store.delete(found.kind, found.name, found.version)
+    await trio.sleep(1.0)
+    assert await read_recorded_versions(fleet) == [OLD, NEW]
+    with trio.fail_after(8):
+        while await read_recorded_versions(fleet) != [NEW]:
+            await trio.sleep(0.05)
+
+
+# Guards against taking a record that another writer has spoilt for one without other versions.
+@pytest.mark.parametrize(
+    "raw",
+    [
+        b"[" * 5_000 + b"]" * 5_000,
+        b'{"created_ms":1}',
+        b'{"created_ms":%s,"origins":[]}' % (b"9" * 400),
+        b'{"created_ms":1,"origins":[{"service":"\xff","version":""}]}',
+    ],
+    ids=["deep", "missing", "number", "utf8"],
+)
+async def test_stream_is_refused_if_the_versions_before_a_restart_cannot_be_read(start_fleet, raw):
+    fleet = await start_fleet(OLD, NEW, NEW, gateways=2)
+    await register_as_long_running(fleet)
+    await fleet.begin("gateway-0", "first")
+    for name in list(fleet.system.nodes):
+        fleet.system.nodes.pop(name).scope.cancel()
+    found = await fleet.system.store.get(edge_system.Directory.upstream_kind, "engine-0")
+    await fleet.system.store.delete(found.kind, found.name, found.version)
+    await fleet.system._put_object(version_records.KIND, version_records.NAME, msgspec.Raw(raw))
+    await restart_gateways(fleet.system, "gateway-2")
+    got = await fleet.take_up("gateway-2", "again", "first")
+    assert got.status == 503
+    assert fleet.ran("again") == []
+    with trio.fail_after(5):
+        while await read_recorded_versions_or_none(fleet) != [NEW]:
+            await trio.sleep(0.05)
+
+
+async def read_recorded_versions_or_none(fleet):
+    try:
+        return await read_recorded_versions(fleet)
+    except msgspec.DecodeError:
+        return None
