Read small pieces in linear time and let other tasks go on

The gateways' processes hung.

Cause, two parts: the splitter of events searched an unfinished event anew with each chunk, which costs the square of its size; and the chunks that one read brought were handled without a checkpoint, so that no other task ran and no deadline acted. Ruled out: slots that the engine holds (readiness checks waited too).

Change: splitters search each byte once; the client of gateways, workers, peers and the store joins chunks that have arrived and gives way after some of them; so do the client of the product's own interface and the server.

--- a/src/cornelgrade/adapters/http1.py
+++ b/src/cornelgrade/adapters/http1.py
@@ -20,6 +20,10 @@
 from cornelgrade.policy import response_end
 
 READ_BYTES = 65_536
+# What is parsed between two steps of other tasks, as neither chunks nor events end with what the
+# socket returns at once: bytes of a stream of events, which are split further, and chunks.
+MAX_EVENTS_PART_BYTES = 4_096
+MAX_JOINED_CHUNKS = 128
 # What is skipped before a response: interim ones (1xx), and those to other requests with the bytes
 # of their bodies. An upstream that sends more may never come to an end.
 MAX_INTERIM_RESPONSES = 16
@@ -121,6 +125,10 @@
         self._h11 = h11.Connection(h11.CLIENT)
         self._request: h11.Request | None = None
         self._body_end: response_end.BodyEnd = response_end.AnyEnd()
+        self._max_part_bytes = READ_BYTES
+        self._unread = memoryview(b"")
+        self._next_event_or_error: object = None
+        self._has_waited = True
         self._confirm_end: Callable[[], Awaitable[bool]] | None = None
         self._needs_confirmation = False
         self._may_be_empty = False
@@ -199,6 +207,8 @@
                 head = ResponseHead(event.status_code, headers)
                 self._body_end = self._follow_body(head)
                 self._needs_confirmation = self._ends_with_connection(head)
+                is_stream = response_end.is_event_stream(_content_type(head))
+                self._max_part_bytes = MAX_EVENTS_PART_BYTES if is_stream else READ_BYTES
                 return head
             if not isinstance(event, h11.InformationalResponse):
                 raise self._end_error("connection closed before a response", "head")
@@ -214,10 +224,9 @@
         """Return what judges the end of a body; a failure has no events to wait for."""
         if self._is_head_request():
             return response_end.AnyEnd()
-        content_type = (head.get(b"content-type") or b"").decode("latin-1")
         framed = head.framing is not Framing.CONNECTION or head.status >= _MIN_NOT_SUCCESS_STATUS
         return response_end.follow_body(
-            content_type, framed=framed, may_be_empty=self._may_be_empty
+            _content_type(head), framed=framed, may_be_empty=self._may_be_empty
         )
 
     async def read_chunk(self) -> bytes:
@@ -233,6 +242,19 @@
     async def _read_part(self) -> bytes:
         """Return the next chunk of the body, ``b""`` where its framing ends."""
         self.progress = engine.Progress.PART_ANSWERED
+        if not self._has_waited:
+            # A peer that sends faster than this process reads would keep all other tasks waiting.
+            await trio.lowlevel.checkpoint()
+        self._has_waited = False
+        if not self._unread:
+            self._unread = memoryview(await self._read_data())
+        part = bytes(self._unread[: self._max_part_bytes])
+        self._unread = self._unread[len(part) :]
+        self._body_end.feed(part)
+        return part
+
+    async def _read_data(self) -> bytes:
+        """Return what has arrived of the body, ``b""`` where its framing ends."""
         while True:
             event = await self._next_event("body")
             if isinstance(event, h11.EndOfMessage):
@@ -240,12 +262,27 @@
                     raise self._end_error(reason, "body")
                 return b""
             if isinstance(event, h11.Data) and event.data:
-                part = bytes(event.data)
-                self._body_end.feed(part)
-                return part
+                return self._join_chunks(event)
             if isinstance(event, h11.ConnectionClosed):
                 raise self._end_error("connection closed within the response", "body")
 
+    def _join_chunks(self, first: h11.Data) -> bytes:
+        """Return a chunk with those behind it that have arrived, since they may be small."""
+        data = bytearray(first.data)
+        for _ in range(MAX_JOINED_CHUNKS):
+            if len(data) >= self._max_part_bytes:
+                break
+            try:
+                event = self._h11.next_event()
+            except h11.RemoteProtocolError as exc:
+                self._next_event_or_error = exc
+                break
+            if not isinstance(event, h11.Data):
+                self._next_event_or_error = event if event is not h11.NEED_DATA else None
+                break
+            data += event.data
+        return bytes(data)
+
     async def _end_body(self) -> None:
         """Complete the body, once that is confirmed if only its connection marks the end."""
         confirm = self._confirm_end if self._needs_confirmation else None
@@ -313,18 +350,29 @@
     async def _next_event(self, step: str) -> object:
         try:
             while True:
-                event = self._h11.next_event()
+                event = self._take_event()
                 if event is h11.PAUSED:
                     raise self.call_error("unexpected data after the response", step)
                 if event is not h11.NEED_DATA:
                     return event
                 self._h11.receive_data(await self._stream.receive_some(READ_BYTES))
                 self.last_received_s = trio.current_time()
+                self._has_waited = True
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
             raise self._end_error(f"connection lost: {exc!r}", step) from exc
         except h11.RemoteProtocolError as exc:
             raise self._end_error(f"invalid response: {exc}", step) from exc
 
+    def _take_event(self) -> object:
+        """Return the next event of the protocol.
+
+        :raises RemoteProtocolError: if the peer breaks it.
+        """
+        event, self._next_event_or_error = self._next_event_or_error, None
+        if isinstance(event, h11.RemoteProtocolError):
+            raise event
+        return event if event is not None else self._h11.next_event()
+
     def _end_error(self, message: str, step: str) -> engine.CallError:
         """Return an error of a call that can't go on, also of one whose peer is still connected."""
         exc = self.call_error(message, step)
@@ -339,6 +387,10 @@
         )
 
 
+def _content_type(head: ResponseHead) -> str:
+    return (head.get(b"content-type") or b"").decode("latin-1")
+
+
 async def connect(address: str, timeout_s: float) -> Channel:
     """Open a channel.
 
--- a/src/cornelgrade/adapters/http1_connection.py
+++ b/src/cornelgrade/adapters/http1_connection.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import fcntl
+import itertools
 import socket
 import struct
 import sys
@@ -17,6 +18,8 @@
 from cornelgrade.policy import slow_readers
 
 READ_BYTES = 65_536
+# Chunks of a body that are read between two steps of other tasks, as many may arrive at once.
+MAX_CHUNKS_AT_ONCE = 128
 # Bytes buffered while a request is handled; beyond them the server stops reading.
 MAX_EARLY_BYTES = 262_144
 # How long a client may take to read the error response to a rejected request.
@@ -204,10 +207,12 @@
     async def _read_body(self, limit_bytes: int) -> bytes:
         parts: list[bytes] = []
         size = 0
-        while True:
+        for number in itertools.count(1):
+            if number % MAX_CHUNKS_AT_ONCE == 0:
+                await trio.lowlevel.checkpoint()
             event = await self._next_event()
             if isinstance(event, h11.EndOfMessage):
-                return b"".join(parts)
+                break
             if isinstance(event, h11.Data):
                 parts.append(bytes(event.data))
                 size += len(event.data)
@@ -215,6 +220,7 @@
                 self._buffers.hold_request(len(event.data), held=self._held_bytes)
             if size > limit_bytes:
                 raise BodyTooLargeError
+        return b"".join(parts)
 
     async def _next_event(self) -> object:
         while True:
--- a/src/cornelgrade/adapters/upstream_http.py
+++ b/src/cornelgrade/adapters/upstream_http.py
@@ -1,6 +1,7 @@
 """Calls to upstreams over HTTP/1.1 with httpx, with timeouts on inactivity and typed failures."""
 
 import contextlib
+import itertools
 import types
 from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import TypeVar
@@ -21,6 +22,8 @@
 # The body of any response. Whole ones are kept until their end, and a faulty upstream may send
 # bytes without end.
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+# Chunks that are read between two steps of other tasks, as many of them may arrive at once.
+MAX_CHUNKS_AT_ONCE = 32
 _NO_TIMEOUT = httpx.Timeout(None, connect=CONNECT_TIMEOUT_S)
 _HOP_BY_HOP = frozenset(
     (
@@ -131,9 +134,11 @@
         received_bytes = 0
         raw = self._response.aiter_raw().__aiter__()
         chunk_deadline_s = self._first_byte_deadline_s
-        while True:
+        for number in itertools.count(1):
             try:
                 with trio.fail_at(chunk_deadline_s):
+                    if number % MAX_CHUNKS_AT_ONCE == 0:
+                        await trio.lowlevel.checkpoint()
                     chunk = await raw.__anext__()
             except StopAsyncIteration:
                 if reason := self._body_end.find_break():
@@ -308,7 +313,13 @@
         """
         received = bytearray()
         async with self._pool.client.stream(method, path, content=body) as response:
-            async for part in response.aiter_bytes():
+            parts = response.aiter_bytes()
+            for number in itertools.count(1):
+                if number % MAX_CHUNKS_AT_ONCE == 0:
+                    await trio.lowlevel.checkpoint()
+                part = await anext(parts, None)
+                if part is None:
+                    break
                 received += part
                 if len(received) > MAX_CONTROL_BYTES:
                     raise self._call_error(
--- a/src/cornelgrade/daemons.py
+++ b/src/cornelgrade/daemons.py
@@ -17,6 +17,7 @@
     conditions,
     configuration,
     drain,
+    event_loop_watch,
     fleet_histories,
     histories,
     job_store,
@@ -120,6 +121,7 @@
     grace_s: float,
 ) -> None:
     step_histories = histories.Histories()
+    kern.add(event_loop_watch.EventLoopWatch())
     kern.add(drain.Drain(grace_s))
     kern.add(step_histories)
     if cfg.tracing is not None:
--- a/src/cornelgrade/edge_daemons.py
+++ b/src/cornelgrade/edge_daemons.py
@@ -9,7 +9,7 @@
 
 from cornelgrade import errors, kernel, log_stream, logs, settings
 from cornelgrade.adapters import platform
-from cornelgrade.services import quarantine
+from cornelgrade.services import event_loop_watch, quarantine
 from cornelgrade.services.edge import (
     _store_availability,
     allowances,
@@ -125,6 +125,7 @@
 def _add_common_services(
     kern: kernel.Kernel, cfg: settings.EdgeSettings, dependencies: Dependencies, role: peers.Role
 ) -> _store_availability.StoreAvailability:
+    kern.add(event_loop_watch.EventLoopWatch())
     availability = _store_availability.StoreAvailability()
     peer_service = peers.Peers(cfg, role, dependencies.store, availability)
     kern.add(peer_service, _RESTART)
--- a/src/cornelgrade/policy/event_stream.py
+++ b/src/cornelgrade/policy/event_stream.py
@@ -10,6 +10,7 @@
 MAX_EVENT_BYTES = 262_144
 # A line ends with CR, LF or both.
 MAX_LINE_END_BYTES = 2
+_MAX_BLANK_LINE_BYTES = 2 * MAX_LINE_END_BYTES
 MALFORMED_MESSAGE = "lines that belong to no event stream"
 _LINE_END_BYTES = b"\r\n"
 # Number of the first event of a stream, if it has one.
@@ -106,23 +107,34 @@
 class EventSplitter:
     """Buffers chunks of a stream and returns complete events.
 
-    :ivar remainder: bytes of the event that is not complete yet.
+    Each byte is searched once, however small the chunks are.
     """
 
     def __init__(self) -> None:
-        self.remainder = b""
+        self._buffer = bytearray()
+        self._searched = 0
+
+    @property
+    def remainder(self) -> bytes:
+        """Bytes of the event that is not complete yet."""
+        return bytes(self._buffer)
 
     def feed(self, chunk: bytes) -> tuple[Event, ...]:
         """Append a chunk and return the events that it completes.
 
         :raises EventTooLongError: if the event that is not complete yet is too long.
         """
-        self.remainder += chunk
+        self._buffer += chunk
         events = []
-        while (end := _find_event_end(self.remainder)) is not None:
-            raw, self.remainder = self.remainder[:end], self.remainder[end:]
-            events.append(_parse_event(raw))
-        if len(self.remainder) > MAX_EVENT_BYTES:
+        begin = 0
+        # The blank line may have begun in the bytes that were searched before.
+        search_from = max(0, self._searched - _MAX_BLANK_LINE_BYTES)
+        while (found := _BLANK_LINE.search(self._buffer, search_from)) is not None:
+            events.append(_parse_event(bytes(self._buffer[begin : found.end()])))
+            begin = search_from = found.end()
+        del self._buffer[:begin]
+        self._searched = len(self._buffer)
+        if self._searched > MAX_EVENT_BYTES:
             raise EventTooLongError(f"no event ends within {MAX_EVENT_BYTES} bytes")
         return tuple(events)
 
--- a/src/cornelgrade/policy/response_end.py
+++ b/src/cornelgrade/policy/response_end.py
@@ -99,13 +99,18 @@
         return ""
 
 
+def is_event_stream(content_type: str) -> bool:
+    """Return whether a body of this type is a stream of events."""
+    return content_type.startswith(_EVENT_STREAM)
+
+
 def follow_body(content_type: str, *, framed: bool, may_be_empty: bool = False) -> BodyEnd:
     """Return what judges the end of a body of this type.
 
     :param framed: whether more than the end of the connection marks the end of the body.
     :param may_be_empty: whether an unframed stream may have no event.
     """
-    if content_type.startswith(_EVENT_STREAM):
+    if is_event_stream(content_type):
         return _EventStreamEnd(may_be_empty=framed or may_be_empty)
     return AnyEnd()
 
--- a/src/cornelgrade/services/_relay.py
+++ b/src/cornelgrade/services/_relay.py
@@ -41,12 +41,11 @@
         event in time, an event that is too long, or lines that belong to no event stream.
     """
     yield exchange.ResponseHead(response.status, response.headers)
-    partial = b""
+    partial = _PartialEvents()
     chunks = response.chunks()
     event_deadline_s = trio.current_time() + timeouts.first_s
     while (chunk := await _read_chunk(chunks, event_deadline_s, peer)) is not None:
-        taken = _take_events(partial + chunk if partial else chunk)
-        partial = taken.rest
+        taken = partial.take_events(chunk)
         if taken.count:
             event_deadline_s = trio.current_time() + timeouts.gap_s
         if taken.events:
@@ -56,7 +55,7 @@
             return
         if taken.malformed:
             raise _relay_error(event_stream.MALFORMED_MESSAGE, peer)
-        if len(partial) > event_stream.MAX_EVENT_BYTES:
+        if partial.size > event_stream.MAX_EVENT_BYTES:
             raise _relay_error("an event exceeds the size limit", peer)
     raise _relay_error("the stream ended without its end marker", peer)
 
@@ -66,31 +65,50 @@
     """Complete events at the begin of some data.
 
     :param count: number of those with data, excluding the end marker.
-    :param rest: data of the event that is not complete yet.
     :param ended: whether the last one is the end marker.
     :param malformed: whether lines that belong to no event stream follow.
     """
 
     events: bytes
     count: int
-    rest: bytes = b""
     ended: bool = False
     malformed: bool = False
 
 
-def _take_events(data: bytes) -> _TakenEvents:
-    """Take complete events, up to the end marker or to the first one that is malformed."""
-    start = count = 0
-    while (found := data.find(engine.EVENT_END, start)) >= 0:
-        end = found + len(engine.EVENT_END)
-        event = data[start:end]
-        if not event_stream.belongs_to_stream(event):
-            return _TakenEvents(data[:start], count, malformed=True)
-        if event == engine.END_MARKER or event.endswith(b"\n" + engine.END_MARKER):
-            return _TakenEvents(data[:end], count, ended=True)
-        count += any(line.startswith(_DATA) for line in event.split(b"\n"))
-        start = end
-    return _TakenEvents(data[:start], count, data[start:])
+class _PartialEvents:
+    """Data of a stream from the event on that is not complete yet.
+
+    Each byte is searched once, however small the chunks are.
+    """
+
+    def __init__(self) -> None:
+        self._data = bytearray()
+        self._searched = 0
+
+    @property
+    def size(self) -> int:
+        """Number of bytes."""
+        return len(self._data)
+
+    def take_events(self, chunk: bytes) -> _TakenEvents:
+        """Append a chunk; take complete events, up to the end marker or to a malformed one."""
+        self._data += chunk
+        start = count = 0
+        # The end of an event may have begun in the bytes that were searched before.
+        search_from = max(0, self._searched - len(engine.EVENT_END) + 1)
+        while (found := self._data.find(engine.EVENT_END, search_from)) >= 0:
+            end = search_from = found + len(engine.EVENT_END)
+            event = bytes(self._data[start:end])
+            if not event_stream.belongs_to_stream(event):
+                return _TakenEvents(bytes(self._data[:start]), count, malformed=True)
+            if event == engine.END_MARKER or event.endswith(b"\n" + engine.END_MARKER):
+                return _TakenEvents(bytes(self._data[:end]), count, ended=True)
+            count += any(line.startswith(_DATA) for line in event.split(b"\n"))
+            start = end
+        taken = _TakenEvents(bytes(self._data[:start]), count)
+        del self._data[:start]
+        self._searched = len(self._data)
+        return taken
 
 
 async def _read_chunk(chunks: AsyncIterator[bytes], deadline_s: float, peer: str) -> bytes | None:
--- a/tests/edge/test_endless_bytes.py
+++ b/tests/edge/test_endless_bytes.py
@@ -201,3 +201,85 @@
                 results |= dict(await system.results("gateway-0", "job", len(results)))
     assert results == {name: stream_engine.result_text(name, 5) for name in results}
     assert 0 < endless.taken_bytes <= MAX_GARBAGE_BYTES
+
+
+def chunked(piece, size=BLOCK):
+    """Return many chunks that hold a piece each."""
+    return b"%x\r\n%s\r\n" % (len(piece), piece) * (size // (len(piece) + 5))
+
+
+CHUNKED = STREAM_HEAD + b"transfer-encoding: chunked\r\n\r\n"
+UNFRAMED = STREAM_HEAD + b"connection: close\r\n\r\n"
+# What costs much to parse for its size.
+SMALL_PIECES = {
+    "pieces of an event": (CHUNKED, chunked(b"x" * 16)),
+    "bytes of an event": (CHUNKED, chunked(b"x")),
+    "lines of an event": (UNFRAMED, b"data: x\n" * (BLOCK // 8)),
+    "comments": (CHUNKED, chunked(b":\n\n")),
+    "comments without length": (UNFRAMED, b":\n\n" * (BLOCK // 3)),
+    "blank lines": (UNFRAMED, b"\n" * BLOCK),
+    "events": (UNFRAMED, b"id: 1\ndata: x\n\n" * (BLOCK // 16)),
+    "events without numbers": (UNFRAMED, b"data: x\n\n" * (BLOCK // 9)),
+    "text": (PLAIN_HEAD + b"transfer-encoding: chunked\r\n\r\n", chunked(b"x")),
+    "another's body": (OTHERS_HEAD + b"transfer-encoding: chunked\r\n\r\n", chunked(b"x")),
+    "interim responses": GARBAGE["interim responses"],
+    "others' responses": GARBAGE["others' responses"],
+}
+# Longest time in which other tasks of the process take no step.
+MAX_STALL_S = 0.25
+TICK_S = 0.01
+
+
+@contextlib.asynccontextmanager
+async def measured_stalls():
+    """Measure how late a task is that wants to run all the while."""
+    stalls = [0.0]
+
+    async def tick():
+        while True:
+            due_s = trio.current_time() + TICK_S
+            await trio.sleep_until(due_s)
+            stalls.append(trio.current_time() - due_s)
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(tick)
+        yield stalls
+        nursery.cancel_scope.cancel()
+
+
+# Guards against an upstream whose bytes keep a process from all its other tasks. Seen as gateways
+# that answered nobody and noticed no time limit for seconds.
+@pytest.mark.parametrize(
+    ("kind", "prefix"),
+    [
+        *((kind, edge_system.RESUMABLE_PREFIX) for kind in SMALL_PIECES),
+        ("pieces of an event", edge_system.ONCE_PREFIX),
+        ("comments", edge_system.ONCE_PREFIX),
+        ("text", edge_system.ONCE_PREFIX),
+    ],
+)
+async def test_other_tasks_go_on_beside_endless_small_pieces(kind, prefix, monkeypatch):
+    monkeypatch.setitem(GARBAGE, kind, SMALL_PIECES[kind])
+    async with edge_system.run_system(engines=1) as system, measured_stalls() as stalls:
+        endless = await start_endless(system, kind)
+        stalls.clear()
+        await system.send_online("gateway-0", prefix, "r1")
+        await wait_until_closed(endless)
+        assert max(stalls, default=0.0) < MAX_STALL_S
+    assert endless.taken_bytes
+
+
+# Guards against the same in a worker, at its items.
+@pytest.mark.parametrize("kind", SMALL_PIECES)
+async def test_worker_goes_on_beside_endless_small_pieces(kind, monkeypatch):
+    monkeypatch.setitem(GARBAGE, kind, SMALL_PIECES[kind])
+    async with (
+        edge_system.run_system(engines=1, workers=1) as system,
+        measured_stalls() as stalls,
+    ):
+        endless = await start_endless(system, kind)
+        stalls.clear()
+        await system.submit("gateway-0", "job", {"item-0": b"note"})
+        await trio.sleep(1.0)
+        assert max(stalls, default=0.0) < MAX_STALL_S
+    assert endless.taken_bytes
