Don't take the part of an early answer to a long upload for the whole

Callers got the part of an answer as complete (MIXED): an engine answers a long upload at once with a 200 that has no length, sends part of its body and resets the connection while the upload is still being written.

Cause: the end of the connection stood for the end of the answer. The client suppresses a failed write, as a peer may answer before it has read all; that write takes the reset from the socket, so that the next reads bring what has arrived and then an end of file. The check whether the engine runs says yes, since it does. Not shown: a reset lost between two reads.

Change: a body that only the end of the connection marks is broken off unless the request was written whole and the peer's kernel has acknowledged it, in the client of gateways, workers, peers and the store; in the product's own interface the HTTP library's trace tells of the failed write. This works because the answer of a peer that received the whole request can't end before that is acknowledged. Answers with a length or chunks are judged by these as before.

--- a/src/cornelgrade/adapters/http1.py
+++ b/src/cornelgrade/adapters/http1.py
@@ -7,7 +7,9 @@
 
 import contextlib
 import enum
+import fcntl
 import socket
+import termios
 from collections.abc import Awaitable, Callable
 from types import TracebackType
 
@@ -131,6 +133,7 @@
         self._has_waited = True
         self._confirm_end: Callable[[], Awaitable[bool]] | None = None
         self._needs_confirmation = False
+        self._is_written = False
         self._may_be_empty = False
         self._skipped_responses = 0
 
@@ -194,9 +197,11 @@
         self._request = request
         self.progress = engine.Progress.SENT
         # The peer may respond before it has read the whole body; the outcome is decided by its
-        # response, not by the failed write.
+        # response, not by the failed write. That write may have taken the reset from the socket, so
+        # that the response seems to end with a close.
         with contextlib.suppress(trio.BrokenResourceError, trio.ClosedResourceError):
             await self._stream.send_all(raw)
+            self._is_written = True
 
     async def read_head(self) -> ResponseHead:
         """Wait for the status and headers of the final response."""
@@ -285,11 +290,19 @@
 
     async def _end_body(self) -> None:
         """Complete the body, once that is confirmed if only its connection marks the end."""
+        if self._needs_confirmation and not self._is_request_received():
+            raise self.call_error("connection ended before the whole request was received", "body")
         confirm = self._confirm_end if self._needs_confirmation else None
         if confirm is not None and not await confirm():
             raise self.call_error("connection ended, and the peer may be down", "body")
         self.progress = engine.Progress.ANSWERED
 
+    def _is_request_received(self) -> bool:
+        """Return whether the peer's kernel has acknowledged the whole request."""
+        unsent = bytearray(4)
+        fcntl.ioctl(self._stream.socket.fileno(), termios.TIOCOUTQ, unsent)
+        return self._is_written and not any(unsent)
+
     async def read_chunk_by(self, deadline_s: float, step: str) -> bytes:
         """Return the next chunk of the body as :meth:`read_chunk`, at a deadline at the latest.
 
--- a/src/cornelgrade/adapters/upstream_http.py
+++ b/src/cornelgrade/adapters/upstream_http.py
@@ -4,7 +4,7 @@
 import itertools
 import types
 from collections.abc import AsyncIterator, Awaitable, Callable
-from typing import TypeVar
+from typing import Any, TypeVar
 
 import httpx
 import msgspec
@@ -40,6 +40,10 @@
 )
 _MIN_NOT_SUCCESS_STATUS = 300
 _ENDED_MESSAGE = "upstream ended with a body that only its connection ends"
+_CUT_MESSAGE = "connection ended before the whole request was sent"
+_FAILED_WRITES = frozenset(
+    ("http11.send_request_headers.failed", "http11.send_request_body.failed")
+)
 _NOT_SENT_ERRORS = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
 
 
@@ -92,10 +96,26 @@
             await self.client.aclose()
 
 
+class _Upload:
+    """Whether a request was written whole.
+
+    httpx reads the response also after a failed write, which takes a reset from the socket, so that
+    the response seems to end with a close.
+    """
+
+    def __init__(self) -> None:
+        self.failed = False
+
+    async def trace(self, event: str, info: dict[str, Any]) -> None:
+        """Take an event of httpcore's trace extension."""
+        self.failed = self.failed or event in _FAILED_WRITES
+
+
 class HttpResponse:
     """A response whose status and headers have arrived.
 
     :param first_byte_deadline_s: deadline of the first chunk, on trio's clock.
+    :param upload: the request that it responds to.
     :param call: the call that it responds to.
     :param is_running: asks whether the upstream still runs as the start that it is given, if any.
     """
@@ -103,6 +123,7 @@
     def __init__(
         self,
         response: httpx.Response,
+        upload: _Upload,
         peer: str,
         first_byte_deadline_s: float,
         call: engine.Call,
@@ -118,6 +139,7 @@
         self._start = response.headers.get(engine.START_HEADER, "")
         self._is_running = is_running
         self._response = response
+        self._is_cut = upload.failed and not _is_framed(response)
         self._peer = peer
         self._first_byte_deadline_s = first_byte_deadline_s
         self._gap_timeout_s = call.gap_timeout_s
@@ -141,6 +163,8 @@
                         await trio.lowlevel.checkpoint()
                     chunk = await raw.__anext__()
             except StopAsyncIteration:
+                if self._is_cut:
+                    raise self._body_error(_CUT_MESSAGE, timed_out=False) from None
                 if reason := self._body_end.find_break():
                     raise self._body_error(reason, timed_out=False) from None
                 if not self._end_marked and not await self._is_running(self._start):
@@ -199,8 +223,11 @@
         pool = _ConnectionPool(self._base_url) if call.new_connection else self._pool
         first_byte_deadline_s = trio.current_time() + call.first_byte_timeout_s
         async with pool.acquire() as client:
-            raw = await self._send(client, call, first_byte_deadline_s)
-            response = HttpResponse(raw, self.name, first_byte_deadline_s, call, self._is_running)
+            upload = _Upload()
+            raw = await self._send(client, call, upload, first_byte_deadline_s)
+            response = HttpResponse(
+                raw, upload, self.name, first_byte_deadline_s, call, self._is_running
+            )
             try:
                 yield response
             finally:
@@ -261,12 +288,22 @@
             await stale.close_when_idle()
 
     async def _send(
-        self, client: httpx.AsyncClient, call: engine.Call, first_byte_deadline_s: float
+        self,
+        client: httpx.AsyncClient,
+        call: engine.Call,
+        upload: _Upload,
+        first_byte_deadline_s: float,
     ) -> httpx.Response:
         headers = [*call.headers, (engine.STREAM_ID_HEADER, call.stream_id)]
         if call.resume_from:
             headers.append((engine.RESUME_HEADER, str(call.resume_from)))
-        req = client.build_request(call.method, call.path, content=call.body, headers=headers)
+        req = client.build_request(
+            call.method,
+            call.path,
+            content=call.body,
+            headers=headers,
+            extensions={"trace": upload.trace},
+        )
         try:
             with trio.fail_at(first_byte_deadline_s):
                 return await client.send(req, stream=True)
