Reject responses whose heads are invalid

Cause: the parser is lenient where RFC 9112 leaves the choice. A line that begins with a blank was joined with the one before; a length in it was lost, and the body read to the end of the connection. Control characters in values, status 600 and version 2.0 passed too. A head with a length and chunks was passed on with both.

Change: policy/response_head.py judges heads as received and as parsed. The client of gateways, workers, peers and the store uses both, the product's own interface the parsed ones, as its HTTP library joins lines before anything can see them. What fails is no response, so it is tried elsewhere or ends with 502.

--- a/src/cornelgrade/adapters/http1.py
+++ b/src/cornelgrade/adapters/http1.py
@@ -19,7 +19,7 @@
 
 from cornelgrade import addresses
 from cornelgrade.adapters import engine
-from cornelgrade.policy import response_end
+from cornelgrade.policy import response_end, response_head
 
 READ_BYTES = 65_536
 # What is parsed between two steps of other tasks, as neither chunks nor events end with what the
@@ -206,10 +206,13 @@
     async def read_head(self) -> ResponseHead:
         """Wait for the status and headers of the final response."""
         for _ in range(MAX_INTERIM_RESPONSES):
-            event = await self._next_event("head")
+            event = await self._next_event("head", begins_response=True)
             if isinstance(event, h11.Response):
                 headers = tuple((bytes(k), bytes(v)) for k, v in event.headers)
                 head = ResponseHead(event.status_code, headers)
+                version = event.http_version.decode()
+                if fault := response_head.find_fault(version, head.status, headers):
+                    raise self._end_error(f"invalid response: {fault}", "head")
                 self._body_end = self._follow_body(head)
                 self._needs_confirmation = self._ends_with_connection(head)
                 is_stream = response_end.is_event_stream(_content_type(head))
@@ -360,9 +363,12 @@
         if trailing:
             self._h11.receive_data(trailing)
 
-    async def _next_event(self, step: str) -> object:
+    async def _next_event(self, step: str, *, begins_response: bool = False) -> object:
         try:
             while True:
+                received, _ = self._h11.trailing_data if begins_response else (b"", False)
+                if fault := response_head.find_syntax_fault(received):
+                    raise self._end_error(f"invalid response: {fault}", step)
                 event = self._take_event()
                 if event is h11.PAUSED:
                     raise self.call_error("unexpected data after the response", step)
--- a/src/cornelgrade/adapters/upstream_http.py
+++ b/src/cornelgrade/adapters/upstream_http.py
@@ -11,7 +11,7 @@
 import trio
 
 from cornelgrade.adapters import engine
-from cornelgrade.policy import response_end
+from cornelgrade.policy import response_end, response_head
 
 T = TypeVar("T")
 
@@ -306,7 +306,7 @@
         )
         try:
             with trio.fail_at(first_byte_deadline_s):
-                return await client.send(req, stream=True)
+                response = await client.send(req, stream=True)
         except _NOT_SENT_ERRORS as exc:
             raise self._call_error("connect", repr(exc), engine.Progress.NOT_SENT) from exc
         except trio.TooSlowError as exc:
@@ -314,6 +314,12 @@
             raise self._call_error("first_token", "silent", engine.Progress.SENT, True) from exc
         except httpx.HTTPError as exc:
             raise self._call_error("send", repr(exc), engine.Progress.SENT) from exc
+        version = response.http_version.removeprefix("HTTP/")
+        parsed = [(name.lower(), value) for name, value in response.headers.raw]
+        if fault := response_head.find_fault(version, response.status_code, parsed):
+            await response.aclose()
+            raise self._call_error("send", f"invalid response: {fault}", engine.Progress.SENT)
+        return response
 
     async def _call_control_api(
         self, kind: type[T], method: str, path: str, body: bytes = b""
