Let trials of streams kill all gateways, answer uploads early and send small pieces

The fourth list of kinds of bench.streams. "gateways killed" removes the registrations of one version, whose engines serve on and started long ago, and kills all gateways at once. In "early answers" callers send long requests and an engine's proxy answers them in part, without framing, and resets them. In "endless pieces" the proxy sends chunks of 16 bytes without end, and gateways have to answer readiness checks within 2 s. Seeds of earlier lists keep their draws; a test holds that.

--- a/bench/streams/callers.py
+++ b/bench/streams/callers.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from bench.streams import judge, rig
+from bench.streams import answers, judge, rig
 from cornelgrade.adapters import engine as engine_port
 from cornelgrade.platform.standins import edge_system, formats
 
@@ -88,7 +88,8 @@
         raw = tuple((k.encode(), v.encode()) for k, v in {"host": edge_system.HOST, **sent}.items())
         try:
             with await edge_system.http1.connect(address, 1.0) as channel:
-                await channel.send("POST", path.encode(), raw, b"question")
+                body = answers.UPLOAD if self._system.uploads else b"question"
+                await channel.send("POST", path.encode(), raw, body)
                 attempt.status = (await channel.read_head()).status
                 while part := await channel.read_chunk():
                     attempt.body += part
--- a/bench/streams/engine.py
+++ b/bench/streams/engine.py
@@ -32,6 +32,7 @@
         a proper end of their framing if they have one.
     :param second_answers: unframed responses with a response to another request behind them.
     :param empty_replies: responses to requests that resume a stream which have no event.
+    :param age_s: for how long it says that it has run when it starts.
     """
 
     name: str
@@ -44,6 +45,7 @@
     ends_early: float = 0.0
     second_answers: float = 0.0
     empty_replies: float = 0.0
+    age_s: float = 0.0
 
 
 class Notice(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -82,7 +84,7 @@
         super().__init__(
             cfg.name, events=cfg.events, event_s=cfg.event_s, version=cfg.version, slots=16
         )
-        self.started_ms = int(time.time() * 1000)
+        self.started_ms = int((time.time() - cfg.age_s) * 1000)
         self._cfg = cfg
         self._rng = random.Random(cfg.seed)
         self._leaving = False
--- a/bench/streams/faults.py
+++ b/bench/streams/faults.py
@@ -11,7 +11,7 @@
 import trio
 
 from bench.soak import world
-from bench.streams import engine, engines, judge, paths, rig
+from bench.streams import answers, engine, engines, judge, paths, rig
 from cornelgrade.standins import fault_proxy
 
 # An engine registers its next start this late at the most.
@@ -22,12 +22,20 @@
 SWAPPED_ENGINES = 2
 RELEASED_ENGINES = 3
 HEADS_ONLY_S = 0.6
+# From the removal of a registration to the kill of all gateways.
+MAX_REMOVAL_S = 1.0
+MAX_AWAY_S = 3.0
+# Engines that started long ago can't have replaced others.
+AGE_S = 600.0
+OWN_ANSWERS_S = 1.5
+# A gateway that runs answers its readiness check sooner than this.
+MAX_READY_S = 2.0
 FULL_ENGINES = 4
 # Shares of responses that a seed may draw.
 SHARES = (0.0, 0.0, 0.15, 0.3)
 KIND_SHARE = 0.4
 # Version of the list of kinds; raised when kinds are added, so that earlier draws stay.
-LIST_VERSION = 3
+LIST_VERSION = 4
 
 
 class Kind(msgspec.Struct, frozen=True):
@@ -213,6 +221,60 @@
         """Kill a gateway and start it again."""
         await self._restart(world.GATEWAY, rng, rig.Daemon.kill)
 
+    async def kill_gateways(self, rng: random.Random) -> None:
+        """Remove the registrations of a version that serves on, then kill all gateways at once."""
+        version = rng.choice(judge.VERSIONS)
+        leaving = [eng for eng in self.system.engines if eng.version == version]
+        held = (*self.system.gateways, *leaving)
+        if len(leaving) == len(self.system.engines) or any(thing.held for thing in held):
+            return
+        with contextlib.ExitStack() as stack:
+            for thing in held:
+                stack.enter_context(_hold(rng, [thing]))
+            for eng in leaving:
+                await self.system.unregister(eng)
+            await trio.sleep(rng.uniform(0.0, MAX_REMOVAL_S))
+            async with trio.open_nursery() as nursery:
+                for daemon in self.system.gateways:
+                    nursery.start_soon(_restart_at_once, daemon)
+            await trio.sleep(rng.uniform(MAX_REGISTRATION_S, MAX_AWAY_S))
+            for eng in leaving:
+                await self.system.register(eng)
+
+    async def answer_uploads_early(self, rng: random.Random) -> None:
+        """Let an engine answer uploads at once in part, and reset them."""
+        self.system.uploads += 1
+        eng = rng.choice(self.system.engines)
+        await self._answer_for(eng, answers.EarlyAnswer(eng.version))
+        self.system.uploads -= 1
+
+    async def send_endless_pieces(self, rng: random.Random) -> None:
+        """Let an engine send small pieces without end; the gateways answer readiness checks."""
+        eng = rng.choice(self.system.engines)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._answer_for, eng, answers.EndlessPieces(eng.version))
+            for daemon in self.system.gateways:
+                nursery.start_soon(self._check_ready, daemon)
+
+    async def _answer_for(self, eng: engines.Engine, own: fault_proxy.OwnAnswer) -> None:
+        """Answer in place of an engine for a while, unless that is done already."""
+        if eng.proxy.own_answer is None:
+            eng.proxy.own_answer = own
+            await trio.sleep(OWN_ANSWERS_S)
+            eng.proxy.own_answer = None
+
+    async def _check_ready(self, daemon: rig.Daemon) -> None:
+        """Find a gateway that answers no readiness check although nothing else is done to it."""
+        until_s = trio.current_time() + OWN_ANSWERS_S + MAX_READY_S
+        answered_s = trio.current_time()
+        while trio.current_time() < until_s:
+            if daemon.held or await rig.is_ready(daemon):
+                answered_s = trio.current_time()
+            if trio.current_time() - answered_s >= MAX_READY_S:
+                self.system.problems.append(f"{daemon.name} answered no readiness check")
+                return
+            await trio.sleep(0.1)
+
     async def kill_worker(self, rng: random.Random) -> None:
         """Kill a worker and start it again."""
         await self._restart(world.WORKER, rng, rig.Daemon.kill)
@@ -326,6 +388,11 @@
     await daemon.kill()
 
 
+async def _restart_at_once(daemon: rig.Daemon) -> None:
+    await daemon.kill()
+    await daemon.start()
+
+
 async def _refuse(proxies: list[fault_proxy.FaultProxy], for_s: float) -> None:
     """Reset all connections of proxies for a while, but of those that do so already."""
     proxies = [proxy for proxy in proxies if not proxy.switches.refuse]
@@ -359,6 +426,9 @@
     Kind("runs preempted", Faults.preempt_runs, 0.8, since=3),
     Kind("extra responses", Faults.send_extra_responses, 0.8, since=3),
     Kind("upgrade", Faults.upgrade, 3.0, since=3),
+    Kind("gateways killed", Faults.kill_gateways, 4.0, since=4),
+    Kind("early answers", Faults.answer_uploads_early, 1.5, since=4),
+    Kind("endless pieces", Faults.send_endless_pieces, 3.0, since=4),
 )
 
 
@@ -374,6 +444,11 @@
     ]
 
 
+def choose_age_s(kinds: list[Kind]) -> float:
+    """Return for how long engines say that they have run when they start."""
+    return AGE_S if any(kind.inject is Faults.kill_gateways for kind in kinds) else 0.0
+
+
 def draw_shares(rng: random.Random) -> dict[str, float]:
     """Draw how often the engines of a seed fail single responses."""
     return {
--- a/bench/streams/rig.py
+++ b/bench/streams/rig.py
@@ -64,6 +64,8 @@
 
     :ivar stranded: names of the gateways that reach no engine.
     :ivar ended_paths: streams without framing whose single connection was ended between two events.
+    :ivar uploads: how many faults want callers to send long requests now.
+    :ivar problems: what faults found themselves.
     """
 
     def __init__(self, nursery: trio.Nursery, folder: pathlib.Path, builds: Builds) -> None:
@@ -73,6 +75,8 @@
         self.store_paths: dict[str, fault_proxy.FaultProxy] = {}
         self.stranded: set[str] = set()
         self.ended_paths: list[judge.End] = []
+        self.uploads = 0
+        self.problems: list[str] = []
         self._store = platform_store.MemoryPlatform(edge_system.UNLIMITED)
         self._folder = folder
         self._builds = builds
@@ -93,10 +97,12 @@
         """Return all gateways, or all workers."""
         return [d for d in self.daemons.values() if d.role == role]
 
-    async def open(self, seed: int, shares: dict[str, float], versions: random.Random) -> None:
+    async def open(
+        self, seed: int, engine_settings: dict[str, float], versions: random.Random
+    ) -> None:
         """Start everything and wait until callers can come.
 
-        :param shares: of failed responses, see :class:`bench.streams.engine.EngineSettings`.
+        :param engine_settings: see :class:`bench.streams.engine.EngineSettings`.
         :param versions: draws which engines begin as the second version.
         """
         server = store_server.StoreServer(self._store)
@@ -109,7 +115,7 @@
         async with trio.open_nursery() as starts:
             for number in range(ENGINES):
                 version = versions.choice(("v1", "v1", "v2"))
-                cfg = engines.settings_of(f"engine-{number}", str(seed), version, **shares)
+                cfg = engines.settings_of(f"engine-{number}", str(seed), version, **engine_settings)
                 eng = engines.Engine(cfg, edge_system.DOMAINS[number % 3], self._is_stranded)
                 self.engines.append(eng)
                 starts.start_soon(self._open_engine, eng)
@@ -119,7 +125,7 @@
                     starts.start_soon(daemon.start)
         with trio.fail_after(world.OPEN_LIMIT_S):
             for daemon in self.gateways:
-                while not await _is_ready(daemon):
+                while not await is_ready(daemon):
                     await trio.sleep(world.POLL_S)
 
     async def _open_engine(self, eng: engines.Engine) -> None:
@@ -143,6 +149,12 @@
         raw = formats.encode_entry(up)
         await world.until_done(lambda: self._put(directory.Directory.upstream_kind, up.name, raw))
 
+    async def unregister(self, eng: engines.Engine) -> None:
+        """Remove an engine's registration."""
+        found = await self._store.get(directory.Directory.upstream_kind, eng.name)
+        if found is not None:
+            await self._store.delete(found.kind, found.name, found.version)
+
     async def _put(self, kind: str, name: str, raw: bytes) -> None:
         found = await self._store.get(kind, name)
         if found is None:
@@ -156,7 +168,8 @@
             await process.kill()
 
 
-async def _is_ready(daemon: Daemon) -> bool:
+async def is_ready(daemon: Daemon) -> bool:
+    """Return whether a gateway answers that it is ready."""
     with trio.move_on_after(world.READY_TIMEOUT_S), contextlib.suppress(Exception):
         return (
             await edge_system.call(daemon.ready_address, "GET", b"/ready", {}, b"")
@@ -166,7 +179,7 @@
 
 @contextlib.asynccontextmanager
 async def running(
-    folder: pathlib.Path, builds: Builds, seed: int, shares: dict[str, float]
+    folder: pathlib.Path, builds: Builds, seed: int, engine_settings: dict[str, float]
 ) -> AsyncIterator[Rig]:
     """Run a system until the block ends.
 
@@ -175,7 +188,7 @@
     async with trio.open_nursery() as nursery:
         system = Rig(nursery, folder, builds)
         try:
-            await system.open(seed, shares, random.Random(f"versions {seed}"))
+            await system.open(seed, engine_settings, random.Random(f"versions {seed}"))
             yield system
         finally:
             with trio.CancelScope(shield=True):
--- a/bench/streams/trial.py
+++ b/bench/streams/trial.py
@@ -47,16 +47,18 @@
     if shares is None:
         shares = faults.draw_shares(random.Random(f"shares {seed}"))
     builds = rig.Builds(options.first or options.programs, options.programs)
-    async with rig.running(folder, builds, seed, shares) as system:
+    kinds = faults.draw_kinds(seed, options.listed)
+    if options.kinds is not None:
+        kinds = [kind for kind in faults.KINDS if kind.name in options.kinds]
+    engine_settings = {**shares, "age_s": faults.choose_age_s(kinds)}
+    async with rig.running(folder, builds, seed, engine_settings) as system:
         injected = faults.Faults(system, seed)
-        kinds = faults.draw_kinds(seed, options.listed)
-        if options.kinds is not None:
-            kinds = [kind for kind in faults.KINDS if kind.name in options.kinds]
         seen = callers.Callers(system, seed)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(seen.run, options.seconds)
             nursery.start_soon(injected.run, kinds, options.seconds)
         found = judge.find_problems(seen.streams, seen.results, system.early_ends, EVENTS)
+        found.problems.extend(system.problems)
         ends = [f"{end}" for end in system.early_ends]
         (folder / "faults.log").write_text("\n".join([*injected.log, *ends, ""]))
         counts = {kind.name: injected.counts.get(kind.name, 0) for kind in kinds}
--- a/src/cornelgrade/standins/fault_proxy.py
+++ b/src/cornelgrade/standins/fault_proxy.py
@@ -4,7 +4,7 @@
 import socket
 import struct
 from collections.abc import Callable
-from typing import Literal
+from typing import Literal, Protocol
 
 import msgspec
 import trio
@@ -16,6 +16,8 @@
 QUEUE_CHUNKS = 64
 # Bytes kept of the last request on a connection, and of its response.
 KEPT_BYTES = 65_536
+# From an own answer to the reset of its connection.
+RESET_DELAY_S = 0.05
 _HEAD_END = b"\r\n\r\n"
 # So near its end, data of a response lies inside an event and inside a chunk.
 _CUT_BYTES = 3
@@ -46,17 +48,35 @@
     lose: Literal["", "up", "down"] = ""
 
 
+class OwnAnswer(Protocol):
+    """What a proxy answers in place of its target."""
+
+    def begin(self, request: bytes) -> bytes:
+        """Return the first bytes of the answer, empty if the target is to answer.
+
+        :param request: the first bytes of a request.
+        """
+
+    def go_on(self) -> bytes:
+        """Return further bytes, empty if the connection is to be reset."""
+
+
 class FaultProxy:
     """Relays TCP connections to one target address.
 
     :param target: ``IP:port``.
     :param refuses: whether new connections from a port are reset at once.
+
+    :ivar own_answer: what answers requests that begin now, if not the target.
+    :ivar own_answers: how many requests it has answered.
     """
 
     def __init__(self, target: str, refuses: Callable[[int], bool] = lambda port: False) -> None:
         self.target = target
         self._refuses = refuses
         self.switches = Switches()
+        self.own_answer: OwnAnswer | None = None
+        self.own_answers = 0
         self.counters: collections.Counter[str] = collections.Counter()
         self._connections: set[RelayedConnection] = set()
         self._control = _http_server.Server(self._handle)
@@ -203,6 +223,8 @@
         while data:
             try:
                 data = await source.receive_some(READ_BYTES)
+                if direction == "up" and await self._answer(data):
+                    return
             except trio.BrokenResourceError:
                 self.reset()
                 return
@@ -233,6 +255,20 @@
             if ends:
                 self.end()
 
+    async def _answer(self, request: bytes) -> bool:
+        """Answer a request in place of the target, which reads no more; return whether it does."""
+        own = None if self.request else self._proxy.own_answer
+        part = own.begin(request) if own is not None else b""
+        if own is None or not part:
+            return False
+        self._proxy.own_answers += 1
+        while part:
+            await self._caller_stream.send_all(part)
+            part = own.go_on()
+        await trio.sleep(RESET_DELAY_S)
+        self.reset()
+        return True
+
     def _shorten(self, data: bytes) -> tuple[bytes, bool]:
         """Return what is relayed of data of a response, and whether the connection ends then."""
         if self._ends_within_next:
--- a/tests/process/test_stream_trials.py
+++ b/tests/process/test_stream_trials.py
@@ -3,7 +3,7 @@
 import pytest
 import trio
 from bench.soak import world
-from bench.streams import own, trial
+from bench.streams import faults, own, trial
 
 SECONDS = 3.0
 OWN_SECONDS = 4.0
@@ -38,6 +38,25 @@
     assert all(report.faults.values())
 
 
+# Guards against answers of two versions after all gateways restarted, against the part of an answer
+# to an upload that passes for whole, and against gateways that endless small pieces stop.
+@pytest.mark.parametrize(
+    ("seed", "kind"), [(1, "gateways killed"), (1, "early answers"), (1, "endless pieces")]
+)
+def test_streams_stay_in_order_under_kinds_of_the_fourth_list(seed, kind, tmp_path):
+    report = run(seed, tmp_path, kinds=(kind,), shares={})
+    assert report.found.problems == []
+    assert report.faults[kind]
+
+
+# Guards against seeds that draw other faults once a list has more kinds.
+def test_earlier_lists_keep_their_draws():
+    for seed in range(50):
+        drawn = [kind.name for kind in faults.draw_kinds(seed, 3)]
+        latest = [kind for kind in faults.draw_kinds(seed, faults.LIST_VERSION) if kind.since <= 3]
+        assert drawn == [kind.name for kind in latest]
+
+
 def test_streams_and_items_stay_in_order_under_drawn_faults(tmp_path):
     report = run(111, tmp_path, listed=2)
     assert report.found.problems == []
