Let the soak answer uploads early, send small pieces and forget versions

--answering draws three further kinds of faults, apart from the others, so that seeds keep their draws: an engine answers long requests at once in part and resets them; an engine sends chunks of 16 bytes without end while gateways have to answer readiness checks within 2 s; the entries of a version's engines are removed and all gateways are killed before these leave. Engines started long ago then, so that no start explains a version that is missing. The answers are shared with bench.streams.

--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -8,6 +8,7 @@
 import httpx
 import trio
 
+from bench import answers
 from bench.soak import teams, world
 from cornelgrade.platform.standins import edge_system, formats
 from cornelgrade.policy import event_stream
@@ -221,7 +222,8 @@
             headers |= formats.take_up_headers(req.first, req.after)
         try:
             url = f"http://{self.system.daemons[req.gateway].caller_address}{req.path}"
-            async with client.stream("POST", url, headers=headers, content=b"question") as got:
+            body = answers.UPLOAD if self.system.uploads else b"question"
+            async with client.stream("POST", url, headers=headers, content=body) as got:
                 req.status = got.status_code
                 async for part in got.aiter_raw():
                     req.body += part
--- a/bench/soak/edge.py
+++ b/bench/soak/edge.py
@@ -6,7 +6,16 @@
 
 import trio
 
-from bench.soak import callers, faults, judge, readers, team_faults, team_judge, world
+from bench.soak import (
+    answer_faults,
+    callers,
+    faults,
+    judge,
+    readers,
+    team_faults,
+    team_judge,
+    world,
+)
 
 GATEWAYS, WORKERS, ENGINES = 3, 3, 4
 # From the last fault until every accepted job must have been read whole.
@@ -41,6 +50,7 @@
     stranding: bool = False,
     ending: bool = False,
     teams: bool = False,
+    answering: bool = False,
 ) -> Report:
     """Run one seed; logs of the processes go to ``folder``.
 
@@ -49,10 +59,14 @@
         another version before they register it.
     :param stranding: whether gateways lose their ways to all engines.
     :param ending: whether answers without framing end early while their engine goes on running.
+    :param answering: whether engines answer long requests early or send small pieces without end,
+        and all gateways restart while a version leaves.
     :param teams: whether callers belong to teams, whose keys change and one of which is hot.
     """
-    kinds = {"crashing": crashing, "with_teams": teams}
+    age_s = answer_faults.ENGINE_AGE_S if answering else 0.0
+    kinds = {"crashing": crashing, "with_teams": teams, "engine_age_s": age_s}
     more = team_faults.KINDS if teams else ()
+    more += answer_faults.KINDS if answering else ()
     drawn = faults.plans(
         f"faults {seed}",
         seconds,
--- a/bench/streams/callers.py
+++ b/bench/streams/callers.py
@@ -4,7 +4,8 @@
 
 import trio
 
-from bench.streams import answers, judge, rig
+from bench import answers
+from bench.streams import judge, rig
 from cornelgrade.adapters import engine as engine_port
 from cornelgrade.platform.standins import edge_system, formats
 
--- a/bench/streams/engines.py
+++ b/bench/streams/engines.py
@@ -13,7 +13,7 @@
 from bench.soak import world
 from bench.streams import engine
 from cornelgrade import routes
-from cornelgrade.platform.standins import edge_system
+from cornelgrade.platform.standins import edge_system, stream_engine
 from cornelgrade.standins import fault_proxy, local_ports
 
 READ_BYTES = 65_536
@@ -48,6 +48,10 @@
         """The version of its present start, or of its last one."""
         return self._cfg.version
 
+    def encode_first(self, request: str) -> bytes:
+        """Encode the first event of its response to a request."""
+        return stream_engine.encode_event(f"{request}@{self.version}", 1)
+
     async def open(self, nursery: trio.Nursery) -> None:
         """Start its proxy and the engine."""
         self._proxy_address = await nursery.start(self.proxy.serve, world.LOOPBACK)
--- a/bench/streams/faults.py
+++ b/bench/streams/faults.py
@@ -10,8 +10,9 @@
 import msgspec
 import trio
 
+from bench import answers
 from bench.soak import world
-from bench.streams import answers, engine, engines, judge, paths, rig
+from bench.streams import engine, engines, judge, paths, rig
 from cornelgrade.standins import fault_proxy
 
 # An engine registers its next start this late at the most.
@@ -245,14 +246,14 @@
         """Let an engine answer uploads at once in part, and reset them."""
         self.system.uploads += 1
         eng = rng.choice(self.system.engines)
-        await self._answer_for(eng, answers.EarlyAnswer(eng.version))
+        await self._answer_for(eng, answers.EarlyAnswer(eng.encode_first))
         self.system.uploads -= 1
 
     async def send_endless_pieces(self, rng: random.Random) -> None:
         """Let an engine send small pieces without end; the gateways answer readiness checks."""
         eng = rng.choice(self.system.engines)
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._answer_for, eng, answers.EndlessPieces(eng.version))
+            nursery.start_soon(self._answer_for, eng, answers.EndlessPieces(eng.encode_first))
             for daemon in self.system.gateways:
                 nursery.start_soon(self._check_ready, daemon)
 
@@ -268,7 +269,7 @@
         until_s = trio.current_time() + OWN_ANSWERS_S + MAX_READY_S
         answered_s = trio.current_time()
         while trio.current_time() < until_s:
-            if daemon.held or await rig.is_ready(daemon):
+            if daemon.held or await world.ask_ready(daemon.ready_address):
                 answered_s = trio.current_time()
             if trio.current_time() - answered_s >= MAX_READY_S:
                 self.system.problems.append(f"{daemon.name} answered no readiness check")
--- a/src/cornelgrade/standins/fault_proxy.py
+++ b/src/cornelgrade/standins/fault_proxy.py
@@ -175,6 +175,7 @@
         self.request = b""
         self.response = b""
         self._ends_within_next = False
+        self._is_answered = False
         self._proxy = proxy
         self._caller_stream = caller_stream
         self._target_stream = target_stream
@@ -262,6 +263,7 @@
         if own is None or not part:
             return False
         self._proxy.own_answers += 1
+        self._is_answered = True
         while part:
             await self._caller_stream.send_all(part)
             part = own.go_on()
@@ -289,7 +291,8 @@
     def _discards(self, direction: Direction) -> bool:
         if self._proxy.switches.lose == direction:
             self._lost_directions.add(direction)
-        return self.frozen or direction in self._lost_directions
+        # Nothing of the target follows an own answer.
+        return self.frozen or self._is_answered or direction in self._lost_directions
 
 
 def _enable_reset_on_close(stream: trio.SocketStream) -> None:
--- a/tests/process/test_edge_soak.py
+++ b/tests/process/test_edge_soak.py
@@ -28,6 +28,14 @@
     assert report.requests and report.items
 
 
+# Guards against parts of early answers that pass for whole, gateways that small pieces stop, and
+# streams of two versions after all gateways restarted.
+def test_promises_hold_while_engines_answer_early_or_without_end(tmp_path):
+    report = trio.run(functools.partial(edge.soak, 1, SECONDS, tmp_path, answering=True))
+    assert report.problems == []
+    assert report.faults["endless_pieces"] and report.faults["versions_forgotten"]
+
+
 def test_seed_always_gives_the_same_faults():
     assert faults.plans("seed 1", 60.0) == faults.plans("seed 1", 60.0)
     assert faults.plans("seed 1", 60.0) != faults.plans("seed 2", 60.0)
