--- a/review/11/case.py
+++ b/review/11/case.py
@@ -16,7 +16,7 @@
 
 
 async def case():
-    async with harness.World(HERE) as world:
+    async with harness.World(HERE / "record.txt") as world:
         record = world.record
         routes = [harness.route("chat", "/lohu930/", "streaming", "llm", HOST, maxAttempts=1),
                   harness.route("notes", "/pule252/", "batch", "llm", HOST, itemTtlS=ITEM_TTL_S)]
--- a/review/12/case.py
+++ b/review/12/case.py
@@ -14,7 +14,7 @@
 
 
 async def case():
-    async with harness.World(HERE) as world:
+    async with harness.World(HERE / "record.txt") as world:
         record = world.record
         routes = [harness.route("chat", "/lohu930/", "streaming", "llm", HOST, maxAttempts=1),
                   harness.route("notes", "/pule252/", "batch", "llm", HOST)]
--- a/review/common-3/harness.py
+++ b/review/common-3/harness.py
@@ -25,10 +25,13 @@
 
 
 class Record:
-    """Writes what was sent, answered and run to record.txt beside the case."""
+    """Writes what was sent, answered and run to the file of a case.
 
-    def __init__(self, folder):
-        self._file = open(pathlib.Path(folder) / "record.txt", "w", encoding="utf-8")
+    :param path: record.txt in the folder of the case.
+    """
+
+    def __init__(self, path):
+        self._file = open(path, "w", encoding="utf-8")
         self._begin = time.monotonic()
 
     def __call__(self, text):
@@ -507,8 +510,8 @@
 class World:
     """The store, engines and programs of a case; a context manager that ends all of them."""
 
-    def __init__(self, folder):
-        self.record = Record(folder)
+    def __init__(self, record_path):
+        self.record = Record(record_path)
         self.temporary = tempfile.TemporaryDirectory(prefix="case-")
         self.folder = pathlib.Path(self.temporary.name)
         self.store = Store(self.record)
