Log why items are given up, and which route takes a call about jobs

Workers stored items as given up without a line that says so, and job_call didn't name the route that took the call, so that the logs couldn't tell a removed route from an expired job.

--- a/src/cornelgrade/services/edge/job_handler.py
+++ b/src/cornelgrade/services/edge/job_handler.py
@@ -91,6 +91,7 @@
             act=operation,
             request=caller.request_id or exchange.path,
             team=team or "",
+            route=route.name if route else "",
             outcome=outcome,
             total_s=trio.current_time() - started_s,
             plan=table.plan.version,
--- a/src/cornelgrade/services/edge/runner.py
+++ b/src/cornelgrade/services/edge/runner.py
@@ -634,9 +634,26 @@
         if self._is_turn_to_close(job.expired_s, rank, now_s) and not any(
             job.is_reported_by(vm, now_s) for vm in workers[:rank]
         ):
-            for index in tuple(job.startable_items(now_s)):
-                result = _given_up_result(job.items[index])
-                self._outcomes.start_result(self._nursery, job, index, result)
+            self._give_up_items(job, now_s)
+
+    def _give_up_items(self, job: open_job.OpenJob, now_s: float) -> None:
+        assert self._nursery is not None
+        indexes = tuple(job.startable_items(now_s))
+        if not indexes:
+            return
+        for index in indexes:
+            result = _given_up_result(job.items[index])
+            self._outcomes.start_result(self._nursery, job, index, result)
+        table = self._fleet.table()
+        _log.info(
+            "items_given_up",
+            job=job.header.job,
+            items=len(indexes),
+            why="expired" if _is_expired(job) else "route removed",
+            route=job.header.route,
+            route_missing_s=now_s - job.route_seen_s,
+            plan=table.plan.version if table else 0,
+        )
 
     def _is_turn_to_close(self, since_s: float, rank: int, now_s: float) -> bool:
         """Whether this worker may close a job that is complete since a time, or expired.
@@ -651,7 +668,7 @@
 
     def _may_give_up(self, job: open_job.OpenJob, now_s: float) -> bool:
         """Whether a job's items may be given up: it has expired or its route was removed."""
-        expired = time.time() * _MS_PER_S > job.header.expires_ms
+        expired = _is_expired(job)
         table = self._fleet.table()
         if table is None or not job.items:
             return expired and bool(job.items)
@@ -690,5 +707,9 @@
             await trio.sleep(_broadcast.pause_s(gateways, MIN_BROADCAST_PAUSE_S))
 
 
+def _is_expired(job: open_job.OpenJob) -> bool:
+    return time.time() * _MS_PER_S > job.header.expires_ms
+
+
 def _given_up_result(item: ports.Item) -> ports.ItemResult:
     return ports.ItemResult(item.name, ports.ItemEnd.GIVEN_UP, "")
