Run items by the route that accepted their job

Cause: workers looked the route of an item up by its path to choose the service, to count attempts and to tell whether the route was removed. The header of the job names the route that accepted it; the path may fit another route, or none, and does so too after a change of the route's prefix or host.

Evidence: items_given_up why="route removed" route=notes route_missing_s=4.09 plan=7 at three workers, while plan 7 has the route.

job_routes is the one place that says what the plan in force means for an accepted job, by the route's name on record; runner, team ranks and done tokens use it. A job keeps the version of its plan, so that a worker with an older plan doesn't take the route for removed. An item that fails while its route is missing is retried instead of given up after one attempt, and an item with events from a service that its route has left starts at the new one at once instead of after 6 s.

--- a/src/cornelgrade/platform/standins/edge_system.py
+++ b/src/cornelgrade/platform/standins/edge_system.py
@@ -204,13 +204,13 @@
         await self._put_object(Directory.plan_kind, Directory.plan_name, plan)
 
     async def start_engine(
-        self, name: str, domain: str = "north", **more
+        self, name: str, domain: str = "north", service: str = SERVICE, **more
     ) -> stream_engine.StreamEngine:
         """Start an engine and register it."""
         made = stream_engine.StreamEngine(name, **more)
         self.engines[name] = made
         await self.nursery.start(made.run)
-        await self.register(made.upstream(SERVICE, domain))
+        await self.register(made.upstream(service, domain))
         return made
 
     async def register(self, upstream: routes.Upstream) -> None:
@@ -309,15 +309,20 @@
         *,
         key: str = "",
         tokens: int = 100,
+        prefix: str = NOTES_PREFIX,
+        items_prefix: str | None = None,
     ) -> ReceivedResponse:
         """Submit a job; ``items`` maps item ids to request bodies, ``headers`` go with each.
 
         :param key: of the caller's team, empty for none.
         :param tokens: of each item.
+        :param prefix: of the path of the job.
+        :param items_prefix: of the paths of the items, ``None`` for that of the job.
         """
-        raw = formats.encode_job(NOTES_PREFIX, items, tokens, headers)
+        items_prefix = prefix if items_prefix is None else items_prefix
+        raw = formats.encode_job(items_prefix, items, tokens, headers)
         sent = formats.request_headers(job) | formats.key_headers(key)
-        return await self.send(gateway_name, "POST", f"{NOTES_PREFIX}{job}", sent, raw)
+        return await self.send(gateway_name, "POST", f"{prefix}{job}", sent, raw)
 
     async def results(
         self, gateway_name: str, job: str, after: int, *, key: str = ""
--- a/src/cornelgrade/services/edge/job_handler.py
+++ b/src/cornelgrade/services/edge/job_handler.py
@@ -71,7 +71,7 @@
             call = self._job_call_format.parse_job_call(exchange) if route is None else None
             if route is not None:
                 team = _authenticate(table, caller, (route,))
-                outcome = await self._submit_job(exchange, caller, route, team)
+                outcome = await self._submit_job(exchange, caller, table, route, team)
             elif call is not None:
                 operation = call.operation.value
                 team = _authenticate(table, caller, table.find_batch(caller.host))
@@ -111,6 +111,7 @@
         self,
         exchange: http1_server.Exchange,
         caller: ports.Caller,
+        table: route_table.RouteTable,
         route: routes.Route,
         team: str | None,
     ) -> str:
@@ -129,6 +130,7 @@
             tokens=sum(item.tokens for item in items),
             pieces=0,
             team=team or "",
+            plan=table.plan.version,
         )
         with trio.CancelScope(shield=True):
             await self._accept_job(route, header, items, per_team=team is not None)
--- a/src/cornelgrade/services/edge/job_repository.py
+++ b/src/cornelgrade/services/edge/job_repository.py
@@ -32,12 +32,14 @@
     Its id may be submitted again after the job was deleted, so the id and ``received_ms`` together
     identify a job.
 
+    :param route: name of the route that accepted it.
     :param received_ms: Unix milliseconds of its acceptance; its deadlines count from then.
     :param pieces: number of objects that hold its input.
     :param team: the team that submitted it, empty if requests need no keys.
     :param done_tokens: tokens of items whose results are stored, or fewer: it is recorded with a
         delay, and only where the limit on waiting tokens is near.
     :param reserved_ms: Unix milliseconds of its last reservation, 0 for that of ``received_ms``.
+    :param plan: version of the plan under which it was accepted, 0 if stored by an earlier build.
     :param state: ``reserved`` until it is accepted or ``declined`` for lack of room, then ``open``
         until all results are stored (``done``) or its caller ends it (``ended``). A reserved or
         declined job is not accepted; submitting it again may succeed.
@@ -56,6 +58,7 @@
     team: str = ""
     done_tokens: int = 0
     reserved_ms: int = 0
+    plan: int = 0
 
     @property
     def accepted(self) -> bool:
--- a/src/cornelgrade/services/edge/open_job.py
+++ b/src/cornelgrade/services/edge/open_job.py
@@ -74,7 +74,7 @@
     :ivar completed_s: since when this worker knows that it is complete.
     :ivar expired_s: since when its items may be given up, ``None`` if they may not.
     :ivar closing: whether its final state is being stored.
-    :ivar route_seen_s: when its route was last in the plan.
+    :ivar route_seen_s: when its route was last known not to be removed.
     :ivar recorded_done: items whose tokens were recorded as done, as a bit set.
     :ivar recorded_s: when that was considered last.
     """
--- a/src/cornelgrade/services/edge/runner.py
+++ b/src/cornelgrade/services/edge/runner.py
@@ -36,6 +36,7 @@
     header_sharing,
     item_call,
     job_repository,
+    job_routes,
     job_sweeper,
     open_job,
     outcome_sharing,
@@ -405,7 +406,11 @@
     ) -> int:
         """Start waiting items in the free slots of an upstream; return their number."""
         started, now_s = 0, trio.current_time()
-        available = frozenset(map(software_versions.origin_at, self._owned_upstreams()))
+        available = frozenset(
+            software_versions.origin_at(owned)
+            for owned in self._owned_upstreams()
+            if owned.service == up.service
+        )
         for entry in tuple(waiting):
             if started >= free or not self._limits.may_send_item(up):
                 break
@@ -416,12 +421,13 @@
                 continue
             if self._would_join_suspect(fingerprint, up):
                 continue
-            if not job.may_run_at(entry.index, up, available, now_s):
+            service = job_routes.pick_service(table, job.header, job.items[entry.index].name)
+            # Events that were made at a service which its route has left are not waited for.
+            if service != up.service or not job.may_run_at(entry.index, up, available, now_s):
                 continue
-            if self._pick_service(table, job, entry.index) == up.service:
-                waiting.remove(entry)
-                self._start_item(job, entry.index, up)
-                started += 1
+            waiting.remove(entry)
+            self._start_item(job, entry.index, up)
+            started += 1
         return started
 
     def _would_join_suspect(self, fingerprint: str, up: routes.Upstream) -> bool:
@@ -465,17 +471,6 @@
         teams = self._team_items.measure(table, free, now_s)
         return batch_capacity.sort_waiting(waiting, self._cfg.vm, time.time(), teams)
 
-    def _pick_service(
-        self, table: route_table.RouteTable, job: open_job.OpenJob, index: int
-    ) -> str | None:
-        """Return the service that runs an item under the plan in force."""
-        item = job.items[index]
-        route = table.find(job.header.host, item.target)
-        if route is None or not route.targets:
-            return None
-        job.route_seen_s = trio.current_time()
-        return route_table.pick_service(route, item.name)
-
     def _preempt_item(self, upstream: str) -> None:
         running = [
             batch_capacity.RunningItem(
@@ -594,21 +589,19 @@
             job.failures[index] = job.failures.get(index, 0) + 1
             job.partial.pop(index, None)
             job.delay_retry(index, trio.current_time())
-            if job.failures[index] < self._max_attempts(job, index):
+            if not job_routes.has_failed(self._fleet.table(), job.header, job.failures[index]):
                 self._outcomes.start_failures(self._nursery, job, index)
                 return
             result = _given_up_result(job.items[index])
         self._outcomes.start_result(self._nursery, job, index, result)
 
-    def _max_attempts(self, job: open_job.OpenJob, index: int) -> int:
-        table = self._fleet.table()
-        route = table.find(job.header.host, job.items[index].target) if table else None
-        return route.max_attempts if route else 1
-
     # Completion of jobs
 
     def _advance_job(self, job: open_job.OpenJob, now_s: float) -> None:
         """Close a completed job; give up the items of one that expired or lost its route."""
+        table = self._fleet.table()
+        if table is None or not job_routes.is_removed(table, job.header):
+            job.route_seen_s = now_s
         if not job.loading and self._loads_at_once(job):
             self._start_loading(job, is_new=False)
         rank = open_job.closing_rank(
@@ -624,8 +617,8 @@
                 self._nursery.start_soon(self._close_job, job)
             return
         if rank == 0:
-            self._done_tokens.start_record(self._nursery, job, self._fleet.table())
-        if not self._may_give_up(job, now_s):
+            self._done_tokens.start_record(self._nursery, job, table)
+        if not _may_give_up(job, now_s):
             job.expired_s = None
             return
         job.expired_s = now_s if job.expired_s is None else job.expired_s
@@ -666,16 +659,6 @@
         waited_s = now_s - max(since_s, self._availability.recovered_s)
         return waited_s >= rank * open_job.CLOSE_STAGGER_S and not self._availability.unavailable
 
-    def _may_give_up(self, job: open_job.OpenJob, now_s: float) -> bool:
-        """Whether a job's items may be given up: it has expired or its route was removed."""
-        expired = _is_expired(job)
-        table = self._fleet.table()
-        if table is None or not job.items:
-            return expired and bool(job.items)
-        if table.find(job.header.host, job.items[0].target) is not None:
-            job.route_seen_s = now_s
-        return expired or now_s - job.route_seen_s > ROUTE_REMOVED_AFTER_S
-
     async def _close_job(self, job: open_job.OpenJob) -> None:
         try:
             await self._repository.close_job(
@@ -707,6 +690,12 @@
             await trio.sleep(_broadcast.pause_s(gateways, MIN_BROADCAST_PAUSE_S))
 
 
+def _may_give_up(job: open_job.OpenJob, now_s: float) -> bool:
+    """Whether a job's items may be given up: it has expired or its route was removed."""
+    removed = now_s - job.route_seen_s > ROUTE_REMOVED_AFTER_S
+    return bool(job.items) and (removed or _is_expired(job))
+
+
 def _is_expired(job: open_job.OpenJob) -> bool:
     return time.time() * _MS_PER_S > job.header.expires_ms
 
--- a/src/cornelgrade/services/edge/team_items.py
+++ b/src/cornelgrade/services/edge/team_items.py
@@ -7,7 +7,7 @@
 
 from cornelgrade import routes
 from cornelgrade.policy import batch_capacity, fair_queue, route_table
-from cornelgrade.services.edge import open_job
+from cornelgrade.services.edge import job_routes, open_job
 
 # Time constant of the average use of batch slots: a few items of a team.
 ITEM_USAGE_SPAN_S = 10.0
@@ -60,5 +60,5 @@
     team: routes.Team | None = table.team(job.header.team)
     if team is not None and team.rank is not None:
         return team.rank
-    route = table.by_name(job.header.route)
+    route = job_routes.find_route(table, job.header)
     return route.rank if route is not None else 0
--- a/src/cornelgrade/services/edge/waiting_tokens.py
+++ b/src/cornelgrade/services/edge/waiting_tokens.py
@@ -11,7 +11,7 @@
 from cornelgrade import logs, routes
 from cornelgrade.adapters import platform
 from cornelgrade.policy import route_table
-from cornelgrade.services.edge import job_repository, open_job
+from cornelgrade.services.edge import job_repository, job_routes, open_job
 
 # An older reservation was left by a gateway that died and no longer counts.
 RESERVATION_TTL_S = 5.0
@@ -96,7 +96,7 @@
         ):
             return
         job.recorded_s = now_s
-        route = table.by_name(job.header.route)
+        route = job_routes.find_route(table, job.header)
         if route is not None and self._is_limit_near(job.header, route, table):
             job.recorded_done = job.done
             nursery.start_soon(self._record, job)
