Answer calls about accepted jobs whichever routes fit their paths

Cause: a gateway looked for a route that fits the path first, and took a request for a call about a job only if none did. GET and DELETE on a batch route counted as submissions, which "are submitted by POST".

Calls that name a job are answered before routes are considered. Where an online route fits as well, the request is a call only if the job was accepted at that host, which the cache of results, a worker or the store tells; without any of them it gets 503. A repeated submission is found by the job's id, whether its path fits an online route, another batch route or none. The same cause: whether a caller needs a key was judged by the host's present routes, so that a job that was accepted without one got 401 later; its record decides now. A team's job that came again after the teams were removed got 409.

--- a/src/cornelgrade/platform/jobs.py
+++ b/src/cornelgrade/platform/jobs.py
@@ -61,15 +61,19 @@
 class JobCallFormat:
     """Implements :class:`ports.JobCallFormat`."""
 
+    def parse_called_job(self, exchange: http1_server.Exchange) -> str | None:
+        """Return the job that a call names, ``None`` if the request is not such a call."""
+        _, job = _split_call(exchange)
+        return job
+
     def parse_job_call(self, exchange: http1_server.Exchange) -> ports.JobCall | None:
         """Parse a call for an accepted job, ``None`` if the request is not such a call."""
-        parts = exchange.path.split("/")
-        operation = _ACTIONS.get((exchange.method, parts[1] if len(parts) == 3 else ""))
-        if operation is None:
+        operation, job = _split_call(exchange)
+        if operation is None or job is None:
             return None
         return ports.JobCall(
             operation=operation,
-            job=urllib.parse.unquote(parts[2]),
+            job=job,
             after=_parse_unsigned(exchange.query.get("after", "0"), "after"),
             item=exchange.query.get("id", ""),
             wait_s=min(
@@ -96,6 +100,12 @@
         return msgspec.json.encode(_Results(total, after + len(listed), listed))
 
 
+def _split_call(exchange: http1_server.Exchange) -> tuple[ports.JobOperation | None, str | None]:
+    parts = exchange.path.split("/")
+    operation = _ACTIONS.get((exchange.method, parts[1] if len(parts) == 3 else ""))
+    return operation, None if operation is None else urllib.parse.unquote(parts[2])
+
+
 def _decode_item(item: _Item) -> ports.Item:
     headers = tuple((k.lower(), v) for k, v in item.headers.items())
     body = base64.b64decode(item.body, validate=True)
--- a/src/cornelgrade/services/edge/job_handler.py
+++ b/src/cornelgrade/services/edge/job_handler.py
@@ -9,7 +9,13 @@
 from cornelgrade import errors, logs, metrics, routes
 from cornelgrade.adapters import http1_server, platform
 from cornelgrade.policy import route_table
-from cornelgrade.services.edge import job_repository, ports, result_reader, waiting_tokens
+from cornelgrade.services.edge import (
+    job_repository,
+    job_routes,
+    ports,
+    result_reader,
+    waiting_tokens,
+)
 
 # Text bytes in one response, below the 1 MB that callers accept: 200 callers that read slowly fit
 # into the buffers of a gateway.
@@ -24,6 +30,17 @@
 _log = logs.Logger("job_desk")
 
 
+class _Record(msgspec.Struct):
+    """What is logged of a request about jobs.
+
+    :ivar act: what it asks for.
+    :ivar team: of its caller.
+    """
+
+    act: str = "submit"
+    team: str = ""
+
+
 class JobHandler:
     """Answers requests about jobs from the store."""
 
@@ -58,39 +75,24 @@
     ) -> bool:
         """Respond to a request about jobs; return ``False`` if it is not one.
 
-        A job that was accepted keeps its calls after its route was removed, so they don't depend on
-        the routes of the host.
+        An accepted job keeps its calls, whichever routes its host has since. A request that may be
+        one of an online route as well is a call only if it names such a job.
         """
         route = table.find(caller.host, exchange.raw_path)
-        if route is not None and route.kind is not routes.RouteKind.BATCH:
-            return False
         started_s = trio.current_time()
-        operation = "submit"
-        team: str | None = None
+        record = _Record()
         try:
-            call = self._job_call_format.parse_job_call(exchange) if route is None else None
-            if route is not None:
-                team = _authenticate(table, caller, (route,))
-                outcome = await self._submit_job(exchange, caller, table, route, team)
-            elif call is not None:
-                operation = call.operation.value
-                team = _authenticate(table, caller, table.find_batch(caller.host))
-                outcome = await self._operations[call.operation](exchange, call, team)
-            elif header := await self._find_repeated_job(exchange, caller):
-                team = _authenticate(table, caller, ())
-                _check_owner(header, team or "")
-                await self._send_accepted(exchange, caller)
-                outcome = "accepted again"
-            else:
-                return False
+            outcome = await self._respond(exchange, caller, table, route, record)
         except errors.CornelgradeError as exc:
             outcome = await self._send_error(exchange, caller, exc)
-        self._call_counter.inc({"act": operation, "outcome": outcome.split(" ")[0]})
+        if outcome is None:
+            return False
+        self._call_counter.inc({"act": record.act, "outcome": outcome.split(" ")[0]})
         _log.info(
             "job_call",
-            act=operation,
+            act=record.act,
             request=caller.request_id or exchange.path,
-            team=team or "",
+            team=record.team,
             route=route.name if route else "",
             outcome=outcome,
             total_s=trio.current_time() - started_s,
@@ -98,6 +100,43 @@
         )
         return True
 
+    async def _respond(
+        self,
+        exchange: http1_server.Exchange,
+        caller: ports.Caller,
+        table: route_table.RouteTable,
+        route: routes.Route | None,
+        record: _Record,
+    ) -> str | None:
+        """Respond to a call or submission; return its outcome, ``None`` if it is neither.
+
+        :param route: the route that fits the path.
+        """
+        is_online = route is not None and route.kind is not routes.RouteKind.BATCH
+        job = self._job_call_format.parse_called_job(exchange)
+        if job is not None:
+            if is_online and not await self._is_job_at_host(job, table, caller.host):
+                return None
+            call = self._job_call_format.parse_job_call(exchange)
+            assert call is not None
+            record.act = call.operation.value
+            team = await self._authenticate_call(table, caller, job)
+            record.team = team or ""
+            return await self._operations[call.operation](exchange, call, team)
+        if route is not None and not is_online:
+            return await self._respond_to_submission(exchange, caller, table, route, record)
+        header = await self._find_repeated_job(exchange, caller, table)
+        if header is None:
+            return None
+        team = _authenticate(table, caller, ()) if header.team else ""
+        record.team = team or ""
+        _check_owner(header, team)
+        return await self._accept_again(exchange, caller)
+
+    async def _is_job_at_host(self, job: str, table: route_table.RouteTable, host: str) -> bool:
+        header = await self._results.find_job(job)
+        return header is not None and job_routes.is_at_host(table, header, host)
+
     async def _send_error(
         self, exchange: http1_server.Exchange, caller: ports.Caller, exc: errors.CornelgradeError
     ) -> str:
@@ -133,50 +172,82 @@
             plan=table.plan.version,
         )
         with trio.CancelScope(shield=True):
-            await self._accept_job(route, header, items, per_team=team is not None)
+            await self._accept_job(route, header, items, team)
         await self._send_accepted(exchange, caller)
         return "accepted"
 
     async def _send_accepted(self, exchange: http1_server.Exchange, caller: ports.Caller) -> None:
         await exchange.respond(202, b"", self._call_format.refusal_headers(caller.request_id, None))
 
+    async def _respond_to_submission(
+        self,
+        exchange: http1_server.Exchange,
+        caller: ports.Caller,
+        table: route_table.RouteTable,
+        route: routes.Route,
+        record: _Record,
+    ) -> str:
+        try:
+            team = _authenticate(table, caller, (route,))
+        except errors.Refusal:
+            header = await self._find_repeated_job(exchange, caller, table)
+            if header is None or header.team:
+                raise
+            return await self._accept_again(exchange, caller)
+        record.team = team or ""
+        return await self._submit_job(exchange, caller, table, route, team)
+
+    async def _authenticate_call(
+        self, table: route_table.RouteTable, caller: ports.Caller, job: str
+    ) -> str | None:
+        """Return the caller's team as :func:`_authenticate`; a job without a team needs no key."""
+        try:
+            return _authenticate(table, caller, table.find_batch(caller.host))
+        except errors.Refusal:
+            header = await self._results.find_job(job)
+            if header is None or header.team:
+                raise
+            return ""
+
+    async def _accept_again(self, exchange: http1_server.Exchange, caller: ports.Caller) -> str:
+        await self._send_accepted(exchange, caller)
+        return "accepted again"
+
     async def _find_repeated_job(
-        self, exchange: http1_server.Exchange, caller: ports.Caller
+        self, exchange: http1_server.Exchange, caller: ports.Caller, table: route_table.RouteTable
     ) -> job_repository.JobHeader | None:
-        """Return the accepted job that a request without a route submits again, if it does."""
+        """Return the accepted job that a request submits again, if it does."""
         if exchange.method != "POST" or not caller.request_id:
             return None
         try:
             self._job_call_format.parse_submission(exchange.body)
         except errors.BadInputError:
             return None
-        stored_header = await self._repository.find_job(caller.request_id)
-        if stored_header is None or not stored_header.header.accepted:
+        header = await self._results.find_job(caller.request_id)
+        if header is None or not job_routes.is_at_host(table, header, caller.host):
             return None
-        header = stored_header.header
-        return header if header.host == route_table.normalize_host(caller.host) else None
+        return header
 
     async def _accept_job(
         self,
         route: routes.Route,
         header: job_repository.JobHeader,
         items: tuple[ports.Item, ...],
-        *,
-        per_team: bool,
+        team: str | None,
     ) -> None:
         """Store a job if its tokens fit within the route's limit on waiting tokens.
 
         Close to the limit, the job is reserved first and accepted after counting all jobs reserved
         before it, so that concurrent submissions at several gateways cannot exceed the limit.
 
-        :param per_team: whether the limit is one of each team.
+        :param team: the caller's team, which the limit is one of; ``None`` if there are no teams.
         :raises Refusal: ``RATE_LIMITED`` if it does not fit, ``CONFLICT`` if another team has
             submitted a job of this name.
         """
         token_limit = route.job_policy.waiting_tokens
         if not token_limit:
             stored_header = await self._repository.create_job(header, items)
-            _check_owner(stored_header.header, header.team)
+            _check_owner(stored_header.header, team)
             await self._repository.accept_job(stored_header)
             return
         started_s = trio.current_time()
@@ -184,11 +255,11 @@
         list_s = trio.current_time() - started_s
         for found in headers:
             if found.header.job == header.job:
-                _check_owner(found.header, header.team)
+                _check_owner(found.header, team)
                 if found.header.accepted:
                     return
         waiting = waiting_tokens.count_waiting(
-            headers, header, header.received_ms, per_team=per_team
+            headers, header, header.received_ms, per_team=team is not None
         )
         if waiting + header.tokens > token_limit:
             raise _token_limit_refusal(waiting, header.tokens, token_limit)
@@ -196,16 +267,16 @@
         if is_far and list_s <= DIRECT_ACCEPT_LIST_S:
             # The stored job may be from an earlier submission that was declined.
             stored_header = await self._repository.create_job(header, items)
-            _check_owner(stored_header.header, header.team)
+            _check_owner(stored_header.header, team)
             await self._repository.accept_job(stored_header)
             return
-        stored_header = await self._reserve_job(header, items)
+        stored_header = await self._reserve_job(header, items, team)
         if stored_header.header.accepted:
             return
         headers = await self._repository.list_headers()
         now_ms = _unix_ms()
         earlier = waiting_tokens.list_before(headers, stored_header)
-        waiting = waiting_tokens.count_waiting(earlier, header, now_ms, per_team=per_team)
+        waiting = waiting_tokens.count_waiting(earlier, header, now_ms, per_team=team is not None)
         in_time = waiting_tokens.is_reserved(
             stored_header.header, now_ms, waiting_tokens.RESERVATION_USE_S
         )
@@ -216,12 +287,15 @@
             raise _token_limit_refusal(waiting, header.tokens, token_limit)
 
     async def _reserve_job(
-        self, header: job_repository.JobHeader, items: tuple[ports.Item, ...]
+        self,
+        header: job_repository.JobHeader,
+        items: tuple[ports.Item, ...],
+        team: str | None,
     ) -> job_repository.StoredHeader:
         """Reserve a job, or join the reservation of a concurrent submission of it."""
         reserved = msgspec.structs.replace(header, state="reserved", reserved_ms=_unix_ms())
         stored_header = await self._repository.create_job(reserved, items)
-        _check_owner(stored_header.header, header.team)
+        _check_owner(stored_header.header, team)
         now_ms = reserved.reserved_ms
         if not stored_header.header.accepted and not waiting_tokens.is_reserved(
             stored_header.header, now_ms, waiting_tokens.RESERVATION_USE_S
@@ -289,9 +363,9 @@
     return team.name if team else ""
 
 
-def _check_owner(header: job_repository.JobHeader, team: str) -> None:
+def _check_owner(header: job_repository.JobHeader, team: str | None) -> None:
     """Raise ``CONFLICT`` if a stored job belongs to another team."""
-    if header.team and header.team != team:
+    if not header.is_visible_to(team):
         raise errors.Refusal(
             errors.Code.CONFLICT, f"job {header.job} belongs to another team", step="submit"
         )
--- a/src/cornelgrade/services/edge/job_routes.py
+++ b/src/cornelgrade/services/edge/job_routes.py
@@ -2,7 +2,7 @@
 
 A job belongs to the route that accepted it, by name, until it is deleted. That route decides where
 its items run, how often they may fail and when they are given up, whichever routes the paths of the
-items or of calls about the job fit at present.
+items or of calls about the job fit at present. Calls about an accepted job go before all routes.
 """
 
 from cornelgrade import routes
@@ -17,6 +17,12 @@
     return table.by_name(header.route)
 
 
+def is_at_host(table: route_table.RouteTable, header: job_repository.JobHeader, host: str) -> bool:
+    """Whether calls about a job come with a host: that of its submission, or its route's now."""
+    route = find_route(table, header)
+    return route_table.normalize_host(host) in (header.host, route.host if route else header.host)
+
+
 def is_removed(table: route_table.RouteTable, header: job_repository.JobHeader) -> bool:
     """Whether a job's route was removed; a plan older than the job's doesn't tell."""
     return table.plan.version >= header.plan and find_route(table, header) is None
--- a/src/cornelgrade/services/edge/ports.py
+++ b/src/cornelgrade/services/edge/ports.py
@@ -206,6 +206,12 @@
 class JobCallFormat(Protocol):
     """Encodes and decodes calls about jobs."""
 
+    def parse_called_job(self, exchange: http1_server.Exchange) -> str | None:
+        """Return the job that a request names if it is a call about one, else ``None``.
+
+        It may also be a request of an online route whose prefix begins its path.
+        """
+
     def parse_job_call(self, exchange: http1_server.Exchange) -> JobCall | None:
         """Parse a call about an accepted job; return ``None`` if it is not one.
 
--- a/src/cornelgrade/services/edge/result_reader.py
+++ b/src/cornelgrade/services/edge/result_reader.py
@@ -181,6 +181,16 @@
         await self._read_on(cached, after, wait_s, CONFIRM_TIMEOUT_S)
         return cached.header.total, tuple(entry.result for entry in cached.results[after:])
 
+    async def find_job(self, job: str) -> job_repository.JobHeader | None:
+        """Return the header of an accepted job, perhaps in an earlier state, or ``None``.
+
+        :raises UnavailableError: if neither the cache, a worker nor the store tells.
+        """
+        try:
+            return (await self._load(job)).header
+        except errors.Refusal:
+            return None
+
     async def read_page(self, job: str, after: int, wait_s: float) -> result_sharing.Page:
         """Implements :class:`result_sharing.PageSource`, at a worker."""
         received_s = clocks.since_boot_s()
