Let the route that accepts a job be the one on record

A job that was declined, or whose gateway died after reserving it, kept the route, team and limits of its first submission when a later one accepted it. If the operator had replaced that route meanwhile, its items were given up seconds after the 202, without a run.

Cause: accepting changed the state of the stored header only.

What the accepting submission says now replaces that of the earlier one; deadlines still count from the first. The two tests that call the changed functions pass the header on.

--- a/src/cornelgrade/services/edge/job_handler.py
+++ b/src/cornelgrade/services/edge/job_handler.py
@@ -248,7 +248,7 @@
         if not token_limit:
             stored_header = await self._repository.create_job(header, items)
             _check_owner(stored_header.header, team)
-            await self._repository.accept_job(stored_header)
+            await self._repository.accept_job(stored_header, header)
             return
         started_s = trio.current_time()
         headers = await self._repository.list_headers()
@@ -268,7 +268,7 @@
             # The stored job may be from an earlier submission that was declined.
             stored_header = await self._repository.create_job(header, items)
             _check_owner(stored_header.header, team)
-            await self._repository.accept_job(stored_header)
+            await self._repository.accept_job(stored_header, header)
             return
         stored_header = await self._reserve_job(header, items, team)
         if stored_header.header.accepted:
@@ -281,9 +281,12 @@
             stored_header.header, now_ms, waiting_tokens.RESERVATION_USE_S
         )
         fits = waiting + header.tokens <= token_limit and in_time
-        decide = self._repository.accept_reserved if fits else self._repository.decline_job
         # A concurrent submission of the same job may have decided first.
-        if not (await decide(stored_header)).accepted:
+        if fits:
+            decided = await self._repository.accept_reserved(stored_header, header)
+        else:
+            decided = await self._repository.decline_job(stored_header)
+        if not decided.accepted:
             raise _token_limit_refusal(waiting, header.tokens, token_limit)
 
     async def _reserve_job(
@@ -300,7 +303,7 @@
         if not stored_header.header.accepted and not waiting_tokens.is_reserved(
             stored_header.header, now_ms, waiting_tokens.RESERVATION_USE_S
         ):
-            stored_header = await self._repository.reserve_job(stored_header, _unix_ms())
+            stored_header = await self._repository.reserve_job(stored_header, header, _unix_ms())
         return stored_header
 
     async def _send_results(
--- a/src/cornelgrade/services/edge/job_repository.py
+++ b/src/cornelgrade/services/edge/job_repository.py
@@ -69,6 +69,21 @@
         """Whether another header is one of this job, perhaps in another state."""
         return (self.job, self.received_ms) == (other.job, other.received_ms)
 
+    def submitted_again(self, later: "JobHeader") -> "JobHeader":
+        """Return the header of a job that was not accepted with what a later submission says.
+
+        Its deadlines count from its first submission.
+        """
+        return msgspec.structs.replace(
+            self,
+            route=later.route,
+            host=later.host,
+            team=later.team,
+            plan=later.plan,
+            due_ms=self.received_ms + later.due_ms - later.received_ms,
+            expires_ms=self.received_ms + later.expires_ms - later.received_ms,
+        )
+
     def is_visible_to(self, team: str | None) -> bool:
         """Whether callers of a team may use the job.
 
@@ -200,19 +215,24 @@
             self._headers_revision = changes.version
         return tuple(map(decode_header, self._headers.values()))
 
-    async def reserve_job(self, stored_header: StoredHeader, reserved_ms: int) -> StoredHeader:
+    async def reserve_job(
+        self, stored_header: StoredHeader, later: JobHeader, reserved_ms: int
+    ) -> StoredHeader:
         """Reserve a declined job, or one whose reservation has expired, at a new position.
 
+        :param later: of the submission that reserves it.
         :returns: its header, in whichever state it is now.
         """
-        reserved = msgspec.structs.replace(
-            stored_header.header, state="reserved", reserved_ms=reserved_ms
-        )
+        header = stored_header.header.submitted_again(later)
+        reserved = msgspec.structs.replace(header, state="reserved", reserved_ms=reserved_ms)
         return await self._replace(stored_header, reserved)
 
-    async def accept_reserved(self, stored_header: StoredHeader) -> JobHeader:
-        """Accept a reserved job unless its reservation has changed; return its present header."""
-        opened = msgspec.structs.replace(stored_header.header, state="open")
+    async def accept_reserved(self, stored_header: StoredHeader, later: JobHeader) -> JobHeader:
+        """Accept a reserved job unless its reservation has changed; return its present header.
+
+        :param later: of the submission that is accepted.
+        """
+        opened = msgspec.structs.replace(stored_header.header.submitted_again(later), state="open")
         return (await self._replace(stored_header, opened)).header
 
     async def record_done_tokens(self, stored_header: StoredHeader, tokens: int) -> StoredHeader:
@@ -236,9 +256,12 @@
             return _current_header(exc, updated, step="update job")
         return StoredHeader(updated, stored.version, stored.created)
 
-    async def accept_job(self, stored_header: StoredHeader) -> JobHeader:
-        """Accept a reserved or declined job."""
-        return await self._change_state(stored_header, "open", ("reserved", "declined"))
+    async def accept_job(self, stored_header: StoredHeader, later: JobHeader) -> JobHeader:
+        """Accept a reserved or declined job; one that was accepted is unchanged.
+
+        :param later: of the submission that is accepted.
+        """
+        return await self._change_state(stored_header, "open", ("reserved", "declined"), later)
 
     async def decline_job(self, stored_header: StoredHeader) -> JobHeader:
         """Decline a reserved job; one accepted in the meantime stays accepted."""
@@ -255,9 +278,12 @@
         stored_header: StoredHeader,
         state: Literal["declined", "open", "done", "ended"],
         from_states: tuple[str, ...],
+        later: JobHeader | None = None,
     ) -> JobHeader:
         while stored_header.header.state in from_states:
-            updated = msgspec.structs.replace(stored_header.header, state=state)
+            header = stored_header.header
+            header = header if later is None else header.submitted_again(later)
+            updated = msgspec.structs.replace(header, state=state)
             value = msgspec.json.encode(updated)
             try:
                 await self._store.update(HEADER_KIND, updated.job, value, stored_header.version)
--- a/tests/edge/test_reused_job_ids.py
+++ b/tests/edge/test_reused_job_ids.py
@@ -276,7 +276,7 @@
         ("open", lambda repository, old: repository.close_job(old, "done")),
         ("open", lambda repository, old: repository.close_job(old, "ended")),
         ("open", lambda repository, old: repository.record_done_tokens(old, 300)),
-        ("reserved", lambda repository, old: repository.accept_reserved(old)),
+        ("reserved", lambda repository, old: repository.accept_reserved(old, old.header)),
     ],
 )
 async def test_change_of_a_deleted_job_does_not_apply_to_the_new_one(state, change):
@@ -292,7 +292,7 @@
 @pytest.mark.parametrize(
     "change",
     [
-        lambda repository, old: repository.accept_job(old),
+        lambda repository, old: repository.accept_job(old, old.header),
         lambda repository, old: repository.decline_job(old),
     ],
 )
--- a/tests/edge/test_routes_of_items.py
+++ b/tests/edge/test_routes_of_items.py
@@ -1,6 +1,7 @@
 """Items run by the route that accepted their job, whichever routes their paths fit."""
 
 import dataclasses
+import time
 
 import msgspec
 import pytest
@@ -8,7 +9,7 @@
 
 from cornelgrade import routes
 from cornelgrade.platform.standins import edge_system, formats, stream_engine
-from cornelgrade.services.edge import job_repository
+from cornelgrade.services.edge import job_repository, ports
 
 JOB = "job"
 ITEMS = {f"item-{number}": b"note" for number in range(4)}
@@ -18,6 +19,8 @@
 IN_FORCE_S = 0.5
 # The items of a route that is missing for longer may be given up.
 REMOVED_AFTER_S = 4.0
+# An older reservation has expired.
+RESERVATION_MS = 6_000
 BATCH, STREAM = routes.RouteKind.BATCH, routes.RouteKind.STREAM
 TARGETS = {name: (routes.Target(name),) for name in (edge_system.SERVICE, OTHER_SERVICE)}
 # Routes that the paths of the items fit, beside the job's own.
@@ -224,3 +227,34 @@
         states = await read_states(system, limit_s=REMOVED_AFTER_S + 6.0)
     expected = "completed" if route_kept else "dead_letter"
     assert {state for state, _ in states.values()} == {expected}
+
+
+# Guards against running a job, once it is accepted, by the route on which it was declined before.
+@pytest.mark.parametrize("waiting_tokens", [0, 100_000, 500], ids=["no limit", "far", "near"])
+@pytest.mark.parametrize("state", ["declined", "reserved"])
+async def test_declined_job_belongs_to_the_route_that_accepts_it(state, waiting_tokens):
+    later = edge_system.make_route(
+        "later",
+        edge_system.NOTES_PREFIX,
+        BATCH,
+        job_policy=routes.JobPolicy(waiting_tokens=waiting_tokens),
+    )
+    async with edge_system.run_system(workers=1, engines=1) as system:
+        repository = job_repository.JobRepository(system.store, 100_000)
+        items = tuple(
+            ports.Item(name, f"{edge_system.NOTES_PREFIX}{name}", (), body, 100)
+            for name, body in ITEMS.items()
+        )
+        received_ms = int(time.time() * 1000) - RESERVATION_MS
+        times = (received_ms, received_ms + 1_000, received_ms + 2_000)
+        header = job_repository.JobHeader(
+            JOB, "notes", edge_system.HOST, *times, len(items), 400, 0, state, plan=2
+        )
+        await repository.create_job(header, items)
+        await put_in_force(system, without_own_route(make_plan(3, (later,))))
+        assert (await system.submit("gateway-0", JOB, ITEMS)).status == 202
+        stored = await repository.find_job(JOB)
+        states = await read_states(system)
+    assert (stored.header.route, stored.header.plan) == ("later", 3)
+    assert stored.header.received_ms == received_ms
+    assert states == completed()
