Let trials of streams change the routes around accepted jobs

bench.streams gets list 5 with the kind "routes change": batch and online routes come and go that fit the paths of calls about jobs, of items or of all requests, and the jobs' own route changes its split, its attempts and its time limit. Callers of such a trial give items paths outside their route's prefix, and go on submitting and reading accepted jobs. A 4xx other than 429, a page of another response and an item that is given up are problems now, in all lists; lists 1 to 4 keep their draws.

--- a/bench/streams/callers.py
+++ b/bench/streams/callers.py
@@ -2,10 +2,11 @@
 
 import random
 
+import msgspec
 import trio
 
 from bench import answers
-from bench.streams import judge, rig
+from bench.streams import judge, rig, route_tables
 from cornelgrade.adapters import engine as engine_port
 from cornelgrade.platform.standins import edge_system, formats
 
@@ -111,32 +112,73 @@
     async def _follow_job(self, job: str) -> None:
         """Submit a job, then read its results until all are there."""
         items = {f"{job}-item-{n}": b"note" for n in range(ITEMS)}
-        raw = formats.encode_job(edge_system.NOTES_PREFIX, items)
+        # Draws apart, so that trials without changes of routes keep their draws.
+        rng = random.Random(f"calls {self._seed} {job}")
+        prefix = edge_system.NOTES_PREFIX
+        if self._system.routes_change:
+            prefix = rng.choice(route_tables.ITEM_PREFIXES)
+        raw = formats.encode_job(prefix, items)
         target = f"{edge_system.NOTES_PREFIX}{job}"
         with trio.move_on_after(FINISH_S):
             while await self._call("POST", target, formats.request_headers(job), raw) is None:
                 await trio.sleep(RETRY_PAUSE_S)
             self.accepted_items += ITEMS
-            position = 0
-            while position < ITEMS:
-                page = await self._call(
-                    "GET", formats.job_target(job, position), formats.wait_headers(0.5)
+            async with trio.open_nursery() as nursery:
+                if self._system.routes_change:
+                    nursery.start_soon(self._call_again, rng, job, target, raw)
+                await self._read_results(job)
+                nursery.cancel_scope.cancel()
+
+    async def _read_results(self, job: str) -> None:
+        position = 0
+        while position < ITEMS:
+            page = await self._call(
+                "GET", formats.job_target(job, position), formats.wait_headers(0.5)
+            )
+            for item, state, text in self._decode_page(job, page) if page else ():
+                self.results[item] = state, text
+                position += 1
+            await trio.sleep(0.0 if page else RETRY_PAUSE_S)
+
+    def _decode_page(self, job: str, page: bytes) -> list[tuple[str, str, str]]:
+        try:
+            return formats.decode_results(page)
+        except msgspec.DecodeError:
+            self._system.problems.append(f"a read of {job} got another response")
+            return []
+
+    async def _call_again(self, rng: random.Random, job: str, target: str, raw: bytes) -> None:
+        """Submit an accepted job again, and ask for its items and results from the start."""
+        while True:
+            method, path, body = rng.choice(
+                (
+                    ("POST", target, raw),
+                    ("GET", formats.job_target(job, 0), b""),
+                    ("GET", f"/items/{job}?id={job}-item-0", b""),
                 )
-                for item, state, text in formats.decode_results(page) if page else ():
-                    self.results[item] = state, text
-                    position += 1
-                await trio.sleep(0.0 if page else RETRY_PAUSE_S)
+            )
+            headers = formats.request_headers(job) if body else {}
+            await self._call(method, path, headers, body, rng)
+            await trio.sleep(RETRY_PAUSE_S)
 
     async def _call(
-        self, method: str, target: str, headers: dict[str, str], body: bytes = b""
+        self,
+        method: str,
+        target: str,
+        headers: dict[str, str],
+        body: bytes = b"",
+        rng: random.Random | None = None,
     ) -> bytes | None:
-        """Make a call to some gateway; return the body of a success."""
-        address = self._rng.choice(self._system.gateways).caller_address
+        """Make a call about a job to some gateway; return the body of a success."""
+        gateway = (rng or self._rng).choice(self._system.gateways)
+        address = gateway.caller_address
         sent = {"host": edge_system.HOST, **headers}
         with trio.move_on_after(3.0):
             try:
                 got = await edge_system.call(address, method, target.encode(), sent, body)
             except engine_port.CallError:
                 return None
+            if 400 <= got.status < 500 and got.status != 429:
+                self._system.problems.append(f"{method} {target} at {gateway.name}: {got.status}")
             return got.body if got.status in (200, 202) and got.complete else None
         return None
--- a/bench/streams/faults.py
+++ b/bench/streams/faults.py
@@ -12,7 +12,7 @@
 
 from bench import answers
 from bench.soak import world
-from bench.streams import engine, engines, judge, paths, rig
+from bench.streams import engine, engines, judge, paths, rig, route_tables
 from cornelgrade.standins import fault_proxy
 
 # An engine registers its next start this late at the most.
@@ -36,7 +36,7 @@
 SHARES = (0.0, 0.0, 0.15, 0.3)
 KIND_SHARE = 0.4
 # Version of the list of kinds; raised when kinds are added, so that earlier draws stay.
-LIST_VERSION = 4
+LIST_VERSION = 5
 
 
 class Kind(msgspec.Struct, frozen=True):
@@ -65,6 +65,7 @@
         self.counts: dict[str, int] = {}
         self.log: list[str] = []
         self._seed = seed
+        self._plan_version = 1
 
     async def run(self, kinds: list[Kind], seconds: float) -> None:
         """Inject faults of these kinds beside each other for a time, then wait for their ends."""
@@ -277,6 +278,13 @@
                 return
             await trio.sleep(0.1)
 
+    async def change_routes(self, rng: random.Random) -> None:
+        """Add and remove routes that fit calls about jobs or paths of items."""
+        self._plan_version += rng.randint(1, 5)
+        plan = route_tables.draw_plan(rng, self._plan_version, mild=True)
+        self._record(f"plan={plan.version} routes={[r.path_prefix for r in plan.routes]}")
+        await self.system.put_plan(plan)
+
     async def kill_worker(self, rng: random.Random) -> None:
         """Kill a worker and start it again."""
         await self._restart(world.WORKER, rng, rig.Daemon.kill)
@@ -431,6 +439,7 @@
     Kind("gateways killed", Faults.kill_gateways, 4.0, since=4),
     Kind("early answers", Faults.answer_uploads_early, 1.5, since=4),
     Kind("endless pieces", Faults.send_endless_pieces, 3.0, since=4),
+    Kind("routes change", Faults.change_routes, 0.7, since=5),
 )
 
 
@@ -446,6 +455,11 @@
     ]
 
 
+def changes_routes(kinds: list[Kind]) -> bool:
+    """Return whether routes change in a trial."""
+    return any(kind.inject is Faults.change_routes for kind in kinds)
+
+
 def choose_age_s(kinds: list[Kind]) -> float:
     """Return for how long engines say that they have run when they start."""
     return AGE_S if any(kind.inject is Faults.kill_gateways for kind in kinds) else 0.0
--- a/bench/streams/judge.py
+++ b/bench/streams/judge.py
@@ -148,6 +148,9 @@
     own = [(int(m[3]), m[2]) for m in parsed if m is not None and m[1] == item]
     if len(own) < len(lines):
         return "holds bytes of another response", len(own)
+    if state != "completed":
+        # No engine fails a run, and no time limit of an item passes within a trial.
+        return f"given up after {len(own)} events", len(own)
     return _find_fault(own, state == "completed", total), len(own)
 
 
--- a/bench/streams/rig.py
+++ b/bench/streams/rig.py
@@ -12,6 +12,7 @@
 
 from bench.soak import sockets, world
 from bench.streams import engines, judge
+from cornelgrade import routes
 from cornelgrade.platform import directory
 from cornelgrade.platform.standins import edge_system, formats, store_server
 from cornelgrade.standins import fault_proxy, platform_store
@@ -65,7 +66,8 @@
     :ivar stranded: names of the gateways that reach no engine.
     :ivar ended_paths: streams without framing whose single connection was ended between two events.
     :ivar uploads: how many faults want callers to send long requests now.
-    :ivar problems: what faults found themselves.
+    :ivar routes_change: whether the routes around those that callers use change.
+    :ivar problems: what faults and callers found themselves.
     """
 
     def __init__(self, nursery: trio.Nursery, folder: pathlib.Path, builds: Builds) -> None:
@@ -76,6 +78,7 @@
         self.stranded: set[str] = set()
         self.ended_paths: list[judge.End] = []
         self.uploads = 0
+        self.routes_change = False
         self.problems: list[str] = []
         self._store = platform_store.MemoryPlatform(edge_system.UNLIMITED)
         self._folder = folder
@@ -107,10 +110,7 @@
         """
         server = store_server.StoreServer(self._store)
         store_address = await self.nursery.start(server.serve, world.LOOPBACK)
-        plan = edge_system.make_plan(1)
-        await self._put(
-            directory.Directory.plan_kind, directory.Directory.plan_name, formats.encode_plan(plan)
-        )
+        await self.put_plan(edge_system.make_plan(1))
         # A process takes most of a second to start, so all start beside each other.
         async with trio.open_nursery() as starts:
             for number in range(ENGINES):
@@ -128,6 +128,12 @@
                 while await world.ask_ready(daemon.ready_address) != 200:
                     await trio.sleep(world.POLL_S)
 
+    async def put_plan(self, plan: routes.Plan) -> None:
+        """Write a configuration as the operator does."""
+        kind, name = directory.Directory.plan_kind, directory.Directory.plan_name
+        raw = formats.encode_plan(plan)
+        await world.until_done(lambda: self._put(kind, name, raw))
+
     async def _open_engine(self, eng: engines.Engine) -> None:
         await eng.open(self.nursery)
         await self.register(eng)
--- a/bench/streams/trial.py
+++ b/bench/streams/trial.py
@@ -53,6 +53,7 @@
     engine_settings = {**shares, "age_s": faults.choose_age_s(kinds)}
     async with rig.running(folder, builds, seed, engine_settings) as system:
         injected = faults.Faults(system, seed)
+        system.routes_change = faults.changes_routes(kinds)
         seen = callers.Callers(system, seed)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(seen.run, options.seconds)
--- a/tests/process/test_stream_trials.py
+++ b/tests/process/test_stream_trials.py
@@ -49,12 +49,21 @@
     assert report.faults[kind]
 
 
+# Guards against accepted jobs that are lost, or whose items are given up, once other routes fit the
+# paths of their calls and items.
+def test_jobs_stay_while_routes_change(tmp_path):
+    report = run(2, tmp_path, kinds=("routes change", "worker killed"), shares={})
+    assert report.found.problems == []
+    assert report.faults["routes change"] and report.items
+
+
 # Guards against seeds that draw other faults once a list has more kinds.
-def test_earlier_lists_keep_their_draws():
+@pytest.mark.parametrize("listed", [3, 4])
+def test_earlier_lists_keep_their_draws(listed):
     for seed in range(50):
-        drawn = [kind.name for kind in faults.draw_kinds(seed, 3)]
-        latest = [kind for kind in faults.draw_kinds(seed, faults.LIST_VERSION) if kind.since <= 3]
-        assert drawn == [kind.name for kind in latest]
+        drawn = [kind.name for kind in faults.draw_kinds(seed, listed)]
+        latest = faults.draw_kinds(seed, faults.LIST_VERSION)
+        assert drawn == [kind.name for kind in latest if kind.since <= listed]
 
 
 def test_streams_and_items_stay_in_order_under_drawn_faults(tmp_path):
