--- a/src/cornelgrade/services/edge/job_handler.py
+++ b/src/cornelgrade/services/edge/job_handler.py
@@ -115,6 +115,7 @@
         is_online = route is not None and route.kind is not routes.RouteKind.BATCH
         job = self._job_call_format.parse_called_job(exchange)
         if job is not None:
+            record.act = "call"
             if is_online and not await self._is_job_at_host(job, table, caller.host):
                 return None
             call = self._job_call_format.parse_job_call(exchange)
