--- a/bench/streams/rig.py
+++ b/bench/streams/rig.py
@@ -157,9 +157,12 @@
 
     async def unregister(self, eng: engines.Engine) -> None:
         """Remove an engine's registration."""
-        found = await self._store.get(directory.Directory.upstream_kind, eng.name)
+        await world.until_done(lambda: self._remove(directory.Directory.upstream_kind, eng.name))
+
+    async def _remove(self, kind: str, name: str) -> None:
+        found = await self._store.get(kind, name)
         if found is not None:
-            await self._store.delete(found.kind, found.name, found.version)
+            await self._store.delete(kind, name, found.version)
 
     async def _put(self, kind: str, name: str, raw: bytes) -> None:
         found = await self._store.get(kind, name)
