--- a/src/cornelgrade/services/edge/job_routes.py
+++ b/src/cornelgrade/services/edge/job_routes.py
@@ -24,7 +24,7 @@
 
 
 def is_removed(table: route_table.RouteTable, header: job_repository.JobHeader) -> bool:
-    """Whether a job's route was removed; a plan older than the job's doesn't tell."""
+    """Whether a job's route was removed; a plan older than the job's can't show that."""
     return table.plan.version >= header.plan and find_route(table, header) is None
 
 
@@ -43,8 +43,8 @@
 ) -> bool:
     """Whether an item has failed as often as its route allows.
 
-    The items of a route that is missing are given up once it counts as removed, not before: it may
-    have been replaced by mistake.
+    The items of a route that is missing are given up once it counts as removed, not before: the
+    next version of the plan may have it again.
 
     :param failures: number of its runs that an upstream reported as failed.
     """
--- a/src/cornelgrade/services/edge/result_reader.py
+++ b/src/cornelgrade/services/edge/result_reader.py
@@ -184,7 +184,7 @@
     async def find_job(self, job: str) -> job_repository.JobHeader | None:
         """Return the header of an accepted job, perhaps in an earlier state, or ``None``.
 
-        :raises UnavailableError: if neither the cache, a worker nor the store tells.
+        :raises UnavailableError: if the cache has no such job, and no worker and no store responds.
         """
         try:
             return (await self._load(job)).header
--- a/tests/process/test_routes_of_jobs.py
+++ b/tests/process/test_routes_of_jobs.py
@@ -14,8 +14,6 @@
 IN_FORCE_S = 1.0
 VERSIONS = 5
 ITEMS = 2
-# The items of a route that is missing for longer may be given up.
-REMOVED_AFTER_S = 4.0
 FINISH_S = 20.0
 
 
